--- /dev/null
+++ b/courselead/__init__.py
@@ -0,0 +1,3 @@
+"""courselead: fleet capacity and maintenance manager."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/courselead/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line for operators and callers."""
--- /dev/null
+++ b/courselead/core/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Shared fleet state, folded from the log; identical on every entry host."""
--- /dev/null
+++ b/courselead/core/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Local request path: admission, queues, quotas, routing and retries."""
--- /dev/null
+++ b/courselead/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The entry host daemon: drives the reducer and performs its effects."""
--- /dev/null
+++ b/courselead/integrations/__init__.py
@@ -0,0 +1,1 @@
+"""One folder per outside system; the core imports none of them."""
