--- /dev/null
+++ b/courselead/core/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Long jobs: learned sizes, placement, leases and quarantine."""
--- /dev/null
+++ b/courselead/core/operations/__init__.py
@@ -0,0 +1,1 @@
+"""Fleet operations: assignment, moves, maintenance and worker health."""
