--- /dev/null
+++ b/courselead/integrations/http_api/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP interface of an entry host, for callers and operators."""
