--- /dev/null
+++ b/courselead/integrations/http/client.py
@@ -0,0 +1,75 @@
+"""Whole answers over a few kept connections to one address."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from returns.result import Failure, Result, Success
+
+from .connection import HttpRequest, SingleConnection
+from .const import DEFAULT_MAX_IDLE, HttpLimits
+from .errors import Broken, ExchangeError, MaybeSent
+from .headers import Headers
+
+
+@dataclass(frozen=True, slots=True)
+class WholeAnswer:
+    """An answer with its body read to the end."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+class HttpClient:
+    """Opens one connection per concurrent exchange and keeps a few of them idle."""
+
+    def __init__(
+        self,
+        address: str,
+        limits: HttpLimits | None = None,
+        max_idle: int = DEFAULT_MAX_IDLE,
+    ) -> None:
+        """Keep the `ip:port` address; nothing is opened yet."""
+        self.address = address
+        self._limits = limits or HttpLimits()
+        self._max_idle = max_idle
+        self._idle: list[SingleConnection] = []
+
+    async def fetch(
+        self, req: HttpRequest, timeout_ms: int
+    ) -> Result[WholeAnswer, ExchangeError]:
+        """Send a request and read the whole answer within the timeout."""
+        conn = self._take()
+        try:
+            exchanged = await conn.exchange(req, timeout_ms)
+            if isinstance(exchanged, Failure):
+                return Failure(exchanged.failure())
+            answer = exchanged.unwrap()
+            body = await answer.read_all()
+        except Broken as exc:
+            return Failure(MaybeSent(exc.reason))
+        except BaseException:
+            conn.close()
+            raise
+        self._keep(conn)
+        return Success(WholeAnswer(answer.status, answer.headers, body))
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        while self._idle:
+            self._idle.pop().close()
+
+    def _take(self) -> SingleConnection:
+        while self._idle:
+            conn = self._idle.pop()
+            if conn.is_clean():
+                return conn
+            conn.close()
+        return SingleConnection(self.address, self._limits)
+
+    def _keep(self, conn: SingleConnection) -> None:
+        if len(self._idle) < self._max_idle and conn.is_clean():
+            self._idle.append(conn)
+            return
+        conn.close()
--- /dev/null
+++ b/courselead/integrations/http/headers.py
@@ -0,0 +1,99 @@
+"""Header hygiene: what may pass from one connection to the next, and what may not."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from .const import (
+    ATTR_CONNECTION,
+    ATTR_CONTENT_LENGTH,
+    ATTR_HOST,
+    ATTR_TRANSFER_ENCODING,
+    HOP_BY_HOP,
+    SET_BY_SENDER,
+    HttpLimits,
+)
+
+Header = tuple[bytes, bytes]
+Headers = tuple[Header, ...]
+
+
+def end_to_end(headers: Iterable[Header], dropped: frozenset[bytes]) -> Headers:
+    """Return the headers that go beyond one connection.
+
+    Args:
+        headers: All headers as received.
+        dropped: Lower-case names to drop as well as the hop-by-hop ones.
+
+    Returns:
+        The headers left, without those that a `Connection` header names.
+    """
+    received = tuple(headers)
+    unwanted = HOP_BY_HOP | dropped | _named_by_connection(received)
+    kept = []
+    for name, value in received:
+        if name.lower() in unwanted:
+            continue
+        kept.append((name, value))
+    return tuple(kept)
+
+
+def request_headers(headers: Iterable[Header], host: bytes, body: bytes) -> Headers:
+    """Return the headers to send: the caller's, with host and length of this side."""
+    kept = end_to_end(headers, SET_BY_SENDER)
+    length = str(len(body)).encode("ascii")
+    return ((ATTR_HOST, host), (ATTR_CONTENT_LENGTH, length), *kept)
+
+
+def answer_headers(headers: Iterable[Header]) -> Headers:
+    """Return the headers of an answer that may be passed on to a caller.
+
+    A length beside a chunked body is dropped: the body was framed by the chunks, and a
+    next reader that trusted the length would split the stream at another place.
+    """
+    received = tuple(headers)
+    names = {name.lower() for name, _ in received}
+    dropped = frozenset[bytes]()
+    if ATTR_TRANSFER_ENCODING in names:
+        dropped = frozenset({ATTR_CONTENT_LENGTH})
+    return end_to_end(received, dropped)
+
+
+def header(headers: Iterable[Header], name: bytes) -> bytes | None:
+    """Return the first value of a header by its lower-case name."""
+    for key, value in headers:
+        if key.lower() == name:
+            return value
+    return None
+
+
+def is_framed(headers: Iterable[Header]) -> bool:
+    """Return whether the end of the body can be told from a cut connection."""
+    names = {name.lower() for name, _ in headers}
+    return ATTR_CONTENT_LENGTH in names or ATTR_TRANSFER_ENCODING in names
+
+
+def excess(headers: Headers, limits: HttpLimits) -> str:
+    """Return why the headers are over the limits, or an empty text."""
+    if len(headers) > limits.max_header_count:
+        return f"more than {limits.max_header_count} answer headers"
+    size = 0
+    for name, value in headers:
+        size += len(name) + len(value)
+    if size > limits.max_header_bytes:
+        return f"answer headers over {limits.max_header_bytes} bytes"
+    length = header(headers, ATTR_CONTENT_LENGTH)
+    if length is None or ATTR_TRANSFER_ENCODING in {n.lower() for n, _ in headers}:
+        return ""
+    if int(length) > limits.max_answer_bytes:
+        return f"answer body over {limits.max_answer_bytes} bytes"
+    return ""
+
+
+def _named_by_connection(headers: Headers) -> frozenset[bytes]:
+    named = set()
+    for name, value in headers:
+        if name.lower() != ATTR_CONNECTION:
+            continue
+        named.update(token.strip().lower() for token in value.split(b","))
+    return frozenset(named)
