--- /dev/null
+++ b/tests/settings/test_settings.py
@@ -0,0 +1,144 @@
+"""The settings file: good ones load, faulty ones name every fault."""
+
+import json
+
+import pytest
+from hypothesis import given, settings as hypothesis_settings, strategies as st
+from returns.result import Failure, Success
+
+from courselead.settings import Address, Settings, SettingsErrors
+from courselead.settings.load import load_raw
+
+GOOD = {
+    "entry_host": "eh-1",
+    "availability_zone": "az-1",
+    "listen": "127.0.0.1:8080",
+    "peer_listen": "[::1]:8081",
+    "peers": [
+        {
+            "entry_host": "eh-2",
+            "address": "127.0.0.1:8082",
+            "availability_zone": "az-2",
+        }
+    ],
+    "log_url": "http://127.0.0.1:9000",
+    "membership_url": "http://127.0.0.1:9001/",
+    "operator_credential_hashes": ["ab" * 32],
+}
+
+
+def changed(path, value):
+    """Return the good settings with one value put in."""
+    raw = json.loads(json.dumps(GOOD))
+    at = raw
+    for key in path[:-1]:
+        at = at.setdefault(key, {}) if isinstance(at, dict) else at[key]
+    at[path[-1]] = value
+    return raw
+
+
+def fault_paths(raw):
+    """Return the key paths of all faults."""
+    loaded = load_raw(raw, "f")
+    assert isinstance(loaded, Failure)
+    errors = loaded.failure()
+    assert all(fault.problem and fault.remedy for fault in errors.faults)
+    return [fault.path for fault in errors.faults]
+
+
+def test_a_good_file_loads_with_defaults(tmp_path):
+    path = tmp_path / "settings.json"
+    path.write_text(json.dumps(GOOD))
+    loaded = Settings.from_file(path).unwrap()
+    assert loaded.listen == Address("127.0.0.1", 8080)
+    assert str(loaded.peer_listen) == "[::1]:8081"
+    assert loaded.membership_url == "http://127.0.0.1:9001"
+    assert loaded.limits.body_bytes == 1024 * 1024
+    assert loaded.timings.tick_ms == 50
+    assert loaded.timings.beat_ms == 2000
+    assert loaded.timings.lost_after_ms == 10_000
+    assert loaded.timings.maintenance_period_ms == 14 * 86_400_000
+    assert loaded.peers[0].entry_host == "eh-2"
+
+
+@pytest.mark.parametrize(
+    ("path", "value", "fault"),
+    [
+        (["entry_host"], "Eh 1", "entry_host"),
+        (["entry_host"], 3, "entry_host"),
+        (["listen"], "localhost:80", "listen"),
+        (["listen"], "127.0.0.1", "listen"),
+        (["listen"], "127.0.0.1:0", "listen"),
+        (["listen"], "127.0.0.1:65536", "listen"),
+        (["listen"], "127.0.0.1:٣", "listen"),
+        (["listen"], "::1:80", "listen"),
+        (["listen"], "[127.0.0.1]:80", "listen"),
+        (["peer_listen"], "127.0.0.1:8080", "peer_listen"),
+        (["log_url"], "https://127.0.0.1:1", "log_url"),
+        (["log_url"], "http://log.example:1", "log_url"),
+        (["log_url"], "http://127.0.0.1:1/x", "log_url"),
+        (["log_url"], "http://[::1", "log_url"),
+        (["log_url"], None, "log_url"),
+        (["log_level"], "loud", "log_level"),
+        (["peers"], {}, "peers"),
+        (["peers", 0, "address"], "eh-2:1", "peers[0].address"),
+        (["peers", 0, "entry_host"], "eh-1", "peers[0].entry_host"),
+        (["peers", 0, "more"], 1, "peers[0].more"),
+        (["peers", 0], 7, "peers[0]"),
+        (["operator_credential_hashes"], ["AB" * 32], "operator_credential_hashes[0]"),
+        (["limits"], [], "limits"),
+        (["limits"], {"body_bytes": True}, "limits.body_bytes"),
+        (["limits"], {"body_bytes": 1.5}, "limits.body_bytes"),
+        (["limits"], {"max_connections": 0}, "limits.max_connections"),
+        (["limits"], {"body_byte": 1}, "limits.body_byte"),
+        (["timings"], {"lost_after_ms": 3000}, "timings.lost_after_ms"),
+        (["surprise"], 1, "surprise"),
+    ],
+)
+def test_each_fault_is_named_by_its_key_path(path, value, fault):
+    assert fault in fault_paths(changed(path, value))
+
+
+def test_all_faults_are_listed_at_once():
+    raw = changed(["limits"], {"body_bytes": "x", "nope": 1})
+    raw["listen"] = "somewhere"
+    del raw["log_url"]
+    raw["peers"].append(dict(raw["peers"][0]))
+    assert sorted(fault_paths(raw)) == [
+        "limits.body_bytes",
+        "limits.nope",
+        "listen",
+        "log_url",
+        "peers[1].address",
+        "peers[1].entry_host",
+    ]
+
+
+def test_a_near_miss_is_named():
+    loaded = load_raw(changed(["limits"], {"body_byte": 1}), "f")
+    assert "did you mean 'body_bytes'?" in str(loaded.failure())
+
+
+@pytest.mark.parametrize("text", ["", "{", "[]", '{"listen": 1, "listen": 2}', "\xff"])
+def test_a_file_that_is_no_object_is_a_fault(tmp_path, text):
+    path = tmp_path / "settings.json"
+    path.write_bytes(text.encode("latin-1"))
+    assert isinstance(Settings.from_file(path).failure(), SettingsErrors)
+    assert isinstance(Settings.from_file(tmp_path / "none"), Failure)
+
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=20),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.sampled_from([*GOOD, "limits", "timings", "x"]), inner)
+    ),
+    max_leaves=20,
+)
+
+
+@given(st.dictionaries(st.sampled_from([*GOOD, "limits", "timings"]), JSON))
+@hypothesis_settings(derandomize=True, max_examples=200, deadline=None)
+def test_any_json_is_loaded_or_refused_without_an_exception(parts):
+    loaded = load_raw({**GOOD, **parts}, "f")
+    assert isinstance(loaded, Success | Failure)
