Tell duplicate rows together with the rows' other faults

Change: these checks read the decoded rows; row parsing is in table_rows. Conclusion: one round of faults.

--- a/courselead/core/table_check.py
+++ b/courselead/core/table_check.py
@@ -12,20 +12,17 @@
 from returns.result import Failure, Result, Success
 
 from courselead.core.fleet.records import TablePublished
-from courselead.core.table import (
-    AccountRow,
-    ServiceRow,
-    account_key,
-    pool_name,
-    service_key,
-)
-from courselead.core.table_columns import (
-    ACCOUNT_COLUMNS,
-    SERVICE_COLUMNS,
-    Column,
-    IntColumn,
-    is_name,
-    shown,
+from courselead.core.table import AccountRow, ServiceRow, account_key, service_key
+from courselead.core.table_columns import IntColumn, is_name, shown
+from courselead.core.table_rows import (
+    ATTR_ACCOUNTS,
+    ATTR_SERVICES,
+    TableFault as TableFault,
+    account_rows,
+    item_keys,
+    list_of,
+    service_rows,
+    unknown_faults,
 )
 
 MAX_ACCOUNTS = 1_000
@@ -36,8 +33,6 @@
 MAX_VERSION = 2**63 - 1
 
 ATTR_BASE_VERSION = "base_version"
-ATTR_ACCOUNTS = "accounts"
-ATTR_SERVICES = "services"
 ATTR_REMOVED = "removed"
 ATTR_AUTHOR = "author"
 
@@ -54,22 +49,6 @@
 _SERVICE_PREFIX = service_key("")
 
 
-@dataclass(frozen=True, slots=True)
-class TableFault:
-    """One fault of an edit or a table.
-
-    Attributes:
-        row: Row key, a place such as `services[3]` where the row has no valid
-            name, or "" for the whole.
-        column: Column, "" for the whole row.
-        message: What is wrong and what to do.
-    """
-
-    row: str
-    column: str
-    message: str
-
-
 @dataclass(frozen=True, slots=True)
 class TableRows:
     """Checked rows of a whole table, in the order given."""
@@ -94,10 +73,10 @@
     """
     if not isinstance(data, Mapping):
         return Failure((TableFault("", "", "not a JSON object; send an edit"),))
-    faults = _unknown("", data, _EDIT_ATTRS)
-    account_items = _list(data, ATTR_ACCOUNTS, faults)
-    service_items = _list(data, ATTR_SERVICES, faults)
-    removed_items = _list(data, ATTR_REMOVED, faults)
+    faults = unknown_faults("", data, _EDIT_ATTRS)
+    account_items = list_of(data, ATTR_ACCOUNTS, faults)
+    service_items = list_of(data, ATTR_SERVICES, faults)
+    removed_items = list_of(data, ATTR_REMOVED, faults)
     count = len(account_items) + len(service_items) + len(removed_items)
     if count > MAX_EDIT_ROWS:
         message = f"{count} rows in one edit; at most {MAX_EDIT_ROWS}, publish in parts"
@@ -106,12 +85,12 @@
         faults.append(TableFault("", "", "no row; set or remove at least one"))
     base_version = _base_version(data, faults)
     author = _author(data, faults)
-    accounts = _accounts(account_items, faults)
-    services = _services(service_items, faults)
+    accounts = account_rows(account_items, faults)
+    services = service_rows(service_items, faults)
     removed = _removed(removed_items, faults)
-    keys = _keys(accounts, services)
+    keys = item_keys(account_items, service_items)
     faults.extend(_duplicates(keys + removed))
-    faults.extend(_shared_credentials(accounts))
+    faults.extend(_shared_credentials(account_items))
     if faults:
         return Failure(tuple(faults))
     edit = TablePublished(
@@ -135,17 +114,18 @@
     """
     if not isinstance(data, Mapping):
         return Failure((TableFault("", "", "not a JSON object; give a table"),))
-    faults = _unknown("", data, _TABLE_ATTRS)
-    account_items = _list(data, ATTR_ACCOUNTS, faults)
-    service_items = _list(data, ATTR_SERVICES, faults)
+    faults = unknown_faults("", data, _TABLE_ATTRS)
+    account_items = list_of(data, ATTR_ACCOUNTS, faults)
+    service_items = list_of(data, ATTR_SERVICES, faults)
     too_many = _too_many(len(account_items), len(service_items))
     if too_many:
         return Failure(too_many)
-    accounts = _accounts(account_items, faults)
-    services = _services(service_items, faults)
-    faults.extend(_duplicates(_keys(accounts, services)))
-    faults.extend(_shared_credentials(accounts))
-    faults.extend(_without_account(accounts, services, account_items))
+    accounts = account_rows(account_items, faults)
+    services = service_rows(service_items, faults)
+    keys = item_keys(account_items, service_items)
+    faults.extend(_duplicates(keys))
+    faults.extend(_shared_credentials(account_items))
+    faults.extend(_without_account(keys))
     if faults:
         return Failure(tuple(faults))
     return Success(TableRows(tuple(accounts), tuple(services)))
@@ -163,28 +143,6 @@
     return is_name(account) and is_name(service)
 
 
-def _unknown(row: str, data: Mapping, known: tuple[str, ...]) -> list[TableFault]:
-    """Return a fault for each name that is not known."""
-    faults = []
-    allowed = ", ".join(known)
-    for name in data:
-        if name in known:
-            continue
-        column = str(name)[:MAX_AUTHOR]
-        message = f"unknown; remove it or use one of {allowed}"
-        faults.append(TableFault(row, column, message))
-    return faults
-
-
-def _list(data: Mapping, name: str, faults: list[TableFault]) -> list:
-    """Return a list of the data, empty if it is left out or not a list."""
-    value = data.get(name, [])
-    if isinstance(value, list | tuple):
-        return list(value)
-    faults.append(TableFault("", name, "not a list; give a list"))
-    return []
-
-
 def _base_version(data: Mapping, faults: list[TableFault]) -> int:
     """Return the version that the edit was made from."""
     if ATTR_BASE_VERSION not in data:
@@ -208,85 +166,6 @@
     return ""
 
 
-def _accounts(items: list, faults: list[TableFault]) -> list[AccountRow]:
-    """Return the account rows without fault."""
-    rows = []
-    for index, item in enumerate(items):
-        label = _account_label(item, f"{ATTR_ACCOUNTS}[{index}]")
-        required = ("client_account",)
-        values = _row(item, label, ACCOUNT_COLUMNS, required, faults)
-        if values is not None:
-            rows.append(AccountRow(**values))
-    return rows
-
-
-def _services(items: list, faults: list[TableFault]) -> list[ServiceRow]:
-    """Return the service rows without fault."""
-    rows = []
-    for index, item in enumerate(items):
-        label = _service_label(item, f"{ATTR_SERVICES}[{index}]")
-        required = ("client_account", "service")
-        values = _row(item, label, SERVICE_COLUMNS, required, faults)
-        if values is None:
-            continue
-        row = ServiceRow(**values)
-        rows.append(row)
-        if row.connections < row.slots:
-            message = (
-                f"{row.connections} is below slots ({row.slots}); "
-                f"raise connections or lower slots"
-            )
-            faults.append(TableFault(label, "connections", message))
-    return rows
-
-
-def _row(
-    item: object,
-    label: str,
-    columns: tuple[Column, ...],
-    required: tuple[str, ...],
-    faults: list[TableFault],
-) -> dict[str, object] | None:
-    """Return the checked values of a row, None if it has a fault."""
-    if not isinstance(item, Mapping):
-        got = shown(item)
-        faults.append(TableFault(label, "", f"{got} is not an object; give a row"))
-        return None
-    names = tuple(column.name for column in columns)
-    found = _unknown(label, item, names)
-    values = {}
-    for column in columns:
-        if column.name not in item:
-            if column.name in required:
-                message = f"missing; give {column.allowed}"
-                found.append(TableFault(label, column.name, message))
-            continue
-        checked = column.check(item[column.name])
-        if isinstance(checked, Failure):
-            found.append(TableFault(label, column.name, checked.failure()))
-            continue
-        values[column.name] = checked.unwrap()
-    faults.extend(found)
-    return None if found else values
-
-
-def _account_label(item: object, place: str) -> str:
-    """Return the row key of a decoded account row, else its place."""
-    name = item.get("client_account") if isinstance(item, Mapping) else None
-    return account_key(name) if is_name(name) else place
-
-
-def _service_label(item: object, place: str) -> str:
-    """Return the row key of a decoded service row, else its place."""
-    if not isinstance(item, Mapping):
-        return place
-    account = item.get("client_account")
-    service = item.get("service")
-    if is_name(account) and is_name(service):
-        return service_key(pool_name(account, service))
-    return place
-
-
 def _removed(items: list, faults: list[TableFault]) -> list[str]:
     """Return the row keys to remove that are well formed."""
     keys = []
@@ -302,13 +181,6 @@
     return keys
 
 
-def _keys(accounts: list[AccountRow], services: list[ServiceRow]) -> list[str]:
-    """Return the row keys of rows."""
-    keys = [account_key(row.client_account) for row in accounts]
-    keys.extend(service_key(row.pool) for row in services)
-    return keys
-
-
 def _duplicates(keys: list[str]) -> list[TableFault]:
     """Return a fault for each key that stands more than once."""
     faults = []
@@ -319,21 +191,29 @@
     return faults
 
 
-def _shared_credentials(accounts: list[AccountRow]) -> list[TableFault]:
+def _shared_credentials(items: list) -> list[TableFault]:
     """Return a fault for each account that shares a credential with another."""
     owners: dict[str, str] = {}
     faults = []
-    for row in accounts:
-        for digest in row.credential_hashes:
-            owner = owners.setdefault(digest, row.client_account)
-            if owner == row.client_account:
-                continue
-            message = f"a digest is also that of {owner}; give each its own"
-            key = account_key(row.client_account)
-            faults.append(TableFault(key, "credential_hashes", message))
+    for item in items:
+        for key in item_keys([item], []):
+            for digest in _digests(item):
+                owner = owners.setdefault(digest, key)
+                if owner == key:
+                    continue
+                message = f"a digest is also that of {owner}; give each its own"
+                faults.append(TableFault(key, "credential_hashes", message))
     return faults
 
 
+def _digests(item: Mapping) -> list[str]:
+    """Return the texts among a decoded account row's digests."""
+    value = item.get("credential_hashes")
+    if not isinstance(value, list | tuple):
+        return []
+    return [digest for digest in value if isinstance(digest, str)]
+
+
 def _too_many(accounts: int, services: int) -> Faults:
     """Return a fault for each kind of row that passes its limit."""
     faults = []
@@ -346,21 +226,16 @@
     return tuple(faults)
 
 
-def _without_account(
-    accounts: list[AccountRow], services: list[ServiceRow], items: list
-) -> list[TableFault]:
-    """Return a fault for each service whose account has no row.
-
-    Names of account rows with other faults count: their own faults are told.
-    """
-    names = {row.client_account for row in accounts}
-    for item in items:
-        if isinstance(item, Mapping) and is_name(item.get("client_account")):
-            names.add(item["client_account"])
+def _without_account(keys: list[str]) -> list[TableFault]:
+    """Return a fault for each service whose account has no row."""
+    present = set(keys)
     faults = []
-    for row in services:
-        if row.client_account in names:
+    for key in keys:
+        if not key.startswith(_SERVICE_PREFIX):
+            continue
+        account = key.removeprefix(_SERVICE_PREFIX).partition("/")[0]
+        if account_key(account) in present:
             continue
-        message = f"no row for account {row.client_account}; add one"
-        faults.append(TableFault(service_key(row.pool), "client_account", message))
+        message = f"no row for account {account}; add one"
+        faults.append(TableFault(key, "client_account", message))
     return faults
--- a/tests/core/test_table_check.py
+++ b/tests/core/test_table_check.py
@@ -150,6 +150,10 @@
     )
     wanted = [("account:acme", ""), ("service:acme/web", "")]
     assert sorted(faults_of(check_edit(data))) == wanted
+    # The duplicate is told together with another fault of the same row.
+    data["services"][1]["slots"] = 0
+    wanted.append(("service:acme/web", "slots"))
+    assert sorted(faults_of(check_edit(data))) == wanted
 
 
 def test_a_credential_belongs_to_one_account():
