Drive workers through their phases, watch them and keep the inventory

Cause: no host acted on workers yet. Change: the reducer of the operations part with lifecycle, health, inventory and the assignment of free workers.

--- /dev/null
+++ b/courselead/core/operations/health.py
@@ -0,0 +1,125 @@
+"""Finds lost workers and workers that are back, by polling their agents.
+
+Only the host that is first in the ranking of a worker polls it, so the number
+of polls does not grow with the number of entry hosts.
+"""
+
+from dataclasses import replace
+
+from courselead.core.events import AgentAnswered, AgentFailed, AgentOp, AgentReport
+from courselead.core.fleet.records import MinionUp, WorkerBack, WorkerDown
+from courselead.core.fleet.state import WorkerPhase, WorkerState
+from courselead.core.operations.draft import Draft
+from courselead.core.operations.lifecycle import (
+    ACTIVE,
+    MINION_SERVING,
+    MINION_STOPPED,
+)
+
+OWN_OPS = frozenset(
+    {AgentOp.STATE, AgentOp.START_MINION, AgentOp.STOP_MINION, AgentOp.REBOOT}
+)
+MIN_FAILURES = 3
+STAGE_WATCH = "watch"
+REASON_UNREACHABLE = "unreachable"
+REASON_RESTARTED = "restarted"
+REASON_MINION_GONE = "minion_gone"
+REASON_MINION_STOPPED = "minion_stopped_without_plan"
+
+
+def watch(draft: Draft, worker: WorkerState) -> None:
+    """Poll a worker that is neither starting nor stopping, if it is this host's."""
+    if worker.phase is WorkerPhase.GONE or worker.phase in ACTIVE:
+        return
+    lost = worker.phase is WorkerPhase.DOWN
+    if not lost and not draft.preferred(worker):
+        # A host that is no longer first must not judge by old failures.
+        if worker.worker in draft.state.agents:
+            draft.drop(worker.worker)
+        return
+    view = draft.stage(worker, STAGE_WATCH)
+    if draft.may_call(worker, view):
+        draft.call(worker, AgentOp.STATE)
+
+
+def answered(draft: Draft, worker: WorkerState, event: AgentAnswered) -> None:
+    """Note that an agent answers, and judge the state it gives."""
+    heard(draft, worker)
+    view = draft.view(worker)
+    report = event.report
+    if event.op is not AgentOp.STATE or report is None:
+        return
+    _judge(draft, worker, report)
+    rebooting = worker.phase is WorkerPhase.STOPPED
+    if rebooting and view.boots >= 0:
+        # The count from before the reboot is what the new one is held against.
+        draft.put(worker.worker, replace(view, report=report))
+        return
+    draft.put(worker.worker, replace(view, report=report, boots=report.boots))
+
+
+def heard(draft: Draft, worker: WorkerState) -> None:
+    """Note that an agent answers, with nothing to learn from the answer."""
+    view = replace(
+        draft.view(worker),
+        waiting=False,
+        failing_ms=-1,
+        failures=0,
+        answered_ms=draft.now_ms,
+    )
+    draft.put(worker.worker, view)
+
+
+def failed(draft: Draft, worker: WorkerState, event: AgentFailed) -> None:
+    """Count a failed call; a worker that fails long enough is down."""
+    view = draft.view(worker)
+    since = event.now_ms if view.failing_ms < 0 else view.failing_ms
+    view = replace(view, waiting=False, failing_ms=since, failures=view.failures + 1)
+    draft.put(worker.worker, view)
+    if worker.phase not in (
+        WorkerPhase.SERVING,
+        WorkerPhase.STARTING,
+        WorkerPhase.STOPPING,
+    ):
+        return
+    if view.failures < MIN_FAILURES:
+        return
+    if draft.now_ms - since < draft.cfg.failing_ms:
+        return
+    draft.propose(WorkerDown(worker.worker, worker.epoch, REASON_UNREACHABLE))
+
+
+def _judge(draft: Draft, worker: WorkerState, report: AgentReport) -> None:
+    """Compare a state with what is agreed on the worker."""
+    if worker.phase in (WorkerPhase.SERVING, WorkerPhase.STOPPING):
+        reason = _loss(draft, worker, report)
+        if reason:
+            draft.propose(WorkerDown(worker.worker, worker.epoch, reason))
+        return
+    if worker.phase is not WorkerPhase.DOWN or report.rebooting:
+        return
+    same = report.epoch == worker.epoch and worker.minion_address
+    if same and report.minion_state == MINION_SERVING:
+        address = report.minion_address
+        draft.propose(MinionUp(worker.worker, worker.epoch, address))
+        return
+    draft.propose(WorkerBack(worker.worker, worker.epoch))
+
+
+def _loss(draft: Draft, worker: WorkerState, report: AgentReport) -> str:
+    """Return why a serving or stopping worker counts as lost, "" if it does not."""
+    if report.epoch > worker.epoch:
+        # The agreed state is older than the agent's: the log will tell.
+        return ""
+    view = draft.view(worker)
+    if report.rebooting or 0 <= view.boots < report.boots:
+        return REASON_RESTARTED
+    if report.epoch < worker.epoch or not report.minion_state:
+        return REASON_MINION_GONE
+    if worker.phase is WorkerPhase.STOPPING:
+        return ""
+    if report.minion_state == MINION_STOPPED:
+        return REASON_MINION_STOPPED
+    if report.minion_address != worker.minion_address:
+        return REASON_MINION_GONE
+    return ""
--- /dev/null
+++ b/courselead/core/operations/lifecycle.py
@@ -0,0 +1,252 @@
+"""Drives each worker through its phases by calls to its agent.
+
+The agreed phase says what is to be done; the agent's answer is proposed as
+the record that ends the phase. A drain is waited for and never forced.
+"""
+
+from dataclasses import replace
+
+from courselead.core.events import AgentAnswered, AgentOp, AgentReport
+from courselead.core.fleet.records import (
+    MinionStopped,
+    MinionUp,
+    StopPurpose,
+    WorkerAssigned,
+    WorkerDown,
+    WorkerRebooted,
+)
+from courselead.core.fleet.state import (
+    FleetState,
+    HostStatus,
+    WorkerPhase,
+    WorkerState,
+)
+from courselead.core.operations.draft import Draft
+from courselead.core.operations.state import (
+    DRAIN_REPORT_EVERY_MS,
+    DRAIN_REPORT_MS,
+    AgentView,
+)
+
+ACTIVE = frozenset({WorkerPhase.STARTING, WorkerPhase.STOPPING, WorkerPhase.STOPPED})
+MINION_SERVING = "serving"
+MINION_STOPPED = "stopped"
+REFUSED_BUSY = "busy"
+TASK_RUNNING = "running"
+STAGE_SETTLE = "settle"
+STAGE_STOP = "stop"
+STAGE_START = "start"
+STAGE_REBOOT = "reboot"
+STAGE_MOVE = "move"
+REASON_REBOOT_LIMIT = "reboot_limit"
+
+
+def unsettled_hosts(fleet: FleetState, since: int) -> list[str]:
+    """Return the entry hosts that may still have requests on a stopped target.
+
+    Args:
+        fleet: Shared state.
+        since: Offset of the planned stop. A host that joined later never sent
+            to this minion, and a lost or left one holds no work.
+    """
+    names = []
+    for host in fleet.hosts.values():
+        if host.status is not HostStatus.LIVE:
+            continue
+        if host.joined < since and host.settled < since:
+            names.append(host.entry_host)
+    return sorted(names)
+
+
+def drive(draft: Draft, worker: WorkerState) -> None:
+    """Take the next step of a worker that is starting or stopping."""
+    if worker.phase is WorkerPhase.STARTING:
+        _start(draft, worker)
+    elif worker.phase is WorkerPhase.STOPPING:
+        _stop(draft, worker)
+    elif worker.phase is not WorkerPhase.STOPPED:
+        return
+    elif worker.purpose is StopPurpose.MOVE:
+        _move(draft, worker)
+    else:
+        _reboot(draft, worker)
+
+
+def answered(draft: Draft, worker: WorkerState, event: AgentAnswered) -> None:
+    """Propose what an answer proves, then take the next step."""
+    if event.op is AgentOp.START_MINION:
+        _started(draft, worker, event)
+    elif event.op is AgentOp.STATE and event.report is not None:
+        _reported(draft, worker, event.report, event.wall_ms)
+    elif event.op in (AgentOp.STOP_MINION, AgentOp.REBOOT):
+        view = draft.view(worker)
+        starting = worker.phase is WorkerPhase.STARTING
+        taken = not event.refused and not starting
+        draft.put(worker.worker, replace(view, taken=taken, recheck=True))
+    drive(draft, worker)
+
+
+def failed(draft: Draft, worker: WorkerState) -> None:
+    """Read the state before the next action, since the call may have worked."""
+    draft.put(worker.worker, replace(draft.view(worker), recheck=True))
+
+
+def _reported(
+    draft: Draft, worker: WorkerState, report: AgentReport, wall_ms: int
+) -> None:
+    """Judge the agent's state of a stopping or rebooting worker."""
+    view = draft.view(worker)
+    view = replace(view, recheck=False, saw_reboot=view.saw_reboot or report.rebooting)
+    if worker.phase is WorkerPhase.STOPPING:
+        current = report.epoch == worker.epoch
+        if current and report.minion_state == MINION_STOPPED:
+            draft.propose(MinionStopped(worker.worker, worker.epoch))
+        if current and report.minion_state == MINION_SERVING:
+            view = replace(view, taken=False)
+    draft.put(worker.worker, view)
+    rebooting = worker.phase is WorkerPhase.STOPPED
+    if not rebooting or worker.purpose is not StopPurpose.MAINTENANCE:
+        return
+    if report.rebooting:
+        return
+    restarted = 0 <= view.boots < report.boots
+    if restarted or view.saw_reboot:
+        draft.propose(WorkerRebooted(worker.worker, worker.epoch, wall_ms))
+
+
+# --- phases ----------------------------------------------------------------
+
+
+def _start(draft: Draft, worker: WorkerState) -> None:
+    """Have the agent start the minion of this epoch."""
+    row = draft.ctx.fleet.table.services.get(worker.pool)
+    if row is None:
+        return
+    view = draft.stage(worker, STAGE_START)
+    if not draft.may_call(worker, view):
+        return
+    if view.taken:
+        draft.call(worker, AgentOp.STOP_MINION)
+        return
+    draft.call(
+        worker,
+        AgentOp.START_MINION,
+        service=row.service,
+        slots=row.slots,
+        connections=row.connections,
+    )
+
+
+def _started(draft: Draft, worker: WorkerState, event: AgentAnswered) -> None:
+    """Propose the minion that an agent has started."""
+    if worker.phase is not WorkerPhase.STARTING:
+        return
+    if event.refused or not event.address:
+        # A minion of an earlier assignment is in the way: it ends gracefully.
+        busy = event.refused == REFUSED_BUSY
+        draft.put(worker.worker, replace(draft.view(worker), taken=busy))
+        draft.note(
+            "warning",
+            "minion_start_refused",
+            worker=worker.worker,
+            epoch=worker.epoch,
+            error=event.refused,
+        )
+        return
+    draft.propose(MinionUp(worker.worker, worker.epoch, event.address))
+
+
+def _stop(draft: Draft, worker: WorkerState) -> None:
+    """Stop the minion once no entry host can have a request on it."""
+    hosts = unsettled_hosts(draft.ctx.fleet, worker.since)
+    view = draft.stage(worker, STAGE_SETTLE if hosts else STAGE_STOP)
+    _report_drain(draft, worker, view, hosts)
+    if hosts or not draft.may_call(worker, view):
+        return
+    if view.taken or view.recheck:
+        draft.call(worker, AgentOp.STATE)
+        return
+    draft.call(worker, AgentOp.STOP_MINION)
+
+
+def _reboot(draft: Draft, worker: WorkerState) -> None:
+    """Reboot a stopped worker, knowing its boots before the first call."""
+    view = draft.stage(worker, STAGE_REBOOT)
+    _report_drain(draft, worker, view, [])
+    if draft.now_ms - view.phase_ms > draft.cfg.reboot_limit_ms:
+        reason = REASON_REBOOT_LIMIT
+        draft.propose(WorkerDown(worker.worker, worker.epoch, reason))
+        return
+    if not draft.may_call(worker, view):
+        return
+    report = view.report
+    unknown = report is None or view.boots < 0 or view.recheck
+    if unknown or view.taken or view.saw_reboot:
+        draft.call(worker, AgentOp.STATE)
+        return
+    draft.call(worker, AgentOp.REBOOT)
+
+
+def _move(draft: Draft, worker: WorkerState) -> None:
+    """Give a stopped worker to its next pool."""
+    view = draft.stage(worker, STAGE_MOVE)
+    delay = draft.delay_ms(worker.worker, worker.availability_zone)
+    if not worker.next_pool or draft.now_ms - view.stage_ms < delay:
+        return
+    version = draft.ctx.fleet.table.version
+    draft.propose(
+        WorkerAssigned(worker.worker, worker.epoch, worker.next_pool, version)
+    )
+
+
+# --- stuck drains ----------------------------------------------------------
+
+
+def _report_drain(
+    draft: Draft, worker: WorkerState, view: AgentView, hosts: list[str]
+) -> None:
+    """Report a drain that takes long, with its cause, once a minute."""
+    if draft.now_ms - view.phase_ms < DRAIN_REPORT_MS:
+        return
+    noted = view.noted_ms
+    if noted >= 0 and draft.now_ms - noted < DRAIN_REPORT_EVERY_MS:
+        return
+    if not draft.preferred(worker):
+        return
+    draft.put(worker.worker, replace(view, noted_ms=draft.now_ms))
+    tasks = _running_tasks(view.report)
+    draft.note(
+        "warning",
+        "drain_stuck",
+        worker=worker.worker,
+        phase=worker.phase.value,
+        took_ms=draft.now_ms - view.phase_ms,
+        cause=_cause(view, hosts, tasks),
+    )
+
+
+def _running_tasks(report: AgentReport | None) -> list[str]:
+    """Return the jobs that an agent still runs."""
+    if report is None:
+        return []
+    return sorted(task.job_id for task in report.tasks if task.state == TASK_RUNNING)
+
+
+def _cause(view: AgentView, hosts: list[str], tasks: list[str]) -> str:
+    """Return why a drain has not ended."""
+    if hosts:
+        names = ", ".join(hosts)
+        return f"entry hosts not settled: {names}"
+    if tasks:
+        names = ", ".join(tasks)
+        return f"tasks running: {names}"
+    report = view.report
+    if view.failures:
+        return f"agent does not answer: {view.failures} failures"
+    if report is None:
+        return "agent not asked yet"
+    if report.minion_in_flight:
+        return f"requests in flight: {report.minion_in_flight}"
+    if report.rebooting:
+        return "reboot not ended"
+    return "minion not stopped"
--- /dev/null
+++ b/courselead/core/operations/reducer.py
@@ -0,0 +1,188 @@
+"""The decisions of one entry host on workers: state and event to effects."""
+
+from collections.abc import Iterable
+from dataclasses import replace
+
+from immutables import Map
+
+from courselead.core.context import Context
+from courselead.core.effects import Effect
+from courselead.core.events import (
+    AgentAnswered,
+    AgentFailed,
+    BatchesRead,
+    Event,
+    LogReachable,
+    MembersListed,
+    Tick,
+)
+from courselead.core.fleet.records import HostBeat, HostLeft, HostLost
+from courselead.core.fleet.state import Applied, WorkerPhase, WorkerState
+from courselead.core.operations import assignment, health, inventory, lifecycle
+from courselead.core.operations.draft import Draft, proposal_key
+from courselead.core.operations.state import (
+    PLAN_MS,
+    PROPOSAL_TIMEOUT_MS,
+    SWEEP_MS,
+    OperationsState,
+    Proposal,
+)
+
+SETTLES = (HostBeat, HostLeft, HostLost)
+
+
+def reduce(
+    state: OperationsState, ctx: Context, event: Event
+) -> tuple[OperationsState, tuple[Effect, ...]]:
+    """Return the new state and what is to be done.
+
+    Args:
+        state: This part's state.
+        ctx: The agreed state with the event's batches applied, and the time.
+        event: What happened.
+    """
+    draft = Draft.from_state(state, ctx)
+    if isinstance(event, Tick):
+        _tick(draft)
+    elif isinstance(event, BatchesRead):
+        _batches(draft)
+    elif isinstance(event, MembersListed):
+        inventory.listed(draft, event)
+        inventory.propose(draft)
+    elif isinstance(event, AgentAnswered):
+        _answered(draft, event)
+    elif isinstance(event, AgentFailed):
+        _failed(draft, event)
+    elif isinstance(event, LogReachable) and event.up:
+        # What was proposed while the log was away may never have been stored.
+        draft.state = replace(state, proposed=Map())
+    return draft.finish()
+
+
+def _tick(draft: Draft) -> None:
+    """Drive and poll all workers, and plan, each at its own pace."""
+    state = draft.state
+    if draft.now_ms - state.swept_ms < SWEEP_MS:
+        return
+    draft.state = replace(state, swept_ms=draft.now_ms, proposed=_waiting(draft))
+    if not draft.ctx.member:
+        return
+    for worker in draft.ctx.fleet.workers.values():
+        _step(draft, worker)
+    if draft.now_ms - state.planned_ms < PLAN_MS:
+        return
+    draft.state = replace(draft.state, planned_ms=draft.now_ms)
+    inventory.propose(draft)
+    if draft.may_propose and not draft.ctx.leaving:
+        _plan(draft)
+
+
+def _plan(draft: Draft) -> None:
+    """Propose what the plans of this host ask for."""
+    assignment.propose(draft)
+
+
+def _step(draft: Draft, worker: WorkerState) -> None:
+    """Take the next step of one worker."""
+    if worker.phase is WorkerPhase.GONE:
+        if worker.worker in draft.state.agents:
+            draft.drop(worker.worker)
+        return
+    lifecycle.drive(draft, worker)
+    health.watch(draft, worker)
+
+
+def _batches(draft: Draft) -> None:
+    """Settle this host's proposals and follow the workers that changed."""
+    applied = draft.ctx.applied
+    if not applied:
+        return
+    draft.state = replace(draft.state, proposed=_undecided(draft, applied))
+    if not draft.ctx.member:
+        return
+    workers = draft.ctx.fleet.workers
+    touched: dict[str, None] = {}
+    settles = False
+    for item in applied:
+        if not item.verdict.accepted:
+            continue
+        settles = settles or isinstance(item.record, SETTLES)
+        touched.update(dict.fromkeys(_named(item.record)))
+    for name in touched:
+        worker = workers.get(name)
+        if worker is not None:
+            _step(draft, worker)
+    if not settles:
+        return
+    for worker in workers.values():
+        if worker.phase is WorkerPhase.STOPPING:
+            lifecycle.drive(draft, worker)
+
+
+def _answered(draft: Draft, event: AgentAnswered) -> None:
+    """Take in an answer of an agent."""
+    worker = draft.ctx.fleet.workers.get(event.worker)
+    if worker is None or event.op not in health.OWN_OPS:
+        return
+    current = event.epoch == worker.epoch and _asked_now(draft, worker)
+    if not current:
+        health.heard(draft, worker)
+        return
+    health.answered(draft, worker, event)
+    lifecycle.answered(draft, worker, event)
+
+
+def _failed(draft: Draft, event: AgentFailed) -> None:
+    """Take in a failed call to an agent."""
+    worker = draft.ctx.fleet.workers.get(event.worker)
+    if worker is None or event.op not in health.OWN_OPS:
+        return
+    health.failed(draft, worker, event)
+    lifecycle.failed(draft, worker)
+
+
+def _asked_now(draft: Draft, worker: WorkerState) -> bool:
+    """Return whether the newest call was made in the worker's present phase.
+
+    An answer to an older call tells nothing of the phase that began since.
+    """
+    return draft.view(worker).asked_since == worker.since
+
+
+def _waiting(draft: Draft) -> Map[str, Proposal]:
+    """Return the proposals that have not timed out."""
+    kept = draft.state.proposed
+    for key, proposal in draft.state.proposed.items():
+        if draft.now_ms - proposal.at_ms >= PROPOSAL_TIMEOUT_MS:
+            kept = kept.delete(key)
+    return kept
+
+
+def _undecided(draft: Draft, applied: tuple[Applied, ...]) -> Map[str, Proposal]:
+    """Return the proposals left after some records were judged."""
+    me = draft.ctx.me
+    kept = draft.state.proposed
+    for item in applied:
+        if not _named(item.record):
+            continue
+        key = proposal_key(item.record)
+        if key not in kept:
+            continue
+        if item.verdict.accepted:
+            kept = kept.delete(key)
+            continue
+        own = item.entry_host == me.entry_host and item.incarnation == me.incarnation
+        if own:
+            kept = kept.set(key, replace(kept[key], refused=True))
+    return kept
+
+
+def _named(record: object) -> Iterable[str]:
+    """Return the workers that a record is about."""
+    worker = getattr(record, "worker", "")
+    if worker:
+        return (worker,)
+    names = []
+    for item in getattr(record, "workers", ()):
+        names.append(item[0] if isinstance(item, tuple) else item.worker)
+    return names
--- /dev/null
+++ b/courselead/core/operations/state.py
@@ -0,0 +1,134 @@
+"""What one entry host remembers for its decisions on workers."""
+
+from dataclasses import dataclass, field
+
+from immutables import Map
+
+from courselead.core.events import AgentReport
+from courselead.core.fleet.records import WorkerInfo
+
+DEFAULT_MAINTENANCE_PERIOD_MS = 14 * 24 * 3_600_000
+DEFAULT_POLL_MS = 2_000
+DEFAULT_FAILING_MS = 6_000
+DEFAULT_ABSENT_MS = 10_000
+DEFAULT_REBOOT_LIMIT_MS = 30 * 60_000
+
+PROPOSAL_TIMEOUT_MS = 5_000
+CALL_TIMEOUT_MS = 5_000
+SWEEP_MS = 200
+PLAN_MS = 1_000
+DRAIN_REPORT_MS = 30_000
+DRAIN_REPORT_EVERY_MS = 60_000
+
+
+@dataclass(frozen=True, slots=True)
+class OperationsConfig:
+    """Settings of the decisions on workers, the same on every host.
+
+    Attributes:
+        maintenance_period_ms: A worker is due this long after its last reboot.
+        wave_from_ms: A maintenance wave on demand: every worker whose last
+            reboot is older than this wall time is due at once; 0 for none.
+        maintain: Whether maintenance is planned at all.
+        policy: Name of the maintenance policy (see `maintenance.POLICIES`).
+        poll_ms: Pause between two polls of one agent.
+        failing_ms: A worker is down after failing for this long.
+        absent_ms: A worker may be gone after missing in the list this long.
+        reboot_limit_ms: A worker that has not come back from its reboot after
+            this long is down.
+    """
+
+    maintenance_period_ms: int = DEFAULT_MAINTENANCE_PERIOD_MS
+    wave_from_ms: int = 0
+    maintain: bool = True
+    policy: str = "racks"
+    poll_ms: int = DEFAULT_POLL_MS
+    failing_ms: int = DEFAULT_FAILING_MS
+    absent_ms: int = DEFAULT_ABSENT_MS
+    reboot_limit_ms: int = DEFAULT_REBOOT_LIMIT_MS
+
+
+@dataclass(frozen=True, slots=True)
+class AgentView:
+    """What this host knows of one worker's agent.
+
+    Attributes:
+        since: Offset at which the phase began that the view is about.
+        stage: Step within the phase that is waited for.
+        stage_ms: When this host first saw that step wanted.
+        phase_ms: When this host first saw the phase.
+        asked_ms: When the newest call was sent, -1 before the first.
+        asked_since: Phase offset that the newest call was sent in.
+        waiting: Whether the newest call is unanswered.
+        failing_ms: Time of the first of the consecutive failures, -1 if none.
+        failures: Number of consecutive failures.
+        answered_ms: Time of the newest answer of any kind.
+        boots: Boots the agent last counted, -1 if not known.
+        report: Newest state given in this phase.
+        taken: Whether the agent took this host's stop or reboot call; while
+            starting, whether an older minion has to be stopped first.
+        saw_reboot: Whether the agent was seen rebooting in this phase.
+        recheck: Whether the state is to be read before the next action.
+        noted_ms: When a stuck drain was last reported.
+    """
+
+    since: int = -1
+    stage: str = ""
+    stage_ms: int = -1
+    phase_ms: int = -1
+    asked_ms: int = -1
+    asked_since: int = -1
+    waiting: bool = False
+    failing_ms: int = -1
+    failures: int = 0
+    answered_ms: int = -1
+    boots: int = -1
+    report: AgentReport | None = None
+    taken: bool = False
+    saw_reboot: bool = False
+    recheck: bool = False
+    noted_ms: int = -1
+
+
+@dataclass(frozen=True, slots=True)
+class Proposal:
+    """A record proposed by this host.
+
+    Attributes:
+        at_ms: When it was proposed.
+        group: Plan it belongs to, "" if to none.
+        refused: Whether it was judged and refused; it then only keeps the
+            same record from being proposed again at once.
+    """
+
+    at_ms: int
+    group: str = ""
+    refused: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class OperationsState:
+    """Local state of the decisions on workers.
+
+    Attributes:
+        listed: Workers of the newest membership list.
+        leaving: Workers the platform is taking back.
+        list_version: Version of that list, -1 before the first.
+        listed_ms: When it came in.
+        absent: Since when an agreed worker is missing in the list.
+        agents: Views of the agents this host deals with.
+        proposed: Proposals by key, until decided or timed out.
+        wanted: Since when a change that belongs to no worker is wanted.
+    """
+
+    cfg: OperationsConfig = field(default_factory=OperationsConfig)
+    listed: Map[str, WorkerInfo] = field(default_factory=Map)
+    leaving: frozenset[str] = frozenset()
+    list_version: int = -1
+    listed_ms: int = -1
+    absent: Map[str, int] = field(default_factory=Map)
+    agents: Map[str, AgentView] = field(default_factory=Map)
+    proposed: Map[str, Proposal] = field(default_factory=Map)
+    wanted: Map[str, int] = field(default_factory=Map)
+    swept_ms: int = -SWEEP_MS
+    planned_ms: int = -PLAN_MS
