--- a/courselead/core/events.py
+++ b/courselead/core/events.py
@@ -13,6 +13,7 @@
     TablePublished,
     WorkerInfo,
 )
+from courselead.core.fleet.state import FleetState
 from courselead.core.table import RequestClass
 
 
@@ -47,6 +48,14 @@
     up: bool
 
 
+@dataclass(frozen=True, slots=True)
+class SnapshotLoaded:
+    """Shared state was rebuilt from a snapshot, at start or after a gap."""
+
+    now_ms: int
+    fleet: FleetState
+
+
 class AppendResult(StrEnum):
     """What is known of an append."""
 
@@ -355,6 +364,7 @@
 Event = (
     Tick
     | BatchesRead
+    | SnapshotLoaded
     | LogReachable
     | AppendEnded
     | RequestArrived
--- /dev/null
+++ b/courselead/daemon/clock.py
@@ -0,0 +1,13 @@
+"""The daemon's clocks; the core reads none."""
+
+import time
+
+
+def now_ms() -> int:
+    """Return the monotonic clock in milliseconds."""
+    return time.monotonic_ns() // 1_000_000
+
+
+def wall_ms() -> int:
+    """Return the wall clock in milliseconds since the epoch."""
+    return time.time_ns() // 1_000_000
