--- a/courselead/core/fleet/state.py
+++ b/courselead/core/fleet/state.py
@@ -183,7 +183,16 @@
         claims: By (client account, service, key).
         snapshot_at: Offset of the first part of the newest whole snapshot.
         snapshot_parts: Parts seen so far of a snapshot being written:
-            (at, digest, writer) to (first offset, indexes seen).
+            (at, total, digest, writer) to (first offset, indexes seen).
+        snapshot_of: Offset whose state the newest whole snapshot holds.
+        serving: Index: pool to the sorted ids of its serving workers.
+        waiting: Index: pool to its waiting jobs, each with the offset of its
+            submission.
+        jobs_on: Index: worker to the sorted ids of the jobs placed on it.
+        job_counts: Index: client account to its jobs waiting or running.
+        due: What may be forgotten, by time bucket; in a bucket by number from
+            0 without gap, taken from the end.
+        due_cursor: The bucket to be looked at next.
     """
 
     offset: int = -1
@@ -198,6 +207,13 @@
     jobs: Map[str, JobState] = field(default_factory=Map)
     snapshot_at: int = -1
     snapshot_parts: Map[str, tuple[int, frozenset[int]]] = field(default_factory=Map)
+    snapshot_of: int = -1
+    serving: Map[str, tuple[str, ...]] = field(default_factory=Map)
+    waiting: Map[str, Map[str, int]] = field(default_factory=Map)
+    jobs_on: Map[str, tuple[str, ...]] = field(default_factory=Map)
+    job_counts: Map[str, int] = field(default_factory=Map)
+    due: Map[int, Map[int, ClaimKey | str]] = field(default_factory=Map)
+    due_cursor: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -205,12 +221,15 @@
     """What applying one record came to.
 
     Attributes:
-        accepted: Whether the record took effect.
+        accepted: Whether the record took effect, at least in part.
         reason: Why not, one of the constants in `verdicts`, "" if accepted.
+        items: For a record of several items: the reason of each in their
+            order, "" for one that took effect; empty if all of them did.
     """
 
     accepted: bool
     reason: str = ""
+    items: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/tests/core/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the shared fleet state."""
