Serve the data path over HTTP

Cause: callers need a way to the minions of their account's services. Change: an ASGI application with credentials, bounds on heads, bodies and connections, problem answers, and answers passed on as they stream; a broken answer closes the connection without an end of the body. uvicorn bounds neither slow heads nor unread closing connections, so a small protocol class does.

--- /dev/null
+++ b/courselead/integrations/http_api/auth.py
@@ -0,0 +1,96 @@
+"""Who a credential belongs to."""
+
+from __future__ import annotations
+
+import hashlib
+from dataclasses import dataclass
+
+from immutables import Map
+
+from courselead.core.table import AccountRow, Table
+from courselead.integrations.http_api import const
+from courselead.integrations.http_api.errors import Refusal
+from courselead.integrations.http_api.problems import ApiProblem, EdgeKind
+
+_SCHEME = b"bearer"
+_CHALLENGE = (const.ATTR_WWW_AUTHENTICATE, b'Bearer realm="courselead"')
+
+
+@dataclass(frozen=True, slots=True)
+class Principal:
+    """Who asks.
+
+    Attributes:
+        client_account: Account of the credential, "" for a fleet operator.
+        author: Name under which edits are logged; no part of the credential.
+    """
+
+    client_account: str
+    author: str
+
+    @property
+    def is_operator(self) -> bool:
+        """Return whether this is a fleet operator."""
+        return not self.client_account
+
+    def sees(self, client_account: str) -> bool:
+        """Return whether an account's rows, jobs and pools are visible."""
+        return self.is_operator or self.client_account == client_account
+
+
+class Credentials:
+    """Finds the principal of a bearer credential by the credential's digest.
+
+    Only digests are compared, so that the time taken says nothing about a
+    stored credential. The lookup is built once per table version.
+    """
+
+    def __init__(self, operator_hashes: tuple[str, ...]) -> None:
+        """Keep the operators' digests, which come from the settings."""
+        self._operators: dict[str, Principal] = {}
+        for digest in operator_hashes:
+            self._operators[digest] = Principal("", f"operator-{digest[:8]}")
+        self._built_from: Map[str, AccountRow] | None = None
+        self._principals: dict[str, Principal] = {}
+
+    def authenticate(self, values: list[bytes], table: Table) -> Principal:
+        """Return who sent these `Authorization` values.
+
+        Raises:
+            Refusal: There is not exactly one known bearer credential.
+        """
+        if len(values) != 1:
+            raise Refusal(_unauthenticated("send one Authorization header"))
+        scheme, _, token = values[0].partition(b" ")
+        token = token.strip()
+        if scheme.lower() != _SCHEME or not token:
+            raise Refusal(_unauthenticated("send Authorization: Bearer <credential>"))
+        digest = hashlib.sha256(token).hexdigest()
+        principal = self._lookup(table).get(digest)
+        if principal is None:
+            raise Refusal(_unauthenticated("the credential is not known; renew it"))
+        return principal
+
+    def _lookup(self, table: Table) -> dict[str, Principal]:
+        if self._built_from is not table.accounts:
+            self._principals = self._build(table)
+            self._built_from = table.accounts
+        return self._principals
+
+    def _build(self, table: Table) -> dict[str, Principal]:
+        made: dict[str, Principal] = {}
+        shared: set[str] = set()
+        for name, row in table.accounts.items():
+            for digest in row.credential_hashes:
+                if digest in made and made[digest].client_account != name:
+                    shared.add(digest)
+                made[digest] = Principal(name, name)
+        # A digest in two accounts would let one act as the other by chance.
+        for digest in shared:
+            del made[digest]
+        made.update(self._operators)
+        return made
+
+
+def _unauthenticated(detail: str) -> ApiProblem:
+    return ApiProblem(EdgeKind.UNAUTHENTICATED, detail, headers=(_CHALLENGE,))
--- /dev/null
+++ b/courselead/integrations/http_api/const.py
@@ -0,0 +1,57 @@
+"""Paths, header names and bounds of the HTTP interface."""
+
+from courselead.integrations.http.const import HOP_BY_HOP
+
+PATH_SERVICES = b"/v1/services/"
+
+ATTR_AUTHORIZATION = b"authorization"
+ATTR_CONNECTION = b"connection"
+ATTR_CONTENT_LENGTH = b"content-length"
+ATTR_CONTENT_TYPE = b"content-type"
+ATTR_IDEMPOTENCY_KEY = b"idempotency-key"
+ATTR_RETRY_AFTER = b"retry-after"
+ATTR_TRANSFER_ENCODING = b"transfer-encoding"
+ATTR_WWW_AUTHENTICATE = b"www-authenticate"
+
+ATTR_CLASS = b"courselead-class"
+ATTR_DEADLINE_MS = b"courselead-deadline-ms"
+ATTR_IDEMPOTENT = b"courselead-idempotent"
+ATTR_REPLAYED = b"courselead-replayed"
+ATTR_REQUEST_ID = b"courselead-request-id"
+OWN_PREFIX = b"courselead-"
+
+# A caller could claim another origin with these. `host` and `content-length`
+# are set by whoever opens the connection to the minion.
+UNTRUSTED = frozenset(
+    {
+        b"authorization",
+        b"content-length",
+        b"expect",
+        b"forwarded",
+        b"host",
+        b"x-real-ip",
+    }
+)
+UNTRUSTED_PREFIXES = (OWN_PREFIX, b"x-forwarded-")
+REQUEST_DROPPED = HOP_BY_HOP | UNTRUSTED
+
+# The server writes its own date.
+ANSWER_DROPPED = HOP_BY_HOP | frozenset({b"date"})
+
+IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE", "TRACE"})
+
+TYPE_JSON = b"application/json"
+TYPE_PROBLEM = b"application/problem+json"
+PROBLEM_URN = "urn:courselead:problem:"
+
+MAX_KEY_CHARS = 128
+MAX_DEADLINE_MS = 600_000
+# The daemon answers by the deadline; this only covers a fault in it.
+DEADLINE_GRACE_MS = 5_000
+OVERLOAD_RETRY_MS = 1_000
+# A caller that is refused in the middle of its body reads the answer only if
+# the connection stays open for the rest a little.
+DRAIN_MS = 1_000
+DRAIN_BYTES = 8 * 1024 * 1024
+
+MANAGEMENT_DEADLINE_MS = 10_000
--- /dev/null
+++ b/courselead/integrations/http_api/exchange.py
@@ -0,0 +1,218 @@
+"""One request of a caller and the answer to it, over ASGI."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable, MutableMapping
+from typing import Any, Protocol
+
+import anyio
+
+from courselead.integrations.http_api import const
+from courselead.integrations.http_api.errors import CallerLeft, CallerStalled, Refusal
+from courselead.integrations.http_api.host import Header
+from courselead.integrations.http_api.problems import (
+    ApiProblem,
+    EdgeKind,
+    bad_request,
+)
+from courselead.settings import LimitSettings
+
+Scope = MutableMapping[str, Any]
+Message = MutableMapping[str, Any]
+Receive = Callable[[], Awaitable[Message]]
+Send = Callable[[Message], Awaitable[None]]
+
+_START = "http.response.start"
+_BODY = "http.response.body"
+_DISCONNECT = "http.disconnect"
+_STATE_CONNECTION = "connection"
+
+
+class Connection(Protocol):
+    """What the server lends of the caller's connection."""
+
+    @property
+    def over_limit(self) -> bool:
+        """Return whether there are too many connections for this one."""
+        ...
+
+    def abort(self) -> None:
+        """Drop the connection with whatever is unsent."""
+        ...
+
+
+class Exchange:
+    """Reads one request within the limits and writes one answer."""
+
+    def __init__(
+        self,
+        scope: Scope,
+        receive: Receive,
+        send: Send,
+        limits: LimitSettings,
+        request_id: str,
+    ) -> None:
+        """Wrap the three parts of an ASGI call."""
+        self.method: str = scope["method"]
+        self.path: bytes = scope["raw_path"]
+        self.query: bytes = scope["query_string"]
+        self.http_version: str = scope["http_version"]
+        self.headers: tuple[Header, ...] = tuple(scope["headers"])
+        self.request_id = request_id
+        self.started = False
+        self._receive = receive
+        self._send_raw = send
+        self._limits = limits
+        self._body_read = False
+        state = scope.get("state") or {}
+        self.connection: Connection | None = state.get(_STATE_CONNECTION)
+
+    def values(self, name: bytes) -> list[bytes]:
+        """Return all values of a header, by its lower-case name."""
+        return [value for key, value in self.headers if key == name]
+
+    def single(self, name: bytes) -> str | None:
+        """Return the value of a header that may be given once.
+
+        Raises:
+            Refusal: It is given twice, or is not ASCII.
+        """
+        found = self.values(name)
+        if not found:
+            return None
+        shown = name.decode("ascii")
+        if len(found) > 1:
+            raise Refusal(bad_request(f"send {shown} at most once"))
+        try:
+            return found[0].decode("ascii")
+        except UnicodeDecodeError as exc:
+            raise Refusal(bad_request(f"send {shown} in ASCII")) from exc
+
+    def check_head(self) -> None:
+        """Refuse a head over its limit or with two lengths.
+
+        Raises:
+            Refusal: The head may not pass.
+        """
+        size = len(self.method) + len(self.path) + len(self.query)
+        for name, value in self.headers:
+            size += len(name) + len(value)
+        if size > self._limits.header_bytes:
+            most = self._limits.header_bytes
+            detail = f"send at most {most} bytes of headers"
+            raise Refusal(ApiProblem(EdgeKind.HEAD_TOO_LARGE, detail, close=True))
+        if self.values(const.ATTR_TRANSFER_ENCODING) and self.values(
+            const.ATTR_CONTENT_LENGTH
+        ):
+            detail = "send Content-Length or Transfer-Encoding, not both"
+            raise Refusal(ApiProblem(EdgeKind.BAD_REQUEST, detail, close=True))
+
+    async def read_body(self, timeout_ms: int, most: int | None = None) -> bytes:
+        """Return the whole body.
+
+        Raises:
+            Refusal: It is over the limit or late.
+            CallerLeft: The caller went away.
+        """
+        limit = self._limits.body_bytes if most is None else most
+        declared = self.single(const.ATTR_CONTENT_LENGTH)
+        if declared is not None and int(declared) > limit:
+            raise Refusal(_too_large(limit))
+        chunks: list[bytes] = []
+        size = 0
+        with anyio.move_on_after(timeout_ms / 1000):
+            while not self._body_read:
+                chunk = await self._next_chunk()
+                size += len(chunk)
+                if size > limit:
+                    raise Refusal(_too_large(limit))
+                chunks.append(chunk)
+            return b"".join(chunks)
+        detail = f"the body did not arrive within {timeout_ms} ms; send it faster"
+        raise Refusal(ApiProblem(EdgeKind.BODY_LATE, detail, close=True))
+
+    async def wait_gone(self) -> None:
+        """Return when the caller has gone; call it after the body was read."""
+        while True:
+            message = await self._receive()
+            if message["type"] == _DISCONNECT:
+                return
+
+    async def start(self, status: int, headers: tuple[Header, ...]) -> None:
+        """Write the head of the answer."""
+        request_id = (const.ATTR_REQUEST_ID, self.request_id.encode("ascii"))
+        self.started = True
+        await self._send(
+            {"type": _START, "status": status, "headers": [*headers, request_id]}
+        )
+
+    async def write(self, chunk: bytes) -> None:
+        """Write a chunk of the answer's body."""
+        await self._send({"type": _BODY, "body": chunk, "more_body": True})
+
+    async def finish(self) -> None:
+        """End the answer as a whole one."""
+        await self._send({"type": _BODY, "body": b"", "more_body": False})
+
+    async def respond(
+        self,
+        status: int,
+        body: bytes,
+        content_type: bytes = const.TYPE_JSON,
+        headers: tuple[Header, ...] = (),
+    ) -> None:
+        """Write a whole answer with its length."""
+        await self._begin(status, body, content_type, headers)
+        await self.finish()
+
+    async def respond_problem(self, problem: ApiProblem) -> None:
+        """Write a problem as the whole answer."""
+        body = problem.body(self.request_id)
+        headers = problem.response_headers()
+        await self._begin(problem.status, body, const.TYPE_PROBLEM, headers)
+        if problem.kind is EdgeKind.BODY_TOO_LARGE:
+            await self._drain()
+        await self.finish()
+
+    async def _begin(
+        self, status: int, body: bytes, content_type: bytes, headers: tuple[Header, ...]
+    ) -> None:
+        length = str(len(body)).encode("ascii")
+        fixed = (
+            (const.ATTR_CONTENT_TYPE, content_type),
+            (const.ATTR_CONTENT_LENGTH, length),
+        )
+        await self.start(status, (*fixed, *headers))
+        await self.write(body)
+
+    async def _drain(self) -> None:
+        # Closing while the caller still sends would reset the connection and
+        # could take the answer away before it was read.
+        left = const.DRAIN_BYTES
+        with anyio.move_on_after(const.DRAIN_MS / 1000):
+            while not self._body_read and left > 0:
+                try:
+                    chunk = await self._next_chunk()
+                except CallerLeft:
+                    return
+                left -= len(chunk)
+
+    async def _next_chunk(self) -> bytes:
+        message = await self._receive()
+        if message["type"] == _DISCONNECT:
+            raise CallerLeft
+        self._body_read = not message.get("more_body", False)
+        return message.get("body", b"")
+
+    async def _send(self, message: Message) -> None:
+        with anyio.move_on_after(self._limits.idle_ms / 1000):
+            await self._send_raw(message)
+            return
+        if self.connection is not None:
+            self.connection.abort()
+        raise CallerStalled
+
+
+def _too_large(limit: int) -> ApiProblem:
+    detail = f"send at most {limit} bytes in one body"
+    return ApiProblem(EdgeKind.BODY_TOO_LARGE, detail, close=True)
--- /dev/null
+++ b/courselead/integrations/http_api/problems.py
@@ -0,0 +1,179 @@
+"""Problem answers (RFC 9457) and the status of each kind."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import StrEnum
+from types import MappingProxyType
+
+from courselead.core.effects import Problem, ProblemKind, RunState
+from courselead.integrations.http_api import const
+from courselead.integrations.http_api.host import Header
+
+
+class EdgeKind(StrEnum):
+    """Kinds of problems found before the daemon is asked."""
+
+    BAD_REQUEST = "bad-request"
+    UNAUTHENTICATED = "unauthenticated"
+    FORBIDDEN = "forbidden"
+    METHOD = "method-not-allowed"
+    BODY_LATE = "body-timeout"
+    BODY_TOO_LARGE = "body-too-large"
+    HEAD_LATE = "head-timeout"
+    HEAD_TOO_LARGE = "head-too-large"
+    HTTP_VERSION = "http-version-not-supported"
+    INTERNAL = "internal-error"
+
+
+AnyKind = ProblemKind | EdgeKind
+
+# The one place where a kind gets its status.
+STATUSES: Mapping[AnyKind, int] = MappingProxyType(
+    {
+        EdgeKind.BAD_REQUEST: 400,
+        EdgeKind.UNAUTHENTICATED: 401,
+        EdgeKind.FORBIDDEN: 403,
+        EdgeKind.METHOD: 405,
+        EdgeKind.BODY_LATE: 408,
+        EdgeKind.BODY_TOO_LARGE: 413,
+        EdgeKind.HEAD_LATE: 408,
+        EdgeKind.HEAD_TOO_LARGE: 431,
+        EdgeKind.HTTP_VERSION: 505,
+        EdgeKind.INTERNAL: 500,
+        ProblemKind.NO_SUCH_SERVICE: 404,
+        ProblemKind.QUEUE_FULL: 429,
+        ProblemKind.CEILING: 429,
+        ProblemKind.CANNOT_FINISH: 503,
+        ProblemKind.DEADLINE: 504,
+        ProblemKind.NO_TARGET: 503,
+        ProblemKind.TARGET_FAILED: 502,
+        ProblemKind.TARGET_BROKE: 502,
+        ProblemKind.RETRY_BUDGET: 503,
+        ProblemKind.LOG_DOWN: 503,
+        ProblemKind.KEY_REUSED: 422,
+        ProblemKind.KEY_IN_USE: 409,
+        ProblemKind.KEY_UNKNOWN: 409,
+        ProblemKind.ALREADY_RAN: 409,
+        ProblemKind.LEAVING: 503,
+        ProblemKind.CONFLICT: 409,
+        ProblemKind.TABLE_REFUSED: 422,
+        ProblemKind.JOB_REFUSED: 422,
+        ProblemKind.NOT_FOUND: 404,
+        ProblemKind.OVERLOAD: 503,
+    }
+)
+
+NOT_FOUND_DETAIL = "there is nothing here for this credential; check the path"
+NO_SERVICE_DETAIL = "the client account has no such service; check the name"
+
+
+@dataclass(frozen=True, slots=True)
+class FieldFault:
+    """A fault of one field of a body.
+
+    Attributes:
+        row: Row key, or the place in the body.
+        column: Field, "" for the row as a whole.
+    """
+
+    row: str
+    column: str
+    message: str
+
+
+@dataclass(frozen=True, slots=True)
+class ApiProblem:
+    """A problem ready to be written.
+
+    Attributes:
+        close: Close the connection after it.
+        headers: More headers of the answer.
+    """
+
+    kind: AnyKind
+    detail: str
+    run: RunState = RunState.NOT_RUN
+    retry_after_ms: int = 0
+    ran_status: int = 0
+    faults: tuple[FieldFault, ...] = ()
+    close: bool = False
+    headers: tuple[Header, ...] = ()
+
+    @classmethod
+    def from_core(cls, problem: Problem) -> ApiProblem:
+        """Take over a problem of the daemon."""
+        return cls(
+            kind=problem.kind,
+            detail=problem.detail,
+            run=problem.run,
+            retry_after_ms=problem.retry_after_ms,
+            ran_status=problem.ran_status,
+        )
+
+    @property
+    def status(self) -> int:
+        """Return the HTTP status."""
+        return STATUSES[self.kind]
+
+    def response_headers(self) -> tuple[Header, ...]:
+        """Return the headers beside content type and length."""
+        headers = list(self.headers)
+        if self.retry_after_ms > 0:
+            seconds = -(-self.retry_after_ms // 1000)
+            headers.append((const.ATTR_RETRY_AFTER, str(seconds).encode("ascii")))
+        if self.close:
+            headers.append((const.ATTR_CONNECTION, b"close"))
+        return tuple(headers)
+
+    def body(self, request_id: str) -> bytes:
+        """Return the JSON body."""
+        members: dict[str, object] = {
+            "type": const.PROBLEM_URN + self.kind.value,
+            "title": self.kind.value.replace("-", " ").capitalize(),
+            "status": self.status,
+            "detail": self.detail,
+            "kind": self.kind.value,
+            "run": self.run.value,
+            "request_id": request_id,
+        }
+        if self.retry_after_ms > 0:
+            members["retry_after_ms"] = self.retry_after_ms
+        if self.ran_status:
+            members["ran_status"] = self.ran_status
+        if self.faults:
+            members["faults"] = [_fault_members(fault) for fault in self.faults]
+        return json.dumps(members).encode("ascii")
+
+
+def bad_request(detail: str) -> ApiProblem:
+    """Return a 400 with its remedy."""
+    return ApiProblem(EdgeKind.BAD_REQUEST, detail)
+
+
+def not_found() -> ApiProblem:
+    """Return the 404 that unknown names and those of other accounts share."""
+    return ApiProblem(ProblemKind.NOT_FOUND, NOT_FOUND_DETAIL)
+
+
+def no_such_service() -> ApiProblem:
+    """Return the 404 of a service that the account does not have."""
+    return ApiProblem(ProblemKind.NO_SUCH_SERVICE, NO_SERVICE_DETAIL)
+
+
+def forbidden(detail: str) -> ApiProblem:
+    """Return a 403 with its remedy."""
+    return ApiProblem(EdgeKind.FORBIDDEN, detail)
+
+
+def overloaded(detail: str) -> ApiProblem:
+    """Return the 503 of an entry host that takes in no more just now."""
+    return ApiProblem(
+        ProblemKind.OVERLOAD, detail, retry_after_ms=const.OVERLOAD_RETRY_MS
+    )
+
+
+def _fault_members(fault: FieldFault) -> dict[str, str]:
+    return {"row": fault.row, "column": fault.column, "message": fault.message}
--- /dev/null
+++ b/courselead/integrations/http_api/protocol.py
@@ -0,0 +1,105 @@
+"""uvicorn's HTTP/1.1 protocol with bounds on slow and surplus connections."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any, ClassVar
+
+import h11
+from uvicorn.protocols.http.h11_impl import H11Protocol, RequestResponseCycle
+
+from courselead.integrations.http_api import const
+from courselead.integrations.http_api.problems import ApiProblem, EdgeKind, bad_request
+from courselead.settings import LimitSettings
+
+# Beyond this part over the limit a connection is dropped without an answer.
+_SURPLUS_SHARE = 4
+_SURPLUS_LEAST = 16
+
+
+class GuardedProtocol(H11Protocol):
+    """One connection of a caller.
+
+    uvicorn bounds the time between two requests but neither the time for a
+    head nor the time for a closed connection to be flushed; `check` does.
+    """
+
+    limits: ClassVar[LimitSettings] = LimitSettings()
+
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        """Lend this connection to the application."""
+        super().__init__(*args, **kwargs)
+        self.app_state = {**self.app_state, "connection": self}
+        self.over_limit = False
+        self._waits_since: float | None = None
+        self._waits_after: RequestResponseCycle | None = None
+        self._closing_since: float | None = None
+
+    def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
+        """Take the connection, or drop it if there are far too many."""
+        super().connection_made(transport)
+        most = self.limits.max_connections
+        surplus = max(most // _SURPLUS_SHARE, _SURPLUS_LEAST)
+        self.over_limit = len(self.connections) > most
+        if len(self.connections) > most + surplus:
+            self.abort()
+
+    def abort(self) -> None:
+        """Drop the connection with whatever is unsent."""
+        self.transport.abort()
+
+    def check(self, now: float) -> None:
+        """Close the connection if it has been slow for too long.
+
+        Args:
+            now: Seconds on the clock of earlier calls.
+        """
+        if self.transport.is_closing():
+            self._check_closing(now)
+            return
+        if not self._waits_for_head():
+            self._waits_since = None
+            return
+        if self._waits_since is None or self._waits_after is not self.cycle:
+            self._waits_since = now
+            self._waits_after = self.cycle
+            return
+        if now - self._waits_since >= self.limits.head_timeout_ms / 1000:
+            self._refuse_head()
+
+    def send_400_response(self, msg: str) -> None:
+        """Answer bytes that are no HTTP request with a problem."""
+        self._send_problem(bad_request("the request is not valid HTTP/1.1; mend it"))
+
+    def _check_closing(self, now: float) -> None:
+        if self._closing_since is None:
+            self._closing_since = now
+            return
+        if now - self._closing_since >= self.limits.idle_ms / 1000:
+            self.abort()
+
+    def _waits_for_head(self) -> bool:
+        if self.timeout_keep_alive_task is not None:
+            return False
+        return self.cycle is None or self.cycle.response_complete
+
+    def _refuse_head(self) -> None:
+        most_ms = self.limits.head_timeout_ms
+        detail = f"the head did not arrive within {most_ms} ms; send it faster"
+        self._send_problem(ApiProblem(EdgeKind.HEAD_LATE, detail))
+
+    def _send_problem(self, problem: ApiProblem) -> None:
+        # An answer may be under way already, or the connection unused.
+        if self.conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            self.transport.close()
+            return
+        body = problem.body("")
+        headers = [
+            (const.ATTR_CONTENT_TYPE, const.TYPE_PROBLEM),
+            (const.ATTR_CONTENT_LENGTH, str(len(body)).encode("ascii")),
+            (const.ATTR_CONNECTION, b"close"),
+        ]
+        response = h11.Response(status_code=problem.status, headers=headers)
+        for event in (response, h11.Data(data=body), h11.EndOfMessage()):
+            self.transport.write(self.conn.send(event) or b"")
+        self.transport.close()
--- /dev/null
+++ b/courselead/integrations/http_api/server.py
@@ -0,0 +1,139 @@
+"""The server that the HTTP interface runs on."""
+
+from __future__ import annotations
+
+import contextlib
+import logging
+import socket
+from collections.abc import Iterator
+
+import anyio
+import uvicorn
+from anyio.abc import TaskStatus
+
+from courselead.integrations.http_api.app import HttpApi
+from courselead.integrations.http_api.errors import ListenFailed
+from courselead.integrations.http_api.protocol import GuardedProtocol
+from courselead.settings import Address, LimitSettings
+
+_BACKLOG = 512
+_SWEEP_S = 0.25
+_DEFAULT_DRAIN_MS = 30_000
+
+
+class HttpServer:
+    """Listens for callers until it is stopped or cancelled."""
+
+    def __init__(
+        self,
+        app: HttpApi,
+        listen: Address,
+        limits: LimitSettings,
+        drain_ms: int = _DEFAULT_DRAIN_MS,
+    ) -> None:
+        """Make the server; nothing is opened yet.
+
+        Args:
+            app: The application.
+            listen: Where to listen; port 0 takes a free one.
+            limits: Bounds of connections and heads.
+            drain_ms: After `stop`, time for open exchanges to end.
+        """
+        # Each of its lines has one of the application's own beside it.
+        logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL)
+        self._listen = listen
+        self._server = _Server(_config(app, limits, drain_ms))
+
+    async def run(
+        self, *, task_status: TaskStatus[Address] = anyio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Serve; `task_status` gets the address listened on.
+
+        Raises:
+            ListenFailed: The socket could not be opened.
+        """
+        sock = _bind(self._listen)
+        ip, port = sock.getsockname()[:2]
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._sweep)
+                tasks.start_soon(self._report, task_status, Address(ip, port))
+                await self._server.serve(sockets=[sock])
+                tasks.cancel_scope.cancel()
+        finally:
+            self._server.drop_all()
+            sock.close()
+
+    def stop(self) -> None:
+        """Stop listening, let open exchanges end, then return from `run`."""
+        self._server.should_exit = True
+
+    async def _report(self, status: TaskStatus[Address], address: Address) -> None:
+        await self._server.listening.wait()
+        status.started(address)
+
+    async def _sweep(self) -> None:
+        while True:
+            await anyio.sleep(_SWEEP_S)
+            now = anyio.current_time()
+            for conn in tuple(self._server.server_state.connections):
+                conn.check(now)  # type: ignore[union-attr]
+
+
+class _Server(uvicorn.Server):
+    """uvicorn without its signal handlers, which belong to the daemon."""
+
+    def __init__(self, config: uvicorn.Config) -> None:
+        super().__init__(config)
+        self.listening = anyio.Event()
+        self.servers = []
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        yield
+
+    async def startup(self, sockets: list[socket.socket] | None = None) -> None:
+        await super().startup(sockets)
+        self.listening.set()
+
+    def drop_all(self) -> None:
+        """Close what a cancelled run leaves open."""
+        for server in self.servers:
+            server.close()
+        for conn in tuple(self.server_state.connections):
+            conn.transport.abort()
+        for task in tuple(self.server_state.tasks):
+            task.cancel()
+
+
+def _config(app: HttpApi, limits: LimitSettings, drain_ms: int) -> uvicorn.Config:
+    # The bounds differ from server to server, and uvicorn makes the protocol.
+    protocol = type("BoundProtocol", (GuardedProtocol,), {"limits": limits})
+    return uvicorn.Config(
+        app,
+        http=protocol,
+        ws="none",
+        lifespan="off",
+        log_config=None,
+        access_log=False,
+        proxy_headers=False,
+        server_header=False,
+        backlog=_BACKLOG,
+        timeout_keep_alive=limits.idle_ms / 1000,  # type: ignore[arg-type]
+        timeout_graceful_shutdown=drain_ms / 1000,  # type: ignore[arg-type]
+        h11_max_incomplete_event_size=limits.header_bytes,
+        reset_contextvars=True,
+    )
+
+
+def _bind(listen: Address) -> socket.socket:
+    family = socket.AF_INET6 if ":" in listen.ip else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind((listen.ip, listen.port))
+    except OSError as exc:
+        sock.close()
+        reason = exc.strerror or "the socket was refused"
+        raise ListenFailed(str(listen), reason) from exc
+    return sock
--- /dev/null
+++ b/tests/integrations/http_api/test_wire.py
@@ -0,0 +1,246 @@
+"""What callers see on the wire, through a real server on loopback."""
+
+import json
+
+import anyio
+import pytest
+
+from courselead.integrations.http_api.app import HttpApi
+from courselead.integrations.http_api.errors import ListenFailed
+from courselead.integrations.http_api.host import Answer
+from courselead.integrations.http_api.server import HttpServer
+from courselead.settings import Address, LimitSettings
+from tests.integrations.http_api.fakes import (
+    BREAK,
+    Caller,
+    FakeHost,
+    head,
+    serving,
+    settings,
+    streamed,
+    until_true,
+    whole,
+)
+
+pytestmark = pytest.mark.anyio
+
+
+async def exchange(host, data, **limits):
+    """Send bytes and return all that comes until the server closes."""
+    async with serving(host, **limits) as address, Caller.to(address) as caller:
+        await caller.send(data)
+        return await caller.to_end()
+
+
+def problem_of(data):
+    """Return the problem at the end of an answer."""
+    return json.loads(data.partition(b"\r\n\r\n")[2])
+
+
+async def test_an_answer_comes_whole_and_the_connection_stays():
+    host = FakeHost(lambda req: whole(b"hi", headers=((b"content-length", b"2"),)))
+    async with serving(host) as address, Caller.to(address) as caller:
+        for _ in range(2):
+            await caller.send(head())
+            got = await caller.until(b"\r\n\r\nhi")
+            assert got.startswith(b"HTTP/1.1 200")
+            assert b"courselead-request-id: " in got
+    assert len(host.requests) == 2
+
+
+async def test_a_broken_chunked_answer_has_no_final_chunk():
+    host = FakeHost(lambda req: streamed([b"part", BREAK]))
+    data = await exchange(host, head())
+    assert b"transfer-encoding: chunked" in data.lower()
+    assert data.endswith(b"4\r\npart\r\n")
+
+
+async def test_a_broken_answer_with_a_length_stays_short():
+    answer = streamed([b"part", BREAK], headers=((b"content-length", b"9"),))
+    data = await exchange(FakeHost(lambda req: answer), head())
+    assert data.endswith(b"\r\n\r\npart")
+
+
+async def test_an_answer_shorter_than_its_length_closes_the_connection():
+    answer = streamed([b"part"], headers=((b"content-length", b"9"),))
+    data = await exchange(FakeHost(lambda req: answer), head())
+    assert data.endswith(b"\r\n\r\npart")
+
+
+async def test_pipelined_requests_are_answered_in_order():
+    host = FakeHost(lambda req: whole(req.target + b";"))
+    async with serving(host) as address, Caller.to(address) as caller:
+        paths = [f"/v1/services/web/{n}" for n in range(5)]
+        await caller.send(b"".join(head("GET", path) for path in paths))
+        data = b""
+        for _ in paths:
+            data += await caller.until(b"\r\n0\r\n\r\n")
+    places = [data.index(b"/%d;" % n) for n in range(5)]
+    assert places == sorted(places)
+
+
+async def test_a_caller_that_leaves_is_reported():
+    host = FakeHost(lambda req: None)
+    async with serving(host) as address:
+        async with Caller.to(address) as caller:
+            await caller.send(head())
+            await until_true(lambda: host.requests)
+            assert host.gone == []
+        await until_true(lambda: host.gone)
+    assert host.gone == [host.requests[0].request_id]
+
+
+async def test_a_body_declared_over_the_limit_is_refused_at_once():
+    data = await exchange(
+        FakeHost(),
+        head("POST", "/v1/services/web/", "Content-Length: 11") + b"x" * 11,
+        body_bytes=10,
+    )
+    assert data.startswith(b"HTTP/1.1 413")
+    assert b"connection: close" in data
+    assert problem_of(data)["run"] == "not_run"
+
+
+async def test_a_chunked_body_over_the_limit_is_refused_before_its_end():
+    host = FakeHost()
+    request = head("POST", "/v1/services/web/", "Transfer-Encoding: chunked")
+    data = await exchange(host, request + b"8\r\n12345678\r\n" * 2, body_bytes=10)
+    assert data.startswith(b"HTTP/1.1 413")
+    assert host.requests == []
+
+
+async def test_a_slow_body_is_given_up():
+    host = FakeHost()
+    request = head("POST", "/v1/services/web/", "Content-Length: 5") + b"abc"
+    data = await exchange(host, request, body_timeout_ms=30)
+    assert data.startswith(b"HTTP/1.1 408")
+    assert problem_of(data)["kind"] == "body-timeout"
+    assert host.requests == []
+
+
+async def test_a_caller_that_leaves_in_its_body_is_not_run():
+    host = FakeHost()
+    async with serving(host) as address:
+        async with Caller.to(address) as caller:
+            request = head("POST", "/v1/services/web/", "Content-Length: 5")
+            await caller.send(request + b"abc")
+        async with Caller.to(address) as caller:
+            await caller.send(head())
+            await caller.until(b"hello")
+    assert [req.method for req in host.requests] == ["GET"]
+
+
+@pytest.mark.parametrize("sent", [b"", b"GET /heal"])
+async def test_a_slow_head_is_given_up(sent):
+    data = await exchange(FakeHost(), sent, head_timeout_ms=30)
+    assert data.startswith(b"HTTP/1.1 408")
+
+
+async def test_an_idle_connection_is_closed():
+    data = await exchange(FakeHost(), head(), idle_ms=30)
+    assert data.endswith(b"0\r\n\r\n")
+
+
+@pytest.mark.parametrize(
+    "lines",
+    [
+        ("Content-Length: 3", "Content-Length: 4"),
+        ("Content-Length: 3", "Transfer-Encoding: chunked"),
+        ("Transfer-Encoding: chunked, chunked",),
+        ("Transfer-Encoding: gzip",),
+        ("Transfer-Encoding: chunked", "Transfer-Encoding: chunked"),
+        ("Content-Length: +3",),
+        ("Content-Length: 3, 4",),
+        ("Bad Name: 1",),
+        ("X: a\x00b",),
+        ("Host: second",),
+    ],
+)
+async def test_ambiguous_or_malformed_heads_are_refused_and_closed(lines):
+    host = FakeHost()
+    data = await exchange(host, head("POST", "/v1/services/web/", *lines) + b"abc")
+    assert data[:12] in (b"HTTP/1.1 400", b"HTTP/1.1 501")
+    assert data.count(b"HTTP/1.1 ") == 1
+    assert host.requests == []
+
+
+async def test_old_http_is_refused_on_the_data_path():
+    request = head().replace(b"HTTP/1.1", b"HTTP/1.0")
+    data = await exchange(FakeHost(), request)
+    assert data.startswith(b"HTTP/1.1 505")
+
+
+@pytest.mark.parametrize("size", [3_000, 300_000])
+async def test_heads_over_the_limit_are_refused(size):
+    line = "X-Long: " + "x" * size
+    data = await exchange(FakeHost(), head("GET", "/", line), header_bytes=2_000)
+    assert data[9:12] in (b"400", b"431")
+
+
+async def test_surplus_connections_are_told_so_and_the_rest_dropped():
+    host = FakeHost(lambda req: None)
+    async with serving(host, max_connections=1) as address, Caller.to(address) as one:
+        await one.send(head())
+        await until_true(lambda: host.requests)
+        async with Caller.to(address) as two:
+            await two.send(head())
+            data = await two.to_end()
+            assert data.startswith(b"HTTP/1.1 503")
+            assert b"retry-after: 1" in data
+    assert len(host.requests) == 1
+
+
+async def test_a_caller_that_does_not_read_is_dropped():
+    def endless(req):
+        return streamed(b"x" * 65_536 for _ in range(1_000_000))
+
+    host = FakeHost(endless)
+    async with serving(host, idle_ms=50) as address, Caller.to(address) as caller:
+        await caller.send(head())
+        await until_true(lambda: host.gone)
+        assert not (await caller.to_end()).endswith(b"0\r\n\r\n")
+
+
+async def test_expect_continue_is_asked_for_only_by_a_good_request():
+    host = FakeHost()
+    lines = ("Content-Length: 2", "Expect: 100-continue")
+    async with serving(host) as address, Caller.to(address) as caller:
+        await caller.send(head("POST", "/v1/services/web/", *lines))
+        assert (await caller.until(b"\r\n\r\n")).startswith(b"HTTP/1.1 100")
+        await caller.send(b"ok")
+        assert b"200" in await caller.until(b"hello")
+    data = await exchange(
+        FakeHost(), head("POST", "/v1/services/none/", *lines, "Connection: close")
+    )
+    assert data.startswith(b"HTTP/1.1 404")
+    assert b"expect" not in dict(host.requests[0].headers)
+
+
+async def test_stop_lets_an_open_exchange_end():
+    gate = anyio.Event()
+
+    async def late():
+        await gate.wait()
+        yield b"late"
+
+    host = FakeHost(lambda req: Answer(200, (), late()))
+    chosen = settings()
+    server = HttpServer(HttpApi(host, chosen), chosen.listen, chosen.limits)
+    with anyio.fail_after(10):
+        async with anyio.create_task_group() as tasks:
+            address = await tasks.start(server.run)
+            async with Caller.to(address) as caller:
+                await caller.send(head())
+                await until_true(lambda: host.requests)
+                server.stop()
+                gate.set()
+                data = await caller.to_end()
+    assert data.endswith(b"4\r\nlate\r\n0\r\n\r\n")
+
+
+async def test_a_taken_port_is_a_typed_error():
+    async with serving(FakeHost()) as address:
+        taken = Address(address.ip, address.port)
+        server = HttpServer(lambda *args: None, taken, LimitSettings())
+        with pytest.raises(ListenFailed, match="set another 'listen'"):
+            await server.run()
