Plan moves, spares and maintenance of all pools in one pass

Cause: only free workers were assigned. Change: rebalancing with the fewest moves, release of workers, spares for pools whose budget is below one worker, and the maintenance policies; a later-ranked host steps in only when the same plan is still wanted.

--- a/courselead/core/operations/assignment.py
+++ b/courselead/core/operations/assignment.py
@@ -1,144 +1,155 @@
-"""Gives free workers to the pools that are short of them."""
+"""Which workers change their pool: the free ones first, then surplus ones.
 
-from dataclasses import dataclass, field
-
-from courselead.core import ranking
-from courselead.core.fleet.records import StopPurpose, WorkerAssigned
-from courselead.core.fleet.state import FleetState, WorkerPhase, WorkerState
-from courselead.core.operations.draft import Draft
-
-GROUP_ASSIGN = "assign"
-KEY_TABLE = "table"
-UNUSABLE = frozenset({WorkerPhase.GONE, WorkerPhase.QUARANTINED})
-
-Place = tuple[str, str]
-
-
-@dataclass(slots=True)
-class Spread:
-    """How the workers of one pool lie over zones and racks."""
-
-    workers: int = 0
-    zones: dict[str, int] = field(default_factory=dict)
-    racks: dict[Place, int] = field(default_factory=dict)
-
-    def add(self, zone: str, rack: str, count: int = 1) -> None:
-        """Count a worker in, or out with a negative count."""
-        self.workers += count
-        self.zones[zone] = self.zones.get(zone, 0) + count
-        place = (zone, rack)
-        self.racks[place] = self.racks.get(place, 0) + count
-
-
-def pool_after_moves(worker: WorkerState) -> str:
-    """Return the pool that a worker is in once its planned stop has ended."""
-    if worker.phase in UNUSABLE:
-        return ""
-    if worker.purpose is StopPurpose.MOVE:
-        return worker.next_pool
-    return worker.pool
-
-
-def spreads(fleet: FleetState) -> dict[str, Spread]:
-    """Return the spread of each pool of the table, moves under way included."""
-    found = {pool: Spread() for pool in fleet.table.services}
-    for worker in fleet.workers.values():
-        spread = found.get(pool_after_moves(worker))
-        if spread is not None:
-            spread.add(worker.availability_zone, worker.rack)
-    return found
-
-
-def deficits(fleet: FleetState, found: dict[str, Spread]) -> dict[str, int]:
-    """Return how many workers each pool is short of, those above zero only."""
-    short = {}
-    for pool, row in fleet.table.services.items():
-        missing = row.workers - found[pool].workers
-        if missing > 0:
-            short[pool] = missing
-    return short
-
-
-def neediest(fleet: FleetState, short: dict[str, int]) -> str:
-    """Return the pool with the greatest part of its workers missing."""
-    services = fleet.table.services
-    return min(short, key=lambda pool: (-short[pool] / services[pool].workers, pool))
-
-
-def free_workers(fleet: FleetState, leaving: frozenset[str]) -> list[WorkerState]:
-    """Return the workers that can be given to a pool."""
-    free = []
-    for worker in fleet.workers.values():
-        if worker.phase is not WorkerPhase.FREE or worker.worker in leaving:
-            continue
-        free.append(worker)
-    return free
+A move drains a worker, so it is planned only for a deficit that no free worker
+covers: the number of moves is the sum of those deficits, no more.
+"""
 
+from collections.abc import Callable
 
-def assign(
-    fleet: FleetState, leaving: frozenset[str] = frozenset()
-) -> list[WorkerAssigned]:
+from courselead.core.fleet.records import StopPlanned, WorkerAssigned
+from courselead.core.fleet.state import FleetState, WorkerPhase, WorkerState
+from courselead.core.operations.placement import (
+    Spread,
+    Stock,
+    assign_record,
+    by_place,
+    deficits,
+    free_workers,
+    move_record,
+    neediest,
+    spreads,
+    take_emptiest,
+)
+
+NOBODY: frozenset[str] = frozenset()
+
+
+def assign(fleet: FleetState, leaving: frozenset[str] = NOBODY) -> list[WorkerAssigned]:
     """Return the assignments of free workers, the neediest pool first.
 
     Each worker goes to the zone, then the rack, where the pool has least.
     """
-    found = spreads(fleet)
+    stock = by_place(free_workers(fleet, leaving))
+    if not stock:
+        return []
+    found = spreads(fleet, leaving)
     short = deficits(fleet, found)
-    stock = _by_place(free_workers(fleet, leaving))
     records = []
     while short and stock:
         pool = neediest(fleet, short)
-        zone, rack = _emptiest(found[pool], stock)
-        worker = stock[zone][rack].pop()
-        _prune(stock, zone, rack)
-        found[pool].add(zone, rack)
-        short[pool] -= 1
-        if not short[pool]:
-            del short[pool]
-        version = fleet.table.version
-        records.append(WorkerAssigned(worker.worker, worker.epoch, pool, version))
+        worker = take_emptiest(found[pool], stock)
+        found[pool].add(worker.availability_zone, worker.rack)
+        _fill(short, pool)
+        records.append(assign_record(fleet, worker, pool))
     return records
 
 
-def propose(draft: Draft) -> None:
-    """Propose the assignments of free workers, if this host plans them."""
-    fleet = draft.ctx.fleet
-    if draft.group_waits(GROUP_ASSIGN):
-        return
-    records = assign(fleet, draft.state.leaving)
-    if not records:
-        draft.unwanted(KEY_TABLE)
-        return
-    if not draft.plans(KEY_TABLE):
-        return
-    for record in records:
-        draft.propose(record, group=GROUP_ASSIGN)
+def rebalance(
+    fleet: FleetState, wall_ms: int, leaving: frozenset[str] = NOBODY
+) -> list[StopPlanned]:
+    """Return the moves from over-full pools to those short of workers.
 
+    Meant for a fleet whose free workers are assigned already. Of all surplus
+    workers the one goes that makes both pools' spread the most even.
+    """
+    found = spreads(fleet, leaving)
+    short = deficits(fleet, found)
+    if not short:
+        return []
+    donors = _donors(fleet, found, leaving)
+    records = []
+    while short and donors:
+        pool = neediest(fleet, short)
+        worker = _take_best(donors, found, found[pool])
+        donor = worker.pool
+        _fill(short, pool)
+        found[pool].add(worker.availability_zone, worker.rack)
+        records.append(move_record(fleet, worker, pool, wall_ms))
+        if donor not in found:
+            continue
+        found[donor].add(worker.availability_zone, worker.rack, -1)
+        row = fleet.table.services[donor]
+        if found[donor].workers <= row.workers:
+            donors.pop(donor, None)
+    return records
 
-Stock = dict[str, dict[str, list[WorkerState]]]
 
+def release(
+    fleet: FleetState, wall_ms: int, leaving: frozenset[str] = NOBODY
+) -> list[StopPlanned]:
+    """Return the stops that set workers free.
 
-def _by_place(workers: list[WorkerState]) -> Stock:
-    """Return workers by zone and rack, in the same order on every host."""
-    stock: Stock = {}
-    ordered = sorted(workers, key=lambda item: ranking.score("free", item.worker))
-    for worker in ordered:
-        racks = stock.setdefault(worker.availability_zone, {})
-        racks.setdefault(worker.rack, []).append(worker)
-    return stock
+    These are the workers of pools without a row, and the ones that the
+    platform takes back.
+    """
+    records = []
+    for worker in _serving(fleet):
+        wanted = worker.pool in fleet.table.services
+        if wanted and worker.worker not in leaving:
+            continue
+        records.append(move_record(fleet, worker, "", wall_ms))
+    return records
 
 
-def _emptiest(spread: Spread, stock: Stock) -> Place:
-    """Return the zone and rack with stock where a pool has fewest workers."""
-    zone = min(stock, key=lambda name: (spread.zones.get(name, 0), name))
-    racks = stock[zone]
-    rack = min(racks, key=lambda name: (spread.racks.get((zone, name), 0), name))
-    return zone, rack
+def _serving(fleet: FleetState) -> list[WorkerState]:
+    """Return the serving workers by name."""
+    workers = fleet.workers.values()
+    found = [item for item in workers if item.phase is WorkerPhase.SERVING]
+    return sorted(found, key=lambda item: item.worker)
 
 
-def _prune(stock: Stock, zone: str, rack: str) -> None:
-    """Remove a place that has no worker left."""
+def _donors(
+    fleet: FleetState, found: dict[str, Spread], leaving: frozenset[str]
+) -> dict[str, Stock]:
+    """Return the serving workers of the over-full pools, by place."""
+    pools: dict[str, list[WorkerState]] = {}
+    for worker in _serving(fleet):
+        if worker.worker in leaving:
+            continue
+        row = fleet.table.services.get(worker.pool)
+        if row is None or found[worker.pool].workers > row.workers:
+            pools.setdefault(worker.pool, []).append(worker)
+    return {pool: by_place(workers) for pool, workers in pools.items()}
+
+
+def _take_best(
+    donors: dict[str, Stock], found: dict[str, Spread], receiver: Spread
+) -> WorkerState:
+    """Take the worker that is crowded where it is and missing where it goes."""
+    best = None
+    for donor, stock in donors.items():
+        weigh = _weigher(found.get(donor, Spread()), receiver)
+        for zone, racks in stock.items():
+            for rack in racks:
+                choice = (*weigh(zone, rack), donor, zone, rack)
+                if best is None or choice < best:
+                    best = choice
+    assert best is not None
+    donor, zone, rack = best[-3:]
+    stock = donors[donor]
+    worker = stock[zone][rack].pop()
     if not stock[zone][rack]:
         del stock[zone][rack]
     if not stock[zone]:
         del stock[zone]
+    if not stock:
+        del donors[donor]
+    return worker
+
+
+def _weigher(donor: Spread, receiver: Spread) -> Callable[[str, str], tuple[int, int]]:
+    """Return how uneven a move leaves the two pools, least first."""
+
+    def weigh(zone: str, rack: str) -> tuple[int, int]:
+        leaves_zone, leaves_rack = donor.crowding(zone, rack)
+        meets_zone, meets_rack = receiver.crowding(zone, rack)
+        return meets_zone - leaves_zone, meets_rack - leaves_rack
+
+    return weigh
+
+
+def _fill(short: dict[str, int], pool: str) -> None:
+    """Count one worker into a pool's deficit."""
+    short[pool] -= 1
+    if not short[pool]:
+        del short[pool]
--- /dev/null
+++ b/courselead/core/operations/borrowing.py
@@ -0,0 +1,160 @@
+"""Spare workers for pools whose budget is below one worker.
+
+Such a pool has to serve with all its workers at every time, so one can be
+stopped only while there is one more. It borrows a free worker for its wave or,
+if none is free, the surplus worker of another pool. After the wave the spare
+goes on, unless a move weighs more than letting it stand idle until the next
+wave: that is the `move_cost` of the account.
+"""
+
+from dataclasses import dataclass
+
+from courselead.core.fleet.budgets import allowed_out, spare
+from courselead.core.fleet.records import StopPlanned, WorkerAssigned
+from courselead.core.fleet.state import FleetState, WorkerPhase, WorkerState
+from courselead.core.fleet.windows import is_open
+from courselead.core.operations.maintenance import is_due
+from courselead.core.operations.placement import (
+    Spread,
+    assign_record,
+    by_place,
+    free_workers,
+    move_record,
+    spreads,
+    take_emptiest,
+)
+from courselead.core.operations.state import OperationsConfig
+from courselead.core.table import AccountRow, ServiceRow
+
+DAY_MS = 86_400_000
+MOVES_PER_LOAN = 2
+
+
+@dataclass(slots=True)
+class _Tight:
+    """A pool that cannot spare a worker.
+
+    Attributes:
+        workers: Its workers now, without those on their way out.
+        due: Whether one of them is due.
+    """
+
+    row: ServiceRow
+    spread: Spread
+    workers: list[WorkerState]
+    due: bool
+
+    @property
+    def extra(self) -> int:
+        """Return how many workers it has beyond those wanted."""
+        return self.spread.workers - self.row.workers
+
+    def overdue(self) -> tuple[int, str]:
+        """Return the sort key of the most overdue pool first."""
+        return min(item.maintained_ms for item in self.workers), self.row.pool
+
+
+@dataclass(frozen=True, slots=True)
+class Loans:
+    """Changes of pool for the sake of a wave."""
+
+    assigned: tuple[WorkerAssigned, ...] = ()
+    moves: tuple[StopPlanned, ...] = ()
+
+
+def plan(
+    fleet: FleetState,
+    wall_ms: int,
+    cfg: OperationsConfig,
+    leaving: frozenset[str] = frozenset(),
+) -> Loans:
+    """Return the spares to be lent, sent on and given back now."""
+    if not cfg.maintain:
+        return Loans()
+    tight = _tight_pools(fleet, wall_ms, cfg, leaving)
+    if not tight:
+        return Loans()
+    asking = [item for item in tight.values() if _asks(item, wall_ms)]
+    asking.sort(key=_Tight.overdue)
+    stock = by_place(free_workers(fleet, leaving))
+    assigned = []
+    while asking and stock:
+        pool = asking.pop(0)
+        worker = take_emptiest(pool.spread, stock)
+        assigned.append(assign_record(fleet, worker, pool.row.pool))
+    moves = []
+    for donor, worker in _idle(fleet, tight, leaving):
+        if asking:
+            receiver = asking.pop(0).row.pool
+            moves.append(move_record(fleet, worker, receiver, wall_ms))
+        elif donor in tight and _goes_back(fleet, tight[donor], wall_ms, cfg):
+            moves.append(move_record(fleet, worker, "", wall_ms))
+    return Loans(tuple(assigned), tuple(moves))
+
+
+def _tight_pools(
+    fleet: FleetState, wall_ms: int, cfg: OperationsConfig, leaving: frozenset[str]
+) -> dict[str, _Tight]:
+    """Return the pools whose budget is below one worker."""
+    services = fleet.table.services
+    names = [pool for pool, row in services.items() if not allowed_out(row)]
+    if not names:
+        return {}
+    found = spreads(fleet, leaving)
+    tight = {pool: _Tight(services[pool], found[pool], [], False) for pool in names}
+    for worker in fleet.workers.values():
+        pool = tight.get(worker.pool)
+        if pool is None or worker.worker in leaving:
+            continue
+        pool.workers.append(worker)
+        pool.due = pool.due or is_due(worker, wall_ms, cfg)
+    return {pool: item for pool, item in tight.items() if item.workers}
+
+
+def _asks(pool: _Tight, wall_ms: int) -> bool:
+    """Return whether a pool needs a spare to begin its wave.
+
+    A pool that is short of workers is filled up first.
+    """
+    return pool.due and pool.extra == 0 and is_open(pool.row.window, wall_ms)
+
+
+def _idle(
+    fleet: FleetState, tight: dict[str, _Tight], leaving: frozenset[str]
+) -> list[tuple[str, WorkerState]]:
+    """Return the surplus workers that their pools do not need for a wave."""
+    found = spreads(fleet, leaving)
+    idle = []
+    for pool, row in sorted(fleet.table.services.items()):
+        surplus = found[pool].workers - row.workers
+        if surplus < 1 or (pool in tight and tight[pool].due):
+            continue
+        members = [
+            fleet.workers[name]
+            for name in fleet.serving.get(pool, ())
+            if name not in leaving
+        ]
+        members.sort(key=lambda item: _crowded(found[pool], item))
+        count = min(surplus, spare(fleet, pool))
+        idle.extend((pool, worker) for worker in members[:count])
+    return idle
+
+
+def _crowded(spread: Spread, worker: WorkerState) -> tuple[int, int, str]:
+    """Return the sort key of the worker from the most crowded place first."""
+    zone, rack = spread.crowding(worker.availability_zone, worker.rack)
+    return -zone, -rack, worker.worker
+
+
+def _goes_back(
+    fleet: FleetState, pool: _Tight, wall_ms: int, cfg: OperationsConfig
+) -> bool:
+    """Return whether a spare is set free rather than held to the next wave."""
+    if any(item.phase is not WorkerPhase.SERVING for item in pool.workers):
+        return False
+    oldest = min(item.maintained_ms for item in pool.workers)
+    idle_ms = oldest + cfg.maintenance_period_ms - wall_ms
+    accounts = fleet.table.accounts
+    name = pool.row.client_account
+    cost = accounts.get(name, AccountRow(name)).move_cost
+    return idle_ms / DAY_MS > MOVES_PER_LOAN * cost
--- a/courselead/core/operations/draft.py
+++ b/courselead/core/operations/draft.py
@@ -3,6 +3,7 @@
 The reducer is pure to its caller: a draft lives for one call only.
 """
 
+from collections.abc import Sequence
 from dataclasses import dataclass, field, replace
 from functools import lru_cache
 
@@ -21,6 +22,7 @@
     OperationsConfig,
     OperationsState,
     Proposal,
+    Wanted,
 )
 
 CACHED_RANKS = 65_536
@@ -53,6 +55,7 @@
     hosts: dict[str, tuple[str, ...]]
     agents: dict[str, AgentView | None] = field(default_factory=dict)
     proposed: dict[str, Proposal] = field(default_factory=dict)
+    asked: set[str] = field(default_factory=set)
     effects: list[Effect] = field(default_factory=list)
 
     @classmethod
@@ -96,27 +99,31 @@
         """Return whether this host is the first to deal with a worker."""
         return self.delay_ms(worker.worker, worker.availability_zone) == 0
 
-    def plans(self, key: str) -> bool:
-        """Return whether this host is the one that plans now for a key.
+    def plans(self, key: str, records: Sequence[Record]) -> bool:
+        """Return whether this host is the one that proposes a plan now.
 
-        The change is remembered as wanted from the first time of asking, so
-        the host steps in if it is asked again after the delay.
+        The plan is remembered from the first time of asking, so the host steps
+        in if the same plan is still wanted after the delay.
         """
+        self.asked.add(key)
         delay = self.delay_ms(f"plan:{key}")
         if delay == 0:
             return True
-        since = self.state.wanted.get(key)
-        if since is None:
-            wanted = self.state.wanted.set(key, self.now_ms)
+        token = ranking.score(key, ",".join(map(proposal_key, records)))
+        known = self.state.wanted.get(key)
+        if known is None or known.token != token:
+            wanted = self.state.wanted.set(key, Wanted(self.now_ms, token))
             self.state = replace(self.state, wanted=wanted)
             return False
-        return self.now_ms - since >= delay
+        return self.now_ms - known.since_ms >= delay
 
-    def unwanted(self, key: str) -> None:
-        """Forget that a change was wanted."""
-        if key in self.state.wanted:
-            wanted = self.state.wanted.delete(key)
-            self.state = replace(self.state, wanted=wanted)
+    def forget_unasked(self) -> None:
+        """Forget the plans that were not asked about in this reduction."""
+        wanted = self.state.wanted
+        for key in tuple(wanted):
+            if key not in self.asked:
+                wanted = wanted.delete(key)
+        self.state = replace(self.state, wanted=wanted)
 
     # --- agents -----------------------------------------------------------
 
@@ -189,8 +196,11 @@
             waiting=True,
         )
         self.put(worker.worker, view)
+        boots = max(0, view.boots)
         self.effects.append(
-            CallAgent(worker.worker, worker.address, op, worker.epoch, **args)
+            CallAgent(
+                worker.worker, worker.address, op, worker.epoch, boots=boots, **args
+            )
         )
 
     # --- proposals --------------------------------------------------------
--- a/courselead/core/operations/inventory.py
+++ b/courselead/core/operations/inventory.py
@@ -48,14 +48,15 @@
     """Propose what the list has and the agreed state has not."""
     _propose_gone(draft)
     changed = _changed(draft)
-    if not changed:
-        draft.unwanted(KEY_INVENTORY)
-        return
-    if draft.group_waits(GROUP_SEEN) or not draft.plans(KEY_INVENTORY):
+    if not changed or draft.group_waits(GROUP_SEEN):
         return
+    records = []
     for start in range(0, len(changed), CHUNK):
-        chunk = tuple(changed[start : start + CHUNK])
-        draft.propose(WorkersSeen(chunk), group=GROUP_SEEN)
+        records.append(WorkersSeen(tuple(changed[start : start + CHUNK])))
+    if not draft.plans(KEY_INVENTORY, records):
+        return
+    for record in records:
+        draft.propose(record, group=GROUP_SEEN)
 
 
 def _changed(draft: Draft) -> list[WorkerInfo]:
--- a/courselead/core/operations/lifecycle.py
+++ b/courselead/core/operations/lifecycle.py
@@ -7,6 +7,7 @@
 from dataclasses import replace
 
 from courselead.core.events import AgentAnswered, AgentOp, AgentReport
+from courselead.core.fleet.queries import unsettled_hosts
 from courselead.core.fleet.records import (
     MinionStopped,
     MinionUp,
@@ -15,18 +16,14 @@
     WorkerDown,
     WorkerRebooted,
 )
-from courselead.core.fleet.state import (
-    FleetState,
-    HostStatus,
-    WorkerPhase,
-    WorkerState,
-)
+from courselead.core.fleet.state import WorkerPhase, WorkerState
 from courselead.core.operations.draft import Draft
 from courselead.core.operations.state import (
     DRAIN_REPORT_EVERY_MS,
     DRAIN_REPORT_MS,
     AgentView,
 )
+from courselead.core.table import ServiceRow
 
 ACTIVE = frozenset({WorkerPhase.STARTING, WorkerPhase.STOPPING, WorkerPhase.STOPPED})
 MINION_SERVING = "serving"
@@ -41,23 +38,6 @@
 REASON_REBOOT_LIMIT = "reboot_limit"
 
 
-def unsettled_hosts(fleet: FleetState, since: int) -> list[str]:
-    """Return the entry hosts that may still have requests on a stopped target.
-
-    Args:
-        fleet: Shared state.
-        since: Offset of the planned stop. A host that joined later never sent
-            to this minion, and a lost or left one holds no work.
-    """
-    names = []
-    for host in fleet.hosts.values():
-        if host.status is not HostStatus.LIVE:
-            continue
-        if host.joined < since and host.settled < since:
-            names.append(host.entry_host)
-    return sorted(names)
-
-
 def drive(draft: Draft, worker: WorkerState) -> None:
     """Take the next step of a worker that is starting or stopping."""
     if worker.phase is WorkerPhase.STARTING:
@@ -119,9 +99,7 @@
 
 def _start(draft: Draft, worker: WorkerState) -> None:
     """Have the agent start the minion of this epoch."""
-    row = draft.ctx.fleet.table.services.get(worker.pool)
-    if row is None:
-        return
+    row = _row(draft, worker)
     view = draft.stage(worker, STAGE_START)
     if not draft.may_call(worker, view):
         return
@@ -137,6 +115,19 @@
     )
 
 
+def _row(draft: Draft, worker: WorkerState) -> ServiceRow:
+    """Return the row to start a minion by.
+
+    A starting worker has no way but forward: where its row has been removed it
+    starts with the defaults, and is then stopped and released like any other.
+    """
+    row = draft.ctx.fleet.table.services.get(worker.pool)
+    if row is not None:
+        return row
+    client_account, _, service = worker.pool.partition("/")
+    return ServiceRow(client_account, service)
+
+
 def _started(draft: Draft, worker: WorkerState, event: AgentAnswered) -> None:
     """Propose the minion that an agent has started."""
     if worker.phase is not WorkerPhase.STARTING:
@@ -172,7 +163,7 @@
 def _reboot(draft: Draft, worker: WorkerState) -> None:
     """Reboot a stopped worker, knowing its boots before the first call."""
     view = draft.stage(worker, STAGE_REBOOT)
-    _report_drain(draft, worker, view, [])
+    _report_drain(draft, worker, view, ())
     if draft.now_ms - view.phase_ms > draft.cfg.reboot_limit_ms:
         reason = REASON_REBOOT_LIMIT
         draft.propose(WorkerDown(worker.worker, worker.epoch, reason))
@@ -191,19 +182,19 @@
     """Give a stopped worker to its next pool."""
     view = draft.stage(worker, STAGE_MOVE)
     delay = draft.delay_ms(worker.worker, worker.availability_zone)
-    if not worker.next_pool or draft.now_ms - view.stage_ms < delay:
+    if draft.now_ms - view.stage_ms < delay:
         return
-    version = draft.ctx.fleet.table.version
-    draft.propose(
-        WorkerAssigned(worker.worker, worker.epoch, worker.next_pool, version)
-    )
+    table = draft.ctx.fleet.table
+    # A pool whose row has been removed meanwhile gets no worker.
+    pool = worker.next_pool if worker.next_pool in table.services else ""
+    draft.propose(WorkerAssigned(worker.worker, worker.epoch, pool, table.version))
 
 
 # --- stuck drains ----------------------------------------------------------
 
 
 def _report_drain(
-    draft: Draft, worker: WorkerState, view: AgentView, hosts: list[str]
+    draft: Draft, worker: WorkerState, view: AgentView, hosts: tuple[str, ...]
 ) -> None:
     """Report a drain that takes long, with its cause, once a minute."""
     if draft.now_ms - view.phase_ms < DRAIN_REPORT_MS:
@@ -232,7 +223,7 @@
     return sorted(task.job_id for task in report.tasks if task.state == TASK_RUNNING)
 
 
-def _cause(view: AgentView, hosts: list[str], tasks: list[str]) -> str:
+def _cause(view: AgentView, hosts: tuple[str, ...], tasks: list[str]) -> str:
     """Return why a drain has not ended."""
     if hosts:
         names = ", ".join(hosts)
--- /dev/null
+++ b/courselead/core/operations/planner.py
@@ -0,0 +1,100 @@
+"""One pass over everything that is planned, and who proposes which part."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from courselead.core.fleet.budgets import may_stop
+from courselead.core.fleet.records import StopPlanned, WorkerAssigned
+from courselead.core.fleet.state import FleetState
+from courselead.core.operations import assignment, borrowing, placement
+from courselead.core.operations.draft import Draft
+from courselead.core.operations.maintenance import POLICIES
+from courselead.core.operations.state import OperationsConfig
+
+GROUP_ASSIGN = "assign"
+KEY_TABLE = "table"
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """What is to be proposed now.
+
+    Attributes:
+        assigned: Free workers given to pools.
+        stops: Planned stops, each within the budgets if the ones before it
+            are applied first.
+    """
+
+    assigned: tuple[WorkerAssigned, ...] = ()
+    stops: tuple[StopPlanned, ...] = ()
+
+
+def make(
+    fleet: FleetState,
+    wall_ms: int,
+    cfg: OperationsConfig,
+    leaving: frozenset[str] = frozenset(),
+) -> Plan:
+    """Return the plan for the fleet as it stands.
+
+    Each step sees the fleet as the steps before it will leave it: deficits are
+    covered first, then spares are lent, and maintenance takes what is left of
+    the budgets.
+    """
+    assigned = assignment.assign(fleet, leaving)
+    for record in assigned:
+        fleet = placement.with_assigned(fleet, record)
+    stops: list[StopPlanned] = []
+    moves = assignment.rebalance(fleet, wall_ms, leaving)
+    fleet = _claim(fleet, moves, stops)
+    fleet = _claim(fleet, assignment.release(fleet, wall_ms, leaving), stops)
+    loans = borrowing.plan(fleet, wall_ms, cfg, leaving)
+    for record in loans.assigned:
+        fleet = placement.with_assigned(fleet, record)
+    assigned.extend(loans.assigned)
+    fleet = _claim(fleet, loans.moves, stops)
+    policy = POLICIES[cfg.policy]
+    stops.extend(policy.plan(fleet, wall_ms, cfg))
+    return Plan(tuple(assigned), tuple(stops))
+
+
+def propose(draft: Draft) -> None:
+    """Propose the parts of the plan that are this host's."""
+    ctx = draft.ctx
+    plan = make(ctx.fleet, ctx.wall_ms, draft.cfg, draft.state.leaving)
+    _propose_assigned(draft, plan)
+    pools: dict[str, list[StopPlanned]] = {}
+    for record in plan.stops:
+        pool = ctx.fleet.workers[record.worker].pool
+        pools.setdefault(pool, []).append(record)
+    for pool, records in pools.items():
+        # While the budget is being claimed, the plan does not know how much
+        # of it is left.
+        group = f"stop:{pool}"
+        if draft.group_waits(group) or not draft.plans(pool, records):
+            continue
+        for record in records:
+            draft.propose(record, group=group)
+
+
+def _propose_assigned(draft: Draft, plan: Plan) -> None:
+    """Propose the assignments, if this host plans them."""
+    if not plan.assigned or draft.group_waits(GROUP_ASSIGN):
+        return
+    if not draft.plans(KEY_TABLE, plan.assigned):
+        return
+    for record in plan.assigned:
+        draft.propose(record, group=GROUP_ASSIGN)
+
+
+def _claim(
+    fleet: FleetState, records: Iterable[StopPlanned], stops: list[StopPlanned]
+) -> FleetState:
+    """Return the fleet after the moves that the budgets allow now."""
+    for record in records:
+        worker = fleet.workers[record.worker]
+        if not may_stop(fleet, worker):
+            continue
+        stops.append(record)
+        fleet = placement.with_stop(fleet, record)
+    return fleet
--- a/courselead/core/operations/reducer.py
+++ b/courselead/core/operations/reducer.py
@@ -18,7 +18,7 @@
 )
 from courselead.core.fleet.records import HostBeat, HostLeft, HostLost
 from courselead.core.fleet.state import Applied, WorkerPhase, WorkerState
-from courselead.core.operations import assignment, health, inventory, lifecycle
+from courselead.core.operations import health, inventory, lifecycle, planner
 from courselead.core.operations.draft import Draft, proposal_key
 from courselead.core.operations.state import (
     PLAN_MS,
@@ -74,12 +74,8 @@
     draft.state = replace(draft.state, planned_ms=draft.now_ms)
     inventory.propose(draft)
     if draft.may_propose and not draft.ctx.leaving:
-        _plan(draft)
-
-
-def _plan(draft: Draft) -> None:
-    """Propose what the plans of this host ask for."""
-    assignment.propose(draft)
+        planner.propose(draft)
+    draft.forget_unasked()
 
 
 def _step(draft: Draft, worker: WorkerState) -> None:
--- a/courselead/core/operations/state.py
+++ b/courselead/core/operations/state.py
@@ -41,7 +41,7 @@
     maintenance_period_ms: int = DEFAULT_MAINTENANCE_PERIOD_MS
     wave_from_ms: int = 0
     maintain: bool = True
-    policy: str = "racks"
+    policy: str = "rack_by_rack"
     poll_ms: int = DEFAULT_POLL_MS
     failing_ms: int = DEFAULT_FAILING_MS
     absent_ms: int = DEFAULT_ABSENT_MS
@@ -106,6 +106,19 @@
     refused: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Wanted:
+    """A change that no worker's phase stands for.
+
+    Attributes:
+        since_ms: When this host first wanted it.
+        token: Tells this change from a later one under the same key.
+    """
+
+    since_ms: int
+    token: int
+
+
 @dataclass(frozen=True, slots=True)
 class OperationsState:
     """Local state of the decisions on workers.
@@ -118,7 +131,7 @@
         absent: Since when an agreed worker is missing in the list.
         agents: Views of the agents this host deals with.
         proposed: Proposals by key, until decided or timed out.
-        wanted: Since when a change that belongs to no worker is wanted.
+        wanted: Changes that a host ranked before this one may still propose.
     """
 
     cfg: OperationsConfig = field(default_factory=OperationsConfig)
@@ -129,6 +142,6 @@
     absent: Map[str, int] = field(default_factory=Map)
     agents: Map[str, AgentView] = field(default_factory=Map)
     proposed: Map[str, Proposal] = field(default_factory=Map)
-    wanted: Map[str, int] = field(default_factory=Map)
+    wanted: Map[str, Wanted] = field(default_factory=Map)
     swept_ms: int = -SWEEP_MS
     planned_ms: int = -PLAN_MS
