Worker and minion stand-ins, the agent client and the minion connection

Cause: a request must never be run twice unasked, nor get another's answer. Change: an exchange with a minion ends as Answer, NotRun or Unknown; a kept connection is reused only with nothing left over in the parser and in the kernel, and an answer must repeat the request's id. httpcore's own anyio backend is not used, because its stream keeps received bytes in a queue that no check of the socket can see.

--- /dev/null
+++ b/courselead/integrations/workers/__init__.py
@@ -0,0 +1,28 @@
+"""The worker agents: start and stop minions, run tasks under leases, reboot."""
+
+from .client import WorkerAgentClient
+from .errors import AgentError, AgentRefused, AgentUnknown, AgentUnreachable
+from .models import (
+    AgentState,
+    MinionOrder,
+    MinionPhase,
+    MinionState,
+    TaskOrder,
+    TaskPhase,
+    TaskState,
+)
+
+__all__ = [
+    "AgentError",
+    "AgentRefused",
+    "AgentState",
+    "AgentUnknown",
+    "AgentUnreachable",
+    "MinionOrder",
+    "MinionPhase",
+    "MinionState",
+    "TaskOrder",
+    "TaskPhase",
+    "TaskState",
+    "WorkerAgentClient",
+]
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -68,6 +68,11 @@
         )
         self._server = _Server(config)
 
+    @property
+    def connections(self) -> set[Any]:
+        """Return the connections that are open now."""
+        return self._server.server_state.connections
+
     async def run(
         self, *, task_status: anyio.abc.TaskStatus[str] = anyio.TASK_STATUS_IGNORED
     ) -> None:
@@ -91,7 +96,7 @@
         self._server.should_exit = True
         self._server.force_exit = True
         self.endpoint.cut()
-        for conn in list(self._server.server_state.connections):
+        for conn in list(self.connections):
             conn.transport.abort()
 
     def _close_port(self) -> None:
--- /dev/null
+++ b/standins/tasks.py
@@ -0,0 +1,144 @@
+"""A task under a lease, whose state follows from the clock alone.
+
+The payload may say how the task really behaves, whatever sizes were declared:
+`{"work_ms": int, "cores": float, "memory_mb": int, "fail": bool}`. The mark of a
+checkpoint is the work done so far in ms. A throttled task runs at half its speed and
+uses half its cores.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+RUNNING = "running"
+DONE = "done"
+FAILED = "failed"
+CHECKPOINTED = "checkpointed"
+STOPPED = "stopped"
+LAPSED = "lapsed"
+
+DEFAULT_WORK_MS = 1000
+_FULL_SPEED = 1.0
+_THROTTLED_SPEED = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class TaskOrder:
+    """The body of `POST /v1/tasks`."""
+
+    epoch: int
+    job_id: str
+    attempt: int
+    service: str
+    lease_ms: int
+    cores: float
+    memory_mb: int
+    payload: dict[str, Any] = field(default_factory=dict)
+    checkpoint: str = ""
+
+
+class TaskRun:
+    """One attempt at a job; every method is told the time in ms."""
+
+    def __init__(self, order: TaskOrder, now_ms: float) -> None:
+        """Start the task, from the order's mark if it has one."""
+        self.order = order
+        self.state = RUNNING
+        self.error = ""
+        self.mark = order.checkpoint
+        self.started_ms = now_ms
+        self.ended_ms: float | None = None
+        payload = order.payload
+        self._work_ms = max(float(payload.get("work_ms", DEFAULT_WORK_MS)), 1.0)
+        self._done_ms = float(self.mark) if self.mark.isdecimal() else 0.0
+        self._speed = _FULL_SPEED
+        self._settled_ms = now_ms
+        self._lease_end_ms = now_ms + order.lease_ms
+
+    def settle(self, now_ms: float) -> None:
+        """Bring the state up to the time: finished, lapsed or still running."""
+        if self.state != RUNNING:
+            return
+        left_ms = (self._work_ms - self._done_ms) / self._speed
+        finish_ms = self._settled_ms + left_ms
+        if finish_ms <= min(now_ms, self._lease_end_ms):
+            self._done_ms = self._work_ms
+            self._finish(finish_ms)
+            return
+        until_ms = min(now_ms, self._lease_end_ms)
+        self._done_ms += (until_ms - self._settled_ms) * self._speed
+        self._settled_ms = until_ms
+        if self._lease_end_ms <= now_ms:
+            self._keep_mark()
+            self._end(LAPSED, self._lease_end_ms)
+
+    def renew(self, lease_ms: int, now_ms: float) -> None:
+        """Extend the lease of a running task."""
+        self.settle(now_ms)
+        if self.state == RUNNING:
+            self._lease_end_ms = now_ms + lease_ms
+
+    def checkpoint(self, now_ms: float) -> None:
+        """Stop a running task and keep its mark."""
+        self.settle(now_ms)
+        if self.state == RUNNING:
+            self._keep_mark()
+            self._end(CHECKPOINTED, now_ms)
+
+    def throttle(self, now_ms: float) -> None:
+        """Halve the speed of a running task."""
+        self.settle(now_ms)
+        self._speed = _THROTTLED_SPEED
+
+    def stop(self, now_ms: float) -> None:
+        """Stop a running task; its work since the last mark is lost."""
+        self.settle(now_ms)
+        if self.state == RUNNING:
+            self._end(STOPPED, now_ms)
+
+    def fail(self, error: str, now_ms: float) -> bool:
+        """Fail a running task; return whether it was running."""
+        self.settle(now_ms)
+        if self.state != RUNNING:
+            return False
+        self.error = error
+        self._end(FAILED, now_ms)
+        return True
+
+    def view(self, now_ms: float, usage_lag_ms: int) -> dict[str, Any]:
+        """Return the task as the agent reports it; its usage is as of the lag ago."""
+        self.settle(now_ms)
+        seen_ms = now_ms - usage_lag_ms
+        ended_ms = now_ms if self.ended_ms is None else self.ended_ms
+        is_used = self.started_ms <= seen_ms
+        if self.ended_ms is not None:
+            is_used = is_used and seen_ms < self.ended_ms
+        payload = self.order.payload
+        cores = float(payload.get("cores", self.order.cores)) * self._speed
+        memory_mb = int(payload.get("memory_mb", self.order.memory_mb))
+        return {
+            "job_id": self.order.job_id,
+            "attempt": self.order.attempt,
+            "state": self.state,
+            "progress": min(self._done_ms / self._work_ms, 1.0),
+            "checkpoint": self.mark,
+            "error": self.error,
+            "cores_used": cores if is_used else 0.0,
+            "memory_mb_used": memory_mb if is_used else 0,
+            "ran_ms": int(ended_ms - self.started_ms),
+        }
+
+    def _finish(self, at_ms: float) -> None:
+        if self.order.payload.get("fail"):
+            self.error = "the payload asked for a failure"
+            self._end(FAILED, at_ms)
+            return
+        self._end(DONE, at_ms)
+
+    def _keep_mark(self) -> None:
+        self.mark = str(int(self._done_ms))
+
+    def _end(self, state: str, at_ms: float) -> None:
+        self.state = state
+        self.ended_ms = at_ms
--- /dev/null
+++ b/tests/integrations/minions/test_connection.py
@@ -0,0 +1,299 @@
+"""Exchanges with a minion: each outcome, and each way to lose an answer."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+
+import anyio
+import msgspec
+import pytest
+
+from courselead.integrations.http import ConnectionBusy, HttpLimits
+from courselead.integrations.minions import (
+    Answer,
+    Broken,
+    MinionConnection,
+    MinionRequest,
+    NotRun,
+    Unknown,
+)
+from standins.faults import Faults
+from standins.minion import Minion, MinionSpec
+from tests.integrations.raw import RawConnection, answer, raw_server
+
+pytestmark = pytest.mark.anyio
+
+TIMEOUT_MS = 4_000
+
+
+def get(request_id: str, **more: object) -> MinionRequest:
+    return MinionRequest(request_id, b"GET", b"/", **more)  # type: ignore[arg-type]
+
+
+@pytest.fixture
+async def minion() -> AsyncIterator[Minion]:
+    one = Minion(MinionSpec("echo", "w1", slots=1, connections=2))
+    async with anyio.create_task_group() as group:
+        await group.start(one.run)
+        yield one
+        one.listener.abort()
+
+
+@pytest.fixture
+def conn(minion: Minion) -> MinionConnection:
+    return MinionConnection(minion.address)
+
+
+async def ask(conn: MinionConnection, req: MinionRequest) -> bytes:
+    outcome = await conn.send(req, TIMEOUT_MS)
+    assert isinstance(outcome, Answer), outcome
+    return await outcome.read()
+
+
+async def test_an_answer_and_reuse(minion: Minion, conn: MinionConnection) -> None:
+    req = MinionRequest("r1", b"POST", b"/p?a=1", ((b"x-a", b"1"),), b"hello")
+    echo = msgspec.json.decode(await ask(conn, req))
+    assert (echo["method"], echo["path"], echo["body"]) == ("POST", "/p", "hello")
+    assert echo["request_id"] == "r1"
+    assert conn.is_clean()
+    await ask(conn, get("r2"))
+    assert minion.runs.by_request == {"r1": 1, "r2": 1}
+    assert len(minion.listener.connections) == 1
+
+
+async def test_a_fresh_request_opens_a_connection() -> None:
+    async def script(raw: RawConnection) -> None:
+        while True:
+            await raw.send(answer(await raw.request_id()))
+
+    async with raw_server(script) as server:
+        conn = MinionConnection(server.address)
+        for number, fresh in enumerate((False, False, True)):
+            await ask(conn, get(f"r{number}", fresh=fresh))
+        conn.close()
+        assert server.connections == 2
+
+
+@pytest.mark.parametrize("apart", [False, True])
+@pytest.mark.parametrize("size", [3, 64 * 1024, 1024 * 1024])
+async def test_a_second_unasked_answer_is_never_taken(apart: bool, size: int) -> None:
+    """The next request gets its own answer, from a new connection."""
+    read_first = anyio.Event()
+
+    async def script(raw: RawConnection) -> None:
+        request_id = await raw.request_id()
+        first = answer(request_id, b"x" * size)
+        extra = answer(b"r2", b"not yours")
+        if raw.number > 1:
+            await raw.send(answer(request_id, b"own"))
+        elif apart:
+            await raw.send(first)
+            await read_first.wait()
+            await raw.send(extra)
+        else:
+            await raw.send(first + extra)
+        await raw.request_id()
+
+    async with raw_server(script) as server:
+        conn = MinionConnection(server.address)
+        assert await ask(conn, get("r1")) == b"x" * size
+        read_first.set()
+        while conn.is_clean():
+            await anyio.sleep(0.001)
+        assert await ask(conn, get("r2")) == b"own"
+        conn.close()
+        assert server.connections == 2
+
+
+async def test_an_unasked_answer_that_comes_late_is_unknown() -> None:
+    async def script(raw: RawConnection) -> None:
+        await raw.send(answer(await raw.request_id(), b"first"))
+        await raw.request_id()
+        refusal = b"HTTP/1.1 503 No\r\ncontent-length: 0\r\n"
+        await raw.send(refusal + b"courselead-refused: full\r\n\r\n")
+
+    async with raw_server(script) as server:
+        conn = MinionConnection(server.address)
+        await ask(conn, get("r1"))
+        outcome = await conn.send(get("r2"), TIMEOUT_MS)
+        assert isinstance(outcome, Unknown)
+        assert not conn.is_clean()
+
+
+async def test_a_kept_connection_that_was_closed_is_not_used() -> None:
+    async def script(raw: RawConnection) -> None:
+        await raw.send(answer(await raw.request_id(), b"once"))
+
+    async with raw_server(script) as server:
+        conn = MinionConnection(server.address)
+        for number in range(3):
+            assert await ask(conn, get(f"r{number}")) == b"once"
+            while conn.is_clean():
+                await anyio.sleep(0.001)
+        assert server.connections == 3
+
+
+async def test_a_closed_port_is_not_run(minion: Minion, conn: MinionConnection) -> None:
+    minion.listener.abort()
+    assert isinstance(await conn.send(get("r1"), TIMEOUT_MS), NotRun)
+
+
+async def test_refusals_are_not_run(minion: Minion, conn: MinionConnection) -> None:
+    other = MinionConnection(minion.address)
+    async with anyio.create_task_group() as group:
+        slow = ((b"x-standin-work-ms", b"60000"),)
+        group.start_soon(other.send, get("slow", headers=slow), 60_000)
+        while not minion.in_flight:
+            await anyio.sleep(0.001)
+        outcome = await conn.send(get("r1"), TIMEOUT_MS)
+        assert isinstance(outcome, NotRun) and outcome.refusal == "full"
+        assert conn.is_clean()
+        minion.stop()
+        outcome = await conn.send(get("r2"), TIMEOUT_MS)
+        assert isinstance(outcome, NotRun)
+        group.cancel_scope.cancel()
+    assert minion.runs.by_request == {"slow": 1}
+
+
+async def test_too_many_connections_are_refused(minion: Minion) -> None:
+    conns = [MinionConnection(minion.address) for _ in range(3)]
+    outcomes = []
+    for number, conn in enumerate(conns):
+        outcome = await conn.send(get(f"r{number}"), TIMEOUT_MS)
+        if isinstance(outcome, Answer):
+            await outcome.read()
+        outcomes.append(outcome)
+    assert [type(outcome) for outcome in outcomes] == [Answer, Answer, NotRun]
+    assert outcomes[2].refusal == "full"
+    for conn in conns:
+        conn.close()
+
+
+@pytest.mark.parametrize(
+    ("faults", "runs"),
+    [(Faults(lose_answers=1), 1), (Faults(dead=True), 0), (Faults(freeze=True), 0)],
+)
+async def test_no_answer_is_unknown(
+    minion: Minion, conn: MinionConnection, faults: Faults, runs: int
+) -> None:
+    minion.endpoint.faults = faults
+    timeout_ms = 50 if faults.freeze else TIMEOUT_MS
+    outcome = await conn.send(get("r1"), timeout_ms)
+    assert isinstance(outcome, Unknown)
+    assert not conn.is_clean()
+    assert minion.runs.executions == runs
+
+
+async def test_a_body_that_stops_early_is_broken(
+    minion: Minion, conn: MinionConnection
+) -> None:
+    minion.endpoint.faults = Faults(cut_answers=1)
+    outcome = await conn.send(get("r1"), TIMEOUT_MS)
+    assert isinstance(outcome, Answer)
+    with pytest.raises(Broken):
+        await outcome.read()
+    with pytest.raises(Broken):
+        await outcome.read()
+    assert not conn.is_clean()
+
+
+async def test_a_slow_body_ends_with_the_timeout() -> None:
+    async def script(raw: RawConnection) -> None:
+        whole = answer(await raw.request_id(), b"abcdef")
+        await raw.send(whole[:-3])
+        await raw.request_id()
+
+    async with raw_server(script) as server:
+        conn = MinionConnection(server.address)
+        outcome = await conn.send(get("r1"), 100)
+        assert isinstance(outcome, Answer)
+        with pytest.raises(Broken):
+            await outcome.read()
+
+
+async def test_a_cancelled_exchange_closes_its_connection() -> None:
+    got_request = anyio.Event()
+    hung_up = anyio.Event()
+
+    async def script(raw: RawConnection) -> None:
+        await raw.request_id()
+        got_request.set()
+        try:
+            await raw.request_id()
+        except (anyio.EndOfStream, anyio.BrokenResourceError):
+            hung_up.set()
+
+    async with raw_server(script) as server, anyio.create_task_group() as group:
+        conn = MinionConnection(server.address)
+        group.start_soon(conn.send, get("r1"), TIMEOUT_MS)
+        await got_request.wait()
+        group.cancel_scope.cancel()
+        with anyio.CancelScope(shield=True):
+            await hung_up.wait()
+    assert not conn.is_clean()
+
+
+async def test_one_exchange_at_a_time(conn: MinionConnection) -> None:
+    outcome = await conn.send(get("r1"), TIMEOUT_MS)
+    assert isinstance(outcome, Answer)
+    with pytest.raises(ConnectionBusy):
+        await conn.send(get("r2"), TIMEOUT_MS)
+    outcome.close()
+    await ask(conn, get("r3"))
+
+
+@pytest.mark.parametrize(
+    "limits",
+    [
+        HttpLimits(max_answer_bytes=10),
+        HttpLimits(max_header_bytes=40),
+        HttpLimits(max_header_count=2),
+    ],
+)
+async def test_an_answer_over_the_limits_is_unknown(limits: HttpLimits) -> None:
+    async def script(raw: RawConnection) -> None:
+        await raw.send(answer(await raw.request_id(), b"x" * 11, b"a: b\r\n"))
+
+    async with raw_server(script) as server:
+        conn = MinionConnection(server.address, limits)
+        assert isinstance(await conn.send(get("r1"), TIMEOUT_MS), Unknown)
+
+
+async def test_a_chunked_body_over_the_limit_is_broken() -> None:
+    async def script(raw: RawConnection) -> None:
+        request_id = await raw.request_id()
+        head = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n"
+        await raw.send(head + b"courselead-request-id: " + request_id + b"\r\n\r\n")
+        while True:
+            await raw.send(b"5\r\nabcde\r\n")
+
+    async with raw_server(script) as server:
+        conn = MinionConnection(server.address, HttpLimits(max_answer_bytes=1000))
+        outcome = await conn.send(get("r1"), TIMEOUT_MS)
+        assert isinstance(outcome, Answer)
+        with pytest.raises(Broken):
+            await outcome.read()
+
+
+async def test_the_caller_cannot_set_the_request_id(
+    minion: Minion, conn: MinionConnection
+) -> None:
+    forged = ((b"Courselead-Request-Id", b"forged"),)
+    await ask(conn, get("r1", headers=forged))
+    assert minion.runs.by_request == {"r1": 1}
+
+
+@pytest.mark.parametrize(
+    "req",
+    [
+        MinionRequest("r1", b"CONNECT", b"/"),
+        MinionRequest("r1", b"GET", b"http://elsewhere/"),
+        MinionRequest("r1", b"GET", b"/a b"),
+        MinionRequest("r1", b"GET", b"/", ((b"x", b"1\r\nhost: y"),)),
+    ],
+)
+async def test_a_request_that_cannot_be_sent_is_not_run(
+    minion: Minion, conn: MinionConnection, req: MinionRequest
+) -> None:
+    assert isinstance(await conn.send(req, TIMEOUT_MS), NotRun)
+    assert minion.runs.executions == 0
--- /dev/null
+++ b/tests/integrations/workers/test_client.py
@@ -0,0 +1,203 @@
+"""The agent client against a worker stand-in whose clock the test moves."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from dataclasses import replace
+
+import anyio
+import pytest
+from returns.result import Result
+
+from courselead.integrations.workers import (
+    AgentError,
+    AgentRefused,
+    AgentUnknown,
+    AgentUnreachable,
+    MinionOrder,
+    MinionPhase,
+    TaskOrder,
+    TaskPhase,
+    TaskState,
+    WorkerAgentClient,
+)
+from standins.faults import Faults
+from standins.worker import Worker, WorkerSpec
+from tests.integrations.raw import RawConnection, raw_server
+
+pytestmark = pytest.mark.anyio
+
+ECHO = MinionOrder("echo", slots=8, connections=64)
+ORDER = TaskOrder(
+    job_id="a/b c",
+    attempt=1,
+    service="batch",
+    lease_ms=500,
+    cores=2.0,
+    memory_mb=64,
+    payload={"work_ms": 1000, "cores": 3.0, "memory_mb": 100},
+)
+
+
+class Site:
+    """A worker stand-in, its clock and a client of its agent."""
+
+    def __init__(self) -> None:
+        self.now_ms = 1_000.0
+        spec = WorkerSpec("w1", reboot_ms=300, usage_lag_ms=100)
+        self.worker = Worker(spec, clock_ms=lambda: self.now_ms)
+        self.client = WorkerAgentClient(self.worker.address)
+
+    async def task(self) -> TaskState:
+        return (await self.client.state()).unwrap().tasks[0]
+
+
+@pytest.fixture
+async def site() -> AsyncIterator[Site]:
+    one = Site()
+    async with anyio.create_task_group() as group:
+        await group.start(one.worker.run)
+        yield one
+        one.client.close()
+        one.worker.abort()
+
+
+def refusal(result: Result[object, AgentError]) -> str:
+    error = result.failure()
+    assert isinstance(error, AgentRefused)
+    return error.error
+
+
+async def test_a_minion_from_start_to_stop(site: Site) -> None:
+    first = (await site.client.start_minion(1, ECHO)).unwrap()
+    assert (await site.client.start_minion(1, ECHO)).unwrap() == first
+    assert refusal(await site.client.reboot(1, 0)) == "busy"
+    other = replace(ECHO, service="other")
+    assert refusal(await site.client.start_minion(1, other)) == "busy"
+    (await site.client.stop_minion(1)).unwrap()
+    with anyio.fail_after(5):
+        while (state := (await site.client.state()).unwrap()).minion:
+            if state.minion.state is MinionPhase.STOPPED:
+                break
+            await anyio.sleep(0.01)
+    second = (await site.client.start_minion(1, ECHO)).unwrap()
+    assert second != first
+
+
+async def test_a_lower_epoch_is_refused(site: Site) -> None:
+    (await site.client.stop_minion(5)).unwrap()
+    error = (await site.client.start_minion(4, ECHO)).failure()
+    assert error == AgentRefused("stale_epoch", epoch=5)
+    assert (await site.client.state()).unwrap().minion is None
+
+
+async def test_a_repeated_reboot_boots_once(site: Site) -> None:
+    (await site.client.reboot(1, 0)).unwrap()
+    assert (await site.client.state()).unwrap().rebooting
+    assert refusal(await site.client.start_minion(1, ECHO)) == "rebooting"
+    site.now_ms += 300
+    (await site.client.reboot(1, 0)).unwrap()
+    state = (await site.client.state()).unwrap()
+    assert (state.boots, state.rebooting) == (1, False)
+
+
+async def test_a_task_runs_to_its_end(site: Site) -> None:
+    started = (await site.client.start_task(1, ORDER)).unwrap()
+    assert (started.state, started.cores_used) == (TaskPhase.RUNNING, 0.0)
+    site.now_ms += 400
+    running = (await site.client.renew_task(1, "a/b c", 1, 5_000)).unwrap()
+    assert (running.progress, running.cores_used) == (0.4, 3.0)
+    assert running.memory_mb_used == 100
+    again = (await site.client.start_task(1, ORDER)).unwrap()
+    assert again.ran_ms == 400
+    assert refusal(await site.client.reboot(1, 0)) == "busy"
+    site.now_ms += 600
+    assert (await site.task()).state is TaskPhase.DONE
+    site.now_ms += 100
+    assert (await site.task()).cores_used == 0.0
+
+
+async def test_a_lapsed_task_resumes_from_its_mark(site: Site) -> None:
+    (await site.client.start_task(1, ORDER)).unwrap()
+    site.now_ms += 2_000
+    lapsed = await site.task()
+    assert (lapsed.state, lapsed.checkpoint) == (TaskPhase.LAPSED, "500")
+    assert lapsed.ran_ms == 500
+    resumed = replace(ORDER, attempt=2, checkpoint=lapsed.checkpoint)
+    (await site.client.start_task(1, resumed)).unwrap()
+    site.now_ms += 500
+    assert (await site.task()).state is TaskPhase.DONE
+
+
+async def test_an_older_attempt_is_fenced(site: Site) -> None:
+    (await site.client.start_task(1, replace(ORDER, attempt=2))).unwrap()
+    assert refusal(await site.client.start_task(1, ORDER)) == "stale_attempt"
+    calls = site.client
+    assert refusal(await calls.renew_task(1, "a/b c", 1, 9)) == "stale_attempt"
+    assert refusal(await calls.stop_task(1, "a/b c", 3)) == "not_found"
+    assert refusal(await calls.stop_task(1, "absent", 1)) == "not_found"
+
+
+async def test_checkpoint_throttle_and_stop(site: Site) -> None:
+    (await site.client.start_task(1, replace(ORDER, lease_ms=9_000))).unwrap()
+    site.now_ms += 100
+    throttled = (await site.client.throttle_task(1, "a/b c", 1)).unwrap()
+    assert throttled.cores_used == 1.5
+    site.now_ms += 100
+    marked = (await site.client.checkpoint_task(1, "a/b c", 1)).unwrap()
+    assert (marked.state, marked.checkpoint) == (TaskPhase.CHECKPOINTED, "150")
+    (await site.client.start_task(1, replace(ORDER, attempt=2))).unwrap()
+    stopped = (await site.client.stop_task(1, "a/b c", 2)).unwrap()
+    assert (stopped.state, stopped.checkpoint) == (TaskPhase.STOPPED, "")
+
+
+async def test_a_lost_answer_is_unknown_and_safe_to_repeat(site: Site) -> None:
+    site.worker.endpoint.faults = Faults(lose_answers=1)
+    error = (await site.client.start_task(1, ORDER)).failure()
+    assert isinstance(error, AgentUnknown)
+    (await site.client.start_task(1, ORDER)).unwrap()
+    assert len((await site.client.state()).unwrap().tasks) == 1
+
+
+async def test_what_was_not_done_is_unreachable(site: Site) -> None:
+    site.worker.endpoint.faults = Faults(down=True)
+    assert isinstance((await site.client.stop_minion(1)).failure(), AgentUnreachable)
+    site.worker.abort()
+    # A kept connection could still look open: only a refused connect is certain.
+    site.client.close()
+    assert isinstance((await site.client.stop_minion(1)).failure(), AgentUnreachable)
+    assert site.worker.epoch == 0
+
+
+async def test_a_worker_that_fails_everything(site: Site) -> None:
+    site.worker.endpoint.faults = Faults(fail_all=True)
+    task = (await site.client.start_task(1, ORDER)).unwrap()
+    assert task.state is TaskPhase.FAILED and task.error
+
+
+async def test_a_crash_cuts_tasks_and_counts_them(site: Site) -> None:
+    (await site.client.start_minion(1, ECHO)).unwrap()
+    (await site.client.start_task(1, ORDER)).unwrap()
+    site.worker.crash()
+    assert (await site.task()).state is TaskPhase.FAILED
+    assert site.worker.runs.cut_off == 1
+    site.now_ms += 300
+    state = (await site.client.state()).unwrap()
+    assert (state.boots, state.minion) == (1, None)
+
+
+@pytest.mark.parametrize(
+    "body", [b"", b"nonsense", b'{"worker": "w1"}', b'{"worker": 1, "epoch": "x"}']
+)
+async def test_a_malformed_answer_is_an_error(body: bytes) -> None:
+    async def script(raw: RawConnection) -> None:
+        await raw.request_id()
+        length = str(len(body)).encode("ascii")
+        await raw.send(b"HTTP/1.1 200 OK\r\ncontent-length: " + length + b"\r\n\r\n")
+        await raw.send(body)
+        await raw.request_id()
+
+    async with raw_server(script) as server:
+        client = WorkerAgentClient(server.address)
+        assert isinstance((await client.state()).failure(), AgentUnknown)
+        client.close()
