Judge windows with the fleet's own parser

Cause: parse_window is there now. Change: the stand-by pattern for windows is gone. Conclusion: one syntax of windows.

--- a/courselead/core/table_columns.py
+++ b/courselead/core/table_columns.py
@@ -11,6 +11,7 @@
 
 from returns.result import Failure, Result, Success
 
+from courselead.core.fleet.windows import parse_window
 from courselead.core.table import RequestClass
 
 MAX_CREDENTIALS = 8
@@ -25,9 +26,6 @@
 MAX_SHOWN = 40
 
 _NAME = re.compile(r"[a-z0-9][a-z0-9-]{0,31}")
-_TIME = r"(?:[01][0-9]|2[0-3]):[0-5][0-9]"
-_DAY = r"(?:Mon|Tue|Wed|Thu|Fri|Sat|Sun)"
-_WINDOW = re.compile(rf"always|never|{_DAY}(?:-{_DAY})? {_TIME}-{_TIME}")
 _HASH = re.compile(r"[0-9a-f]{64}")
 
 
@@ -163,9 +161,9 @@
         got = shown(value)
         if not isinstance(value, str):
             return Failure(f"{got} is not a text; give {self.allowed}")
-        if _window_parses(value):
-            return Success(value)
-        return Failure(f"{got} is not a window; give {self.allowed}")
+        if isinstance(parse_window(value), Failure):
+            return Failure(f"{got} is not a window; give {self.allowed}")
+        return Success(value)
 
 
 @dataclass(frozen=True, slots=True)
@@ -222,19 +220,3 @@
     IntColumn("deadline_ms", 1, MAX_DEADLINE_MS),
     IntColumn("queue_limit", 1, MAX_QUEUE),
 )
-
-
-def _window_parses(text: str) -> bool:
-    """Return whether the window's parser takes a text."""
-    # Late, so that the table's columns do not depend on the fleet's modules
-    # at import.
-    try:
-        from courselead.core.fleet.windows import parse_window
-    except ModuleNotFoundError:
-        return _WINDOW.fullmatch(text) is not None
-
-    try:
-        parsed = parse_window(text)
-    except ValueError:
-        return False
-    return not isinstance(parsed, Failure)
