--- a/courselead/core/fleet/apply.py
+++ b/courselead/core/fleet/apply.py
@@ -5,18 +5,34 @@
 
 import xxhash
 
-from courselead.core.fleet import hosts, stops, tables, verdicts, workers
+from courselead.core.fleet import (
+    claims,
+    hosts,
+    jobs,
+    snapshot,
+    stops,
+    tables,
+    verdicts,
+    workers,
+)
 from courselead.core.fleet.origin import Origin
 from courselead.core.fleet.queries import is_live
 from courselead.core.fleet.records import (
     Batch,
+    ClaimsEnded,
+    ClaimsMade,
     HostBeat,
     HostJoined,
     HostLeft,
     HostLost,
+    JobPlaced,
+    JobsCancelled,
+    JobsEnded,
+    JobsSubmitted,
     MinionStopped,
     MinionUp,
     Record,
+    SnapshotPart,
     StopCancelled,
     StopPlanned,
     TablePublished,
@@ -51,6 +67,13 @@
     StopCancelled: stops.stop_cancelled,
     MinionStopped: stops.minion_stopped,
     WorkerRebooted: stops.worker_rebooted,
+    ClaimsMade: claims.claims_made,
+    ClaimsEnded: claims.claims_ended,
+    JobsSubmitted: jobs.jobs_submitted,
+    JobPlaced: jobs.job_placed,
+    JobsEnded: jobs.jobs_ended,
+    JobsCancelled: jobs.jobs_cancelled,
+    SnapshotPart: snapshot.snapshot_part,
 }
 
 
@@ -89,7 +112,6 @@
         raise LogGapError(fleet.offset, offset)
     if batch is None or _is_repeat(fleet, batch):
         return _advanced(fleet, offset, ()), ()
-    fleet = _with_seq(fleet, batch)
     origin = Origin(offset, batch.entry_host, batch.incarnation, batch.seq, batch.at_ms)
     applied = []
     for record in batch.records:
@@ -105,6 +127,7 @@
             )
         )
     done = tuple(applied)
+    fleet = _with_seq(fleet, batch)
     return _advanced(fleet, offset, done), done
 
 
@@ -136,6 +159,9 @@
     host = fleet.hosts.get(batch.entry_host)
     if host is None or host.incarnation != batch.incarnation:
         return fleet
+    if host.last_seq == batch.seq:
+        # A join and a heartbeat have noted it.
+        return fleet
     host = replace(host, last_seq=batch.seq)
     return replace(fleet, hosts=fleet.hosts.set(batch.entry_host, host))
 
--- a/courselead/core/fleet/due.py
+++ b/courselead/core/fleet/due.py
@@ -115,7 +115,7 @@
 
 def forget_due(fleet: FleetState) -> FleetState:
     """Return the fleet without some of what agreed time lets it forget."""
-    if not fleet.due:
+    if not fleet.due or fleet.due_cursor > fleet.now_ms // BUCKET_MS:
         return fleet
     sweep = _Sweep(DueEdit.from_fleet(fleet), fleet, fleet.claims, fleet.jobs)
     sweep.run()
--- a/courselead/core/fleet/hosts.py
+++ b/courselead/core/fleet/hosts.py
@@ -2,6 +2,8 @@
 
 from dataclasses import replace
 
+from immutables import Map
+
 from courselead.core.fleet import verdicts
 from courselead.core.fleet.due import forget_due
 from courselead.core.fleet.origin import Origin
@@ -56,7 +58,7 @@
         last_beat_ms=origin.at_ms,
         applied=max(known.applied, record.applied),
         settled=max(known.settled, record.settled),
-        last_seq=known.last_seq,
+        last_seq=origin.seq,
         diverged_at=diverged_at,
     )
     return forget_due(_with_time(fleet, host)), verdicts.ACCEPTED
@@ -85,32 +87,31 @@
     return _with_host(fleet, host), verdicts.ACCEPTED
 
 
-def agreed_ms(fleet: FleetState) -> int:
+def agreed_ms(hosts: Map[str, HostState], before_ms: int) -> int:
     """Return the lower median of the live hosts' stamps, never going back.
 
     With two live hosts or more, one wrong clock cannot push it past a right
     one: the lower median of two is the lower stamp, of more it lies between
     stamps of right clocks or is one.
+
+    Args:
+        hosts: All entry hosts.
+        before_ms: Agreed time so far.
     """
     stamps = [
-        host.last_beat_ms
-        for host in fleet.hosts.values()
-        if host.status is HostStatus.LIVE
+        host.last_beat_ms for host in hosts.values() if host.status is HostStatus.LIVE
     ]
     if not stamps:
-        return fleet.now_ms
+        return before_ms
     stamps.sort()
     middle = (len(stamps) - 1) // 2
-    return max(fleet.now_ms, stamps[middle])
+    return max(before_ms, stamps[middle])
 
 
 def _with_time(fleet: FleetState, host: HostState) -> FleetState:
     """Return the fleet with a host heard of, and the time that follows."""
-    fleet = _with_host(fleet, host)
-    now_ms = agreed_ms(fleet)
-    if now_ms == fleet.now_ms:
-        return fleet
-    return replace(fleet, now_ms=now_ms)
+    hosts = fleet.hosts.set(host.entry_host, host)
+    return replace(fleet, hosts=hosts, now_ms=agreed_ms(hosts, fleet.now_ms))
 
 
 def _with_host(fleet: FleetState, host: HostState) -> FleetState:
--- a/courselead/core/fleet/state.py
+++ b/courselead/core/fleet/state.py
@@ -186,8 +186,6 @@
             (at, total, digest, writer) to (first offset, indexes seen).
         snapshot_of: Offset whose state the newest whole snapshot holds.
         serving: Index: pool to the sorted ids of its serving workers.
-        waiting: Index: pool to its waiting jobs, each with the offset of its
-            submission.
         jobs_on: Index: worker to the sorted ids of the jobs placed on it.
         job_counts: Index: client account to its jobs waiting or running.
         due: What may be forgotten, by time bucket; in a bucket by number from
@@ -209,7 +207,6 @@
     snapshot_parts: Map[str, tuple[int, frozenset[int]]] = field(default_factory=Map)
     snapshot_of: int = -1
     serving: Map[str, tuple[str, ...]] = field(default_factory=Map)
-    waiting: Map[str, Map[str, int]] = field(default_factory=Map)
     jobs_on: Map[str, tuple[str, ...]] = field(default_factory=Map)
     job_counts: Map[str, int] = field(default_factory=Map)
     due: Map[int, Map[int, ClaimKey | str]] = field(default_factory=Map)
--- a/courselead/core/fleet/verdicts.py
+++ b/courselead/core/fleet/verdicts.py
@@ -35,6 +35,7 @@
 CLAIM_UNKNOWN = "claim_unknown"
 CLAIM_ENDED = "claim_ended"
 CLAIM_NO_OUTCOME = "claim_no_outcome"
+CLAIM_TOO_LONG = "claim_too_long"
 
 JOB_UNKNOWN = "job_unknown"
 JOB_ID_TAKEN = "job_id_taken"
@@ -76,8 +77,9 @@
     CLAIM_UNKNOWN: "the request does not hold the key; it is too late to end it",
     CLAIM_ENDED: "the request's outcome is known; keep the first one",
     CLAIM_NO_OUTCOME: "the end names no outcome; name ran, not_run or unknown",
+    CLAIM_TOO_LONG: "the claim lasts over 30 days or has ended; mend its end",
     JOB_UNKNOWN: "no such job; submit it",
-    JOB_ID_TAKEN: "another account has a job of this id; use a new id",
+    JOB_ID_TAKEN: "the id is in use for another job; use a new id",
     JOBS_LIMIT: "the account's limit of jobs is reached; wait or raise it",
     JOB_BAD_SIZE: "the job's size is no number from 0 up; mend it",
     STALE_ATTEMPT: "the attempt is not the job's newest, or it has ended; drop it",
