Command line for operators and callers

Cause: operators need to show, check, diff and publish the table, and callers to send requests and jobs, from one program. Change: courselead/cli with cyclopts over a synchronous HTTP client that tries the next entry host only where that is safe; exit codes tell refusals, wrong usage, conflicts, unreachable hosts and unknown outcomes apart. `serve` is parsed before the command line's libraries are loaded. Conclusion: usable; the management paths of the entry host are still to come and will be matched.

--- /dev/null
+++ b/tests/cli/test_cli.py
@@ -0,0 +1,294 @@
+import hashlib
+import json
+import socket
+import subprocess
+import sys
+
+import pytest
+
+from courselead.__main__ import main
+from tests.cli.fake_entry_host import CREDENTIAL, FakeEntryHost, problem, serving
+
+WEB = {"client_account": "acme", "service": "web"}
+API = {"client_account": "acme", "service": "api"}
+
+
+@pytest.fixture
+def fake():
+    host = FakeEntryHost()
+    accounts = [{"client_account": "acme"}]
+    status, _ = host.publish(
+        {"base_version": -1, "accounts": accounts, "services": [WEB, API]}
+    )
+    assert status == 200
+    return host
+
+
+@pytest.fixture
+def cli(fake, monkeypatch, capsys):
+    """Run a command against the fake; returns exit code, output and errors."""
+    with serving(fake) as url:
+        monkeypatch.setenv("COURSELEAD_ENTRY_HOSTS", url)
+        monkeypatch.setenv("COURSELEAD_CREDENTIAL", CREDENTIAL)
+
+        def run(*argv):
+            code = main([str(arg) for arg in argv])
+            out, err = capsys.readouterr()
+            return code, out, err
+
+        run.url = url
+        yield run
+
+
+@pytest.fixture
+def closed_url():
+    """A URL on which nothing listens."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        port = sock.getsockname()[1]
+        yield f"http://127.0.0.1:{port}"
+
+
+def export(cli, path):
+    args = ["--csv"] if path.suffix == ".csv" else []
+    assert cli("table", "export", *args, "--output", path)[0] == 0
+    return path
+
+
+def edit_json(path, **columns):
+    data = json.loads(path.read_text())
+    data["services"][0].update(columns)
+    path.write_text(json.dumps(data))
+
+
+@pytest.mark.parametrize("name", ["t.json", "t.csv"])
+def test_an_exported_file_publishes_nothing_until_it_is_edited(
+    cli, fake, tmp_path, name
+):
+    path = export(cli, tmp_path / name)
+    code, out, _ = cli("table", "publish", path)
+    assert (code, out) == (0, "nothing to publish: the table in force has all of it\n")
+    text = path.read_text().replace("always", "never", 1)
+    path.write_text(text)
+    code, out, _ = cli("table", "diff", path)
+    assert code == 0
+    assert "window: always -> never" in out
+    code, out, _ = cli("table", "publish", path, "--refresh")
+    assert code == 0
+    assert "published as version 12" in out
+    windows = [row.window for row in fake.fleet.table.services.values()]
+    assert sorted(windows) == ["always", "never"]
+    # Refreshed, the file can be edited on.
+    path.write_text(path.read_text().replace("never", "always", 1))
+    assert cli("table", "publish", path)[0] == 0
+
+
+def test_edits_of_different_rows_by_two_operators_both_stand(cli, fake, tmp_path):
+    path = export(cli, tmp_path / "t.json")
+    edit_json(path, workers=5)
+    edited = json.loads(path.read_text())["services"][0]["service"]
+    other = API if edited == "web" else WEB
+    theirs = {"base_version": 11, "services": [{**other, "workers": 9}]}
+    assert fake.publish(theirs, "lee")[0] == 200
+    assert cli("table", "publish", path)[0] == 0
+    workers = {r.service: r.workers for r in fake.fleet.table.services.values()}
+    assert workers == {edited: 5, other["service"]: 9}
+
+
+def test_a_conflict_shows_the_others_edit_and_changes_nothing(cli, fake, tmp_path):
+    path = export(cli, tmp_path / "t.json")
+    edit_json(path, workers=5)
+    row = json.loads(path.read_text())["services"][0]
+    theirs = {"base_version": 11, "services": [{**row, "workers": 9}]}
+    assert fake.publish(theirs, "lee")[0] == 200
+    code, _, err = cli("table", "publish", path)
+    assert code == 3
+    service = row["service"]
+    key = f"service:acme/{service}"
+    when = "2023-11-14 22:13:20Z"
+    assert f"{key}: published in version 12 by lee at {when}\n" in err
+    assert "  column   yours  theirs\n  workers  5      9\n" in err
+    assert "\x1b" not in err
+    assert fake.fleet.table.version == 12
+    code, out, _ = cli("table", "publish", path, "--json")
+    assert code == 3
+    assert json.loads(out)["conflicts"][0]["theirs"]["workers"] == 9
+
+
+def test_faults_of_a_file_are_told_before_anything_is_sent(cli, fake, tmp_path):
+    path = export(cli, tmp_path / "t.json")
+    edit_json(path, workers=-1, slots=0)
+    fake.requests.clear()
+    for command in ("check", "diff", "publish"):
+        code, _, err = cli("table", command, path)
+        assert code == 1
+        assert "workers: -1 is out of range" in err
+        assert "slots: 0 is out of range" in err
+    code, out, _ = cli("table", "check", path, "--json")
+    assert (code, len(json.loads(out)["faults"])) == (1, 2)
+    assert fake.requests == []
+
+
+def test_faults_of_the_entry_host_are_told(cli, fake, tmp_path):
+    path = export(cli, tmp_path / "t.json")
+    edit_json(path, workers=5)
+    fault = {"row": "service:acme/web", "column": "workers", "message": "too many"}
+    answer = problem("table-refused", faults=[fault])
+    fake.canned[("POST", "/v1/table")] = (422, answer)
+    code, _, err = cli("table", "publish", path)
+    assert code == 1
+    assert "service:acme/web  workers: too many" in err
+
+
+def test_a_file_without_or_of_a_later_version_is_not_published(cli, fake, tmp_path):
+    path = export(cli, tmp_path / "t.json")
+    for version, text in ((None, "no version"), (99, "version 99")):
+        data = json.loads(path.read_text())
+        data["version"] = version
+        path.write_text(json.dumps(data))
+        code, _, err = cli("table", "publish", path)
+        assert code == 1
+        assert text in err
+
+
+def test_show_and_history_read_well(cli, fake):
+    code, out, _ = cli("table", "show")
+    assert code == 0
+    assert out.startswith("version 11\n\nclient_account")
+    code, out, _ = cli("table", "history")
+    assert "~account:acme ~service:acme/web ~service:acme/api" in out
+    code, out, _ = cli("table", "show", "--json")
+    assert json.loads(out)["version"] == 11
+
+
+def test_a_refused_connection_leads_to_the_next_entry_host(cli, fake, closed_url):
+    hosts = ["--entry-host", closed_url, "--entry-host", cli.url]
+    assert cli("table", "show", *hosts)[0] == 0
+    fake.canned[("POST", "/v1/jobs")] = (200, {"job_ids": ["j1"]})
+    args = ("call", "POST", "web", "x", *hosts)
+    fake.canned[("POST", "/v1/services/web/x")] = (200, b"done")
+    assert cli(*args)[:2] == (0, "done")
+
+
+@pytest.mark.parametrize(
+    ("method", "extra", "code", "tried"),
+    [("POST", (), 5, 1), ("GET", (), 4, 2), ("POST", ("--idempotent",), 5, 2)],
+)
+def test_a_broken_answer_goes_on_only_if_it_may_run_twice(
+    cli, fake, method, extra, code, tried
+):
+    fake.canned[(method, "/v1/services/web/x")] = (0, b"")
+    hosts = ["--entry-host", cli.url, "--entry-host", cli.url]
+    assert cli("call", method, "web", "/x", *extra, *hosts)[0] == code
+    assert len(fake.requests) == tried
+
+
+def test_a_leaving_entry_host_is_passed_over_for_reads_only(cli, fake):
+    leaving = (503, problem("entry-host-leaving", retry_after_ms=7))
+    hosts = ["--entry-host", cli.url, "--entry-host", cli.url]
+    for method, tried in (("GET", 2), ("POST", 1)):
+        fake.requests.clear()
+        fake.canned[(method, "/v1/services/web/x")] = leaving
+        code, _, err = cli("call", method, "web", "x", *hosts)
+        assert code == 1
+        assert "try again in 7 ms" in err
+        assert len(fake.requests) == tried
+
+
+def test_call_sends_its_options_and_tells_an_unknown_outcome(cli, fake, tmp_path):
+    body = tmp_path / "body"
+    body.write_bytes(b"\x00\xff")
+    path = "/v1/services/web/a?b=c"
+    fake.canned[("POST", path)] = (502, problem("target-broke", run="unknown"))
+    options = ["--class", "urgent", "--deadline-ms", 9, "--idempotency-key", "k"]
+    code, _, err = cli("call", "post", "web", "/a?b=c", "--data-file", body, *options)
+    assert code == 5
+    assert "target-broke" in err
+    _, _, headers, sent = fake.requests[-1]
+    assert sent == b"\x00\xff"
+    assert headers["Courselead-Class"] == "urgent"
+    assert headers["Courselead-Deadline-Ms"] == "9"
+    assert headers["Idempotency-Key"] == "k"
+
+
+@pytest.mark.parametrize(
+    "argv",
+    [
+        ["bogus"],
+        ["table", "show", "--entry-host", "http://localhost:1"],
+        ["table", "show", "--entry-host", "https://127.0.0.1:1"],
+        ["table", "show", "--entry-host", "http://127.0.0.1:1/x"],
+        ["table", "show", "--timeout-ms", "0"],
+        ["table", "show", "--credential-file", "/nonexistent/x"],
+        ["table", "check", "/nonexistent/t.json"],
+        ["call", "GET", "web", "a b"],
+        ["call", "FETCH", "web", "a"],
+        ["call", "GET", "../x", "a"],
+        ["call", "GET", "web", "a", "--header", "Host: x"],
+        ["job", "cancel"],
+        ["serve"],
+        ["serve", "--config"],
+    ],
+)
+def test_wrong_usage_has_its_own_exit_code(cli, fake, argv):
+    code, out, err = cli(*argv)
+    assert (code, out) == (2, "")
+    assert err
+    assert fake.requests == []
+
+
+def test_no_entry_host_or_credential_is_wrong_usage(cli, monkeypatch):
+    monkeypatch.delenv("COURSELEAD_CREDENTIAL")
+    assert cli("status")[0] == 2
+    monkeypatch.setenv("COURSELEAD_CREDENTIAL", "x")
+    monkeypatch.setenv("COURSELEAD_ENTRY_HOSTS", " , ")
+    assert cli("status")[0] == 2
+
+
+def test_a_credential_comes_from_a_file_and_is_never_shown(cli, tmp_path):
+    path = tmp_path / "credential"
+    path.write_text("wrong-credential\n")
+    path.chmod(0o644)
+    code, out, err = cli("table", "show", "--credential-file", path)
+    assert code == 1
+    assert "unauthenticated" in err
+    assert "chmod 600" in err
+    assert "wrong-credential" not in out + err
+
+
+def test_a_new_credential_comes_with_its_hash(cli):
+    made = [json.loads(cli("credential", "new", "--json")[1]) for _ in range(2)]
+    assert made[0]["credential"] != made[1]["credential"]
+    for item in made:
+        digest = hashlib.sha256(item["credential"].encode()).hexdigest()
+        assert item["hash"] == digest
+
+
+def test_settings_are_checked_with_all_faults(cli, tmp_path):
+    path = tmp_path / "settings.json"
+    path.write_text('{"colour": 1}')
+    code, _, err = cli("config", "check", path)
+    assert code == 1
+    assert "colour" in err
+    code, out, _ = cli("config", "check", path, "--json")
+    assert (code, len(json.loads(out)["faults"])) == (1, err.count("\n"))
+
+
+def test_the_daemon_loads_nothing_of_the_command_line(tmp_path):
+    # The daemon's module is replaced by one that tells what is loaded.
+    program = """
+import sys, types
+fake = types.ModuleType("courselead.daemon.main")
+def run(path):
+    names = ("cyclopts", "rich", "courselead.cli", "courselead.table_files")
+    print([name for name in names if name in sys.modules], path)
+    return 7
+fake.run = run
+sys.modules["courselead.daemon.main"] = fake
+from courselead.__main__ import main
+sys.exit(main(["serve", "--config", "f.json"]))
+"""
+    done = subprocess.run(
+        [sys.executable, "-c", program], capture_output=True, text=True, timeout=60
+    )
+    assert (done.returncode, done.stdout) == (7, "[] f.json\n")
