Reboot a worker only right after its state was read

Change: the reboot follows a fresh state with no running task; a host that steps in without knowing the boots waits for one more state. Absent workers are given to no pool. A move waits for the jobs placed on the worker.

--- a/courselead/core/operations/assignment.py
+++ b/courselead/core/operations/assignment.py
@@ -9,6 +9,8 @@
 from courselead.core.fleet.records import StopPlanned, WorkerAssigned
 from courselead.core.fleet.state import FleetState, WorkerPhase, WorkerState
 from courselead.core.operations.placement import (
+    ALL_LISTED,
+    Listing,
     Spread,
     Stock,
     assign_record,
@@ -21,18 +23,16 @@
     take_emptiest,
 )
 
-NOBODY: frozenset[str] = frozenset()
 
-
-def assign(fleet: FleetState, leaving: frozenset[str] = NOBODY) -> list[WorkerAssigned]:
+def assign(fleet: FleetState, listing: Listing = ALL_LISTED) -> list[WorkerAssigned]:
     """Return the assignments of free workers, the neediest pool first.
 
     Each worker goes to the zone, then the rack, where the pool has least.
     """
-    stock = by_place(free_workers(fleet, leaving))
+    stock = by_place(free_workers(fleet, listing))
     if not stock:
         return []
-    found = spreads(fleet, leaving)
+    found = spreads(fleet, listing)
     short = deficits(fleet, found)
     records = []
     while short and stock:
@@ -45,18 +45,18 @@
 
 
 def rebalance(
-    fleet: FleetState, wall_ms: int, leaving: frozenset[str] = NOBODY
+    fleet: FleetState, wall_ms: int, listing: Listing = ALL_LISTED
 ) -> list[StopPlanned]:
     """Return the moves from over-full pools to those short of workers.
 
     Meant for a fleet whose free workers are assigned already. Of all surplus
     workers the one goes that makes both pools' spread the most even.
     """
-    found = spreads(fleet, leaving)
+    found = spreads(fleet, listing)
     short = deficits(fleet, found)
     if not short:
         return []
-    donors = _donors(fleet, found, leaving)
+    donors = _donors(fleet, found, listing)
     records = []
     while short and donors:
         pool = neediest(fleet, short)
@@ -75,7 +75,7 @@
 
 
 def release(
-    fleet: FleetState, wall_ms: int, leaving: frozenset[str] = NOBODY
+    fleet: FleetState, wall_ms: int, listing: Listing = ALL_LISTED
 ) -> list[StopPlanned]:
     """Return the stops that set workers free.
 
@@ -85,7 +85,7 @@
     records = []
     for worker in _serving(fleet):
         wanted = worker.pool in fleet.table.services
-        if wanted and worker.worker not in leaving:
+        if wanted and worker.worker not in listing.leaving:
             continue
         records.append(move_record(fleet, worker, "", wall_ms))
     return records
@@ -99,12 +99,12 @@
 
 
 def _donors(
-    fleet: FleetState, found: dict[str, Spread], leaving: frozenset[str]
+    fleet: FleetState, found: dict[str, Spread], listing: Listing
 ) -> dict[str, Stock]:
     """Return the serving workers of the over-full pools, by place."""
     pools: dict[str, list[WorkerState]] = {}
     for worker in _serving(fleet):
-        if worker.worker in leaving:
+        if worker.worker in listing.leaving:
             continue
         row = fleet.table.services.get(worker.pool)
         if row is None or found[worker.pool].workers > row.workers:
--- a/courselead/core/operations/borrowing.py
+++ b/courselead/core/operations/borrowing.py
@@ -15,6 +15,8 @@
 from courselead.core.fleet.windows import is_open
 from courselead.core.operations.maintenance import is_due
 from courselead.core.operations.placement import (
+    ALL_LISTED,
+    Listing,
     Spread,
     assign_record,
     by_place,
@@ -66,24 +68,24 @@
     fleet: FleetState,
     wall_ms: int,
     cfg: OperationsConfig,
-    leaving: frozenset[str] = frozenset(),
+    listing: Listing = ALL_LISTED,
 ) -> Loans:
     """Return the spares to be lent, sent on and given back now."""
     if not cfg.maintain:
         return Loans()
-    tight = _tight_pools(fleet, wall_ms, cfg, leaving)
+    tight = _tight_pools(fleet, wall_ms, cfg, listing)
     if not tight:
         return Loans()
     asking = [item for item in tight.values() if _asks(item, wall_ms)]
     asking.sort(key=_Tight.overdue)
-    stock = by_place(free_workers(fleet, leaving))
+    stock = by_place(free_workers(fleet, listing))
     assigned = []
     while asking and stock:
         pool = asking.pop(0)
         worker = take_emptiest(pool.spread, stock)
         assigned.append(assign_record(fleet, worker, pool.row.pool))
     moves = []
-    for donor, worker in _idle(fleet, tight, leaving):
+    for donor, worker in _idle(fleet, tight, listing):
         if asking:
             receiver = asking.pop(0).row.pool
             moves.append(move_record(fleet, worker, receiver, wall_ms))
@@ -93,18 +95,18 @@
 
 
 def _tight_pools(
-    fleet: FleetState, wall_ms: int, cfg: OperationsConfig, leaving: frozenset[str]
+    fleet: FleetState, wall_ms: int, cfg: OperationsConfig, listing: Listing
 ) -> dict[str, _Tight]:
     """Return the pools whose budget is below one worker."""
     services = fleet.table.services
     names = [pool for pool, row in services.items() if not allowed_out(row)]
     if not names:
         return {}
-    found = spreads(fleet, leaving)
+    found = spreads(fleet, listing)
     tight = {pool: _Tight(services[pool], found[pool], [], False) for pool in names}
     for worker in fleet.workers.values():
         pool = tight.get(worker.pool)
-        if pool is None or worker.worker in leaving:
+        if pool is None or worker.worker in listing.leaving:
             continue
         pool.workers.append(worker)
         pool.due = pool.due or is_due(worker, wall_ms, cfg)
@@ -120,10 +122,10 @@
 
 
 def _idle(
-    fleet: FleetState, tight: dict[str, _Tight], leaving: frozenset[str]
+    fleet: FleetState, tight: dict[str, _Tight], listing: Listing
 ) -> list[tuple[str, WorkerState]]:
     """Return the surplus workers that their pools do not need for a wave."""
-    found = spreads(fleet, leaving)
+    found = spreads(fleet, listing)
     idle = []
     for pool, row in sorted(fleet.table.services.items()):
         surplus = found[pool].workers - row.workers
@@ -132,7 +134,7 @@
         members = [
             fleet.workers[name]
             for name in fleet.serving.get(pool, ())
-            if name not in leaving
+            if name not in listing.leaving
         ]
         members.sort(key=lambda item: _crowded(found[pool], item))
         count = min(surplus, spare(fleet, pool))
--- /dev/null
+++ b/courselead/core/operations/invariants.py
@@ -0,0 +1,87 @@
+"""What must hold of the decisions on workers, checked in tests and runs."""
+
+from courselead.core.fleet.budgets import floor_of
+from courselead.core.fleet.records import StopPlanned, StopPurpose
+from courselead.core.fleet.state import Applied, FleetState, WorkerPhase
+from courselead.core.operations.maintenance import STOPS
+from courselead.core.operations.state import OperationsState
+
+
+def over_budget(fleet: FleetState, applied: tuple[Applied, ...]) -> list[str]:
+    """Return the stops just accepted that left a pool below its floor.
+
+    Args:
+        fleet: Shared state right after the batch.
+        applied: Verdicts of that batch.
+    """
+    found = []
+    for pool in _stopped_pools(fleet, applied):
+        row = fleet.table.services.get(pool)
+        count = fleet.pools.get(pool)
+        serving = count.serving if count else 0
+        if row is not None and serving < floor_of(row):
+            found.append(f"{pool}: {serving} serve, {floor_of(row)} must")
+    return found
+
+
+def out_by_plan(fleet: FleetState) -> list[str]:
+    """Return the pools with more planned stops than budget and surplus allow.
+
+    Losses that come after a stop are not the plan's doing, so they are not
+    counted here.
+    """
+    out: dict[str, int] = {}
+    for worker in fleet.workers.values():
+        if worker.phase in STOPS:
+            out[worker.pool] = out.get(worker.pool, 0) + 1
+    found = []
+    for pool, count in sorted(out.items()):
+        row = fleet.table.services.get(pool)
+        if row is None:
+            continue
+        allowed = fleet.pools[pool].members - floor_of(row)
+        if count > allowed:
+            found.append(f"{pool}: {count} stopped, {allowed} allowed")
+    return found
+
+
+def zones_in_maintenance(fleet: FleetState) -> list[str]:
+    """Return the pools with workers under maintenance in several zones."""
+    zones: dict[str, set[str]] = {}
+    for worker in fleet.workers.values():
+        if worker.phase not in STOPS:
+            continue
+        if worker.purpose is StopPurpose.MAINTENANCE:
+            zones.setdefault(worker.pool, set()).add(worker.availability_zone)
+    return [
+        f"{pool}: out in {len(names)} zones"
+        for pool, names in sorted(zones.items())
+        if len(names) > 1
+    ]
+
+
+def local_faults(state: OperationsState, fleet: FleetState) -> list[str]:
+    """Return what is wrong with this host's own state."""
+    found = []
+    for name in state.agents:
+        worker = fleet.workers.get(name)
+        if worker is None:
+            found.append(f"{name}: view of an unknown worker")
+        elif worker.phase is WorkerPhase.GONE and state.agents[name].waiting:
+            found.append(f"{name}: call to a worker that is gone")
+    for name, view in state.agents.items():
+        if view.failing_ms >= 0 and not view.failures:
+            found.append(f"{name}: failing without a failure")
+    return found
+
+
+def _stopped_pools(fleet: FleetState, applied: tuple[Applied, ...]) -> list[str]:
+    """Return the pools of the stops that a batch claimed."""
+    pools = set()
+    for item in applied:
+        if not item.verdict.accepted or not isinstance(item.record, StopPlanned):
+            continue
+        worker = fleet.workers[item.record.worker]
+        if worker.phase is WorkerPhase.STOPPING:
+            pools.add(worker.pool)
+    return sorted(pools)
--- a/courselead/core/operations/lifecycle.py
+++ b/courselead/core/operations/lifecycle.py
@@ -7,7 +7,7 @@
 from dataclasses import replace
 
 from courselead.core.events import AgentAnswered, AgentOp, AgentReport
-from courselead.core.fleet.queries import unsettled_hosts
+from courselead.core.fleet.queries import jobs_on, unsettled_hosts
 from courselead.core.fleet.records import (
     MinionStopped,
     MinionUp,
@@ -52,12 +52,21 @@
         _reboot(draft, worker)
 
 
-def answered(draft: Draft, worker: WorkerState, event: AgentAnswered) -> None:
-    """Propose what an answer proves, then take the next step."""
+def answered(
+    draft: Draft, worker: WorkerState, event: AgentAnswered, known_boots: int
+) -> None:
+    """Propose what an answer proves, then take the next step.
+
+    Args:
+        draft: The reduction.
+        worker: The agreed state.
+        event: The answer.
+        known_boots: Boots known before this answer, -1 if none were.
+    """
     if event.op is AgentOp.START_MINION:
         _started(draft, worker, event)
-    elif event.op is AgentOp.STATE and event.report is not None:
-        _reported(draft, worker, event.report, event.wall_ms)
+    elif event.op is AgentOp.STATE:
+        _reported(draft, worker, event, known_boots)
     elif event.op in (AgentOp.STOP_MINION, AgentOp.REBOOT):
         view = draft.view(worker)
         starting = worker.phase is WorkerPhase.STARTING
@@ -72,9 +81,12 @@
 
 
 def _reported(
-    draft: Draft, worker: WorkerState, report: AgentReport, wall_ms: int
+    draft: Draft, worker: WorkerState, event: AgentAnswered, known_boots: int
 ) -> None:
     """Judge the agent's state of a stopping or rebooting worker."""
+    report = event.report
+    if report is None:
+        return
     view = draft.view(worker)
     view = replace(view, recheck=False, saw_reboot=view.saw_reboot or report.rebooting)
     if worker.phase is WorkerPhase.STOPPING:
@@ -84,14 +96,32 @@
         if current and report.minion_state == MINION_SERVING:
             view = replace(view, taken=False)
     draft.put(worker.worker, view)
-    rebooting = worker.phase is WorkerPhase.STOPPED
-    if not rebooting or worker.purpose is not StopPurpose.MAINTENANCE:
+    stopped = worker.phase is WorkerPhase.STOPPED
+    if not stopped or worker.purpose is not StopPurpose.MAINTENANCE:
         return
     if report.rebooting:
         return
-    restarted = 0 <= view.boots < report.boots
-    if restarted or view.saw_reboot:
-        draft.propose(WorkerRebooted(worker.worker, worker.epoch, wall_ms))
+    if 0 <= known_boots < report.boots or view.saw_reboot:
+        record = WorkerRebooted(worker.worker, worker.epoch, event.wall_ms)
+        draft.propose(record)
+        return
+    _reboot_if_idle(draft, worker, report, known_boots)
+
+
+def _reboot_if_idle(
+    draft: Draft, worker: WorkerState, report: AgentReport, known_boots: int
+) -> None:
+    """Reboot a worker right after its state was read, if no task runs there.
+
+    Only a fresh state tells that no other host's reboot has just ended. A host
+    that steps in without knowing the boots waits for one more state, so that
+    the first host can record the reboot it may have seen.
+    """
+    if _running_tasks(report):
+        return
+    if known_boots < 0 and not draft.preferred(worker):
+        return
+    draft.call(worker, AgentOp.REBOOT)
 
 
 # --- phases ----------------------------------------------------------------
@@ -161,7 +191,7 @@
 
 
 def _reboot(draft: Draft, worker: WorkerState) -> None:
-    """Reboot a stopped worker, knowing its boots before the first call."""
+    """Follow the agent of a worker to be rebooted; see `_reboot_if_idle`."""
     view = draft.stage(worker, STAGE_REBOOT)
     _report_drain(draft, worker, view, ())
     if draft.now_ms - view.phase_ms > draft.cfg.reboot_limit_ms:
@@ -170,12 +200,7 @@
         return
     if not draft.may_call(worker, view):
         return
-    report = view.report
-    unknown = report is None or view.boots < 0 or view.recheck
-    if unknown or view.taken or view.saw_reboot:
-        draft.call(worker, AgentOp.STATE)
-        return
-    draft.call(worker, AgentOp.REBOOT)
+    draft.call(worker, AgentOp.STATE)
 
 
 def _move(draft: Draft, worker: WorkerState) -> None:
@@ -184,6 +209,9 @@
     delay = draft.delay_ms(worker.worker, worker.availability_zone)
     if draft.now_ms - view.stage_ms < delay:
         return
+    if jobs_on(draft.ctx.fleet, worker.worker):
+        _report_drain(draft, worker, view, ())
+        return
     table = draft.ctx.fleet.table
     # A pool whose row has been removed meanwhile gets no worker.
     pool = worker.next_pool if worker.next_pool in table.services else ""
@@ -206,6 +234,8 @@
         return
     draft.put(worker.worker, replace(view, noted_ms=draft.now_ms))
     tasks = _running_tasks(view.report)
+    if worker.phase is WorkerPhase.STOPPED and not tasks:
+        tasks = list(jobs_on(draft.ctx.fleet, worker.worker))
     draft.note(
         "warning",
         "drain_stuck",
--- a/courselead/core/operations/placement.py
+++ b/courselead/core/operations/placement.py
@@ -14,6 +14,23 @@
 Stock = dict[str, dict[str, list[WorkerState]]]
 
 
+@dataclass(frozen=True, slots=True)
+class Listing:
+    """What the platform's list says against the use of workers.
+
+    Attributes:
+        leaving: Workers that the platform takes back.
+        absent: Workers missing in the list. The list lags, so they stay in
+            their pools, but none of them is given to one.
+    """
+
+    leaving: frozenset[str] = frozenset()
+    absent: frozenset[str] = frozenset()
+
+
+ALL_LISTED = Listing()
+
+
 @dataclass(slots=True)
 class Spread:
     """How the workers of one pool lie over zones and racks."""
@@ -43,14 +60,14 @@
     return worker.pool
 
 
-def spreads(fleet: FleetState, leaving: frozenset[str]) -> dict[str, Spread]:
+def spreads(fleet: FleetState, listing: Listing) -> dict[str, Spread]:
     """Return the spread of each pool of the table, moves under way included.
 
     Workers that the platform takes back are not counted.
     """
     found = {pool: Spread() for pool in fleet.table.services}
     for worker in fleet.workers.values():
-        if worker.worker in leaving:
+        if worker.worker in listing.leaving:
             continue
         spread = found.get(pool_after_moves(worker))
         if spread is not None:
@@ -74,11 +91,12 @@
     return min(short, key=lambda pool: (-short[pool] / services[pool].workers, pool))
 
 
-def free_workers(fleet: FleetState, leaving: frozenset[str]) -> list[WorkerState]:
+def free_workers(fleet: FleetState, listing: Listing) -> list[WorkerState]:
     """Return the workers that can be given to a pool."""
+    unfit = listing.leaving | listing.absent
     free = []
     for worker in fleet.workers.values():
-        if worker.phase is WorkerPhase.FREE and worker.worker not in leaving:
+        if worker.phase is WorkerPhase.FREE and worker.worker not in unfit:
             free.append(worker)
     return free
 
--- a/courselead/core/operations/planner.py
+++ b/courselead/core/operations/planner.py
@@ -9,6 +9,7 @@
 from courselead.core.operations import assignment, borrowing, placement
 from courselead.core.operations.draft import Draft
 from courselead.core.operations.maintenance import POLICIES
+from courselead.core.operations.placement import ALL_LISTED, Listing
 from courselead.core.operations.state import OperationsConfig
 
 GROUP_ASSIGN = "assign"
@@ -33,7 +34,7 @@
     fleet: FleetState,
     wall_ms: int,
     cfg: OperationsConfig,
-    leaving: frozenset[str] = frozenset(),
+    listing: Listing = ALL_LISTED,
 ) -> Plan:
     """Return the plan for the fleet as it stands.
 
@@ -41,14 +42,14 @@
     covered first, then spares are lent, and maintenance takes what is left of
     the budgets.
     """
-    assigned = assignment.assign(fleet, leaving)
+    assigned = assignment.assign(fleet, listing)
     for record in assigned:
         fleet = placement.with_assigned(fleet, record)
     stops: list[StopPlanned] = []
-    moves = assignment.rebalance(fleet, wall_ms, leaving)
+    moves = assignment.rebalance(fleet, wall_ms, listing)
     fleet = _claim(fleet, moves, stops)
-    fleet = _claim(fleet, assignment.release(fleet, wall_ms, leaving), stops)
-    loans = borrowing.plan(fleet, wall_ms, cfg, leaving)
+    fleet = _claim(fleet, assignment.release(fleet, wall_ms, listing), stops)
+    loans = borrowing.plan(fleet, wall_ms, cfg, listing)
     for record in loans.assigned:
         fleet = placement.with_assigned(fleet, record)
     assigned.extend(loans.assigned)
@@ -61,7 +62,8 @@
 def propose(draft: Draft) -> None:
     """Propose the parts of the plan that are this host's."""
     ctx = draft.ctx
-    plan = make(ctx.fleet, ctx.wall_ms, draft.cfg, draft.state.leaving)
+    listing = Listing(leaving=draft.state.leaving, absent=frozenset(draft.state.absent))
+    plan = make(ctx.fleet, ctx.wall_ms, draft.cfg, listing)
     _propose_assigned(draft, plan)
     pools: dict[str, list[StopPlanned]] = {}
     for record in plan.stops:
--- a/courselead/core/operations/reducer.py
+++ b/courselead/core/operations/reducer.py
@@ -124,8 +124,9 @@
     if not current:
         health.heard(draft, worker)
         return
+    known_boots = draft.view(worker).boots
     health.answered(draft, worker, event)
-    lifecycle.answered(draft, worker, event)
+    lifecycle.answered(draft, worker, event, known_boots)
 
 
 def _failed(draft: Draft, event: AgentFailed) -> None:
