--- /dev/null
+++ b/courselead/integrations/membership/const.py
@@ -0,0 +1,8 @@
+"""Path and bounds of the membership list."""
+
+MEMBERS_TARGET = b"/v1/members"
+
+DEFAULT_TIMEOUT_MS = 2_000
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+
+STATUS_OK = 200
--- /dev/null
+++ b/courselead/integrations/membership/models.py
@@ -0,0 +1,53 @@
+"""What the membership list answers."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Annotated
+
+from msgspec import Meta
+
+Count = Annotated[int, Meta(ge=0)]
+Amount = Annotated[float, Meta(ge=0)]
+Name = Annotated[str, Meta(min_length=1, max_length=200)]
+Address = Annotated[
+    str, Meta(pattern=r"^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:.]+\]):\d{1,5}$")
+]
+
+
+class MemberKind(StrEnum):
+    """What a member does."""
+
+    ENTRY_HOST = "entry_host"
+    WORKER = "worker"
+
+
+class MemberState(StrEnum):
+    """Whether a member stays; one that is gone is absent from the list."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """One machine of the platform."""
+
+    id: Name
+    kind: MemberKind
+    state: MemberState
+    availability_zone: str
+    rack: str
+    address: Address
+    client_account: str
+    cores: Amount
+    memory_mb: Count
+
+
+@dataclass(frozen=True, slots=True)
+class MembershipList:
+    """All members at one version of the list."""
+
+    version: Count
+    members: tuple[Member, ...]
--- a/courselead/integrations/platform_log/client.py
+++ b/courselead/integrations/platform_log/client.py
@@ -95,7 +95,7 @@
         fetched = await self._http.fetch(req, wait_ms + self._read_timeout_ms)
         if isinstance(fetched, Failure):
             return Failure(LogUnavailable(fetched.failure().reason))
-        return _page(fetched.unwrap(), offset)
+        return read_page(fetched.unwrap(), offset)
 
     def close(self) -> None:
         """Close the idle connections."""
@@ -123,7 +123,8 @@
     return Success(decoded.offset)
 
 
-def _page(answer: WholeAnswer, offset: int) -> Result[LogPage, ReadFailure]:
+def read_page(answer: WholeAnswer, offset: int) -> Result[LogPage, ReadFailure]:
+    """Return the page of an answer, if it holds what follows the offset."""
     if answer.status == STATUS_UNAVAILABLE:
         retry_ms = _retry_after_ms(answer.headers)
         return Failure(LogUnavailable("the log is unavailable", retry_ms))
--- a/courselead/integrations/platform_log/coordinator.py
+++ b/courselead/integrations/platform_log/coordinator.py
@@ -91,7 +91,7 @@
         self.offset = offset
         self._client = client
         self._backoff = backoff
-        self._on_event = on_event
+        self.on_event = on_event
         self._limit = limit
         self._wait_ms = wait_ms
         self._sleep = sleep
@@ -128,16 +128,16 @@
     def _report_up(self) -> None:
         if self._up is not True:
             self._up = True
-            self._on_event(ReaderUp())
+            self.on_event(ReaderUp())
 
     def _report_down(self, reason: str) -> None:
         if self._up is not False:
             self._up = False
-            self._on_event(ReaderDown(reason))
+            self.on_event(ReaderDown(reason))
 
     def _report_gone(self, gone: OffsetGone) -> None:
         lost = self.offset
         self._report_up()
-        self._on_event(ReaderGone(lost, gone.first, gone.next))
+        self.on_event(ReaderGone(lost, gone.first, gone.next))
         if self.offset == lost:
             raise StopAsyncIteration
