The local request path: queues, sends, answers, retries, claims and loans

Cause: an entry host needs one pure reducer for the requests it takes in. Change: admission, fair queueing, quotas with loans, routing with ejection, retries, claims, settling and checks, over persistent maps. Conclusion: the host's reducer can call reduce, settled_offset and in_flight_total.

--- /dev/null
+++ b/courselead/core/requests/admission.py
@@ -0,0 +1,192 @@
+"""Which requests are taken in: bounded queues, and no hopeless work.
+
+A request that will not be served in time gets its final answer at once, with
+the time after which coming back makes sense by the present backlog.
+"""
+
+from dataclasses import dataclass
+
+from courselead.core.effects import ProblemKind
+from courselead.core.events import RequestArrived
+from courselead.core.requests import health, lifecycle, quota
+from courselead.core.requests.policies import FairnessPolicy
+from courselead.core.requests.queue import CLASS_INDEX, ServiceQueue
+from courselead.core.requests.state import HOST_WAITING, RequestState
+from courselead.core.requests.turn import Turn
+from courselead.core.table import ServiceRow
+
+DEFAULT_RETRY_AFTER_MS = 1_000
+MIN_RETRY_AFTER_MS = 100
+MAX_RETRY_AFTER_MS = 60_000
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """Why a request is not taken in."""
+
+    kind: ProblemKind
+    detail: str
+    retry_after_ms: int = 0
+
+
+def standing(turn: Turn, event: RequestArrived) -> Refusal | None:
+    """Return why this host takes in nothing for a service, None if it may."""
+    if turn.leaving or turn.ctx.leaving:
+        return Refusal(
+            ProblemKind.LEAVING,
+            "this entry host is stopping; send the request to another one",
+            MIN_RETRY_AFTER_MS,
+        )
+    if event.deadline_ms <= turn.now:
+        return Refusal(
+            ProblemKind.DEADLINE,
+            "the deadline had passed when the request came; allow more time",
+        )
+    if not turn.member:
+        return Refusal(
+            ProblemKind.LOG_DOWN,
+            "this entry host is not yet a member of the fleet; use another one",
+            DEFAULT_RETRY_AFTER_MS,
+        )
+    return None
+
+
+def room(turn: Turn, event: RequestArrived, row: ServiceRow) -> Refusal | None:
+    """Return why there is no room for a request in time, None if there is."""
+    pool = row.pool
+    view = turn.pools.get(pool)
+    if view is None or not view.members:
+        return Refusal(
+            ProblemKind.NO_TARGET,
+            "no worker of the service's pool serves now; try again later",
+            DEFAULT_RETRY_AFTER_MS,
+        )
+    queue = turn.queues.get(pool)
+    if queue is None:
+        queue = ServiceQueue(event.client_account)
+    if queue.waiting >= row.queue_limit:
+        return _refuse(
+            turn,
+            pool,
+            ProblemKind.QUEUE_FULL,
+            "the service's queue is full; send less at once or raise queue_limit",
+            backlog_ms(turn, pool, queue.waiting),
+        )
+    if not turn.policies.refuse_hopeless:
+        return None
+    service_ms = health.service_ms(turn, pool)
+    ahead = ahead_of(queue, event, turn.policies.fairness)
+    wait_ms = backlog_ms(turn, pool, ahead)
+    if turn.now + wait_ms + service_ms <= event.deadline_ms:
+        return None
+    return _refuse(
+        turn,
+        pool,
+        ProblemKind.CANNOT_FINISH,
+        "the request would not end by its deadline; allow more time or come later",
+        wait_ms,
+    )
+
+
+def ahead_of(
+    queue: ServiceQueue, event: RequestArrived, fairness: FairnessPolicy
+) -> int:
+    """Return how many queued requests start before a new one of its class.
+
+    All of its own class do; of another class at most as many as its weight
+    grants in the meantime.
+    """
+    own = CLASS_INDEX[event.request_class]
+    own_cost = fairness.class_cost(own)
+    own_queued = len(queue.fifos[own].items)
+    ahead = own_queued
+    for index, fifo in enumerate(queue.fifos):
+        if index == own or not fifo.items:
+            continue
+        granted = (own_queued + 1) * own_cost // fairness.class_cost(index)
+        ahead += min(len(fifo.items), granted)
+    return ahead
+
+
+def backlog_ms(turn: Turn, pool: str, count: int) -> int:
+    """Return how long starting some queued requests takes, in milliseconds.
+
+    The drain rate is what is in flight over the measured service time: all
+    limits in force (slots, loans, ceilings) show in what is in flight. 0 if
+    it is not known.
+    """
+    if count <= 0:
+        return 0
+    in_flight = turn.in_use.get(quota.service_quota(pool), 0)
+    service_ms = health.service_ms(turn, pool)
+    if not in_flight or not service_ms:
+        return 0
+    return int(count * service_ms / in_flight)
+
+
+def make_room(turn: Turn) -> None:
+    """Keep to the host's bound: the account most over its share gives way.
+
+    The newest request of its longest queue gets its final answer at once, so
+    that a flood is paid for by the account that sends it.
+    """
+    while turn.waiting > HOST_WAITING:
+        pool = _fullest(turn)
+        if not pool:
+            return
+        req = _newest(turn, pool)
+        lifecycle.give_up(
+            turn,
+            req,
+            ProblemKind.OVERLOAD,
+            "the entry host's queues are full and the account is over its share; "
+            "send less at once",
+            _bounded(backlog_ms(turn, pool, turn.queues[pool].waiting)),
+        )
+
+
+def _fullest(turn: Turn) -> str:
+    """Return the longest queue of the account most over its share, "" if none."""
+    by_account: dict[str, int] = {}
+    longest: dict[str, tuple[int, str]] = {}
+    for pool, queue in turn.queues.items():
+        if not queue.queued:
+            continue
+        account = queue.client_account
+        by_account[account] = by_account.get(account, 0) + queue.queued
+        longest[account] = max(longest.get(account, (0, "")), (queue.queued, pool))
+    if not by_account:
+        return ""
+    rows = turn.ctx.fleet.table.accounts
+    cost = turn.policies.fairness.account_cost
+    load = {name: count * cost(rows.get(name)) for name, count in by_account.items()}
+    worst = max(load, key=lambda name: (load[name], name))
+    return longest[worst][1]
+
+
+def _newest(turn: Turn, pool: str) -> RequestState:
+    """Return the newest queued request of a pool, of its lowest class."""
+    for fifo in reversed(turn.queues[pool].fifos):
+        if fifo.items:
+            return turn.requests[fifo.last()]
+    raise AssertionError(f"pool {pool} counts queued requests that are not there")
+
+
+def _refuse(
+    turn: Turn, pool: str, kind: ProblemKind, detail: str, wait_ms: int
+) -> Refusal:
+    """Return a refusal; it names the ceiling if that is what holds work back."""
+    account = turn.ctx.fleet.table.services[pool].client_account
+    service_open = quota.has_room(turn, quota.service_quota(pool))
+    account_open = quota.has_room(turn, quota.account_quota(account))
+    if not service_open or not account_open:
+        kind = ProblemKind.CEILING
+        detail = "a ceiling of requests in flight is reached; send less at once"
+    return Refusal(kind, detail, _bounded(wait_ms))
+
+
+def _bounded(wait_ms: int) -> int:
+    """Return a wait that may be told to a caller."""
+    if wait_ms <= 0:
+        return DEFAULT_RETRY_AFTER_MS
+    return max(MIN_RETRY_AFTER_MS, min(wait_ms, MAX_RETRY_AFTER_MS))
--- /dev/null
+++ b/courselead/core/requests/arrivals.py
@@ -0,0 +1,93 @@
+"""A request arrives: it is refused, answered from the log, or taken in."""
+
+from courselead.core.effects import (
+    Measure,
+    Metric,
+    Note,
+    Problem,
+    ProblemKind,
+    ReplyProblem,
+    RunState,
+)
+from courselead.core.events import RequestArrived
+from courselead.core.requests import admission, claims, lifecycle, retries
+from courselead.core.requests.admission import Refusal
+from courselead.core.requests.state import MAX_EXCHANGE_MS, Phase, RequestState
+from courselead.core.requests.turn import Turn
+from courselead.core.table import ServiceRow, pool_name
+
+
+def arrived(turn: Turn, event: RequestArrived) -> None:
+    """Take in one request, or give it its final answer."""
+    if event.request_id in turn.requests:
+        fields = (("request_id", event.request_id),)
+        turn.emit(Note("error", "request_id_in_use", fields))
+        return
+    pool = pool_name(event.client_account, event.service)
+    row = turn.ctx.fleet.table.services.get(pool)
+    if row is None:
+        _refuse(
+            turn,
+            event,
+            Refusal(
+                ProblemKind.NO_SUCH_SERVICE,
+                "the table has no such service; check its name or add its row",
+            ),
+        )
+        return
+    refusal = admission.standing(turn, event)
+    if refusal is not None:
+        _refuse(turn, event, refusal)
+        return
+    if claims.needs_claim(event):
+        _arrived_with_key(turn, event, row)
+        return
+    refusal = admission.room(turn, event, row)
+    if refusal is not None:
+        _refuse(turn, event, refusal)
+        return
+    _add(turn, event, row, Phase.QUEUED)
+
+
+def _arrived_with_key(turn: Turn, event: RequestArrived, row: ServiceRow) -> None:
+    """Take in a request that must hold its key before it is sent."""
+    verdict = claims.earlier(turn, event)
+    if verdict is not None:
+        turn.emit(verdict.effect)
+        _count(turn, event, verdict.label)
+        return
+    if not turn.ctx.log_up:
+        detail = claims.LOG_DOWN_DETAIL
+        kind = ProblemKind.LOG_DOWN
+        _refuse(turn, event, Refusal(kind, detail, claims.LOG_RETRY_MS))
+        return
+    refusal = admission.room(turn, event, row)
+    if refusal is not None:
+        _refuse(turn, event, refusal)
+        return
+    _add(turn, event, row, Phase.CLAIMING)
+    claims.propose(turn, event)
+
+
+def _add(turn: Turn, event: RequestArrived, row: ServiceRow, phase: Phase) -> None:
+    """Put a request into the books."""
+    deadline_ms = min(event.deadline_ms, turn.now + MAX_EXCHANGE_MS)
+    req = RequestState(event, row.pool, deadline_ms, phase, since_ms=turn.now)
+    retries.earn(turn, event.client_account)
+    lifecycle.add(turn, req, row.queue_limit)
+    admission.make_room(turn)
+
+
+def _refuse(turn: Turn, event: RequestArrived, refusal: Refusal) -> None:
+    """Give a request its final answer: nothing of it was run."""
+    problem = Problem(
+        refusal.kind, RunState.NOT_RUN, refusal.detail, refusal.retry_after_ms
+    )
+    turn.emit(ReplyProblem(event.request_id, problem))
+    _count(turn, event, str(refusal.kind))
+
+
+def _count(turn: Turn, event: RequestArrived, label: str) -> None:
+    """Count a final outcome of a request that was not taken in."""
+    cls = str(event.request_class)
+    turn.emit(Measure(Metric.OUTCOME, 1, event.client_account, cls, label))
--- /dev/null
+++ b/courselead/core/requests/dispatch.py
@@ -0,0 +1,62 @@
+"""Start queued requests, in fair order, as long as there are units for them."""
+
+from courselead.core.effects import ProblemKind
+from courselead.core.requests import lifecycle, quota, routing
+from courselead.core.requests.state import HOST_IN_FLIGHT
+from courselead.core.requests.turn import Turn
+
+
+def pump(turn: Turn) -> None:
+    """Start what may be started.
+
+    A pool or account that has nothing to start with leaves the order until
+    something that concerns it changes, so that a round looks only at those
+    that may go on.
+    """
+    if not turn.member:
+        return
+    while turn.ladder.ready and turn.flying < HOST_IN_FLIGHT:
+        account = turn.ladder.first
+        if not quota.has_room(turn, quota.account_quota(account)):
+            turn.ladder = turn.ladder.leave(account)
+            continue
+        pool = turn.accounts[account].first
+        _start_one(turn, account, pool)
+
+
+def _start_one(turn: Turn, account: str, pool: str) -> None:
+    """Start the next request of a pool, or block the pool."""
+    row = turn.ctx.fleet.table.services.get(pool)
+    if row is None or not quota.has_room(turn, quota.service_quota(pool)):
+        lifecycle.block(turn, pool)
+        return
+    queue = turn.queues[pool]
+    index = queue.next_class()
+    req = turn.requests[queue.head(index)]
+    if req.deadline_ms <= turn.now:
+        late(turn, req)
+        return
+    target = routing.choose(turn, req)
+    if target is None:
+        lifecycle.block(turn, pool)
+        return
+    fairness = turn.policies.fairness
+    queue = queue.served(index, fairness.class_cost(index))
+    turn.queues = turn.queues.set(pool, queue)
+    lifecycle.start(turn, req, target)
+    pools = turn.accounts[account].charge(pool, fairness.service_cost(row))
+    turn.accounts = turn.accounts.set(account, pools)
+    account_row = turn.ctx.fleet.table.accounts.get(account)
+    turn.ladder = turn.ladder.charge(account, fairness.account_cost(account_row))
+    if not queue.queued:
+        lifecycle.block(turn, pool)
+
+
+def late(turn: Turn, req: object) -> None:
+    """Give the final answer to a request whose deadline has passed."""
+    lifecycle.give_up(
+        turn,
+        req,
+        ProblemKind.DEADLINE,
+        "the deadline passed; allow more time or send less at once",
+    )
--- /dev/null
+++ b/courselead/core/requests/lifecycle.py
@@ -0,0 +1,255 @@
+"""Steps in the life of a request that keep all the books in step."""
+
+from dataclasses import replace
+
+from courselead.core.effects import (
+    Abort,
+    Metric,
+    Problem,
+    ProblemKind,
+    Propose,
+    ReplyProblem,
+    RunState,
+    Send,
+)
+from courselead.core.events import AnswerEnded
+from courselead.core.fleet.records import ClaimEnd, ClaimOutcome, ClaimsEnded
+from courselead.core.requests import quota, targets, timers
+from courselead.core.requests.ladder import Ladder
+from courselead.core.requests.queue import ServiceQueue
+from courselead.core.requests.state import IN_FLIGHT, Phase, RequestState, Target
+from courselead.core.requests.turn import Turn
+
+MAX_KEPT_BYTES = 2_048
+
+_NEW_LADDER = Ladder()
+
+
+def add(turn: Turn, req: RequestState, queue_limit: int) -> None:
+    """Take in a new request, in the phase it says."""
+    request_id = req.arrived.request_id
+    queue = _queue(turn, req)
+    if queue.limit != queue_limit:
+        turn.queues = turn.queues.set(req.pool, replace(queue, limit=queue_limit))
+    timers.put(turn, request_id, req.deadline_ms)
+    turn.waiting += 1
+    if req.phase is Phase.QUEUED:
+        enqueue(turn, req, front=False)
+        return
+    turn.requests = turn.requests.set(request_id, req)
+    _hold(turn, req, 1)
+
+
+def enqueue(turn: Turn, req: RequestState, front: bool) -> None:
+    """Put a request, already counted as waiting, into its queue."""
+    arrived = req.arrived
+    queue = _queue(turn, req)
+    queue, place = queue.push(arrived.request_class, arrived.request_id, front)
+    turn.queues = turn.queues.set(req.pool, queue)
+    req = replace(req, phase=Phase.QUEUED, place=place, since_ms=turn.now)
+    turn.requests = turn.requests.set(arrived.request_id, req)
+    wake(turn, req.pool)
+
+
+def unhold(turn: Turn, req: RequestState, front: bool) -> None:
+    """Put a request that waited for a claim or a retry into its queue."""
+    _hold(turn, req, -1)
+    enqueue(turn, req, front)
+
+
+def attempt_over(turn: Turn, req: RequestState, maybe_ran: bool) -> RequestState:
+    """Give back the units of an attempt that came to no answer.
+
+    Returns:
+        The request, DELAYED with no time set: to be delayed or given up.
+    """
+    release(turn, req)
+    tried = req.tried
+    if req.worker not in tried:
+        tried = (*tried, req.worker)
+    req = replace(
+        req,
+        phase=Phase.DELAYED,
+        due_ms=req.deadline_ms,
+        tried=tried,
+        worker="",
+        quota="",
+        since_ms=turn.now,
+        maybe_ran=req.maybe_ran or maybe_ran,
+    )
+    turn.requests = turn.requests.set(req.arrived.request_id, req)
+    turn.waiting += 1
+    _hold(turn, req, 1)
+    return req
+
+
+def delay(turn: Turn, req: RequestState, due_ms: int) -> None:
+    """Set the time at which a DELAYED request goes back to its queue."""
+    request_id = req.arrived.request_id
+    turn.requests = turn.requests.set(request_id, replace(req, due_ms=due_ms))
+    timers.put(turn, request_id, due_ms)
+
+
+def start(turn: Turn, req: RequestState, target: Target) -> None:
+    """Send a request whose queue has already let it go."""
+    arrived = req.arrived
+    attempt = req.attempt + 1
+    turn.measure(Metric.QUEUE_MS, turn.now - req.since_ms, req)
+    req = replace(
+        req,
+        phase=Phase.SENT,
+        attempt=attempt,
+        worker=target.worker,
+        quota=target.quota,
+        since_ms=turn.now,
+    )
+    turn.requests = turn.requests.set(arrived.request_id, req)
+    turn.waiting -= 1
+    turn.flying += 1
+    quota.take(turn, target.quota)
+    quota.take(turn, quota.service_quota(req.pool))
+    quota.take(turn, quota.account_quota(arrived.client_account))
+    count = turn.by_worker.get(target.worker, 0) + 1
+    turn.by_worker = turn.by_worker.set(target.worker, count)
+    turn.emit(
+        Send(
+            arrived.request_id,
+            attempt,
+            target.worker,
+            target.address,
+            not arrived.idempotent,
+            req.deadline_ms - turn.now,
+        )
+    )
+
+
+def release(turn: Turn, req: RequestState) -> None:
+    """Give back all units of a request in flight."""
+    account = req.arrived.client_account
+    turn.flying -= 1
+    quota.give(turn, req.quota)
+    quota.give(turn, quota.service_quota(req.pool))
+    quota.give(turn, quota.account_quota(account))
+    count = turn.by_worker[req.worker] - 1
+    if count:
+        turn.by_worker = turn.by_worker.set(req.worker, count)
+    else:
+        turn.by_worker = turn.by_worker.delete(req.worker)
+    targets.offer(turn, req.worker)
+    wake(turn, req.pool)
+    wake_account(turn, account)
+
+
+def forget(turn: Turn, req: RequestState) -> None:
+    """Take a request out of the books, whatever its phase."""
+    request_id = req.arrived.request_id
+    turn.requests = turn.requests.delete(request_id)
+    if req.phase in IN_FLIGHT:
+        release(turn, req)
+        return
+    turn.waiting -= 1
+    if req.phase is not Phase.QUEUED:
+        _hold(turn, req, -1)
+        return
+    queue = turn.queues[req.pool].remove(req.arrived.request_class, req.place)
+    turn.queues = turn.queues.set(req.pool, queue)
+    if not queue.queued:
+        block(turn, req.pool)
+
+
+def give_up(
+    turn: Turn,
+    req: RequestState,
+    kind: ProblemKind,
+    detail: str,
+    retry_after_ms: int = 0,
+) -> None:
+    """Give a request its final answer now; an exchange under way is closed."""
+    request_id = req.arrived.request_id
+    sent = req.phase in IN_FLIGHT
+    if sent:
+        turn.emit(Abort(request_id, req.attempt))
+    maybe = sent or req.maybe_ran
+    run = RunState.UNKNOWN if maybe else RunState.NOT_RUN
+    if req.phase is not Phase.ANSWERING:
+        problem = Problem(kind, run, detail, retry_after_ms)
+        turn.emit(ReplyProblem(request_id, problem))
+    forget(turn, req)
+    end_claim(turn, req, ClaimOutcome.UNKNOWN if maybe else ClaimOutcome.NOT_RUN)
+    turn.measure(Metric.OUTCOME, 1, req, str(kind))
+
+
+def end_claim(
+    turn: Turn,
+    req: RequestState,
+    outcome: ClaimOutcome,
+    answer: AnswerEnded | None = None,
+) -> None:
+    """Tell the log what became of a request that holds its key."""
+    if not req.claimed:
+        return
+    arrived = req.arrived
+    end = ClaimEnd(
+        arrived.client_account,
+        arrived.service,
+        arrived.key,
+        arrived.request_id,
+        outcome,
+    )
+    if answer is not None:
+        kept = answer.body_kept and len(answer.body) <= MAX_KEPT_BYTES
+        end = replace(
+            end,
+            status=answer.status,
+            content_type=answer.content_type,
+            body=answer.body if kept else b"",
+            body_kept=kept,
+        )
+    turn.emit(Propose(ClaimsEnded((end,))))
+
+
+def wake(turn: Turn, pool: str) -> None:
+    """Let a pool with queued work take part in the next round of starts."""
+    queue = turn.queues.get(pool)
+    if queue is None or not queue.queued:
+        return
+    account = queue.client_account
+    ladder = turn.accounts.get(account)
+    if ladder is None or pool not in ladder:
+        ladder = (ladder or _NEW_LADDER).enter(pool)
+        turn.accounts = turn.accounts.set(account, ladder)
+    turn.ladder = turn.ladder.enter(account)
+
+
+def wake_account(turn: Turn, client_account: str) -> None:
+    """Let an account take part again, with those of its pools that may start."""
+    ladder = turn.accounts.get(client_account)
+    if ladder is not None and ladder.ready:
+        turn.ladder = turn.ladder.enter(client_account)
+
+
+def block(turn: Turn, pool: str) -> None:
+    """Keep a pool out of the rounds: it has no work, or no unit to use."""
+    account = turn.queues[pool].client_account
+    ladder = turn.accounts.get(account)
+    if ladder is None:
+        return
+    ladder = ladder.leave(pool)
+    turn.accounts = turn.accounts.set(account, ladder)
+    if not ladder.ready:
+        turn.ladder = turn.ladder.leave(account)
+
+
+def _queue(turn: Turn, req: RequestState) -> ServiceQueue:
+    """Return the queue of a request's service."""
+    queue = turn.queues.get(req.pool)
+    if queue is None:
+        queue = ServiceQueue(req.arrived.client_account)
+    return queue
+
+
+def _hold(turn: Turn, req: RequestState, count: int) -> None:
+    """Count a request that waits outside the fifos."""
+    queue = _queue(turn, req)
+    queue = replace(queue, held=queue.held + count)
+    turn.queues = turn.queues.set(req.pool, queue)
--- /dev/null
+++ b/courselead/core/requests/quota.py
@@ -0,0 +1,198 @@
+"""One mechanism for three sorts of quota: minion slots and two ceilings.
+
+Names are `minion:<worker>:<epoch>`, `service:<pool>` and
+`account:<client_account>`. A host may use its base share, less what it lends,
+plus what it has on loan. Minion slots are the sum over entry hosts at most;
+so are ceilings.
+"""
+
+from immutables import Map
+
+from courselead.core.fleet.queries import unsettled_hosts
+from courselead.core.requests import shares
+from courselead.core.requests.shares import UNLIMITED
+from courselead.core.requests.state import LOAN_MS, RequestsState, Target
+from courselead.core.requests.turn import Turn
+
+MINION = "minion:"
+SERVICE = "service:"
+ACCOUNT = "account:"
+
+
+def minion_quota(worker: str, epoch: int) -> str:
+    """Return the name of a minion's quota."""
+    return f"{MINION}{worker}:{epoch}"
+
+
+def service_quota(pool: str) -> str:
+    """Return the name of a service's ceiling quota."""
+    return f"{SERVICE}{pool}"
+
+
+def account_quota(client_account: str) -> str:
+    """Return the name of an account's ceiling quota."""
+    return f"{ACCOUNT}{client_account}"
+
+
+def worker_of(quota: str) -> str:
+    """Return the worker of a minion quota, "" for another sort."""
+    if not quota.startswith(MINION):
+        return ""
+    return quota[len(MINION) :].rpartition(":")[0]
+
+
+def is_current(turn: Turn | RequestsState, quota: str) -> bool:
+    """Return whether a quota is a ceiling, or of a minion that now serves."""
+    worker = worker_of(quota)
+    if not worker:
+        return True
+    target = turn.targets.get(worker)
+    return target is not None and target.quota == quota
+
+
+def base(turn: Turn, quota: str) -> int:
+    """Return the base share of a quota, from the cache if it is there."""
+    share = turn.shares.get(quota)
+    if share is None:
+        share = _work_out(turn, quota)
+        turn.shares = turn.shares.set(quota, share)
+    return share
+
+
+def own_units(turn: Turn, quota: str) -> int:
+    """Return the base share less what is lent to peers."""
+    units = base(turn, quota)
+    lent = turn.lent.get(quota)
+    if lent is None:
+        return units
+    return units - lent_units(lent)
+
+
+def lent_units(lent: Map) -> int:
+    """Return the units of one quota lent to all peers."""
+    return sum(one.units for one in lent.values())
+
+
+def limit(turn: Turn, quota: str) -> int:
+    """Return how many units may be in use for a new send to be started."""
+    units = own_units(turn, quota)
+    loans = turn.borrowed.get(quota)
+    if loans is None:
+        return units
+    for loan in loans.values():
+        if turn.now - loan.received_ms < LOAN_MS:
+            units += loan.units
+    return units
+
+
+def has_room(turn: Turn, quota: str) -> bool:
+    """Return whether one more unit of a quota may be used."""
+    return turn.in_use.get(quota, 0) < limit(turn, quota)
+
+
+def take(turn: Turn, quota: str) -> None:
+    """Use one unit."""
+    turn.in_use = turn.in_use.set(quota, turn.in_use.get(quota, 0) + 1)
+
+
+def give(turn: Turn, quota: str) -> None:
+    """Give one unit back."""
+    left = turn.in_use[quota] - 1
+    if left:
+        turn.in_use = turn.in_use.set(quota, left)
+        return
+    turn.in_use = turn.in_use.delete(quota)
+
+
+def over_base(turn: Turn, quota: str) -> int:
+    """Return the units used beyond what is own and what lenders may count."""
+    units = turn.in_use.get(quota, 0) - own_units(turn, quota)
+    loans = turn.borrowed.get(quota)
+    if loans is None:
+        return units
+    return units - sum(loan.cap for loan in loans.values())
+
+
+def is_over(turn: Turn) -> bool:
+    """Return whether any quota is used beyond the shares in force."""
+    for quota in turn.in_use:
+        if is_current(turn, quota) and over_base(turn, quota) > 0:
+            return True
+    for quota in turn.lent:
+        if is_current(turn, quota) and over_base(turn, quota) > 0:
+            return True
+    return False
+
+
+def sync_bases(turn: Turn) -> bool:
+    """Take in the list of hosts and the table; return whether shares changed."""
+    fleet = turn.ctx.fleet
+    newest = shares.basis_of(fleet)
+    bases = turn.bases
+    if not bases:
+        # What came before is not known here: nothing may be used under it.
+        bases = (shares.Basis(-1, (), newest.table), newest)
+    elif bases[-1].holders != newest.holders or bases[-1].table != newest.table:
+        bases = (*bases, newest)
+    changed = bases is not turn.bases
+    if changed:
+        turn.bases = bases
+        turn.shares = Map()
+    return drop_settled(turn) or changed
+
+
+def drop_settled(turn: Turn) -> bool:
+    """Forget lists before the newest one that is settled everywhere."""
+    if len(turn.bases) == 1:
+        turn.over = False
+        return False
+    turn.over = is_over(turn)
+    if turn.over:
+        return False
+    me = turn.ctx.me.entry_host
+    for index in range(len(turn.bases) - 1, 0, -1):
+        waiting_for = unsettled_hosts(turn.ctx.fleet, turn.bases[index].offset)
+        if any(name != me for name in waiting_for):
+            continue
+        turn.bases = turn.bases[index:]
+        turn.shares = Map()
+        return True
+    return False
+
+
+def _work_out(turn: Turn, quota: str) -> int:
+    """Return the least share of a quota under all lists not yet settled."""
+    me = turn.ctx.me
+    worker = worker_of(quota)
+    if not worker:
+        return min(
+            _ceiling_share(basis, quota, me.entry_host, me.incarnation)
+            for basis in turn.bases
+        )
+    target = turn.targets.get(worker)
+    if target is None or target.quota != quota:
+        return 0
+    units = min(
+        shares.minion_share(basis, target, me.entry_host, me.incarnation)
+        for basis in turn.bases
+    )
+    return 0 if units == UNLIMITED else units
+
+
+def _ceiling_share(
+    basis: shares.Basis, quota: str, entry_host: str, incarnation: int
+) -> int:
+    """Return a host's share of a ceiling quota under one list."""
+    if quota.startswith(SERVICE):
+        total = shares.service_ceiling(basis, quota[len(SERVICE) :])
+    else:
+        total = shares.account_ceiling(basis, quota[len(ACCOUNT) :])
+    return shares.ceiling_share(basis, quota, total, entry_host, incarnation)
+
+
+def target_of(
+    worker: str, pool: str, epoch: int, zone: str, address: str, own_zone: str
+) -> Target:
+    """Return the view of one serving minion."""
+    quota = minion_quota(worker, epoch)
+    return Target(worker, pool, epoch, zone, address, quota, zone == own_zone)
--- /dev/null
+++ b/courselead/core/requests/reducer.py
@@ -0,0 +1,141 @@
+"""The local request path: arrivals, queues, sends, answers, peers' reports."""
+
+from collections.abc import Callable
+
+from courselead.core.context import Context
+from courselead.core.effects import Effect
+from courselead.core.events import (
+    AnswerBroken,
+    AnswerEnded,
+    AnswerStarted,
+    BatchesRead,
+    CallerGone,
+    Event,
+    LeaveAsked,
+    LogReachable,
+    MembersListed,
+    PeerReachable,
+    PeerReported,
+    RequestArrived,
+    SendNotRun,
+    SendUnknown,
+    Tick,
+)
+from courselead.core.requests import (
+    arrivals,
+    attempts,
+    claims,
+    health,
+    lifecycle,
+    loans,
+    reports,
+    sync,
+    targets,
+    timers,
+)
+from courselead.core.requests.dispatch import late, pump
+from courselead.core.requests.state import IN_FLIGHT, RequestsState
+from courselead.core.requests.turn import Turn
+
+ONLY_REQUESTS = (
+    RequestArrived,
+    CallerGone,
+    SendNotRun,
+    SendUnknown,
+    AnswerStarted,
+    AnswerEnded,
+    AnswerBroken,
+    PeerReported,
+    PeerReachable,
+)
+
+
+def reduce(
+    state: RequestsState, ctx: Context, event: Event
+) -> tuple[RequestsState, tuple[Effect, ...]]:
+    """Take in one event: return the next state and what is to be done."""
+    turn = Turn(state, ctx)
+    if turn.seen is not ctx.fleet or turn.member != ctx.member:
+        sync.sync(turn)
+    _work_off_timers(turn)
+    handler = _HANDLERS.get(type(event))
+    if handler is not None:
+        handler(turn, event)
+    pump(turn)
+    return turn.freeze(), tuple(turn.effects)
+
+
+def _work_off_timers(turn: Turn) -> None:
+    """Look at the requests whose deadline or retry has come."""
+    for due in timers.take_due(turn):
+        req = turn.requests.get(due.arrived.request_id)
+        if req is None or timers.due_ms(req) > turn.now:
+            continue
+        if req.deadline_ms > turn.now:
+            lifecycle.unhold(turn, req, front=True)
+            continue
+        if req.phase in IN_FLIGHT:
+            attempts.timed_out(turn, req)
+        late(turn, req)
+
+
+def _on_tick(turn: Turn, event: Tick) -> None:
+    for worker in health.rested(turn):
+        target = turn.targets.get(worker)
+        if target is None:
+            continue
+        targets.offer(turn, worker)
+        lifecycle.wake(turn, target.pool)
+    sync.settle_shares(turn)
+    loans.lapse(turn)
+    reports.report(turn)
+
+
+def _on_batches(turn: Turn, event: BatchesRead) -> None:
+    claims.take_verdicts(turn)
+
+
+def _on_log(turn: Turn, event: LogReachable) -> None:
+    if not event.up:
+        claims.log_lost(turn)
+
+
+def _on_members(turn: Turn, event: MembersListed) -> None:
+    leaving = frozenset(event.leaving_workers)
+    back = sorted(turn.leaving_workers - leaving)
+    turn.leaving_workers = leaving
+    for worker in back:
+        target = turn.targets.get(worker)
+        if target is None:
+            continue
+        targets.offer(turn, worker)
+        lifecycle.wake(turn, target.pool)
+
+
+def _on_leave(turn: Turn, event: LeaveAsked) -> None:
+    turn.leaving = True
+
+
+def _on_reachable(turn: Turn, event: PeerReachable) -> None:
+    if event.up:
+        turn.unreachable = turn.unreachable - {event.entry_host}
+        return
+    turn.unreachable = turn.unreachable | {event.entry_host}
+
+
+_HANDLERS: dict[type, Callable[[Turn, Event], None]] = {
+    RequestArrived: arrivals.arrived,
+    CallerGone: attempts.caller_gone,
+    SendNotRun: attempts.not_run,
+    SendUnknown: attempts.unknown,
+    AnswerStarted: attempts.started,
+    AnswerEnded: attempts.ended,
+    AnswerBroken: attempts.broken,
+    Tick: _on_tick,
+    BatchesRead: _on_batches,
+    LogReachable: _on_log,
+    MembersListed: _on_members,
+    LeaveAsked: _on_leave,
+    PeerReported: loans.reported,
+    PeerReachable: _on_reachable,
+}
--- /dev/null
+++ b/courselead/core/requests/reports.py
@@ -0,0 +1,177 @@
+"""The report to each peer: what is in flight, wanted, lent and held."""
+
+from dataclasses import replace
+
+from immutables import Map
+
+from courselead.core.effects import Measure, Metric, SendPeer
+from courselead.core.events import Loan, PeerReport
+from courselead.core.fleet.queries import live_hosts
+from courselead.core.requests import loans, quota, wants
+from courselead.core.requests.shares import UNLIMITED
+from courselead.core.requests.state import LOAN_MS, REPORT_MS, Borrowed, Lent
+from courselead.core.requests.turn import Turn
+
+_NONE = Lent()
+
+
+def report(turn: Turn) -> None:
+    """Send a report to each peer that may be reached, if it is time."""
+    if turn.now - turn.reported_ms < REPORT_MS or not turn.member:
+        return
+    turn.reported_ms = turn.now
+    turn.serial += 1
+    turn.emit(Measure(Metric.SLOTS_IN_USE, turn.flying))
+    me = turn.ctx.me.entry_host
+    peers = [name for name in live_hosts(turn.ctx.fleet) if name != me]
+    peers = [name for name in peers if name not in turn.unreachable]
+    found = wants.wanted(turn) if peers else {}
+    asked = wants.ask(turn, found, peers)
+    holding = _hold(turn, found)
+    offered = _offer(turn, peers)
+    in_flight = tuple(sorted(turn.by_worker.items()))
+    waiting = tuple(
+        (pool, turn.queues[pool].waiting)
+        for pool in sorted(turn.queues)
+        if turn.queues[pool].waiting
+    )
+    for peer in peers:
+        view = turn.peers.get(peer)
+        heard = view.serial if view is not None else 0
+        held = {**holding.get(peer, {}), loans.HEARD: heard}
+        body = PeerReport(
+            entry_host=me,
+            incarnation=turn.ctx.me.incarnation,
+            availability_zone=turn.ctx.me.availability_zone,
+            serial=turn.serial,
+            applied=turn.ctx.fleet.offset,
+            in_flight=in_flight,
+            waiting=waiting,
+            wants=tuple(sorted(asked[peer].items())),
+            loans=tuple(offered.get(peer, ())),
+            holding=tuple(sorted(held.items())),
+        )
+        turn.emit(SendPeer(peer, body))
+
+
+def _hold(turn: Turn, found: dict[str, int]) -> dict[str, dict[str, int]]:
+    """Return what is held of each peer by quota, and let go of the rest.
+
+    From here on no more than what is reported may be used, until a newer
+    loan: the lender may count the rest as its own again.
+    """
+    holding: dict[str, dict[str, int]] = {}
+    for name in sorted(turn.borrowed):
+        above = turn.in_use.get(name, 0) - quota.own_units(turn, name)
+        held = _split_held(turn, name, found.get(name, 0), above)
+        for peer, loan in sorted(turn.borrowed[name].items()):
+            units = held[peer]
+            if not units:
+                loans.set_borrowed(turn, name, peer, None)
+                continue
+            kept = Borrowed(min(loan.units, units), units, loan.received_ms)
+            loans.set_borrowed(turn, name, peer, kept)
+            holding.setdefault(peer, {})[name] = units
+    return holding
+
+
+def _split_held(turn: Turn, name: str, want: int, above: int) -> dict[str, int]:
+    """Return the units held of each lender of one quota.
+
+    Loans that are good for new sends come first; units in use beyond these
+    are put down to the others.
+    """
+    held: dict[str, int] = {}
+    by_peer = sorted(turn.borrowed[name].items())
+    for peer, loan in by_peer:
+        good = turn.now - loan.received_ms < LOAN_MS
+        held[peer] = min(loan.units, want) if good else 0
+        want -= held[peer]
+        above -= held[peer]
+    for peer, loan in by_peer:
+        if above <= 0:
+            break
+        more = min(loan.cap - held[peer], above)
+        held[peer] += more
+        above -= more
+    return held
+
+
+def _offer(turn: Turn, peers: list[str]) -> dict[str, list[Loan]]:
+    """Work out what is lent to each peer from now on."""
+    names = set(turn.lent)
+    for peer in peers:
+        view = turn.peers.get(peer)
+        if view is not None and turn.now - view.heard_ms < LOAN_MS:
+            names.update(view.wants)
+    offered: dict[str, list[Loan]] = {}
+    for name in sorted(names):
+        if not quota.is_current(turn, name):
+            continue
+        if quota.base(turn, name) == UNLIMITED:
+            continue
+        _offer_one(turn, name, peers, offered)
+    return offered
+
+
+def _offer_one(
+    turn: Turn, name: str, peers: list[str], offered: dict[str, list[Loan]]
+) -> None:
+    """Work out what is lent of one quota to each peer."""
+    in_use = turn.in_use.get(name, 0)
+    room = quota.own_units(turn, name) - in_use
+    spare = room - 1 if in_use and quota.base(turn, name) > 1 else room
+    pressed = _is_pressed(turn, name)
+    count = len(peers)
+    for index in range(count):
+        peer = peers[(turn.serial + index) % count]
+        before = turn.lent.get(name, Map()).get(peer, _NONE)
+        units = before.units
+        offer = 0
+        if not pressed:
+            offer = min(_wanted_by(turn, peer, name), units + max(spare, 0))
+        if room < 0:
+            offer = max(0, min(offer, units + room))
+            room = min(0, room + units - offer)
+        spare -= max(0, offer - units)
+        _note_offer(turn, name, peer, before, offer)
+        if offer:
+            offered.setdefault(peer, []).append(Loan(name, offer, turn.serial))
+
+
+def _note_offer(turn: Turn, name: str, peer: str, before: Lent, offer: int) -> None:
+    """Count an offer as lent from now on."""
+    if not offer:
+        if before is not _NONE:
+            after = replace(before, offer=0) if before.units else None
+            loans.set_lent(turn, name, peer, after)
+        return
+    offers = (*before.offers, (turn.serial, offer))
+    after = replace(before, offers=offers, offer=offer, offered_ms=turn.now)
+    loans.set_lent(turn, name, peer, after)
+
+
+def _wanted_by(turn: Turn, peer: str, name: str) -> int:
+    """Return what a peer that was heard of lately wants of a quota."""
+    view = turn.peers.get(peer)
+    if view is None or turn.now - view.heard_ms >= LOAN_MS:
+        return 0
+    return view.wants.get(name, 0)
+
+
+def _is_pressed(turn: Turn, name: str) -> bool:
+    """Return whether this host has queued work that the quota concerns."""
+    worker = quota.worker_of(name)
+    if worker:
+        pools = [turn.targets[worker].pool]
+    elif name.startswith(quota.SERVICE):
+        pools = [name[len(quota.SERVICE) :]]
+    else:
+        account = name[len(quota.ACCOUNT) :]
+        pools = [
+            pool
+            for pool, queue in turn.queues.items()
+            if queue.client_account == account
+        ]
+    queues = [turn.queues[pool] for pool in pools if pool in turn.queues]
+    return any(queue.queued for queue in queues)
--- /dev/null
+++ b/courselead/core/requests/settle.py
@@ -0,0 +1,29 @@
+"""What this host can vouch for: nothing of it is in flight where work ended."""
+
+from courselead.core.fleet.state import FleetState, WorkerPhase
+from courselead.core.requests.state import RequestsState
+
+
+def settled_offset(state: RequestsState, fleet: FleetState) -> int:
+    """Return the highest offset up to which stops and releases are settled.
+
+    Every worker whose planned stop began at or before it has nothing of this
+    host in flight and will get nothing; and this host uses no unit beyond its
+    share under the lists of hosts up to it.
+    """
+    settled = fleet.offset
+    if state.seen is not None:
+        settled = min(settled, state.seen.offset)
+    for worker in state.by_worker:
+        known = fleet.workers.get(worker)
+        if known is None or known.phase is not WorkerPhase.STOPPING:
+            continue
+        settled = min(settled, known.since - 1)
+    if len(state.bases) > 1 and state.over:
+        settled = min(settled, state.bases[1].offset - 1)
+    return settled
+
+
+def in_flight_total(state: RequestsState) -> int:
+    """Return the number of requests in flight from this host."""
+    return state.flying
--- /dev/null
+++ b/courselead/core/requests/shares.py
@@ -0,0 +1,111 @@
+"""Base shares: how a quota is split among the entry hosts that agree on a list.
+
+The list comes from the log, so that all hosts split alike. While a change of
+the list (or of the table) is not settled everywhere, a host uses the least of
+its shares under the lists concerned: one host has given up its unit before
+another takes it.
+"""
+
+from courselead.core.fleet.state import FleetState, HostStatus
+from courselead.core.ranking import rank
+from courselead.core.requests.state import Basis, Holder, Target
+from courselead.core.table import ServiceRow
+
+UNLIMITED = 1 << 30
+
+
+def basis_of(fleet: FleetState) -> Basis:
+    """Return the list and table in force in a shared state."""
+    holders = []
+    for name in sorted(fleet.hosts):
+        host = fleet.hosts[name]
+        if host.status is HostStatus.LEFT:
+            continue
+        live = host.status is HostStatus.LIVE
+        zone = host.availability_zone
+        holders.append(Holder(name, host.incarnation, zone, live))
+    return Basis(fleet.offset, tuple(holders), fleet.table)
+
+
+def minion_holders(basis: Basis, availability_zone: str) -> list[Holder]:
+    """Return who shares the slots of a minion in a zone.
+
+    The live hosts of its zone, or all live hosts if the zone has none. A lost
+    host's slots are reclaimed at once: if it still sends, the minion itself
+    refuses what is too much, and that is an honest "not run".
+    """
+    live = [holder for holder in basis.holders if holder.live]
+    near = [one for one in live if one.availability_zone == availability_zone]
+    return near or live
+
+
+def ceiling_holders(basis: Basis) -> list[Holder]:
+    """Return who shares a ceiling: live hosts, and lost ones until they return.
+
+    Nobody refuses what goes over a ceiling, so a lost host that may still be
+    sending keeps its share reserved until it rejoins or leaves: the fleet runs
+    below the ceiling rather than above.
+    """
+    return list(basis.holders)
+
+
+def reserved_units(basis: Basis, quota: str, total: int) -> int:
+    """Return how many units of a ceiling are reserved for lost hosts."""
+    holders = ceiling_holders(basis)
+    lost = [one for one in holders if not one.live]
+    return sum(split(quota, total, holders, one.entry_host) for one in lost)
+
+
+def split(quota: str, total: int, holders: list[Holder], entry_host: str) -> int:
+    """Return a host's part of a total: even, the rest by rendezvous rank."""
+    base, rest = divmod(total, len(holders))
+    if not rest:
+        return base
+    order = rank(quota, [holder.entry_host for holder in holders])
+    return base + (1 if order.index(entry_host) < rest else 0)
+
+
+def minion_share(
+    basis: Basis, target: Target, entry_host: str, incarnation: int
+) -> int:
+    """Return a host's share of a minion's slots under a list."""
+    row = basis.table.services.get(target.pool)
+    if row is None:
+        return UNLIMITED
+    holders = minion_holders(basis, target.availability_zone)
+    if not _is_among(holders, entry_host, incarnation):
+        return 0
+    return split(target.quota, row.slots, holders, entry_host)
+
+
+def ceiling_share(
+    basis: Basis, quota: str, total: int, entry_host: str, incarnation: int
+) -> int:
+    """Return a host's share of a ceiling under a list; a total of 0 is none."""
+    if total <= 0:
+        return UNLIMITED
+    holders = ceiling_holders(basis)
+    if not _is_among(holders, entry_host, incarnation):
+        return 0
+    return split(quota, total, holders, entry_host)
+
+
+def service_ceiling(basis: Basis, pool: str) -> int:
+    """Return a service's ceiling, 0 for none."""
+    row: ServiceRow | None = basis.table.services.get(pool)
+    return row.ceiling if row is not None else 0
+
+
+def account_ceiling(basis: Basis, client_account: str) -> int:
+    """Return an account's ceiling, 0 for none."""
+    row = basis.table.accounts.get(client_account)
+    return row.ceiling if row is not None else 0
+
+
+def _is_among(holders: list[Holder], entry_host: str, incarnation: int) -> bool:
+    """Return whether an incarnation of a host is a live holder."""
+    for holder in holders:
+        if holder.entry_host != entry_host:
+            continue
+        return holder.live and holder.incarnation == incarnation
+    return False
--- /dev/null
+++ b/courselead/core/requests/sync.py
@@ -0,0 +1,79 @@
+"""Bring what is derived from the shared state in step with it."""
+
+from immutables import Map
+
+from courselead.core.effects import ProblemKind
+from courselead.core.requests import lifecycle, loans, quota, targets
+from courselead.core.requests.state import IN_FLIGHT, Phase, RequestState
+from courselead.core.requests.turn import Turn
+
+REJOIN_MS = 2_000
+
+
+def sync(turn: Turn) -> None:
+    """Take in a new shared state, if there is one."""
+    before = turn.seen
+    fleet = turn.ctx.fleet
+    if before is not fleet:
+        if turn.incarnation != turn.ctx.me.incarnation:
+            _renew(turn)
+        loans.drop_gone(turn)
+        pools = targets.sync_targets(turn, before)
+        if quota.sync_bases(turn):
+            reopen(turn)
+        else:
+            for pool in pools:
+                lifecycle.wake(turn, pool)
+        turn.seen = fleet
+    if turn.member and not turn.ctx.member:
+        _lose_membership(turn)
+    turn.member = turn.ctx.member
+
+
+def _renew(turn: Turn) -> None:
+    """Start over with loans under a new incarnation.
+
+    Peers have written the old one off: what it lent and borrowed is void, and
+    its units still in use count as too much until they are given back.
+    """
+    turn.incarnation = turn.ctx.me.incarnation
+    turn.lent = Map()
+    turn.borrowed = Map()
+    turn.shares = Map()
+
+
+def settle_shares(turn: Turn) -> None:
+    """Look again whether shares under a newer list may be used."""
+    if len(turn.bases) > 1 and quota.drop_settled(turn):
+        reopen(turn)
+
+
+def reopen(turn: Turn) -> None:
+    """Let all queued work be tried again, after a change of the shares."""
+    targets.offer_all(turn)
+    for pool in sorted(turn.queues):
+        lifecycle.wake(turn, pool)
+
+
+def _lose_membership(turn: Turn) -> None:
+    """Answer all that has not been sent: this host holds no share any more."""
+    for req in waiting_requests(turn):
+        lifecycle.give_up(
+            turn,
+            req,
+            ProblemKind.LEAVING,
+            "the fleet has written this entry host off; send it to another one",
+            REJOIN_MS,
+        )
+
+
+def waiting_requests(turn: Turn, phase: Phase | None = None) -> list[RequestState]:
+    """Return the requests not in flight (or in one phase), in order of id."""
+    found = []
+    for request_id in sorted(turn.requests):
+        req = turn.requests[request_id]
+        if req.phase in IN_FLIGHT:
+            continue
+        if phase is None or req.phase is phase:
+            found.append(req)
+    return found
--- /dev/null
+++ b/courselead/core/requests/targets.py
@@ -0,0 +1,137 @@
+"""The serving minions by pool, kept in step with the shared state."""
+
+from dataclasses import replace
+
+from courselead.core.fleet.state import FleetState, WorkerPhase, WorkerState
+from courselead.core.requests import quota
+from courselead.core.requests.roster import Roster
+from courselead.core.requests.state import PoolView, Target
+from courselead.core.requests.turn import Turn
+
+EMPTY_POOL = PoolView()
+
+
+def sync_targets(turn: Turn, before: FleetState | None) -> list[str]:
+    """Take in changes of workers; return the pools concerned, sorted."""
+    after = turn.ctx.fleet.workers
+    if before is not None and before.workers is after:
+        return []
+    pools: set[str] = set()
+    known = before.workers if before is not None else None
+    for name, worker in after.items():
+        if known is not None and known.get(name) is worker:
+            continue
+        pools.update(_sync_one(turn, name, worker))
+    if len(turn.targets) <= len(after):
+        return sorted(pools)
+    for name in list(turn.targets):
+        if name not in after:
+            pools.update(_sync_one(turn, name, None))
+    return sorted(pools)
+
+
+def _sync_one(turn: Turn, name: str, worker: WorkerState | None) -> set[str]:
+    """Put one worker's target in, out or in anew."""
+    new = _target(turn, worker)
+    old = turn.targets.get(name)
+    if new == old:
+        return set()
+    pools = set()
+    if old is not None:
+        _remove(turn, old)
+        pools.add(old.pool)
+    if new is not None:
+        _insert(turn, new)
+        pools.add(new.pool)
+    return pools
+
+
+def _target(turn: Turn, worker: WorkerState | None) -> Target | None:
+    """Return the target a worker is, None if it serves nothing."""
+    if worker is None or worker.phase is not WorkerPhase.SERVING:
+        return None
+    if not worker.minion_address or not worker.pool:
+        return None
+    return quota.target_of(
+        worker.worker,
+        worker.pool,
+        worker.epoch,
+        worker.availability_zone,
+        worker.minion_address,
+        turn.ctx.me.availability_zone,
+    )
+
+
+def _remove(turn: Turn, target: Target) -> None:
+    """Take a target out of all that is kept of it."""
+    turn.targets = turn.targets.delete(target.worker)
+    view = turn.pools[target.pool]
+    members = tuple(name for name in view.members if name != target.worker)
+    near = view.near.drop(target.worker)
+    far = view.far.drop(target.worker)
+    view = replace(view, near=near, far=far, members=members)
+    turn.pools = turn.pools.set(target.pool, view)
+    if target.worker in turn.health:
+        turn.health = turn.health.delete(target.worker)
+    if target.worker in turn.resting:
+        turn.resting = turn.resting.delete(target.worker)
+    if target.quota in turn.shares:
+        turn.shares = turn.shares.delete(target.quota)
+    if target.quota in turn.lent:
+        turn.lent = turn.lent.delete(target.quota)
+    if target.quota in turn.borrowed:
+        turn.borrowed = turn.borrowed.delete(target.quota)
+
+
+def _insert(turn: Turn, target: Target) -> None:
+    """Put a target in."""
+    turn.targets = turn.targets.set(target.worker, target)
+    if target.quota in turn.shares:
+        turn.shares = turn.shares.delete(target.quota)
+    view = turn.pools.get(target.pool, EMPTY_POOL)
+    members = tuple(sorted((*view.members, target.worker)))
+    turn.pools = turn.pools.set(target.pool, replace(view, members=members))
+    offer(turn, target.worker)
+
+
+def offer(turn: Turn, worker: str) -> None:
+    """Let a target be chosen again: it may have a free unit."""
+    target = turn.targets.get(worker)
+    if target is None:
+        return
+    view = turn.pools[target.pool]
+    roster = view.near if target.near else view.far
+    if worker in roster:
+        return
+    _set_roster(turn, target, view, roster.add(worker))
+
+
+def withhold(turn: Turn, worker: str) -> None:
+    """Keep a target from being chosen: it has no free unit."""
+    target = turn.targets[worker]
+    view = turn.pools[target.pool]
+    roster = view.near if target.near else view.far
+    _set_roster(turn, target, view, roster.drop(worker))
+
+
+def offer_all(turn: Turn) -> None:
+    """Let all targets be chosen again, after a change of the shares."""
+    for pool in sorted(turn.pools):
+        view = turn.pools[pool]
+        near = Roster()
+        far = Roster()
+        for worker in view.members:
+            if turn.targets[worker].near:
+                near = near.add(worker)
+            else:
+                far = far.add(worker)
+        turn.pools = turn.pools.set(pool, replace(view, near=near, far=far))
+
+
+def _set_roster(turn: Turn, target: Target, view: PoolView, roster: Roster) -> None:
+    """Put a changed roster into its pool."""
+    if target.near:
+        view = replace(view, near=roster)
+    else:
+        view = replace(view, far=roster)
+    turn.pools = turn.pools.set(target.pool, view)
--- /dev/null
+++ b/courselead/core/requests/turn.py
@@ -0,0 +1,91 @@
+"""One reduction in progress: the working copy of the state, and its effects."""
+
+from dataclasses import fields
+
+from immutables import Map
+
+from courselead.core.context import Context
+from courselead.core.effects import Effect, Measure, Metric
+from courselead.core.fleet.state import FleetState
+from courselead.core.requests.ladder import Ladder
+from courselead.core.requests.policies import Policies
+from courselead.core.requests.queue import ServiceQueue
+from courselead.core.requests.state import (
+    Basis,
+    Borrowed,
+    Health,
+    Lent,
+    PeerView,
+    PoolView,
+    RequestsState,
+    RequestState,
+    RetryBucket,
+    Target,
+)
+
+_FIELDS = tuple(field.name for field in fields(RequestsState))
+
+
+class Turn:
+    """A working copy that lives for one reduction and is never shared.
+
+    It saves building a new frozen state after every step. The fields are
+    those of `RequestsState`; the values stay persistent maps and frozen data.
+    """
+
+    __slots__ = (*_FIELDS, "ctx", "now", "effects")
+
+    policies: Policies
+    seen: FleetState | None
+    incarnation: int
+    member: bool
+    leaving: bool
+    requests: Map[str, RequestState]
+    ladder: Ladder
+    accounts: Map[str, Ladder]
+    queues: Map[str, ServiceQueue]
+    waiting: int
+    flying: int
+    in_use: Map[str, int]
+    by_worker: Map[str, int]
+    targets: Map[str, Target]
+    pools: Map[str, PoolView]
+    health: Map[str, Health]
+    resting: Map[str, int]
+    bases: tuple[Basis, ...]
+    over: bool
+    shares: Map[str, int]
+    lent: Map[str, Map[str, Lent]]
+    borrowed: Map[str, Map[str, Borrowed]]
+    peers: Map[str, PeerView]
+    unreachable: frozenset[str]
+    leaving_workers: frozenset[str]
+    budgets: Map[str, RetryBucket]
+    timers: Map[int, tuple[str, ...]]
+    timer_slot: int
+    serial: int
+    reported_ms: int
+    ctx: Context
+    now: int
+    effects: list[Effect]
+
+    def __init__(self, state: RequestsState, ctx: Context):
+        for name in _FIELDS:
+            setattr(self, name, getattr(state, name))
+        self.ctx = ctx
+        self.now = ctx.now_ms
+        self.effects = []
+
+    def freeze(self) -> RequestsState:
+        """Return the state as it now stands."""
+        return RequestsState(*[getattr(self, name) for name in _FIELDS])
+
+    def emit(self, effect: Effect) -> None:
+        """Add an effect."""
+        self.effects.append(effect)
+
+    def measure(self, metric: Metric, value: float, req: RequestState, label: str = ""):
+        """Add an observation of a request."""
+        arrived = req.arrived
+        cls = str(arrived.request_class)
+        self.effects.append(Measure(metric, value, arrived.client_account, cls, label))
