--- /dev/null
+++ b/tests/core/fleet/test_claims.py
@@ -0,0 +1,131 @@
+"""Claims: one request per key, and how long it is remembered."""
+
+from courselead.core.fleet import verdicts
+from courselead.core.fleet.claims import ClaimView, claim_view
+from courselead.core.fleet.due import ITEMS_PER_BEAT
+from courselead.core.fleet.records import (
+    Claim,
+    ClaimEnd,
+    ClaimOutcome,
+    ClaimsEnded,
+    ClaimsMade,
+    HostLost,
+)
+from tests.core.fleet.logs import START_MS, three_hosts
+
+KEY = ("acme", "web", "k")
+LASTS_MS = 100_000
+
+
+def claim(request_id="r1", fingerprint="f", key="k", lasts_ms=LASTS_MS):
+    expires_ms = START_MS + lasts_ms
+    return Claim("acme", "web", key, fingerprint, request_id, expires_ms)
+
+
+def made(log, host, *claims):
+    return log.one(host, ClaimsMade(host, 1, claims))
+
+
+def ended(log, host, request_id, outcome):
+    end = ClaimEnd(*KEY, request_id, outcome, 200, "text/plain", b"ok", True)
+    return log.one(host, ClaimsEnded((end,)))
+
+
+def pass_time(log, to_ms):
+    log.now_ms = START_MS + to_ms
+    for host in ("h1", "h2", "h3"):
+        log.beat(host)
+
+
+def test_the_lowest_offset_wins():
+    log = three_hosts()
+    assert made(log, "h1", claim()).accepted
+    assert made(log, "h2", claim("r2")).reason == verdicts.CLAIM_TAKEN
+    assert made(log, "h2", claim("r2", "other")).reason == verdicts.CLAIM_CONFLICT
+    mixed = made(log, "h2", claim("r2"), claim("r3", key="k2"))
+    assert mixed.accepted
+    assert mixed.items == (verdicts.CLAIM_TAKEN, "")
+    assert log.fleet.claims[KEY].request_id == "r1"
+    assert claim_view(log.fleet, KEY) is ClaimView.PENDING_LIVE
+
+
+def test_only_the_holder_ends_a_claim_and_only_once():
+    log = three_hosts()
+    made(log, "h1", claim())
+    ran, not_run = ClaimOutcome.RAN, ClaimOutcome.NOT_RUN
+    assert ended(log, "h2", "r2", ran).reason == verdicts.CLAIM_UNKNOWN
+    pending = ended(log, "h1", "r1", ClaimOutcome.PENDING)
+    assert pending.reason == verdicts.CLAIM_NO_OUTCOME
+    assert ended(log, "h1", "r1", ran).accepted
+    assert ended(log, "h1", "r1", not_run).reason == verdicts.CLAIM_ENDED
+    assert claim_view(log.fleet, KEY) is ClaimView.RAN
+    assert log.fleet.claims[KEY].body == b"ok"
+
+
+def test_a_request_that_was_not_run_frees_its_key():
+    log = three_hosts()
+    made(log, "h1", claim())
+    assert ended(log, "h1", "r1", ClaimOutcome.NOT_RUN).accepted
+    assert claim_view(log.fleet, KEY) is ClaimView.FREE
+    assert made(log, "h2", claim("r2", "other")).accepted
+
+
+def test_the_claim_of_a_lost_host_is_unknown_and_its_late_end_is_fenced():
+    log = three_hosts()
+    made(log, "h3", claim())
+    log.take("h1", HostLost("h3", 1, log.fleet.hosts["h3"].last_beat, "h1"))
+    assert claim_view(log.fleet, KEY) is ClaimView.UNKNOWN
+    late = ended(log, "h3", "r1", ClaimOutcome.NOT_RUN)
+    assert late.reason == verdicts.NOT_MEMBER
+    assert made(log, "h1", claim("r2")).reason == verdicts.CLAIM_TAKEN
+    log.join("h3", incarnation=2)
+    assert claim_view(log.fleet, KEY) is ClaimView.UNKNOWN
+
+
+def test_an_outcome_is_kept_until_it_expires_and_then_forgotten():
+    log = three_hosts()
+    made(log, "h1", claim())
+    ended(log, "h1", "r1", ClaimOutcome.RAN)
+    pass_time(log, LASTS_MS - 1)
+    assert KEY in log.fleet.claims
+    pass_time(log, LASTS_MS + 10_000)
+    assert claim_view(log.fleet, KEY) is ClaimView.FREE
+
+
+def test_a_pending_claim_of_a_live_host_outlasts_its_end():
+    log = three_hosts()
+    made(log, "h1", claim())
+    pass_time(log, LASTS_MS + 10_000)
+    assert claim_view(log.fleet, KEY) is ClaimView.PENDING_LIVE
+    ended(log, "h1", "r1", ClaimOutcome.UNKNOWN)
+    assert claim_view(log.fleet, KEY) is ClaimView.UNKNOWN
+    pass_time(log, LASTS_MS + 200_000)
+    assert KEY not in log.fleet.claims
+
+
+def test_a_clock_that_is_behind_does_not_shorten_a_claim():
+    log = three_hosts()
+    pass_time(log, 1_000_000)
+    behind = log.one("h1", ClaimsMade("h1", 1, (claim(),)), at_ms=START_MS)
+    assert behind.accepted
+    assert log.fleet.claims[KEY].expires_ms == START_MS + 1_000_000 + LASTS_MS
+    for lasts_ms in (0, 40 * 86_400_000):
+        record = ClaimsMade("h1", 1, (claim(key="k2", lasts_ms=lasts_ms),))
+        verdict = log.one("h1", record, at_ms=START_MS)
+        assert verdict.reason == verdicts.CLAIM_TOO_LONG
+
+
+def test_each_heartbeat_forgets_a_bounded_number():
+    log = three_hosts()
+    count = 3 * ITEMS_PER_BEAT
+    claims = tuple(claim(f"r{number}", key=f"k{number}") for number in range(count))
+    made(log, "h3", *claims)
+    log.take("h1", HostLost("h3", 1, log.fleet.hosts["h3"].last_beat, "h1"))
+    log.now_ms = START_MS + 2 * LASTS_MS
+    left = []
+    for host in ("h1", "h2", "h1", "h2"):
+        log.beat(host)
+        left.append(len(log.fleet.claims))
+    # Agreed time moves with the second of two hosts only.
+    assert left == [count, count - 128, count - 256, 0]
+    assert not log.fleet.due
--- /dev/null
+++ b/tests/core/fleet/test_snapshot.py
@@ -0,0 +1,80 @@
+"""Snapshots in parts: whole, damaged, mixed and old ones."""
+
+import random
+from dataclasses import replace
+
+import pytest
+
+from courselead.core.fleet import snapshot, verdicts
+from courselead.core.fleet.records import Claim, ClaimsMade
+from courselead.core.fleet.snapshot import SnapshotLoader, split
+from tests.core.fleet.logs import START_MS, three_hosts
+
+
+@pytest.fixture
+def log(monkeypatch):
+    """Return a log whose state fills some parts."""
+    monkeypatch.setattr(snapshot, "PART_BYTES", 400)
+    log = three_hosts()
+    names = random.Random(1)
+    claims = tuple(
+        Claim("acme", "web", f"{names.random()}", "f", "r", START_MS + 1)
+        for _ in range(20)
+    )
+    log.take("h1", ClaimsMade("h1", 1, claims))
+    return log
+
+
+def load(parts, offset=10_000):
+    loader = SnapshotLoader()
+    found = [loader.add(offset, part) for part in parts]
+    return found[-1], loader.faults
+
+
+def test_parts_in_any_order_and_of_two_writers_give_the_state(log):
+    parts = split(log.fleet, "h1")
+    assert len(parts) > 2
+    assert all(len(part.data) <= 400 for part in parts)
+    mixed = list(split(log.fleet, "h2"))[:-1] + list(parts[::-1])
+    state, faults = load(mixed)
+    assert state == log.fleet
+    assert faults == []
+
+
+def test_a_snapshot_is_in_force_when_all_its_parts_are_there(log):
+    parts = split(log.fleet, "h1")
+    other = split(log.fleet, "h2")
+    log.take("h2", other[0])
+    first = log.fleet.offset + 1
+    for part in parts:
+        assert log.fleet.snapshot_at == -1
+        log.take("h1", part)
+        log.beat("h3")
+    assert log.fleet.snapshot_at == first
+    assert not log.fleet.snapshot_parts
+    assert log.one("h2", other[1]).reason == verdicts.SNAPSHOT_OLD
+    assert log.one("h2", parts[0]).reason == verdicts.NOT_AUTHOR
+
+
+def test_a_part_with_numbers_that_do_not_fit_is_refused(log):
+    part = split(log.fleet, "h1")[0]
+    for changes in ({"index": part.total}, {"index": -1}, {"at": 10_000}):
+        verdict = log.one("h1", replace(part, **changes))
+        assert verdict.reason == verdicts.SNAPSHOT_BAD_PART
+
+
+def test_damaged_bytes_are_a_fault_and_no_state(log):
+    parts = list(split(log.fleet, "h1"))
+    spoilt = bytes([parts[1].data[0] ^ 1]) + parts[1].data[1:]
+    parts[1] = replace(parts[1], data=spoilt)
+    state, faults = load(parts)
+    assert state is None
+    assert "digest" in str(faults[0])
+
+
+@pytest.mark.parametrize("cut", [0, 1, 100])
+def test_bytes_that_are_no_state_are_an_error(log, cut):
+    data = snapshot.encode_state(log.fleet)
+    assert snapshot.decode_state(data).unwrap() == log.fleet
+    assert "load another" in str(snapshot.decode_state(data[:cut]).failure())
+    assert snapshot.decode_state(snapshot.zlib.compress(b"\x91" * 9_999)).failure()
--- /dev/null
+++ b/tests/core/fleet/test_tables.py
@@ -0,0 +1,146 @@
+"""Merging of table edits, budgets and maintenance windows."""
+
+from dataclasses import replace
+
+import pytest
+from hypothesis import given, settings, strategies as st
+from returns.result import Failure
+
+from courselead.core.fleet import verdicts
+from courselead.core.fleet.budgets import allowed_out
+from courselead.core.fleet.queries import account_row, service_row
+from courselead.core.fleet.records import TablePublished
+from courselead.core.fleet.windows import is_open, parse_window
+from courselead.core.table import AccountRow, ServiceRow, account_key, service_key
+from tests.core.fleet.logs import three_hosts
+
+WEB = ServiceRow("acme", "web")
+DAY_MS = 86_400_000
+# 2023-11-13, a Monday, at midnight UTC.
+MONDAY_MS = 1_699_833_600_000
+
+
+def publish(log, base, services=(), accounts=(), removed=()):
+    record = TablePublished(base, accounts, services, removed, "op")
+    return log.one("h1", record).reason
+
+
+def test_edits_of_different_rows_both_stand_and_of_one_row_conflict():
+    log = three_hosts()
+    log.publish(WEB, ServiceRow("acme", "api"))
+    base = log.fleet.table.version
+    assert publish(log, base, (replace(WEB, workers=7),)) == ""
+    assert publish(log, base, (ServiceRow("acme", "api", share=2.0),)) == ""
+    assert service_row(log.fleet, "acme", "web").workers == 7
+    assert service_row(log.fleet, "acme", "api").share == 2.0
+    before = log.fleet.table
+    assert publish(log, base, (replace(WEB, workers=9),)) == verdicts.TABLE_CONFLICT
+    assert log.fleet.table == before
+    assert before.version == log.fleet.offset - 1
+
+
+def test_an_edit_from_before_a_removal_is_a_conflict():
+    log = three_hosts()
+    base = log.fleet.table.version
+    assert publish(log, base, removed=(service_key(WEB.pool),)) == ""
+    assert publish(log, base, (WEB,)) == verdicts.TABLE_CONFLICT
+
+
+def test_an_edit_of_a_table_not_yet_in_force_is_refused():
+    log = three_hosts()
+    ahead = log.fleet.table.version + 1
+    assert publish(log, ahead, (WEB,)) == verdicts.TABLE_AHEAD
+
+
+def test_accounts_and_services_stay_together():
+    log = three_hosts()
+    base = log.fleet.table.version
+    account, service = account_key("acme"), service_key(WEB.pool)
+    orphan = ServiceRow("other", "web")
+    assert publish(log, base, (orphan,)) == verdicts.TABLE_NO_ACCOUNT
+    assert publish(log, base, removed=(account,)) == verdicts.TABLE_ACCOUNT_IN_USE
+    assert publish(log, base, removed=(account, service)) == ""
+    assert account_row(log.fleet, "acme") is None
+
+
+@pytest.mark.parametrize("key", ["service:acme/none", "acme", "other:acme"])
+def test_only_rows_that_are_there_can_be_removed(key):
+    log = three_hosts()
+    reason = publish(log, log.fleet.table.version, removed=(key,))
+    assert reason == verdicts.TABLE_NO_ROW
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"availability_budget": float("nan")},
+        {"availability_budget": 1.1},
+        {"share": 0.0},
+        {"workers": -1},
+        {"window": "Mon 25:00-26:00"},
+        {"service": "a/b"},
+        {"service": ""},
+    ],
+)
+def test_rows_no_host_can_reckon_with_are_refused(changes):
+    log = three_hosts()
+    row = replace(WEB, **changes)
+    reason = publish(log, log.fleet.table.version, (row,))
+    assert reason == verdicts.TABLE_BAD_ROW
+    bad = AccountRow("acme", weight=float("inf"))
+    reason = publish(log, log.fleet.table.version, accounts=(bad,))
+    assert reason == verdicts.TABLE_BAD_ROW
+
+
+def test_a_row_is_named_once_in_an_edit():
+    log = three_hosts()
+    twice = publish(log, log.fleet.table.version, (WEB, WEB))
+    assert twice == verdicts.TABLE_ROW_TWICE
+
+
+@pytest.mark.parametrize(
+    ("workers", "budget", "out"), [(4, 0.25, 1), (3, 0.25, 0), (5, 1.0, 5), (0, 1, 0)]
+)
+def test_the_budget_is_rounded_down(workers, budget, out):
+    row = ServiceRow("a", "s", workers=workers, availability_budget=budget)
+    assert allowed_out(row) == out
+
+
+@pytest.mark.parametrize(
+    ("day", "hour", "open_"),
+    [
+        (0, 21.99, False),
+        (0, 22, True),
+        (1, 4.99, True),
+        (1, 5, False),
+        (5, 4, True),  # Saturday morning belongs to Friday's window.
+        (5, 23, False),
+        (0, 4, False),  # Sunday opens none, so Monday morning is closed.
+    ],
+)
+def test_a_window_past_midnight_belongs_to_its_first_day(day, hour, open_):
+    at_ms = MONDAY_MS + day * DAY_MS + int(hour * 3_600_000)
+    assert is_open("Mon-Fri 22:00-05:00", at_ms) is open_
+    assert is_open("always", at_ms)
+    assert not is_open("never", at_ms)
+    assert not is_open("whenever", at_ms)
+
+
+def test_a_window_may_wrap_the_week():
+    assert is_open("Sat-Mon 01:00-02:00", MONDAY_MS + 3_600_000)
+    assert not is_open("Sat-Mon 01:00-02:00", MONDAY_MS + DAY_MS + 3_600_000)
+
+
+@pytest.mark.parametrize(
+    "text", ["", "Mon", "Mon 1:00-2:00", "Mon 01:00-01:00", "Mun 01:00-02:00", "Mon-"]
+)
+def test_a_text_that_is_no_window_says_what_to_write(text):
+    assert "Mon-Fri 22:00-05:00" in str(parse_window(text).failure())
+
+
+@given(st.text(max_size=30), st.integers(-(2**70), 2**70))
+@settings(derandomize=True, database=None)
+def test_no_text_and_no_time_crashes_a_window(text, at_ms):
+    assert is_open("always", at_ms)
+    if isinstance(parse_window(text), Failure):
+        assert not is_open(text, at_ms)
