Serve table, jobs, status, probes and the scrape; log and measure

Cause: operators and accounts manage the fleet through the entry hosts, and an account may see only what is its own. Change: the management paths with strict bodies, conflicts row by row, job ids kept under the account's name, JSON logs without credentials or bodies, and Prometheus series with bounded labels.

--- a/courselead/integrations/http_api/app.py
+++ b/courselead/integrations/http_api/app.py
@@ -7,7 +7,7 @@
 
 import structlog
 
-from courselead.core.effects import RunState
+from courselead.core.effects import ProblemKind, RunState
 from courselead.integrations.http_api import const
 from courselead.integrations.http_api.admission import Admission
 from courselead.integrations.http_api.auth import Credentials, Principal
@@ -19,6 +19,7 @@
 )
 from courselead.integrations.http_api.exchange import Exchange, Receive, Scope, Send
 from courselead.integrations.http_api.host import Host
+from courselead.integrations.http_api.jobs import JobsApi
 from courselead.integrations.http_api.problems import (
     ApiProblem,
     EdgeKind,
@@ -26,9 +27,20 @@
     overloaded,
 )
 from courselead.integrations.http_api.requests import RequestsApi
+from courselead.integrations.http_api.status import StatusApi
+from courselead.integrations.http_api.tables import TablesApi
+from courselead.logs import request_context
+from courselead.metrics import Metrics
 from courselead.settings import Settings
 
 _LOGGER = structlog.get_logger(__name__)
+_MISSING = (
+    EdgeKind.UNAUTHENTICATED,
+    ProblemKind.NOT_FOUND,
+    ProblemKind.NO_SUCH_SERVICE,
+)
+
+Handler = Callable[[Exchange, Principal], Awaitable[None]]
 
 
 class HttpApi:
@@ -38,6 +50,7 @@
         self,
         host: Host,
         settings: Settings,
+        metrics: Metrics | None = None,
         new_id: Callable[[], str] = lambda: secrets.token_hex(16),
     ) -> None:
         """Wire the parts.
@@ -45,22 +58,31 @@
         Args:
             host: The daemon.
             settings: For limits and operators' credentials.
+            metrics: Where the daemon takes its measures.
             new_id: Makes a request id never made before.
         """
         self._host = host
         self._limits = settings.limits
         self._credentials = Credentials(settings.operator_credential_hashes)
         self._admission = Admission(settings.limits.max_in_flight)
-        self._requests = RequestsApi(host, settings.limits, self._admission)
+        self._metrics = metrics or Metrics(lambda: host.fleet.table.accounts)
         self._new_id = new_id
+        parts = (host, settings.limits, self._admission)
+        self._requests = RequestsApi(*parts)
+        self._jobs = JobsApi(*parts)
+        self._status = StatusApi(host, self._metrics)
+        self._probes = {
+            const.PATH_HEALTHZ: self._status.healthz,
+            const.PATH_READYZ: self._status.readyz,
+        }
+        self._routes = _routes(TablesApi(*parts), self._jobs, self._status)
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one HTTP exchange."""
         if scope["type"] != "http":
             return
-        request_id = self._new_id()
-        exchange = Exchange(scope, receive, send, self._limits, request_id)
-        with structlog.contextvars.bound_contextvars(request_id=request_id):
+        exchange = Exchange(scope, receive, send, self._limits, self._new_id())
+        with request_context(exchange.request_id):
             await self._guarded(exchange)
 
     async def _guarded(self, exchange: Exchange) -> None:
@@ -81,7 +103,11 @@
             await self._refuse(exchange, _internal())
 
     async def _refuse(self, exchange: Exchange, problem: ApiProblem) -> None:
+        # Before the table has been read, what is missing may well be there.
+        if problem.kind in _MISSING and not self._host.ready:
+            problem = overloaded("the entry host is not ready; try another")
         _LOGGER.info("refused", kind=problem.kind.value, status=problem.status)
+        self._metrics.refused(exchange.client_account, problem.kind.value)
         await exchange.respond_problem(problem)
 
     async def _serve(self, exchange: Exchange) -> None:
@@ -89,21 +115,58 @@
         if conn is not None and conn.over_limit:
             raise Refusal(_too_many_connections())
         exchange.check_head()
+        probe = self._probes.get(exchange.path)
+        if probe is not None:
+            _check_method(exchange, ("GET", "HEAD"))
+            await probe(exchange)
+            return
         principal = self._authenticate(exchange)
-        handler = self._route(exchange)
-        await handler(exchange, principal)
+        exchange.client_account = principal.client_account
+        with request_context(exchange.request_id, principal.client_account):
+            handler = self._route(exchange)
+            await handler(exchange, principal)
 
     def _authenticate(self, exchange: Exchange) -> Principal:
         values = exchange.values(const.ATTR_AUTHORIZATION)
         table = self._host.fleet.table
         return self._credentials.authenticate(values, table)
 
-    def _route(
-        self, exchange: Exchange
-    ) -> Callable[[Exchange, Principal], Awaitable[None]]:
+    def _route(self, exchange: Exchange) -> Handler:
         if exchange.path.startswith(const.PATH_SERVICES):
             return self._requests.serve
-        raise Refusal(not_found())
+        methods = self._routes.get(exchange.path)
+        if methods is None and exchange.path.startswith(const.PATH_JOB):
+            methods = {"GET": self._jobs.show}
+        if methods is None:
+            raise Refusal(not_found())
+        method = "GET" if exchange.method == "HEAD" else exchange.method
+        _check_method(exchange, tuple(methods), method)
+        return methods[method]
+
+
+def _routes(
+    tables: TablesApi, jobs: JobsApi, status: StatusApi
+) -> dict[bytes, dict[str, Handler]]:
+    return {
+        const.PATH_TABLE: {"GET": tables.read, "POST": tables.publish},
+        const.PATH_HISTORY: {"GET": tables.history},
+        const.PATH_STATUS: {"GET": status.status},
+        const.PATH_WORKERS: {"GET": status.workers},
+        const.PATH_METRICS: {"GET": status.metrics},
+        const.PATH_JOBS: {"GET": jobs.list, "POST": jobs.submit},
+        const.PATH_CANCEL: {"POST": jobs.cancel},
+    }
+
+
+def _check_method(
+    exchange: Exchange, allowed: tuple[str, ...], method: str = ""
+) -> None:
+    if (method or exchange.method) in allowed:
+        return
+    listed = ", ".join(allowed)
+    headers = ((const.ATTR_ALLOW, listed.encode("ascii")),)
+    detail = f"this path takes {listed}"
+    raise Refusal(ApiProblem(EdgeKind.METHOD, detail, headers=headers))
 
 
 def _too_many_connections() -> ApiProblem:
--- a/courselead/integrations/http_api/const.py
+++ b/courselead/integrations/http_api/const.py
@@ -2,8 +2,19 @@
 
 from courselead.integrations.http.const import HOP_BY_HOP
 
+PATH_HEALTHZ = b"/healthz"
+PATH_READYZ = b"/readyz"
+PATH_METRICS = b"/metrics"
 PATH_SERVICES = b"/v1/services/"
+PATH_TABLE = b"/v1/table"
+PATH_HISTORY = b"/v1/table/history"
+PATH_STATUS = b"/v1/status"
+PATH_WORKERS = b"/v1/workers"
+PATH_JOBS = b"/v1/jobs"
+PATH_JOB = b"/v1/jobs/"
+PATH_CANCEL = b"/v1/jobs/cancel"
 
+ATTR_ALLOW = b"allow"
 ATTR_AUTHORIZATION = b"authorization"
 ATTR_CONNECTION = b"connection"
 ATTR_CONTENT_LENGTH = b"content-length"
@@ -41,6 +52,7 @@
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE", "TRACE"})
 
 TYPE_JSON = b"application/json"
+TYPE_METRICS = b"text/plain; version=0.0.4; charset=utf-8"
 TYPE_PROBLEM = b"application/problem+json"
 PROBLEM_URN = "urn:courselead:problem:"
 
--- a/courselead/integrations/http_api/exchange.py
+++ b/courselead/integrations/http_api/exchange.py
@@ -59,6 +59,7 @@
         self.http_version: str = scope["http_version"]
         self.headers: tuple[Header, ...] = tuple(scope["headers"])
         self.request_id = request_id
+        self.client_account = ""
         self.started = False
         self._receive = receive
         self._send_raw = send
--- a/courselead/integrations/http_api/problems.py
+++ b/courselead/integrations/http_api/problems.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-import json
 from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import StrEnum
 from types import MappingProxyType
 
+import msgspec
+
 from courselead.core.effects import Problem, ProblemKind, RunState
 from courselead.integrations.http_api import const
 from courselead.integrations.http_api.host import Header
@@ -84,6 +85,15 @@
     message: str
 
 
+@dataclass(frozen=True, slots=True)
+class RowConflict:
+    """A row of an edit that was changed in the meantime; None is no row."""
+
+    row: str
+    yours: dict[str, object] | None
+    theirs: dict[str, object] | None
+
+
 @dataclass(frozen=True, slots=True)
 class ApiProblem:
     """A problem ready to be written.
@@ -99,6 +109,7 @@
     retry_after_ms: int = 0
     ran_status: int = 0
     faults: tuple[FieldFault, ...] = ()
+    conflicts: tuple[RowConflict, ...] = ()
     close: bool = False
     headers: tuple[Header, ...] = ()
 
@@ -144,8 +155,10 @@
         if self.ran_status:
             members["ran_status"] = self.ran_status
         if self.faults:
-            members["faults"] = [_fault_members(fault) for fault in self.faults]
-        return json.dumps(members).encode("ascii")
+            members["faults"] = self.faults
+        if self.conflicts:
+            members["conflicts"] = self.conflicts
+        return msgspec.json.encode(members)
 
 
 def bad_request(detail: str) -> ApiProblem:
@@ -173,7 +186,3 @@
     return ApiProblem(
         ProblemKind.OVERLOAD, detail, retry_after_ms=const.OVERLOAD_RETRY_MS
     )
-
-
-def _fault_members(fault: FieldFault) -> dict[str, str]:
-    return {"row": fault.row, "column": fault.column, "message": fault.message}
--- a/courselead/integrations/http_api/requests.py
+++ b/courselead/integrations/http_api/requests.py
@@ -31,6 +31,7 @@
     forbidden,
     no_such_service,
 )
+from courselead.logs import request_context
 from courselead.settings import LimitSettings
 
 _BOOLEANS = {"?1": True, "?0": False}
@@ -54,7 +55,11 @@
         row = self._row(principal, service)
         if exchange.http_version == "1.0":
             raise Refusal(_old_version())
-        with self._admission.hold(principal.client_account):
+        account = principal.client_account
+        with (
+            request_context(exchange.request_id, account, service),
+            self._admission.hold(account),
+        ):
             deadline_ms = arrived_ms + read_deadline_ms(exchange, row)
             req = await self._read(exchange, principal, row, target, deadline_ms)
             await self._answer(exchange, req)
--- a/tests/integrations/http_api/test_requests.py
+++ b/tests/integrations/http_api/test_requests.py
@@ -22,7 +22,9 @@
 async def ask(host=None, method="GET", path=f"{WEB}/x", **more):
     """Call an application over a fake host."""
     host = host or FakeHost()
-    return await call(HttpApi(host, settings(), lambda: "rid"), method, path, **more)
+    return await call(
+        HttpApi(host, settings(), new_id=lambda: "rid"), method, path, **more
+    )
 
 
 async def test_a_request_reaches_the_host_whole():
--- /dev/null
+++ b/tests/test_metrics.py
@@ -0,0 +1,120 @@
+"""Measures: bounded labels, and each account sees its own."""
+
+import pytest
+
+from courselead.core.effects import Measure, Metric
+from courselead.integrations.http_api.host import Alarm, StatusReport
+from courselead.metrics import Metrics
+
+
+def made(accounts=("alpha", "beta")):
+    """Return metrics over some accounts."""
+    return Metrics(lambda: accounts)
+
+
+def report(*alarms, offset=5):
+    """Return a status with some alarms."""
+    return StatusReport(
+        "eh", 1, "az", True, False, True, offset, 4, 250, 0, 0, alarms=alarms
+    )
+
+
+def line(metrics, start, account=""):
+    """Return the value of the one sample that starts so."""
+    lines = metrics.render(account).decode().splitlines()
+    (found,) = [text for text in lines if text.startswith(start)]
+    return float(found.rpartition(" ")[2])
+
+
+def test_histograms_are_per_account_and_class():
+    metrics = made()
+    for value in (4.0, 40.0):
+        metrics.perform(Measure(Metric.LATENCY_MS, value, "alpha", "urgent"))
+    metrics.perform(Measure(Metric.QUEUE_MS, 7.0, "beta", "batch"))
+    labels = 'client_account="alpha",request_class="urgent"'
+    assert line(metrics, f"courselead_request_seconds_count{{{labels}}}") == 2
+    labels = 'client_account="alpha",le="0.005",request_class="urgent"'
+    assert line(metrics, f"courselead_request_seconds_bucket{{{labels}}}") == 1
+    assert line(metrics, "courselead_queue_seconds_sum") == pytest.approx(0.007)
+
+
+def test_counters_and_gauges_take_their_measures():
+    metrics = made()
+    for _ in range(2):
+        metrics.perform(Measure(Metric.OUTCOME, 1, "alpha", "normal", "answered"))
+    metrics.perform(Measure(Metric.RETRY, 1, "alpha", "normal", "refused"))
+    metrics.perform(Measure(Metric.RECORD, 12))
+    metrics.perform(Measure(Metric.INVARIANT, 1, label="one-pool"))
+    metrics.perform(Measure(Metric.SLOTS_IN_USE, 3))
+    metrics.perform(Measure(Metric.APPLY_LAG_MS, 30))
+    metrics.refused("alpha", "overload")
+    assert line(metrics, "courselead_outcomes_total") == 2
+    assert line(metrics, "courselead_retries_total") == 1
+    assert line(metrics, "courselead_records_total") == 12
+    name = 'courselead_invariants_broken_total{name="one-pool"}'
+    assert line(metrics, name) == 1
+    assert line(metrics, "courselead_slots_in_use") == 3
+    assert line(metrics, "courselead_apply_lag_seconds") == pytest.approx(0.03)
+    assert line(metrics, "courselead_http_refusals_total") == 1
+
+
+@pytest.mark.parametrize("metric", list(Metric))
+def test_every_metric_of_the_core_is_taken(metric):
+    metrics = made()
+    metrics.perform(Measure(metric, 1, "alpha", "normal", "x"))
+    assert b"courselead_" in metrics.render()
+
+
+def test_gauges_and_alarms_follow_the_status():
+    metrics = made()
+    alarm = Alarm("log-down", "", "x", 0)
+    metrics.observe(report(alarm))
+    metrics.observe(report(alarm))
+    assert line(metrics, "courselead_alarms_raised_total") == 1
+    assert line(metrics, 'courselead_alarms{name="log-down"}') == 1
+    metrics.observe(report(offset=6))
+    assert line(metrics, 'courselead_alarms{name="log-down"}') == 0
+    assert line(metrics, "courselead_offset") == 6
+    assert line(metrics, "courselead_table_version") == 4
+    assert line(metrics, "courselead_apply_lag_seconds") == 0.25
+    metrics.observe(report(alarm))
+    assert line(metrics, "courselead_alarms_raised_total") == 2
+
+
+def test_an_account_sees_only_its_own_series():
+    metrics = made(("alpha", "alpha-2"))
+    for account in ("alpha", "alpha-2", "unknown"):
+        metrics.perform(Measure(Metric.OUTCOME, 1, account, "normal", "answered"))
+    metrics.observe(report())
+    own = metrics.render("alpha").decode()
+    assert own.count("courselead_outcomes_total{") == 1
+    assert "alpha-2" not in own
+    assert "other" not in own
+    assert "courselead_offset" not in own
+    assert metrics.render("other") == b""
+    assert 'client_account="other"' in metrics.render().decode()
+
+
+def test_labels_are_bounded_and_clean():
+    metrics = made()
+    for number in range(500):
+        account = f"nobody-{number}"
+        metrics.perform(Measure(Metric.OUTCOME, 1, account, "normal", f"w{number}"))
+    metrics.perform(Measure(Metric.OUTCOME, 1, "alpha", "normal", 'x"} 1\ny{z="'))
+    text = metrics.render().decode()
+    assert text.count("courselead_outcomes_total{") < 100
+    assert "nobody" not in text
+    assert 'z="' not in text
+
+
+def test_series_of_a_removed_account_are_forgotten():
+    accounts = ["alpha", "beta"]
+    metrics = made(accounts)
+    for account in ("alpha", "beta"):
+        metrics.perform(Measure(Metric.OUTCOME, 1, account, "normal", "answered"))
+        metrics.perform(Measure(Metric.LATENCY_MS, 1, account, "normal"))
+    accounts.remove("beta")
+    metrics.observe(report())
+    text = metrics.render().decode()
+    assert "alpha" in text
+    assert "beta" not in text
