Say so to callers that a stopping server cuts off

Cause: an exchange still open when the time to stop was over ended without an answer, and the daemon could not wait for answers under way. Change: such a caller gets a 503 with run unknown; wait_closed returns when the server is over; measures follow the daemon's table; every answer, also to bytes that are no request, has a request id.

--- a/courselead/integrations/http_api/app.py
+++ b/courselead/integrations/http_api/app.py
@@ -5,6 +5,7 @@
 import secrets
 from collections.abc import Awaitable, Callable
 
+import anyio
 import structlog
 
 from courselead.core.effects import ProblemKind, RunState
@@ -65,7 +66,8 @@
         self._limits = settings.limits
         self._credentials = Credentials(settings.operator_credential_hashes)
         self._admission = Admission(settings.limits.max_in_flight)
-        self._metrics = metrics or Metrics(lambda: host.fleet.table.accounts)
+        self._metrics = metrics or Metrics()
+        self._metrics.follow(host)
         self._new_id = new_id
         parts = (host, settings.limits, self._admission)
         self._requests = RequestsApi(*parts)
@@ -88,6 +90,7 @@
     async def _guarded(self, exchange: Exchange) -> None:
         try:
             await self._serve(exchange)
+            _LOGGER.debug("served", status=exchange.status)
         except Refusal as exc:
             await self._refuse(exchange, exc.problem)
         except CallerLeft:
@@ -96,12 +99,22 @@
             _LOGGER.warning("answer_broken_off", reason=str(exc))
             # The server closes the connection without an end of the body.
             raise
+        except anyio.get_cancelled_exc_class():
+            await self._cut_off(exchange)
+            raise
         except Exception:
             _LOGGER.exception("http_fault")
             if exchange.started:
                 raise
             await self._refuse(exchange, _internal())
 
+    async def _cut_off(self, exchange: Exchange) -> None:
+        # The server stops and its time for open exchanges is over.
+        if exchange.started:
+            return
+        with anyio.CancelScope(shield=True):
+            await exchange.respond_problem(_stopped())
+
     async def _refuse(self, exchange: Exchange, problem: ApiProblem) -> None:
         # Before the table has been read, what is missing may well be there.
         if problem.kind in _MISSING and not self._host.ready:
@@ -177,6 +190,12 @@
     )
 
 
+def _stopped() -> ApiProblem:
+    detail = "the entry host stops; it may have run, so repeat it with its key"
+    kind = ProblemKind.LEAVING
+    return ApiProblem(kind, detail, run=RunState.UNKNOWN, close=True)
+
+
 def _internal() -> ApiProblem:
     detail = "a fault of the entry host; it may have run, so repeat it with its key"
     return ApiProblem(EdgeKind.INTERNAL, detail, run=RunState.UNKNOWN, close=True)
--- a/courselead/integrations/http_api/exchange.py
+++ b/courselead/integrations/http_api/exchange.py
@@ -61,6 +61,7 @@
         self.request_id = request_id
         self.client_account = ""
         self.started = False
+        self.status = 0
         self._receive = receive
         self._send_raw = send
         self._limits = limits
@@ -143,6 +144,7 @@
         """Write the head of the answer."""
         request_id = (const.ATTR_REQUEST_ID, self.request_id.encode("ascii"))
         self.started = True
+        self.status = status
         await self._send(
             {"type": _START, "status": status, "headers": [*headers, request_id]}
         )
--- a/courselead/integrations/http_api/protocol.py
+++ b/courselead/integrations/http_api/protocol.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import secrets
 from typing import Any, ClassVar
 
 import h11
@@ -93,8 +94,10 @@
         if self.conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             self.transport.close()
             return
-        body = problem.body("")
+        request_id = secrets.token_hex(16)
+        body = problem.body(request_id)
         headers = [
+            (const.ATTR_REQUEST_ID, request_id.encode("ascii")),
             (const.ATTR_CONTENT_TYPE, const.TYPE_PROBLEM),
             (const.ATTR_CONTENT_LENGTH, str(len(body)).encode("ascii")),
             (const.ATTR_CONNECTION, b"close"),
--- a/courselead/integrations/http_api/server.py
+++ b/courselead/integrations/http_api/server.py
@@ -18,6 +18,7 @@
 
 _BACKLOG = 512
 _SWEEP_S = 0.25
+_SETTLE_S = 1.0
 _DEFAULT_DRAIN_MS = 30_000
 
 
@@ -42,6 +43,7 @@
         # Each of its lines has one of the application's own beside it.
         logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL)
         self._listen = listen
+        self._closed = anyio.Event()
         self._server = _Server(_config(app, limits, drain_ms))
 
     async def run(
@@ -59,15 +61,21 @@
                 tasks.start_soon(self._sweep)
                 tasks.start_soon(self._report, task_status, Address(ip, port))
                 await self._server.serve(sockets=[sock])
+                await self._server.settle()
                 tasks.cancel_scope.cancel()
         finally:
             self._server.drop_all()
             sock.close()
+            self._closed.set()
 
     def stop(self) -> None:
         """Stop listening, let open exchanges end, then return from `run`."""
         self._server.should_exit = True
 
+    async def wait_closed(self) -> None:
+        """Return when `run` is over: until then answers may be under way."""
+        await self._closed.wait()
+
     async def _report(self, status: TaskStatus[Address], address: Address) -> None:
         await self._server.listening.wait()
         status.started(address)
@@ -96,6 +104,12 @@
         await super().startup(sockets)
         self.listening.set()
 
+    async def settle(self) -> None:
+        """Give the exchanges that were cut off a moment to say so."""
+        with anyio.move_on_after(_SETTLE_S):
+            while self.server_state.tasks or self.server_state.connections:
+                await anyio.sleep(_SETTLE_S / 100)
+
     def drop_all(self) -> None:
         """Close what a cancelled run leaves open."""
         for server in self.servers:
--- a/courselead/metrics.py
+++ b/courselead/metrics.py
@@ -8,12 +8,14 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Callable, Container
+from collections.abc import Container
+from typing import Protocol
 
 from aioprometheus.collectors import Collector, Counter, Gauge, Histogram, Registry
 from aioprometheus.formats import text
 
 from courselead.core.effects import Measure, Metric
+from courselead.core.fleet.state import FleetState
 from courselead.integrations.http_api.host import StatusReport
 
 ATTR_ACCOUNT = "client_account"
@@ -30,16 +32,21 @@
 Labels = dict[str, str]
 
 
+class Source(Protocol):
+    """Who knows the table in force."""
+
+    @property
+    def fleet(self) -> FleetState:
+        """Return the shared state."""
+        ...
+
+
 class Metrics:
     """Takes measures and renders them."""
 
-    def __init__(self, accounts: Callable[[], Container[str]]) -> None:
-        """Make the collectors.
-
-        Args:
-            accounts: Gives the accounts that the table knows just now.
-        """
-        self._accounts = accounts
+    def __init__(self) -> None:
+        """Make the collectors; no account is known before `follow`."""
+        self._source: Source | None = None
         self._registry = Registry()
         self._words: dict[str, set[str]] = {}
         self._alarms: set[tuple[str, str]] = set()
@@ -68,6 +75,10 @@
             Gauge, "apply_lag_seconds", "Age of the newest batch when applied"
         )
 
+    def follow(self, source: Source) -> None:
+        """Take the accounts known from the table of a daemon."""
+        self._source = source
+
     def perform(self, measure: Measure) -> None:
         """Take one measure of the core."""
         labels = self._labels(measure)
@@ -126,6 +137,11 @@
         lines.append("")
         return "\n".join(lines).encode("utf-8")
 
+    def _accounts(self) -> Container[str]:
+        if self._source is None:
+            return ()
+        return self._source.fleet.table.accounts
+
     def _make(
         self,
         kind: type[Collector],
--- a/tests/integrations/http_api/test_wire.py
+++ b/tests/integrations/http_api/test_wire.py
@@ -1,13 +1,16 @@
 """What callers see on the wire, through a real server on loopback."""
 
+import contextlib
 import json
 
 import anyio
 import pytest
+from uvicorn.server import ServerState
 
 from courselead.integrations.http_api.app import HttpApi
 from courselead.integrations.http_api.errors import ListenFailed
 from courselead.integrations.http_api.host import Answer
+from courselead.integrations.http_api.protocol import GuardedProtocol
 from courselead.integrations.http_api.server import HttpServer
 from courselead.settings import Address, LimitSettings
 from tests.integrations.http_api.fakes import (
@@ -159,8 +162,10 @@
 async def test_ambiguous_or_malformed_heads_are_refused_and_closed(lines):
     host = FakeHost()
     data = await exchange(host, head("POST", "/v1/services/web/", *lines) + b"abc")
-    assert data[:12] in (b"HTTP/1.1 400", b"HTTP/1.1 501")
+    assert data.startswith(b"HTTP/1.1 400")
     assert data.count(b"HTTP/1.1 ") == 1
+    assert b"courselead-request-id: " in data
+    assert problem_of(data)["kind"] == "bad-request"
     assert host.requests == []
 
 
@@ -238,6 +243,62 @@
     assert data.endswith(b"4\r\nlate\r\n0\r\n\r\n")
 
 
+async def test_stop_cuts_off_what_takes_too_long():
+    host = FakeHost(lambda req: None)
+    chosen = settings()
+    server = HttpServer(HttpApi(host, chosen), chosen.listen, chosen.limits, 20)
+    with anyio.fail_after(10):
+        async with anyio.create_task_group() as tasks:
+            address = await tasks.start(server.run)
+            async with Caller.to(address) as caller:
+                await caller.send(head())
+                await until_true(lambda: host.requests)
+                server.stop()
+                data = await caller.to_end()
+                await server.wait_closed()
+    assert data.startswith(b"HTTP/1.1 503")
+    assert problem_of(data)["run"] == "unknown"
+    assert host.gone == [host.requests[0].request_id]
+
+
+async def test_far_too_many_connections_are_dropped_without_an_answer():
+    async with (
+        serving(FakeHost(), max_connections=1) as address,
+        contextlib.AsyncExitStack() as stack,
+    ):
+        callers = []
+        for _ in range(18):
+            callers.append(await stack.enter_async_context(Caller.to(address)))
+        assert await callers[-1].to_end() == b""
+        await callers[0].send(head())
+        assert b"200" in await callers[0].until(b"hello")
+
+
+class UnflushedTransport:
+    """A transport that is closing and never gets rid of its bytes."""
+
+    aborted = False
+
+    def is_closing(self):
+        """Say that it is closing."""
+        return True
+
+    def abort(self):
+        """Note it."""
+        self.aborted = True
+
+
+async def test_a_closed_connection_that_is_never_flushed_is_dropped():
+    server = HttpServer(lambda *args: None, Address("127.0.0.1", 0), LimitSettings())
+    protocol = GuardedProtocol(server._server.config, ServerState(), {})
+    protocol.transport = UnflushedTransport()
+    protocol.check(10.0)
+    protocol.check(39.9)
+    assert not protocol.transport.aborted
+    protocol.check(40.0)
+    assert protocol.transport.aborted
+
+
 async def test_a_taken_port_is_a_typed_error():
     async with serving(FakeHost()) as address:
         taken = Address(address.ip, address.port)
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -1,15 +1,32 @@
 """Measures: bounded labels, and each account sees its own."""
 
 import pytest
+from immutables import Map
 
 from courselead.core.effects import Measure, Metric
+from courselead.core.fleet.state import FleetState
+from courselead.core.table import AccountRow, Table
 from courselead.integrations.http_api.host import Alarm, StatusReport
 from courselead.metrics import Metrics
 
 
+class Daemon:
+    """Holds a table of accounts."""
+
+    def __init__(self, accounts):
+        self.know(accounts)
+
+    def know(self, accounts):
+        """Put a table with these accounts in force."""
+        rows = Map({name: AccountRow(name) for name in accounts})
+        self.fleet = FleetState(table=Table(accounts=rows))
+
+
 def made(accounts=("alpha", "beta")):
     """Return metrics over some accounts."""
-    return Metrics(lambda: accounts)
+    metrics = Metrics()
+    metrics.follow(Daemon(accounts))
+    return metrics
 
 
 def report(*alarms, offset=5):
@@ -108,12 +125,13 @@
 
 
 def test_series_of_a_removed_account_are_forgotten():
-    accounts = ["alpha", "beta"]
-    metrics = made(accounts)
+    metrics = Metrics()
+    daemon = Daemon(("alpha", "beta"))
+    metrics.follow(daemon)
     for account in ("alpha", "beta"):
         metrics.perform(Measure(Metric.OUTCOME, 1, account, "normal", "answered"))
         metrics.perform(Measure(Metric.LATENCY_MS, 1, account, "normal"))
-    accounts.remove("beta")
+    daemon.know(("alpha",))
     metrics.observe(report())
     text = metrics.render().decode()
     assert "alpha" in text
