--- a/courselead/cli/fleet.py
+++ b/courselead/cli/fleet.py
@@ -43,7 +43,7 @@
         "in_flight",
         "queued",
     ),
-    "alarms": ("name", "client_account", "detail"),
+    "alarms": ("name", "client_account", "detail", "since_ms"),
 }
 
 
--- a/courselead/cli/jobs.py
+++ b/courselead/cli/jobs.py
@@ -1,6 +1,7 @@
 """Commands on long jobs."""
 
 import json as json_lib
+import secrets
 from collections.abc import Mapping
 from pathlib import Path
 from typing import Annotated
@@ -11,14 +12,17 @@
 from courselead.cli import files
 from courselead.cli.client import Client
 from courselead.cli.const import MAX_BODY_BYTES, PATH_JOBS, PATH_JOBS_CANCEL
-from courselead.cli.errors import ExitCode, UsageError
-from courselead.cli.output import emit, emit_json
+from courselead.cli.errors import ExitCode, UnknownOutcome, UsageError
+from courselead.cli.output import emit, emit_json, warn
 from courselead.cli.table import ON_TARGET, AsJson
 from courselead.cli.target import Target
 from courselead.cli.views import objects, objects_grid
 
 APP = App(name="job", help="Submit, show and cancel long jobs.")
 
+DEFAULT_JOBS = 100
+JOB_ID_BYTES = 8
+
 JOB_COLUMNS = (
     "job_id",
     "client_account",
@@ -41,25 +45,31 @@
 ) -> int:
     """Submit jobs; all of a file are taken in, or none."""
     jobs = _read_jobs(file)
-    answer = Client.from_target(target).post(PATH_JOBS, {"jobs": jobs})
+    try:
+        answer = Client.from_target(target).post(PATH_JOBS, {"jobs": jobs})
+    except UnknownOutcome:
+        for job_id in _given_ids(jobs):
+            warn(f"look with: courselead job show {job_id}")
+        raise
     if json:
         emit_json(answer)
         return ExitCode.OK
-    for job_id in _ids(answer):
+    for job_id in _texts(answer, "job_ids"):
         emit(job_id)
     return ExitCode.OK
 
 
 @APP.command
 def show(
-    job_id: Annotated[str, Parameter(help="One job, else all that are known.")] = "",
+    job_id: Annotated[str, Parameter(help="One job, else the newest ones.")] = "",
     /,
     *,
+    limit: Annotated[int, Parameter(help="Most jobs to show.")] = DEFAULT_JOBS,
     json: AsJson = False,
     target: Target = ON_TARGET,
 ) -> int:
     """Show jobs: phase, attempt, worker and progress."""
-    path = PATH_JOBS
+    path = f"{PATH_JOBS}?limit={limit}"
     if job_id:
         name = quote(job_id, safe="")
         path = f"{PATH_JOBS}/{name}"
@@ -87,8 +97,10 @@
     if json:
         emit_json(answer)
     else:
-        count = len(job_ids)
-        emit(f"cancelling {count} jobs")
+        for job_id in _texts(answer, "job_ids"):
+            emit(f"cancelling {job_id}")
+        for job_id in _texts(answer, "not_found"):
+            warn(f"no job {job_id}; `courselead job show` lists them")
     return ExitCode.OK
 
 
@@ -101,11 +113,23 @@
     if isinstance(data, dict):
         data = data.get("jobs", [data])
     if isinstance(data, list) and data:
-        return data
+        return [_with_id(job) for job in data]
     raise UsageError(f"{path}: no job; give a job or a list of jobs")
 
 
-def _ids(answer: Mapping) -> list[str]:
-    """Return the ids of jobs that were taken in."""
-    found = answer.get("job_ids")
+def _with_id(job: object) -> object:
+    """Return a job with an id, so that it can be found if no answer comes."""
+    if not isinstance(job, dict) or "job_id" in job:
+        return job
+    return {**job, "job_id": secrets.token_hex(JOB_ID_BYTES)}
+
+
+def _given_ids(jobs: list[object]) -> list[str]:
+    """Return the ids under which jobs were submitted."""
+    return [str(job.get("job_id")) for job in jobs if isinstance(job, dict)]
+
+
+def _texts(answer: Mapping, name: str) -> list[str]:
+    """Return a list of texts in an answer."""
+    found = answer.get(name)
     return [str(item) for item in found] if isinstance(found, list) else []
--- a/courselead/cli/table.py
+++ b/courselead/cli/table.py
@@ -101,6 +101,9 @@
         bool,
         Parameter(negative="", help="Then write the table in force into the file."),
     ] = False,
+    author: Annotated[
+        str, Parameter(help="Name for the history, beside that of the credential.")
+    ] = "",
     json: AsJson = False,
     target: Target = ON_TARGET,
 ) -> int:
@@ -112,10 +115,10 @@
     if plan.empty:
         _say_empty(in_force, json)
         return ExitCode.OK
-    _check_plan(file, plan)
+    edit = _checked(file, plan, author)
     changes = plan_diff(plan, in_force)
     try:
-        answer = client.post(PATH_TABLE, plan.data())
+        answer = client.post(PATH_TABLE, edit)
     except Conflict as exc:
         _say_conflict(exc, client, json)
         return exc.exit_code
@@ -164,11 +167,13 @@
     return plan_edit(document, in_force, document.version)
 
 
-def _check_plan(file: Path, plan: TableEditPlan) -> None:
-    """Check an edit as a whole before it is sent."""
-    checked = check_edit(plan.data())
+def _checked(file: Path, plan: TableEditPlan, author: str) -> dict[str, object]:
+    """Return an edit as it is sent, checked as a whole."""
+    edit = {**plan.data(), "author": author}
+    checked = check_edit(edit)
     if isinstance(checked, Failure):
         raise Faults(str(file), checked.failure())
+    return edit
 
 
 def _say_empty(in_force: TableDocument, json: bool) -> None:
--- a/tests/cli/fake_entry_host.py
+++ b/tests/cli/fake_entry_host.py
@@ -81,6 +81,10 @@
         return 404, problem("not-found")
 
 
+def worker(name):
+    return {"worker": name, "pool": "acme/web", "phase": "serving", "epoch": 3}
+
+
 def problem(kind, run="not_run", **members):
     return {
         "kind": kind,
--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -7,7 +7,13 @@
 import pytest
 
 from courselead.__main__ import main
-from tests.cli.fake_entry_host import CREDENTIAL, FakeEntryHost, problem, serving
+from tests.cli.fake_entry_host import (
+    CREDENTIAL,
+    FakeEntryHost,
+    problem,
+    serving,
+    worker,
+)
 
 WEB = {"client_account": "acme", "service": "web"}
 API = {"client_account": "acme", "service": "api"}
@@ -274,6 +280,44 @@
     assert (code, len(json.loads(out)["faults"])) == (1, err.count("\n"))
 
 
+def test_status_and_workers_read_well(cli, fake):
+    pools = [{"client_account": "acme", "service": "web", "wanted": 4, "serving": 3}]
+    fake.canned[("GET", "/v1/status")] = (200, {"offset": 9, "pools": pools})
+    code, out, _ = cli("status")
+    assert code == 0
+    assert out.startswith("offset  9\n\npools:\nclient_account  service  wanted")
+    workers = [worker("w1"), worker("w2")]
+    fake.canned[("GET", "/v1/workers")] = (200, {"workers": workers})
+    assert cli("worker", "show")[1].count("acme/web") == 2
+    code, out, _ = cli("worker", "show", "w2", "--json")
+    assert json.loads(out) == {"workers": [worker("w2")]}
+    assert cli("worker", "show", "w3")[0] == 1
+
+
+def test_jobs_are_submitted_with_ids_shown_and_cancelled(cli, fake, tmp_path):
+    path = tmp_path / "jobs.json"
+    path.write_text('[{"service": "web"}, {"service": "web", "job_id": "mine"}]')
+    fake.canned[("POST", "/v1/jobs")] = (200, {"job_ids": ["acme.a", "acme.mine"]})
+    assert cli("job", "submit", path)[:2] == (0, "acme.a\nacme.mine\n")
+    sent = json.loads(fake.requests[-1][3])["jobs"]
+    assert len(sent[0]["job_id"]) == 16
+    assert sent[1]["job_id"] == "mine"
+    fake.canned[("POST", "/v1/jobs")] = (0, b"")
+    code, _, err = cli("job", "submit", path)
+    assert code == 5
+    assert "courselead job show mine" in err
+    job = {"job_id": "acme.mine", "phase": "placed", "progress": 0.5}
+    fake.canned[("GET", "/v1/jobs/acme.mine")] = (200, job)
+    assert "placed" in cli("job", "show", "acme.mine")[1]
+    fake.canned[("GET", "/v1/jobs?limit=5")] = (200, {"jobs": [job, job]})
+    assert cli("job", "show", "--limit", 5)[1].count("placed") == 2
+    answer = {"job_ids": ["acme.mine"], "not_found": ["b"]}
+    fake.canned[("POST", "/v1/jobs/cancel")] = (200, answer)
+    code, out, err = cli("job", "cancel", "mine", "b")
+    assert (code, out) == (0, "cancelling acme.mine\n")
+    assert "no job b" in err
+
+
 def test_the_daemon_loads_nothing_of_the_command_line(tmp_path):
     # The daemon's module is replaced by one that tells what is loaded.
     program = """
