--- a/courselead/cli/table.py
+++ b/courselead/cli/table.py
@@ -10,7 +10,7 @@
 from courselead.cli import files
 from courselead.cli.client import Client
 from courselead.cli.const import DEFAULT_HISTORY, PATH_HISTORY, PATH_TABLE
-from courselead.cli.errors import Conflict, ExitCode, Faults, Refused
+from courselead.cli.errors import CliError, Conflict, ExitCode, Faults, Refused
 from courselead.cli.history import conflict_text, history_text
 from courselead.cli.output import emit, emit_bytes, emit_json, warn
 from courselead.cli.target import Target
@@ -196,7 +196,7 @@
     """Return the newest publishes; a conflict is told without them too."""
     try:
         return client.get(f"{PATH_HISTORY}?limit={DEFAULT_HISTORY}")
-    except Refused:
+    except CliError:
         return {}
 
 
@@ -205,10 +205,14 @@
     if not refresh:
         warn(f"{file} is of the version before; export again before the next edit")
         return
-    document = _in_force(client)
-    known = document.version
-    if known is None or not isinstance(version, int) or known < version:
-        warn(f"{file} is left as it is: export again before the next edit")
-        return
-    files.write_table(file, document)
-    warn(f"{file} now holds version {known}")
+    # What was published stands, whatever becomes of the file.
+    try:
+        document = _in_force(client)
+        known = document.version
+        if known is not None and isinstance(version, int) and known >= version:
+            files.write_table(file, document)
+            warn(f"{file} now holds version {known}")
+            return
+    except CliError as exc:
+        warn(str(exc))
+    warn(f"{file} is left as it is: export again before the next edit")
--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -121,6 +121,24 @@
     assert json.loads(out)["conflicts"][0]["theirs"]["workers"] == 9
 
 
+def test_a_publish_stands_when_the_file_cannot_be_refreshed(cli, fake, tmp_path):
+    path = export(cli, tmp_path / "t.json")
+    edit_json(path, workers=5)
+    before = path.read_bytes()
+    publish = fake.publish
+
+    def publish_and_break(data):
+        fake.canned[("GET", "/v1/table")] = (0, b"")
+        return publish(data)
+
+    fake.publish = publish_and_break
+    code, out, err = cli("table", "publish", path, "--refresh")
+    assert code == 0
+    assert "published as version 12" in out
+    assert "left as it is" in err
+    assert path.read_bytes() == before
+
+
 def test_faults_of_a_file_are_told_before_anything_is_sent(cli, fake, tmp_path):
     path = export(cli, tmp_path / "t.json")
     edit_json(path, workers=-1, slots=0)
