--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks: each prints what it measured, from a seed."""
--- /dev/null
+++ b/benchmarks/planner/__init__.py
@@ -0,0 +1,1 @@
+"""Virtual-time benchmark of the planner over the real fold of the log."""
--- a/courselead/core/operations/lifecycle.py
+++ b/courselead/core/operations/lifecycle.py
@@ -163,18 +163,28 @@
     if worker.phase is not WorkerPhase.STARTING:
         return
     if event.refused or not event.address:
-        # A minion of an earlier assignment is in the way: it ends gracefully.
-        busy = event.refused == REFUSED_BUSY
-        draft.put(worker.worker, replace(draft.view(worker), taken=busy))
+        _refused(draft, worker, event.refused)
+        return
+    draft.propose(MinionUp(worker.worker, worker.epoch, event.address))
+
+
+def _refused(draft: Draft, worker: WorkerState, error: str) -> None:
+    """Report a refused start once a minute, and clear the way for the next.
+
+    A minion of an earlier assignment may be in the way: it ends gracefully.
+    """
+    view = replace(draft.view(worker), taken=error == REFUSED_BUSY)
+    noted = view.noted_ms
+    if noted < 0 or draft.now_ms - noted >= DRAIN_REPORT_EVERY_MS:
+        view = replace(view, noted_ms=draft.now_ms)
         draft.note(
             "warning",
             "minion_start_refused",
             worker=worker.worker,
             epoch=worker.epoch,
-            error=event.refused,
+            error=error,
         )
-        return
-    draft.propose(MinionUp(worker.worker, worker.epoch, event.address))
+    draft.put(worker.worker, view)
 
 
 def _stop(draft: Draft, worker: WorkerState) -> None:
--- a/courselead/core/operations/reducer.py
+++ b/courselead/core/operations/reducer.py
@@ -14,6 +14,7 @@
     Event,
     LogReachable,
     MembersListed,
+    SnapshotLoaded,
     Tick,
 )
 from courselead.core.fleet.records import HostBeat, HostLeft, HostLost
@@ -53,12 +54,19 @@
         _answered(draft, event)
     elif isinstance(event, AgentFailed):
         _failed(draft, event)
-    elif isinstance(event, LogReachable) and event.up:
-        # What was proposed while the log was away may never have been stored.
+    elif _resumes(event):
+        # What was proposed before may never be seen to be decided.
         draft.state = replace(state, proposed=Map())
     return draft.finish()
 
 
+def _resumes(event: Event) -> bool:
+    """Return whether the log was away, or part of it was jumped over."""
+    if isinstance(event, LogReachable):
+        return event.up
+    return isinstance(event, SnapshotLoaded)
+
+
 def _tick(draft: Draft) -> None:
     """Drive and poll all workers, and plan, each at its own pace."""
     state = draft.state
--- /dev/null
+++ b/tests/core/operations/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the decisions on workers."""
--- /dev/null
+++ b/tests/core/operations/test_health.py
@@ -0,0 +1,118 @@
+"""Losses are found by polling, and only by the host a worker belongs to."""
+
+import pytest
+
+from courselead.core.events import AgentAnswered, AgentFailed, AgentOp, Tick
+from courselead.core.fleet.records import MinionUp, WorkerBack, WorkerDown
+from courselead.core.fleet.state import WorkerPhase
+from courselead.core.operations.reducer import reduce
+from courselead.core.operations.state import OperationsState
+from tests.core.operations.build import (
+    calls,
+    ctx,
+    fleet,
+    host,
+    proposed,
+    report,
+    serving,
+)
+
+
+def poll(own, state, now_ms, answer):
+    """Tick until the poll goes out, and answer it."""
+    context = ctx(state, now_ms)
+    own, effects = reduce(own, context, Tick(now_ms, context.wall_ms))
+    if not calls(effects):
+        return own, ()
+    if answer is None:
+        event = AgentFailed(now_ms, "w1", AgentOp.STATE, 3, False)
+    else:
+        event = AgentAnswered(
+            now_ms, context.wall_ms, "w1", AgentOp.STATE, 3, report=answer
+        )
+    return reduce(own, context, event)
+
+
+def run(state, answers_ms):
+    """Return what was proposed, with its time, for polls each 250 ms."""
+    own = OperationsState()
+    found = []
+    for now_ms in range(0, 12_000, 250):
+        own, effects = poll(own, state, now_ms, answers_ms(now_ms))
+        found += [(now_ms, record) for record in proposed(effects)]
+    return found
+
+
+def test_a_worker_is_down_only_after_failing_for_six_seconds():
+    state = fleet([serving("w1")])
+    found = run(state, lambda now_ms: None)
+    assert found[0][1] == WorkerDown("w1", 3, "unreachable")
+    assert 6_000 <= found[0][0] <= 9_000
+    flaky = run(state, lambda now_ms: None if now_ms % 6_000 < 4_000 else report())
+    assert flaky == []
+
+
+@pytest.mark.parametrize(
+    ("changes", "reason"),
+    [
+        ({"boots": 2}, "restarted"),
+        ({"rebooting": True}, "restarted"),
+        ({"minion_state": ""}, "minion_gone"),
+        ({"epoch": 2}, "minion_gone"),
+        ({"minion_state": "stopped"}, "minion_stopped_without_plan"),
+        ({"minion_address": "w1:99"}, "minion_gone"),
+    ],
+)
+def test_a_changed_agent_is_a_loss(changes, reason):
+    changed = report(**changes)
+    found = run(
+        fleet([serving("w1")]),
+        lambda now_ms: report() if now_ms < 5_000 else changed,
+    )
+    assert found[0][1] == WorkerDown("w1", 3, reason)
+    assert found[0][0] >= 5_000
+
+
+def test_an_agent_ahead_of_the_log_is_no_loss():
+    ahead = report(epoch=4, minion_address="w1:99")
+    assert run(fleet([serving("w1")]), lambda now_ms: ahead) == []
+
+
+def test_a_lost_worker_is_back_with_its_minion_or_without():
+    state = fleet([serving("w1", phase=WorkerPhase.DOWN)])
+    kept = run(state, lambda now_ms: report())
+    assert kept[0][1] == MinionUp("w1", 3, "w1:80")
+    empty = run(state, lambda now_ms: report(minion_state="", boots=2))
+    assert empty[0][1] == WorkerBack("w1", 3)
+    booting = report(minion_state="", rebooting=True)
+    assert run(state, lambda now_ms: booting) == []
+
+
+def test_answers_from_an_older_phase_say_nothing_of_this_one():
+    starting = serving("w1", phase=WorkerPhase.STARTING, minion_address="", since=5)
+    context = ctx(fleet([starting]), 0)
+    own, _ = reduce(OperationsState(), context, Tick(0, 0))
+    up = ctx(fleet([serving("w1", since=6)]), 100)
+    late = AgentAnswered(100, 0, "w1", AgentOp.STATE, 3, report=report(minion_state=""))
+    _, effects = reduce(own, up, late)
+    assert proposed(effects) == []
+
+
+def test_each_serving_worker_is_polled_by_one_host_of_its_zone():
+    workers = [serving(f"w{index}") for index in range(30)]
+    hosts = [host("h1"), host("h2"), host("h3"), host("far", zone="b")]
+    state = fleet(workers, hosts=hosts)
+    polled = []
+    for name in ("h1", "h2", "h3", "far"):
+        _, effects = reduce(OperationsState(), ctx(state, 0, me=name), Tick(0, 0))
+        polled += [call.worker for call in calls(effects)]
+    assert sorted(polled) == sorted(item.worker for item in workers)
+
+
+def test_without_the_log_nothing_is_proposed():
+    context = ctx(fleet([serving("w1")]), 0, log_up=False)
+    own, _ = reduce(OperationsState(), context, Tick(0, 0))
+    gone = report(minion_state="")
+    event = AgentAnswered(0, 0, "w1", AgentOp.STATE, 3, report=gone)
+    _, effects = reduce(own, context, event)
+    assert proposed(effects) == []
--- /dev/null
+++ b/tests/core/operations/test_planner.py
@@ -0,0 +1,226 @@
+"""Plans: fewest moves, budgets never passed, one zone of a pool at a time."""
+
+from collections import Counter
+from dataclasses import replace
+
+import pytest
+from hypothesis import given, settings, strategies as st
+from immutables import Map
+
+from courselead.core.fleet import budgets
+from courselead.core.fleet.records import StopPurpose, WorkerAssigned
+from courselead.core.fleet.state import WorkerPhase
+from courselead.core.operations import assignment, placement, planner
+from courselead.core.operations.maintenance import POLICIES, RackByRack
+from courselead.core.operations.placement import Listing
+from courselead.core.operations.state import OperationsConfig
+from courselead.core.table import AccountRow, Table
+from tests.core.operations.build import POOL, fleet, row, serving, worker
+
+DAY_MS = 86_400_000
+NOW_MS = 100 * DAY_MS
+CFG = OperationsConfig()
+OFF = OperationsConfig(maintain=False)
+
+ZONES = st.sampled_from("abcd")
+RACKS = st.sampled_from(["r1", "r2", "r3"])
+
+
+@st.composite
+def fleets(draw):
+    """Return a fleet with some phases, pools, budgets and due workers."""
+    names = [f"s{index}" for index in range(draw(st.integers(1, 5)))]
+    rows = [
+        row(
+            name,
+            workers=draw(st.integers(0, 8)),
+            availability_budget=draw(st.sampled_from([0.0, 0.1, 0.25, 0.5])),
+        )
+        for name in names
+    ]
+    phases = st.sampled_from(
+        [WorkerPhase.SERVING] * 8 + [WorkerPhase.FREE, WorkerPhase.DOWN]
+    )
+    workers = []
+    for index in range(draw(st.integers(0, 30))):
+        phase = draw(phases)
+        facts = {"zone": draw(ZONES), "rack": draw(RACKS)}
+        if phase is WorkerPhase.FREE:
+            workers.append(worker(f"w{index:02}", **facts))
+            continue
+        pool = f"aloisi/{draw(st.sampled_from(names))}"
+        maintained = draw(st.integers(80, 100)) * DAY_MS
+        workers.append(
+            serving(
+                f"w{index:02}",
+                pool=pool,
+                phase=phase,
+                maintained_ms=maintained,
+                **facts,
+            )
+        )
+    return fleet(workers, rows)
+
+
+def due(name, zone, rack="r1", **changes):
+    return serving(name, zone, rack, **changes)
+
+
+@settings(derandomize=True, max_examples=120, deadline=None)
+@given(fleets())
+def test_moves_are_the_deficits_that_no_free_worker_covers(state):
+    members = Counter(item.pool for item in state.workers.values())
+    services = state.table.services
+    short = sum(max(0, item.workers - members[pool]) for pool, item in services.items())
+    free = members[""]
+    serving_now = Counter(
+        item.pool
+        for item in state.workers.values()
+        if item.phase is WorkerPhase.SERVING
+    )
+    surplus = sum(
+        min(serving_now[pool], max(0, members[pool] - item.workers))
+        for pool, item in services.items()
+    )
+    assigned = assignment.assign(state)
+    assert len(assigned) == min(short, free)
+    for record in assigned:
+        state = placement.with_assigned(state, record)
+    moves = assignment.rebalance(state, NOW_MS)
+    assert len(moves) == min(surplus, max(0, short - free))
+    after = Counter(members)
+    for record in moves:
+        after[state.workers[record.worker].pool] -= 1
+        after[record.next_pool] += 1
+    for pool, item in services.items():
+        assert after[pool] >= min(members[pool], item.workers), "donors keep theirs"
+
+
+@settings(derandomize=True, max_examples=120, deadline=None)
+@given(fleets(), st.sampled_from(sorted(POLICIES)))
+def test_a_plan_passes_no_budget_and_names_no_worker_twice(state, policy):
+    plan = planner.make(state, NOW_MS, replace(CFG, policy=policy))
+    stops = Counter(state.workers[item.worker].pool for item in plan.stops)
+    names = [item.worker for item in (*plan.stops, *plan.assigned)]
+    assert len(names) == len(set(names))
+    if policy == "one_rack_at_a_time":
+        return
+    for pool, count in stops.items():
+        assert count <= budgets.spare(state, pool)
+
+
+@settings(derandomize=True, max_examples=120, deadline=None)
+@given(fleets())
+def test_the_chosen_policy_stops_one_zone_of_a_pool_at_a_time(state):
+    zones = {}
+    for record in RackByRack().plan(state, NOW_MS, CFG):
+        stopped = state.workers[record.worker]
+        zones.setdefault(stopped.pool, set()).add(stopped.availability_zone)
+    assert all(len(found) == 1 for found in zones.values())
+
+
+def test_assigned_workers_are_spread_over_zones_and_racks():
+    free = [worker(f"w{zone}{rack}", zone, rack) for zone in "abc" for rack in "xyz"]
+    state = fleet(free, [row(workers=6)])
+    places = Counter(
+        state.workers[item.worker].availability_zone
+        for item in assignment.assign(state)
+    )
+    assert places == {"a": 2, "b": 2, "c": 2}
+
+
+def test_leaving_and_absent_workers_are_not_given_away():
+    state = fleet([worker("w1"), worker("w2"), worker("w3")], [row(workers=3)])
+    listing = Listing(leaving=frozenset({"w1"}), absent=frozenset({"w2"}))
+    assert [item.worker for item in assignment.assign(state, listing)] == ["w3"]
+
+
+def test_a_move_takes_from_the_crowded_zone_to_the_empty_one():
+    even = [serving("a1", "a"), serving("a2", "a"), serving("b1", "b")]
+    even += [serving("b2", "b"), serving("x", "a", pool="aloisi/api")]
+    state = fleet(even, [row(workers=3), row("api", workers=2)])
+    (move,) = assignment.rebalance(state, NOW_MS)
+    assert (move.worker[0], move.next_pool) == ("b", "aloisi/api")
+    crowded = [serving(f"a{index}", "a") for index in range(3)]
+    state = fleet([*crowded, serving("b1", "b")], [row(workers=3), row("api")])
+    (move,) = assignment.rebalance(state, NOW_MS)
+    assert move.worker[0] == "a"
+
+
+def test_workers_without_a_row_and_leaving_ones_are_set_free():
+    workers = [serving("w1", pool="aloisi/old"), serving("w2"), serving("w3")]
+    state = fleet(workers, [row(workers=2, availability_budget=0.5)])
+    listing = Listing(leaving=frozenset({"w2"}))
+    plan = planner.make(state, NOW_MS, OFF, listing)
+    assert {(item.worker, item.next_pool) for item in plan.stops} == {
+        ("w1", POOL),
+        ("w2", ""),
+    }
+
+
+def test_maintenance_waits_for_the_period_the_window_and_the_losses():
+    fresh = due("w1", "a", maintained_ms=NOW_MS - 13 * DAY_MS)
+    old = due("w2", "a", maintained_ms=NOW_MS - 14 * DAY_MS)
+    rows = [row(workers=2, availability_budget=0.5)]
+    names = [
+        item.worker
+        for item in planner.make(fleet([fresh, old], rows), NOW_MS, CFG).stops
+    ]
+    assert names == ["w2"]
+    wave = replace(CFG, wave_from_ms=NOW_MS)
+    assert planner.make(fleet([fresh, old], rows), NOW_MS, wave).stops
+    closed = [replace(rows[0], window="never")]
+    assert not planner.make(fleet([fresh, old], closed), NOW_MS, wave).stops
+    lost = replace(fresh, phase=WorkerPhase.DOWN)
+    assert not planner.make(fleet([lost, old], rows), NOW_MS, wave).stops
+
+
+def test_a_rack_begun_is_finished_before_another_is_begun():
+    begun = due(
+        "a1", "a", "r2", phase=WorkerPhase.STOPPED, purpose=StopPurpose.MAINTENANCE
+    )
+    workers = [begun, due("a2", "a", "r2", maintained_ms=5), due("a0", "a", "r1")]
+    state = fleet(workers, [row(workers=3, availability_budget=0.67)])
+    assert [item.worker for item in RackByRack().plan(state, NOW_MS, CFG)] == ["a2"]
+
+
+def test_a_rack_that_fits_as_a_whole_goes_first():
+    workers = [due("a0", "a", "r1"), due("a1", "a", "r1"), due("a2", "a", "r2")]
+    workers[2] = replace(workers[2], maintained_ms=9)
+    state = fleet(workers, [row(workers=3, availability_budget=0.34)])
+    assert [item.worker for item in RackByRack().plan(state, NOW_MS, CFG)] == ["a2"]
+
+
+def tight(workers, move_cost=1.0, rows=None):
+    rows = rows or [row(workers=2, availability_budget=0.1)]
+    state = fleet(workers, rows)
+    accounts = Map({"aloisi": AccountRow("aloisi", move_cost=move_cost)})
+    table = Table(5, accounts, state.table.services)
+    return replace(state, table=table)
+
+
+def test_a_pool_without_budget_borrows_a_free_worker_for_its_wave():
+    members = [due("w1", "a"), due("w2", "b")]
+    plan = planner.make(tight([*members, worker("spare", "c")]), NOW_MS, CFG)
+    assert plan.assigned == (WorkerAssigned("spare", 0, POOL, 5),)
+    assert plan.stops == ()
+    lent = tight([*members, due("spare", "c")])
+    plan = planner.make(lent, NOW_MS, CFG)
+    assert len(plan.stops) == 1
+    assert plan.stops[0].purpose is StopPurpose.MAINTENANCE
+
+
+def test_without_a_free_worker_the_surplus_of_another_pool_moves_in():
+    rows = [row(workers=2, availability_budget=0.1), row("api", workers=1)]
+    other = [serving(f"x{i}", pool="aloisi/api", maintained_ms=NOW_MS) for i in "12"]
+    state = tight([due("w1", "a"), due("w2", "b"), *other], rows=rows)
+    plan = planner.make(state, NOW_MS, CFG)
+    assert [item.next_pool for item in plan.stops] == [POOL]
+    assert plan.stops[0].purpose is StopPurpose.MOVE
+
+
+@pytest.mark.parametrize(("move_cost", "returned"), [(1.0, 1), (6.9, 1), (7.1, 0)])
+def test_the_spare_goes_back_unless_moves_weigh_more_than_idling(move_cost, returned):
+    workers = [serving(f"w{index}", maintained_ms=NOW_MS) for index in range(3)]
+    plan = planner.make(tight(workers, move_cost), NOW_MS, CFG)
+    assert [item.next_pool for item in plan.stops] == [""] * returned
