The daemon and a demo of the whole path as separate processes

Cause: the parts had never run together. Found by the first runs: xxhash takes bytes only, which ended the daemon at the first inventory record; the reader waited its whole long poll before a host with an empty log took itself for caught up, 5 s at every start of a new fleet.

--- a/courselead/core/effects.py
+++ b/courselead/core/effects.py
@@ -139,6 +139,8 @@
         job_id: For the task calls.
         attempt: For the task calls.
         service: For START_MINION and START_TASK.
+        boots: For REBOOT, the boots in the state last read: a repeat after
+            the reboot names the old count and reboots nothing.
     """
 
     worker: str
@@ -155,6 +157,7 @@
     lease_ms: int = 0
     cores: float = 0.0
     memory_mb: int = 0
+    boots: int = 0
 
 
 class Metric(StrEnum):
--- a/courselead/core/ranking.py
+++ b/courselead/core/ranking.py
@@ -16,7 +16,8 @@
 
 def score(key: str, name: str, seed: int = 0) -> int:
     """Return the rendezvous weight of a name for a key."""
-    return xxhash.xxh64_intdigest(f"{key}\x00{name}", seed=seed)
+    data = f"{key}\x00{name}".encode()
+    return xxhash.xxh64_intdigest(data, seed=seed)
 
 
 def rank(key: str, names: Iterable[str]) -> list[str]:
--- a/courselead/core/reducer.py
+++ b/courselead/core/reducer.py
@@ -11,6 +11,7 @@
 
 from courselead.core import edits, outbox, presence, snapshots
 from courselead.core.context import Context
+from courselead.core.edits import EditsState
 from courselead.core.effects import Effect, Left, Note, Propose
 from courselead.core.events import (
     AppendEnded,
@@ -29,9 +30,12 @@
 from courselead.core.jobs.state import JobsState
 from courselead.core.operations import reducer as operations
 from courselead.core.operations.state import OperationsState
+from courselead.core.outbox import OutboxState
+from courselead.core.presence import PresenceState
 from courselead.core.requests import reducer as requests
 from courselead.core.requests.settle import in_flight_total, settled_offset
 from courselead.core.requests.state import RequestsState
+from courselead.core.snapshots import SnapshotsState
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,16 +46,16 @@
         superseded: Whether a newer incarnation under this host's name is in
             the log: this one must end.
         ended: Whether `Left` has been given.
+        ever_member: Whether this process has ever been a member.
+        applied: Verdicts of the newest event's records.
     """
 
     me: Identity
     fleet: FleetState = field(default_factory=FleetState)
-    outbox: outbox.OutboxState = field(default_factory=outbox.OutboxState)
-    presence: presence.PresenceState = field(default_factory=presence.PresenceState)
-    edits: edits.EditsState = field(default_factory=edits.EditsState)
-    snapshots: snapshots.SnapshotsState = field(
-        default_factory=snapshots.SnapshotsState
-    )
+    outbox: OutboxState = field(default_factory=OutboxState)
+    presence: PresenceState = field(default_factory=PresenceState)
+    edits: EditsState = field(default_factory=EditsState)
+    snapshots: SnapshotsState = field(default_factory=SnapshotsState)
     requests: RequestsState = field(default_factory=RequestsState)
     operations: OperationsState = field(default_factory=OperationsState)
     jobs: JobsState = field(default_factory=JobsState)
@@ -62,6 +66,8 @@
     leaving: bool = False
     superseded: bool = False
     ended: bool = False
+    ever_member: bool = False
+    applied: tuple[Applied, ...] = ()
 
     @property
     def member(self) -> bool:
@@ -75,6 +81,8 @@
 def reduce(state: CoreState, event: Event) -> tuple[CoreState, tuple[Effect, ...]]:
     """Take in one event: return the next state and what is to be done."""
     state, applied = _take_in(state, event)
+    ever_member = state.ever_member or state.member
+    state = replace(state, applied=applied, ever_member=ever_member)
     state, notes = _check_standing(state)
     ctx = _context(state, applied)
     state, effects = _reduce_parts(state, ctx, event)
@@ -138,7 +146,7 @@
     if host.incarnation < state.me.incarnation or host.status is not HostStatus.LOST:
         return state, ()
     me = replace(state.me, incarnation=state.me.incarnation + 1)
-    fresh = presence.PresenceState(
+    fresh = PresenceState(
         beat_ms=state.presence.beat_ms,
         lost_after_ms=state.presence.lost_after_ms,
         reading_since_ms=state.presence.reading_since_ms,
--- a/courselead/daemon/bootstrap.py
+++ b/courselead/daemon/bootstrap.py
@@ -34,10 +34,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Start:
-    """Where to begin: the state, and the offset to read from."""
+    """Where to begin.
+
+    Attributes:
+        fleet: State rebuilt so far.
+        read_from: Offset to read from.
+        end: Offset after the log's last record when this was found.
+    """
 
     fleet: FleetState
     read_from: int
+    end: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,7 +70,7 @@
         if start is not None:
             return start
     if bounds.first == 0:
-        return Start(FleetState(), 0)
+        return Start(FleetState(), 0, bounds.next)
     start = await _load(client, bounds.first, bounds.next)
     if start is None:
         raise StateOutOfReachError(
@@ -121,7 +128,7 @@
             if loaded is not None:
                 found = loaded
         if found is not None:
-            return Start(found, found.offset + 1)
+            return Start(found, found.offset + 1, end)
         offset = page.records[-1][0] + 1
     return None
 
--- a/courselead/daemon/follower.py
+++ b/courselead/daemon/follower.py
@@ -54,6 +54,8 @@
             reader = LogReader(
                 self._client, start.read_from, self._backoff, self._on_reader_event
             )
+            if start.read_from >= start.end:
+                self._set_up(True)
             await self._follow(reader)
             _LOGGER.error("log_gap", offset=reader.offset)
             self._set_up(False)
--- /dev/null
+++ b/courselead/daemon/host.py
@@ -0,0 +1,187 @@
+"""What the HTTP interface sees of the daemon."""
+
+from collections import deque
+
+from courselead.core.effects import Problem, ReplyAccepted
+from courselead.core.events import (
+    BatchesRead,
+    CallerGone,
+    Event,
+    JobsCancelAsked,
+    JobsOffered,
+    RequestArrived,
+    TableEdit,
+)
+from courselead.core.fleet.records import JobSpec, TablePublished
+from courselead.core.fleet.state import FleetState
+from courselead.core.requests.settle import in_flight_total
+from courselead.daemon import clock
+from courselead.daemon.alarms import find_alarms
+from courselead.daemon.handles import Handle
+from courselead.daemon.runtime import Runtime
+from courselead.daemon.status import pool_statuses, queued_total
+from courselead.integrations.http_api.host import (
+    IncomingRequest,
+    PeerStatus,
+    StatusReport,
+    TableChange,
+)
+
+HISTORY_LENGTH = 1_000
+LIVE_WITHIN_MS = 5_000
+
+
+class DaemonHost:
+    """Implements the interface's `Host` on the runtime."""
+
+    def __init__(self, runtime: Runtime) -> None:
+        """Keep the runtime and follow its table changes."""
+        self._runtime = runtime
+        self._changes: deque[TableChange] = deque(maxlen=HISTORY_LENGTH)
+        self._apply_lag_ms = 0
+        self._peers_up: dict[str, bool] = {}
+        runtime.listen(self._observe)
+
+    @property
+    def fleet(self) -> FleetState:
+        """Return the shared state as applied here."""
+        return self._runtime.state.fleet
+
+    @property
+    def ready(self) -> bool:
+        """Return whether new requests should be sent to this host.
+
+        A host that has lost the log stays ready: it serves on what it knows.
+        """
+        state = self._runtime.state
+        return state.ever_member and not state.leaving
+
+    @property
+    def live(self) -> bool:
+        """Return whether the daemon's loop turns."""
+        return clock.now_ms() - self._runtime.state.now_ms < LIVE_WITHIN_MS
+
+    def now_ms(self) -> int:
+        """Return the host's monotonic clock in milliseconds."""
+        return clock.now_ms()
+
+    def peer_reachable(self, entry_host: str, up: bool) -> None:
+        """Note whether the stream to a peer is open, for the status."""
+        self._peers_up[entry_host] = up
+
+    def status(self) -> StatusReport:
+        """Return the state of this host, of all accounts."""
+        state = self._runtime.state
+        return StatusReport(
+            entry_host=state.me.entry_host,
+            incarnation=state.me.incarnation,
+            availability_zone=state.me.availability_zone,
+            member=state.member,
+            leaving=state.leaving,
+            log_up=state.log_up,
+            offset=state.fleet.offset,
+            table_version=state.fleet.table.version,
+            apply_lag_ms=self._apply_lag_ms,
+            in_flight=in_flight_total(state.requests),
+            queued=queued_total(state.requests),
+            peers=self._peer_statuses(),
+            pools=pool_statuses(state),
+            alarms=find_alarms(state, clock.wall_ms()),
+        )
+
+    async def submit(self, req: IncomingRequest) -> Handle:
+        """Take in a request for a minion."""
+        handle = Handle(req, self._caller_gone)
+        event = RequestArrived(
+            now_ms=clock.now_ms(),
+            request_id=req.request_id,
+            client_account=req.client_account,
+            service=req.service,
+            request_class=req.request_class,
+            idempotent=req.idempotent,
+            key=req.key,
+            fingerprint=req.fingerprint,
+            deadline_ms=req.deadline_ms,
+            body_bytes=len(req.body),
+        )
+        self._runtime.submit(handle, event)
+        return handle
+
+    async def publish(
+        self, edit: TablePublished, deadline_ms: int
+    ) -> ReplyAccepted | Problem:
+        """Publish a checked edit; `edit.request_id` is set."""
+        event = TableEdit(clock.now_ms(), edit.request_id, edit, deadline_ms)
+        return await self._ask(edit.request_id, event)
+
+    async def submit_jobs(
+        self, request_id: str, jobs: tuple[JobSpec, ...], deadline_ms: int
+    ) -> ReplyAccepted | Problem:
+        """Submit jobs of one account."""
+        event = JobsOffered(clock.now_ms(), request_id, jobs, deadline_ms)
+        return await self._ask(request_id, event)
+
+    async def cancel_jobs(
+        self,
+        request_id: str,
+        client_account: str,
+        job_ids: tuple[str, ...],
+        deadline_ms: int,
+    ) -> ReplyAccepted | Problem:
+        """Cancel jobs of one account, all in one record."""
+        event = JobsCancelAsked(
+            clock.now_ms(), request_id, client_account, job_ids, deadline_ms
+        )
+        return await self._ask(request_id, event)
+
+    async def history(self, limit: int) -> tuple[TableChange, ...]:
+        """Return the newest publishes that took effect, of all accounts."""
+        return tuple(self._changes)[-limit:] if limit > 0 else ()
+
+    async def _ask(self, request_id: str, event: Event) -> ReplyAccepted | Problem:
+        """Wait for the verdict on a management call."""
+        waiter = self._runtime.ask(request_id, event)
+        try:
+            return await waiter.reply()
+        finally:
+            self._runtime.release(request_id)
+
+    def _caller_gone(self, request_id: str) -> None:
+        """Tell the core that nobody waits any more."""
+        self._runtime.dispatch(CallerGone(clock.now_ms(), request_id))
+        self._runtime.release(request_id)
+
+    def _observe(self, event: Event) -> None:
+        """Follow table changes and the lag of the log."""
+        if not isinstance(event, BatchesRead) or not event.batches:
+            return
+        at_ms = {offset: batch.at_ms for offset, batch in event.batches if batch}
+        for applied in self._runtime.state.applied:
+            record = applied.record
+            if not isinstance(record, TablePublished) or not applied.verdict.accepted:
+                continue
+            change = TableChange(applied.offset, at_ms.get(applied.offset, 0), record)
+            self._changes.append(change)
+        newest = event.batches[-1][1]
+        if newest is not None:
+            self._apply_lag_ms = max(0, clock.wall_ms() - newest.at_ms)
+
+    def _peer_statuses(self) -> tuple[PeerStatus, ...]:
+        """Return the peers as this host sees them."""
+        state = self._runtime.state
+        found = []
+        for name, host in sorted(state.fleet.hosts.items()):
+            if name == state.me.entry_host:
+                continue
+            heard_ms = state.heard_ms.get(name)
+            age_ms = -1 if heard_ms is None else clock.now_ms() - heard_ms
+            found.append(
+                PeerStatus(
+                    entry_host=name,
+                    availability_zone=host.availability_zone,
+                    reachable=self._peers_up.get(name, False),
+                    heard_ms_ago=age_ms,
+                    applied=host.applied,
+                )
+            )
+        return tuple(found)
--- /dev/null
+++ b/courselead/daemon/status.py
@@ -0,0 +1,43 @@
+"""Figures of the status report, read off the core's state."""
+
+from collections import Counter
+
+from courselead.core.fleet.queries import pool_count
+from courselead.core.reducer import CoreState
+from courselead.core.requests.state import IN_FLIGHT, RequestsState
+from courselead.integrations.http_api.host import PoolStatus
+
+
+def queued_total(state: RequestsState) -> int:
+    """Return how many requests wait on this host."""
+    return state.waiting
+
+
+def pool_statuses(state: CoreState) -> tuple[PoolStatus, ...]:
+    """Return all pools of the table as this host sees them."""
+    in_flight, queued = _requests_by_pool(state.requests)
+    found = []
+    for pool, row in sorted(state.fleet.table.services.items()):
+        count = pool_count(state.fleet, pool)
+        found.append(
+            PoolStatus(
+                client_account=row.client_account,
+                service=row.service,
+                wanted=row.workers,
+                members=count.members,
+                serving=count.serving,
+                in_flight=in_flight[pool],
+                queued=queued[pool],
+            )
+        )
+    return tuple(found)
+
+
+def _requests_by_pool(state: RequestsState) -> tuple[Counter[str], Counter[str]]:
+    """Return the requests in flight and waiting, by pool."""
+    in_flight: Counter[str] = Counter()
+    queued: Counter[str] = Counter()
+    for req in state.requests.values():
+        counter = in_flight if req.phase in IN_FLIGHT else queued
+        counter[req.pool] += 1
+    return in_flight, queued
--- /dev/null
+++ b/demo/processes.py
@@ -0,0 +1,142 @@
+"""Processes of the demo: started by command, ended by id, none left behind."""
+
+import os
+import signal
+import socket
+import sys
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+from subprocess import DEVNULL, PIPE
+
+import anyio
+from anyio.abc import Process
+from anyio.streams.text import TextReceiveStream
+
+END_TIMEOUT_S = 45.0
+KILL_TIMEOUT_S = 5.0
+READY_TIMEOUT_S = 30.0
+
+
+class CommandFailed(Exception):
+    """A command of the demo ended with another exit code than 0."""
+
+
+@dataclass(slots=True)
+class Processes:
+    """All processes that the demo has started.
+
+    Attributes:
+        courselead: Command that runs courselead, without arguments.
+        folder: Where the daemons' log files go.
+    """
+
+    courselead: tuple[str, ...]
+    folder: Path
+    _running: dict[str, Process] = field(default_factory=dict)
+
+    async def start_standins(self, args: Sequence[str]) -> str:
+        """Start stand-ins and return the line that they print when ready."""
+        command = [sys.executable, "-m", "standins", *args]
+        process = await anyio.open_process(command, stdin=DEVNULL, stderr=None)
+        self._running["standins"] = process
+        with anyio.fail_after(READY_TIMEOUT_S):
+            line = ""
+            async for text in TextReceiveStream(process.stdout):
+                line += text
+                if "\n" in line:
+                    break
+        return line
+
+    async def start_daemon(self, name: str, settings: Path) -> None:
+        """Start an entry host."""
+        log = (self.folder / f"{name}.log").open("wb")
+        command = [*self.courselead, "serve", "--config", str(settings)]
+        with log:
+            process = await anyio.open_process(
+                command, stdin=DEVNULL, stdout=log, stderr=log
+            )
+        self._running[name] = process
+
+    def signal(self, name: str, signum: int) -> None:
+        """Send a signal to one process."""
+        self._running[name].send_signal(signum)
+
+    def pid(self, name: str) -> int:
+        """Return the id of one process."""
+        return self._running[name].pid
+
+    def check_running(self) -> None:
+        """Notice a process that has ended by itself.
+
+        Raises:
+            CommandFailed: One has.
+        """
+        for name, process in self._running.items():
+            if process.returncode is not None:
+                raise CommandFailed(f"{name} ended with exit {process.returncode}")
+
+    async def end(self, name: str) -> int:
+        """End one process in order and return its exit code."""
+        process = self._running.pop(name)
+        if process.returncode is None:
+            process.send_signal(signal.SIGTERM)
+        with anyio.move_on_after(END_TIMEOUT_S):
+            return await process.wait()
+        process.kill()
+        return await process.wait()
+
+    async def end_all(self) -> dict[str, int]:
+        """End everything, the daemons first; return the exit codes."""
+        codes: dict[str, int] = {}
+        names = [name for name in self._running if name != "standins"]
+
+        async def end_one(name: str) -> None:
+            codes[name] = await self.end(name)
+
+        async with anyio.create_task_group() as tasks:
+            for name in names:
+                tasks.start_soon(end_one, name)
+        if "standins" in self._running:
+            codes["standins"] = await self.end("standins")
+        return codes
+
+    def kill_all(self) -> None:
+        """Kill whatever is left, at once: for an interrupted demo."""
+        for process in self._running.values():
+            if process.returncode is None:
+                process.kill()
+
+    async def command(self, args: Sequence[str], env: Mapping[str, str]) -> str:
+        """Run one courselead command and return what it prints.
+
+        Raises:
+            CommandFailed: Its exit code was not 0.
+        """
+        result = await anyio.run_process(
+            [*self.courselead, *args],
+            stdin=DEVNULL,
+            stdout=PIPE,
+            stderr=PIPE,
+            env={**os.environ, **env},
+            check=False,
+        )
+        out = result.stdout.decode()
+        if result.returncode != 0:
+            err = result.stderr.decode()
+            shown = " ".join(args)
+            raise CommandFailed(f"{shown}: exit {result.returncode}: {out}{err}")
+        return out
+
+
+def free_ports(count: int) -> list[int]:
+    """Return loopback ports that are free now."""
+    socks = []
+    for _ in range(count):
+        sock = socket.socket()
+        sock.bind(("127.0.0.1", 0))
+        socks.append(sock)
+    ports = [sock.getsockname()[1] for sock in socks]
+    for sock in socks:
+        sock.close()
+    return ports
