Decide on long jobs: admission, sizes, placement, leases and quarantine

Cause: entry hosts folded jobs but nobody took them in, placed or ran them. Change: a reducer that answers submissions by their verdicts, places waiting jobs by class and weight on workers with learned room, keeps tasks alive under leases by two hosts in rendezvous order, ends tasks of lost workers after their leases, checkpoints for drains and urgent work, and quarantines workers that fail what succeeds elsewhere. Only the placer starts a non-idempotent job.

--- /dev/null
+++ b/courselead/core/jobs/admission.py
@@ -0,0 +1,127 @@
+"""Whether jobs that a caller submits are taken in, or refused at once."""
+
+from courselead.core.context import Context
+from courselead.core.effects import Problem, ProblemKind, RunState
+from courselead.core.events import JobsOffered
+from courselead.core.fleet import queries, verdicts
+from courselead.core.fleet.records import JobSpec
+from courselead.core.fleet.state import WorkerPhase
+from courselead.core.jobs import const, sizes
+from courselead.core.jobs.state import JobsState
+from courselead.core.table import pool_name
+
+
+def refusal(state: JobsState, ctx: Context, event: JobsOffered) -> Problem | None:
+    """Return why jobs are refused at once, None if they are not."""
+    if ctx.leaving:
+        return _leaving()
+    problem = _bad_offer(event.jobs)
+    if problem is not None:
+        return problem
+    for spec in event.jobs:
+        known = ctx.fleet.jobs.get(spec.job_id)
+        if known is not None and known.spec != spec:
+            return _refused(spec, "the id is in use for another job; use a new id")
+        if known is not None:
+            continue
+        reason = _unfit(state, ctx, spec)
+        if reason:
+            return _refused(spec, reason)
+    if all(spec.job_id in ctx.fleet.jobs for spec in event.jobs):
+        return None
+    if not ctx.log_up:
+        return log_down()
+    return _over_limit(state, ctx, event.jobs)
+
+
+def _bad_offer(jobs: tuple[JobSpec, ...]) -> Problem | None:
+    """Return what is wrong with an offer as a whole, None if nothing."""
+    size = sum(len(spec.payload) + const.JOB_BYTES for spec in jobs)
+    detail = ""
+    if not jobs:
+        detail = "The submission names no job; name at least one."
+    elif len(jobs) > const.JOBS_PER_OFFER or size > const.OFFER_BYTES:
+        detail = "The submission is too large; split it."
+    elif len({spec.job_id for spec in jobs}) < len(jobs):
+        detail = "The submission names a job id twice; name each once."
+    elif len({spec.client_account for spec in jobs}) > 1:
+        detail = "The submission names two accounts; submit for one at a time."
+    if not detail:
+        return None
+    return Problem(ProblemKind.JOB_REFUSED, RunState.NOT_RUN, detail)
+
+
+def _unfit(state: JobsState, ctx: Context, spec: JobSpec) -> str:
+    """Return why a job can never run, "" if it can."""
+    pool = pool_name(spec.client_account, spec.service)
+    if pool not in ctx.fleet.table.services:
+        return "the table has no such service; add its row or mend the name"
+    need = sizes.least_need(state.sizes, spec)
+    if spec.deadline_ms and ctx.wall_ms + need.run_ms > spec.deadline_ms:
+        return "its run time goes past its deadline; set a later deadline"
+    if not _fits_somewhere(ctx, pool, need):
+        cores = f"{need.cores:g}"
+        return (
+            f"no worker has room for {cores} cores and {need.memory_mb} MB; "
+            "declare a smaller size or split the job"
+        )
+    return ""
+
+
+def _fits_somewhere(ctx: Context, pool: str, need: sizes.Need) -> bool:
+    """Return whether a worker of the pool, or any if it has none, is large enough."""
+    for name in queries.serving_workers(ctx.fleet, pool):
+        if sizes.fits(need, ctx.fleet.workers[name]):
+            return True
+    known = [
+        worker
+        for worker in ctx.fleet.workers.values()
+        if worker.phase is not WorkerPhase.GONE
+    ]
+    members = [worker for worker in known if worker.pool == pool] or known
+    if not members:
+        return True
+    return any(sizes.fits(need, worker) for worker in members)
+
+
+def _over_limit(
+    state: JobsState, ctx: Context, jobs: tuple[JobSpec, ...]
+) -> Problem | None:
+    """Return the refusal of an account that has too many jobs open."""
+    account = jobs[0].client_account
+    row = queries.account_row(ctx.fleet, account)
+    if row is None or not row.jobs_limit:
+        return None
+    coming = sum(1 for spec in jobs if spec.job_id not in ctx.fleet.jobs)
+    for ask in state.asks.values():
+        if ask.client_account == account:
+            coming += len(ask.specs)
+    if queries.active_jobs(ctx.fleet, account) + coming <= row.jobs_limit:
+        return None
+    detail = f"{verdicts.message(verdicts.JOBS_LIMIT)}."
+    return Problem(
+        ProblemKind.JOB_REFUSED,
+        RunState.NOT_RUN,
+        detail,
+        const.ACCOUNT_FULL_RETRY_MS,
+    )
+
+
+def _refused(spec: JobSpec, reason: str) -> Problem:
+    """Return the refusal of a job that coming back does not help."""
+    detail = f"Job {spec.job_id}: {reason}."
+    return Problem(ProblemKind.JOB_REFUSED, RunState.NOT_RUN, detail)
+
+
+def _leaving() -> Problem:
+    """Return the refusal of a host that is about to end."""
+    detail = "This entry host is leaving; submit to another one."
+    return Problem(ProblemKind.LEAVING, RunState.NOT_RUN, detail, 1)
+
+
+def log_down() -> Problem:
+    """Return the refusal while the log is down."""
+    detail = "The log cannot be written; come back later."
+    return Problem(
+        ProblemKind.LOG_DOWN, RunState.NOT_RUN, detail, const.LOG_DOWN_RETRY_MS
+    )
--- /dev/null
+++ b/courselead/core/jobs/asks.py
@@ -0,0 +1,208 @@
+"""Submissions and cancellations: proposed, and answered by their verdicts."""
+
+from dataclasses import replace
+
+from immutables import Map
+
+from courselead.core.context import Context
+from courselead.core.effects import (
+    Effect,
+    Problem,
+    ProblemKind,
+    Propose,
+    ReplyAccepted,
+    ReplyProblem,
+    RunState,
+)
+from courselead.core.events import JobsCancelAsked, JobsOffered
+from courselead.core.fleet import verdicts
+from courselead.core.fleet.records import JobsCancelled, JobsSubmitted
+from courselead.core.fleet.state import Applied, JobPhase
+from courselead.core.jobs import admission, const
+from courselead.core.jobs.index import OPEN_PHASES
+from courselead.core.jobs.state import Ask, JobsState
+
+Step = tuple[JobsState, tuple[Effect, ...]]
+
+
+def offer(state: JobsState, ctx: Context, event: JobsOffered) -> Step:
+    """Check jobs that a caller submits, and propose them."""
+    problem = admission.refusal(state, ctx, event)
+    if problem is not None:
+        return state, (ReplyProblem(event.request_id, problem),)
+    ask = Ask(
+        request_id=event.request_id,
+        client_account=event.jobs[0].client_account,
+        job_ids=tuple(spec.job_id for spec in event.jobs),
+        specs=event.jobs,
+        deadline_ms=event.deadline_ms,
+    )
+    if all(spec.job_id in ctx.fleet.jobs for spec in event.jobs):
+        accepted = ReplyAccepted(event.request_id, ctx.fleet.offset, ask.job_ids)
+        return state, (accepted,)
+    state = replace(state, asks=state.asks.set(event.request_id, ask))
+    return state, (Propose(JobsSubmitted(event.jobs)),)
+
+
+def cancel(state: JobsState, ctx: Context, event: JobsCancelAsked) -> Step:
+    """Take a cancellation; the next tick proposes all of an account at once."""
+    found = []
+    for job_id in event.job_ids:
+        job = ctx.fleet.jobs.get(job_id)
+        if job is None or job.spec.client_account != event.client_account:
+            continue
+        found.append(job_id)
+    if not found:
+        detail = "No such job of this account; check the job ids."
+        problem = Problem(ProblemKind.NOT_FOUND, RunState.NOT_RUN, detail)
+        return state, (ReplyProblem(event.request_id, problem),)
+    if not ctx.log_up:
+        return state, (ReplyProblem(event.request_id, admission.log_down()),)
+    is_open = any(ctx.fleet.jobs[job_id].phase in OPEN_PHASES for job_id in found)
+    if not is_open:
+        done = ReplyAccepted(event.request_id, ctx.fleet.offset, tuple(found))
+        return state, (done,)
+    ask = Ask(
+        request_id=event.request_id,
+        client_account=event.client_account,
+        job_ids=tuple(found),
+        specs=(),
+        deadline_ms=event.deadline_ms,
+        proposed=False,
+    )
+    return replace(state, asks=state.asks.set(event.request_id, ask)), ()
+
+
+def propose_cancels(state: JobsState, ctx: Context) -> Step:
+    """Propose the gathered cancellations, one record per account."""
+    if not ctx.log_up:
+        return state, ()
+    gathered: dict[str, dict[str, None]] = {}
+    asks = state.asks
+    for request_id, ask in state.asks.items():
+        if ask.proposed:
+            continue
+        names = gathered.setdefault(ask.client_account, {})
+        names.update(dict.fromkeys(ask.job_ids))
+        asks = asks.set(request_id, replace(ask, proposed=True))
+    if not gathered:
+        return state, ()
+    effects: list[Effect] = []
+    for account in sorted(gathered):
+        job_ids = sorted(gathered[account])
+        for first in range(0, len(job_ids), const.CANCELS_PER_RECORD):
+            part = tuple(job_ids[first : first + const.CANCELS_PER_RECORD])
+            effects.append(Propose(JobsCancelled(account, part)))
+    return replace(state, asks=asks), tuple(effects)
+
+
+def answer(state: JobsState, ctx: Context) -> Step:
+    """Answer the callers whose records have just been applied."""
+    if not state.asks:
+        return state, ()
+    effects: list[Effect] = []
+    asks = state.asks
+    for applied in ctx.applied:
+        if applied.entry_host != ctx.me.entry_host:
+            continue
+        if applied.incarnation != ctx.me.incarnation:
+            continue
+        match applied.record:
+            case JobsSubmitted():
+                asks = _answer_submission(asks, ctx, applied, effects)
+            case JobsCancelled():
+                asks = _answer_cancels(asks, ctx, applied, effects)
+    return replace(state, asks=asks), tuple(effects)
+
+
+def expire(state: JobsState, ctx: Context) -> Step:
+    """Give up on verdicts whose caller can wait no longer."""
+    effects: list[Effect] = []
+    asks = state.asks
+    for request_id, ask in state.asks.items():
+        if ctx.now_ms < ask.deadline_ms:
+            continue
+        asks = asks.delete(request_id)
+        effects.append(ReplyProblem(request_id, _unknown(ask)))
+    return replace(state, asks=asks), tuple(effects)
+
+
+def _answer_submission(
+    asks: Map[str, Ask], ctx: Context, applied: Applied, effects: list[Effect]
+) -> Map[str, Ask]:
+    """Answer the submission that a record came from."""
+    for request_id, ask in asks.items():
+        if ask.specs != applied.record.jobs:
+            continue
+        asks = asks.delete(request_id)
+        reasons = [reason for reason in applied.verdict.items if reason]
+        if applied.verdict.accepted and not reasons:
+            reply = ReplyAccepted(request_id, applied.offset, ask.job_ids)
+            effects.append(reply)
+            continue
+        effects.append(ReplyProblem(request_id, _not_taken(ask, ctx, applied)))
+    return asks
+
+
+def _not_taken(ask: Ask, ctx: Context, applied: Applied) -> Problem:
+    """Return the answer to a submission of which the log refused some or all."""
+    reason = applied.verdict.reason
+    parts = []
+    for job_id, refusal in zip(ask.job_ids, applied.verdict.items, strict=False):
+        if not refusal:
+            continue
+        reason = reason or refusal
+        parts.append(job_id)
+    taken = [job_id for job_id in ask.job_ids if job_id in ctx.fleet.jobs]
+    named = ", ".join(parts[:10])
+    detail = f"{verdicts.message(reason)}."
+    if named:
+        detail = f"{detail} Jobs concerned: {named}."
+    run = RunState.NOT_RUN
+    if applied.verdict.accepted and taken:
+        detail = f"{detail} The others were taken; submitting them again is safe."
+        run = RunState.UNKNOWN
+    retry_after_ms = 0
+    if reason == verdicts.JOBS_LIMIT:
+        retry_after_ms = const.ACCOUNT_FULL_RETRY_MS
+    return Problem(ProblemKind.JOB_REFUSED, run, detail, retry_after_ms)
+
+
+def _answer_cancels(
+    asks: Map[str, Ask], ctx: Context, applied: Applied, effects: list[Effect]
+) -> Map[str, Ask]:
+    """Answer the cancellations whose jobs are all covered by now."""
+    record = applied.record
+    named = frozenset(record.job_ids)
+    for request_id, ask in asks.items():
+        if ask.specs or not ask.proposed:
+            continue
+        if ask.client_account != record.client_account:
+            continue
+        if named.isdisjoint(ask.job_ids) or not _is_cancelled(ask, ctx):
+            continue
+        asks = asks.delete(request_id)
+        effects.append(ReplyAccepted(request_id, applied.offset, ask.job_ids))
+    return asks
+
+
+def _is_cancelled(ask: Ask, ctx: Context) -> bool:
+    """Return whether no job of a cancellation waits or runs on uncancelled."""
+    for job_id in ask.job_ids:
+        job = ctx.fleet.jobs.get(job_id)
+        if job and job.phase in (JobPhase.WAITING, JobPhase.PLACED):
+            return False
+    return True
+
+
+def _unknown(ask: Ask) -> Problem:
+    """Return the answer to a caller whose record may be in the log."""
+    if not ask.proposed:
+        return admission.log_down()
+    detail = (
+        "The log has not confirmed it in time and may yet take effect; "
+        "the same request again, with the same job ids, is safe."
+    )
+    return Problem(
+        ProblemKind.LOG_DOWN, RunState.UNKNOWN, detail, const.LOG_DOWN_RETRY_MS
+    )
--- /dev/null
+++ b/courselead/core/jobs/eviction.py
@@ -0,0 +1,106 @@
+"""Room for urgent jobs: which batch jobs are checkpointed, and when room comes.
+
+Every eviction is a move of somebody's long job. It is made only for an urgent
+job with no room, only of batch jobs that can go on from their mark, that have
+not been moved often, and that would hold the room for a while yet.
+"""
+
+from dataclasses import dataclass
+
+from courselead.core.context import Context
+from courselead.core.fleet import queries
+from courselead.core.fleet.state import JobPhase, JobState
+from courselead.core.jobs import const, sizes
+from courselead.core.jobs.placement import Room
+from courselead.core.jobs.sizes import Need
+from courselead.core.jobs.state import JobsState
+from courselead.core.table import RequestClass
+
+
+@dataclass(frozen=True, slots=True)
+class Victims:
+    """Jobs to be checkpointed on one worker."""
+
+    worker: str
+    job_ids: tuple[str, ...]
+
+
+def choose(
+    state: JobsState, ctx: Context, need: Need, rooms: list[Room]
+) -> Victims | None:
+    """Return the fewest jobs whose checkpoint makes room, None if none does."""
+    best = None
+    for room in rooms:
+        found = _on_worker(state, ctx, need, room)
+        if found is None:
+            continue
+        key = (len(found.job_ids), found.worker)
+        if best is None or key < (len(best.job_ids), best.worker):
+            best = found
+    return best
+
+
+def free_in_ms(state: JobsState, ctx: Context, room: Room, need: Need) -> int:
+    """Return when a worker is expected to have room for a job, from now."""
+    cores = room.cores
+    memory_mb = room.memory_mb
+    remaining = []
+    for job_id in queries.jobs_on(ctx.fleet, room.worker):
+        left_ms = remaining_ms(state, ctx, ctx.fleet.jobs[job_id])
+        remaining.append((left_ms, job_id))
+    in_ms = 0
+    for left_ms, job_id in sorted(remaining):
+        if need.cores <= cores and need.memory_mb <= memory_mb:
+            break
+        in_ms = left_ms
+        cores += ctx.fleet.jobs[job_id].cores
+        memory_mb += ctx.fleet.jobs[job_id].memory_mb
+    return in_ms
+
+
+def remaining_ms(state: JobsState, ctx: Context, job: JobState) -> int:
+    """Return the time a running job is expected to take yet.
+
+    One that has run past its expected time is expected to go on for as long
+    again as it is late: long jobs that run over tend to run over by far.
+    """
+    run_ms = sizes.need_of(state.sizes, job.spec).run_ms
+    run_ms = int(run_ms * (1 - min(max(job.progress, 0.0), 1.0)))
+    running = state.running.get(job.spec.job_id)
+    ran_ms = ctx.now_ms - running.since_ms if running else 0
+    return abs(run_ms - ran_ms)
+
+
+def _on_worker(
+    state: JobsState, ctx: Context, need: Need, room: Room
+) -> Victims | None:
+    """Return the fewest jobs of one worker that make room, the largest first."""
+    victims = []
+    for job_id in queries.jobs_on(ctx.fleet, room.worker):
+        job = ctx.fleet.jobs[job_id]
+        if job_id not in state.evictions and _may_evict(state, ctx, job):
+            victims.append(job)
+    victims.sort(key=lambda job: (-job.cores, job.spec.job_id))
+    cores = room.cores
+    memory_mb = room.memory_mb
+    chosen = []
+    for job in victims:
+        if need.cores <= cores and need.memory_mb <= memory_mb:
+            break
+        chosen.append(job.spec.job_id)
+        cores += job.cores
+        memory_mb += job.memory_mb
+    if need.cores > cores or need.memory_mb > memory_mb:
+        return None
+    return Victims(room.worker, tuple(chosen))
+
+
+def _may_evict(state: JobsState, ctx: Context, job: JobState) -> bool:
+    """Return whether a job may be checkpointed for an urgent one."""
+    if job.phase is not JobPhase.PLACED or not job.spec.idempotent:
+        return False
+    if job.spec.request_class is not RequestClass.BATCH:
+        return False
+    if job.moves >= const.MOVES_LIMIT:
+        return False
+    return remaining_ms(state, ctx, job) >= const.MIN_GAIN_MS
--- /dev/null
+++ b/courselead/core/jobs/invariants.py
@@ -0,0 +1,82 @@
+"""What must hold of the decisions on jobs, checked in tests and in the program."""
+
+from collections.abc import Iterable
+
+from courselead.core.context import Context
+from courselead.core.effects import Effect, Measure, Metric, Note
+from courselead.core.fleet.state import FleetState, JobPhase
+from courselead.core.jobs.index import RUNNING_PHASES, pool_of
+from courselead.core.jobs.state import JobsState
+
+_OVER = (JobPhase.DONE, JobPhase.FAILED, JobPhase.CANCELLED, JobPhase.UNKNOWN)
+_CORES_SLACK = 1e-6
+
+
+def local_faults(state: JobsState, fleet: FleetState) -> list[str]:
+    """Return what is wrong with this host's own state."""
+    found = []
+    if state.index.offset != fleet.offset:
+        found.append("the index is not at the state's offset")
+    for job_id, task in state.tasks.items():
+        job = fleet.jobs.get(job_id)
+        if job is None or job.phase not in RUNNING_PHASES:
+            found.append(f"{job_id}: kept alive, but it does not run")
+        elif (job.attempt, job.worker) != (task.attempt, task.worker):
+            found.append(f"{job_id}: an old attempt is kept alive")
+    for job_id, ending in state.endings.items():
+        job = fleet.jobs.get(job_id)
+        if job is None or job.attempt != ending.end.attempt:
+            found.append(f"{job_id}: the end of an old attempt is kept")
+    for pool, queue in state.index.waiting.items():
+        head = fleet.jobs.get(queue[0][3])
+        if head is None or head.phase is not JobPhase.WAITING or pool_of(head) != pool:
+            found.append(f"{pool}: the first in line does not wait")
+    return found
+
+
+def queue_faults(state: JobsState, fleet: FleetState) -> list[str]:
+    """Return where the queues differ from a recount; walks all jobs."""
+    queued = [key[3] for queue in state.index.waiting.values() for key in queue]
+    waiting = [
+        job_id for job_id, job in fleet.jobs.items() if job.phase is JobPhase.WAITING
+    ]
+    if sorted(queued) != sorted(waiting):
+        return ["the queues do not hold the waiting jobs"]
+    for queue in state.index.waiting.values():
+        if list(queue) != sorted(queue):
+            return ["a queue is out of order"]
+    return []
+
+
+def room_faults(fleet: FleetState) -> list[str]:
+    """Return the workers on which jobs hold more than there is."""
+    found = []
+    for name, job_ids in fleet.jobs_on.items():
+        worker = fleet.workers[name]
+        cores = sum(fleet.jobs[job_id].cores for job_id in job_ids)
+        memory_mb = sum(fleet.jobs[job_id].memory_mb for job_id in job_ids)
+        if cores > worker.cores + _CORES_SLACK or memory_mb > worker.memory_mb:
+            found.append(f"{name}: jobs hold {cores:g} cores and {memory_mb} MB")
+    return found
+
+
+def revived(before: FleetState, after: FleetState, job_ids: Iterable[str]) -> list[str]:
+    """Return the jobs that were over and no longer are."""
+    found = []
+    for job_id in job_ids:
+        old = before.jobs.get(job_id)
+        new = after.jobs.get(job_id)
+        if old is None or new is None or old.phase not in _OVER:
+            continue
+        if new.phase is not old.phase:
+            found.append(f"{job_id}: {old.phase} became {new.phase}")
+    return found
+
+
+def report(state: JobsState, ctx: Context) -> tuple[Effect, ...]:
+    """Return measures and lines for what does not hold on this host now."""
+    effects: list[Effect] = []
+    for fault in local_faults(state, ctx.fleet):
+        effects.append(Measure(Metric.INVARIANT, 1.0, label="jobs"))
+        effects.append(Note("error", "invariant_broken", (("fault", fault),)))
+    return tuple(effects)
--- /dev/null
+++ b/courselead/core/jobs/quarantine.py
@@ -0,0 +1,103 @@
+"""Taking workers out that fail what other workers can do."""
+
+from dataclasses import replace
+
+from courselead.core.context import Context
+from courselead.core.effects import Effect, Note, Propose
+from courselead.core.fleet import budgets, queries
+from courselead.core.fleet.records import WorkerQuarantined
+from courselead.core.fleet.state import WorkerPhase, WorkerState
+from courselead.core.jobs import const, drivers
+from courselead.core.jobs.evidence import Evidence, WorkerEvidence
+from courselead.core.jobs.index import OPEN_PHASES
+from courselead.core.jobs.state import JobsState
+from courselead.core.ranking import step_in_ms
+
+Step = tuple[JobsState, tuple[Effect, ...]]
+
+
+def propose(state: JobsState, ctx: Context) -> Step:
+    """Propose to quarantine proven workers, within their pools' budgets."""
+    if not ctx.log_up or not ctx.member:
+        return state, ()
+    effects: list[Effect] = []
+    asked = state.quarantines
+    spent: dict[str, int] = {}
+    for name, known in state.evidence.workers.items():
+        worker = ctx.fleet.workers.get(name)
+        reason = _reason(state.evidence, ctx, worker, known)
+        if not reason:
+            if name in asked:
+                asked = asked.delete(name)
+            continue
+        due_ms = asked.get(name)
+        if due_ms is None:
+            due_ms = ctx.now_ms + _delay_ms(state, ctx, name)
+            asked = asked.set(name, due_ms)
+        if ctx.now_ms < due_ms:
+            continue
+        asked = asked.set(name, ctx.now_ms + const.QUARANTINE_RETRY_MS)
+        free = budgets.spare(ctx.fleet, worker.pool) - spent.get(worker.pool, 0)
+        if free < 1:
+            effects.append(_held(worker, reason))
+            continue
+        spent[worker.pool] = spent.get(worker.pool, 0) + 1
+        effects.append(Propose(WorkerQuarantined(name, worker.epoch, reason)))
+    return replace(state, quarantines=asked), tuple(effects)
+
+
+def _reason(
+    evidence: Evidence, ctx: Context, worker: WorkerState | None, known: WorkerEvidence
+) -> str:
+    """Return why a worker should be taken out, "" if it should not."""
+    if worker is None or worker.phase is not WorkerPhase.SERVING:
+        return ""
+    if worker.epoch != known.epoch:
+        return ""
+    blamed = known.blamed()
+    disproved = known.disproved()
+    if blamed < const.QUARANTINE_FAILURES:
+        return ""
+    if disproved >= const.QUARANTINE_DISPROVED:
+        return (
+            f"{blamed} jobs in a row failed on it, {disproved} of them then "
+            "succeeded elsewhere"
+        )
+    if blamed >= const.RATE_FAILURES and _stands_out(evidence, ctx, worker, known):
+        return f"{blamed} jobs in a row failed on it, and few fail elsewhere"
+    return ""
+
+
+def _stands_out(
+    evidence: Evidence, ctx: Context, worker: WorkerState, known: WorkerEvidence
+) -> bool:
+    """Return whether a worker fails where the pool's other workers do not.
+
+    Jobs that may still be tried elsewhere are waited for: that tells more.
+    """
+    for failure in known.failures:
+        job = ctx.fleet.jobs.get(failure.job_id)
+        if job is not None and job.phase in OPEN_PHASES:
+            return False
+    done = 0.0
+    failed = 0.0
+    for name in queries.serving_workers(ctx.fleet, worker.pool):
+        if name == worker.worker:
+            continue
+        other = evidence.of(name, ctx.fleet.workers[name].epoch)
+        done += other.done
+        failed += other.failed
+    ended = done + failed
+    return ended >= const.RATE_ENDS and failed <= const.RATE_LIMIT * ended
+
+
+def _delay_ms(state: JobsState, ctx: Context, worker: str) -> int:
+    """Return how long this host leaves the proposal to others."""
+    names = drivers.of_zone(state, drivers.EVERY_ZONE)
+    return step_in_ms(f"quarantine:{worker}", ctx.me.entry_host, names, ctx.me.seed)
+
+
+def _held(worker: WorkerState, reason: str) -> Note:
+    """Return the note of a quarantine that the budget does not allow."""
+    fields = (("worker", worker.worker), ("pool", worker.pool), ("reason", reason))
+    return Note("warning", "quarantine_held_by_budget", fields)
--- /dev/null
+++ b/courselead/core/jobs/scheduling.py
@@ -0,0 +1,141 @@
+"""Which waiting jobs are placed now: by class and deadline, fair between pools."""
+
+import heapq
+from dataclasses import replace
+
+from courselead.core.context import Context
+from courselead.core.effects import Effect, Propose
+from courselead.core.events import AgentOp
+from courselead.core.fleet.records import JobPlaced, JobsEnded
+from courselead.core.fleet.state import FleetState
+from courselead.core.jobs import const, drivers, leases
+from courselead.core.jobs.index import CLASS_RANK
+from courselead.core.jobs.placement import CalmFit, Policy
+from courselead.core.jobs.pool_plan import Choice, PoolPlan
+from courselead.core.jobs.state import Eviction, JobsState, Placing
+from courselead.core.ranking import step_in_ms
+from courselead.core.table import RequestClass
+
+Step = tuple[JobsState, tuple[Effect, ...]]
+
+DEFAULT_POLICY = CalmFit()
+_URGENT = CLASS_RANK[RequestClass.URGENT]
+
+
+def delay_ms(state: JobsState, ctx: Context, pool: str) -> int:
+    """Return how long this host leaves a pool's placements to others."""
+    names = drivers.of_zone(state, drivers.EVERY_ZONE)
+    delay = step_in_ms(f"place:{pool}", ctx.me.entry_host, names, ctx.me.seed)
+    queue = state.index.waiting.get(pool)
+    if queue and queue[0][0] == _URGENT:
+        return delay // const.URGENT_STEP_IN_DIVISOR
+    return delay
+
+
+def mark(state: JobsState, ctx: Context, pools: frozenset[str]) -> JobsState:
+    """Return the state with pools to be planned, soon or after a step-in delay."""
+    plans = state.plans
+    for pool in sorted(pools):
+        if pool not in state.index.waiting:
+            if pool in plans:
+                plans = plans.delete(pool)
+            continue
+        plans = plans.set(pool, ctx.now_ms + delay_ms(state, ctx, pool))
+    return replace(state, plans=plans)
+
+
+def place(state: JobsState, ctx: Context, policy: Policy) -> Step:
+    """Propose placements in the pools whose plan is due."""
+    if not ctx.log_up or not ctx.member or ctx.leaving:
+        return state, ()
+    due = [pool for pool, at_ms in state.plans.items() if at_ms <= ctx.now_ms]
+    if not due:
+        return state, ()
+    turns = []
+    plans = state.plans
+    for pool in sorted(due):
+        plans = plans.set(pool, ctx.now_ms + _retry_ms(state, ctx, pool))
+        plan = PoolPlan.from_state(state, ctx, pool, policy)
+        if plan.queue:
+            turns.append(plan)
+    state = replace(state, plans=plans)
+    return _take_turns(state, ctx, turns)
+
+
+def _take_turns(state: JobsState, ctx: Context, plans: list["PoolPlan"]) -> Step:
+    """Place job by job, urgent work first, then by weighted share of the pools."""
+    heap = []
+    served = state.served
+    for number, plan in enumerate(plans):
+        head = plan.queue[0][0]
+        heap.append((head, served.get(plan.pool, 0.0), number))
+    heapq.heapify(heap)
+    effects: list[Effect] = []
+    placing = state.placing
+    while heap and len(effects) < const.PLACE_PER_TURN:
+        _, share, number = heapq.heappop(heap)
+        plan = plans[number]
+        choice = plan.next_choice()
+        if choice is None:
+            continue
+        effects.append(_proposal(ctx, choice))
+        placing = placing.set(choice.key[3], _placing(ctx, choice))
+        share += 1.0 / _weight(ctx.fleet, plan.pool)
+        served = served.set(plan.pool, share)
+        heapq.heappush(heap, (choice.key[0], share, number))
+    state = replace(state, placing=placing, served=served)
+    for plan in plans:
+        state, more = _follow_up(state, ctx, plan)
+        effects.extend(more)
+    return state, tuple(effects)
+
+
+def _follow_up(state: JobsState, ctx: Context, plan: PoolPlan) -> Step:
+    """Make room for urgent jobs, and refuse jobs that can run nowhere."""
+    effects: list[Effect] = []
+    evictions = state.evictions
+    for job_id, for_job in plan.evictions.items():
+        job = ctx.fleet.jobs[job_id]
+        worker = ctx.fleet.workers[job.worker]
+        evictions = evictions.set(job_id, Eviction(for_job, job.worker, ctx.now_ms))
+        effects.append(leases.task_call(job, worker, AgentOp.CHECKPOINT_TASK))
+    if plan.hopeless:
+        effects.append(Propose(JobsEnded(tuple(plan.hopeless))))
+    return replace(state, evictions=evictions), tuple(effects)
+
+
+def _proposal(ctx: Context, choice: Choice) -> Propose:
+    """Return the record that places a job."""
+    job = ctx.fleet.jobs[choice.key[3]]
+    return Propose(
+        JobPlaced(
+            job_id=job.spec.job_id,
+            attempt=job.attempt + 1,
+            worker=choice.room.worker,
+            epoch=choice.room.epoch,
+            cores=choice.need.cores,
+            memory_mb=choice.need.memory_mb,
+            lease_ms=const.LEASE_MS,
+        )
+    )
+
+
+def _placing(ctx: Context, choice: Choice) -> Placing:
+    """Return the note of a placement proposed now."""
+    need = choice.need
+    return Placing(choice.room.worker, need.cores, need.memory_mb, ctx.now_ms)
+
+
+def _retry_ms(state: JobsState, ctx: Context, pool: str) -> int:
+    """Return when a pool is planned again if nothing changes in it."""
+    return const.PLACE_RETRY_MS + delay_ms(state, ctx, pool) * 2
+
+
+def _weight(fleet: FleetState, pool: str) -> float:
+    """Return the weight of a pool: its account's times its service's."""
+    row = fleet.table.services.get(pool)
+    if row is None:
+        return 1.0
+    account = fleet.table.accounts.get(row.client_account)
+    weight = account.weight if account else 1.0
+    return max(weight * row.share, 1e-6)
--- /dev/null
+++ b/tests/core/jobs/agents.py
@@ -0,0 +1,157 @@
+"""A small fake of the worker agents: tasks under leases on a virtual clock."""
+
+from dataclasses import dataclass, field
+
+from courselead.core.effects import CallAgent
+from courselead.core.events import AgentAnswered, AgentFailed, AgentOp, TaskReport
+
+
+@dataclass
+class Truth:
+    """How a job really behaves, whatever was declared."""
+
+    work_ms: int = 1_000
+    cores: float = 1.0
+    memory_mb: int = 100
+    fails: bool = False
+
+
+@dataclass
+class Run:
+    """One attempt of a job as it really ran on a worker."""
+
+    job_id: str
+    attempt: int
+    worker: str
+    began_ms: int
+    lease_ends_ms: int
+    done_ms: int
+    state: str = "running"
+    error: str = ""
+    ended_ms: int = -1
+
+    def settle(self, truth: Truth, now_ms: int) -> None:
+        """Bring the state up to the time."""
+        if self.state != "running":
+            return
+        finish_ms = self.began_ms + truth.work_ms - self.done_ms
+        if finish_ms <= min(now_ms, self.lease_ends_ms):
+            self.end("failed" if truth.fails else "done", finish_ms)
+            return
+        if self.lease_ends_ms <= now_ms:
+            self.end("lapsed", self.lease_ends_ms)
+
+    def end(self, state: str, at_ms: int) -> None:
+        """End the attempt if it runs."""
+        if self.state != "running":
+            return
+        self.state = state
+        self.ended_ms = at_ms
+
+    def report(self, truth: Truth, now_ms: int) -> TaskReport:
+        """Return what the agent says of it."""
+        ended_ms = now_ms if self.ended_ms < 0 else self.ended_ms
+        ran_ms = ended_ms - self.began_ms
+        done_ms = self.done_ms + ran_ms
+        has_mark = self.state in ("checkpointed", "lapsed")
+        return TaskReport(
+            job_id=self.job_id,
+            attempt=self.attempt,
+            state=self.state,
+            progress=min(1.0, done_ms / max(truth.work_ms, 1)),
+            checkpoint=str(done_ms) if has_mark else "",
+            error=self.error,
+            cores_used=truth.cores,
+            memory_mb_used=truth.memory_mb,
+            ran_ms=ran_ms,
+        )
+
+
+@dataclass
+class Agent:
+    """The agent of one worker; it forgets its tasks when it restarts."""
+
+    worker: str
+    truths: dict[str, Truth]
+    runs: list[Run]
+    tasks: dict[str, Run] = field(default_factory=dict)
+    epoch: int = 0
+    fails_all: bool = False
+    reachable: bool = True
+    isolated: bool = False
+
+    def restart(self, now_ms: int) -> None:
+        """Cut everything off and forget it."""
+        for run in self.tasks.values():
+            run.settle(self.truths[run.job_id], now_ms)
+            run.end("crashed", now_ms)
+        self.tasks = {}
+
+    def settle(self, now_ms: int) -> None:
+        """Bring all tasks up to the time."""
+        for run in self.tasks.values():
+            run.settle(self.truths[run.job_id], now_ms)
+
+    def call(self, call: CallAgent, now_ms: int) -> AgentAnswered | AgentFailed:
+        """Answer one call."""
+        if not self.reachable:
+            return AgentFailed(
+                now_ms, self.worker, call.op, call.epoch, False, call.job_id
+            )
+        self.settle(now_ms)
+        refused, run = self._act(call, now_ms)
+        report = None
+        if run is not None and not refused:
+            report = run.report(self.truths[call.job_id], now_ms)
+        return AgentAnswered(
+            now_ms=now_ms,
+            wall_ms=now_ms,
+            worker=self.worker,
+            op=call.op,
+            epoch=call.epoch,
+            refused=refused,
+            task=report,
+            job_id=call.job_id,
+        )
+
+    def _act(self, call: CallAgent, now_ms: int) -> tuple[str, Run | None]:
+        """Do what a call asks for."""
+        if call.epoch < self.epoch:
+            return "stale_epoch", None
+        self.epoch = call.epoch
+        run = self.tasks.get(call.job_id)
+        if call.op is AgentOp.START_TASK:
+            return self._start(call, run, now_ms)
+        if run is None or call.attempt > run.attempt:
+            return "not_found", None
+        if call.attempt < run.attempt:
+            return "stale_attempt", None
+        if call.op is AgentOp.RENEW_TASK and run.state == "running":
+            run.lease_ends_ms = now_ms + call.lease_ms
+        if call.op is AgentOp.CHECKPOINT_TASK:
+            run.end("checkpointed", now_ms)
+        if call.op is AgentOp.STOP_TASK:
+            run.end("stopped", now_ms)
+        return "", run
+
+    def _start(
+        self, call: CallAgent, run: Run | None, now_ms: int
+    ) -> tuple[str, Run | None]:
+        """Start an attempt, unless it or a later one is known."""
+        if run is not None and call.attempt < run.attempt:
+            return "stale_attempt", None
+        if run is not None and call.attempt == run.attempt:
+            return "", run
+        if run is not None:
+            run.end("stopped", now_ms)
+        done_ms = int(call.checkpoint) if call.checkpoint else 0
+        lease_ends_ms = now_ms + call.lease_ms
+        run = Run(
+            call.job_id, call.attempt, self.worker, now_ms, lease_ends_ms, done_ms
+        )
+        if self.fails_all:
+            run.error = "the worker fails every task"
+            run.end("failed", now_ms)
+        self.tasks[call.job_id] = run
+        self.runs.append(run)
+        return "", run
--- /dev/null
+++ b/tests/core/jobs/rig.py
@@ -0,0 +1,315 @@
+"""Entry hosts, a log and worker agents on one virtual clock."""
+
+from dataclasses import dataclass, field
+
+from immutables import Map
+
+from courselead.core.context import Context
+from courselead.core.effects import (
+    CallAgent,
+    Effect,
+    Propose,
+    ReplyAccepted,
+    ReplyProblem,
+)
+from courselead.core.events import (
+    BatchesRead,
+    Event,
+    JobsCancelAsked,
+    JobsOffered,
+    LogReachable,
+    Tick,
+)
+from courselead.core.fleet.apply import apply_batch
+from courselead.core.fleet.records import (
+    Batch,
+    HostBeat,
+    HostJoined,
+    HostLost,
+    JobSpec,
+    MinionUp,
+    Record,
+    TablePublished,
+    WorkerAssigned,
+    WorkerBack,
+    WorkerDown,
+    WorkerInfo,
+    WorkersSeen,
+)
+from courselead.core.fleet.state import FleetState, JobPhase
+from courselead.core.identity import Identity
+from courselead.core.jobs.reducer import reduce
+from courselead.core.jobs.state import JobsState
+from courselead.core.table import AccountRow, RequestClass, ServiceRow
+from tests.core.jobs.agents import Agent, Run, Truth
+
+TICK_MS = 100
+BEAT_MS = 1_000
+LOST_AFTER_MS = 10_000
+START_MS = 1_000_000
+ACCOUNT = "aloisi"
+SERVICE = "notary"
+POOL = f"{ACCOUNT}/{SERVICE}"
+
+
+def job_spec(job_id: str, **fields: object) -> JobSpec:
+    """Return a small idempotent batch job."""
+    values = {
+        "client_account": ACCOUNT,
+        "service": SERVICE,
+        "request_class": RequestClass.BATCH,
+        "payload": "{}",
+        "cores": 4.0,
+        "memory_mb": 1_000,
+        "run_ms": 5_000,
+        "deadline_ms": 0,
+        "idempotent": True,
+    }
+    values.update(fields)
+    return JobSpec(job_id=job_id, **values)
+
+
+@dataclass
+class Host:
+    """One entry host: its fold of the log and its decisions."""
+
+    me: Identity
+    fleet: FleetState = field(default_factory=FleetState)
+    jobs: JobsState = field(default_factory=JobsState)
+    proposals: list[Record] = field(default_factory=list)
+    replies: list[Effect] = field(default_factory=list)
+    seq: int = 0
+    read: int = 0
+    alive: bool = True
+    log_up: bool = True
+    isolated: bool = False
+
+
+class Rig:
+    """A fleet with one pool, driven step by step."""
+
+    def __init__(
+        self,
+        hosts: int = 3,
+        workers: int = 4,
+        jobs_limit: int = 10_000,
+        budget: float = 0.25,
+    ) -> None:
+        self.now_ms = START_MS
+        self.log: list[Batch] = []
+        self.runs: list[Run] = []
+        self.calls: list[CallAgent] = []
+        self.truths: dict[str, Truth] = {}
+        self.agents: dict[str, Agent] = {}
+        self.hosts: list[Host] = []
+        self._next_beat_ms = START_MS
+        for number in range(hosts):
+            name = f"host-{number}"
+            me = Identity(name, 1, f"zone-{number % 2}", "127.0.0.1:1", number)
+            self.hosts.append(Host(me))
+        for host in self.hosts:
+            me = host.me
+            joined = HostJoined(me.entry_host, 1, me.availability_zone, "127.0.0.1:1")
+            self.append(host, (joined,))
+        self.append(self.hosts[0], self._first_records(workers, jobs_limit, budget))
+        for number in range(workers):
+            name = f"worker-{number}"
+            self.agents[name] = Agent(name, self.truths, self.runs)
+        self.run_ms(300)
+
+    def append(self, host: Host, records: tuple[Record, ...]) -> None:
+        """Append one batch to the log."""
+        host.seq += 1
+        name = host.me.entry_host
+        batch = Batch(name, host.me.incarnation, host.seq, self.now_ms, -1, records)
+        self.log.append(batch)
+
+    def run_ms(self, time_ms: int) -> None:
+        """Let time pass."""
+        end_ms = self.now_ms + time_ms
+        while self.now_ms < end_ms:
+            self.now_ms += TICK_MS
+            self._turn()
+
+    def run_until(self, is_met, bound_ms: int = 600_000) -> int:
+        """Let time pass until a condition holds; return how long it took."""
+        began_ms = self.now_ms
+        while not is_met():
+            assert self.now_ms - began_ms < bound_ms, "the condition was never met"
+            self.run_ms(TICK_MS)
+        return self.now_ms - began_ms
+
+    def give(self, host: Host, event: Event) -> None:
+        """Give one event to a host and perform what it decides."""
+        ctx = self._context(host, ())
+        self._reduce(host, ctx, event)
+
+    @property
+    def fleet(self) -> FleetState:
+        """Return the newest shared state of any host."""
+        return max((host.fleet for host in self.hosts), key=lambda f: f.offset)
+
+    def submit(self, *specs: JobSpec, request_id: str = "r1", host: int = 0) -> None:
+        """Submit jobs that behave as declared, unless told otherwise before."""
+        for spec in specs:
+            self.truths.setdefault(spec.job_id, Truth(work_ms=spec.run_ms))
+        deadline_ms = self.now_ms + 5_000
+        event = JobsOffered(self.now_ms, request_id, tuple(specs), deadline_ms)
+        self.give(self.hosts[host], event)
+
+    def cancel(self, *job_ids: str, request_id: str = "c1", host: int = 0) -> None:
+        """Cancel jobs."""
+        deadline_ms = self.now_ms + 5_000
+        event = JobsCancelAsked(
+            self.now_ms, request_id, ACCOUNT, tuple(job_ids), deadline_ms
+        )
+        self.give(self.hosts[host], event)
+
+    def phase(self, job_id: str) -> JobPhase | None:
+        """Return where a job stands."""
+        job = self.fleet.jobs.get(job_id)
+        return job.phase if job else None
+
+    def is_over(self, *job_ids: str) -> bool:
+        """Return whether jobs have ended, one way or another."""
+        ended = (
+            JobPhase.DONE,
+            JobPhase.FAILED,
+            JobPhase.CANCELLED,
+            JobPhase.UNKNOWN,
+        )
+        return all(self.phase(job_id) in ended for job_id in job_ids)
+
+    def runs_of(self, job_id: str) -> list[Run]:
+        """Return the attempts of a job that really ran."""
+        return [run for run in self.runs if run.job_id == job_id]
+
+    def write(self, *records: Record) -> None:
+        """Append records in the name of a host that reads and writes the log."""
+        host = next(host for host in self.hosts if host.alive and host.log_up)
+        self.append(host, records)
+
+    def lose_worker(self, name: str) -> None:
+        """Note the loss of a worker, as the operations part does."""
+        worker = self.fleet.workers[name]
+        self.write(WorkerDown(name, worker.epoch, "not reached"))
+
+    def return_worker(self, name: str) -> None:
+        """Note that a lost worker is back, with a new minion."""
+        worker = self.fleet.workers[name]
+        back = WorkerBack(name, worker.epoch)
+        self.write(back, MinionUp(name, worker.epoch + 1, "127.0.0.1:4"))
+
+    def write_off_hosts(self) -> None:
+        """Note the loss of silent hosts, as their peers do."""
+        for host in self.fleet.hosts.values():
+            silent_ms = self.now_ms - host.last_beat_ms
+            if host.status != "live" or silent_ms < LOST_AFTER_MS:
+                continue
+            by = next(one for one in self.hosts if one.alive and one.log_up)
+            name = by.me.entry_host
+            if host.entry_host != name:
+                lost = HostLost(host.entry_host, host.incarnation, host.last_beat, name)
+                self.append(by, (lost,))
+
+    def _first_records(self, workers: int, limit: int, budget: float) -> tuple:
+        """Return the table and the workers."""
+        account = AccountRow(ACCOUNT, jobs_limit=limit)
+        row = ServiceRow(ACCOUNT, SERVICE, workers=workers, availability_budget=budget)
+        infos = []
+        records: list[Record] = []
+        for number in range(workers):
+            name = f"worker-{number}"
+            zone = f"zone-{number % 2}"
+            infos.append(WorkerInfo(name, zone, "rack-0", "127.0.0.1:2", 32.0, 128_000))
+            records.append(WorkerAssigned(name, 0, POOL, len(self.hosts)))
+            records.append(MinionUp(name, 1, "127.0.0.1:3"))
+        table = TablePublished(-1, (account,), (row,), (), "operator")
+        return (table, WorkersSeen(tuple(infos)), *records)
+
+    def _turn(self) -> None:
+        """Let every living host read, tick and append once."""
+        beats = self.now_ms >= self._next_beat_ms
+        if beats:
+            self._next_beat_ms = self.now_ms + BEAT_MS
+        for host in self.hosts:
+            if not host.alive:
+                continue
+            self._read(host)
+            tick = Tick(self.now_ms, self.now_ms)
+            self._reduce(host, self._context(host, ()), tick)
+            if beats and host.log_up:
+                offset = host.fleet.offset
+                name = host.me.entry_host
+                beat = HostBeat(name, host.me.incarnation, offset, offset, -1, "")
+                host.proposals.append(beat)
+            self._flush(host)
+
+    def _flush(self, host: Host) -> None:
+        """Append what a host has proposed."""
+        if not host.log_up or not host.proposals:
+            return
+        self.append(host, tuple(host.proposals))
+        host.proposals = []
+
+    def _read(self, host: Host) -> None:
+        """Let a host read to the end of the log."""
+        if not host.log_up or host.read == len(self.log):
+            return
+        batches = []
+        applied = []
+        for offset in range(host.read, len(self.log)):
+            batch = self.log[offset]
+            host.fleet, verdicts = apply_batch(host.fleet, offset, batch)
+            applied.extend(verdicts)
+            batches.append((offset, batch))
+        host.read = len(self.log)
+        event = BatchesRead(self.now_ms, tuple(batches))
+        self._reduce(host, self._context(host, tuple(applied)), event)
+
+    def set_log(self, host: Host, up: bool) -> None:
+        """Cut a host off from the log, or mend it."""
+        host.log_up = up
+        self.give(host, LogReachable(self.now_ms, up))
+
+    def _context(self, host: Host, applied: tuple) -> Context:
+        """Return a host's view."""
+        known = host.fleet.hosts.get(host.me.entry_host)
+        heard = {}
+        for other in self.hosts:
+            is_heard = other.alive and other.isolated == host.isolated
+            is_heard = is_heard and not host.isolated
+            heard[other.me.entry_host] = self.now_ms if is_heard else 0
+        return Context(
+            me=host.me,
+            fleet=host.fleet,
+            applied=applied,
+            log_up=host.log_up,
+            member=known is not None and known.status == "live",
+            leaving=False,
+            now_ms=self.now_ms,
+            wall_ms=self.now_ms,
+            heard_ms=Map(heard),
+        )
+
+    def _reduce(self, host: Host, ctx: Context, event: Event) -> None:
+        """Reduce one event and perform the effects."""
+        host.jobs, effects = reduce(host.jobs, ctx, event)
+        for effect in effects:
+            self._perform(host, effect)
+
+    def _perform(self, host: Host, effect: Effect) -> None:
+        """Perform one effect."""
+        match effect:
+            case Propose(record=record):
+                host.proposals.append(record)
+            case ReplyAccepted() | ReplyProblem():
+                host.replies.append(effect)
+            case CallAgent():
+                self.calls.append(effect)
+                agent = self.agents[effect.worker]
+                reachable = agent.reachable
+                agent.reachable = reachable and host.isolated == agent.isolated
+                answer = agent.call(effect, self.now_ms)
+                agent.reachable = reachable
+                self.give(host, answer)
