--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -131,7 +131,7 @@
             "cores": 1,
             "memory_mb": 256,
             "run_ms": 2_000,
-            "deadline_ms": 600_000,
+            "deadline_ms": 0,
         }
         path = self._folder / "job.json"
         path.write_text(json.dumps(job))
