--- /dev/null
+++ b/harness/__init__.py
@@ -0,0 +1,1 @@
+"""Several entry hosts on one virtual clock, over fakes at their interfaces."""
--- /dev/null
+++ b/harness/callers.py
@@ -0,0 +1,243 @@
+"""Callers, operators and submitters: what each was told, and how often it ran."""
+
+from dataclasses import dataclass, field
+
+from courselead.core.effects import ReplyAccepted, ReplyProblem, ReplyReplay, RunState
+from courselead.core.events import (
+    CallerGone,
+    JobsCancelAsked,
+    JobsOffered,
+    RequestArrived,
+    TableEdit,
+)
+from courselead.core.fleet.records import JobSpec, TablePublished
+from courselead.core.table import AccountRow, RequestClass, ServiceRow
+
+MAX_TRIES = 4
+EDIT_MS = 3_000
+ASK_MS = 4_000
+CLASSES = tuple(RequestClass)
+
+
+@dataclass(slots=True)
+class Ticket:
+    """What a caller wants done, over all its tries."""
+
+    number: int
+    client_account: str
+    service: str
+    key: str
+    idempotent: bool
+    work_ms: int
+    time_ms: int
+    small: bool
+    runs: list[str] = field(default_factory=list)
+    tries: int = 0
+
+    @property
+    def pool(self) -> str:
+        """Return the pool that serves it."""
+        return f"{self.client_account}/{self.service}"
+
+
+@dataclass(slots=True)
+class Request:
+    """One try of a ticket, or one call of the management interface.
+
+    Attributes:
+        told: What the caller was told, in order; exactly one in the end.
+        not_run: Whether it was told that nothing was run.
+    """
+
+    request_id: str
+    host: object
+    deadline_ms: int
+    ticket: Ticket | None = None
+    told: list[str] = field(default_factory=list)
+    heads: int = 0
+    runs: int = 0
+    not_run: bool = False
+
+    @property
+    def work_ms(self) -> int:
+        """Return how long a run takes."""
+        return self.ticket.work_ms
+
+    @property
+    def small(self) -> bool:
+        """Return whether the answer is kept for replay."""
+        return self.ticket.small
+
+    def answer_to(self, request_id: str) -> bytes:
+        """Return the answer that belongs to this request alone."""
+        ticket = self.ticket
+        return f"{ticket.pool}#{ticket.number}|{request_id}".encode()
+
+
+class Callers:
+    """All callers, and the ledger of what they were told."""
+
+    def __init__(self, world: object) -> None:
+        self.world = world
+        self.requests: dict[str, Request] = {}
+        self.tickets: list[Ticket] = []
+        self._count = 0
+
+    def request(self, request_id: str) -> Request:
+        """Return the request of an id."""
+        return self.requests[request_id]
+
+    # --- asking -------------------------------------------------------------
+
+    def some_host(self, unlike: object = None) -> object | None:
+        """Return a host as a balancer picks one, another one if it can."""
+        hosts = [host for host in self.world.hosts.values() if host.alive]
+        others = [host for host in hosts if host is not unlike]
+        return self.world.sched.rng.choice(others or hosts) if hosts else None
+
+    def call(self, ticket: Ticket, host: object | None) -> None:
+        """Send a ticket to a host."""
+        if host is None or not host.alive:
+            return
+        ticket.tries += 1
+        now_ms = self.world.sched.now_ms
+        req = self._new(host, now_ms + ticket.time_ms, ticket)
+        rng = self.world.sched.rng
+        cls = rng.choice(CLASSES)
+        host.give(
+            f"caller:{req.request_id}",
+            lambda now: RequestArrived(
+                now_ms=now,
+                request_id=req.request_id,
+                client_account=ticket.client_account,
+                service=ticket.service,
+                request_class=cls,
+                idempotent=ticket.idempotent,
+                key=ticket.key,
+                fingerprint=f"f{ticket.number}",
+                deadline_ms=req.deadline_ms,
+                body_bytes=10,
+            ),
+        )
+        if rng.random() < 0.02:
+            host.later(rng.randint(1, 300), self._go_away, req)
+
+    def edit(self, host: object, edit: TablePublished) -> Request:
+        """Publish an edit of the table."""
+        req = self._new(host, self.world.sched.now_ms + EDIT_MS)
+        host.give(
+            f"operator:{req.request_id}",
+            lambda now: TableEdit(now, req.request_id, edit, req.deadline_ms),
+        )
+        return req
+
+    def edit_rows(
+        self, host: object, *rows: ServiceRow | AccountRow, author: str = "op"
+    ) -> Request:
+        """Publish rows on top of the table that a host shows."""
+        services = tuple(row for row in rows if isinstance(row, ServiceRow))
+        accounts = tuple(row for row in rows if isinstance(row, AccountRow))
+        base = host.state.fleet.table.version
+        return self.edit(host, TablePublished(base, accounts, services, (), author))
+
+    def submit(self, host: object, *jobs: JobSpec) -> Request:
+        """Submit jobs."""
+        req = self._new(host, self.world.sched.now_ms + ASK_MS)
+        host.give(
+            f"jobs:{req.request_id}",
+            lambda now: JobsOffered(now, req.request_id, jobs, req.deadline_ms),
+        )
+        return req
+
+    def cancel(self, host: object, account: str, *job_ids: str) -> Request:
+        """Cancel jobs."""
+        req = self._new(host, self.world.sched.now_ms + ASK_MS)
+        host.give(
+            f"jobs:{req.request_id}",
+            lambda now: JobsCancelAsked(
+                now, req.request_id, account, job_ids, req.deadline_ms
+            ),
+        )
+        return req
+
+    def _new(
+        self, host: object, deadline_ms: int, ticket: Ticket | None = None
+    ) -> Request:
+        self._count += 1
+        request_id = f"r{self._count}"
+        req = Request(request_id, host, deadline_ms, ticket)
+        self.requests[request_id] = req
+        return req
+
+    def _go_away(self, req: Request) -> None:
+        if req.told:
+            return
+        self._tell(req, "gone")
+        req.host.give(
+            f"caller:{req.request_id}",
+            lambda now: CallerGone(now, req.request_id),
+        )
+
+    # --- being told ---------------------------------------------------------
+
+    def reply(
+        self, host: object, effect: ReplyProblem | ReplyReplay | ReplyAccepted
+    ) -> None:
+        """Take in a final answer that the core gives."""
+        req = self.requests[effect.request_id]
+        if "gone" in req.told:
+            return
+        if isinstance(effect, ReplyAccepted):
+            self._tell(req, "accepted")
+        elif isinstance(effect, ReplyReplay):
+            self.world.checks.replayed(req, effect.body)
+            self._tell(req, "replayed")
+        else:
+            run = effect.problem.run
+            if run is RunState.NOT_RUN and req.ticket is not None:
+                req.not_run = True
+                self.world.checks.told_not_run(req)
+            self._tell(req, f"{effect.problem.kind}:{run}")
+            self._again(req, run is RunState.NOT_RUN)
+
+    def head(self, request_id: str) -> None:
+        """Take in the head of an answer."""
+        self.requests[request_id].heads += 1
+
+    def answered(self, request_id: str, status: int, text: bytes) -> None:
+        """Take in a whole answer of a target."""
+        req = self.requests[request_id]
+        if "gone" in req.told:
+            return
+        self.world.checks.answered(req, text)
+        self._tell(req, f"answered:{status}")
+
+    def broken(self, request_id: str) -> None:
+        """Take in that an answer stopped in its body."""
+        req = self.requests[request_id]
+        if "gone" in req.told:
+            return
+        self._tell(req, "broken")
+        self._again(req, False)
+
+    def host_gone(self, host: object) -> None:
+        """Take in that a host has died: its callers see closed connections."""
+        for req in tuple(self.requests.values()):
+            if req.host is host and not req.told:
+                self._tell(req, "closed")
+                self._again(req, False)
+
+    def _tell(self, req: Request, what: str) -> None:
+        req.told.append(what)
+        self.world.checks.told(req)
+
+    def _again(self, req: Request, not_run: bool) -> None:
+        """Try again where that is the caller's right."""
+        ticket = req.ticket
+        if ticket is None or ticket.tries >= MAX_TRIES:
+            return
+        if not (not_run or ticket.key or ticket.idempotent):
+            return
+        rng = self.world.sched.rng
+        host = self.some_host(unlike=req.host)
+        self.world.sched.after(rng.randint(5, 600), self.call, ticket, host)
--- /dev/null
+++ b/harness/checks.py
@@ -0,0 +1,396 @@
+"""The nine promises, each checked at every step of a run.
+
+The checks keep a small model of their own of pools and floors, and look at what
+really happened at the workers, so that a fault of the core shows itself here.
+"""
+
+import math
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import StrEnum
+
+from courselead.core.effects import CallAgent, Send
+from courselead.core.events import NotRunReason
+from courselead.core.fleet.records import (
+    JobPlaced,
+    MinionUp,
+    StopCancelled,
+    StopPlanned,
+    TablePublished,
+    WorkerDown,
+    WorkerQuarantined,
+    WorkersGone,
+)
+from courselead.core.fleet.state import (
+    Applied,
+    FleetState,
+    HostStatus,
+    WorkerPhase,
+)
+from courselead.core.reducer import CoreState
+from courselead.core.table import ServiceRow, account_key, service_key
+from harness.workers import STOPPED, TaskRun, Worker
+
+LEAVING_MS = 3_000
+CONFIG_MS = 5_000
+LATE_MS = 160
+LOOK_MS = 100
+
+
+class Promise(StrEnum):
+    """What courselead promises."""
+
+    BUDGET = "budget"
+    ONE_POOL = "one_pool"
+    OWN_ANSWER = "own_answer"
+    NOT_RUN = "not_run"
+    AT_MOST_ONCE = "at_most_once"
+    LEAVING = "leaving"
+    NO_CUT = "no_cut"
+    CONFIG = "config"
+    FINAL_ANSWER = "final_answer"
+
+
+@dataclass(frozen=True, slots=True)
+class Violation:
+    """A promise that was broken."""
+
+    promise: Promise
+    at_ms: int
+    text: str
+
+
+class Checks:
+    """Checks of one run.
+
+    Attributes:
+        violations: What was broken.
+        exercised: How often each promise was put to the test since `arm`.
+    """
+
+    def __init__(self, world: object) -> None:
+        self.world = world
+        self.violations: list[Violation] = []
+        self.exercised: Counter[Promise] = Counter()
+        self._armed = False
+        self._rows: dict[str, ServiceRow] = {}
+        self._versions: dict[str, int] = {}
+        self._pools: dict[tuple[str, int], str] = {}
+        self._serving: dict[str, str] = {}
+        self._digests: dict[int, str] = {}
+        self._served: dict[str, int] = {}
+        self._leaving_ms: dict[str, int] = {}
+        self._task_runs: Counter[str] = Counter()
+        world.log.listeners.append(self.applied)
+
+    def arm(self) -> None:
+        """Count from here on what puts the promises to the test."""
+        self._armed = True
+
+    def fail(self, promise: Promise, text: str) -> None:
+        """Note a broken promise."""
+        now_ms = self.world.sched.now_ms
+        self.violations.append(Violation(promise, now_ms, text))
+        self.world.note("check", f"{promise} broken: {text}")
+
+    def _count(self, promise: Promise) -> None:
+        if self._armed:
+            self.exercised[promise] += 1
+
+    # --- the log ------------------------------------------------------------
+
+    def applied(self, before: FleetState, applied: tuple[Applied, ...]) -> None:
+        """Judge the verdicts of one batch against the checks' own model."""
+        truth = self.world.log.truth
+        self._digests[truth.offset] = truth.digest
+        for item in applied:
+            if not item.verdict.accepted:
+                continue
+            handler = _HANDLERS.get(type(item.record))
+            if handler is not None:
+                handler(self, item)
+            name = getattr(item.record, "worker", "")
+            if name:
+                self._note_pool(truth, name)
+        self.world.note_applied(applied)
+
+    def _note_pool(self, truth: FleetState, name: str) -> None:
+        worker = truth.workers.get(name)
+        if worker is not None and worker.pool:
+            self._pools[(name, worker.epoch)] = worker.pool
+
+    def _up(self, item: Applied) -> None:
+        name, epoch = item.record.worker, item.record.epoch
+        self._note_pool(self.world.log.truth, name)
+        self._serving[name] = self._pools.get((name, epoch), "")
+
+    def _out(self, item: Applied) -> None:
+        self._serving.pop(item.record.worker, None)
+
+    def _gone(self, item: Applied) -> None:
+        workers = self.world.log.truth.workers
+        for name, _ in item.record.workers:
+            if workers[name].phase is WorkerPhase.GONE:
+                self._serving.pop(name, None)
+
+    def _stopped(self, item: Applied) -> None:
+        pool = self._serving.pop(item.record.worker, "")
+        self._count(Promise.BUDGET)
+        serving = sum(1 for one in self._serving.values() if one == pool)
+        if serving < self._floor(pool):
+            record = item.record
+            text = f"{pool}: {serving} serve after the stop of {record.worker}"
+            self.fail(Promise.BUDGET, f"{text}, {self._floor(pool)} must")
+
+    def _floor(self, pool: str) -> int:
+        row = self._rows.get(pool)
+        if row is None:
+            return 0
+        return row.workers - math.floor(row.availability_budget * row.workers)
+
+    def _published(self, item: Applied) -> None:
+        record = item.record
+        keys = [account_key(row.client_account) for row in record.accounts]
+        keys += [service_key(row.pool) for row in record.services]
+        for key in (*keys, *record.removed):
+            if self._versions.get(key, -1) > record.base_version:
+                self.fail(Promise.CONFIG, f"the edit of {key} overwrote a newer one")
+            self._versions[key] = item.offset
+        for row in record.services:
+            self._rows[row.pool] = row
+        for key in record.removed:
+            self._rows.pop(key.partition(":")[2], None)
+        now_ms = self.world.sched.now_ms
+        self.world.sched.after(CONFIG_MS, self._in_force, item.offset, now_ms)
+
+    def _in_force(self, version: int, since_ms: int) -> None:
+        for host in self.world.hosts.values():
+            if not host.alive or host.steady_ms > since_ms or host.frozen:
+                continue
+            self._count(Promise.CONFIG)
+            held = host.state.fleet.table.version
+            if held < version:
+                text = f"{host.name} has table {held} after 5 s of {version}"
+                self.fail(Promise.CONFIG, text)
+
+    def _placed(self, item: Applied) -> None:
+        host = self.world.hosts[item.entry_host]
+        self._not_leaving(host, item.record.worker, f"job {item.record.job_id}")
+
+    # --- the hosts ----------------------------------------------------------
+
+    def reduced(self, host: object, before: CoreState) -> None:
+        """Judge a host's state after an event."""
+        state = host.state
+        if state.fleet is before.fleet:
+            return
+        offset = state.fleet.offset
+        known = self._digests.get(offset)
+        if known is not None and known != state.fleet.digest:
+            text = f"{host.name} holds another state at offset {offset}"
+            self.fail(Promise.ONE_POOL, text)
+        version = state.fleet.table.version
+        if version < before.fleet.table.version:
+            text = f"{host.name} went from table {before.fleet.table.version}"
+            self.fail(Promise.CONFIG, f"{text} to {version}")
+        if not state.member:
+            return
+        if version < self._served.get(host.name, -1):
+            served = self._served[host.name]
+            text = f"{host.name} serves with table {version} after {served}"
+            self.fail(Promise.CONFIG, text)
+        self._served[host.name] = max(version, self._served.get(host.name, -1))
+
+    # --- callers ------------------------------------------------------------
+
+    def told(self, req: object) -> None:
+        """Judge that a caller was told something final, and when."""
+        if len(req.told) > 1:
+            self.fail(Promise.FINAL_ANSWER, f"{req.request_id} was told {req.told}")
+        now_ms = self.world.sched.now_ms
+        limit_ms = max(req.deadline_ms, req.host.thawed_ms) + LATE_MS
+        if now_ms > limit_ms and req.told[0] not in ("closed", "gone"):
+            text = f"{req.request_id} was told {req.told} {now_ms - limit_ms} ms late"
+            self.fail(Promise.FINAL_ANSWER, text)
+        if not req.told[0].startswith(("answered", "gone")):
+            self._count(Promise.FINAL_ANSWER)
+
+    def told_not_run(self, req: object) -> None:
+        """Judge that a caller was told that nothing was run."""
+        self._count(Promise.NOT_RUN)
+        if req.runs:
+            self.fail(Promise.NOT_RUN, f"{req.request_id} had run {req.runs} times")
+
+    def answered(self, req: object, text: bytes) -> None:
+        """Judge an answer that a target gave."""
+        self._count(Promise.OWN_ANSWER)
+        if text != req.answer_to(req.request_id):
+            self.fail(Promise.OWN_ANSWER, f"{req.request_id} was given {text}")
+        if req.heads != 1:
+            text = f"{req.request_id} was given {req.heads} heads"
+            self.fail(Promise.OWN_ANSWER, text)
+
+    def replayed(self, req: object, text: bytes) -> None:
+        """Judge a kept answer: it must be of this ticket, whichever try."""
+        self._count(Promise.OWN_ANSWER)
+        own = req.answer_to("")
+        if not text.startswith(own):
+            self.fail(Promise.OWN_ANSWER, f"{req.request_id} was replayed {text}")
+
+    def finish(self) -> None:
+        """Judge at the end of a run what must have come by then."""
+        now_ms = self.world.sched.now_ms
+        for req in self.world.callers.requests.values():
+            if not req.told and req.deadline_ms + LATE_MS < now_ms:
+                text = f"{req.request_id} was never given a final answer"
+                self.fail(Promise.FINAL_ANSWER, text)
+
+    # --- sends and runs -----------------------------------------------------
+
+    def look_at_list(self) -> None:
+        """Note since when the list shows workers as leaving."""
+        shown = self.world.membership.shown()
+        if shown is None:
+            return
+        for name in shown[1].leaving:
+            self._leaving_ms.setdefault(name, self.world.sched.now_ms)
+
+    def sent(self, host: object, send: Send) -> None:
+        """Judge that a request goes to a target."""
+        if self._leaving_ms:
+            self._not_leaving(host, send.worker, f"request {send.request_id}")
+
+    def _not_leaving(self, host: object, worker: str, what: str) -> None:
+        now_ms = self.world.sched.now_ms
+        for since_ms in self._leaving_ms.values():
+            if now_ms - since_ms > LEAVING_MS:
+                self._count(Promise.LEAVING)
+        since_ms = self._leaving_ms.get(worker)
+        if since_ms is None:
+            return
+        since_ms = max(since_ms, host.steady_ms)
+        if now_ms - since_ms > LEAVING_MS:
+            text = f"{what} went to {worker}, leaving for {now_ms - since_ms} ms"
+            self.fail(Promise.LEAVING, f"{text}, from {host.name}")
+
+    def told_by_target(self, host: object, send: Send, reason: NotRunReason) -> None:
+        """Judge that a target said that it is leaving, once more."""
+        minion = self.world.workers[send.worker].minion
+        if reason is not NotRunReason.LEAVING or minion is None:
+            return
+        first_ms = minion.told_leaving.get(host.name, 1 << 60)
+        first_ms = max(first_ms, host.steady_ms)
+        now_ms = self.world.sched.now_ms
+        self._count(Promise.LEAVING)
+        if now_ms - first_ms > LEAVING_MS:
+            text = f"{host.name} tried {send.worker} {now_ms - first_ms} ms after"
+            self.fail(Promise.LEAVING, f"{text} its own word")
+
+    def ran(self, minion: object, exchange: object) -> None:
+        """Judge that a minion really runs a request."""
+        req = exchange.ticket
+        ticket = req.ticket
+        req.runs += 1
+        ticket.runs.append(req.request_id)
+        self._count(Promise.ONE_POOL)
+        if ticket.pool != minion.pool:
+            text = f"{req.request_id} of {ticket.pool} ran on a minion of"
+            self.fail(Promise.ONE_POOL, f"{text} {minion.pool}, {minion.address}")
+        if req.not_run:
+            text = f"{req.request_id} ran after its caller was told it had not"
+            self.fail(Promise.NOT_RUN, text)
+        if ticket.idempotent:
+            return
+        self._count(Promise.AT_MOST_ONCE)
+        if len(ticket.runs) > 1:
+            text = f"ticket {ticket.number} (key {ticket.key!r}) ran as"
+            self.fail(Promise.AT_MOST_ONCE, f"{text} {ticket.runs}")
+
+    # --- workers ------------------------------------------------------------
+
+    def pool_at(self, worker: str, epoch: int) -> str:
+        """Return the pool that a worker is agreed to be in at an epoch."""
+        return self._pools.get((worker, epoch), "")
+
+    def minion_started(self, worker: Worker) -> None:
+        """Judge that a minion was started."""
+        self._one_pool(worker)
+
+    def task_started(self, worker: Worker, task: TaskRun) -> None:
+        """Judge that a task was started."""
+        self._one_pool(worker)
+        spec = self.world.job_specs[task.job_id]
+        self._task_runs[task.job_id] += 1
+        if spec.idempotent:
+            return
+        self._count(Promise.AT_MOST_ONCE)
+        if self._task_runs[task.job_id] > 1:
+            text = f"job {task.job_id} ran {self._task_runs[task.job_id]} times"
+            self.fail(Promise.AT_MOST_ONCE, text)
+
+    def _one_pool(self, worker: Worker) -> None:
+        self._count(Promise.ONE_POOL)
+        pools = set()
+        if worker.minion is not None and worker.minion.state != STOPPED:
+            pools.add(worker.minion.pool)
+        for task in worker.tasks.values():
+            spec = self.world.job_specs[task.job_id]
+            if task.state == "running":
+                pools.add(f"{spec.client_account}/{spec.service}")
+        if len(pools) > 1:
+            self.fail(Promise.ONE_POOL, f"{worker.name} runs work of {sorted(pools)}")
+
+    def minion_stops(self, worker: Worker, call: CallAgent) -> None:
+        """Judge that a serving minion is stopped by a call."""
+        truth = self.world.log.truth
+        agreed = truth.workers[worker.name]
+        minion = worker.minion
+        if agreed.epoch != minion.epoch:
+            return
+        if agreed.phase is WorkerPhase.SERVING:
+            text = f"{worker.name} serves {agreed.pool} and was stopped"
+            self.fail(Promise.BUDGET, f"{text} without a claim")
+        if agreed.phase is not WorkerPhase.STOPPING:
+            return
+        self._count(Promise.NO_CUT)
+        for host in self.world.hosts.values():
+            known = truth.hosts.get(host.name)
+            if known is None or known.status is not HostStatus.LIVE:
+                continue
+            if known.joined >= agreed.since or not host.alive:
+                continue
+            for exchange in host.exchanges.values():
+                if exchange.send.address == minion.address and not exchange.closed:
+                    text = f"{worker.name} was stopped while {host.name} had"
+                    what = exchange.send.request_id
+                    self.fail(Promise.NO_CUT, f"{text} {what} in flight")
+
+    def reboots(self, worker: Worker, call: CallAgent) -> None:
+        """Judge that a worker is rebooted by a call."""
+        self._count(Promise.NO_CUT)
+        agreed = self.world.log.truth.workers[worker.name]
+        if agreed.phase is WorkerPhase.SERVING:
+            text = f"{worker.name} serves {agreed.pool} and is rebooted"
+            self.fail(Promise.BUDGET, text)
+
+    def reboot_refused(self, worker: Worker, call: CallAgent) -> None:
+        """Note that an agent would not reboot while something runs."""
+        self._count(Promise.NO_CUT)
+
+    def cut_off(self, worker: Worker, why: str) -> None:
+        """Judge that a request or a task was cut off."""
+        if why == "reboot":
+            self.fail(Promise.NO_CUT, f"{worker.name} rebooted with work in it")
+
+
+_HANDLERS: dict[type, Callable[[Checks, Applied], None]] = {
+    MinionUp: Checks._up,
+    WorkerDown: Checks._out,
+    WorkerQuarantined: Checks._out,
+    WorkersGone: Checks._gone,
+    StopPlanned: Checks._stopped,
+    StopCancelled: Checks._up,
+    TablePublished: Checks._published,
+    JobPlaced: Checks._placed,
+}
--- /dev/null
+++ b/harness/exchange.py
@@ -0,0 +1,174 @@
+"""One exchange of a host with a minion, to its answer, its break or its abort."""
+
+from courselead.core.effects import Send
+from courselead.core.events import (
+    AnswerBroken,
+    AnswerEnded,
+    AnswerStarted,
+    NotRunReason,
+    SendNotRun,
+    SendUnknown,
+)
+from harness.workers import SERVING, STOPPED
+
+CONNECT_MS = 800
+BODY_MS = 15
+BREAK_PART = 0.01
+
+
+class Exchange:
+    """What goes to and fro on one connection.
+
+    Attributes:
+        heard: Whether the head of an answer went on to the caller.
+        closed: Whether nothing of it may be heard any more.
+    """
+
+    def __init__(self, world: object, host: object, send: Send) -> None:
+        self.world = world
+        self.host = host
+        self.send = send
+        self.ticket = world.callers.request(send.request_id)
+        self.heard = False
+        self.closed = False
+        self.minion = None
+        self._end_ms = world.sched.now_ms + send.timeout_ms
+
+    def begin(self) -> None:
+        """Connect and send."""
+        self.world.checks.sent(self.host, self.send)
+        self._after(self.world.net.delay_ms(self.host.name), self._arrive)
+
+    def close(self) -> None:
+        """Let nothing of it be heard any more; the minion may run on."""
+        self.closed = True
+
+    def abort(self) -> None:
+        """Close it on behalf of the core; a caller of a begun answer sees that."""
+        self.close()
+        if self.heard:
+            self.world.callers.broken(self.send.request_id)
+
+    def reset(self) -> None:
+        """Break it because the minion is gone."""
+        self._after(self.world.net.delay_ms(self.host.name), self._broken, "reset")
+
+    def _after(self, delay_ms: int, call: object, *args: object) -> None:
+        self.world.sched.after(delay_ms, self._open, call, args)
+
+    def _open(self, call: object, args: tuple) -> None:
+        if not self.closed:
+            call(*args)
+
+    def _talks(self) -> bool:
+        worker = self.world.workers[self.send.worker]
+        zone = worker.info.availability_zone
+        return worker.up and self.world.net.zones_talk(self.host.zone, zone)
+
+    def _arrive(self) -> None:
+        minion = self.world.workers[self.send.worker].minion
+        if not self._talks():
+            self._after(CONNECT_MS, self._not_run, NotRunReason.REFUSED)
+            return
+        gone = minion is None or minion.address != self.send.address
+        if gone or minion.state == STOPPED:
+            stale = not self.send.fresh and self.world.sched.rng.random() < 0.3
+            if stale:
+                # Written to a kept connection that had just been closed.
+                self._after(2, self._broken, "closed")
+                return
+            self._after(2, self._not_run, NotRunReason.REFUSED)
+            return
+        if minion.state != SERVING:
+            minion.told_leaving.setdefault(self.host.name, self.world.sched.now_ms)
+            self._after(2, self._not_run, NotRunReason.LEAVING)
+            return
+        if len(minion.runs) >= minion.slots:
+            self._after(2, self._not_run, NotRunReason.FULL)
+            return
+        self._run(minion)
+
+    def _run(self, minion: object) -> None:
+        """Run the request on the minion."""
+        self.minion = minion
+        self.world.checks.ran(minion, self)
+        if minion.failing:
+            self._after(3, self._answer, 500)
+            return
+        minion.runs.append(self)
+        work_ms = self.ticket.work_ms * minion.slow
+        self.world.sched.after(work_ms, self._worked)
+
+    def _worked(self) -> None:
+        """Give the answer; a slot is free even if nobody listens any more."""
+        if self not in self.minion.runs:
+            return
+        self.minion.runs.remove(self)
+        self.minion.settle()
+        if self.closed:
+            return
+        if not self._talks() or self.world.net.loses(self.host.name):
+            left_ms = max(0, self._end_ms - self.world.sched.now_ms)
+            self._after(left_ms, self._broken, "no answer in time")
+            return
+        self._after(self.world.net.delay_ms(self.host.name), self._answer, 200)
+
+    def _answer(self, status: int) -> None:
+        request_id, attempt = self.send.request_id, self.send.attempt
+        source = f"exchange:{request_id}"
+
+        def head(now_ms: int) -> AnswerStarted | None:
+            if self.closed:
+                return None
+            return AnswerStarted(now_ms, request_id, attempt, status)
+
+        def body(now_ms: int) -> AnswerEnded | AnswerBroken | None:
+            if self.closed:
+                return None
+            self._done()
+            if self.world.sched.rng.random() < BREAK_PART:
+                self.world.callers.broken(request_id)
+                return AnswerBroken(now_ms, request_id, attempt, "cut short")
+            text = self.ticket.answer_to(request_id)
+            self.world.callers.answered(request_id, status, text)
+            kept = self.ticket.small
+            return AnswerEnded(
+                now_ms, request_id, attempt, status, "text/plain", text, kept
+            )
+
+        def resolve() -> None:
+            # The core hears of the head first: it may have given up just now.
+            if not self.closed:
+                self.heard = True
+                self.world.callers.head(request_id)
+
+        self.host.give(source, head, resolve)
+        self._after(BODY_MS, self.host.give, source, body)
+
+    def _not_run(self, reason: NotRunReason) -> None:
+        self.world.checks.told_by_target(self.host, self.send, reason)
+        self._event(SendNotRun, reason)
+
+    def _broken(self, detail: str) -> None:
+        if self.heard:
+            self._event(AnswerBroken, detail)
+            return
+        self._event(SendUnknown, detail)
+
+    def _event(self, kind: type, detail: object) -> None:
+        """Tell the core how it ended, once."""
+        request_id, attempt = self.send.request_id, self.send.attempt
+
+        def make(now_ms: int) -> object:
+            if self.closed:
+                return None
+            self._done()
+            if kind is AnswerBroken:
+                self.world.callers.broken(request_id)
+            return kind(now_ms, request_id, attempt, detail)
+
+        self.host.give(f"exchange:{request_id}", make)
+
+    def _done(self) -> None:
+        self.closed = True
+        self.host.exchanges.pop((self.send.request_id, self.send.attempt), None)
--- /dev/null
+++ b/harness/hosts.py
@@ -0,0 +1,395 @@
+"""One entry host: the core's state, driven as the daemon drives it.
+
+A frozen host takes no events while time and what it has begun go on. What the
+core has asked for when the host freezes is done after the thaw: that is the
+pause between a check and a send.
+"""
+
+from collections.abc import Callable
+from functools import partial
+
+from courselead.core import reducer
+from courselead.core.effects import (
+    Abort,
+    Append,
+    CallAgent,
+    Effect,
+    Left,
+    Measure,
+    Note,
+    Propose,
+    ReplyAccepted,
+    ReplyProblem,
+    ReplyReplay,
+    Send,
+    SendPeer,
+)
+from courselead.core.events import (
+    AgentAnswered,
+    AgentFailed,
+    AppendEnded,
+    BatchesRead,
+    Event,
+    LeaveAsked,
+    LogReachable,
+    PeerReachable,
+    PeerReported,
+    SnapshotLoaded,
+    Tick,
+)
+from courselead.core.identity import Identity
+from courselead.core.operations.state import OperationsConfig, OperationsState
+from courselead.core.presence import PresenceState
+from courselead.core.reducer import CoreState
+from courselead.core.snapshots import SnapshotsState
+from harness.exchange import Exchange
+
+TICK_MS = 100
+PULL_MS = 150
+LIST_MS = 1_000
+AGENT_TIMEOUT_MS = 600
+STREAM_MS = 300
+BEAT_MS = 400
+LOST_AFTER_MS = 2_500
+SNAPSHOT_EVERY = 150
+OPERATIONS = OperationsConfig(poll_ms=400, failing_ms=1_200, absent_ms=2_000)
+# Taken up inside the reduction, or only told of: nothing can come between.
+NOT_STEPS = (Propose, Measure, Note)
+Make = Callable[[int], Event | None]
+
+
+class SimHost:
+    """An entry host that can be killed, frozen, thawed and cut.
+
+    Attributes:
+        alive: Whether the process runs.
+        frozen: Whether it runs but takes no events.
+        steady_ms: Since when it has run and reached the platform unhindered.
+        thawed_ms: When it last came out of a freeze, -1 if never.
+    """
+
+    def __init__(self, world: object, name: str, zone: str, seed: int) -> None:
+        self.world = world
+        self.name = name
+        self.zone = zone
+        self.seed = seed
+        self.state: CoreState | None = None
+        self.alive = False
+        self.frozen = False
+        self.life = 0
+        self.steady_ms = 0
+        self.thawed_ms = -1
+        self.lag_ms = 0
+        self.exchanges: dict[tuple[str, int], Exchange] = {}
+        self._inbox: list[tuple[str, Make, Callable | None]] = []
+        self._held: list[Callable[[], None]] = []
+        self._next = 0
+        self._up = False
+        self._streams: set[str] = set()
+        self._heard_ms: dict[str, int] = {}
+
+    # --- life ---------------------------------------------------------------
+
+    def start(self) -> None:
+        """Start a new process that knows nothing but the log."""
+        sched = self.world.sched
+        self.life += 1
+        self.alive, self.frozen, self._up = True, False, False
+        self.steady_ms = sched.now_ms
+        self._inbox, self._held, self._streams = [], [], set()
+        me = Identity(self.name, sched.wall_ms, self.zone, f"{self.name}:1", self.seed)
+        self.state = CoreState(
+            me=me,
+            presence=PresenceState(beat_ms=BEAT_MS, lost_after_ms=LOST_AFTER_MS),
+            snapshots=SnapshotsState(every=SNAPSHOT_EVERY),
+            operations=OperationsState(cfg=OPERATIONS),
+        )
+        self._next = 0
+        self.every(TICK_MS, self._tick)
+        self.every(PULL_MS, self._pull)
+        self.every(LIST_MS, self._list)
+        self.every(STREAM_MS, self._watch_streams)
+        self.later(1, self.start_over)
+
+    def kill(self) -> None:
+        """End the process at once: all that it knew is lost."""
+        if not self.alive:
+            return
+        self.world.note(self.name, "killed")
+        self.life += 1
+        self.alive = self.frozen = False
+        self.world.callers.host_gone(self)
+        for exchange in tuple(self.exchanges.values()):
+            exchange.close()
+        self.exchanges = {}
+
+    def freeze(self) -> None:
+        """Take no more events until thawed."""
+        if self.alive and not self.frozen:
+            self.world.note(self.name, "frozen")
+            self.frozen = True
+
+    def thaw(self) -> None:
+        """Do what was asked for before the freeze, then take in what came."""
+        if not self.frozen:
+            return
+        self.world.note(self.name, "thawed")
+        sched = self.world.sched
+        self.frozen = False
+        self.thawed_ms = self.steady_ms = sched.now_ms
+        held, self._held = self._held, []
+        for call in held:
+            call()
+        inbox, self._inbox = self._inbox, []
+        due: dict[str, int] = {}
+        for source, make, then in inbox:
+            due[source] = due.get(source, 0) + sched.rng.randint(0, 30)
+            self.later(due[source], self.give, source, make, then)
+
+    def later(self, delay_ms: int, call: Callable, *args: object) -> None:
+        """Call a function of this process, if it still runs by then."""
+        self.world.sched.after(delay_ms, self._in_life, self.life, call, args)
+
+    def every(self, period_ms: int, call: Callable) -> None:
+        """Call a function of this process again and again, unless frozen."""
+
+        def turn() -> None:
+            if not self.frozen:
+                call()
+            self.later(period_ms + self.world.sched.rng.randint(0, 4), turn)
+
+        self.later(self.world.sched.rng.randint(0, period_ms), turn)
+
+    def _in_life(self, life: int, call: Callable, args: tuple) -> None:
+        if self.alive and life == self.life:
+            call(*args)
+
+    # --- events -------------------------------------------------------------
+
+    def give(
+        self, source: str, make: Make, then: Callable[[], None] | None = None
+    ) -> None:
+        """Take in what came from a source, now or after the thaw.
+
+        Args:
+            source: What comes from one source keeps its order.
+            make: Makes the event as of the time it is taken in.
+            then: Called once the event's effects have been performed.
+        """
+        if not self.alive:
+            return
+        if self.frozen:
+            self._inbox.append((source, make, then))
+            return
+        event = make(self.world.sched.now_ms)
+        if event is not None:
+            self._take(event, then)
+
+    def _take(self, event: Event, then: Callable[[], None] | None) -> None:
+        """Reduce one event and perform what it asks for."""
+        kind = type(event).__name__
+        life = self.life
+        self.world.step(self, f"event:{kind}", "before")
+        if life != self.life:
+            return
+        if self.frozen:
+            # The event was made before the pause: its clock is stale by then.
+            self._inbox.insert(0, ("stale", lambda now_ms: event, then))
+            return
+        before = self.state
+        self.state, effects = reducer.reduce(before, event)
+        self.world.checks.reduced(self, before)
+        records = {type(item.record).__name__ for item in self.state.applied}
+        for name in sorted(records):
+            self.world.step(self, f"record:{name}", "after")
+        self.world.step(self, f"event:{kind}", "after")
+        calls = [partial(self._perform, effect) for effect in effects]
+        if then is not None:
+            calls.append(then)
+        for index, call in enumerate(calls):
+            name = step_of(effects[index]) if index < len(effects) else ""
+            if name and life == self.life and not self.frozen:
+                self.world.step(self, name, "before")
+            if life != self.life:
+                return
+            if self.frozen:
+                self._held.extend(calls[index:])
+                return
+            call()
+            if name:
+                self.world.step(self, name, "after")
+
+    def _tick(self) -> None:
+        wall_ms = self.world.sched.wall_ms
+        self.give("tick", lambda now_ms: Tick(now_ms, wall_ms))
+
+    def leave(self) -> None:
+        """Be told to leave in order."""
+        self.give("signal", LeaveAsked)
+
+    # --- log and list -------------------------------------------------------
+
+    def start_over(self) -> None:
+        """Begin at the newest snapshot, as the daemon does after a gap."""
+        if self.frozen or not self.world.net.on_platform(self.name):
+            self.later(PULL_MS, self.start_over)
+            return
+        fleet = self.world.log.start_state()
+        self._next = fleet.offset + 1
+        self._set_up(False)
+        self.give("log", lambda now_ms: SnapshotLoaded(now_ms, fleet))
+
+    def wake(self) -> None:
+        """Read the log soon: something was appended."""
+        if self.alive and self.world.net.on_platform(self.name):
+            delay = self.world.net.delay_ms(self.name) + self.lag_ms
+            self.later(delay, self._pull)
+
+    def _pull(self) -> None:
+        if self.frozen:
+            return
+        if not self.world.net.on_platform(self.name):
+            self._set_up(False)
+            return
+        while True:
+            batches = self.world.log.read(self._next)
+            if not batches:
+                break
+            self._next = batches[-1][0] + 1
+            life = self.life
+            self.give("log", lambda now_ms, b=batches: BatchesRead(now_ms, b))
+            if life != self.life or self.frozen:
+                return
+        self._set_up(True)
+
+    def _set_up(self, up: bool) -> None:
+        if up is self._up:
+            return
+        self._up = up
+        self.give("log", lambda now_ms: LogReachable(now_ms, up))
+
+    def _list(self) -> None:
+        if self.world.net.on_platform(self.name):
+            self.give("list", self.world.membership.event)
+
+    # --- peers --------------------------------------------------------------
+
+    def _watch_streams(self) -> None:
+        """Notice streams to peers that opened or broke."""
+        for peer in self.world.hosts.values():
+            if peer is self:
+                continue
+            up = peer.alive and self.world.net.zones_talk(self.zone, peer.zone)
+            if up is (peer.name in self._streams):
+                continue
+            self._streams ^= {peer.name}
+            name = peer.name
+            self.give(
+                f"peer:{name}",
+                lambda now_ms, n=name, u=up: PeerReachable(now_ms, n, u),
+            )
+
+    def _send_peer(self, effect: SendPeer) -> None:
+        peer = self.world.hosts.get(effect.entry_host)
+        if peer is None or not self.world.net.zones_talk(self.zone, peer.zone):
+            return
+        delay = self.world.net.delay_ms(self.name)
+        at_ms = self.world.sched.now_ms + delay
+        at_ms = max(at_ms, self._heard_ms.get(peer.name, 0))
+        self._heard_ms[peer.name] = at_ms
+        report = effect.report
+        peer.later(
+            at_ms - self.world.sched.now_ms,
+            peer.give,
+            f"peer:{self.name}",
+            lambda now_ms: PeerReported(now_ms, report),
+        )
+
+    # --- effects ------------------------------------------------------------
+
+    def _perform(self, effect: Effect) -> None:
+        """Perform one effect."""
+        match effect:
+            case Send():
+                exchange = Exchange(self.world, self, effect)
+                self.exchanges[(effect.request_id, effect.attempt)] = exchange
+                exchange.begin()
+            case Abort():
+                key = (effect.request_id, effect.attempt)
+                exchange = self.exchanges.pop(key, None)
+                if exchange is not None:
+                    exchange.abort()
+            case ReplyProblem() | ReplyReplay() | ReplyAccepted():
+                self.world.callers.reply(self, effect)
+            case Append():
+                self._append(effect)
+            case SendPeer():
+                self._send_peer(effect)
+            case CallAgent():
+                self._call(effect)
+            case Left():
+                self.kill()
+
+    def _append(self, effect: Append) -> None:
+        seq = effect.batch.seq
+        life = self.life
+
+        def done(result: object) -> None:
+            self._in_life(
+                life,
+                self.give,
+                ("append", lambda now_ms: AppendEnded(now_ms, seq, result)),
+            )
+
+        self.world.log.append(self.name, effect.batch, done)
+
+    def _call(self, call: CallAgent) -> None:
+        delay = self.world.net.delay_ms(self.name)
+        self.world.sched.after(delay, self._reach, self.life, call)
+
+    def _reach(self, life: int, call: CallAgent) -> None:
+        """Let a call arrive; it does also if the caller has died meanwhile."""
+        worker = self.world.workers[call.worker]
+        zones_talk = self.world.net.zones_talk(self.zone, worker.info.availability_zone)
+        if not worker.up or not zones_talk:
+            self._fail_call(life, call, unknown=False)
+            return
+        parts = worker.call(call)
+        if self.world.net.loses(self.name):
+            self._fail_call(life, call, unknown=True)
+            return
+        delay = self.world.net.delay_ms(self.name)
+        wall_ms = self.world.sched.wall_ms
+        source = f"agent:{call.worker}"
+
+        def make(now_ms: int) -> Event:
+            return AgentAnswered(
+                now_ms,
+                wall_ms,
+                call.worker,
+                call.op,
+                call.epoch,
+                job_id=call.job_id,
+                **parts,
+            )
+
+        args = (life, self.give, (source, make))
+        self.world.sched.after(delay, self._in_life, *args)
+
+    def _fail_call(self, life: int, call: CallAgent, unknown: bool) -> None:
+        def make(now_ms: int) -> Event:
+            return AgentFailed(
+                now_ms, call.worker, call.op, call.epoch, unknown, call.job_id
+            )
+
+        args = (life, self.give, (f"agent:{call.worker}", make))
+        self.world.sched.after(AGENT_TIMEOUT_MS, self._in_life, *args)
+
+
+def step_of(effect: Effect) -> str:
+    """Return the name of the step that an effect is, "" if it is none."""
+    if isinstance(effect, NOT_STEPS):
+        return ""
+    if isinstance(effect, CallAgent):
+        return f"effect:CallAgent:{effect.op}"
+    return f"effect:{type(effect).__name__}"
--- /dev/null
+++ b/harness/workers.py
@@ -0,0 +1,282 @@
+"""Workers as fakes: agents, minions with slots, tasks under leases.
+
+They keep to PLATFORM.md. What really happens here (runs, stops, reboots) goes
+to the checks, which compare it with what was promised.
+"""
+
+from dataclasses import dataclass, field
+
+from courselead.core.effects import CallAgent
+from courselead.core.events import AgentOp, AgentReport, TaskReport
+from courselead.core.fleet.records import WorkerInfo
+
+REBOOT_MS = 700
+BOOT_AFTER_CRASH_MS = 900
+SERVING = "serving"
+STOPPING = "stopping"
+STOPPED = "stopped"
+RUNNING = "running"
+
+
+@dataclass(slots=True)
+class Minion:
+    """An instance of a service.
+
+    Attributes:
+        pool: Pool that the worker was agreed to be in when it started.
+        runs: Exchanges that run now.
+        failing: Whether it answers everything with an error.
+        slow: Factor on the time of all work.
+        told_leaving: When it first refused a host as leaving, by host.
+    """
+
+    worker: "Worker"
+    address: str
+    service: str
+    pool: str
+    epoch: int
+    slots: int
+    state: str = SERVING
+    runs: list = field(default_factory=list)
+    failing: bool = False
+    slow: int = 1
+    told_leaving: dict[str, int] = field(default_factory=dict)
+
+    def stop(self) -> None:
+        """Refuse new work and finish what is in flight."""
+        if self.state == SERVING:
+            self.state = STOPPING
+        self.settle()
+
+    def settle(self) -> None:
+        """End once nothing is in flight."""
+        if self.state == STOPPING and not self.runs:
+            self.state = STOPPED
+
+
+@dataclass(slots=True)
+class TaskRun:
+    """One attempt of a job."""
+
+    job_id: str
+    attempt: int
+    work_ms: int
+    started_ms: int
+    lease_end_ms: int
+    state: str = RUNNING
+    done_ms: float = 0.0
+    ended_ms: int = -1
+    error: str = ""
+    mark: str = ""
+
+
+@dataclass(slots=True)
+class Worker:
+    """One worker's agent, with its minion and its tasks.
+
+    Attributes:
+        failing: Whether every request and task given to it fails.
+    """
+
+    world: object
+    info: WorkerInfo
+    up: bool = True
+    epoch: int = 0
+    boots: int = 0
+    rebooting: bool = False
+    failing: bool = False
+    minion: Minion | None = None
+    tasks: dict[str, TaskRun] = field(default_factory=dict)
+    minions: int = 0
+
+    @property
+    def name(self) -> str:
+        """Return the worker's name."""
+        return self.info.worker
+
+    def call(self, call: CallAgent) -> dict:
+        """Act on a call; return the parts of the answer."""
+        self._settle_tasks()
+        if call.op is AgentOp.STATE:
+            return {"report": self._report()}
+        if call.epoch < self.epoch:
+            return {"refused": "stale_epoch"}
+        self.epoch = call.epoch
+        match call.op:
+            case AgentOp.START_MINION:
+                return self._start(call)
+            case AgentOp.STOP_MINION:
+                return self._stop(call)
+            case AgentOp.REBOOT:
+                return self._reboot(call)
+            case AgentOp.START_TASK:
+                return self._start_task(call)
+        return self._act_on_task(call)
+
+    def crash(self) -> None:
+        """Lose power: cut everything, then boot."""
+        self.up = False
+        self.rebooting = False
+        self.boots += 1
+        self._cut_off("crash")
+        self.world.sched.after(BOOT_AFTER_CRASH_MS, self._boot)
+
+    def die(self) -> None:
+        """Lose power for good."""
+        self.crash()
+        self.boots = 1 << 30
+
+    def _boot(self) -> None:
+        self.up = self.boots < 1 << 30
+
+    def _cut_off(self, why: str) -> None:
+        """End the minion and the tasks at once."""
+        now_ms = self.world.sched.now_ms
+        if self.minion is not None:
+            runs = tuple(self.minion.runs)
+            self.minion.state = STOPPED
+            self.minion.runs.clear()
+            for run in runs:
+                self.world.checks.cut_off(self, why)
+                run.reset()
+        self.minion = None
+        for task in self.tasks.values():
+            if task.state == RUNNING:
+                self.world.checks.cut_off(self, why)
+                task.state, task.ended_ms = "failed", now_ms
+        self.tasks = {}
+
+    def _start(self, call: CallAgent) -> dict:
+        if self.rebooting:
+            return {"refused": "rebooting"}
+        minion = self.minion
+        if minion is not None and minion.state != STOPPED:
+            if minion.service == call.service and minion.state == SERVING:
+                return {"address": minion.address}
+            return {"refused": "busy"}
+        self.minions += 1
+        address = f"{self.name}:m{self.minions}"
+        pool = self.world.checks.pool_at(self.name, call.epoch)
+        self.minion = Minion(self, address, call.service, pool, call.epoch, call.slots)
+        self.minion.failing = self.failing
+        self.world.checks.minion_started(self)
+        return {"address": address}
+
+    def _stop(self, call: CallAgent) -> dict:
+        if self.minion is not None:
+            if self.minion.state == SERVING:
+                self.world.checks.minion_stops(self, call)
+            self.minion.stop()
+        return {}
+
+    def _reboot(self, call: CallAgent) -> dict:
+        if call.boots != self.boots or self.rebooting:
+            return {}
+        busy = self.minion is not None and self.minion.state != STOPPED
+        if busy or self._running():
+            self.world.checks.reboot_refused(self, call)
+            return {"refused": "busy"}
+        self.world.checks.reboots(self, call)
+        self.rebooting = True
+        self.world.sched.after(REBOOT_MS, self._rebooted, self.boots)
+        return {}
+
+    def _rebooted(self, boots: int) -> None:
+        if not self.rebooting or self.boots != boots:
+            return
+        self.rebooting = False
+        self.boots += 1
+        self._cut_off("reboot")
+
+    # --- tasks --------------------------------------------------------------
+
+    def _running(self) -> list[TaskRun]:
+        return [task for task in self.tasks.values() if task.state == RUNNING]
+
+    def _start_task(self, call: CallAgent) -> dict:
+        if self.rebooting:
+            return {"refused": "rebooting"}
+        known = self.tasks.get(call.job_id)
+        if known is not None:
+            if call.attempt < known.attempt:
+                return {"refused": "stale_attempt"}
+            if call.attempt == known.attempt:
+                return {"task": self._view(known)}
+            self._end(known, "stopped")
+        now_ms = self.world.sched.now_ms
+        work_ms = self.world.job_work_ms.get(call.job_id, 1_000)
+        task = TaskRun(
+            call.job_id, call.attempt, work_ms, now_ms, now_ms + call.lease_ms
+        )
+        task.done_ms = float(call.checkpoint or 0)
+        self.tasks[call.job_id] = task
+        self.world.checks.task_started(self, task)
+        if self.failing:
+            task.error = "the worker fails every task"
+            self._end(task, "failed")
+        return {"task": self._view(task)}
+
+    def _act_on_task(self, call: CallAgent) -> dict:
+        task = self.tasks.get(call.job_id)
+        if task is None or call.attempt > task.attempt:
+            return {"refused": "not_found"}
+        if call.attempt < task.attempt:
+            return {"refused": "stale_attempt"}
+        if task.state == RUNNING:
+            if call.op is AgentOp.RENEW_TASK:
+                task.lease_end_ms = self.world.sched.now_ms + call.lease_ms
+            elif call.op is AgentOp.CHECKPOINT_TASK:
+                task.mark = str(int(self._done_ms(task)))
+                self._end(task, "checkpointed")
+            else:
+                self._end(task, "stopped")
+        return {"task": self._view(task)}
+
+    def _done_ms(self, task: TaskRun) -> float:
+        now_ms = self.world.sched.now_ms
+        ended_ms = now_ms if task.ended_ms < 0 else task.ended_ms
+        return task.done_ms + ended_ms - task.started_ms
+
+    def _end(self, task: TaskRun, state: str) -> None:
+        if task.state == RUNNING:
+            task.state = state
+            task.ended_ms = self.world.sched.now_ms
+
+    def _settle_tasks(self) -> None:
+        """Bring the tasks up to the time."""
+        now_ms = self.world.sched.now_ms
+        for task in self._running():
+            finish_ms = task.started_ms + task.work_ms - int(task.done_ms)
+            if finish_ms <= min(now_ms, task.lease_end_ms):
+                task.state, task.ended_ms = "done", finish_ms
+            elif task.lease_end_ms <= now_ms:
+                task.mark = str(int(self._done_ms(task)))
+                task.state, task.ended_ms = "lapsed", task.lease_end_ms
+
+    def _view(self, task: TaskRun) -> TaskReport:
+        ran_ms = int(self._done_ms(task) - task.done_ms)
+        progress = min(1.0, self._done_ms(task) / task.work_ms)
+        return TaskReport(
+            task.job_id,
+            task.attempt,
+            task.state,
+            progress,
+            task.mark,
+            task.error,
+            1.0,
+            100,
+            ran_ms,
+        )
+
+    def _report(self) -> AgentReport:
+        minion = self.minion
+        return AgentReport(
+            epoch=self.epoch,
+            minion_state="" if minion is None else minion.state,
+            minion_service="" if minion is None else minion.service,
+            minion_address="" if minion is None else minion.address,
+            minion_in_flight=0 if minion is None else len(minion.runs),
+            rebooting=self.rebooting,
+            boots=self.boots,
+            tasks=tuple(self._view(task) for task in self.tasks.values()),
+        )
--- /dev/null
+++ b/harness/world.py
@@ -0,0 +1,253 @@
+"""A small fleet, its load and its calendar, in one virtual time."""
+
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import replace
+
+from courselead.core.fleet.records import JobSpec, WorkerInfo
+from courselead.core.fleet.state import Applied
+from courselead.core.table import AccountRow, RequestClass, ServiceRow
+from harness.callers import Callers, Ticket
+from harness.checks import LOOK_MS, Checks
+from harness.hosts import SimHost
+from harness.log import FakeLog, FakeMembership
+from harness.sched import Network, Scheduler
+from harness.workers import Worker
+
+HOSTS = (("a1", "za"), ("a2", "za"), ("b1", "zb"))
+WORKERS = (
+    ("wa1", "za", "ra"),
+    ("wa2", "za", "ra"),
+    ("wa3", "za", "rb"),
+    ("wa4", "za", "rb"),
+    ("wb1", "zb", "rc"),
+    ("wb2", "zb", "rc"),
+    ("wb3", "zb", "rc"),
+    ("wb4", "zb", "rc"),
+)
+ACCOUNTS = (AccountRow("acme"), AccountRow("beta", ceiling=9, weight=2.0))
+# Two accounts have a service of the same name: only the account tells them apart.
+WEB = ServiceRow(
+    "acme", "web", workers=3, availability_budget=0.34, slots=4, queue_limit=20
+)
+BETA = ServiceRow(
+    "beta", "web", workers=2, availability_budget=0.5, slots=4, queue_limit=20
+)
+API = ServiceRow("beta", "api", workers=1, availability_budget=0.0, slots=3)
+LOAD_FROM_MS = 2_500
+LOAD_TO_MS = 16_000
+MEAN_GAP_MS = 70
+TRACE_LINES = 400
+
+
+class World:
+    """Everything of one run."""
+
+    def __init__(self, seed: int) -> None:
+        self.sched = Scheduler(seed)
+        self.net = Network(self.sched)
+        self.log = FakeLog(self)
+        self.membership = FakeMembership(self)
+        self.checks = Checks(self)
+        self.callers = Callers(self)
+        self.seen: Counter[tuple[str, str]] = Counter()
+        self.on_step: Callable | None = None
+        self.trace: list[str] = []
+        self.job_specs: dict[str, JobSpec] = {}
+        self.job_work_ms: dict[str, int] = {}
+        self.workers: dict[str, Worker] = {}
+        for name, zone, rack in WORKERS:
+            info = WorkerInfo(name, zone, rack, f"{name}:1", 4.0, 8_000)
+            self.workers[name] = Worker(self, info)
+        self.leaving: set[str] = set()
+        self.removed: set[str] = set()
+        self.hosts: dict[str, SimHost] = {}
+        for number, (name, zone) in enumerate(HOSTS):
+            self.hosts[name] = SimHost(self, name, zone, seed * 10 + number)
+            self.log.wakers.append(self.hosts[name].wake)
+
+    # --- what others tell it --------------------------------------------------
+
+    def note(self, who: str, what: str) -> None:
+        """Keep a line of the trace."""
+        self.trace.append(f"{self.sched.now_ms:>6} {who} {what}")
+
+    def note_applied(self, applied: tuple[Applied, ...]) -> None:
+        """Keep the verdicts of the batch just stored in the trace."""
+        for item in applied:
+            kind = type(item.record).__name__
+            if kind in ("HostBeat", "SnapshotPart"):
+                continue
+            verdict = item.verdict.reason or "ok"
+            parts = [f"#{item.offset}", kind, verdict]
+            for name in ("worker", "epoch", "job_id", "attempt", "next_pool"):
+                value = getattr(item.record, name, "")
+                parts.append(str(value))
+            self.note(item.entry_host, " ".join(parts))
+
+    def step(self, host: SimHost, name: str, place: str) -> None:
+        """Count a step that is about to happen, or just has."""
+        self.seen[(name, place)] += 1
+        if self.on_step is not None:
+            self.on_step(host, name, place)
+
+    # --- calendar -------------------------------------------------------------
+
+    def begin(self) -> None:
+        """Set up the fleet and put the run's calendar in place."""
+        after = self.sched.after
+        rng = self.sched.rng
+        self.list_workers()
+        for host in self.hosts.values():
+            after(rng.randint(0, 40), host.start)
+        after(500, self.publish, ACCOUNTS + (WEB, BETA, API))
+        after(LOAD_FROM_MS, self._load)
+        after(LOOK_MS, self._look)
+        after(2_800, self._submit_jobs, 0)
+        after(4_000, self.publish, (replace(WEB, workers=4),))
+        after(5_000, self._submit_jobs, 1)
+        after(6_000, self._crash, "wa2")
+        after(6_500, self._cancel_jobs)
+        after(7_000, self.race, "a1", "b1")
+        after(8_000, self.publish, (replace(BETA, workers=4), replace(WEB, workers=2)))
+        after(9_000, self.take_back, "wb4")
+        after(9_500, self._submit_jobs, 2)
+        after(10_000, self._fail_all, "wa1")
+        after(11_000, self._lose_host, "a2")
+        after(14_500, self._leave, "a1")
+
+    def run(self, end_ms: int) -> None:
+        """Let time pass to the end."""
+        self.sched.run_until(end_ms)
+        self.checks.finish()
+
+    def list_workers(self) -> None:
+        """Bring out a new version of the membership list."""
+        infos = []
+        for worker in self.workers.values():
+            if worker.name not in self.removed:
+                infos.append(worker.info)
+        self.membership.publish(tuple(infos), tuple(sorted(self.leaving)))
+
+    def publish(self, rows: tuple) -> None:
+        """Have an operator publish rows."""
+        host = self.callers.some_host()
+        if host is not None:
+            self.callers.edit_rows(host, *rows)
+
+    def race(self, one: str, other: str) -> None:
+        """Have two operators edit one row at once, and a third another."""
+        for number, name in enumerate((one, other, one)):
+            host = self.hosts[name]
+            if not host.alive:
+                continue
+            row = self.log.truth.table.services.get(WEB.pool, WEB)
+            if number == 2:
+                row = self.log.truth.table.services.get(API.pool, API)
+            row = replace(row, queue_limit=row.queue_limit + 1 + number)
+            self.callers.edit_rows(host, row, author=name)
+
+    def take_back(self, name: str) -> None:
+        """Have the platform take a worker back: leaving, then gone."""
+        self.leaving.add(name)
+        self.list_workers()
+        self.sched.after(7_000, self._remove, name)
+
+    def _remove(self, name: str) -> None:
+        self.leaving.discard(name)
+        self.removed.add(name)
+        self.list_workers()
+        self.workers[name].die()
+
+    def _crash(self, name: str) -> None:
+        self.note(name, "crashes")
+        self.workers[name].crash()
+
+    def _fail_all(self, name: str) -> None:
+        """Let a worker fail every task it is given."""
+        self.workers[name].failing = True
+
+    def _lose_host(self, name: str) -> None:
+        self.hosts[name].kill()
+        self.sched.after(4_000, self.restart, name)
+
+    def restart(self, name: str) -> None:
+        """Start a host that is down."""
+        if not self.hosts[name].alive:
+            self.hosts[name].start()
+
+    def _leave(self, name: str) -> None:
+        self.hosts[name].leave()
+        self.sched.after(3_000, self.restart, name)
+
+    def _look(self) -> None:
+        self.checks.look_at_list()
+        self.sched.after(LOOK_MS, self._look)
+
+    # --- load -----------------------------------------------------------------
+
+    def _load(self) -> None:
+        """Bring one request, and the next one after a drawn gap."""
+        rng = self.sched.rng
+        if self.sched.now_ms < LOAD_TO_MS:
+            gap_ms = int(rng.expovariate(1.0 / MEAN_GAP_MS))
+            self.sched.after(gap_ms, self._load)
+        ticket = self._ticket()
+        self.callers.tickets.append(ticket)
+        self.callers.call(ticket, self.callers.some_host())
+
+    def _ticket(self) -> Ticket:
+        rng = self.sched.rng
+        number = len(self.callers.tickets)
+        row = rng.choice((WEB, WEB, BETA, BETA, API))
+        idempotent = rng.random() < 0.4
+        key = f"k{number}" if not idempotent and rng.random() < 0.7 else ""
+        if key and number and rng.random() < 0.1:
+            # A careless caller: the key of an earlier, different request.
+            key = self.callers.tickets[-1].key
+            row = WEB
+        work_ms = rng.randint(900, 2_500) if rng.random() < 0.06 else 0
+        return Ticket(
+            number=number,
+            client_account=row.client_account,
+            service=row.service,
+            key=key,
+            idempotent=idempotent,
+            work_ms=work_ms or rng.randint(5, 180),
+            time_ms=rng.choice((300, 2_000, 4_000)),
+            small=rng.random() < 0.8,
+        )
+
+    def _submit_jobs(self, wave: int) -> None:
+        """Submit a few jobs, some of which fit only once."""
+        rng = self.sched.rng
+        specs = []
+        for number in range(4):
+            row = (WEB, BETA)[number % 2]
+            job_id = f"j{wave}-{number}"
+            run_ms = rng.randint(600, 4_000)
+            self.job_work_ms[job_id] = run_ms
+            spec = JobSpec(
+                job_id=job_id,
+                client_account=row.client_account,
+                service=row.service,
+                request_class=rng.choice(tuple(RequestClass)),
+                payload="{}",
+                cores=1.0,
+                memory_mb=500,
+                run_ms=run_ms,
+                deadline_ms=0,
+                idempotent=number < 2,
+            )
+            self.job_specs[job_id] = spec
+            specs.append(spec)
+        host = self.callers.some_host()
+        for account in ("acme", "beta"):
+            mine = [spec for spec in specs if spec.client_account == account]
+            if host is not None and host.alive:
+                self.callers.submit(host, *mine)
+
+    def _cancel_jobs(self) -> None:
+        host = self.callers.some_host()
+        if host is not None:
+            self.callers.cancel(host, "acme", "j1-0", "j1-2")
