Status tells drains, what they wait for, budgets left and peers' standing

Cause: an operator could see that a pool had one worker less, not that it was being drained, nor which entry host it waited for. Change: drains, budget_left and standing in GET /v1/status, filtered by account; the entry hosts waited for are shown to operators alone. Tests of the alarms.

--- a/courselead/daemon/host.py
+++ b/courselead/daemon/host.py
@@ -19,7 +19,7 @@
 from courselead.daemon.alarms import find_alarms
 from courselead.daemon.handles import Handle
 from courselead.daemon.runtime import Runtime
-from courselead.daemon.status import pool_statuses, queued_total
+from courselead.daemon.status import drain_statuses, pool_statuses, queued_total
 from courselead.integrations.http_api.host import (
     IncomingRequest,
     PeerStatus,
@@ -87,6 +87,7 @@
             peers=self._peer_statuses(),
             pools=pool_statuses(state),
             alarms=find_alarms(state, clock.wall_ms()),
+            drains=drain_statuses(state.fleet),
         )
 
     async def submit(self, req: IncomingRequest) -> Handle:
@@ -182,6 +183,7 @@
                     reachable=self._peers_up.get(name, False),
                     heard_ms_ago=age_ms,
                     applied=host.applied,
+                    standing=host.status,
                 )
             )
         return tuple(found)
--- a/courselead/daemon/status.py
+++ b/courselead/daemon/status.py
@@ -2,10 +2,16 @@
 
 from collections import Counter
 
-from courselead.core.fleet.queries import pool_count
+from courselead.core.fleet.budgets import spare
+from courselead.core.fleet.queries import (
+    pool_count,
+    unsettled_hosts,
+    workers_in_phase,
+)
+from courselead.core.fleet.state import FleetState, WorkerPhase
 from courselead.core.reducer import CoreState
 from courselead.core.requests.state import IN_FLIGHT, RequestsState
-from courselead.integrations.http_api.host import PoolStatus
+from courselead.integrations.http_api.host import DrainStatus, PoolStatus
 
 
 def queued_total(state: RequestsState) -> int:
@@ -28,6 +34,27 @@
                 serving=count.serving,
                 in_flight=in_flight[pool],
                 queued=queued[pool],
+                budget_left=spare(state.fleet, pool),
+            )
+        )
+    return tuple(found)
+
+
+def drain_statuses(fleet: FleetState) -> tuple[DrainStatus, ...]:
+    """Return the planned stops that are under way, with what they wait for."""
+    found = []
+    for worker in workers_in_phase(fleet, WorkerPhase.STOPPING, WorkerPhase.STOPPED):
+        client_account, _, service = worker.pool.partition("/")
+        waits = worker.phase is WorkerPhase.STOPPING
+        found.append(
+            DrainStatus(
+                worker=worker.worker,
+                client_account=client_account,
+                service=service,
+                purpose=worker.purpose or "",
+                phase=worker.phase,
+                since=worker.since,
+                unsettled=unsettled_hosts(fleet, worker.since) if waits else (),
             )
         )
     return tuple(found)
--- a/courselead/integrations/http_api/host.py
+++ b/courselead/integrations/http_api/host.py
@@ -95,6 +95,7 @@
     """A peer as this host sees it.
 
     Attributes:
+        standing: `live`, `lost` or `left`, as agreed in the log.
         reachable: Whether the outgoing stream to it is open.
         heard_ms_ago: Age of its newest report, -1 if none was heard.
     """
@@ -104,11 +105,16 @@
     reachable: bool
     heard_ms_ago: int
     applied: int
+    standing: str = "live"
 
 
 @dataclass(frozen=True, slots=True)
 class PoolStatus:
-    """A pool as this host sees it; `in_flight` and `queued` are of this host."""
+    """A pool as this host sees it; `in_flight` and `queued` are of this host.
+
+    Attributes:
+        budget_left: Workers that a planned stop may still take out now.
+    """
 
     client_account: str
     service: str
@@ -117,6 +123,26 @@
     serving: int
     in_flight: int
     queued: int
+    budget_left: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class DrainStatus:
+    """A planned stop that is under way.
+
+    Attributes:
+        phase: `stopping` until the minion has stopped, then `stopped`.
+        since: Offset at which the phase began.
+        unsettled: Entry hosts that it waits for.
+    """
+
+    worker: str
+    client_account: str
+    service: str
+    purpose: str
+    phase: str
+    since: int
+    unsettled: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -161,6 +187,7 @@
     peers: tuple[PeerStatus, ...] = ()
     pools: tuple[PoolStatus, ...] = ()
     alarms: tuple[Alarm, ...] = ()
+    drains: tuple[DrainStatus, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/courselead/integrations/http_api/status.py
+++ b/courselead/integrations/http_api/status.py
@@ -106,6 +106,11 @@
         return report
     pools = tuple(p for p in report.pools if principal.sees(p.client_account))
     alarms = tuple(a for a in report.alarms if principal.sees(a.client_account))
+    drains = []
+    for drain in report.drains:
+        if principal.sees(drain.client_account):
+            # The entry hosts are the fleet's business.
+            drains.append(replace(drain, unsettled=()))
     return replace(
         report,
         in_flight=sum(pool.in_flight for pool in pools),
@@ -113,6 +118,7 @@
         peers=(),
         pools=pools,
         alarms=alarms,
+        drains=tuple(drains),
     )
 
 
--- /dev/null
+++ b/tests/daemon/test_status.py
@@ -0,0 +1,79 @@
+"""Status and alarms, read off a state that was folded from records."""
+
+from dataclasses import replace
+
+from courselead.core.fleet.apply import apply_batch
+from courselead.core.fleet.records import (
+    Batch,
+    HostJoined,
+    MinionUp,
+    StopPlanned,
+    StopPurpose,
+    TablePublished,
+    WorkerAssigned,
+    WorkerDown,
+    WorkerInfo,
+    WorkersSeen,
+)
+from courselead.core.fleet.state import FleetState
+from courselead.core.reducer import CoreState
+from courselead.core.table import AccountRow, ServiceRow
+from courselead.daemon.alarms import find_alarms
+from courselead.daemon.status import drain_statuses, pool_statuses
+from tests.core.helpers import WALL_MS, identity
+
+POOL = "aloisi/court"
+
+
+def state(*records, workers=2):
+    row = ServiceRow("aloisi", "court", workers=workers, availability_budget=0.5)
+    infos = tuple(
+        WorkerInfo(f"w{number}", "z1", "r1", f"127.0.0.1:{number}", 8.0, 1024)
+        for number in range(1, workers + 1)
+    )
+    first = [
+        HostJoined("a", 1, "z1", "127.0.0.1:1"),
+        HostJoined("b", 1, "z1", "127.0.0.1:2"),
+        TablePublished(-1, (AccountRow("aloisi"),), (row,), (), "ops"),
+        WorkersSeen(infos),
+    ]
+    for info in infos:
+        first.append(WorkerAssigned(info.worker, 0, POOL, 0))
+        first.append(MinionUp(info.worker, 1, info.address))
+    fleet = FleetState()
+    fleet, _ = apply_batch(fleet, 0, batch("b", first[1]))
+    fleet, _ = apply_batch(fleet, 1, batch("a", first[0], *first[2:]))
+    fleet, applied = apply_batch(fleet, 2, replace(batch("a", *records), seq=2))
+    assert all(one.verdict.accepted for one in applied)
+    core = CoreState(identity())
+    return replace(core, fleet=fleet, log_up=True)
+
+
+def batch(name, *records):
+    return Batch(name, 1, 1, WALL_MS, -1, tuple(records))
+
+
+def stop(worker):
+    return StopPlanned(worker, 1, StopPurpose.MAINTENANCE, "", 1, WALL_MS)
+
+
+def test_a_pool_says_what_its_budget_still_allows():
+    (pool,) = pool_statuses(state())
+    assert (pool.members, pool.serving, pool.budget_left) == (2, 2, 1)
+    (pool,) = pool_statuses(state(stop("w1")))
+    assert (pool.members, pool.serving, pool.budget_left) == (2, 1, 0)
+
+
+def test_a_drain_says_which_entry_hosts_it_waits_for():
+    (drain,) = drain_statuses(state(stop("w1")).fleet)
+    assert (drain.worker, drain.phase, drain.service) == ("w1", "stopping", "court")
+    assert drain.unsettled == ("a", "b")
+
+
+def test_alarms_name_the_pool_the_worker_and_the_log():
+    core = state(WorkerDown("w1", 1, "unreachable"), WorkerDown("w2", 1, "unreachable"))
+    names = sorted(alarm.name for alarm in find_alarms(core, WALL_MS))
+    assert names == ["pool-below-budget", "worker-down", "worker-down"]
+    down = replace(core, log_up=False)
+    assert "log-down" in {alarm.name for alarm in find_alarms(down, WALL_MS)}
+    assert find_alarms(state(), WALL_MS) == ()
