--- /dev/null
+++ b/benchmarks/slopes/__init__.py
@@ -0,0 +1,1 @@
+"""Costs in one process against the size of what they grow with."""
--- /dev/null
+++ b/benchmarks/slopes/cluster.py
@@ -0,0 +1,211 @@
+"""Entry hosts at rest in virtual time: the whole core, a log, agents that answer.
+
+Every reduction is timed in processor time. Nothing is sent anywhere: what the
+network would carry is encoded, to count its bytes and the cost of encoding.
+"""
+
+import heapq
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+
+from benchmarks.slopes.fleets import START_WALL_MS, Builder, host_name, worker_info
+from courselead.core.effects import Append, CallAgent, Effect, SendPeer
+from courselead.core.events import (
+    AgentAnswered,
+    AgentOp,
+    AgentReport,
+    AppendEnded,
+    AppendResult,
+    BatchesRead,
+    Event,
+    LogReachable,
+    MembersListed,
+    PeerReported,
+    Tick,
+)
+from courselead.core.fleet.codec import decode_batch, encode_batch
+from courselead.core.fleet.state import FleetState
+from courselead.core.identity import Identity
+from courselead.core.outbox import OutboxState
+from courselead.core.reducer import CoreState, reduce
+from courselead.integrations.peers.codec import FrameDecoder, encode
+
+TICK_MS = 50
+LIST_MS = 1_000
+LOG_MS = 3
+PEER_MS = 1
+AGENT_MS = 2
+NS_PER_S = 1_000_000_000
+
+
+@dataclass(slots=True)
+class Costs:
+    """What one run cost, over all hosts.
+
+    Attributes:
+        took_ns: Processor time by what it was for.
+        most_ns: The longest single one of each.
+        count: How many of each.
+        sent_bytes: By what they carry.
+    """
+
+    took_ns: Counter[str] = field(default_factory=Counter)
+    most_ns: Counter[str] = field(default_factory=Counter)
+    count: Counter[str] = field(default_factory=Counter)
+    sent_bytes: Counter[str] = field(default_factory=Counter)
+    records: Counter[str] = field(default_factory=Counter)
+
+    def add(self, name: str, took_ns: int) -> None:
+        """Count one piece of work."""
+        self.took_ns[name] += took_ns
+        self.count[name] += 1
+        self.most_ns[name] = max(self.most_ns[name], took_ns)
+
+
+@dataclass(slots=True)
+class Cluster:
+    """Hosts that hold the same shared state and go on from it."""
+
+    builder: Builder
+    states: list[CoreState]
+    wall_from_ms: int = START_WALL_MS
+    now_ms: int = 0
+    costs: Costs = field(default_factory=Costs)
+    _offset: int = 0
+    _order: int = 0
+    _events: list[tuple[int, int, int, Event]] = field(default_factory=list)
+
+    @classmethod
+    def from_builder(cls, builder: Builder, wall_from_ms: int) -> "Cluster":
+        """Return a cluster whose hosts are all members and read the log."""
+        fleet = builder.fleet
+        states = [_state(fleet, index) for index in range(builder.size.hosts)]
+        cluster = cls(builder, states, wall_from_ms)
+        cluster._offset = fleet.offset
+        for index in range(len(states)):
+            # Hosts do not tick in step with each other.
+            phase_ms = index * 7 % TICK_MS
+            cluster._later(index, LogReachable(0, True), 0)
+            cluster._later(index, cluster._tick(phase_ms), phase_ms)
+            cluster._later(index, cluster._listed(phase_ms), phase_ms + 100)
+        return cluster
+
+    def run(self, until_ms: int) -> None:
+        """Let virtual time pass."""
+        while self._events and self._events[0][0] <= until_ms:
+            self.now_ms, _, index, event = heapq.heappop(self._events)
+            self._feed(index, event)
+        self.now_ms = until_ms
+
+    def start_over(self) -> None:
+        """Forget the costs so far."""
+        self.costs = Costs()
+
+    def _feed(self, index: int, event: Event) -> None:
+        """Let a host take in an event, and perform its effects."""
+        start = time.process_time_ns()
+        state, effects = reduce(self.states[index], event)
+        took_ns = time.process_time_ns() - start
+        self.states[index] = state
+        self.costs.add(type(event).__name__, took_ns)
+        for effect in effects:
+            self._perform(index, effect)
+        if isinstance(event, Tick):
+            self._later(index, self._tick(self.now_ms + TICK_MS), TICK_MS)
+        if isinstance(event, MembersListed):
+            self._later(index, self._listed(self.now_ms + LIST_MS), LIST_MS)
+
+    def _perform(self, index: int, effect: Effect) -> None:
+        """Let the log, a peer or an agent answer."""
+        if isinstance(effect, Append):
+            self._append(index, effect)
+        elif isinstance(effect, SendPeer):
+            self._send_peer(effect)
+        elif isinstance(effect, CallAgent):
+            self._call_agent(index, effect)
+
+    def _append(self, index: int, effect: Append) -> None:
+        """Store a batch, and let every host read it."""
+        start = time.process_time_ns()
+        data = encode_batch(effect.batch)
+        self.costs.add("encode batch", time.process_time_ns() - start)
+        self._offset += 1
+        self.costs.sent_bytes["log append"] += len(data)
+        for record in effect.batch.records:
+            self.costs.records[type(record).__name__] += 1
+        at_ms = self.now_ms + LOG_MS
+        ended = AppendEnded(at_ms, effect.batch.seq, AppendResult.STORED, self._offset)
+        self._later(index, ended, LOG_MS)
+        for reader in range(len(self.states)):
+            start = time.process_time_ns()
+            batch = decode_batch(data).unwrap()
+            self.costs.add("decode batch", time.process_time_ns() - start)
+            self.costs.sent_bytes["log read"] += len(data)
+            read = BatchesRead(at_ms, ((self._offset, batch),))
+            self._later(reader, read, LOG_MS)
+
+    def _send_peer(self, effect: SendPeer) -> None:
+        """Carry a report to a peer."""
+        start = time.process_time_ns()
+        data = encode(effect.report)
+        self.costs.add("encode report", time.process_time_ns() - start)
+        self.costs.sent_bytes["peer report"] += len(data)
+        start = time.process_time_ns()
+        report = FrameDecoder().feed(data)[0]
+        self.costs.add("decode report", time.process_time_ns() - start)
+        receiver = int(effect.entry_host.rpartition("-")[2])
+        event = PeerReported(self.now_ms + PEER_MS, report)
+        self._later(receiver, event, PEER_MS)
+
+    def _call_agent(self, index: int, effect: CallAgent) -> None:
+        """Let an agent answer that its minion serves."""
+        self.costs.count[f"agent {effect.op}"] += 1
+        worker = self.states[index].fleet.workers[effect.worker]
+        report = None
+        if effect.op is AgentOp.STATE:
+            service = worker.pool.partition("/")[2]
+            report = AgentReport(
+                effect.epoch,
+                "serving" if service else "",
+                service,
+                worker.minion_address,
+                0,
+                False,
+                1,
+                (),
+            )
+        at_ms = self.now_ms + AGENT_MS
+        answered = AgentAnswered(
+            now_ms=at_ms,
+            wall_ms=self.wall_from_ms + at_ms,
+            worker=effect.worker,
+            op=effect.op,
+            epoch=effect.epoch,
+            report=report,
+            address=worker.minion_address,
+        )
+        self._later(index, answered, AGENT_MS)
+
+    def _tick(self, at_ms: int) -> Tick:
+        return Tick(at_ms, self.wall_from_ms + at_ms)
+
+    def _listed(self, at_ms: int) -> MembersListed:
+        """Return the membership list, made anew as the daemon makes it."""
+        size = self.builder.size
+        workers = tuple(worker_info(size, number) for number in range(size.workers))
+        return MembersListed(at_ms, 1, workers, (), ())
+
+    def _later(self, index: int, event: Event, delay_ms: int) -> None:
+        """Let an event come to a host later."""
+        self._order += 1
+        item = (self.now_ms + delay_ms, self._order, index, event)
+        heapq.heappush(self._events, item)
+
+
+def _state(fleet: FleetState, index: int) -> CoreState:
+    """Return the state of a host that is a member of a fleet."""
+    name = host_name(index)
+    host = fleet.hosts[name]
+    me = Identity(name, 1, host.availability_zone, host.peer_address, 1_000 + index)
+    return CoreState(me=me, fleet=fleet, outbox=OutboxState(next_seq=host.last_seq + 1))
--- /dev/null
+++ b/benchmarks/slopes/snapshots.py
@@ -0,0 +1,133 @@
+"""Snapshots, and how a new host comes by its state."""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from benchmarks.figures import Fit, best_in_rounds, table
+from benchmarks.slopes.fleets import Builder, Size
+from benchmarks.slopes.memory import fold
+from courselead.core.fleet.codec import encode_batch
+from courselead.core.fleet.snapshot import decode_state, encode_state
+
+ROUNDS = 5
+NS_PER_MS = 1_000_000
+TAIL_BATCHES = 10_000
+
+
+@dataclass(frozen=True, slots=True)
+class Snapshot:
+    """One snapshot."""
+
+    size: Size
+    snapshot_bytes: int
+    encode_ms: float
+    decode_ms: float
+
+
+def measure(size: Size) -> Snapshot:
+    """Write a snapshot of a state and read it back."""
+    fleet = Builder.from_size(size).fleet
+    data = encode_state(fleet)
+    assert decode_state(data).unwrap() == fleet
+    calls: dict[str, Callable[[], object]] = {
+        "encode": lambda: encode_state(fleet),
+        "decode": lambda: decode_state(data),
+    }
+    best = best_in_rounds(calls, ROUNDS, 1.0)
+    return Snapshot(size, len(data), best["encode"] / 1e3, best["decode"] / 1e3)
+
+
+def sweep_workers() -> list[Snapshot]:
+    """Measure at some numbers of workers without claims."""
+    found = []
+    for workers in (40, 250, 1_000):
+        pools = max(6, workers * 160 // 1_000)
+        found.append(measure(Size(workers=workers, pools=pools)))
+    return found
+
+
+def sweep_claims() -> list[Snapshot]:
+    """Measure at some numbers of claims, 1,000 workers."""
+    return [measure(Size(claims=count)) for count in (0, 10_000, 50_000, 100_000)]
+
+
+def snapshots_table(found: list[Snapshot], attribute: str) -> str:
+    """Return the figures and their lines."""
+    rows = []
+    for one in found:
+        count = getattr(one.size, attribute)
+        rows.append(
+            (
+                f"{count:,}",
+                one.snapshot_bytes,
+                one.encode_ms,
+                one.decode_ms,
+            )
+        )
+    lines = []
+    for name in ("snapshot_bytes", "encode_ms", "decode_ms"):
+        points = [
+            (float(getattr(one.size, attribute)), float(getattr(one, name)))
+            for one in found
+        ]
+        lines.append(Fit.from_points(points))
+    slopes = [f"{line.slope:.4g} (r2 {line.r2:.3f})" for line in lines]
+    rows.append(("for one more", *slopes))
+    columns = (attribute, "bytes, compressed", "encode, ms", "decode, ms")
+    return table(columns, rows)
+
+
+def replay_table() -> str:
+    """Return the time to fold a log from its first record, by its length."""
+    points = []
+    rows = []
+    for beats in (1_000, 3_000, 10_000):
+        builder = Builder.from_size(Size())
+        for index in range(beats):
+            builder.beat(index % builder.size.hosts)
+        log = [(offset, encode_batch(batch)) for offset, batch in builder.batches]
+        took_ms = _best_ms(lambda log=log: fold(log))
+        log_bytes = sum(len(data) for _, data in log)
+        points.append((float(len(log)), took_ms))
+        count = len(log)
+        rows.append((f"{count:,}", log_bytes, took_ms, took_ms * 1e3 / count))
+    line = Fit.from_points(points)
+    slope_us = line.slope * 1e3
+    rows.append(("for one more", "", f"{line.slope:.4g}", f"{slope_us:.1f}"))
+    columns = ("batches (heartbeats)", "bytes", "fold, ms", "us a batch")
+    return table(columns, rows)
+
+
+def new_host_table() -> str:
+    """Return what a new host has to do before it serves, at the target's size."""
+    rows = []
+    for claims in (0, 10_000, 100_000):
+        size = Size(claims=claims)
+        one = measure(size)
+        builder = Builder.from_size(size)
+        fleet = builder.fleet
+        first = len(builder.batches)
+        for index in range(TAIL_BATCHES):
+            builder.beat(index % size.hosts)
+        tail = [(at, encode_batch(batch)) for at, batch in builder.batches[first:]]
+        tail_ms = _best_ms(lambda tail=tail, fleet=fleet: fold(tail, fleet))
+        total_s = (one.decode_ms + tail_ms) / 1e3
+        rows.append((f"{claims:,}", one.decode_ms, tail_ms, total_s))
+    columns = (
+        "claims held",
+        "snapshot decoded, ms",
+        f"tail of {TAIL_BATCHES:,} batches folded, ms",
+        "in all, s of processor time",
+    )
+    return table(columns, rows)
+
+
+def _best_ms(call: Callable[[], object], rounds: int = 5) -> float:
+    """Return the best processor time of a long call, in milliseconds."""
+    took = []
+    for _ in range(rounds):
+        start = time.process_time_ns()
+        call()
+        took.append((time.process_time_ns() - start) / NS_PER_MS)
+    return min(took)
--- /dev/null
+++ b/benchmarks/slopes/wire.py
@@ -0,0 +1,154 @@
+"""Bytes and encoding of what entry hosts send each other and to the log."""
+
+from collections.abc import Sequence
+
+from benchmarks.figures import Fit, best_in_rounds, table
+from benchmarks.slopes.fleets import (
+    START_WALL_MS,
+    Builder,
+    Size,
+    claim_end,
+    host_name,
+    service_row,
+    worker_info,
+)
+from courselead.core.events import Loan, PeerReport
+from courselead.core.fleet.codec import decode_batch, encode_batch
+from courselead.core.fleet.records import (
+    Batch,
+    ClaimsEnded,
+    ClaimsMade,
+    HostBeat,
+    MinionUp,
+    Record,
+    StopPlanned,
+    StopPurpose,
+    TablePublished,
+)
+from courselead.integrations.peers.codec import FrameDecoder, encode
+
+
+def report_of(size: Size, minions: int, pools: int, loans: int = 0) -> PeerReport:
+    """Return a report with some minions in use and some pools waiting."""
+    in_flight = []
+    lent = []
+    for index in range(minions):
+        in_flight.append((worker_info(size, index).worker, 3))
+    for index in range(loans):
+        name = worker_info(size, index).worker
+        lent.append(Loan(f"minion:{name}:3", 2, 123_456))
+    waiting = [(service_row(size, index).pool, 12) for index in range(pools)]
+    return PeerReport(
+        entry_host=host_name(0),
+        incarnation=START_WALL_MS,
+        availability_zone="region-0-zone-0",
+        serial=123_456,
+        applied=1_234_567,
+        in_flight=tuple(in_flight),
+        waiting=tuple(waiting),
+        loans=tuple(lent),
+        holding=(("heard", 123_456),),
+    )
+
+
+def reports_table() -> str:
+    """Return the bytes and the cost of a report by what it names."""
+    size = Size()
+    shapes = {
+        "minions in use": [(count, 0, 0) for count in (0, 40, 250, 1_000)],
+        "pools waiting": [(0, count, 0) for count in (0, 40, 160)],
+        "loans": [(0, 0, count) for count in (0, 40, 160)],
+    }
+    rows = []
+    for name, shape in shapes.items():
+        points = []
+        calls = {}
+        for counts in shape:
+            report = report_of(size, *counts)
+            data = encode(report)
+            points.append((float(sum(counts)), float(len(data))))
+            calls[sum(counts), "encode"] = lambda report=report: encode(report)
+            calls[sum(counts), "decode"] = lambda data=data: FrameDecoder().feed(data)
+        best = best_in_rounds(calls)
+        line = Fit.from_points(points)
+        measured = ", ".join(f"{x:,.0f}: {y:,.0f}" for x, y in points)
+        costs = []
+        for kind in ("encode", "decode"):
+            timed = [(x, best[int(x), kind]) for x, _ in points]
+            cost = Fit.from_points(timed)
+            costs.append(f"{cost.base:.1f} + {cost.slope:.3f} n (r2 {cost.r2:.3f})")
+        rows.append((name, measured, line.base, line.slope, line.r2, *costs))
+    columns = (
+        "n",
+        "bytes at",
+        "bytes at 0",
+        "for one more",
+        "r2",
+        "encode, us",
+        "decode, us",
+    )
+    return table(columns, rows)
+
+
+def batches_table() -> str:
+    """Return the bytes of a batch by what it carries, and of one more item."""
+    builder = Builder.from_size(Size(workers=250, pools=40))
+    fleet = builder.fleet
+    name = host_name(0)
+    last = fleet.offset + 1_000_000
+    beat = HostBeat(name, START_WALL_MS, last, last, last, fleet.digest)
+    claims = [builder.claim(number) for number in range(100)]
+    row = service_row(builder.size, 0)
+    stop = StopPlanned(
+        "worker-0001", 3, StopPurpose.MAINTENANCE, "", last, START_WALL_MS
+    )
+    lots: dict[str, tuple[tuple[Record, ...], tuple[Record, ...]]] = {
+        "HostBeat": ((beat,), (beat, beat)),
+        "TablePublished, a service row": (
+            (TablePublished(last, (), (row,), (), "operator"),),
+            (TablePublished(last, (), (row, row), (), "operator"),),
+        ),
+        "MinionUp": (_ups(1), _ups(2)),
+        "StopPlanned": ((stop,), (stop, stop)),
+        "ClaimsMade": (
+            (ClaimsMade(name, 1, tuple(claims[:1])),),
+            (ClaimsMade(name, 1, tuple(claims[:2])),),
+        ),
+        "ClaimsEnded, small answer": (
+            (ClaimsEnded((claim_end(claims[0]),)),),
+            (ClaimsEnded((claim_end(claims[0]), claim_end(claims[1]))),),
+        ),
+    }
+    calls = {}
+    sizes = {}
+    for kind, (one, two) in lots.items():
+        data = encode_batch(_batch(one))
+        sizes[kind] = (len(data), len(encode_batch(_batch(two))) - len(data))
+        calls[kind, "encode"] = lambda one=one: encode_batch(_batch(one))
+        calls[kind, "decode"] = lambda data=data: decode_batch(data)
+    best = best_in_rounds(calls)
+    rows = []
+    for kind, (whole, more) in sizes.items():
+        costs = (best[kind, "encode"], best[kind, "decode"])
+        rows.append((kind, whole, more, *costs))
+    columns = (
+        "batch of one",
+        "bytes",
+        "bytes for one more",
+        "encode, us",
+        "decode, us",
+    )
+    return table(columns, rows)
+
+
+def _ups(count: int) -> tuple[Record, ...]:
+    """Return some records of one minion that is up."""
+    return (MinionUp("worker-0001", 3, "10.2.0.2:9001"),) * count
+
+
+def _batch(records: Sequence[Record]) -> Batch:
+    """Return a batch as a host that has run for a while writes it."""
+    wall_ms = START_WALL_MS + 86_400_000
+    return Batch(
+        host_name(0), START_WALL_MS, 123_456, wall_ms, 1_230_000, tuple(records)
+    )
