Kill an entry host amid keyed requests, with real processes

Cause: what happens to keys when an entry host dies was shown by the core's tests only. Change: tests/processes starts the stand-ins and four entry hosts on loopback, kills one with SIGKILL while it holds six keyed requests under load, and compares the callers' words with what the stand-ins ran. Marked `processes`.

--- /dev/null
+++ b/tests/processes/callers.py
@@ -0,0 +1,160 @@
+"""Callers of the process tests: keyed requests with tickets, and others."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+import anyio
+
+from demo.plan import HostPlan, credential
+from tests.processes.system import (
+    ACCOUNT,
+    SERVICE,
+    STATUS_OK,
+    Answer,
+    System,
+    address_of,
+)
+
+PAUSE_S = 0.02
+RETRY_S = 0.1
+MAX_TRIES = 40
+UNKNOWN = "unknown"
+NOT_RUN = "not_run"
+SERVED = "served"
+FINAL_KINDS = frozenset({"earlier-outcome-unknown", "already-ran"})
+
+
+@dataclass(slots=True)
+class Ticket:
+    """One non-idempotent request under its key, with all answers to it."""
+
+    name: str
+    answers: list[Answer] = field(default_factory=list)
+
+    @property
+    def word(self) -> str:
+        """Return what the caller knows in the end.
+
+        A later "not run" is word of that try alone: an earlier try whose
+        outcome is unknown may have run all the same.
+        """
+        last = self.answers[-1]
+        if last.status == STATUS_OK:
+            return SERVED
+        if all(answer.run == NOT_RUN for answer in self.answers):
+            return NOT_RUN
+        return UNKNOWN
+
+
+@dataclass(slots=True)
+class Load:
+    """Callers that go round the entry hosts until stopped."""
+
+    system: System
+    hosts: tuple[HostPlan, ...]
+    work_ms: int = 20
+    label: str = "load"
+    tickets: list[Ticket] = field(default_factory=list)
+    idempotent: Counter[str] = field(default_factory=Counter)
+    served_by: Counter[str] = field(default_factory=Counter)
+    problems: list[Answer] = field(default_factory=list)
+    stopped: bool = False
+
+    async def run(self, keyed: int, others: int) -> None:
+        """Call until stopped."""
+        async with anyio.create_task_group() as tasks:
+            for number in range(keyed):
+                tasks.start_soon(self._keyed_caller, number)
+            for number in range(others):
+                tasks.start_soon(self._other_caller, number)
+
+    def stop(self) -> None:
+        """Let each caller end after its present request."""
+        self.stopped = True
+
+    async def _keyed_caller(self, number: int) -> None:
+        count = 0
+        while not self.stopped:
+            ticket = Ticket(f"{self.label}-{number}-{count}")
+            self.tickets.append(ticket)
+            await self.settle(ticket, number + count)
+            count += 1
+            await anyio.sleep(PAUSE_S)
+
+    async def settle(self, ticket: Ticket, turn: int) -> None:
+        """Send a keyed request, again at other hosts, until its word is final."""
+        for attempt in range(MAX_TRIES):
+            host = self.hosts[(turn + attempt) % len(self.hosts)]
+            answer = await self.keyed(host, ticket)
+            if answer.status == STATUS_OK or answer.kind in FINAL_KINDS:
+                return
+            if self.stopped and attempt > len(self.hosts):
+                return
+            await anyio.sleep(RETRY_S)
+
+    async def keyed(
+        self, host: HostPlan, ticket: Ticket, work_ms: int | None = None
+    ) -> Answer:
+        """Send a keyed request once, to one host."""
+        key = (b"idempotency-key", ticket.name.encode())
+        answer = await send(
+            self.system, host, "POST", self.work_ms if work_ms is None else work_ms, key
+        )
+        ticket.answers.append(answer)
+        self._count(host, answer)
+        return answer
+
+    async def _other_caller(self, number: int) -> None:
+        """Send idempotent requests, one after the other."""
+        count = 0
+        while not self.stopped:
+            host = self.hosts[(number + count) % len(self.hosts)]
+            answer = await send(self.system, host, "PUT", self.work_ms)
+            self.idempotent[answer.run] += 1
+            self._count(host, answer)
+            count += 1
+            await anyio.sleep(PAUSE_S)
+
+    def _count(self, host: HostPlan, answer: Answer) -> None:
+        if answer.status == STATUS_OK:
+            self.served_by[host.name] += 1
+            return
+        self.problems.append(answer)
+
+
+async def send(
+    system: System,
+    host: HostPlan,
+    method: str,
+    work_ms: int = 0,
+    *headers: tuple[bytes, bytes],
+    timeout_ms: int = 12_000,
+) -> Answer:
+    """Send one request of the account to the service's minions."""
+    sent = [
+        (b"authorization", f"Bearer {credential(ACCOUNT)}".encode()),
+        (b"x-standin-work-ms", str(work_ms).encode()),
+        *headers,
+    ]
+    path = f"/v1/services/{SERVICE}/echo"
+    return await system.call(address_of(host), method, path, None, sent, timeout_ms)
+
+
+async def check_tickets(load: Load) -> Counter[str]:
+    """Compare what the callers were told with what the stand-ins ran.
+
+    Returns:
+        How many tickets ended with each word.
+    """
+    runs = await load.system.all_runs()
+    for ticket in load.tickets:
+        count = runs.by_ticket[ticket.name]
+        story = [(answer.status, answer.kind, answer.run) for answer in ticket.answers]
+        assert count <= 1, (ticket.name, count, story)
+        if ticket.word == NOT_RUN:
+            assert count == 0, (ticket.name, story)
+        if ticket.word == SERVED:
+            assert count == 1, (ticket.name, story)
+    return Counter(ticket.word for ticket in load.tickets)
--- /dev/null
+++ b/tests/processes/system.py
@@ -0,0 +1,379 @@
+"""A whole fleet in small: stand-ins and entry hosts as processes on loopback."""
+
+from __future__ import annotations
+
+import json
+import signal
+import sys
+import time
+from collections import Counter
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import anyio
+from returns.result import Failure
+
+from courselead.integrations.http import HttpClient, HttpRequest
+from demo.plan import OPERATOR, HostPlan, credential, digest
+from demo.processes import Processes, free_ports
+
+ACCOUNT = "acme"
+SERVICE = "web"
+MANY = "always"
+NEVER = "never"
+BOUND_S = 30.0
+POLL_S = 0.05
+CALL_MS = 4_000
+STATUS_OK = 200
+COURSELEAD = (sys.executable, "-m", "courselead")
+
+Condition = Callable[[], Awaitable[bool]]
+
+
+@dataclass(frozen=True, slots=True)
+class Shape:
+    """Size and timings of a fleet."""
+
+    hosts: int = 4
+    zones: int = 2
+    workers: int = 4
+    reboot_ms: int = 300
+    beat_ms: int = 250
+    lost_after_ms: int = 1_500
+    maintenance_period_ms: int = 14 * 24 * 3_600_000
+    row: dict = field(default_factory=dict)
+
+
+class Routes:
+    """Where each entry host finds the platform and its peers: directly."""
+
+    def platform(self, host: HostPlan, name: str, address: str) -> str:
+        """Return the address at which a host reaches the log or the list."""
+        return address
+
+    def peer(self, host: HostPlan, peer: HostPlan) -> str:
+        """Return the address at which a host reaches a peer."""
+        return f"127.0.0.1:{peer.peer_port}"
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """What a caller got: status 0 if no whole answer came."""
+
+    status: int
+    data: dict
+    headers: tuple = ()
+    sent: bool = True
+
+    @property
+    def run(self) -> str:
+        """Return what the caller may take of the request's run."""
+        if self.status == 0:
+            return "unknown" if self.sent else "not_run"
+        return "ran" if self.status == STATUS_OK else self.data.get("run", "unknown")
+
+    @property
+    def kind(self) -> str:
+        """Return the kind of a problem, "" for an answer."""
+        return self.data.get("kind", "")
+
+    def header(self, name: bytes) -> bytes:
+        """Return a header's value, empty if it is absent."""
+        found = [value for key, value in self.headers if key.lower() == name]
+        return found[0] if found else b""
+
+
+@dataclass(slots=True)
+class System:
+    """One running fleet; its processes are ended by id."""
+
+    shape: Shape
+    processes: Processes
+    hosts: tuple[HostPlan, ...]
+    routes: Routes
+    platform: dict = field(default_factory=dict)
+    clients: dict[str, HttpClient] = field(default_factory=dict)
+
+    # --- entry hosts ------------------------------------------------------
+
+    async def start(self, *hosts: HostPlan) -> None:
+        """Start entry hosts; does not wait."""
+        for host in hosts:
+            path = self.processes.folder / f"{host.name}.json"
+            path.write_text(json.dumps(self._settings(host)))
+            await self.processes.start_daemon(host.name, path)
+
+    async def kill(self, *hosts: HostPlan) -> None:
+        """End entry hosts by SIGKILL."""
+        for host in hosts:
+            self.processes.signal(host.name, signal.SIGKILL)
+        for host in hosts:
+            assert await self.processes.end(host.name) == -signal.SIGKILL
+
+    def freeze(self, host: HostPlan) -> None:
+        """Stop an entry host without ending it."""
+        self.processes.signal(host.name, signal.SIGSTOP)
+
+    def thaw(self, host: HostPlan) -> None:
+        """Let a frozen entry host go on."""
+        self.processes.signal(host.name, signal.SIGCONT)
+
+    async def call(
+        self,
+        address: str,
+        method: str,
+        path: str,
+        body: object = None,
+        headers: Iterable = (),
+        timeout_ms: int = CALL_MS,
+    ) -> Answer:
+        """Send one request anywhere and return what came of it."""
+        client = self.clients.setdefault(address, HttpClient(address))
+        data = b"" if body is None else json.dumps(body).encode()
+        req = HttpRequest(method.encode(), path.encode(), tuple(headers), data)
+        fetched = await client.fetch(req, timeout_ms)
+        if isinstance(fetched, Failure):
+            sent = type(fetched.failure()).__name__ != "NotSent"
+            return Answer(0, {}, sent=sent)
+        got = fetched.unwrap()
+        parsed = json.loads(got.body) if got.body[:1] == b"{" else {}
+        return Answer(got.status, parsed, got.headers)
+
+    async def ask(
+        self,
+        host: HostPlan,
+        method: str,
+        path: str,
+        body: object = None,
+        secret: str = OPERATOR,
+        timeout_ms: int = 15_000,
+    ) -> Answer:
+        """Call an entry host's management interface."""
+        bearer = ((b"authorization", f"Bearer {secret}".encode()),)
+        return await self.call(address_of(host), method, path, body, bearer, timeout_ms)
+
+    async def status(self, host: HostPlan) -> dict:
+        """Return an entry host's status, empty if it gives none."""
+        answer = await self.ask(host, "GET", "/v1/status", timeout_ms=2_000)
+        return answer.data if answer.status == STATUS_OK else {}
+
+    async def peer_status(self, host: HostPlan, peer: HostPlan) -> str:
+        """Return what a host's log says of a peer."""
+        for entry in (await self.status(host)).get("peers", ()):
+            if entry["entry_host"] == peer.name:
+                return entry["standing"]
+        return ""
+
+    async def workers(self, host: HostPlan) -> dict[str, dict]:
+        """Return the workers as a host sees them, by name."""
+        answer = await self.ask(host, "GET", "/v1/workers")
+        return {item["worker"]: item for item in answer.data["workers"]}
+
+    def lines(self, host: HostPlan, event: str) -> list[dict]:
+        """Return the lines of an event in a host's log file."""
+        text = (self.processes.folder / f"{host.name}.log").read_text()
+        return [line for line in _json_lines(text) if line.get("event") == event]
+
+    def assert_no_fault(self, *hosts: HostPlan) -> None:
+        """Check that no entry host met with a fault of its own."""
+        for host in hosts or self.hosts:
+            for event in ("state_diverged", "event_failed"):
+                assert not self.lines(host, event), (host.name, event)
+
+    # --- table ------------------------------------------------------------
+
+    def row(self, service: str = SERVICE, **columns: object) -> dict:
+        """Return a service row."""
+        known = {
+            "client_account": ACCOUNT,
+            "service": service,
+            "workers": self.shape.workers,
+            "availability_budget": 0.5,
+            "window": NEVER,
+            **self.shape.row,
+        }
+        return {**known, **columns}
+
+    async def publish(self, host: HostPlan, rows: list[dict], **edit: object) -> Answer:
+        """Publish service rows by one entry host."""
+        if "base_version" not in edit:
+            table = await self.ask(host, "GET", "/v1/table")
+            edit["base_version"] = table.data["version"]
+        return await self.ask(host, "POST", "/v1/table", {"services": rows, **edit})
+
+    async def in_force(self, version: int, *hosts: HostPlan) -> None:
+        """Wait until hosts (default: all) have applied a table version."""
+
+        async def everywhere() -> bool:
+            reports = [await self.status(host) for host in hosts or self.hosts]
+            return all(rep.get("table_version", -1) >= version for rep in reports)
+
+        await wait(f"table version {version} in force", everywhere)
+
+    async def staffed(self, *hosts: HostPlan) -> None:
+        """Wait until hosts (default: all) see every pool with all its workers."""
+
+        async def everywhere() -> bool:
+            for host in hosts or self.hosts:
+                pools = (await self.status(host)).get("pools", ())
+                if not pools or any(p["serving"] < p["wanted"] for p in pools):
+                    return False
+            return True
+
+        await wait("all pools staffed", everywhere)
+
+    async def ready(self, *hosts: HostPlan) -> None:
+        """Wait until hosts (default: all) are members and ready."""
+
+        async def all_ready() -> bool:
+            for host in hosts or self.hosts:
+                status = await self.status(host)
+                if not status.get("member"):
+                    return False
+            return True
+
+        await wait("entry hosts are members", all_ready)
+
+    # --- stand-ins --------------------------------------------------------
+
+    async def fault(self, address: str, **faults: object) -> None:
+        """Set a stand-in's faults; none at all resets them."""
+        answer = await self.call(address, "POST", "/-/fault", faults)
+        assert answer.status == STATUS_OK
+
+    async def kill_worker(self, worker: str) -> None:
+        """Crash one worker: it boots again."""
+        answer = await self.call(self.platform["workers"][worker], "POST", "/-/kill")
+        assert answer.status == 202
+
+    async def runs(self, worker: str) -> dict:
+        """Return what one worker has executed."""
+        answer = await self.call(self.platform["workers"][worker], "GET", "/-/runs")
+        return answer.data
+
+    async def all_runs(self) -> Executions:
+        """Return what all workers have executed."""
+        total = Executions()
+        for worker in self.platform["workers"]:
+            data = await self.runs(worker)
+            total.by_ticket.update(data["by_ticket"])
+            total.by_worker[worker] = data["executions"]
+            total.boots[worker] = data["boots"]
+            total.cut_off += data["cut_off"]
+            total.jobs.extend({**job, "worker": worker} for job in data["jobs"])
+        return total
+
+    def _settings(self, host: HostPlan) -> dict:
+        """Return the settings of one entry host."""
+        shape = self.shape
+        log = self.routes.platform(host, "log", self.platform["log"])
+        listed = self.routes.platform(host, "membership", self.platform["membership"])
+        peers = []
+        for peer in self.hosts:
+            if peer is not host:
+                address = self.routes.peer(host, peer)
+                zone = peer.availability_zone
+                peers.append(
+                    {
+                        "entry_host": peer.name,
+                        "address": address,
+                        "availability_zone": zone,
+                    }
+                )
+        return {
+            "entry_host": host.name,
+            "availability_zone": host.availability_zone,
+            "listen": address_of(host),
+            "peer_listen": f"127.0.0.1:{host.peer_port}",
+            "log_url": f"http://{log}",
+            "membership_url": f"http://{listed}",
+            "operator_credential_hashes": [digest(OPERATOR)],
+            "timings": {
+                "beat_ms": shape.beat_ms,
+                "lost_after_ms": shape.lost_after_ms,
+                "maintenance_period_ms": shape.maintenance_period_ms,
+            },
+            "peers": peers,
+        }
+
+
+@dataclass(slots=True)
+class Executions:
+    """What the stand-ins say was run."""
+
+    by_ticket: Counter[str] = field(default_factory=Counter)
+    by_worker: dict[str, int] = field(default_factory=dict)
+    boots: dict[str, int] = field(default_factory=dict)
+    jobs: list[dict] = field(default_factory=list)
+    cut_off: int = 0
+
+
+@asynccontextmanager
+async def running(
+    folder: Path, shape: Shape, routes: Routes | None = None
+) -> AsyncIterator[System]:
+    """Run a fleet with one staffed pool; end all its processes after."""
+    processes = Processes(COURSELEAD, folder)
+    system = System(shape, processes, _plan(shape), routes or Routes())
+    try:
+        line = await processes.start_standins(
+            [
+                "fleet",
+                f"--workers={shape.workers}",
+                f"--zones={shape.zones}",
+                f"--reboot-ms={shape.reboot_ms}",
+            ]
+        )
+        system.platform = json.loads(line)
+        await system.start(*system.hosts)
+        await system.ready()
+        first = system.hosts[0]
+        account = {
+            "client_account": ACCOUNT,
+            "credential_hashes": [digest(credential(ACCOUNT))],
+        }
+        answer = await system.publish(first, [system.row()], accounts=[account])
+        assert answer.status == STATUS_OK, answer
+        await system.in_force(answer.data["version"])
+        await system.staffed()
+        yield system
+    finally:
+        with anyio.CancelScope(shield=True):
+            processes.kill_all()
+            await processes.end_all()
+            for client in system.clients.values():
+                client.close()
+
+
+async def wait(what: str, condition: Condition, bound_s: float = BOUND_S) -> None:
+    """Wait for a condition, and fail if it has not come about in time."""
+    end = time.monotonic() + bound_s
+    while not await condition():
+        if time.monotonic() > end:
+            raise AssertionError(f"not within {bound_s} s: {what}")
+        await anyio.sleep(POLL_S)
+
+
+def address_of(host: HostPlan) -> str:
+    """Return where callers reach an entry host."""
+    return f"127.0.0.1:{host.port}"
+
+
+def _plan(shape: Shape) -> tuple[HostPlan, ...]:
+    """Return the entry hosts, dealt out in turn over the zones."""
+    ports = free_ports(2 * shape.hosts)
+    hosts = []
+    for number in range(shape.hosts):
+        zone = f"zone-{number % shape.zones}"
+        name = f"entry-{number}"
+        hosts.append(HostPlan(name, zone, ports.pop(), ports.pop()))
+    return tuple(hosts)
+
+
+def _json_lines(text: str) -> Iterable[dict]:
+    """Yield the log lines that are JSON objects."""
+    for line in text.splitlines():
+        if line.startswith("{"):
+            yield json.loads(line)
--- /dev/null
+++ b/tests/processes/test_kill.py
@@ -0,0 +1,121 @@
+"""An entry host is killed in the middle of non-idempotent requests."""
+
+import time
+
+import anyio
+import pytest
+
+from courselead.core.fleet.codec import encode_batch
+from courselead.core.fleet.due import BUCKET_MS
+from courselead.core.fleet.records import Batch, Claim, ClaimsMade, HostJoined
+from courselead.integrations.http_api.requests import fingerprint
+from courselead.integrations.platform_log import LogClient
+from demo.plan import HostPlan
+from tests.processes.callers import Load, Ticket, check_tickets
+from tests.processes.system import (
+    ACCOUNT,
+    SERVICE,
+    STATUS_OK,
+    Shape,
+    System,
+    running,
+    wait,
+)
+
+pytestmark = [pytest.mark.anyio, pytest.mark.processes]
+
+HELD = 6
+SERVED_AFTER = 20
+KIND_IN_USE = "idempotency-key-in-use"
+KIND_UNKNOWN = "earlier-outcome-unknown"
+# Longer than it takes to write a silent host off.
+LEAST_CLAIM_MS = 6_000
+
+
+async def test_kill_in_the_middle_of_keyed_requests(tmp_path) -> None:
+    async with running(tmp_path, Shape()) as system:
+        victim, *others = system.hosts
+        load = Load(system, system.hosts)
+        held = [Ticket(f"held-{number}") for number in range(HELD)]
+        short = Ticket("expires")
+        await _claim_and_vanish(system, short)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(load.run, 8, 4)
+            for ticket in held:
+                tasks.start_soon(load.keyed, victim, ticket, 10_000)
+            await wait("the held requests run", lambda: _all_run(system, held))
+            await system.kill(victim)
+            before = dict(load.served_by)
+            for ticket in (*held, short):
+                for host in others:
+                    await _settles(load, host, ticket)
+
+            async def others_serve() -> bool:
+                names = [host.name for host in others]
+                served = [load.served_by[name] - before.get(name, 0) for name in names]
+                return min(served) >= SERVED_AFTER
+
+            await wait("the other hosts serve on", others_serve)
+            await system.start(victim)
+            await system.ready(victim)
+            for ticket in held:
+                await _settles(load, victim, ticket)
+            await _expires(load, others[0], short)
+            load.stop()
+        assert {ticket.word for ticket in held} == {"unknown"}
+        load.tickets.extend((*held, short))
+        words = await check_tickets(load)
+        assert words["served"] > SERVED_AFTER
+        system.assert_no_fault()
+
+
+async def _all_run(system: System, tickets: list[Ticket]) -> bool:
+    runs = await system.all_runs()
+    return all(runs.by_ticket[ticket.name] == 1 for ticket in tickets)
+
+
+async def _settles(load: Load, host: HostPlan, ticket: Ticket) -> None:
+    """Ask for a key until its outcome is unknown; until then it is in use."""
+
+    async def written_off() -> bool:
+        answer = await load.keyed(host, ticket)
+        assert answer.status == 409, answer
+        assert answer.kind in (KIND_IN_USE, KIND_UNKNOWN), answer
+        return answer.kind == KIND_UNKNOWN
+
+    await wait("the key's outcome is unknown", written_off)
+
+
+async def _expires(load: Load, host: HostPlan, ticket: Ticket) -> None:
+    """Ask for the key of a dead host until it is free, and run under it."""
+
+    async def served() -> bool:
+        answer = await load.keyed(host, ticket)
+        assert answer.status == STATUS_OK or answer.kind == KIND_UNKNOWN, answer
+        return answer.status == STATUS_OK
+
+    await wait("the key has expired", served)
+
+
+async def _claim_and_vanish(system: System, ticket: Ticket) -> None:
+    """Put a host into the log that claims a key and is never heard of again."""
+    name, zone = "entry-gone", system.hosts[0].availability_zone
+    now_ms = int(time.time() * 1000)
+    expires_ms = -(-(now_ms + LEAST_CLAIM_MS) // BUCKET_MS) * BUCKET_MS
+    target = b"/echo"
+    claim = Claim(
+        ACCOUNT,
+        SERVICE,
+        ticket.name,
+        fingerprint("POST", target, b""),
+        "request-of-a-dead-host",
+        expires_ms,
+    )
+    records = (
+        HostJoined(name, now_ms, zone, "127.0.0.1:1"),
+        ClaimsMade(name, now_ms, (claim,)),
+    )
+    batch = Batch(name, now_ms, 1, now_ms, -1, records)
+    client = LogClient(system.platform["log"])
+    (await client.append(encode_batch(batch), 5.0)).unwrap()
+    client.close()
