Take the log away under load, with real processes

Cause: that serving goes on without the log, and that nothing held lost comes of an outage, was not shown with daemons. Change: a test that turns the log stand-in down for longer than lost_after_ms under load: keyed requests and edits are refused at once (not run, Retry-After), all others are served, and all heals.

--- a/tests/processes/callers.py
+++ b/tests/processes/callers.py
@@ -57,7 +57,8 @@
     work_ms: int = 20
     label: str = "load"
     tickets: list[Ticket] = field(default_factory=list)
-    idempotent: Counter[str] = field(default_factory=Counter)
+    keyless: str = "PUT"
+    keyless_answers: Counter[str] = field(default_factory=Counter)
     served_by: Counter[str] = field(default_factory=Counter)
     problems: list[Answer] = field(default_factory=list)
     stopped: bool = False
@@ -107,12 +108,12 @@
         return answer
 
     async def _other_caller(self, number: int) -> None:
-        """Send idempotent requests, one after the other."""
+        """Send requests without a key, one after the other."""
         count = 0
         while not self.stopped:
             host = self.hosts[(number + count) % len(self.hosts)]
-            answer = await send(self.system, host, "PUT", self.work_ms)
-            self.idempotent[answer.run] += 1
+            answer = await send(self.system, host, self.keyless, self.work_ms)
+            self.keyless_answers[answer.run] += 1
             self._count(host, answer)
             count += 1
             await anyio.sleep(PAUSE_S)
--- /dev/null
+++ b/tests/processes/test_log_down.py
@@ -0,0 +1,97 @@
+"""The platform's log is away for some seconds while callers go on."""
+
+import anyio
+import pytest
+
+from demo.plan import HostPlan
+from tests.processes.callers import Load, Ticket, check_tickets, send
+from tests.processes.system import STATUS_OK, Shape, System, running, wait
+
+pytestmark = [pytest.mark.anyio, pytest.mark.processes]
+
+KIND_LOG_DOWN = "log-unavailable"
+SERVED_MEANWHILE = 100
+# What is refused at once answers well within this; a wait for the log would not.
+AT_ONCE_MS = 2_000
+
+
+async def test_log_is_away_under_load(tmp_path) -> None:
+    shape = Shape()
+    async with running(tmp_path, shape) as system:
+        load = Load(system, system.hosts)
+        plain = Load(system, system.hosts, keyless="POST")
+        incarnations = await _incarnations(system)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(load.run, 4, 4)
+            tasks.start_soon(plain.run, 0, 4)
+            await wait("all callers are served", lambda: _served(load, plain, 20))
+            await system.fault(system.platform["log"], down=True)
+            await wait("all hosts know", lambda: _log_up(system, False))
+            load.keyless_answers.clear()
+            plain.keyless_answers.clear()
+            for number, host in enumerate(system.hosts):
+                await _assert_refused(system, host, load, f"refused-{number}")
+            # Longer than the silence after which a host would be held lost.
+            await anyio.sleep(2 * shape.lost_after_ms / 1000)
+            await wait("served meanwhile", lambda: _served(load, plain, SERVED_MEANWHILE))
+            await wait("all hosts know still", lambda: _log_up(system, False))
+            assert set(load.keyless_answers) == {"ran"}
+            assert set(plain.keyless_answers) == {"ran"}
+            runs = await system.all_runs()
+            assert not any(name.startswith("refused-") for name in runs.by_ticket)
+            await system.fault(system.platform["log"])
+            await wait("all hosts read again", lambda: _log_up(system, True))
+            for host in system.hosts:
+                await _assert_heals(system, host, load)
+            load.stop()
+            plain.stop()
+        words = await check_tickets(load)
+        assert words["served"] >= len(system.hosts)
+        assert await _incarnations(system) == incarnations
+        for host in system.hosts:
+            assert not system.lines(host, "entry_host_lost")
+            assert not system.lines(host, "rejoining")
+        system.assert_no_fault()
+
+
+async def _served(load: Load, plain: Load, count: int) -> bool:
+    served = (load.keyless_answers["ran"], plain.keyless_answers["ran"])
+    return min(served) >= count
+
+
+async def _log_up(system: System, up: bool) -> bool:
+    reports = [await system.status(host) for host in system.hosts]
+    return all(report.get("log_up") is up for report in reports)
+
+
+async def _incarnations(system: System) -> list[int]:
+    return [(await system.status(host))["incarnation"] for host in system.hosts]
+
+
+async def _assert_refused(
+    system: System, host: HostPlan, load: Load, name: str
+) -> None:
+    """Check that what needs the log is refused at once and is not run."""
+    key = (b"idempotency-key", name.encode())
+    answer = await send(system, host, "POST", 0, key, timeout_ms=AT_ONCE_MS)
+    assert (answer.status, answer.kind) == (503, KIND_LOG_DOWN), answer
+    assert answer.run == "not_run"
+    assert int(answer.header(b"retry-after")) >= 1
+    ticket = Ticket(name, [answer])
+    load.tickets.append(ticket)
+    row = system.row(share=2.0)
+    edit = {"services": [row], "base_version": 0}
+    answer = await system.ask(host, "POST", "/v1/table", edit, timeout_ms=AT_ONCE_MS)
+    assert (answer.status, answer.kind) == (503, KIND_LOG_DOWN), answer
+    assert answer.run == "not_run"
+
+
+async def _assert_heals(system: System, host: HostPlan, load: Load) -> None:
+    """Check that a host takes keyed requests and edits again."""
+    ticket = Ticket(f"healed-{host.name}")
+    load.tickets.append(ticket)
+    answer = await load.keyed(host, ticket)
+    assert answer.status == STATUS_OK, answer
+    answer = await system.publish(host, [system.row(share=3.0)])
+    assert answer.status == STATUS_OK, answer
+    await system.in_force(answer.data["version"])
