Keep the deadline of a request whose retry is due in the same slot

Cause: a request's id stands once in a timer slot. When a retry was due in the slot of the deadline, the id was taken out with the retry, and the deadline was never looked at again: the request waited for its target without a bound, and its caller was given no final answer. Change: the id stays in the slot as long as its deadline is to come in it. Conclusion: a retry no longer takes the deadline with it.

--- a/courselead/core/requests/timers.py
+++ b/courselead/core/requests/timers.py
@@ -41,7 +41,9 @@
             at_ms = due_ms(req)
             if at_ms <= turn.now:
                 due.append(req)
-            elif slot == now_slot and at_ms // SLOT_MS == slot:
+                # A retry that is due may share its slot with the deadline.
+                at_ms = req.deadline_ms
+            if at_ms > turn.now and slot == now_slot and at_ms // SLOT_MS == slot:
                 kept.append(request_id)
         turn.timers = turn.timers.delete(slot)
         if kept:
