--- /dev/null
+++ b/standins/__main__.py
@@ -0,0 +1,118 @@
+"""Runs stand-ins: `python -m standins log|membership|worker|fleet`.
+
+Each command prints one JSON line with its addresses when it is ready, and serves until
+SIGINT or SIGTERM.
+"""
+
+from __future__ import annotations
+
+import signal
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import anyio
+import anyio.abc
+import cyclopts
+import msgspec
+
+from standins.faults import Endpoint
+from standins.fleet import Fleet, FleetSpec
+from standins.log import LogStandin
+from standins.membership import MembershipStandin
+from standins.serving import Listener
+from standins.worker import DEFAULT_REBOOT_MS, Worker, WorkerSpec
+
+app = cyclopts.App(name="standins", help="Stand-ins for the outside systems.")
+
+Runner = Callable[..., Awaitable[None]]
+
+
+@app.command
+def log(port: int = 0, keep: int = 0) -> None:
+    """Serve the append-only log, keeping the last `keep` records (0: all)."""
+    anyio.run(_serve_log, port, keep)
+
+
+@app.command
+def membership(port: int = 0) -> None:
+    """Serve an empty membership list, to be set by `PUT /v1/members`."""
+    anyio.run(_serve_membership, port)
+
+
+@app.command
+def worker(
+    name: str,
+    port: int = 0,
+    reboot_ms: int = DEFAULT_REBOOT_MS,
+    usage_lag_ms: int = 0,
+) -> None:
+    """Serve the agent of one worker."""
+    spec = WorkerSpec(name, reboot_ms, usage_lag_ms, port)
+    anyio.run(_serve_worker, spec)
+
+
+@app.command
+def fleet(
+    workers: int = 3,
+    zones: int = 3,
+    racks: int = 2,
+    accounts: str = "shared",
+    cores: float = 8.0,
+    memory_mb: int = 16_384,
+    reboot_ms: int = DEFAULT_REBOOT_MS,
+    usage_lag_ms: int = 0,
+    keep: int = 0,
+    platform: bool = True,
+) -> None:
+    """Serve many workers in one process, with a log and a list that names them.
+
+    `accounts` are the client accounts, separated by commas.
+    """
+    spec = FleetSpec(
+        workers=workers,
+        zones=zones,
+        racks=racks,
+        accounts=tuple(accounts.split(",")),
+        cores=cores,
+        memory_mb=memory_mb,
+        reboot_ms=reboot_ms,
+        usage_lag_ms=usage_lag_ms,
+        keep=keep,
+        with_platform=platform,
+    )
+    anyio.run(_serve_fleet, spec)
+
+
+async def _serve_log(port: int, keep: int) -> None:
+    listener = Listener(Endpoint(LogStandin(keep).handle), port)
+    await _serve({"log": listener.address}, listener.run)
+
+
+async def _serve_membership(port: int) -> None:
+    listener = Listener(MembershipStandin().endpoint, port)
+    await _serve({"membership": listener.address}, listener.run)
+
+
+async def _serve_worker(spec: WorkerSpec) -> None:
+    one = Worker(spec)
+    await _serve({"workers": {spec.worker: one.address}}, one.run)
+
+
+async def _serve_fleet(spec: FleetSpec) -> None:
+    many = Fleet(spec)
+    await _serve(many.addresses(), many.run)
+
+
+async def _serve(addresses: dict[str, Any], runner: Runner) -> None:
+    """Run until a signal; say where everything answers once it does."""
+    async with anyio.create_task_group() as group:
+        await group.start(runner)
+        print(msgspec.json.encode(addresses).decode("ascii"), flush=True)
+        with anyio.open_signal_receiver(signal.SIGINT, signal.SIGTERM) as signals:
+            async for _ in signals:
+                break
+        group.cancel_scope.cancel()
+
+
+if __name__ == "__main__":
+    app()
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -132,7 +132,7 @@
     async def _handle(self, call: Call) -> Reply | None:
         try:
             return await self._handler(call)
-        except (msgspec.ValidationError, msgspec.DecodeError) as exc:
+        except (msgspec.ValidationError, msgspec.DecodeError, ValueError) as exc:
             return error_reply(400, "bad_request", detail=str(exc))
 
     def _set_faults(self, call: Call) -> Reply:
