--- a/tests/processes/test_log_down.py
+++ b/tests/processes/test_log_down.py
@@ -33,7 +33,9 @@
                 await _assert_refused(system, host, load, f"refused-{number}")
             # Longer than the silence after which a host would be held lost.
             await anyio.sleep(2 * shape.lost_after_ms / 1000)
-            await wait("served meanwhile", lambda: _served(load, plain, SERVED_MEANWHILE))
+            await wait(
+                "served meanwhile", lambda: _served(load, plain, SERVED_MEANWHILE)
+            )
             await wait("all hosts know still", lambda: _log_up(system, False))
             assert set(load.keyless_answers) == {"ran"}
             assert set(plain.keyless_answers) == {"ran"}
