--- a/tests/processes/system.py
+++ b/tests/processes/system.py
@@ -103,6 +103,7 @@
         for host in hosts:
             path = self.processes.folder / f"{host.name}.json"
             path.write_text(json.dumps(self._settings(host)))
+            self._keep_log(host)
             await self.processes.start_daemon(host.name, path)
 
     async def kill(self, *hosts: HostPlan) -> None:
@@ -172,9 +173,11 @@
         return {item["worker"]: item for item in answer.data["workers"]}
 
     def lines(self, host: HostPlan, event: str) -> list[dict]:
-        """Return the lines of an event in a host's log file."""
-        text = (self.processes.folder / f"{host.name}.log").read_text()
-        return [line for line in _json_lines(text) if line.get("event") == event]
+        """Return the lines of an event in the log files of a host's processes."""
+        files = sorted(self.processes.folder.glob(f"{host.name}.*log"))
+        texts = [file.read_text() for file in files]
+        found = _json_lines("".join(texts))
+        return [line for line in found if line.get("event") == event]
 
     def assert_no_fault(self, *hosts: HostPlan) -> None:
         """Check that no entry host met with a fault of its own."""
@@ -265,6 +268,14 @@
             total.jobs.extend({**job, "worker": worker} for job in data["jobs"])
         return total
 
+    def _keep_log(self, host: HostPlan) -> None:
+        """Keep the log file of an earlier process of this host."""
+        folder = self.processes.folder
+        log = folder / f"{host.name}.log"
+        if log.exists():
+            count = len(list(folder.glob(f"{host.name}.*log")))
+            log.rename(folder / f"{host.name}.{count}.log")
+
     def _settings(self, host: HostPlan) -> dict:
         """Return the settings of one entry host."""
         shape = self.shape
@@ -375,5 +386,5 @@
 def _json_lines(text: str) -> Iterable[dict]:
     """Yield the log lines that are JSON objects."""
     for line in text.splitlines():
-        if line.startswith("{"):
+        if line.startswith("{") and line.endswith("}"):
             yield json.loads(line)
