Replace a worker that has been down for ten minutes

Cause: a pool waited for a lost worker for as long as it was down, also with free workers beside it. Change: the planner leaves workers down for replace_ms out of a pool's count; they stay members and make it over-full when they return. The users' fleets of today have no free worker and are unchanged.

--- a/benchmarks/planner/__main__.py
+++ b/benchmarks/planner/__main__.py
@@ -3,7 +3,7 @@
 import json
 import sys
 from collections.abc import Iterator
-from dataclasses import asdict
+from dataclasses import asdict, replace
 from pathlib import Path
 from typing import Annotated
 
@@ -14,6 +14,7 @@
 from benchmarks.planner.fleets import FLEETS, sweep_fleet
 from benchmarks.planner.report import Measured
 from courselead.core.operations.maintenance import POLICIES, RackByRack
+from courselead.core.operations.state import DEFAULT_REPLACE_MS
 
 FAILURES = (0.0, 0.01, 0.1)
 SWEEP_DAYS = 27.9
@@ -24,10 +25,10 @@
 app = App(name="planner", help="Measure the planner in virtual time.")
 
 
-def compare_runs(seed: int, fleets: list[str]) -> Iterator[Run]:
+def compare_runs(seed: int, fleets: list[str], policies: list[str]) -> Iterator[Run]:
     """Yield each policy at each failure rate on the fleets named."""
     for name in fleets:
-        for policy in POLICIES:
+        for policy in policies:
             for failures in FAILURES:
                 yield Run(FLEETS[name], policy, failures, seed)
 
@@ -52,6 +53,8 @@
     sweep: bool = False,
     fleet: list[str] | None = None,
     svg: Path | None = None,
+    policy: list[str] | None = None,
+    replace_after_s: int = DEFAULT_REPLACE_MS // 1000,
 ) -> None:
     """Run the comparison of the policies, or the sweep.
 
@@ -61,10 +64,16 @@
         sweep: Run the sweep over budgets, spares and move costs.
         fleet: Fleets to compare on; all if none is named.
         svg: Where to write the sweep's plot.
+        policy: Policies to compare; all if none is named.
+        replace_after_s: A worker down for this long is replaced.
     """
-    runs = sweep_runs(seed) if sweep else compare_runs(seed, fleet or list(FLEETS))
+    names = policy or list(POLICIES)
+    runs = compare_runs(seed, fleet or list(FLEETS), names)
+    if sweep:
+        runs = sweep_runs(seed)
     measured = []
     for run in runs:
+        run = replace(run, replace_ms=replace_after_s * 1000)
         measured.append(Measured(run, Driver.from_run(run).drive()))
         print(".", end="", file=sys.stderr, flush=True)
     print(file=sys.stderr)
--- a/benchmarks/planner/driver.py
+++ b/benchmarks/planner/driver.py
@@ -12,6 +12,7 @@
 
 from benchmarks.planner.fleets import FleetSpec
 from courselead.core.fleet.apply import apply_batch
+from courselead.core.fleet.budgets import floor_of
 from courselead.core.fleet.records import (
     Batch,
     HostBeat,
@@ -35,7 +36,8 @@
     WorkerState,
 )
 from courselead.core.operations import invariants, planner
-from courselead.core.operations.state import OperationsConfig
+from courselead.core.operations.placement import Listing
+from courselead.core.operations.state import DEFAULT_REPLACE_MS, OperationsConfig
 
 HOST = "bench"
 DAY_MS = 86_400_000
@@ -78,6 +80,7 @@
         failures: Part of the workers that fails per day.
         days: Length of the run from the begin of the wave; a wave that is
             not done by then is cut.
+        replace_ms: A worker down for this long is replaced.
     """
 
     spec: FleetSpec
@@ -85,6 +88,7 @@
     failures: float
     seed: int
     days: float = 13.9
+    replace_ms: int = DEFAULT_REPLACE_MS
 
 
 @dataclass(slots=True)
@@ -99,6 +103,8 @@
             that came to a pool or was set free.
         drains: Stops of workers in order to move them.
         jobs_moved: Jobs that went to another worker because theirs stopped.
+        short_hours: Pool-hours with fewer serving workers than the floor of
+            the budget; only losses bring a pool there.
         spare_days: Worker-days in pools beyond the wanted sizes.
         breaches: Pools over budget, counted at every batch.
         zone_breaches: Pools out in two zones at once, at every batch.
@@ -112,6 +118,7 @@
     pool_changes: int = 0
     drains: int = 0
     jobs_moved: int = 0
+    short_hours: float = 0.0
     spare_days: float = 0.0
     spare_part: float = 0.0
     breaches: int = 0
@@ -132,6 +139,8 @@
     _seq: int = 0
     _order: int = 0
     _spare: int = 0
+    _short: int = 0
+    _down: dict[str, int] = field(default_factory=dict)
     _spare_since_ms: int = 0
     _dirty: bool = True
     _filled: bool = False
@@ -236,12 +245,21 @@
             self._cfg = OperationsConfig(policy=self.run.policy)
         if self._dirty or idle:
             self._dirty = False
-            plan = planner.make(self.fleet, self.wall_ms, self._cfg)
+            listing = Listing(lost=self._lost())
+            plan = planner.make(self.fleet, self.wall_ms, self._cfg, listing)
             records = (*plan.assigned, *plan.stops)
             if records:
                 self._append(*records)
         self._later(PLAN_EVERY_MS, Kind.PLAN)
 
+    def _lost(self) -> frozenset[str]:
+        """Return the workers that have been down for long."""
+        names = []
+        for name, since_ms in self._down.items():
+            if self.now_ms - since_ms >= self.run.replace_ms:
+                names.append(name)
+        return frozenset(names)
+
     def _next_loss(self) -> None:
         """Draw the time of the next loss."""
         per_day = self.run.failures * self.run.spec.workers
@@ -271,6 +289,8 @@
         batch = Batch(HOST, 1, self._seq, self.wall_ms, -1, tuple(records))
         before = self.fleet
         self.fleet, applied = apply_batch(before, before.offset + 1, batch)
+        if self._filled:
+            self._count_spares()
         self._dirty = True
         self.result.batches += 1
         self._check(applied)
@@ -304,8 +324,10 @@
             self._start(record.worker)
             self._note_roll_out()
         elif isinstance(record, WorkerBack):
+            self._down.pop(record.worker, None)
             self._start(record.worker)
         elif isinstance(record, WorkerDown):
+            self._down[record.worker] = self.now_ms
             self._jobs[record.worker] = 0
         return []
 
@@ -331,7 +353,6 @@
         """Start a worker in its new pool."""
         if self._filled:
             self.result.pool_changes += 1
-            self._count_spares()
         if record.pool:
             self._start(record.worker)
 
@@ -357,12 +378,16 @@
         """Add up the spare workers held since the last change."""
         held_ms = self.now_ms - self._spare_since_ms
         self.result.spare_days += self._spare * held_ms / DAY_MS
+        self.result.short_hours += self._short * held_ms / HOUR_MS
         self._spare_since_ms = self.now_ms
         self._spare = 0
+        self._short = 0
         for pool, row in self.fleet.table.services.items():
             count = self.fleet.pools.get(pool)
             members = count.members if count else 0
             self._spare += max(0, members - row.workers)
+            serving = count.serving if count else 0
+            self._short += serving < floor_of(row)
 
     def _note_roll_out(self) -> None:
         """Note when nine of ten and when all workers in pools were rebooted."""
--- a/courselead/core/operations/placement.py
+++ b/courselead/core/operations/placement.py
@@ -22,10 +22,13 @@
         leaving: Workers that the platform takes back.
         absent: Workers missing in the list. The list lags, so they stay in
             their pools, but none of them is given to one.
+        lost: Workers down for so long that their pools get others. They stay
+            members, and make their pools over-full when they return.
     """
 
     leaving: frozenset[str] = frozenset()
     absent: frozenset[str] = frozenset()
+    lost: frozenset[str] = frozenset()
 
 
 ALL_LISTED = Listing()
@@ -63,11 +66,12 @@
 def spreads(fleet: FleetState, listing: Listing) -> dict[str, Spread]:
     """Return the spread of each pool of the table, moves under way included.
 
-    Workers that the platform takes back are not counted.
+    Workers that the platform takes back, or that are lost, are not counted.
     """
+    uncounted = listing.leaving | listing.lost
     found = {pool: Spread() for pool in fleet.table.services}
     for worker in fleet.workers.values():
-        if worker.worker in listing.leaving:
+        if worker.worker in uncounted:
             continue
         spread = found.get(pool_after_moves(worker))
         if spread is not None:
--- a/courselead/core/operations/planner.py
+++ b/courselead/core/operations/planner.py
@@ -62,7 +62,11 @@
 def propose(draft: Draft) -> None:
     """Propose the parts of the plan that are this host's."""
     ctx = draft.ctx
-    listing = Listing(leaving=draft.state.leaving, absent=frozenset(draft.state.absent))
+    listing = Listing(
+        leaving=draft.state.leaving,
+        absent=frozenset(draft.state.absent),
+        lost=_lost(draft),
+    )
     plan = make(ctx.fleet, ctx.wall_ms, draft.cfg, listing)
     _propose_assigned(draft, plan)
     pools: dict[str, list[StopPlanned]] = {}
@@ -100,3 +104,12 @@
         stops.append(record)
         fleet = placement.with_stop(fleet, record)
     return fleet
+
+
+def _lost(draft: Draft) -> frozenset[str]:
+    """Return the workers that have been down for too long to wait for them."""
+    names = []
+    for name, since_ms in draft.state.down.items():
+        if draft.now_ms - since_ms >= draft.cfg.replace_ms:
+            names.append(name)
+    return frozenset(names)
--- a/courselead/core/operations/reducer.py
+++ b/courselead/core/operations/reducer.py
@@ -79,13 +79,23 @@
         _step(draft, worker)
     if draft.now_ms - state.planned_ms < PLAN_MS:
         return
-    draft.state = replace(draft.state, planned_ms=draft.now_ms)
+    draft.state = replace(draft.state, planned_ms=draft.now_ms, down=_down(draft))
     inventory.propose(draft)
     if draft.may_propose and not draft.ctx.leaving:
         planner.propose(draft)
     draft.forget_unasked()
 
 
+def _down(draft: Draft) -> Map[str, int]:
+    """Return since when each worker that is down has been seen so."""
+    before = draft.state.down
+    found = {}
+    for name, worker in draft.ctx.fleet.workers.items():
+        if worker.phase is WorkerPhase.DOWN:
+            found[name] = before.get(name, draft.now_ms)
+    return Map(found)
+
+
 def _step(draft: Draft, worker: WorkerState) -> None:
     """Take the next step of one worker."""
     if worker.phase is WorkerPhase.GONE:
--- a/courselead/core/operations/state.py
+++ b/courselead/core/operations/state.py
@@ -12,6 +12,7 @@
 DEFAULT_FAILING_MS = 6_000
 DEFAULT_ABSENT_MS = 10_000
 DEFAULT_REBOOT_LIMIT_MS = 30 * 60_000
+DEFAULT_REPLACE_MS = 10 * 60_000
 
 PROPOSAL_TIMEOUT_MS = 5_000
 CALL_TIMEOUT_MS = 5_000
@@ -36,6 +37,8 @@
         absent_ms: A worker may be gone after missing in the list this long.
         reboot_limit_ms: A worker that has not come back from its reboot after
             this long is down.
+        replace_ms: A worker that has been down for this long is replaced in
+            its pool, if there is another to be had.
     """
 
     maintenance_period_ms: int = DEFAULT_MAINTENANCE_PERIOD_MS
@@ -46,6 +49,7 @@
     failing_ms: int = DEFAULT_FAILING_MS
     absent_ms: int = DEFAULT_ABSENT_MS
     reboot_limit_ms: int = DEFAULT_REBOOT_LIMIT_MS
+    replace_ms: int = DEFAULT_REPLACE_MS
 
 
 @dataclass(frozen=True, slots=True)
@@ -129,6 +133,7 @@
         list_version: Version of that list, -1 before the first.
         listed_ms: When it came in.
         absent: Since when an agreed worker is missing in the list.
+        down: Since when this host has seen a worker down.
         agents: Views of the agents this host deals with.
         proposed: Proposals by key, until decided or timed out.
         wanted: Changes that a host ranked before this one may still propose.
@@ -140,6 +145,7 @@
     list_version: int = -1
     listed_ms: int = -1
     absent: Map[str, int] = field(default_factory=Map)
+    down: Map[str, int] = field(default_factory=Map)
     agents: Map[str, AgentView] = field(default_factory=Map)
     proposed: Map[str, Proposal] = field(default_factory=Map)
     wanted: Map[str, Wanted] = field(default_factory=Map)
--- a/tests/core/operations/test_planner.py
+++ b/tests/core/operations/test_planner.py
@@ -224,3 +224,13 @@
     workers = [serving(f"w{index}", maintained_ms=NOW_MS) for index in range(3)]
     plan = planner.make(tight(workers, move_cost), NOW_MS, CFG)
     assert [item.next_pool for item in plan.stops] == [""] * returned
+
+
+def test_a_worker_lost_for_long_is_replaced_by_a_free_one_and_kept_as_a_member():
+    lost = replace(serving("w1"), phase=WorkerPhase.DOWN)
+    state = fleet([lost, serving("w2"), worker("w3")], [row(workers=2)])
+    assert assignment.assign(state) == []
+    listing = Listing(lost=frozenset({"w1"}))
+    (record,) = assignment.assign(state, listing)
+    assert (record.worker, record.pool) == ("w3", POOL)
+    assert state.workers["w1"].pool == POOL
