Show drains, budgets and the peers' standing in the status

Cause: the status has more members now, and entry hosts that a drain waits for would have been cut like digests. Change: the status shows each list of the report with all its members, and a test holds it to that; only digests are cut short.

--- a/courselead/cli/fleet.py
+++ b/courselead/cli/fleet.py
@@ -30,6 +30,7 @@
     "peers": (
         "entry_host",
         "availability_zone",
+        "standing",
         "reachable",
         "heard_ms_ago",
         "applied",
@@ -42,13 +43,23 @@
         "serving",
         "in_flight",
         "queued",
+        "budget_left",
+    ),
+    "drains": (
+        "worker",
+        "client_account",
+        "service",
+        "purpose",
+        "phase",
+        "since",
+        "unsettled",
     ),
     "alarms": ("name", "client_account", "detail", "since_ms"),
 }
 
 
 def status(*, json: AsJson = False, target: Target = ON_TARGET) -> int:
-    """Show the state of an entry host: log, peers, pools and alarms."""
+    """Show the state of an entry host: log, peers, pools, drains and alarms."""
     data = Client.from_target(target).get(PATH_STATUS)
     if json:
         emit_json(data)
--- a/courselead/table_files/grid.py
+++ b/courselead/table_files/grid.py
@@ -10,6 +10,7 @@
 
 GAP = "  "
 SHORT_DIGEST = 8
+DIGEST_LENGTH = 64
 NO_VALUE = "-"
 
 _MARKS = {Change.ADDED: "+", Change.REMOVED: "-", Change.CHANGED: "~"}
@@ -63,13 +64,17 @@
     if value is None or value == "":
         return NO_VALUE
     if isinstance(value, list | tuple):
-        short = [str(item)[:SHORT_DIGEST] for item in value]
-        return ",".join(short) or NO_VALUE
+        return ",".join(_item_text(str(item)) for item in value) or NO_VALUE
     if isinstance(value, float):
         return f"{value:g}"
     return str(value)
 
 
+def _item_text(text: str) -> str:
+    """Return an item of a list, a digest cut short."""
+    return text[:SHORT_DIGEST] if len(text) == DIGEST_LENGTH else text
+
+
 def _row_grid(kind: type, rows: Sequence[AccountRow | ServiceRow]) -> str:
     """Return the grid of one kind of rows."""
     names = [attribute.name for attribute in fields(kind)]
--- a/tests/cli/test_entry_host.py
+++ b/tests/cli/test_entry_host.py
@@ -1,6 +1,8 @@
 """The command line against the real HTTP interface."""
 
 import json
+from dataclasses import fields
+from typing import get_args, get_origin, get_type_hints
 
 import anyio
 import pytest
@@ -8,6 +10,7 @@
 from structlog.testing import capture_logs
 
 from courselead.__main__ import main
+from courselead.cli.fleet import STATUS_LISTS
 from courselead.core.effects import Problem, ProblemKind, ReplyAccepted, RunState
 from courselead.core.fleet.origin import Origin
 from courselead.core.fleet.tables import table_published
@@ -90,6 +93,16 @@
     assert (await cli("call", "GET", "web", "x"))[:2] == (0, "hello")
 
 
+async def test_the_status_shows_each_list_of_the_report():
+    lists = {}
+    for attribute, hint in get_type_hints(StatusReport).items():
+        if get_origin(hint) is tuple:
+            lists[attribute] = {item.name for item in fields(get_args(hint)[0])}
+    assert set(STATUS_LISTS) == set(lists)
+    for name, columns in STATUS_LISTS.items():
+        assert set(columns) == lists[name]
+
+
 async def test_jobs_are_submitted_and_listed(cli, tmp_path, monkeypatch):
     monkeypatch.setenv("COURSELEAD_CREDENTIAL", "alpha-token")
     path = tmp_path / "job.json"
--- a/tests/table_files/test_diff.py
+++ b/tests/table_files/test_diff.py
@@ -93,3 +93,4 @@
     heads = [line for line in text.splitlines() if line.startswith("client_account")]
     assert len(heads) == 2
     assert cell_text(()) == "-"
+    assert cell_text(["entry-host-one", "ab" * 32]) == "entry-host-one,abababab"
