--- a/courselead/core/edits.py
+++ b/courselead/core/edits.py
@@ -86,10 +86,11 @@
             "A row of this edit was changed after the version it was edited "
             "from. Read the table again, and repeat the edit on top of it.",
         )
+    remedy = verdicts.message(reason)
     return Problem(
         ProblemKind.TABLE_REFUSED,
         RunState.NOT_RUN,
-        f"The edit was refused: {reason}. The table is unchanged.",
+        f"The table is unchanged: {remedy}",
     )
 
 
--- a/courselead/core/effects.py
+++ b/courselead/core/effects.py
@@ -5,6 +5,7 @@
 
 from courselead.core.events import AgentOp, PeerReport
 from courselead.core.fleet.records import Batch, Record
+from courselead.core.fleet.state import FleetState
 
 
 @dataclass(frozen=True, slots=True)
@@ -197,6 +198,16 @@
     fields: tuple[tuple[str, str | int | float], ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class WriteSnapshot:
+    """Serialise a state beside the reducer, and give it back in parts.
+
+    The state is immutable, so it may be read while the next events are taken.
+    """
+
+    fleet: FleetState
+
+
 @dataclass(frozen=True, slots=True)
 class Left:
     """Nothing is in flight and the leave is in the log: the host may end."""
@@ -214,5 +225,6 @@
     | CallAgent
     | Measure
     | Note
+    | WriteSnapshot
     | Left
 )
--- a/courselead/core/events.py
+++ b/courselead/core/events.py
@@ -10,6 +10,7 @@
 from courselead.core.fleet.records import (
     Batch,
     JobSpec,
+    SnapshotPart,
     TablePublished,
     WorkerInfo,
 )
@@ -56,6 +57,14 @@
     fleet: FleetState
 
 
+@dataclass(frozen=True, slots=True)
+class SnapshotSplit:
+    """A state was serialised into the records that carry it."""
+
+    now_ms: int
+    parts: tuple[SnapshotPart, ...]
+
+
 class AppendResult(StrEnum):
     """What is known of an append."""
 
@@ -365,6 +374,7 @@
     Tick
     | BatchesRead
     | SnapshotLoaded
+    | SnapshotSplit
     | LogReachable
     | AppendEnded
     | RequestArrived
--- a/courselead/core/snapshots.py
+++ b/courselead/core/snapshots.py
@@ -7,10 +7,9 @@
 from dataclasses import dataclass, replace
 
 from courselead.core.context import Context
-from courselead.core.effects import Effect, Note, Propose
-from courselead.core.events import Event, Tick
+from courselead.core.effects import Effect, Note, Propose, WriteSnapshot
+from courselead.core.events import Event, SnapshotSplit, Tick
 from courselead.core.fleet.queries import live_hosts
-from courselead.core.fleet.snapshot import split
 from courselead.core.ranking import step_in_ms
 
 DEFAULT_SNAPSHOT_EVERY = 5_000
@@ -36,6 +35,8 @@
     state: SnapshotsState, ctx: Context, event: Event
 ) -> tuple[SnapshotsState, tuple[Effect, ...]]:
     """Write a snapshot when it is due and this host's turn."""
+    if isinstance(event, SnapshotSplit):
+        return state, tuple(Propose(part) for part in event.parts)
     if not isinstance(event, Tick) or not ctx.member or not ctx.log_up:
         return state, ()
     newest = max(ctx.fleet.snapshot_at, state.written_at)
@@ -49,9 +50,6 @@
     wait_ms = step_in_ms(key, ctx.me.entry_host, names, ctx.me.seed)
     if ctx.now_ms - since_ms < wait_ms * STEP_IN_FACTOR:
         return replace(state, due_since_ms=since_ms), ()
-    parts = split(ctx.fleet, ctx.me.entry_host)
-    fields = (("at", ctx.fleet.offset), ("parts", len(parts)))
-    effects = [Note("info", "snapshot_written", fields)]
-    effects.extend(Propose(part) for part in parts)
+    note = Note("info", "snapshot_begun", (("at", ctx.fleet.offset),))
     state = replace(state, due_since_ms=None, written_at=ctx.fleet.offset)
-    return state, tuple(effects)
+    return state, (note, WriteSnapshot(ctx.fleet))
--- a/courselead/daemon/runtime.py
+++ b/courselead/daemon/runtime.py
@@ -8,6 +8,8 @@
 from collections.abc import Callable
 from typing import Protocol
 
+import anyio
+import anyio.to_thread
 import structlog
 from anyio.abc import TaskGroup
 
@@ -28,10 +30,19 @@
     RunState,
     Send,
     SendPeer,
+    WriteSnapshot,
 )
-from courselead.core.events import BatchesRead, Event, RequestArrived, SnapshotLoaded
+from courselead.core.events import (
+    BatchesRead,
+    Event,
+    RequestArrived,
+    SnapshotLoaded,
+    SnapshotSplit,
+)
+from courselead.core.fleet.snapshot import split
 from courselead.core.reducer import CoreState, reduce
 from courselead.daemon.agents import Agents
+from courselead.daemon.clock import now_ms
 from courselead.daemon.exchanges import Exchanges
 from courselead.daemon.handles import Handle, Waiter, replay
 
@@ -74,6 +85,7 @@
         """
         self.state = state
         self.reductions = 0
+        self._tasks = tasks
         self._ports = ports
         self._queue: deque[Event] = deque()
         self._running = False
@@ -170,6 +182,8 @@
                 self._ports.measure(effect)
             case Note():
                 _note(effect)
+            case WriteSnapshot():
+                self._tasks.start_soon(self._write_snapshot, effect)
             case Left():
                 self._ports.left()
 
@@ -181,6 +195,12 @@
             return
         self.exchanges.send(effect, handle)
 
+    async def _write_snapshot(self, effect: WriteSnapshot) -> None:
+        """Serialise a state in a thread: it takes a while when the state is large."""
+        name = self.state.me.entry_host
+        parts = await anyio.to_thread.run_sync(split, effect.fleet, name)
+        self.dispatch(SnapshotSplit(now_ms(), parts))
+
     def _reply_problem(self, effect: ReplyProblem) -> None:
         """Give a request or a management call its final answer."""
         handle = self._handles.get(effect.request_id)
--- a/tests/core/helpers.py
+++ b/tests/core/helpers.py
@@ -2,16 +2,18 @@
 
 from dataclasses import dataclass, field
 
-from courselead.core.effects import Append, Effect
+from courselead.core.effects import Append, Effect, WriteSnapshot
 from courselead.core.events import (
     AppendEnded,
     AppendResult,
     BatchesRead,
     Event,
     LogReachable,
+    SnapshotSplit,
     Tick,
 )
 from courselead.core.fleet.records import Batch
+from courselead.core.fleet.snapshot import split
 from courselead.core.identity import Identity
 from courselead.core.reducer import CoreState, reduce
 
@@ -43,6 +45,9 @@
         for effect in effects:
             if isinstance(effect, Append):
                 self._append(effect)
+            if isinstance(effect, WriteSnapshot):
+                parts = split(effect.fleet, self.state.me.entry_host)
+                self.do(SnapshotSplit(self.state.now_ms, parts))
         return list(effects)
 
     def up(self, now_ms=0):
