--- a/courselead/core/jobs/reducer.py
+++ b/courselead/core/jobs/reducer.py
@@ -129,7 +129,7 @@
     state = replace(state, index=newer)
     state = ends.drop_settled(state, ctx, touched.jobs)
     state = _drop_evictions(state, ctx)
-    state, _ = drivers.refresh(state, ctx)
+    state = _reseat(state, ctx)
     state = leases.follow(state, ctx, touched.jobs, fresh=True)
     return scheduling.mark(state, ctx, _pools(ctx, touched))
 
--- a/tests/core/jobs/rig.py
+++ b/tests/core/jobs/rig.py
@@ -99,6 +99,7 @@
     ) -> None:
         self.now_ms = START_MS
         self.log: list[Batch] = []
+        self.fleet = FleetState()
         self.runs: list[Run] = []
         self.calls: list[CallAgent] = []
         self.truths: dict[str, Truth] = {}
@@ -110,9 +111,7 @@
             me = Identity(name, 1, f"zone-{number % 2}", "127.0.0.1:1", number)
             self.hosts.append(Host(me))
         for host in self.hosts:
-            me = host.me
-            joined = HostJoined(me.entry_host, 1, me.availability_zone, "127.0.0.1:1")
-            self.append(host, (joined,))
+            self._join(host)
         self.append(self.hosts[0], self._first_records(workers, jobs_limit, budget))
         for number in range(workers):
             name = f"worker-{number}"
@@ -125,6 +124,7 @@
         name = host.me.entry_host
         batch = Batch(name, host.me.incarnation, host.seq, self.now_ms, -1, records)
         self.log.append(batch)
+        self.fleet, _ = apply_batch(self.fleet, len(self.log) - 1, batch)
 
     def run_ms(self, time_ms: int) -> None:
         """Let time pass."""
@@ -146,11 +146,6 @@
         ctx = self._context(host, ())
         self._reduce(host, ctx, event)
 
-    @property
-    def fleet(self) -> FleetState:
-        """Return the newest shared state of any host."""
-        return max((host.fleet for host in self.hosts), key=lambda f: f.offset)
-
     def submit(self, *specs: JobSpec, request_id: str = "r1", host: int = 0) -> None:
         """Submit jobs that behave as declared, unless told otherwise before."""
         for spec in specs:
@@ -232,14 +227,27 @@
         host.alive = True
         host.log_up = True
         host.isolated = False
+        self._join(host)
+
+    def _join(self, host: Host) -> None:
+        """Let a host join under its present incarnation."""
+        me = host.me
         joined = HostJoined(
-            old.entry_host,
-            host.me.incarnation,
-            old.availability_zone,
-            old.peer_address,
+            me.entry_host, me.incarnation, me.availability_zone, me.peer_address
         )
         self.append(host, (joined,))
 
+    def _rejoin_if_lost(self, host: Host) -> None:
+        """Let a host join anew that was written off."""
+        known = host.fleet.hosts.get(host.me.entry_host)
+        if known is None or known.status != "lost" or not host.log_up:
+            return
+        if known.incarnation != host.me.incarnation:
+            return
+        host.me = replace(host.me, incarnation=host.me.incarnation + 1)
+        host.seq = 0
+        self._join(host)
+
     def spec_of(self, job_id: str) -> JobSpec:
         """Return a job as it was submitted."""
         return self.fleet.jobs[job_id].spec
@@ -280,6 +288,7 @@
             if not host.alive:
                 continue
             self._read(host)
+            self._rejoin_if_lost(host)
             tick = Tick(self.now_ms, self.now_ms)
             self._reduce(host, self._context(host, ()), tick)
             if beats and host.log_up:
--- a/tests/core/jobs/test_lifecycle.py
+++ b/tests/core/jobs/test_lifecycle.py
@@ -187,3 +187,21 @@
 
     assert rig.phase("a") is JobPhase.FAILED
     assert len({run.worker for run in rig.runs}) == len(rig.runs) == 2
+
+
+def test_zone_whose_hosts_are_all_written_off_is_driven_by_the_others():
+    rig = Rig(hosts=4, workers=1)
+    rig.submit(job_spec("a", run_ms=120_000), host=1)
+    rig.run_ms(2_000)
+    own = [host for host in rig.hosts if host.me.availability_zone == "zone-0"]
+    for host in own:
+        rig.set_log(host, False)
+    rig.run_ms(12_000)
+    rig.write_off_hosts()
+    rig.run_ms(1_000)
+    for host in own:
+        host.alive = False
+    rig.run_until(lambda: rig.is_over("a"))
+
+    assert rig.phase("a") is JobPhase.DONE
+    assert len(rig.runs) == 1
