Limit the workers an account may ask for; judge shared credentials at apply

Cause: accounts edit their own service rows, and nothing kept one from asking for every free worker of the fleet; two edits that pass the edge one by one could give one credential to two accounts, which took it from both; any text up to the body's limit stayed in the window cache. Change: column workers_limit, judged with the merged table; a credential in two accounts is refused at apply; a window longer than 40 characters is none. Tests of each fail without it.

--- a/courselead/core/fleet/tables.py
+++ b/courselead/core/fleet/tables.py
@@ -91,6 +91,11 @@
     for row in record.services:
         if row.client_account not in table.accounts:
             return verdicts.TABLE_NO_ACCOUNT
+    touched = {row.client_account for row in (*record.services, *record.accounts)}
+    if any(_is_over_limit(table, name) for name in touched):
+        return verdicts.TABLE_OVER_LIMIT
+    if record.accounts and _shares_credential(table):
+        return verdicts.TABLE_SHARED_CREDENTIAL
     gone = set()
     for key in record.removed:
         kind, _, name = key.partition(":")
@@ -103,6 +108,31 @@
     return ""
 
 
+def _is_over_limit(table: Table, client_account: str) -> bool:
+    """Return whether an account's services ask for more than it may have."""
+    limit = table.accounts[client_account].workers_limit
+    if not limit:
+        return False
+    wanted = 0
+    for row in table.services.values():
+        if row.client_account == client_account:
+            wanted += row.workers
+    return wanted > limit
+
+
+def _shares_credential(table: Table) -> bool:
+    """Return whether two accounts have one credential.
+
+    The edge checks an edit by itself; two edits can bring it about together.
+    """
+    seen: dict[str, str] = {}
+    for name, row in table.accounts.items():
+        for digest in row.credential_hashes:
+            if seen.setdefault(digest, name) != name:
+                return True
+    return False
+
+
 def _has_row(table: Table, key: str) -> bool:
     """Return whether the table has the row of a key."""
     kind, _, name = key.partition(":")
--- a/courselead/core/fleet/verdicts.py
+++ b/courselead/core/fleet/verdicts.py
@@ -19,6 +19,8 @@
 TABLE_NO_ACCOUNT = "table_no_account"
 TABLE_ACCOUNT_IN_USE = "table_account_in_use"
 TABLE_BAD_ROW = "table_bad_row"
+TABLE_OVER_LIMIT = "table_over_limit"
+TABLE_SHARED_CREDENTIAL = "table_shared_credential"
 
 WORKER_UNKNOWN = "worker_unknown"
 STALE_EPOCH = "stale_epoch"
@@ -63,6 +65,9 @@
     TABLE_NO_ACCOUNT: "the service's account has no row; add the account's row",
     TABLE_ACCOUNT_IN_USE: "the account has services; remove their rows first",
     TABLE_BAD_ROW: "a row has a value out of range; check the edit before sending",
+    TABLE_OVER_LIMIT: "an account's services ask for more workers than its "
+    "workers_limit; lower their numbers or have the limit raised",
+    TABLE_SHARED_CREDENTIAL: "two accounts have one credential; make a new one",
     WORKER_UNKNOWN: "no such worker; wait until the platform's list has it",
     STALE_EPOCH: "the worker has moved on; decide anew on its present epoch",
     WRONG_PHASE: "the worker's phase does not allow it; decide anew",
--- a/courselead/core/fleet/windows.py
+++ b/courselead/core/fleet/windows.py
@@ -15,6 +15,7 @@
 # 1970-01-01 was a Thursday, the fourth day from Monday.
 EPOCH_WEEKDAY = 3
 CACHE_SIZE = 1_024
+MAX_TEXT = 40
 
 _PATTERN = re.compile(
     r"(?P<first>[A-Z][a-z]{2})(?:-(?P<last>[A-Z][a-z]{2}))? "
@@ -53,12 +54,20 @@
         )
 
 
-@lru_cache(maxsize=CACHE_SIZE)
 def parse_window(text: str) -> Result[Window, WindowError]:
     """Return the window that a text describes.
 
     A window past midnight belongs to the day on which it opens.
     """
+    # A long text is no window, and must not stay in the cache.
+    if len(text) > MAX_TEXT:
+        return Failure(WindowError(text[:MAX_TEXT]))
+    return _parse(text)
+
+
+@lru_cache(maxsize=CACHE_SIZE)
+def _parse(text: str) -> Result[Window, WindowError]:
+    """Return the window that a text of ordinary length describes."""
     if text == WINDOW_ALWAYS:
         return Success(Window(frozenset(range(7)), 0, DAY_MINUTES))
     if text == WINDOW_NEVER:
--- a/courselead/core/table.py
+++ b/courselead/core/table.py
@@ -32,6 +32,9 @@
         weight: Share against other accounts, above zero.
         ceiling: Most requests in flight over the whole fleet; 0 is no ceiling.
         jobs_limit: Most jobs waiting or running; 0 is no limit.
+        workers_limit: Most workers that its services may ask for together; 0
+            is no limit. Accounts edit their own service rows, so this is what
+            keeps one from taking the free workers that others count on.
         move_cost: What one move weighs against one idle worker-day; a high
             value makes the planner hold spare workers and move little.
     """
@@ -41,6 +44,7 @@
     weight: float = 1.0
     ceiling: int = 0
     jobs_limit: int = 10_000
+    workers_limit: int = 0
     move_cost: float = 1.0
 
 
--- a/courselead/core/table_columns.py
+++ b/courselead/core/table_columns.py
@@ -203,6 +203,7 @@
     FloatColumn("weight", MIN_SHARE, MAX_SHARE),
     IntColumn("ceiling", 0, MAX_COUNT),
     IntColumn("jobs_limit", 0, MAX_COUNT),
+    IntColumn("workers_limit", 0, MAX_COUNT),
     FloatColumn("move_cost", 0.0, MAX_SHARE),
 )
 
--- a/tests/core/fleet/test_tables.py
+++ b/tests/core/fleet/test_tables.py
@@ -144,3 +144,31 @@
     assert is_open("always", at_ms)
     if isinstance(parse_window(text), Failure):
         assert not is_open(text, at_ms)
+
+
+def test_an_account_cannot_ask_for_more_workers_than_its_limit():
+    log = three_hosts()
+    base = log.fleet.table.version
+    limited = AccountRow("acme", workers_limit=5)
+    assert publish(log, base, (replace(WEB, workers=3),), (limited,)) == ""
+    base = log.fleet.table.version
+    api = ServiceRow("acme", "api", workers=3)
+    assert publish(log, base, (api,)) == verdicts.TABLE_OVER_LIMIT
+    assert publish(log, base, (replace(api, workers=2),)) == ""
+    base = log.fleet.table.version
+    lower = replace(limited, workers_limit=4)
+    assert publish(log, base, (), (lower,)) == verdicts.TABLE_OVER_LIMIT
+
+
+def test_two_edits_cannot_give_one_credential_to_two_accounts():
+    log = three_hosts()
+    base = log.fleet.table.version
+    first = AccountRow("one", credential_hashes=("a" * 64,))
+    second = AccountRow("two", credential_hashes=("a" * 64,))
+    assert publish(log, base, (), (first,)) == ""
+    shared = verdicts.TABLE_SHARED_CREDENTIAL
+    assert publish(log, base, (), (second,)) == shared
+
+
+def test_a_long_text_is_no_window():
+    assert isinstance(parse_window("Mon" * 1_000), Failure)
--- a/tests/table_files/builders.py
+++ b/tests/table_files/builders.py
@@ -18,6 +18,7 @@
     weight=shares,
     ceiling=st.integers(0, 10**9),
     jobs_limit=st.integers(0, 10**9),
+    workers_limit=st.integers(0, 10**9),
     move_cost=st.floats(0.0, 1_000_000.0),
 )
 services = st.builds(
