--- a/tests/core/jobs/test_lifecycle.py
+++ b/tests/core/jobs/test_lifecycle.py
@@ -205,3 +205,26 @@
 
     assert rig.phase("a") is JobPhase.DONE
     assert len(rig.runs) == 1
+
+
+def test_zone_cut_off_runs_on_and_its_job_is_not_run_twice_at_once():
+    rig = Rig(hosts=4, workers=2)
+    rig.submit(job_spec("a", run_ms=400_000), host=1)
+    rig.run_ms(2_000)
+    [first] = rig.runs
+    zone = rig.fleet.workers[first.worker].availability_zone
+    for host in rig.hosts:
+        if host.me.availability_zone == zone:
+            host.isolated = True
+            rig.set_log(host, False)
+    rig.agents[first.worker].isolated = True
+    rig.lose_worker(first.worker)
+    while len(rig.runs) == 1:
+        rig.run_ms(1_000)
+        rig.write_off_hosts()
+        assert rig.now_ms - first.began_ms < 300_000
+    rig.agents[first.worker].settle(rig.now_ms)
+
+    assert first.state == "lapsed"
+    assert first.lease_ends_ms - first.began_ms > const.RENEW_ALONE_MS
+    assert rig.runs[1].began_ms > first.lease_ends_ms
