--- a/courselead/daemon/runtime.py
+++ b/courselead/daemon/runtime.py
@@ -38,6 +38,7 @@
     RequestArrived,
     SnapshotLoaded,
     SnapshotSplit,
+    Tick,
 )
 from courselead.core.fleet.snapshot import split
 from courselead.core.reducer import CoreState, reduce
@@ -45,6 +46,7 @@
 from courselead.daemon.clock import now_ms
 from courselead.daemon.exchanges import Exchanges
 from courselead.daemon.handles import Handle, Waiter, replay
+from courselead.daemon.watch import InvariantWatch
 
 _LOGGER = structlog.get_logger(__name__)
 
@@ -94,6 +96,7 @@
         self._listeners: list[Callable[[Event], None]] = []
         self.exchanges = Exchanges(tasks, self.dispatch)
         self.agents = Agents(tasks, self.dispatch)
+        self._watch = InvariantWatch()
 
     def dispatch(self, event: Event) -> None:
         """Take in an event, and all that it brings about at once."""
@@ -142,6 +145,13 @@
             self._perform(effect)
         for listener in self._listeners:
             listener(event)
+        if isinstance(event, Tick) and self._watch.is_due(event.now_ms):
+            self._tasks.start_soon(self._look)
+
+    async def _look(self) -> None:
+        """Count what is broken among the core's invariants."""
+        for measure in await self._watch.look(self.state):
+            self._ports.measure(measure)
 
     def _drop(self, event: Event) -> None:
         """Go on without a local event that the core failed on.
--- a/harness/checks.py
+++ b/harness/checks.py
@@ -11,7 +11,7 @@
 from enum import StrEnum
 
 from courselead.core.effects import CallAgent, Send
-from courselead.core.events import NotRunReason
+from courselead.core.events import MembersListed, NotRunReason
 from courselead.core.fleet.records import (
     JobPlaced,
     MinionUp,
@@ -36,6 +36,7 @@
 CONFIG_MS = 5_000
 LATE_MS = 160
 LOOK_MS = 100
+NEVER_MS = 1 << 60
 
 
 class Promise(StrEnum):
@@ -81,6 +82,7 @@
         self._digests: dict[int, str] = {}
         self._served: dict[str, int] = {}
         self._leaving_ms: dict[str, int] = {}
+        self._told: dict[str, tuple[int, dict[str, int]]] = {}
         self._task_runs: Counter[str] = Counter()
         world.log.listeners.append(self.applied)
 
@@ -251,25 +253,37 @@
     def look_at_list(self) -> None:
         """Note since when the list shows workers as leaving."""
         shown = self.world.membership.shown()
-        if shown is None:
-            return
-        for name in shown[1].leaving:
+        leaving = shown[1].leaving if shown is not None else ()
+        for name in leaving:
             self._leaving_ms.setdefault(name, self.world.sched.now_ms)
+        for name in tuple(self._leaving_ms):
+            if name not in leaving:
+                del self._leaving_ms[name]
+
+    def listed(self, host: object, event: MembersListed) -> None:
+        """Note what a process was told by the newest version that it has seen."""
+        key = f"{host.name}:{host.life}"
+        version, since = self._told.get(key, (-1, {}))
+        if event.version < version:
+            return
+        now_ms = self.world.sched.now_ms
+        told = {name: since.get(name, now_ms) for name in event.leaving_workers}
+        self._told[key] = (event.version, told)
 
     def sent(self, host: object, send: Send) -> None:
         """Judge that a request goes to a target."""
-        if self._leaving_ms:
-            self._not_leaving(host, send.worker, f"request {send.request_id}")
+        self._not_leaving(host, send.worker, f"request {send.request_id}")
 
     def _not_leaving(self, host: object, worker: str, what: str) -> None:
         now_ms = self.world.sched.now_ms
-        for since_ms in self._leaving_ms.values():
+        _, told = self._told.get(f"{host.name}:{host.life}", (-1, {}))
+        for since_ms in (*self._leaving_ms.values(), *told.values()):
             if now_ms - since_ms > LEAVING_MS:
                 self._count(Promise.LEAVING)
-        since_ms = self._leaving_ms.get(worker)
-        if since_ms is None:
-            return
-        since_ms = max(since_ms, host.steady_ms)
+        since_ms = min(
+            max(self._leaving_ms.get(worker, NEVER_MS), host.steady_ms),
+            max(told.get(worker, NEVER_MS), host.thawed_ms),
+        )
         if now_ms - since_ms > LEAVING_MS:
             text = f"{what} went to {worker}, leaving for {now_ms - since_ms} ms"
             self.fail(Promise.LEAVING, f"{text}, from {host.name}")
--- a/harness/exchange.py
+++ b/harness/exchange.py
@@ -14,6 +14,7 @@
 CONNECT_MS = 800
 BODY_MS = 15
 BREAK_PART = 0.01
+RESET_PART = 0.01
 
 
 class Exchange:
@@ -107,6 +108,9 @@
         self.minion.settle()
         if self.closed:
             return
+        if self.world.sched.rng.random() < RESET_PART:
+            self.reset()
+            return
         if not self._talks() or self.world.net.loses(self.host.name):
             left_ms = max(0, self._end_ms - self.world.sched.now_ms)
             self._after(left_ms, self._broken, "no answer in time")
--- a/harness/hosts.py
+++ b/harness/hosts.py
@@ -23,6 +23,7 @@
     ReplyReplay,
     Send,
     SendPeer,
+    WriteSnapshot,
 )
 from courselead.core.events import (
     AgentAnswered,
@@ -32,11 +33,14 @@
     Event,
     LeaveAsked,
     LogReachable,
+    MembersListed,
     PeerReachable,
     PeerReported,
     SnapshotLoaded,
+    SnapshotSplit,
     Tick,
 )
+from courselead.core.fleet.snapshot import split
 from courselead.core.identity import Identity
 from courselead.core.operations.state import OperationsConfig, OperationsState
 from courselead.core.presence import PresenceState
@@ -49,6 +53,7 @@
 LIST_MS = 1_000
 AGENT_TIMEOUT_MS = 600
 STREAM_MS = 300
+SPLIT_MS = 20
 BEAT_MS = 400
 LOST_AFTER_MS = 2_500
 SNAPSHOT_EVERY = 150
@@ -139,7 +144,8 @@
         self.thawed_ms = self.steady_ms = sched.now_ms
         held, self._held = self._held, []
         for call in held:
-            call()
+            if self.alive:
+                call()
         inbox, self._inbox = self._inbox, []
         due: dict[str, int] = {}
         for source, make, then in inbox:
@@ -194,11 +200,13 @@
             return
         if self.frozen:
             # The event was made before the pause: its clock is stale by then.
-            self._inbox.insert(0, ("stale", lambda now_ms: event, then))
+            self._held.append(partial(self._take, event, then))
             return
         before = self.state
         self.state, effects = reducer.reduce(before, event)
         self.world.checks.reduced(self, before)
+        if isinstance(event, MembersListed):
+            self.world.checks.listed(self, event)
         records = {type(item.record).__name__ for item in self.state.applied}
         for name in sorted(records):
             self.world.step(self, f"record:{name}", "after")
@@ -327,9 +335,18 @@
                 self._send_peer(effect)
             case CallAgent():
                 self._call(effect)
+            case WriteSnapshot():
+                self._split(effect)
             case Left():
                 self.kill()
 
+    def _split(self, effect: WriteSnapshot) -> None:
+        """Serialise a state, which takes some time."""
+        parts = split(effect.fleet, self.name)
+        delay = self.world.sched.rng.randint(1, 200)
+        args = ("split", lambda now_ms: SnapshotSplit(now_ms, parts))
+        self.later(delay, self.give, *args)
+
     def _append(self, effect: Append) -> None:
         seq = effect.batch.seq
         life = self.life
--- /dev/null
+++ b/harness/mutations.py
@@ -0,0 +1,180 @@
+"""Guards taken out, one at a time, to show that the cells notice it.
+
+They patch the core's functions in the process that runs the matrix, and put
+them back.
+"""
+
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, replace
+from typing import Any
+
+from courselead.core import reducer
+from courselead.core.effects import ReplyProblem, RunState
+from courselead.core.events import MembersListed, NotRunReason, SendNotRun, SendUnknown
+from courselead.core.fleet import stops, tables, workers
+from courselead.core.operations import maintenance, planner
+from courselead.core.requests import (
+    attempts,
+    claims,
+    dispatch,
+    lifecycle,
+    reducer as requests,
+)
+from harness.checks import Promise
+
+PLENTY = 100
+
+
+@dataclass(frozen=True, slots=True)
+class Mutation:
+    """A guard that can be taken out.
+
+    Attributes:
+        promise: The promise that rests on it.
+        what: The guard, in words.
+        patches: Owner, name and what to put there.
+        faults: Faults under which it shows best, tried first.
+    """
+
+    promise: Promise
+    what: str
+    patches: tuple[tuple[Any, str, Any], ...]
+    faults: tuple[str, ...] = ()
+
+
+def _no_epoch(worker: Any, epoch: int, phases: Any) -> str:
+    """Judge a record on a worker by its phase alone."""
+    return _fault(worker, worker.epoch if worker else epoch, phases)
+
+
+def _any_fingerprint(turn: Any, event: Any) -> Any:
+    """Look up a key without a look at whose request it was."""
+    held = turn.ctx.fleet.claims.get(claims.key_of(event))
+    if held is not None:
+        event = replace(event, fingerprint=held.fingerprint)
+    return _earlier(turn, event)
+
+
+def _taken_for_not_run(turn: Any, event: SendUnknown) -> None:
+    """Take an attempt that may have run for one that has not."""
+    reason = NotRunReason.REFUSED
+    attempts.not_run(
+        turn, SendNotRun(event.now_ms, event.request_id, event.attempt, reason)
+    )
+
+
+def _silent(turn: Any, req: Any) -> None:
+    """Give up on a request without telling its caller."""
+    before = len(turn.effects)
+    _late(turn, req)
+    told = turn.effects[before:]
+    kept = [effect for effect in told if not isinstance(effect, ReplyProblem)]
+    turn.effects = turn.effects[:before] + kept
+
+
+class _NotRunOnly:
+    """Run states of a core that takes every request for one that was not run."""
+
+    UNKNOWN = RunState.NOT_RUN
+    NOT_RUN = RunState.NOT_RUN
+
+
+_fault = workers.fault
+_earlier = claims.earlier
+_late = dispatch.late
+
+MUTATIONS: dict[str, Mutation] = {
+    "budget_at_apply": Mutation(
+        Promise.BUDGET,
+        "a planned stop is judged against the budget when it is applied",
+        (
+            (stops, "may_stop", lambda fleet, worker: True),
+            (planner, "may_stop", lambda fleet, worker: True),
+            (maintenance, "spare", lambda fleet, pool: PLENTY),
+        ),
+    ),
+    "epochs": Mutation(
+        Promise.ONE_POOL,
+        "a record on a worker counts only at the epoch it names",
+        ((workers, "fault", _no_epoch), (stops, "fault", _no_epoch)),
+        ("freeze", "cut_platform", "twice"),
+    ),
+    "fingerprint": Mutation(
+        Promise.OWN_ANSWER,
+        "a kept answer is replayed only to the same request",
+        ((claims, "earlier", _any_fingerprint),),
+    ),
+    "unknown_told_as_not_run": Mutation(
+        Promise.NOT_RUN,
+        "what may have run is told as unknown",
+        ((lifecycle, "RunState", _NotRunOnly),),
+    ),
+    "unknown_tried_again": Mutation(
+        Promise.AT_MOST_ONCE,
+        "an attempt that may have run is not taken for one that has not",
+        ((requests._HANDLERS, SendUnknown, _taken_for_not_run),),
+        ("answer_lost", "failure_wave"),
+    ),
+    "claims": Mutation(
+        Promise.AT_MOST_ONCE,
+        "a key is claimed in the log before its request is sent",
+        ((claims, "needs_claim", lambda event: False),),
+    ),
+    "leaving_ignored": Mutation(
+        Promise.LEAVING,
+        "workers that the list shows as leaving are not chosen",
+        ((requests._HANDLERS, MembersListed, lambda turn, event: None),),
+        ("list_lagging",),
+    ),
+    "settled_always": Mutation(
+        Promise.NO_CUT,
+        "a host tells a stop as settled once nothing of it is in flight there",
+        ((reducer, "settled_offset", lambda state, fleet: fleet.offset),),
+        ("slow",),
+    ),
+    "older_snapshot": Mutation(
+        Promise.CONFIG,
+        "a snapshot older than the state at hand is not taken",
+        ((reducer, "_load", lambda state, fleet: replace(state, fleet=fleet)),),
+        ("cut_platform",),
+    ),
+    "row_versions": Mutation(
+        Promise.CONFIG,
+        "an edit of a row that has been changed since is refused",
+        ((tables, "_edit_fault", lambda table, record, keys: ""),),
+        ("operators_racing",),
+    ),
+    "deadline_answer": Mutation(
+        Promise.FINAL_ANSWER,
+        "a request whose deadline passes is given its final answer",
+        ((dispatch, "late", _silent), (requests, "late", _silent)),
+    ),
+}
+
+
+@contextmanager
+def taken_out(name: str) -> Iterator[Mutation]:
+    """Run with one guard taken out."""
+    mutation = MUTATIONS[name]
+    before = [(owner, key, _get(owner, key)) for owner, key, _ in mutation.patches]
+    for owner, key, value in mutation.patches:
+        _put(owner, key, value)
+    try:
+        yield mutation
+    finally:
+        for owner, key, value in before:
+            _put(owner, key, value)
+
+
+def _get(owner: Any, key: Any) -> Callable:
+    """Return what stands under a key or name."""
+    return owner[key] if isinstance(owner, dict) else getattr(owner, key)
+
+
+def _put(owner: Any, key: Any, value: Any) -> None:
+    """Put something under a key or name."""
+    if isinstance(owner, dict):
+        owner[key] = value
+    else:
+        setattr(owner, key, value)
--- a/harness/world.py
+++ b/harness/world.py
@@ -37,7 +37,6 @@
 LOAD_FROM_MS = 2_500
 LOAD_TO_MS = 16_000
 MEAN_GAP_MS = 70
-TRACE_LINES = 400
 
 
 class World:
@@ -51,6 +50,7 @@
         self.checks = Checks(self)
         self.callers = Callers(self)
         self.seen: Counter[tuple[str, str]] = Counter()
+        self.load_to_ms = LOAD_TO_MS
         self.on_step: Callable | None = None
         self.trace: list[str] = []
         self.job_specs: dict[str, JobSpec] = {}
@@ -112,7 +112,8 @@
         after(8_000, self.publish, (replace(BETA, workers=4), replace(WEB, workers=2)))
         after(9_000, self.take_back, "wb4")
         after(9_500, self._submit_jobs, 2)
-        after(10_000, self._fail_all, "wa1")
+        after(7_600, self._fail_all, "wa1")
+        after(7_700, self._submit_jobs, 3, 8, (WEB,))
         after(11_000, self._lose_host, "a2")
         after(14_500, self._leave, "a1")
 
@@ -189,12 +190,17 @@
     def _load(self) -> None:
         """Bring one request, and the next one after a drawn gap."""
         rng = self.sched.rng
-        if self.sched.now_ms < LOAD_TO_MS:
+        if self.sched.now_ms < self.load_to_ms:
             gap_ms = int(rng.expovariate(1.0 / MEAN_GAP_MS))
             self.sched.after(gap_ms, self._load)
         ticket = self._ticket()
         self.callers.tickets.append(ticket)
         self.callers.call(ticket, self.callers.some_host())
+        if ticket.key and rng.random() < 0.1:
+            # A caller that asks twice, as one does whose network is at fault.
+            delay_ms = rng.randint(50, 1_500)
+            host = self.callers.some_host()
+            self.sched.after(delay_ms, self.callers.call, ticket, host)
 
     def _ticket(self) -> Ticket:
         rng = self.sched.rng
@@ -218,14 +224,16 @@
             small=rng.random() < 0.8,
         )
 
-    def _submit_jobs(self, wave: int) -> None:
-        """Submit a few jobs, some of which fit only once."""
+    def _submit_jobs(
+        self, wave: int, count: int = 4, rows: tuple = (WEB, BETA)
+    ) -> None:
+        """Submit some jobs, the later half of which must run only once."""
         rng = self.sched.rng
         specs = []
-        for number in range(4):
-            row = (WEB, BETA)[number % 2]
+        for number in range(count):
+            row = rows[number % len(rows)]
             job_id = f"j{wave}-{number}"
-            run_ms = rng.randint(600, 4_000)
+            run_ms = rng.randint(600, 8_000 // count)
             self.job_work_ms[job_id] = run_ms
             spec = JobSpec(
                 job_id=job_id,
@@ -237,14 +245,14 @@
                 memory_mb=500,
                 run_ms=run_ms,
                 deadline_ms=0,
-                idempotent=number < 2,
+                idempotent=number < count // 2 or count > 4,
             )
             self.job_specs[job_id] = spec
             specs.append(spec)
         host = self.callers.some_host()
         for account in ("acme", "beta"):
             mine = [spec for spec in specs if spec.client_account == account]
-            if host is not None and host.alive:
+            if host is not None and host.alive and mine:
                 self.callers.submit(host, *mine)
 
     def _cancel_jobs(self) -> None:
