Take back a stop that cannot be settled; plan none while a live host is silent

Cause: a planned stop waits for every live entry host to settle. A host that is cut from the log but still talks to its peers is never written off, so a stop planned meanwhile would have kept a worker out of use, and its share of the budget spent, for as long as the cut lasts; and losses that came during the wait did not give the worker back. Ruled out: forcing the stop (it would cut off that host's requests) and writing the host off (it serves). Change: StopCancelled is proposed after ten minutes, or at once when losses bring the pool below its floor, only while no agent has been told to stop; no stop is planned while a live host has been silent in the log for 15 s of agreed time.

--- a/courselead/core/operations/lifecycle.py
+++ b/courselead/core/operations/lifecycle.py
@@ -7,10 +7,12 @@
 from dataclasses import replace
 
 from courselead.core.events import AgentAnswered, AgentOp, AgentReport
-from courselead.core.fleet.queries import jobs_on, unsettled_hosts
+from courselead.core.fleet.budgets import floor_of
+from courselead.core.fleet.queries import jobs_on, pool_count, unsettled_hosts
 from courselead.core.fleet.records import (
     MinionStopped,
     MinionUp,
+    StopCancelled,
     StopPurpose,
     WorkerAssigned,
     WorkerDown,
@@ -34,6 +36,7 @@
 STAGE_STOP = "stop"
 STAGE_START = "start"
 STAGE_REBOOT = "reboot"
+CANCELLED_UNSETTLED = "entry hosts did not settle"
 STAGE_MOVE = "move"
 REASON_REBOOT_LIMIT = "reboot_limit"
 
@@ -192,6 +195,10 @@
     hosts = unsettled_hosts(draft.ctx.fleet, worker.since)
     view = draft.stage(worker, STAGE_SETTLE if hosts else STAGE_STOP)
     _report_drain(draft, worker, view, hosts)
+    if hosts and _is_to_be_cancelled(draft, worker, view):
+        reason = CANCELLED_UNSETTLED
+        draft.propose(StopCancelled(worker.worker, worker.epoch, reason))
+        return
     if hosts or not draft.may_call(worker, view):
         return
     if view.taken or view.recheck:
@@ -200,6 +207,25 @@
     draft.call(worker, AgentOp.STOP_MINION)
 
 
+def _is_to_be_cancelled(draft: Draft, worker: WorkerState, view: AgentView) -> bool:
+    """Return whether a stop that no agent has been told of is to be taken back.
+
+    While an entry host has not settled, the minion goes on running for it; the
+    others send nothing more. That is worth waiting for only for a while, and
+    not at all once losses have brought the pool below its floor.
+    """
+    waited_ms = draft.now_ms - view.stage_ms
+    delay = draft.delay_ms(worker.worker, worker.availability_zone)
+    if waited_ms < delay:
+        return False
+    if waited_ms >= draft.cfg.unsettled_limit_ms + delay:
+        return True
+    row = draft.ctx.fleet.table.services.get(worker.pool)
+    if row is None:
+        return False
+    return pool_count(draft.ctx.fleet, worker.pool).serving < floor_of(row)
+
+
 def _reboot(draft: Draft, worker: WorkerState) -> None:
     """Follow the agent of a worker to be rebooted; see `_reboot_if_idle`."""
     view = draft.stage(worker, STAGE_REBOOT)
--- a/courselead/core/operations/planner.py
+++ b/courselead/core/operations/planner.py
@@ -5,7 +5,7 @@
 
 from courselead.core.fleet.budgets import may_stop
 from courselead.core.fleet.records import StopPlanned, WorkerAssigned
-from courselead.core.fleet.state import FleetState
+from courselead.core.fleet.state import FleetState, HostStatus
 from courselead.core.operations import assignment, borrowing, placement
 from courselead.core.operations.draft import Draft
 from courselead.core.operations.maintenance import POLICIES
@@ -14,6 +14,7 @@
 
 GROUP_ASSIGN = "assign"
 KEY_TABLE = "table"
+QUIET_MS = 15_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,6 +70,8 @@
     )
     plan = make(ctx.fleet, ctx.wall_ms, draft.cfg, listing)
     _propose_assigned(draft, plan)
+    if _quiet_hosts(ctx.fleet):
+        return
     pools: dict[str, list[StopPlanned]] = {}
     for record in plan.stops:
         pool = ctx.fleet.workers[record.worker].pool
@@ -106,6 +109,20 @@
     return fleet
 
 
+def _quiet_hosts(fleet: FleetState) -> tuple[str, ...]:
+    """Return the live entry hosts that could not settle a stop now.
+
+    They may be cut off from the log and go on serving; until they are heard
+    of, or lost, a planned stop would take a worker out of use and not end.
+    """
+    names = []
+    for host in fleet.hosts.values():
+        quiet_ms = fleet.now_ms - host.last_beat_ms
+        if host.status is HostStatus.LIVE and quiet_ms >= QUIET_MS:
+            names.append(host.entry_host)
+    return tuple(names)
+
+
 def _lost(draft: Draft) -> frozenset[str]:
     """Return the workers that have been down for too long to wait for them."""
     names = []
--- a/courselead/core/operations/state.py
+++ b/courselead/core/operations/state.py
@@ -13,6 +13,7 @@
 DEFAULT_ABSENT_MS = 10_000
 DEFAULT_REBOOT_LIMIT_MS = 30 * 60_000
 DEFAULT_REPLACE_MS = 10 * 60_000
+DEFAULT_UNSETTLED_LIMIT_MS = 10 * 60_000
 
 PROPOSAL_TIMEOUT_MS = 5_000
 CALL_TIMEOUT_MS = 5_000
@@ -39,6 +40,8 @@
             this long is down.
         replace_ms: A worker that has been down for this long is replaced in
             its pool, if there is another to be had.
+        unsettled_limit_ms: A planned stop that entry hosts have not settled
+            for this long is taken back, and planned anew later.
     """
 
     maintenance_period_ms: int = DEFAULT_MAINTENANCE_PERIOD_MS
@@ -50,6 +53,7 @@
     absent_ms: int = DEFAULT_ABSENT_MS
     reboot_limit_ms: int = DEFAULT_REBOOT_LIMIT_MS
     replace_ms: int = DEFAULT_REPLACE_MS
+    unsettled_limit_ms: int = DEFAULT_UNSETTLED_LIMIT_MS
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/core/operations/test_planner.py
+++ b/tests/core/operations/test_planner.py
@@ -7,15 +7,25 @@
 from hypothesis import given, settings, strategies as st
 from immutables import Map
 
+from courselead.core.events import Tick
 from courselead.core.fleet import budgets
-from courselead.core.fleet.records import StopPurpose, WorkerAssigned
+from courselead.core.fleet.records import StopPlanned, StopPurpose, WorkerAssigned
 from courselead.core.fleet.state import WorkerPhase
 from courselead.core.operations import assignment, placement, planner
 from courselead.core.operations.maintenance import POLICIES, RackByRack
 from courselead.core.operations.placement import Listing
-from courselead.core.operations.state import OperationsConfig
+from courselead.core.operations.reducer import reduce
+from courselead.core.operations.state import OperationsConfig, OperationsState
 from courselead.core.table import AccountRow, Table
-from tests.core.operations.build import POOL, fleet, row, serving, worker
+from tests.core.operations.build import (
+    POOL,
+    ctx,
+    fleet,
+    proposed,
+    row,
+    serving,
+    worker,
+)
 
 DAY_MS = 86_400_000
 NOW_MS = 100 * DAY_MS
@@ -234,3 +244,18 @@
     (record,) = assignment.assign(state, listing)
     assert (record.worker, record.pool) == ("w3", POOL)
     assert state.workers["w1"].pool == POOL
+
+
+def test_no_stop_is_planned_while_a_live_host_is_silent():
+    old = due("w1", "a", maintained_ms=0)
+    rows = [row(workers=2, availability_budget=0.5)]
+    state = fleet([old, due("w2", "a", maintained_ms=NOW_MS)], rows)
+
+    def stops(now_ms):
+        context = replace(ctx(replace(state, now_ms=now_ms), 0), wall_ms=NOW_MS)
+        _, effects = reduce(OperationsState(), context, Tick(0, NOW_MS))
+        return [rec for rec in proposed(effects) if isinstance(rec, StopPlanned)]
+
+    heard_ms = state.hosts["h1"].last_beat_ms
+    assert [rec.worker for rec in stops(heard_ms)] == ["w1"]
+    assert stops(heard_ms + planner.QUIET_MS) == []
