--- a/tests/core/operations/test_lifecycle.py
+++ b/tests/core/operations/test_lifecycle.py
@@ -32,7 +32,6 @@
     serving,
 )
 
-
 # One worker, which may be out: without this the stop would not have been accepted.
 WITHIN_BUDGET = [row(workers=1, availability_budget=1.0)]
 
