--- a/tests/processes/callers.py
+++ b/tests/processes/callers.py
@@ -75,11 +75,16 @@
         """Let each caller end after its present request."""
         self.stopped = True
 
+    def ticket(self, name: str) -> Ticket:
+        """Return a new ticket, whose name no other test of the fleet uses."""
+        ticket = Ticket(f"{self.system.round}-{self.label}-{name}")
+        self.tickets.append(ticket)
+        return ticket
+
     async def _keyed_caller(self, number: int) -> None:
         count = 0
         while not self.stopped:
-            ticket = Ticket(f"{self.label}-{number}-{count}")
-            self.tickets.append(ticket)
+            ticket = self.ticket(f"{number}-{count}")
             await self.settle(ticket, number + count)
             count += 1
             await anyio.sleep(PAUSE_S)
--- /dev/null
+++ b/tests/processes/records.py
@@ -0,0 +1,57 @@
+"""Reads the platform's log as the entry hosts do, to see who proposed what."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from courselead.core.fleet.codec import decode_batch
+from courselead.core.fleet.records import Record
+from courselead.integrations.platform_log import LogClient
+
+PAGE = 500
+WAIT_MS = 100
+
+
+@dataclass(frozen=True, slots=True)
+class Proposed:
+    """A record, with the entry host whose batch carried it."""
+
+    offset: int
+    entry_host: str
+    record: Record
+
+
+@dataclass(slots=True)
+class LogTail:
+    """All records of the log so far, in order."""
+
+    client: LogClient
+    next_offset: int = 0
+    seen: list[Proposed] = field(default_factory=list)
+
+    @classmethod
+    async def of(cls, address: str) -> LogTail:
+        """Return a reader of the records from now on."""
+        client = LogClient(address)
+        page = (await client.read(0, 1, 0)).unwrap()
+        return cls(client, page.next)
+
+    async def follow(self) -> list[Proposed]:
+        """Read what is new and return it."""
+        page = (await self.client.read(self.next_offset, PAGE, WAIT_MS)).unwrap()
+        new = []
+        for offset, data in page.records:
+            batch = decode_batch(data).unwrap()
+            for record in batch.records:
+                new.append(Proposed(offset, batch.entry_host, record))
+            self.next_offset = offset + 1
+        self.seen.extend(new)
+        return new
+
+    async def first(self, kind: type, *, but: frozenset[str] = frozenset()) -> Proposed:
+        """Wait for a record of a kind that is about none of some workers."""
+        while True:
+            await self.follow()
+            for one in self.seen:
+                if isinstance(one.record, kind) and one.record.worker not in but:
+                    return one
--- a/tests/processes/system.py
+++ b/tests/processes/system.py
@@ -95,6 +95,39 @@
     routes: Routes
     platform: dict = field(default_factory=dict)
     clients: dict[str, HttpClient] = field(default_factory=dict)
+    down: set[str] = field(default_factory=set)
+    old_lines: dict[str, int] = field(default_factory=dict)
+    round: int = 0
+
+    async def heal(self) -> None:
+        """Bring the fleet into its first state, whatever a test left behind."""
+        for address in (*self.platform["workers"].values(), self.platform["log"]):
+            await self.fault(address)
+        for host in self.hosts:
+            if host.name not in self.down:
+                self.thaw(host)
+        await self.start(*(host for host in self.hosts if host.name in self.down))
+        await self.ready()
+        table = (await self.ask(self.hosts[0], "GET", "/v1/table")).data
+        account = {
+            "client_account": ACCOUNT,
+            "credential_hashes": [digest(credential(ACCOUNT))],
+        }
+        removed = [f"service:{ACCOUNT}/{row['service']}" for row in table["services"]]
+        removed = [key for key in removed if key != f"service:{ACCOUNT}/{SERVICE}"]
+        answer = await self.publish(
+            self.hosts[0],
+            [self.row()],
+            accounts=[account],
+            removed=removed,
+            base_version=table["version"],
+        )
+        assert answer.status == STATUS_OK, answer
+        await self.in_force(answer.data["version"])
+        await self.staffed()
+        self.round += 1
+        for host in self.hosts:
+            self.old_lines[host.name] = len(self._log_lines(host))
 
     # --- entry hosts ------------------------------------------------------
 
@@ -105,6 +138,7 @@
             path.write_text(json.dumps(self._settings(host)))
             self._keep_log(host)
             await self.processes.start_daemon(host.name, path)
+            self.down.discard(host.name)
 
     async def kill(self, *hosts: HostPlan) -> None:
         """End entry hosts by SIGKILL."""
@@ -112,6 +146,13 @@
             self.processes.signal(host.name, signal.SIGKILL)
         for host in hosts:
             assert await self.processes.end(host.name) == -signal.SIGKILL
+            self.down.add(host.name)
+
+    async def end(self, host: HostPlan) -> int:
+        """End an entry host by SIGTERM and return its exit code."""
+        code = await self.processes.end(host.name)
+        self.down.add(host.name)
+        return code
 
     def freeze(self, host: HostPlan) -> None:
         """Stop an entry host without ending it."""
@@ -173,11 +214,9 @@
         return {item["worker"]: item for item in answer.data["workers"]}
 
     def lines(self, host: HostPlan, event: str) -> list[dict]:
-        """Return the lines of an event in the log files of a host's processes."""
-        files = sorted(self.processes.folder.glob(f"{host.name}.*log"))
-        texts = [file.read_text() for file in files]
-        found = _json_lines("".join(texts))
-        return [line for line in found if line.get("event") == event]
+        """Return the lines of an event that a host wrote in this test."""
+        lines = self._log_lines(host)[self.old_lines.get(host.name, 0) :]
+        return [line for line in lines if line.get("event") == event]
 
     def assert_no_fault(self, *hosts: HostPlan) -> None:
         """Check that no entry host met with a fault of its own."""
@@ -228,14 +267,11 @@
         await wait("all pools staffed", everywhere)
 
     async def ready(self, *hosts: HostPlan) -> None:
-        """Wait until hosts (default: all) are members and ready."""
+        """Wait until hosts (default: all) are members and read the log."""
 
         async def all_ready() -> bool:
-            for host in hosts or self.hosts:
-                status = await self.status(host)
-                if not status.get("member"):
-                    return False
-            return True
+            reports = [await self.status(host) for host in hosts or self.hosts]
+            return all(rep.get("member") and rep["log_up"] for rep in reports)
 
         await wait("entry hosts are members", all_ready)
 
@@ -274,7 +310,12 @@
         log = folder / f"{host.name}.log"
         if log.exists():
             count = len(list(folder.glob(f"{host.name}.*log")))
-            log.rename(folder / f"{host.name}.{count}.log")
+            log.rename(folder / f"{host.name}.{count:03}.log")
+
+    def _log_lines(self, host: HostPlan) -> list[dict]:
+        """Return what all processes of a host have logged, in order."""
+        files = sorted(self.processes.folder.glob(f"{host.name}.*log"))
+        return list(_json_lines("".join(file.read_text() for file in files)))
 
     def _settings(self, host: HostPlan) -> dict:
         """Return the settings of one entry host."""
@@ -339,16 +380,7 @@
         )
         system.platform = json.loads(line)
         await system.start(*system.hosts)
-        await system.ready()
-        first = system.hosts[0]
-        account = {
-            "client_account": ACCOUNT,
-            "credential_hashes": [digest(credential(ACCOUNT))],
-        }
-        answer = await system.publish(first, [system.row()], accounts=[account])
-        assert answer.status == STATUS_OK, answer
-        await system.in_force(answer.data["version"])
-        await system.staffed()
+        await system.heal()
         yield system
     finally:
         with anyio.CancelScope(shield=True):
--- a/tests/processes/test_freeze.py
+++ b/tests/processes/test_freeze.py
@@ -5,7 +5,7 @@
 
 from demo.plan import HostPlan
 from tests.processes.callers import Load, Ticket, check_tickets
-from tests.processes.system import STATUS_OK, Shape, System, running, wait
+from tests.processes.system import STATUS_OK, System, wait
 
 pytestmark = [pytest.mark.anyio, pytest.mark.processes]
 
@@ -13,51 +13,46 @@
 ARRIVED_FROZEN = 4
 
 
-async def test_frozen_host_is_written_off_and_rejoins(tmp_path) -> None:
-    async with running(tmp_path, Shape()) as system:
-        frozen, *others = system.hosts
-        before = await system.status(frozen)
-        load = Load(system, system.hosts)
-        rest = Load(system, tuple(others), label="rest")
-        held = [Ticket(f"held-{number}") for number in range(HELD)]
-        late = [Ticket(f"late-{number}") for number in range(ARRIVED_FROZEN)]
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(load.run, 4, 2)
-            tasks.start_soon(rest.run, 4, 2)
-            for ticket in held:
-                tasks.start_soon(load.keyed, frozen, ticket, 3_000)
-            await wait("the held requests run", lambda: _all_run(system, held))
-            system.freeze(frozen)
-            for ticket in late:
-                # Taken by the kernel, read by the daemon once it thaws.
-                tasks.start_soon(load.keyed, frozen, Ticket(ticket.name))
-            await wait("written off", lambda: _standing(system, others, "lost"))
-            for ticket in held:
-                rest.tickets.append(ticket)
-                await rest.settle(ticket, 0)
-            for ticket in late:
-                rest.tickets.append(ticket)
-                await rest.settle(ticket, 0)
-            system.thaw(frozen)
-            await system.ready(frozen)
-            await wait("live again", lambda: _standing(system, others, "live"))
-            load.served_by.clear()
-            await wait("serves again", lambda: _serves(load, frozen))
-            load.stop()
-            rest.stop()
-        after = await system.status(frozen)
-        assert after["incarnation"] > before["incarnation"]
-        answer = await system.publish(frozen, [system.row(share=2.0)])
-        assert answer.status == STATUS_OK, answer
-        await system.in_force(answer.data["version"])
-        await wait("one state everywhere", lambda: _same_table(system))
-        words = await check_tickets(load)
-        words += await check_tickets(rest)
-        assert words["served"] > HELD
-        assert {ticket.word for ticket in late} == {"served"}
-        assert system.lines(frozen, "rejoining")
-        await _heartbeats(system)
-        system.assert_no_fault()
+async def test_frozen_host_is_written_off_and_rejoins(system: System) -> None:
+    frozen, *others = system.hosts
+    before = await system.status(frozen)
+    load = Load(system, system.hosts)
+    rest = Load(system, tuple(others), label="rest")
+    held = [load.ticket(f"held-{number}") for number in range(HELD)]
+    late = [rest.ticket(f"late-{number}") for number in range(ARRIVED_FROZEN)]
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(load.run, 4, 2)
+        tasks.start_soon(rest.run, 4, 2)
+        for ticket in held:
+            tasks.start_soon(load.keyed, frozen, ticket, 3_000)
+        await wait("the held requests run", lambda: _all_run(system, held))
+        system.freeze(frozen)
+        for ticket in late:
+            # Taken by the kernel, read by the daemon once it thaws.
+            tasks.start_soon(load.keyed, frozen, Ticket(ticket.name))
+        await wait("written off", lambda: _standing(system, others, "lost"))
+        for ticket in (*held, *late):
+            await rest.settle(ticket, 0)
+        system.thaw(frozen)
+        await system.ready(frozen)
+        await wait("live again", lambda: _standing(system, others, "live"))
+        load.served_by.clear()
+        await wait("serves again", lambda: _serves(load, frozen))
+        load.stop()
+        rest.stop()
+    after = await system.status(frozen)
+    assert after["incarnation"] > before["incarnation"]
+    answer = await system.publish(frozen, [system.row(share=2.0)])
+    assert answer.status == STATUS_OK, answer
+    await system.in_force(answer.data["version"])
+    await wait("one state everywhere", lambda: _same_table(system))
+    words = await check_tickets(load)
+    words += await check_tickets(rest)
+    assert words["served"] > HELD
+    assert {ticket.word for ticket in late} == {"served"}
+    assert system.lines(frozen, "rejoining")
+    await _heartbeats(system)
+    system.assert_no_fault()
 
 
 async def _all_run(system: System, tickets: list[Ticket]) -> bool:
--- a/tests/processes/test_kill.py
+++ b/tests/processes/test_kill.py
@@ -16,9 +16,7 @@
     ACCOUNT,
     SERVICE,
     STATUS_OK,
-    Shape,
     System,
-    running,
     wait,
 )
 
@@ -32,41 +30,39 @@
 LEAST_CLAIM_MS = 6_000
 
 
-async def test_kill_in_the_middle_of_keyed_requests(tmp_path) -> None:
-    async with running(tmp_path, Shape()) as system:
-        victim, *others = system.hosts
-        load = Load(system, system.hosts)
-        held = [Ticket(f"held-{number}") for number in range(HELD)]
-        short = Ticket("expires")
-        await _claim_and_vanish(system, short)
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(load.run, 8, 4)
-            for ticket in held:
-                tasks.start_soon(load.keyed, victim, ticket, 10_000)
-            await wait("the held requests run", lambda: _all_run(system, held))
-            await system.kill(victim)
-            before = dict(load.served_by)
-            for ticket in (*held, short):
-                for host in others:
-                    await _settles(load, host, ticket)
-
-            async def others_serve() -> bool:
-                names = [host.name for host in others]
-                served = [load.served_by[name] - before.get(name, 0) for name in names]
-                return min(served) >= SERVED_AFTER
-
-            await wait("the other hosts serve on", others_serve)
-            await system.start(victim)
-            await system.ready(victim)
-            for ticket in held:
-                await _settles(load, victim, ticket)
-            await _expires(load, others[0], short)
-            load.stop()
-        assert {ticket.word for ticket in held} == {"unknown"}
-        load.tickets.extend((*held, short))
-        words = await check_tickets(load)
-        assert words["served"] > SERVED_AFTER
-        system.assert_no_fault()
+async def test_kill_in_the_middle_of_keyed_requests(system: System) -> None:
+    victim, *others = system.hosts
+    load = Load(system, system.hosts)
+    held = [load.ticket(f"held-{number}") for number in range(HELD)]
+    short = load.ticket("expires")
+    await _claim_and_vanish(system, short)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(load.run, 8, 4)
+        for ticket in held:
+            tasks.start_soon(load.keyed, victim, ticket, 10_000)
+        await wait("the held requests run", lambda: _all_run(system, held))
+        await system.kill(victim)
+        before = dict(load.served_by)
+        for ticket in (*held, short):
+            for host in others:
+                await _settles(load, host, ticket)
+
+        async def others_serve() -> bool:
+            names = [host.name for host in others]
+            served = [load.served_by[name] - before.get(name, 0) for name in names]
+            return min(served) >= SERVED_AFTER
+
+        await wait("the other hosts serve on", others_serve)
+        await system.start(victim)
+        await system.ready(victim)
+        for ticket in held:
+            await _settles(load, victim, ticket)
+        await _expires(load, others[0], short)
+        load.stop()
+    assert {ticket.word for ticket in held} == {"unknown"}
+    words = await check_tickets(load)
+    assert words["served"] > SERVED_AFTER
+    system.assert_no_fault()
 
 
 async def _all_run(system: System, tickets: list[Ticket]) -> bool:
--- a/tests/processes/test_log_down.py
+++ b/tests/processes/test_log_down.py
@@ -4,8 +4,8 @@
 import pytest
 
 from demo.plan import HostPlan
-from tests.processes.callers import Load, Ticket, check_tickets, send
-from tests.processes.system import STATUS_OK, Shape, System, running, wait
+from tests.processes.callers import Load, check_tickets, send
+from tests.processes.system import STATUS_OK, System, wait
 
 pytestmark = [pytest.mark.anyio, pytest.mark.processes]
 
@@ -15,45 +15,39 @@
 AT_ONCE_MS = 2_000
 
 
-async def test_log_is_away_under_load(tmp_path) -> None:
-    shape = Shape()
-    async with running(tmp_path, shape) as system:
-        load = Load(system, system.hosts)
-        plain = Load(system, system.hosts, keyless="POST")
-        incarnations = await _incarnations(system)
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(load.run, 4, 4)
-            tasks.start_soon(plain.run, 0, 4)
-            await wait("all callers are served", lambda: _served(load, plain, 20))
-            await system.fault(system.platform["log"], down=True)
-            await wait("all hosts know", lambda: _log_up(system, False))
-            load.keyless_answers.clear()
-            plain.keyless_answers.clear()
-            for number, host in enumerate(system.hosts):
-                await _assert_refused(system, host, load, f"refused-{number}")
-            # Longer than the silence after which a host would be held lost.
-            await anyio.sleep(2 * shape.lost_after_ms / 1000)
-            await wait(
-                "served meanwhile", lambda: _served(load, plain, SERVED_MEANWHILE)
-            )
-            await wait("all hosts know still", lambda: _log_up(system, False))
-            assert set(load.keyless_answers) == {"ran"}
-            assert set(plain.keyless_answers) == {"ran"}
-            runs = await system.all_runs()
-            assert not any(name.startswith("refused-") for name in runs.by_ticket)
-            await system.fault(system.platform["log"])
-            await wait("all hosts read again", lambda: _log_up(system, True))
-            for host in system.hosts:
-                await _assert_heals(system, host, load)
-            load.stop()
-            plain.stop()
-        words = await check_tickets(load)
-        assert words["served"] >= len(system.hosts)
-        assert await _incarnations(system) == incarnations
+async def test_log_is_away_under_load(system: System) -> None:
+    load = Load(system, system.hosts)
+    plain = Load(system, system.hosts, keyless="POST")
+    incarnations = await _incarnations(system)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(load.run, 4, 4)
+        tasks.start_soon(plain.run, 0, 4)
+        await wait("all callers are served", lambda: _served(load, plain, 20))
+        await system.fault(system.platform["log"], down=True)
+        await wait("all hosts know", lambda: _log_up(system, False))
+        load.keyless_answers.clear()
+        plain.keyless_answers.clear()
+        for number, host in enumerate(system.hosts):
+            await _assert_refused(system, host, load, f"refused-{number}")
+        # Longer than the silence after which a host would be held lost.
+        await anyio.sleep(2 * system.shape.lost_after_ms / 1000)
+        await wait("served meanwhile", lambda: _served(load, plain, SERVED_MEANWHILE))
+        await wait("all hosts know still", lambda: _log_up(system, False))
+        assert set(load.keyless_answers) == {"ran"}
+        assert set(plain.keyless_answers) == {"ran"}
+        await system.fault(system.platform["log"])
+        await wait("all hosts read again", lambda: _log_up(system, True))
         for host in system.hosts:
-            assert not system.lines(host, "entry_host_lost")
-            assert not system.lines(host, "rejoining")
-        system.assert_no_fault()
+            await _assert_heals(system, host, load)
+        load.stop()
+        plain.stop()
+    words = await check_tickets(load)
+    assert words["served"] >= len(system.hosts)
+    assert await _incarnations(system) == incarnations
+    for host in system.hosts:
+        assert not system.lines(host, "entry_host_lost")
+        assert not system.lines(host, "rejoining")
+    system.assert_no_fault()
 
 
 async def _served(load: Load, plain: Load, count: int) -> bool:
@@ -74,13 +68,13 @@
     system: System, host: HostPlan, load: Load, name: str
 ) -> None:
     """Check that what needs the log is refused at once and is not run."""
-    key = (b"idempotency-key", name.encode())
+    ticket = load.ticket(name)
+    key = (b"idempotency-key", ticket.name.encode())
     answer = await send(system, host, "POST", 0, key, timeout_ms=AT_ONCE_MS)
     assert (answer.status, answer.kind) == (503, KIND_LOG_DOWN), answer
     assert answer.run == "not_run"
     assert int(answer.header(b"retry-after")) >= 1
-    ticket = Ticket(name, [answer])
-    load.tickets.append(ticket)
+    ticket.answers.append(answer)
     row = system.row(share=2.0)
     edit = {"services": [row], "base_version": 0}
     answer = await system.ask(host, "POST", "/v1/table", edit, timeout_ms=AT_ONCE_MS)
@@ -90,8 +84,7 @@
 
 async def _assert_heals(system: System, host: HostPlan, load: Load) -> None:
     """Check that a host takes keyed requests and edits again."""
-    ticket = Ticket(f"healed-{host.name}")
-    load.tickets.append(ticket)
+    ticket = load.ticket(f"healed-{host.name}")
     answer = await load.keyed(host, ticket)
     assert answer.status == STATUS_OK, answer
     answer = await system.publish(host, [system.row(share=3.0)])
--- a/tests/processes/test_publish.py
+++ b/tests/processes/test_publish.py
@@ -11,9 +11,7 @@
     SERVICE,
     STATUS_OK,
     Answer,
-    Shape,
     System,
-    running,
     wait,
 )
 
@@ -27,53 +25,51 @@
 Edit = Callable[[], Awaitable[Answer]]
 
 
-async def test_two_operators_publish_at_once(tmp_path) -> None:
-    async with running(tmp_path, Shape(workers=2)) as system:
-        first, _, other, _ = system.hosts
-        base = await _version(system, first)
-        mine, yours = system.row(share=2.0), system.row(share=3.0)
-        answers = await _at_once(
-            lambda: system.publish(first, [mine], base_version=base),
-            lambda: system.publish(other, [yours], base_version=base),
-        )
-        statuses = sorted(answer.status for answer in answers)
-        assert statuses == [STATUS_OK, STATUS_CONFLICT], answers
-        won = mine if answers[0].status == STATUS_OK else yours
-        lost = yours if won is mine else mine
-        refused = next(one for one in answers if one.status == STATUS_CONFLICT)
-        assert refused.kind == "table-conflict"
-        assert refused.run == "not_run"
-        [conflict] = refused.data["conflicts"]
-        assert conflict["row"] == f"service:{ACCOUNT}/{SERVICE}"
-        assert conflict["theirs"]["share"] == won["share"]
-        assert conflict["yours"]["share"] == lost["share"]
-        await _everywhere(system, {SERVICE: won["share"]})
-
-        base = await _version(system, first)
-        rows = [system.row(share=4.0), system.row(OTHER, workers=0)]
-        answers = await _at_once(
-            lambda: system.publish(first, [rows[0]], base_version=base),
-            lambda: system.publish(other, [rows[1]], base_version=base),
-        )
-        assert [one.status for one in answers] == [STATUS_OK, STATUS_OK], answers
-        await _everywhere(system, {SERVICE: 4.0, OTHER: 1.0})
-        system.assert_no_fault()
-
-
-async def test_kill_and_freeze_during_a_publish(tmp_path) -> None:
-    async with running(tmp_path, Shape(workers=2)) as system:
-        *victims, last = system.hosts
-        for share, (victim, after_s) in enumerate(
-            zip(victims, KILL_AFTER_S, strict=True), start=2
-        ):
-            await _kill_during_publish(system, victim, last, float(share), after_s)
-        await system.start(*victims)
-        await system.ready()
-        before = await _shares(system, last)
-        await _everywhere(system, before)
-        await _edit_dies_with_its_host(system, victims[0], last)
-        await _edit_of_a_frozen_host_is_void(system, victims[1], last)
-        system.assert_no_fault()
+async def test_two_operators_publish_at_once(system: System) -> None:
+    first, _, other, _ = system.hosts
+    base = await _version(system, first)
+    mine, yours = system.row(share=2.0), system.row(share=3.0)
+    answers = await _at_once(
+        lambda: system.publish(first, [mine], base_version=base),
+        lambda: system.publish(other, [yours], base_version=base),
+    )
+    statuses = sorted(answer.status for answer in answers)
+    assert statuses == [STATUS_OK, STATUS_CONFLICT], answers
+    won = mine if answers[0].status == STATUS_OK else yours
+    lost = yours if won is mine else mine
+    refused = next(one for one in answers if one.status == STATUS_CONFLICT)
+    assert refused.kind == "table-conflict"
+    assert refused.run == "not_run"
+    [conflict] = refused.data["conflicts"]
+    assert conflict["row"] == f"service:{ACCOUNT}/{SERVICE}"
+    assert conflict["theirs"]["share"] == won["share"]
+    assert conflict["yours"]["share"] == lost["share"]
+    await _everywhere(system, {SERVICE: won["share"]})
+
+    base = await _version(system, first)
+    rows = [system.row(share=4.0), system.row(OTHER, workers=0)]
+    answers = await _at_once(
+        lambda: system.publish(first, [rows[0]], base_version=base),
+        lambda: system.publish(other, [rows[1]], base_version=base),
+    )
+    assert [one.status for one in answers] == [STATUS_OK, STATUS_OK], answers
+    await _everywhere(system, {SERVICE: 4.0, OTHER: 1.0})
+    system.assert_no_fault()
+
+
+async def test_kill_and_freeze_during_a_publish(system: System) -> None:
+    *victims, last = system.hosts
+    for share, (victim, after_s) in enumerate(
+        zip(victims, KILL_AFTER_S, strict=True), start=2
+    ):
+        await _kill_during_publish(system, victim, last, float(share), after_s)
+    await system.start(*victims)
+    await system.ready()
+    before = await _shares(system, last)
+    await _everywhere(system, before)
+    await _edit_dies_with_its_host(system, victims[0], last)
+    await _edit_of_a_frozen_host_is_void(system, victims[1], last)
+    system.assert_no_fault()
 
 
 async def _kill_during_publish(
