--- a/tests/processes/callers.py
+++ b/tests/processes/callers.py
@@ -77,7 +77,8 @@
 
     def ticket(self, name: str) -> Ticket:
         """Return a new ticket, whose name no other test of the fleet uses."""
-        ticket = Ticket(f"{self.system.round}-{self.label}-{name}")
+        number = len(self.tickets)
+        ticket = Ticket(f"{self.system.round}-{self.label}-{number}-{name}")
         self.tickets.append(ticket)
         return ticket
 
