--- a/tests/processes/records.py
+++ b/tests/processes/records.py
@@ -55,3 +55,12 @@
             for one in self.seen:
                 if isinstance(one.record, kind) and one.record.worker not in but:
                     return one
+
+
+async def newest_snapshot(address: str) -> int:
+    """Return the offset of the newest snapshot that the log's end names, or -1."""
+    client = LogClient(address)
+    bounds = (await client.read(0, 1, 0)).unwrap()
+    page = (await client.read(bounds.next - 1, PAGE, 0)).unwrap()
+    client.close()
+    return max(decode_batch(data).unwrap().snapshot for _, data in page.records)
--- a/tests/processes/system.py
+++ b/tests/processes/system.py
@@ -43,6 +43,7 @@
     beat_ms: int = 250
     lost_after_ms: int = 1_500
     maintenance_period_ms: int = 14 * 24 * 3_600_000
+    snapshot_every: int = 50
     row: dict = field(default_factory=dict)
 
 
@@ -346,6 +347,7 @@
                 "beat_ms": shape.beat_ms,
                 "lost_after_ms": shape.lost_after_ms,
                 "maintenance_period_ms": shape.maintenance_period_ms,
+                "snapshot_every": shape.snapshot_every,
             },
             "peers": peers,
         }
