Plan no stop of a worker whose zone's entry hosts are all lost

Cause: once the hosts of a zone that is cut off are held lost, nobody there has to settle a stop, so the others drained and rebooted that zone's workers while its hosts were still sending to them. OPERATIONS.md says that changes of its workers wait. Change: due workers, donors, released and idle workers leave out zones that have lost entry hosts and no live one (core/operations/reach.py). Conclusion: such a zone's workers are left alone until one of its hosts is back or has left in order. A stop proposed before the loss is applied is still accepted when it is judged.

--- a/courselead/core/operations/assignment.py
+++ b/courselead/core/operations/assignment.py
@@ -22,6 +22,7 @@
     spreads,
     take_emptiest,
 )
+from courselead.core.operations.reach import cut_zones
 
 
 def assign(fleet: FleetState, listing: Listing = ALL_LISTED) -> list[WorkerAssigned]:
@@ -92,9 +93,12 @@
 
 
 def _serving(fleet: FleetState) -> list[WorkerState]:
-    """Return the serving workers by name."""
-    workers = fleet.workers.values()
-    found = [item for item in workers if item.phase is WorkerPhase.SERVING]
+    """Return the serving workers by name, without those of cut-off zones."""
+    cut = cut_zones(fleet)
+    found = []
+    for worker in fleet.workers.values():
+        if worker.phase is WorkerPhase.SERVING and worker.availability_zone not in cut:
+            found.append(worker)
     return sorted(found, key=lambda item: item.worker)
 
 
--- a/courselead/core/operations/borrowing.py
+++ b/courselead/core/operations/borrowing.py
@@ -25,6 +25,7 @@
     spreads,
     take_emptiest,
 )
+from courselead.core.operations.reach import cut_zones
 from courselead.core.operations.state import OperationsConfig
 from courselead.core.table import AccountRow, ServiceRow
 
@@ -126,6 +127,7 @@
 ) -> list[tuple[str, WorkerState]]:
     """Return the surplus workers that their pools do not need for a wave."""
     found = spreads(fleet, listing)
+    cut = cut_zones(fleet)
     idle = []
     for pool, row in sorted(fleet.table.services.items()):
         surplus = found[pool].workers - row.workers
@@ -135,6 +137,7 @@
             fleet.workers[name]
             for name in fleet.serving.get(pool, ())
             if name not in listing.leaving
+            and fleet.workers[name].availability_zone not in cut
         ]
         members.sort(key=lambda item: _crowded(found[pool], item))
         count = min(surplus, spare(fleet, pool))
--- a/courselead/core/operations/maintenance.py
+++ b/courselead/core/operations/maintenance.py
@@ -12,6 +12,7 @@
 from courselead.core.fleet.state import FleetState, WorkerPhase, WorkerState
 from courselead.core.fleet.windows import is_open
 from courselead.core.operations.placement import Place
+from courselead.core.operations.reach import cut_zones
 from courselead.core.operations.state import OperationsConfig
 
 STOPS = frozenset({WorkerPhase.STOPPING, WorkerPhase.STOPPED})
@@ -49,15 +50,18 @@
 ) -> list[WorkerState]:
     """Return the serving workers that are due and in an open window.
 
-    The most overdue come first.
+    The most overdue come first; those of zones that may be cut off are left out.
     """
     due = []
     if not cfg.maintain:
         return due
     services = fleet.table.services
+    cut = cut_zones(fleet)
     for worker in fleet.workers.values():
         if worker.phase is not WorkerPhase.SERVING or worker.pool not in services:
             continue
+        if worker.availability_zone in cut:
+            continue
         if not is_due(worker, now_wall_ms, cfg):
             continue
         if is_open(services[worker.pool].window, now_wall_ms):
--- /dev/null
+++ b/tests/core/operations/test_reach.py
@@ -0,0 +1,80 @@
+"""Workers of a zone whose entry hosts are all lost are left alone."""
+
+import pytest
+
+from courselead.core.fleet.state import HostStatus
+from courselead.core.operations import assignment
+from courselead.core.operations.maintenance import POLICIES, due_workers
+from courselead.core.operations.placement import Listing
+from courselead.core.operations.planner import make
+from courselead.core.operations.reach import cut_zones
+from courselead.core.operations.state import OperationsConfig
+from tests.core.operations.build import fleet, host, row, serving
+
+WALL_MS = 10**13
+CFG = OperationsConfig()
+LOST = HostStatus.LOST
+
+
+def two_zones(hosts, rows=()):
+    rows = rows or (row(workers=4, availability_budget=0.5, window="always"),)
+    zoned = [serving(f"{zone}{n}", zone) for zone in "ab" for n in range(2)]
+    return fleet(zoned, rows, hosts)
+
+
+@pytest.mark.parametrize(
+    ("standings", "cut"),
+    [
+        ([("a", "live"), ("b", "live")], set()),
+        ([("a", "live"), ("b", "lost")], {"b"}),
+        ([("a", "live"), ("b", "lost"), ("b", "live")], set()),
+        ([("a", "live"), ("b", "lost"), ("b", "left")], {"b"}),
+        ([("a", "live"), ("b", "left")], set()),
+    ],
+)
+def test_a_zone_is_cut_while_it_has_only_lost_hosts(standings, cut):
+    hosts = [
+        host(f"h{number}", zone, status=HostStatus(status))
+        for number, (zone, status) in enumerate(standings)
+    ]
+    assert cut_zones(fleet([], hosts=hosts)) == cut
+
+
+@pytest.mark.parametrize("policy", sorted(POLICIES))
+def test_no_worker_of_a_cut_zone_is_due(policy):
+    hosts = (host("h1", "a"), host("h2", "b", status=LOST))
+    state = two_zones(hosts)
+    cfg = OperationsConfig(policy=policy)
+    assert {item.worker for item in due_workers(state, WALL_MS, cfg)} == {"a0", "a1"}
+    stops = make(state, WALL_MS, cfg).stops
+    assert stops
+    assert {item.worker[0] for item in stops} == {"a"}
+
+
+def test_once_the_zone_is_back_its_workers_are_due_again():
+    hosts = (host("h1", "a"), host("h2", "b"))
+    assert len(due_workers(two_zones(hosts), WALL_MS, CFG)) == 4
+
+
+def test_no_worker_of_a_cut_zone_is_moved_or_set_free():
+    hosts = (host("h1", "a"), host("h2", "b", status=LOST))
+    rows = (row(workers=1, window="never"), row("court", workers=3))
+    state = two_zones(hosts, rows)
+    moves = assignment.rebalance(state, WALL_MS)
+    assert {item.worker for item in moves} == {"a0", "a1"}
+    leaving = Listing(leaving=frozenset({"a0", "b0"}))
+    released = assignment.release(state, WALL_MS, leaving)
+    assert [item.worker for item in released] == ["a0"]
+
+
+@pytest.mark.parametrize(("status", "moved"), [("lost", 0), ("live", 1)])
+def test_a_pool_below_one_spare_borrows_from_no_cut_zone(status, moved):
+    hosts = (host("h1", "a"), host("h2", "b", status=HostStatus(status)))
+    rows = (
+        row("court", workers=2, availability_budget=0.0, window="always"),
+        row(workers=1, availability_budget=1.0, window="never"),
+    )
+    idle = [serving(name, "b") for name in ("b8", "b9")]
+    tight = [serving(name, "a", pool="aloisi/court") for name in ("a5", "a6")]
+    state = fleet((*idle, *tight), rows, hosts)
+    assert len(make(state, WALL_MS, CFG).stops) == moved
