Cut a zone from the log and from its peers, with real processes

Cause: a zone that is cut off was shown with fakes only. Change: relays on the paths that cross a zone's border hold everything back until they are mended; a table is published and the other zone's workers are drained meanwhile. All of the cut zone's callers must be served. Conclusion: the zone serves on, keeps its table until the path is mended and never goes back, and its workers are left alone.

--- a/tests/processes/system.py
+++ b/tests/processes/system.py
@@ -58,6 +58,9 @@
         """Return the address at which a host reaches a peer."""
         return f"127.0.0.1:{peer.peer_port}"
 
+    async def open(self) -> None:
+        """Open the paths that hosts about to start need."""
+
 
 @dataclass(frozen=True, slots=True)
 class Answer:
@@ -137,6 +140,7 @@
         for host in hosts:
             path = self.processes.folder / f"{host.name}.json"
             path.write_text(json.dumps(self._settings(host)))
+            await self.routes.open()
             self._keep_log(host)
             await self.processes.start_daemon(host.name, path)
             self.down.discard(host.name)
--- /dev/null
+++ b/tests/processes/test_zone_cut.py
@@ -0,0 +1,141 @@
+"""A zone's entry hosts are cut from the log and from all peers elsewhere."""
+
+import anyio
+import pytest
+
+from courselead.core.fleet.records import StopPlanned, WorkerAssigned
+from demo.plan import HostPlan
+from tests.processes.callers import Load, check_tickets
+from tests.processes.records import LogTail
+from tests.processes.relay import RelayRoutes
+from tests.processes.system import (
+    MANY,
+    STATUS_OK,
+    Shape,
+    System,
+    running,
+    wait,
+)
+
+pytestmark = [pytest.mark.anyio, pytest.mark.processes]
+
+ZONE = "zone-1"
+PLAN_PERIODS_S = 3.0
+SERVED = 100
+SHARE = 9.0
+
+
+async def test_cut_zone_serves_on_and_catches_up(tmp_path) -> None:
+    async with anyio.create_task_group() as tasks:
+        routes = RelayRoutes(tasks, _crosses)
+        async with running(tmp_path, Shape(), routes) as system:
+            await _cut_and_mend(system, routes)
+        tasks.cancel_scope.cancel()
+
+
+async def _cut_and_mend(system: System, routes: RelayRoutes) -> None:
+    inside = tuple(host for host in system.hosts if _is_inside(host))
+    outside = tuple(host for host in system.hosts if not _is_inside(host))
+    tail = await LogTail.of(system.platform["log"])
+    before = [await system.status(host) for host in inside]
+    workers = await system.workers(outside[0])
+    near = {name for name, one in workers.items() if one["availability_zone"] == ZONE}
+    load = Load(system, inside, label="inside")
+    keyed = Load(system, outside, label="outside")
+    versions: list[list[int]] = [[] for _ in inside]
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(load.run, 0, 6)
+        tasks.start_soon(keyed.run, 4, 2)
+        for seen, host in zip(versions, inside, strict=True):
+            tasks.start_soon(_watch_version, system, host, seen, load)
+        await wait("served before the cut", lambda: _served(load, SERVED))
+        load.keyless_answers.clear()
+        routes.cut()
+        await wait("the zone is held lost", lambda: _lost(system, outside, inside))
+        row = system.row(share=SHARE, window=MANY)
+        answer = await system.publish(outside[0], [row])
+        assert answer.status == STATUS_OK, answer
+        version = answer.data["version"]
+        await system.in_force(version, *outside)
+        await wait("the other zone's drains", lambda: _rebooted(system, near))
+        runs = await system.all_runs()
+        await anyio.sleep(PLAN_PERIODS_S)
+        await wait("served in the cut", lambda: _served(load, SERVED))
+        after = await system.all_runs()
+        used = [after.by_worker[name] - runs.by_worker[name] for name in near]
+        assert min(used) > 0, "the zone's own workers were not used"
+        for host, status in zip(inside, before, strict=True):
+            now = await system.status(host)
+            assert now["table_version"] == status["table_version"]
+        await tail.follow()
+        assert not _touched(tail, near), "the cut zone's workers were not left alone"
+        row = {**row, "window": "never"}
+        answer = await system.publish(outside[0], [row])
+        assert answer.status == STATUS_OK, answer
+        version = answer.data["version"]
+        assert set(load.keyless_answers) == {"ran"}, load.problems
+        routes.mend()
+        await system.ready()
+        await system.in_force(version)
+        await wait("live again", lambda: _standing(system, outside, inside, "live"))
+        load.stop()
+        keyed.stop()
+    # Until it has joined anew a host refuses, and runs nothing.
+    assert set(load.keyless_answers) <= {"ran", "not_run"}, load.problems
+    for seen in versions:
+        assert seen == sorted(seen), "an older table was in force again"
+    for host in inside:
+        table = (await system.ask(host, "GET", "/v1/table")).data
+        assert table["services"][0]["share"] == SHARE
+    words = await check_tickets(keyed)
+    assert words["served"] > 0
+    system.assert_no_fault()
+
+
+def _is_inside(host: HostPlan) -> bool:
+    return host.availability_zone == ZONE
+
+
+def _crosses(host: HostPlan, destination: str) -> bool:
+    """Return whether a path crosses the border of the zone."""
+    if destination in ("log", "membership"):
+        return _is_inside(host)
+    number = int(destination.rpartition("-")[2])
+    return _is_inside(host) != (number % 2 == 1)
+
+
+async def _watch_version(
+    system: System, host: HostPlan, seen: list[int], load: Load
+) -> None:
+    """Note the table versions that a host has in force, in order."""
+    while not load.stopped:
+        status = await system.status(host)
+        if status:
+            seen.append(status["table_version"])
+        await anyio.sleep(0.05)
+
+
+async def _served(load: Load, count: int) -> bool:
+    return load.keyless_answers["ran"] >= count
+
+
+async def _standing(system: System, hosts: tuple, peers: tuple, standing: str) -> bool:
+    seen = [await system.peer_status(host, peer) for host in hosts for peer in peers]
+    return set(seen) == {standing}
+
+
+async def _lost(system: System, hosts: tuple, peers: tuple) -> bool:
+    return await _standing(system, hosts, peers, "lost")
+
+
+async def _rebooted(system: System, but: set[str]) -> bool:
+    """Return whether all workers but some have been through maintenance."""
+    boots = (await system.all_runs()).boots
+    return all(count == 1 for name, count in boots.items() if name not in but)
+
+
+def _touched(tail: LogTail, workers: set[str]) -> list:
+    """Return the moves and planned stops of some workers."""
+    kinds = (StopPlanned, WorkerAssigned)
+    found = [one for one in tail.seen if isinstance(one.record, kinds)]
+    return [one for one in found if one.record.worker in workers]
