Do not let an older membership list bring a leaving worker back into use

Cause: the request path took every list as the newest. The list lags, and not always by the same time; after a list that had a worker as leaving, an older one let new requests go to it again, 3.7 s after the first. Change: a list of an older version is left alone for 30 s after a newer one, as the inventory does already. Conclusion: what was once listed as leaving stays out of use.

--- a/courselead/core/requests/reducer.py
+++ b/courselead/core/requests/reducer.py
@@ -34,7 +34,7 @@
     timers,
 )
 from courselead.core.requests.dispatch import late, pump
-from courselead.core.requests.state import IN_FLIGHT, RequestsState
+from courselead.core.requests.state import IN_FLIGHT, OLD_LIST_MS, RequestsState
 from courselead.core.requests.turn import Turn
 
 ONLY_REQUESTS = (
@@ -101,6 +101,13 @@
 
 
 def _on_members(turn: Turn, event: MembersListed) -> None:
+    # The list lags, and not always by the same time: an older one would let a
+    # leaving worker be used again. One that stays older counts in the end.
+    older = event.version < turn.list_version
+    if older and turn.now - turn.listed_ms < OLD_LIST_MS:
+        return
+    turn.list_version = event.version
+    turn.listed_ms = turn.now
     leaving = frozenset(event.leaving_workers)
     back = sorted(turn.leaving_workers - leaving)
     turn.leaving_workers = leaving
--- a/courselead/core/requests/state.py
+++ b/courselead/core/requests/state.py
@@ -16,6 +16,7 @@
 MAX_EXCHANGE_MS = 60_000
 LOAN_MS = 1_500
 REPORT_MS = 200
+OLD_LIST_MS = 30_000
 HOST_IN_FLIGHT = 4_096
 HOST_WAITING = 8_192
 
@@ -243,6 +244,8 @@
         peers: By entry host.
         unreachable: Peers whose stream is known to be down.
         leaving_workers: Workers that the platform's list has as leaving.
+        list_version: Version of that list, -1 before the first.
+        listed_ms: When it came in.
         budgets: Retry budgets by account.
         timers: Request ids by time slot.
         timer_slot: First slot not fully worked off; -1 before the first event.
@@ -275,6 +278,8 @@
     peers: Map[str, PeerView] = field(default_factory=Map)
     unreachable: frozenset[str] = frozenset()
     leaving_workers: frozenset[str] = frozenset()
+    list_version: int = -1
+    listed_ms: int = 0
     budgets: Map[str, RetryBucket] = field(default_factory=Map)
     timers: Map[int, tuple[str, ...]] = field(default_factory=Map)
     timer_slot: int = -1
--- a/courselead/core/requests/turn.py
+++ b/courselead/core/requests/turn.py
@@ -60,6 +60,8 @@
     peers: Map[str, PeerView]
     unreachable: frozenset[str]
     leaving_workers: frozenset[str]
+    list_version: int
+    listed_ms: int
     budgets: Map[str, RetryBucket]
     timers: Map[int, tuple[str, ...]]
     timer_slot: int
