Only hosts that had a share hold back shares; end what waits before leaving

Cause, found by reading: (1) a share of a minion's slots waited until every live host had settled each newer list of hosts. A zone cut from the log for an hour would have kept every host that restarted meanwhile in other zones at no share; had all of them restarted, their zones would have served nothing. (2) A leaving host left once nothing was in flight, and gave up requests that waited for a retry or a claim. Ruled out for (1): dropping the wait, which lets two hosts use one slot.

--- a/courselead/core/reducer.py
+++ b/courselead/core/reducer.py
@@ -33,7 +33,7 @@
 from courselead.core.outbox import OutboxState
 from courselead.core.presence import PresenceState
 from courselead.core.requests import reducer as requests
-from courselead.core.requests.settle import in_flight_total, settled_offset
+from courselead.core.requests.settle import is_drained, settled_offset
 from courselead.core.requests.state import RequestsState
 from courselead.core.snapshots import SnapshotsState
 
@@ -185,7 +185,7 @@
     edit_state, edit_out = edits.reduce(state.edits, ctx, event)
     snap_state, snap_out = snapshots.reduce(state.snapshots, ctx, event)
     settled = settled_offset(req_state, ctx.fleet)
-    drained = in_flight_total(req_state) == 0
+    drained = is_drained(req_state) and not state.edits.waiting
     here, here_out = presence.reduce(state.presence, ctx, event, settled, drained)
     state = replace(
         state,
@@ -215,7 +215,7 @@
 
 def _leave_when_done(state: CoreState) -> tuple[CoreState, tuple[Effect, ...]]:
     """Give `Left` once nothing is in flight and the log knows of the leave."""
-    if not state.leaving or state.ended or in_flight_total(state.requests):
+    if not state.leaving or state.ended or not is_drained(state.requests):
         return state, ()
     host = state.fleet.hosts.get(state.me.entry_host)
     gone = host is None or host.status is HostStatus.LEFT or state.superseded
--- a/courselead/core/requests/claims.py
+++ b/courselead/core/requests/claims.py
@@ -26,7 +26,8 @@
 from courselead.core.requests.state import Phase, RequestState
 from courselead.core.requests.turn import Turn
 
-CLAIM_LASTS_MS = 86_400_000
+# Every host holds all claims of this span: at ten a second an hour is 36,000.
+CLAIM_LASTS_MS = 3_600_000
 IN_USE_RETRY_MS = 1_000
 LOG_RETRY_MS = 2_000
 LOG_DOWN_DETAIL = (
--- a/courselead/core/requests/quota.py
+++ b/courselead/core/requests/quota.py
@@ -6,12 +6,14 @@
 so are ceilings.
 """
 
+from dataclasses import replace
+
 from immutables import Map
 
 from courselead.core.fleet.queries import unsettled_hosts
 from courselead.core.requests import shares
 from courselead.core.requests.shares import UNLIMITED
-from courselead.core.requests.state import LOAN_MS, RequestsState, Target
+from courselead.core.requests.state import LOAN_MS, Basis, RequestsState, Target
 from courselead.core.requests.turn import Turn
 
 MINION = "minion:"
@@ -132,9 +134,16 @@
     if not bases:
         # What came before is not known here: nothing may be used under it.
         bases = (shares.Basis(-1, (), newest.table), newest)
-    elif bases[-1].holders != newest.holders or bases[-1].table != newest.table:
+    elif bases[-1].holders != newest.holders or _limits_differ(bases[-1], newest):
         bases = (*bases, newest)
+    elif bases[-1].table is not newest.table:
+        # No share changes: the same list goes on with the newer table.
+        turn.bases = bases = (*bases[:-1], replace(bases[-1], table=newest.table))
     changed = bases is not turn.bases
+    if not changed and len(bases) > 1 and turn.seen.hosts is not fleet.hosts:
+        # A heartbeat may have settled the last share that an older list gave.
+        turn.shares = Map()
+        changed = True
     if changed:
         turn.bases = bases
         turn.shares = Map()
@@ -172,13 +181,43 @@
     target = turn.targets.get(worker)
     if target is None or target.quota != quota:
         return 0
-    units = min(
-        shares.minion_share(basis, target, me.entry_host, me.incarnation)
-        for basis in turn.bases
-    )
+    units = UNLIMITED
+    for index, basis in enumerate(turn.bases):
+        if not _is_binding(turn, index, target):
+            continue
+        share = shares.minion_share(basis, target, me.entry_host, me.incarnation)
+        units = min(units, share)
     return 0 if units == UNLIMITED else units
 
 
+def _is_binding(turn: Turn, index: int, target: Target) -> bool:
+    """Return whether a host may still use its share of a minion under a list.
+
+    Only the hosts that had one matter: a host of another zone that is cut off
+    from the log must not keep this zone's hosts from their slots.
+    """
+    if index == len(turn.bases) - 1:
+        return True
+    me = turn.ctx.me.entry_host
+    settled = turn.bases[index + 1].offset
+    unsettled = unsettled_hosts(turn.ctx.fleet, settled)
+    for holder in shares.former_holders(turn.bases, index, target, me):
+        if holder.entry_host == me or holder.entry_host not in unsettled:
+            continue
+        host = turn.ctx.fleet.hosts[holder.entry_host]
+        # A newer incarnation has no part in what an older one was given.
+        if host.incarnation == holder.incarnation:
+            return True
+    return False
+
+
+def _limits_differ(old: Basis, new: Basis) -> bool:
+    """Return whether two tables differ in a limit that is split into shares."""
+    if old.table is new.table:
+        return False
+    return shares.limits_of(old.table) != shares.limits_of(new.table)
+
+
 def _ceiling_share(
     basis: shares.Basis, quota: str, entry_host: str, incarnation: int
 ) -> int:
--- a/courselead/core/requests/settle.py
+++ b/courselead/core/requests/settle.py
@@ -24,6 +24,11 @@
     return settled
 
 
+def is_drained(state: RequestsState) -> bool:
+    """Return whether every request taken in has had its final outcome."""
+    return not state.flying and not state.waiting
+
+
 def in_flight_total(state: RequestsState) -> int:
     """Return the number of requests in flight from this host."""
     return state.flying
--- a/courselead/core/requests/shares.py
+++ b/courselead/core/requests/shares.py
@@ -9,7 +9,7 @@
 from courselead.core.fleet.state import FleetState, HostStatus
 from courselead.core.ranking import rank
 from courselead.core.requests.state import Basis, Holder, Target
-from courselead.core.table import ServiceRow
+from courselead.core.table import ServiceRow, Table
 
 UNLIMITED = 1 << 30
 
@@ -39,6 +39,31 @@
     return near or live
 
 
+def former_holders(
+    bases: tuple[Basis, ...], index: int, target: Target, me: str
+) -> list[Holder]:
+    """Return who may have had a share of a minion under an older list.
+
+    The first list of a host that has just started stands for all that came
+    before, which it does not know: then the other hosts of the zone may have
+    had one, or all hosts if there is no other in the zone.
+    """
+    basis = bases[index]
+    if basis.holders:
+        return minion_holders(basis, target.availability_zone)
+    newest = bases[-1]
+    others = tuple(one for one in newest.holders if one.entry_host != me)
+    unknown = Basis(newest.offset, others, newest.table)
+    return minion_holders(unknown, target.availability_zone)
+
+
+def limits_of(table: Table) -> tuple[dict[str, tuple[int, int]], dict[str, int]]:
+    """Return all limits of a table that are split into shares."""
+    services = {name: (row.slots, row.ceiling) for name, row in table.services.items()}
+    accounts = {name: row.ceiling for name, row in table.accounts.items()}
+    return services, accounts
+
+
 def ceiling_holders(basis: Basis) -> list[Holder]:
     """Return who shares a ceiling: live hosts, and lost ones until they return.
 
