--- a/harness/matrix.py
+++ b/harness/matrix.py
@@ -48,6 +48,7 @@
 
     Attributes:
         struck_ms: When the fault struck, -1 if the step never came.
+        broken: Invariants of the core that did not hold, or how the run ended.
         trace: Lines of what happened, kept of a failed run only.
     """
 
@@ -56,13 +57,14 @@
     struck_ms: int
     violations: tuple[Violation, ...]
     exercised: frozenset[Promise]
+    broken: tuple[str, ...] = ()
     trace: tuple[str, ...] = ()
 
     def outcome(self, promise: Promise) -> Outcome:
         """Return what became of the cell of a promise."""
         if self.struck_ms < 0:
             return Outcome.NOT_COVERED
-        if any(one.promise is promise for one in self.violations):
+        if self.broken or any(one.promise is promise for one in self.violations):
             return Outcome.FAILED
         if promise not in self.exercised:
             return Outcome.NOT_COVERED
@@ -124,22 +126,21 @@
         world = World(self.seed)
         nth = rng.randint(1, max(1, count))
         injector = Injector(world, pair.fault, pair.step, place, nth, rng)
-        if count or pair.step not in self._seen_steps():
-            faults.run(injector, END_MS)
+        if count:
+            _guarded(injector)
         self._collect()
         violations = tuple(world.checks.violations)
+        bad = violations or world.broken
         return Run(
             pair=pair,
             seed=self.seed,
             struck_ms=injector.struck_ms,
             violations=violations,
             exercised=frozenset(world.checks.exercised),
-            trace=tuple(world.trace) if violations else (),
+            broken=tuple(dict.fromkeys(world.broken)),
+            trace=tuple(world.trace) if bad else (),
         )
 
-    def _seen_steps(self) -> set[str]:
-        return {step for step, _ in self.all}
-
     def _collect(self) -> None:
         """Collect garbage now and then: it is off while a run goes on."""
         self._runs += 1
@@ -150,3 +151,12 @@
 def sliced(found: tuple[Pair, ...], index: int, count: int) -> Iterator[Pair]:
     """Return one of some equal parts of the pairs, numbered from 1."""
     return iter(found[index - 1 :: count])
+
+
+def _guarded(injector: Injector) -> None:
+    """Run; an exception of the core is a broken run."""
+    try:
+        faults.run(injector, END_MS)
+    except Exception as exc:
+        injector.struck_ms = max(injector.struck_ms, 0)
+        injector.world.broken.append(f"raised {exc!r}")
--- /dev/null
+++ b/harness/plans.py
@@ -0,0 +1,109 @@
+"""Runs with several faults at drawn times, and the shrinking of those that fail."""
+
+from dataclasses import dataclass, replace
+from random import Random
+
+from courselead.core.jobs import const
+from harness.faults import FAULTS, Strike
+from harness.matrix import LEASE_MS
+from harness.world import HOSTS, World
+
+FIRST_MS = 300
+LAST_MS = 16_000
+QUIET_MS = 11_000
+LOAD_BEFORE_END_MS = 6_000
+MAX_ACTIONS = 6
+
+
+@dataclass(frozen=True, slots=True)
+class Action:
+    """A fault that strikes a host at a time.
+
+    Attributes:
+        draw: Seed of how long it lasts and whom else it meets.
+    """
+
+    at_ms: int
+    fault: str
+    host: str
+    draw: int
+
+
+@dataclass(frozen=True, slots=True)
+class Result:
+    """What a plan came to.
+
+    Attributes:
+        bad: What was broken.
+        steps: Events taken in by all hosts.
+    """
+
+    bad: tuple[str, ...]
+    steps: int
+    trace: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """The seed of a world, and the faults that strike it."""
+
+    seed: int
+    actions: tuple[Action, ...]
+
+    @classmethod
+    def drawn(cls, seed: int) -> "Plan":
+        """Draw a plan."""
+        rng = Random(f"plan {seed}")
+        names = [name for name, _ in HOSTS]
+        actions = []
+        for _ in range(rng.randint(1, MAX_ACTIONS)):
+            at_ms = rng.randint(FIRST_MS, LAST_MS)
+            fault = rng.choice(tuple(FAULTS))
+            draw = rng.randrange(1 << 30)
+            actions.append(Action(at_ms, fault, rng.choice(names), draw))
+        actions.sort(key=lambda action: action.at_ms)
+        return cls(seed, tuple(actions))
+
+    def run(self) -> Result:
+        """Run it."""
+        const.LEASE_MS = LEASE_MS
+        world = World(self.seed)
+        end_ms = QUIET_MS + max((one.at_ms for one in self.actions), default=LAST_MS)
+        world.load_to_ms = end_ms - LOAD_BEFORE_END_MS
+        world.checks.arm()
+        world.begin()
+        for action in self.actions:
+            world.sched.after(action.at_ms, strike, world, action)
+        bad = []
+        try:
+            world.run(end_ms)
+        except Exception as exc:
+            bad.append(f"raised {exc!r}")
+        bad.extend(world.broken)
+        for one in world.checks.violations:
+            bad.append(f"{one.at_ms} ms {one.promise}: {one.text}")
+        steps = 0
+        for (name, place), count in world.seen.items():
+            if name.startswith("event:") and place == "after":
+                steps += count
+        return Result(tuple(bad), steps, tuple(world.trace))
+
+
+def strike(world: World, action: Action) -> None:
+    """Let the fault of an action strike."""
+    world.note(action.host, f"{action.fault} strikes")
+    fault = FAULTS[action.fault]
+    fault(Strike(world, world.hosts[action.host], Random(action.draw)))
+
+
+def shrunk(plan: Plan) -> Plan:
+    """Return a plan that fails still, with no action that could be left out."""
+    index = 0
+    while index < len(plan.actions):
+        rest = plan.actions[:index] + plan.actions[index + 1 :]
+        smaller = replace(plan, actions=rest)
+        if smaller.run().bad:
+            plan = smaller
+        else:
+            index += 1
+    return plan
--- a/harness/world.py
+++ b/harness/world.py
@@ -6,6 +6,7 @@
 
 from courselead.core.fleet.records import JobSpec, WorkerInfo
 from courselead.core.fleet.state import Applied
+from courselead.core.invariants import check
 from courselead.core.table import AccountRow, RequestClass, ServiceRow
 from harness.callers import Callers, Ticket
 from harness.checks import LOOK_MS, Checks
@@ -37,6 +38,7 @@
 LOAD_FROM_MS = 2_500
 LOAD_TO_MS = 16_000
 MEAN_GAP_MS = 70
+STATES_EVERY = 5
 
 
 class World:
@@ -49,6 +51,7 @@
         self.membership = FakeMembership(self)
         self.checks = Checks(self)
         self.callers = Callers(self)
+        self.broken: list[str] = []
         self.seen: Counter[tuple[str, str]] = Counter()
         self.load_to_ms = LOAD_TO_MS
         self.on_step: Callable | None = None
@@ -183,8 +186,16 @@
 
     def _look(self) -> None:
         self.checks.look_at_list()
+        if self.sched.now_ms // LOOK_MS % STATES_EVERY == 0:
+            self._look_at_states()
         self.sched.after(LOOK_MS, self._look)
 
+    def _look_at_states(self) -> None:
+        """Check the core's own invariants at every host."""
+        for host in self.hosts.values():
+            if host.alive:
+                self.broken.extend(f"{host.name}: {one}" for one in check(host.state))
+
     # --- load -----------------------------------------------------------------
 
     def _load(self) -> None:
