Lose a worker in mid-request and have one fail everything, with real processes

Cause: retries, unknown outcomes and ejection were shown by the core's tests. Change: a worker is crashed while it runs requests of both sorts; another answers 500 to everything under load and is mended. Conclusion: idempotent requests are served elsewhere, others are told unknown and run once; less than a quarter of the callers' requests meet the bad worker's failures.

--- a/tests/processes/callers.py
+++ b/tests/processes/callers.py
@@ -61,6 +61,8 @@
     keyless_answers: Counter[str] = field(default_factory=Counter)
     served_by: Counter[str] = field(default_factory=Counter)
     problems: list[Answer] = field(default_factory=list)
+    calls: int = 0
+    failed: int = 0
     stopped: bool = False
 
     async def run(self, keyed: int, others: int) -> None:
@@ -125,6 +127,8 @@
             await anyio.sleep(PAUSE_S)
 
     def _count(self, host: HostPlan, answer: Answer) -> None:
+        self.calls += 1
+        self.failed += answer.status != STATUS_OK
         if answer.status == STATUS_OK:
             self.served_by[host.name] += 1
             return
@@ -137,6 +141,7 @@
     method: str,
     work_ms: int = 0,
     *headers: tuple[bytes, bytes],
+    body: object = None,
     timeout_ms: int = 12_000,
 ) -> Answer:
     """Send one request of the account to the service's minions."""
@@ -146,7 +151,7 @@
         *headers,
     ]
     path = f"/v1/services/{SERVICE}/echo"
-    return await system.call(address_of(host), method, path, None, sent, timeout_ms)
+    return await system.call(address_of(host), method, path, body, sent, timeout_ms)
 
 
 async def check_tickets(load: Load) -> Counter[str]:
