--- a/courselead/core/jobs/const.py
+++ b/courselead/core/jobs/const.py
@@ -37,7 +37,11 @@
 JOBS_PART = 0.5
 PLACE_RETRY_MS = 1_000
 PLACE_PER_TURN = 200
-SCAN_LIMIT = 64
+SCAN_LIMIT = 24
+# Room kept free for urgent jobs follows their most at once lately; the
+# memory of it fades by half in this time, and it never takes more than a part.
+URGENT_HALF_LIFE_MS = 600_000
+RESERVE_PART = 0.25
 # How long this host leaves a worker alone whose agent refused a start.
 AVOID_MS = 5_000
 # An urgent job displaces batch work only if it would else wait about this long.
--- a/courselead/core/jobs/eviction.py
+++ b/courselead/core/jobs/eviction.py
@@ -80,7 +80,7 @@
         job = ctx.fleet.jobs[job_id]
         if job_id not in state.evictions and _may_evict(state, ctx, job):
             victims.append(job)
-    victims.sort(key=lambda job: (-job.cores, job.spec.job_id))
+    victims.sort(key=lambda job: (job.moves, -job.cores, job.spec.job_id))
     cores = room.cores
     memory_mb = room.memory_mb
     chosen = []
--- a/courselead/core/jobs/evidence.py
+++ b/courselead/core/jobs/evidence.py
@@ -91,6 +91,8 @@
     Attributes:
         placed: Offset of the attempt's placement.
         offset: Offset of its end.
+        outgrew: Whether it used more memory than it was given, which is
+            neither the worker's fault nor, as sizes are not known, the job's.
     """
 
     job: JobState
@@ -99,13 +101,14 @@
     outcome: JobOutcome
     placed: int
     offset: int
+    outgrew: bool = False
 
 
 def note(evidence: Evidence, end: End) -> Evidence:
     """Return the evidence after the end of an attempt."""
     if end.outcome is JobOutcome.DONE:
         return _note_done(evidence, end)
-    if end.outcome is JobOutcome.FAILED:
+    if end.outcome is JobOutcome.FAILED and not end.outgrew:
         return _note_failed(evidence, end)
     return evidence
 
--- a/courselead/core/jobs/history.py
+++ b/courselead/core/jobs/history.py
@@ -5,12 +5,19 @@
 from immutables import Map
 
 from courselead.core.context import Context
-from courselead.core.fleet.records import JobEnd, JobPlaced, JobsEnded
+from courselead.core.fleet.records import (
+    JobEnd,
+    JobPlaced,
+    JobsEnded,
+    JobSpec,
+    JobsSubmitted,
+)
 from courselead.core.fleet.state import Applied, JobState
-from courselead.core.jobs import const, ends, evidence, sizes
+from courselead.core.jobs import const, ends, evidence, reserve, sizes
 from courselead.core.jobs.evidence import End
-from courselead.core.jobs.index import RUNNING_PHASES
+from courselead.core.jobs.index import OPEN_PHASES, RUNNING_PHASES
 from courselead.core.jobs.state import JobsState, Running
+from courselead.core.table import pool_name
 
 
 def note(state: JobsState, ctx: Context, applied: Applied) -> JobsState:
@@ -18,6 +25,8 @@
     if not applied.verdict.accepted:
         return state
     match applied.record:
+        case JobsSubmitted(jobs=specs):
+            return _note_demand(state, ctx, specs)
         case JobPlaced() as placed:
             running = Running(placed.worker, placed.epoch, applied.offset, ctx.now_ms)
             running = state.running.set(placed.job_id, running)
@@ -49,6 +58,19 @@
     return replace(state, running=running)
 
 
+def _note_demand(
+    state: JobsState, ctx: Context, specs: tuple[JobSpec, ...]
+) -> JobsState:
+    """Note how many urgent jobs there are at once."""
+    for spec in specs:
+        demand = reserve.note(state, ctx, spec)
+        if demand is None:
+            continue
+        pool = pool_name(spec.client_account, spec.service)
+        state = replace(state, urgent=state.urgent.set(pool, demand))
+    return state
+
+
 def _note_refusal(state: JobsState, ctx: Context, end: JobEnd) -> JobsState:
     """Leave a worker alone for a while whose agent would not start a task."""
     running = state.running.get(end.job_id)
@@ -63,6 +85,7 @@
 ) -> JobsState:
     """Learn sizes from the end of an attempt, and whose fault a failure is."""
     learned = sizes.learn(state.sizes, job.spec, end, resumed=job.moves > 0)
+    learned = sizes.note_usage(learned, end, job.phase not in OPEN_PHASES)
     state = replace(state, sizes=learned)
     running = state.running.get(end.job_id)
     if running is None:
@@ -74,6 +97,7 @@
         outcome=end.outcome,
         placed=running.offset,
         offset=offset,
+        outgrew=0 < job.memory_mb < end.memory_mb_used,
     )
     known = evidence.note(state.evidence, found)
     trials = state.trials
--- a/courselead/core/jobs/index.py
+++ b/courselead/core/jobs/index.py
@@ -48,10 +48,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Touched:
-    """Jobs and workers that records may have changed."""
+    """Jobs and workers that records may have changed.
+
+    Attributes:
+        placed: Those of the jobs that were placed and nothing else.
+    """
 
     jobs: frozenset[str] = frozenset()
     workers: frozenset[str] = frozenset()
+    placed: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,6 +90,7 @@
     """Return the jobs and workers that records which took effect may change."""
     jobs: set[str] = set()
     workers: set[str] = set()
+    placed: set[str] = set()
     for entry in applied:
         if not entry.verdict.accepted:
             continue
@@ -96,7 +102,7 @@
             case JobsSubmitted(jobs=specs):
                 jobs.update(spec.job_id for spec in specs)
             case JobPlaced(job_id=job_id):
-                jobs.add(job_id)
+                placed.add(job_id)
             case JobsEnded(ends=ends):
                 jobs.update(end.job_id for end in ends)
             case JobsCancelled(job_ids=job_ids):
@@ -105,7 +111,8 @@
                 workers.update(name for name, _ in gone)
     for worker in workers:
         jobs.update(fleet.jobs_on.get(worker, ()))
-    return Touched(frozenset(jobs), frozenset(workers))
+    only_placed = frozenset(placed - jobs)
+    return Touched(only_placed | jobs, frozenset(workers), only_placed)
 
 
 def update(index: Index, fleet: FleetState, job_ids: Iterable[str]) -> Index:
--- a/courselead/core/jobs/placement.py
+++ b/courselead/core/jobs/placement.py
@@ -69,6 +69,14 @@
         return min(rooms, key=lambda room: (room.cores, room.memory_mb, room.worker))
 
 
+class WorstFit:
+    """The worker on which the most stays free."""
+
+    def choose(self, job_id: str, need: Need, rooms: Sequence[Room]) -> Room:
+        """Return the worker for a job."""
+        return min(rooms, key=lambda room: (-room.cores, -room.memory_mb, room.worker))
+
+
 class CalmFit:
     """Best fit among workers that are sound and not due for a stop meanwhile.
 
--- a/courselead/core/jobs/pool_plan.py
+++ b/courselead/core/jobs/pool_plan.py
@@ -3,12 +3,13 @@
 from dataclasses import dataclass, field, replace
 
 from courselead.core.context import Context
-from courselead.core.fleet import queries
 from courselead.core.fleet.records import JobEnd
-from courselead.core.fleet.state import JobPhase, JobState, WorkerState
+from courselead.core.fleet.state import JobPhase, JobState
 from courselead.core.jobs import const, ends, eviction, sizes
 from courselead.core.jobs.index import CLASS_RANK, WaitKey
 from courselead.core.jobs.placement import Policy, Room
+from courselead.core.jobs.reserve import Reserve
+from courselead.core.jobs.rooms import rooms_of
 from courselead.core.jobs.sizes import Need
 from courselead.core.jobs.state import JobsState
 from courselead.core.table import RequestClass
@@ -40,6 +41,8 @@
     Attributes:
         queue: The pool's waiting jobs in order.
         rooms: Its workers with what is free on them.
+        reserve: What lesser work leaves free for urgent jobs.
+        largest: The most that any of the workers could give a job.
         at: Position of the next job to be looked at.
         misses: Jobs in this pass that found no room.
         reservation: For the first job that found no room.
@@ -54,6 +57,8 @@
     policy: Policy
     queue: tuple[WaitKey, ...]
     rooms: dict[str, Room]
+    reserve: Reserve
+    largest: Need
     at: int = 0
     misses: int = 0
     reservation: Reservation | None = None
@@ -68,7 +73,16 @@
         """Return the plan of a pool at the start of a turn."""
         queue = state.index.waiting.get(pool, ())
         rooms = rooms_of(state, ctx, pool) if queue else {}
-        plan = cls(state, ctx, pool, policy, queue, rooms)
+        plan = cls(
+            state=state,
+            ctx=ctx,
+            pool=pool,
+            policy=policy,
+            queue=queue,
+            rooms=rooms,
+            reserve=Reserve.from_state(state, ctx, pool),
+            largest=_largest(rooms),
+        )
         plan.held.update(one.worker for one in state.evictions.values())
         return plan
 
@@ -93,12 +107,12 @@
     def _need(self, job: JobState) -> Need:
         """Return what a job is given: no more than the largest worker has."""
         need = sizes.need_of(self.state.sizes, job.spec)
-        cores = max((room.all_cores for room in self.rooms.values()), default=0.0)
-        memory = max((room.all_memory_mb for room in self.rooms.values()), default=0)
+        if self._fits_largest(need):
+            return need
         least = sizes.least_need(self.state.sizes, job.spec)
         return Need(
-            cores=max(least.cores, min(need.cores, cores)),
-            memory_mb=max(least.memory_mb, min(need.memory_mb, memory)),
+            cores=max(least.cores, min(need.cores, self.largest.cores)),
+            memory_mb=max(least.memory_mb, min(need.memory_mb, self.largest.memory_mb)),
             run_ms=need.run_ms,
         )
 
@@ -113,6 +127,8 @@
             if self._is_reserved(room, need):
                 continue
             rooms.append(room)
+        if key[0] != _URGENT:
+            rooms = self.reserve.leaves(rooms, self.rooms, need)
         return self._without_suspects(rooms, job)
 
     def _without_suspects(self, rooms: list[Room], job: JobState) -> list[Room]:
@@ -159,6 +175,9 @@
     def _miss(self, key: WaitKey, job: JobState, need: Need) -> None:
         """See what can be done for a job that has no room."""
         self.misses += 1
+        is_lesser = key[0] != _URGENT and self.reservation is not None
+        if is_lesser and not job.failed_on and self._fits_largest(need):
+            return
         able = [room for room in self.rooms.values() if _is_able(room, need, job)]
         if not able:
             self._give_up_if_hopeless(job)
@@ -169,6 +188,11 @@
         if self.reservation is None:
             self.reservation = self._reserve(need, able)
 
+    def _fits_largest(self, need: Need) -> bool:
+        """Return whether some worker could take a job if it held no other."""
+        largest = self.largest
+        return need.cores <= largest.cores and need.memory_mb <= largest.memory_mb
+
     def _evict_for(self, job: JobState, need: Need, able: list[Room]) -> None:
         """Make room for an urgent job, once at a time."""
         job_id = job.spec.job_id
@@ -213,50 +237,6 @@
         self.hopeless.append(ends.refused_end(job, error))
 
 
-def rooms_of(state: JobsState, ctx: Context, pool: str) -> dict[str, Room]:
-    """Return the serving workers of a pool with what is free on them."""
-    rooms = {}
-    for name in queries.serving_workers(ctx.fleet, pool):
-        if ctx.now_ms < state.avoid.get(name, 0):
-            continue
-        rooms[name] = _room_of(state, ctx, ctx.fleet.workers[name])
-    for placing in state.placing.values():
-        room = rooms.get(placing.worker)
-        if room is None:
-            continue
-        rooms[placing.worker] = replace(
-            room,
-            cores=room.cores - placing.cores,
-            memory_mb=room.memory_mb - placing.memory_mb,
-            jobs=room.jobs + 1,
-        )
-    return rooms
-
-
-def _room_of(state: JobsState, ctx: Context, worker: WorkerState) -> Room:
-    """Return what the jobs placed on a worker leave free."""
-    all_cores, all_memory_mb = sizes.room_for_jobs(worker)
-    cores = all_cores
-    memory_mb = all_memory_mb
-    job_ids = queries.jobs_on(ctx.fleet, worker.worker)
-    for job_id in job_ids:
-        job = ctx.fleet.jobs[job_id]
-        cores -= job.cores
-        memory_mb -= job.memory_mb
-    due_ms = worker.maintained_ms + const.MAINTENANCE_EVERY_MS - ctx.wall_ms
-    return Room(
-        worker=worker.worker,
-        epoch=worker.epoch,
-        cores=cores,
-        memory_mb=memory_mb,
-        all_cores=all_cores,
-        all_memory_mb=all_memory_mb,
-        due_ms=max(0, due_ms),
-        suspect=state.evidence.is_suspect(worker.worker, worker.epoch),
-        jobs=len(job_ids),
-    )
-
-
 def _is_fit_for_trial(job: JobState) -> bool:
     """Return whether a job's failure would cost little but time."""
     return job.spec.idempotent and len(job.failed_on) + 1 < job.spec.max_attempts
@@ -267,3 +247,10 @@
     if room.worker in job.failed_on:
         return False
     return need.cores <= room.all_cores and need.memory_mb <= room.all_memory_mb
+
+
+def _largest(rooms: dict[str, Room]) -> Need:
+    """Return the most cores and memory that any worker could give a job."""
+    cores = max((room.all_cores for room in rooms.values()), default=0.0)
+    memory_mb = max((room.all_memory_mb for room in rooms.values()), default=0)
+    return Need(cores, memory_mb, 0)
--- a/courselead/core/jobs/reducer.py
+++ b/courselead/core/jobs/reducer.py
@@ -151,7 +151,7 @@
 def _pools(ctx: Context, touched: Touched) -> frozenset[str]:
     """Return the pools in which records may have made or taken room."""
     pools = set()
-    for job_id in touched.jobs:
+    for job_id in touched.jobs - touched.placed:
         job = ctx.fleet.jobs.get(job_id)
         if job is not None:
             pools.add(pool_of(job))
--- a/courselead/core/jobs/replies.py
+++ b/courselead/core/jobs/replies.py
@@ -64,7 +64,7 @@
     end = ends.end_of(job, report, task)
     if end is None:
         return state
-    is_own = asked and (task is None or task.seat == 0)
+    is_own = task.seat == 0 if task is not None else asked
     due_ms = ctx.now_ms if is_own else ctx.now_ms + STEP_IN_MS
     return ends.add(state, end, due_ms)
 
--- a/courselead/core/jobs/sizes.py
+++ b/courselead/core/jobs/sizes.py
@@ -2,9 +2,11 @@
 
 Learned from the ends of attempts in the log and from nothing else, so that
 all hosts that read the same records learn the same. For each service and
-quantity the logarithm of used over declared is followed by an exponentially
-weighted mean and variance, clipped against outliers. The declared value is
-the prior: it counts like a few observations.
+quantity, used is fitted to declared by a line between their logarithms, with
+weights that fade, clipped against outliers. A caller whose declarations are
+off by a factor is corrected by the line's height; one whose declarations say
+little, by its slope, which then falls towards the service's usual size. The
+declared value is the prior: it counts like a few observations.
 """
 
 import math
@@ -19,58 +21,113 @@
 
 MAX_RATIO = 16.0
 _MAX_LOG = math.log(MAX_RATIO)
+# Declared values count like this many observations.
 PRIOR_COUNT = 4.0
-# Newest observation's least weight; about the last 20 count.
-MIN_GAIN = 0.05
-# Margins above the middle, in standard deviations: too little memory kills a
-# job, too few cores slow its neighbours down, a run time only orders jobs.
-CORES_MARGIN = 0.7
-MEMORY_MARGIN = 1.6
+# Until this many were seen, the slope stays at one: used goes with declared.
+SLOPE_COUNT = 8
+# The newest observation's least weight; about the last 40 count.
+MIN_GAIN = 0.025
+# Margins above the middle, in standard deviations. Jobs share a worker, so
+# that errors partly cancel out; too little memory kills a job, too few cores
+# only slow it down, and a run time only orders jobs.
+CORES_MARGIN = 0.4
+MEMORY_MARGIN = 1.0
 RUN_MARGIN = 0.0
+# Above what a job was seen to use in an earlier attempt.
+SEEN_MARGIN = 1.1
 
 
 @dataclass(frozen=True, slots=True)
-class Ratio:
-    """Logarithm of used over declared: mean, variance and count."""
+class Fit:
+    """Logarithm of used against logarithm of declared, older ones fading.
+
+    Attributes:
+        mean_x: Of declared.
+        mean_y: Of used.
+        var_x: Of declared.
+        var_y: Of used.
+        cov: Of the two.
+    """
 
-    mean: float = 0.0
-    variance: float = 0.0
     count: int = 0
-
-    def seen(self, used: float, declared: float) -> "Ratio":
-        """Return the ratio after one more observation."""
-        if used <= 0 or declared <= 0:
+    mean_x: float = 0.0
+    mean_y: float = 0.0
+    var_x: float = 0.0
+    var_y: float = 0.0
+    cov: float = 0.0
+
+    def seen(self, used: float, declared: float) -> "Fit":
+        """Return the fit after one more observation."""
+        if not 0 < used < math.inf or not 0 < declared < math.inf:
             return self
-        value = math.log(used / declared)
-        value = max(-_MAX_LOG, min(_MAX_LOG, value))
+        x = math.log(declared)
+        y = x + max(-_MAX_LOG, min(_MAX_LOG, math.log(used) - x))
         count = self.count + 1
         gain = max(1 / count, MIN_GAIN)
-        delta = value - self.mean
-        mean = self.mean + gain * delta
-        variance = (1 - gain) * (self.variance + gain * delta * delta)
-        return Ratio(mean, variance, count)
-
-    def factor(self, margin: float) -> float:
-        """Return what a declared value is multiplied by."""
+        off_x = x - self.mean_x
+        off_y = y - self.mean_y
+        keep = 1 - gain
+        return Fit(
+            count=count,
+            mean_x=self.mean_x + gain * off_x,
+            mean_y=self.mean_y + gain * off_y,
+            var_x=keep * (self.var_x + gain * off_x * off_x),
+            var_y=keep * (self.var_y + gain * off_y * off_y),
+            cov=keep * (self.cov + gain * off_x * off_y),
+        )
+
+    def expected(self, declared: float, margin: float) -> float:
+        """Return what is expected to be used, for a declared value.
+
+        Args:
+            declared: Value, above zero; others are returned as they are.
+            margin: Standard deviations above the middle.
+        """
+        if not self.count or not 0 < declared < math.inf:
+            return declared
+        x = math.log(declared)
+        slope = self._slope()
+        spread = self.var_y - 2 * slope * self.cov + slope * slope * self.var_x
+        y = self.mean_y + slope * (x - self.mean_x) + margin * math.sqrt(max(spread, 0))
         weight = self.count / (self.count + PRIOR_COUNT)
-        value = weight * (self.mean + margin * math.sqrt(self.variance))
-        return math.exp(max(-_MAX_LOG, min(_MAX_LOG, value)))
+        change = weight * (y - x)
+        return declared * math.exp(max(-_MAX_LOG, min(_MAX_LOG, change)))
+
+    def _slope(self) -> float:
+        """Return how far used follows declared: 1 is fully, 0 not at all."""
+        if self.count < SLOPE_COUNT or self.var_x <= 0:
+            return 1.0
+        return max(0.0, min(1.0, self.cov / self.var_x))
 
 
 @dataclass(frozen=True, slots=True)
 class ServiceSizes:
     """What is learned of the jobs of one service."""
 
-    cores: Ratio = Ratio()
-    memory: Ratio = Ratio()
-    run: Ratio = Ratio()
+    cores: Fit = Fit()
+    memory: Fit = Fit()
+    run: Fit = Fit()
+
+
+@dataclass(frozen=True, slots=True)
+class Usage:
+    """What a job that is not over used in an earlier attempt."""
+
+    cores: float
+    memory_mb: int
 
 
 @dataclass(frozen=True, slots=True)
 class Sizes:
-    """What is learned, by pool name."""
+    """What is learned.
+
+    Attributes:
+        services: By pool name.
+        usage: By job, while it is not over.
+    """
 
     services: Map[str, ServiceSizes] = field(default_factory=Map)
+    usage: Map[str, Usage] = field(default_factory=Map)
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,15 +165,29 @@
     return replace(sizes, services=sizes.services.set(pool, learned))
 
 
+def note_usage(sizes: Sizes, end: JobEnd, is_over: bool) -> Sizes:
+    """Return the sizes with what a job used, as long as it is not over."""
+    usage = sizes.usage
+    if is_over:
+        usage = usage.delete(end.job_id) if end.job_id in usage else usage
+    elif end.cores_used > 0 or end.memory_mb_used > 0:
+        usage = usage.set(end.job_id, Usage(end.cores_used, end.memory_mb_used))
+    return replace(sizes, usage=usage)
+
+
 def need_of(sizes: Sizes, spec: JobSpec) -> Need:
     """Return what a job is expected to take."""
     pool = pool_name(spec.client_account, spec.service)
     known = sizes.services.get(pool, NOTHING_LEARNED)
-    return Need(
-        cores=spec.cores * known.cores.factor(CORES_MARGIN),
-        memory_mb=math.ceil(spec.memory_mb * known.memory.factor(MEMORY_MARGIN)),
-        run_ms=int(spec.run_ms * known.run.factor(RUN_MARGIN)),
-    )
+    cores = known.cores.expected(spec.cores, CORES_MARGIN)
+    memory_mb = known.memory.expected(spec.memory_mb, MEMORY_MARGIN)
+    usage = sizes.usage.get(spec.job_id)
+    if usage is not None and usage.cores > 0:
+        cores = usage.cores * SEEN_MARGIN
+    if usage is not None and usage.memory_mb > 0:
+        memory_mb = usage.memory_mb * SEEN_MARGIN
+    run_ms = known.run.expected(spec.run_ms, RUN_MARGIN)
+    return Need(cores, math.ceil(memory_mb), int(run_ms))
 
 
 def least_need(sizes: Sizes, spec: JobSpec) -> Need:
--- a/courselead/core/jobs/state.py
+++ b/courselead/core/jobs/state.py
@@ -95,6 +95,16 @@
     at_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class UrgentDemand:
+    """The most urgent jobs at once in a pool lately, and the size of one."""
+
+    count: float
+    cores: float
+    memory_mb: int
+    at_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class Running:
     """Where the newest attempt of a job was placed, and when.
@@ -130,6 +140,7 @@
         asks: Callers that wait, by request.
         evidence: What ends of attempts tell of workers and jobs.
         running: Newest placements, by job.
+        urgent: Demand of urgent jobs, by pool.
         placing: Placements proposed here, by job.
         starts: Tasks to be started by this host, by job.
         tasks: Tasks kept alive by this host, by job.
@@ -151,6 +162,7 @@
     asks: Map[str, Ask] = field(default_factory=Map)
     evidence: Evidence = field(default_factory=Evidence)
     running: Map[str, Running] = field(default_factory=Map)
+    urgent: Map[str, UrgentDemand] = field(default_factory=Map)
     placing: Map[str, Placing] = field(default_factory=Map)
     starts: Map[str, Start] = field(default_factory=Map)
     tasks: Map[str, Task] = field(default_factory=Map)
--- a/tests/core/jobs/test_sizes.py
+++ b/tests/core/jobs/test_sizes.py
@@ -1,6 +1,7 @@
 """Learned sizes: bounded, robust, from the log alone."""
 
 import math
+import statistics
 from random import Random
 
 import pytest
@@ -8,17 +9,27 @@
 
 from courselead.core.fleet.records import JobEnd, JobOutcome
 from courselead.core.jobs import sizes
-from courselead.core.jobs.sizes import Ratio, Sizes
+from courselead.core.jobs.sizes import Fit, Sizes
 from tests.core.jobs.agents import Truth
 from tests.core.jobs.rig import Rig, job_spec
 
 
-def learned(ratios: list[float]) -> Ratio:
-    """Return the ratio after observations."""
-    ratio = Ratio()
-    for value in ratios:
-        ratio = ratio.seen(value, 1.0)
-    return ratio
+def learned(pairs: list[tuple[float, float]]) -> Fit:
+    """Return the fit after observations of used and declared."""
+    fit = Fit()
+    for used, declared in pairs:
+        fit = fit.seen(used, declared)
+    return fit
+
+
+def draws(count: int, bias: float, noise: float, seed: int) -> list:
+    """Return jobs of a service: used, and declared with a bias and noise."""
+    random = Random(seed)
+    pairs = []
+    for _ in range(count):
+        used = math.exp(random.gauss(1.0, 0.5))
+        pairs.append((used, used * bias * math.exp(random.gauss(0, noise))))
+    return pairs
 
 
 def test_declared_value_stands_until_something_is_known():
@@ -26,35 +37,63 @@
     assert (need.cores, need.memory_mb, need.run_ms) == (4.0, 1_000, 5_000)
 
 
-def test_middle_of_the_true_ratios_is_found():
-    random = Random(1)
-    seen = [math.exp(random.gauss(math.log(3), 0.5)) for _ in range(200)]
-    assert learned(seen).factor(0.0) == pytest.approx(3.0, rel=0.3)
+@pytest.mark.parametrize("bias", [0.25, 1.0, 4.0])
+def test_bias_of_the_declared_values_is_taken_out(bias):
+    fit = learned(draws(200, bias, 0.3, seed=1))
+    errors = [
+        math.log(fit.expected(declared, 0.0) / used)
+        for used, declared in draws(200, bias, 0.3, seed=2)
+    ]
+    assert abs(statistics.mean(errors)) < 0.15
+
+
+def test_noisy_declared_values_are_trusted_less():
+    fit = learned(draws(300, 1.0, 1.0, seed=1))
+    test = draws(300, 1.0, 1.0, seed=2)
+    ours = [abs(math.log(fit.expected(said, 0.0) / used)) for used, said in test]
+    theirs = [abs(math.log(said / used)) for used, said in test]
+    assert statistics.mean(ours) < 0.6 * statistics.mean(theirs)
 
 
-def test_margin_covers_most_jobs():
-    random = Random(2)
-    draws = [math.exp(random.gauss(0, 0.8)) for _ in range(400)]
-    factor = learned(draws[:200]).factor(sizes.MEMORY_MARGIN)
-    covered = sum(draw <= factor for draw in draws[200:]) / 200
-    assert 0.85 <= covered < 1.0
+def test_margin_covers_more_jobs():
+    fit = learned(draws(300, 2.0, 0.6, seed=3))
+    test = draws(300, 2.0, 0.6, seed=4)
+    covered = [fit.expected(said, 1.0) >= used for used, said in test]
+    middle = [fit.expected(said, 0.0) >= used for used, said in test]
+    assert 0.35 <= statistics.mean(middle) <= 0.65
+    assert 0.75 <= statistics.mean(covered) <= 0.95
 
 
 def test_one_outlier_changes_little():
-    steady = [1.0] * 100
-    assert learned([*steady, 1e9]).factor(0.0) < 1.2
+    steady = [(1.0, 1.0)] * 100
+    assert learned([*steady, (1e9, 1.0)]).expected(1.0, 0.0) < 1.2
 
 
 @settings(derandomize=True, max_examples=100)
 @given(
-    st.lists(st.floats(allow_nan=True, allow_infinity=True), max_size=30),
+    st.lists(
+        st.tuples(
+            st.floats(allow_nan=True, allow_infinity=True),
+            st.floats(allow_nan=True, allow_infinity=True),
+        ),
+        max_size=30,
+    ),
+    st.floats(1e-6, 1e6),
     st.floats(0, 3),
 )
-def test_factor_is_bounded_whatever_workers_report(reports, margin):
-    ratio = Ratio()
-    for used in reports:
-        ratio = ratio.seen(used, 2.0)
-    assert 1 / sizes.MAX_RATIO <= ratio.factor(margin) <= sizes.MAX_RATIO
+def test_expected_is_bounded_whatever_is_reported(pairs, declared, margin):
+    ratio = learned(pairs).expected(declared, margin) / declared
+    assert 0.999 / sizes.MAX_RATIO <= ratio <= sizes.MAX_RATIO * 1.001
+
+
+def test_next_attempt_is_given_what_the_last_one_used():
+    spec = job_spec("a")
+    end = JobEnd("a", 1, JobOutcome.FAILED, cores_used=7.0, memory_mb_used=5_000)
+    need = sizes.need_of(sizes.note_usage(Sizes(), end, is_over=False), spec)
+    assert need.cores >= 7.0
+    assert need.memory_mb >= 5_000
+    over = sizes.note_usage(sizes.note_usage(Sizes(), end, False), end, True)
+    assert over == Sizes()
 
 
 def test_run_time_is_learned_from_whole_runs_only():
