Lose the log's answers while keys are claimed, with real processes

Cause: a claim whose append is stored without an answer was shown with fakes. Change: the log stand-in stores 72 appends, slowly, and cuts their answers in three waves, while keyed requests come, some with deadlines shorter than the append; each word is compared with the runs. Conclusion: no duplicate, and no request ran that was told not to have run.

--- a/tests/processes/callers.py
+++ b/tests/processes/callers.py
@@ -58,6 +58,8 @@
     label: str = "load"
     tickets: list[Ticket] = field(default_factory=list)
     keyless: str = "PUT"
+    tries: int = MAX_TRIES
+    headers: tuple[tuple[bytes, bytes], ...] = ()
     keyless_answers: Counter[str] = field(default_factory=Counter)
     served_by: Counter[str] = field(default_factory=Counter)
     problems: list[Answer] = field(default_factory=list)
@@ -65,6 +67,11 @@
     failed: int = 0
     stopped: bool = False
 
+    @property
+    def served(self) -> list[Ticket]:
+        """Return the keyed requests that have been served."""
+        return [one for one in self.tickets if one.answers and one.word == SERVED]
+
     async def run(self, keyed: int, others: int) -> None:
         """Call until stopped."""
         async with anyio.create_task_group() as tasks:
@@ -94,7 +101,7 @@
 
     async def settle(self, ticket: Ticket, turn: int) -> None:
         """Send a keyed request, again at other hosts, until its word is final."""
-        for attempt in range(MAX_TRIES):
+        for attempt in range(self.tries):
             host = self.hosts[(turn + attempt) % len(self.hosts)]
             answer = await self.keyed(host, ticket)
             if answer.status == STATUS_OK or answer.kind in FINAL_KINDS:
@@ -108,9 +115,8 @@
     ) -> Answer:
         """Send a keyed request once, to one host."""
         key = (b"idempotency-key", ticket.name.encode())
-        answer = await send(
-            self.system, host, "POST", self.work_ms if work_ms is None else work_ms, key
-        )
+        work_ms = self.work_ms if work_ms is None else work_ms
+        answer = await send(self.system, host, "POST", work_ms, key, *self.headers)
         ticket.answers.append(answer)
         self._count(host, answer)
         return answer
--- /dev/null
+++ b/tests/processes/test_lost_answers.py
@@ -0,0 +1,78 @@
+"""The log stores what it is given and loses its answers, while claims are made."""
+
+from collections import Counter
+from functools import partial
+
+import anyio
+import pytest
+
+from tests.processes.callers import Load, check_tickets
+from tests.processes.system import System, wait
+
+pytestmark = [pytest.mark.anyio, pytest.mark.processes]
+
+APPEND = "/v1/log/append"
+WAVES = 3
+LOST_IN_A_WAVE = 24
+SERVED_IN_A_WAVE = 20
+# An append takes longer than some callers wait for their answer.
+SLOW_MS = 40
+DEADLINES_MS = (60, 110, 160)
+
+
+async def test_lost_answers_of_the_log_run_nothing_twice(system: System) -> None:
+    log = system.platform["log"]
+    load = Load(system, system.hosts)
+    hasty = [_hasty(system, deadline_ms) for deadline_ms in DEADLINES_MS]
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(load.run, 8, 2)
+        for one in hasty:
+            tasks.start_soon(one.run, 2, 0)
+        for _ in range(WAVES):
+            count = len(load.served) + SERVED_IN_A_WAVE
+            await system.fault(
+                log, lose_answers=LOST_IN_A_WAVE, slow_ms=SLOW_MS, only=APPEND
+            )
+            await wait("the answers are lost", lambda: _all_lost(system))
+            await wait("served on", partial(_has_served, load, count))
+        load.stop()
+        for one in hasty:
+            one.stop()
+    words = await check_tickets(load)
+    assert words["served"] >= WAVES * SERVED_IN_A_WAVE
+    words = Counter()
+    for one in hasty:
+        words += await check_tickets(one)
+    assert words["not_run"] > 0, words
+    unknown = [
+        line
+        for host in system.hosts
+        for line in system.lines(host, "append_failed")
+        if line["outcome"] == "unknown"
+    ]
+    assert len(unknown) >= WAVES * LOST_IN_A_WAVE
+    for host in system.hosts:
+        assert not system.lines(host, "entry_host_lost")
+    system.assert_no_fault()
+
+
+def _hasty(system: System, deadline_ms: int) -> Load:
+    """Return callers that wait no longer than a deadline, and try once."""
+    header = (b"courselead-deadline-ms", str(deadline_ms).encode())
+    return Load(
+        system,
+        system.hosts,
+        label=f"hasty-{deadline_ms}",
+        work_ms=0,
+        tries=1,
+        headers=(header,),
+    )
+
+
+async def _all_lost(system: System) -> bool:
+    answer = await system.call(system.platform["log"], "GET", "/-/fault")
+    return answer.data["lose_answers"] == 0
+
+
+async def _has_served(load: Load, count: int) -> bool:
+    return len(load.served) >= count
