Send the stand-ins' small answers at once

Cause: the listening socket was made without naming the protocol, and only with it does asyncio turn off Nagle's algorithm on accepted connections. An answer on a kept connection waited for the caller's delayed ACK. Change: the socket names TCP; a test looks at the accepted connection.

--- a/standins/serving.py
+++ b/standins/serving.py
@@ -53,7 +53,11 @@
     def __init__(self, endpoint: Endpoint, port: int = 0) -> None:
         """Bind the port at once, so that the address is known."""
         self.endpoint = endpoint
-        self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        # Only with the protocol named does asyncio turn off Nagle's algorithm on the
+        # accepted connections; with it, each small answer waits for a delayed ACK.
+        self._sock = socket.socket(
+            socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP
+        )
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._sock.bind((LOOPBACK, port))
         bound_port = self._sock.getsockname()[1]
--- a/tests/standins/test_minion.py
+++ b/tests/standins/test_minion.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from collections.abc import AsyncIterator
 
 import anyio
@@ -56,6 +57,13 @@
     assert runs["by_ticket"] == {"t1": 2, "t2": 1}
 
 
+async def test_small_answers_are_not_held_back(site: Site) -> None:
+    await site.get(b"/")
+    (conn,) = site.minion.listener.connections
+    sock = conn.transport.get_extra_info("socket")
+    assert sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+
+
 async def test_the_answer_can_be_asked_for(site: Site) -> None:
     answer = await site.get(b"/a?status=418&answer_bytes=5")
     echo = msgspec.json.decode(answer.body)
