Hold settled back to before a list came into force; keep loans that wait

Cause: a host that read a change of the list together with later records told itself settled at an offset past the change while it still used more than its new share: a minion of 2 slots got 3 requests. The order in which targets were first seen followed the process's hash seed. A host that waited for two quotas gave the idle loan of one back while it asked for the other. Change: a list knows the offset before it; changed workers are taken in sorted order; idle loans are kept while work waits. A silent borrower's units come back 5 s later, since reports may be that long under way.

--- a/courselead/core/requests/loans.py
+++ b/courselead/core/requests/loans.py
@@ -25,7 +25,10 @@
 from courselead.core.requests.turn import Turn
 
 HEARD = "heard"
-SILENCE_MS = LOAN_MS + MAX_EXCHANGE_MS
+
+# Longest time that a report is taken to be under way.
+MAX_DELAY_MS = 5_000
+SILENCE_MS = LOAN_MS + MAX_EXCHANGE_MS + MAX_DELAY_MS
 
 
 def reported(turn: Turn, event: PeerReported) -> None:
--- a/courselead/core/requests/quota.py
+++ b/courselead/core/requests/quota.py
@@ -129,11 +129,11 @@
 def sync_bases(turn: Turn) -> bool:
     """Take in the list of hosts and the table; return whether shares changed."""
     fleet = turn.ctx.fleet
-    newest = shares.basis_of(fleet)
+    newest = shares.basis_of(fleet, turn.seen.offset if turn.seen else -1)
     bases = turn.bases
     if not bases:
         # What came before is not known here: nothing may be used under it.
-        bases = (shares.Basis(-1, (), newest.table), newest)
+        bases = (shares.Basis(-1, -1, (), newest.table), newest)
     elif bases[-1].holders != newest.holders or _limits_differ(bases[-1], newest):
         bases = (*bases, newest)
     elif bases[-1].table is not newest.table:
--- a/courselead/core/requests/reports.py
+++ b/courselead/core/requests/reports.py
@@ -121,7 +121,7 @@
     in_use = turn.in_use.get(name, 0)
     room = quota.own_units(turn, name) - in_use
     spare = room - 1 if in_use and quota.base(turn, name) > 1 else room
-    pressed = _is_pressed(turn, name)
+    pressed = wants.is_pressed(turn, name)
     count = len(peers)
     for index in range(count):
         peer = peers[(turn.serial + index) % count]
@@ -157,21 +157,3 @@
     if view is None or turn.now - view.heard_ms >= LOAN_MS:
         return 0
     return view.wants.get(name, 0)
-
-
-def _is_pressed(turn: Turn, name: str) -> bool:
-    """Return whether this host has queued work that the quota concerns."""
-    worker = quota.worker_of(name)
-    if worker:
-        pools = [turn.targets[worker].pool]
-    elif name.startswith(quota.SERVICE):
-        pools = [name[len(quota.SERVICE) :]]
-    else:
-        account = name[len(quota.ACCOUNT) :]
-        pools = [
-            pool
-            for pool, queue in turn.queues.items()
-            if queue.client_account == account
-        ]
-    queues = [turn.queues[pool] for pool in pools if pool in turn.queues]
-    return any(queue.queued for queue in queues)
--- a/courselead/core/requests/settle.py
+++ b/courselead/core/requests/settle.py
@@ -20,7 +20,7 @@
             continue
         settled = min(settled, known.since - 1)
     if len(state.bases) > 1 and state.over:
-        settled = min(settled, state.bases[1].offset - 1)
+        settled = min(settled, state.bases[1].after)
     return settled
 
 
--- a/courselead/core/requests/shares.py
+++ b/courselead/core/requests/shares.py
@@ -6,6 +6,8 @@
 another takes it.
 """
 
+from dataclasses import replace
+
 from courselead.core.fleet.state import FleetState, HostStatus
 from courselead.core.ranking import rank
 from courselead.core.requests.state import Basis, Holder, Target
@@ -14,8 +16,13 @@
 UNLIMITED = 1 << 30
 
 
-def basis_of(fleet: FleetState) -> Basis:
-    """Return the list and table in force in a shared state."""
+def basis_of(fleet: FleetState, after: int) -> Basis:
+    """Return the list and table in force in a shared state.
+
+    Args:
+        fleet: The shared state.
+        after: Offset of the shared state seen before it, -1 for none.
+    """
     holders = []
     for name in sorted(fleet.hosts):
         host = fleet.hosts[name]
@@ -24,7 +31,7 @@
         live = host.status is HostStatus.LIVE
         zone = host.availability_zone
         holders.append(Holder(name, host.incarnation, zone, live))
-    return Basis(fleet.offset, tuple(holders), fleet.table)
+    return Basis(after, fleet.offset, tuple(holders), fleet.table)
 
 
 def minion_holders(basis: Basis, availability_zone: str) -> list[Holder]:
@@ -53,7 +60,7 @@
         return minion_holders(basis, target.availability_zone)
     newest = bases[-1]
     others = tuple(one for one in newest.holders if one.entry_host != me)
-    unknown = Basis(newest.offset, others, newest.table)
+    unknown = replace(newest, holders=others)
     return minion_holders(unknown, target.availability_zone)
 
 
--- a/courselead/core/requests/state.py
+++ b/courselead/core/requests/state.py
@@ -158,8 +158,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Basis:
-    """What shares are worked out from, as of a log offset."""
+    """What shares are worked out from.
 
+    Attributes:
+        after: Newest offset at which it was known not to be in force.
+        offset: Offset by which it was in force: the change lies between.
+    """
+
+    after: int
     offset: int
     holders: tuple[Holder, ...]
     table: Table
--- a/courselead/core/requests/targets.py
+++ b/courselead/core/requests/targets.py
@@ -18,13 +18,17 @@
         return []
     pools: set[str] = set()
     known = before.workers if before is not None else None
-    for name, worker in after.items():
-        if known is not None and known.get(name) is worker:
-            continue
-        pools.update(_sync_one(turn, name, worker))
+    changed = [
+        name
+        for name, worker in after.items()
+        if known is None or known.get(name) is not worker
+    ]
+    # Sorted: the order of a map differs from process to process.
+    for name in sorted(changed):
+        pools.update(_sync_one(turn, name, after[name]))
     if len(turn.targets) <= len(after):
         return sorted(pools)
-    for name in list(turn.targets):
+    for name in sorted(turn.targets):
         if name not in after:
             pools.update(_sync_one(turn, name, None))
     return sorted(pools)
--- a/courselead/core/requests/wants.py
+++ b/courselead/core/requests/wants.py
@@ -13,14 +13,17 @@
 def wanted(turn: Turn) -> dict[str, int]:
     """Return the units wanted beyond the own ones, by quota.
 
-    Those in use on loan are wanted further; more are wanted for work that
-    waits, at targets that by all reports have free slots.
+    Those in use on loan are wanted further, and idle ones too while work
+    waits that may need a second quota; more are wanted for work that waits,
+    at targets that by all reports have free slots.
     """
     found: dict[str, int] = {}
     for name in turn.borrowed:
-        above = _above(turn, name)
-        if above > 0:
-            found[name] = above
+        units = _above(turn, name)
+        if is_pressed(turn, name):
+            units = max(units, _on_loan(turn, name))
+        if units > 0:
+            found[name] = units
     for pool in sorted(turn.queues):
         queue = turn.queues[pool]
         if queue.queued:
@@ -83,12 +86,37 @@
     return max(0, turn.in_use.get(name, 0) - quota.own_units(turn, name))
 
 
+def _on_loan(turn: Turn, name: str) -> int:
+    """Return the units on loan that are good for new sends."""
+    loans = turn.borrowed.get(name, {})
+    return sum(
+        loan.units for loan in loans.values() if turn.now - loan.received_ms < LOAN_MS
+    )
+
+
+def is_pressed(turn: Turn, name: str) -> bool:
+    """Return whether this host has queued work that the quota concerns."""
+    worker = quota.worker_of(name)
+    if worker:
+        pools = [turn.targets[worker].pool]
+    elif name.startswith(quota.SERVICE):
+        pools = [name[len(quota.SERVICE) :]]
+    else:
+        account = name[len(quota.ACCOUNT) :]
+        pools = [
+            pool
+            for pool, queue in turn.queues.items()
+            if queue.client_account == account
+        ]
+    queues = [turn.queues[pool] for pool in pools if pool in turn.queues]
+    return any(queue.queued for queue in queues)
+
+
 def _want_for(
     turn: Turn, found: dict[str, int], pool: str, queue: ServiceQueue
 ) -> None:
     """Add what the queued work of one pool would need."""
     need = min(queue.queued, MAX_WANTED)
-    held_back = False
     for name in (
         quota.account_quota(queue.client_account),
         quota.service_quota(pool),
@@ -97,9 +125,8 @@
             continue
         more = min(found.get(name, _above(turn, name)) + need, MAX_WANTED)
         found[name] = max(found.get(name, 0), more)
-        held_back = True
     view = turn.pools.get(pool)
-    if held_back or view is None or view.near or view.far:
+    if view is None or view.near or view.far:
         return
     _want_slots(turn, found, pool, view, need)
 
--- /dev/null
+++ b/tests/core/requests/test_machine.py
@@ -0,0 +1,207 @@
+"""Random events on several hosts that exchange reports with loss and delay."""
+
+from hypothesis import HealthCheck, Phase, settings, strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from courselead.core.events import NotRunReason
+from courselead.core.fleet.state import WorkerPhase
+from courselead.core.table import AccountRow, RequestClass
+from tests.core.requests.cluster import Cluster
+from tests.core.requests.fixtures import (
+    Host,
+    host_state,
+    service,
+    with_host,
+    with_worker,
+    worker_state,
+)
+
+MAX_DELAY_MS = 5_000
+HOSTS = st.sampled_from("abc")
+PICK = st.integers(0, 10_000)
+
+
+class HostsMachine(RuleBasedStateMachine):
+    """Three hosts in two zones, one of which joins late; two workers."""
+
+    slots = 2
+    service_ceiling = 0
+    account_ceiling = 0
+
+    def __init__(self):
+        super().__init__()
+        self.cluster = Cluster.of(
+            (host_state("a"), host_state("b", "z2")),
+            workers=(worker_state("w1"), worker_state("w2", "z2")),
+            services=(
+                service(slots=self.slots, ceiling=self.service_ceiling, queue_limit=6),
+            ),
+            accounts=(AccountRow("acme", ceiling=self.account_ceiling),),
+        )
+        self.cluster.settle()
+        self.posted: list[int] = []
+
+    def _pick_open(self, pick: int) -> tuple[str, str]:
+        keys = sorted(self.cluster.open)
+        return keys[pick % len(keys)]
+
+    @rule(
+        name=HOSTS,
+        cls=st.sampled_from(RequestClass),
+        idempotent=st.booleans(),
+        ms=st.sampled_from((300, 20_000, 60_000)),
+        count=st.integers(1, 6),
+    )
+    def arrive(self, name, cls, idempotent, ms, count):
+        if name not in self.cluster.hosts:
+            return
+        for _ in range(count):
+            self.cluster.arrive(
+                name,
+                request_class=cls,
+                idempotent=idempotent,
+                deadline_ms=self.cluster.hosts[name].now_ms + ms,
+            )
+
+    @rule(ms=st.sampled_from((1, 20, 100, 200, 200, 200, 1_600)))
+    def tick(self, ms):
+        self.cluster.tick(ms)
+        now_ms = self.cluster.hosts["a"].now_ms
+        new = len(self.cluster.post) - len(self.posted)
+        self.posted.extend([now_ms] * new)
+        while self.posted and now_ms - self.posted[0] > MAX_DELAY_MS:
+            self.posted.pop(0)
+            self.cluster.deliver(0, lose=True)
+
+    @precondition(lambda self: self.cluster.post)
+    @rule(pick=PICK, lose=st.booleans())
+    def deliver_one(self, pick, lose):
+        index = pick % len(self.cluster.post)
+        self.posted.pop(index)
+        self.cluster.deliver(index, lose)
+
+    @rule(rounds=st.integers(1, 3))
+    def exchange(self, rounds):
+        for _ in range(rounds):
+            self.tick(200)
+            self.posted.clear()
+            self.cluster.deliver_all()
+
+    @precondition(lambda self: self.cluster.open)
+    @rule(pick=PICK, status=st.sampled_from((200, 200, 500)), count=st.integers(1, 3))
+    def answer(self, pick, status, count):
+        for _ in range(min(count, len(self.cluster.open))):
+            self.cluster.answer(self._pick_open(pick), status)
+
+    @precondition(lambda self: self.cluster.open)
+    @rule(pick=PICK, reason=st.sampled_from(NotRunReason))
+    def refuse(self, pick, reason):
+        self.cluster.refuse(self._pick_open(pick), reason)
+
+    @precondition(lambda self: self.cluster.open)
+    @rule(pick=PICK)
+    def fail(self, pick):
+        self.cluster.fail(self._pick_open(pick))
+
+    @precondition(lambda self: self.cluster.open)
+    @rule(pick=PICK)
+    def break_off(self, pick):
+        self.cluster.break_off(self._pick_open(pick))
+
+    @rule(pick=PICK)
+    def caller_gone(self, pick):
+        tales = self.cluster.tales
+        waiting = sorted(one for one in tales if not tales[one].ended)
+        if waiting:
+            request_id = waiting[pick % len(waiting)]
+            self.cluster.caller_gone(request_id.partition("-")[0], request_id)
+
+    @rule(name=HOSTS, beat=st.booleans())
+    def read(self, name, beat):
+        if name not in self.cluster.hosts:
+            return
+        self.cluster.read(name)
+        if beat:
+            self.cluster.beat(name)
+
+    @precondition(lambda self: "c" not in self.cluster.hosts)
+    @rule()
+    def join(self):
+        cluster = self.cluster
+        offset = cluster.fleet.offset + 1
+        joined = host_state("c", joined=offset, settled=-1)
+        cluster.fleet = with_host(cluster.fleet, joined)
+        now_ms = cluster.hosts["a"].now_ms
+        cluster.hosts["c"] = Host(cluster.fleet, "c", now_ms=now_ms)
+        cluster.read("c")
+
+    @rule(worker=st.sampled_from(("w1", "w2")))
+    def stop_or_serve(self, worker):
+        cluster = self.cluster
+        now = cluster.fleet.workers[worker]
+        changes = {"phase": WorkerPhase.STOPPING, "since": cluster.fleet.offset + 1}
+        if now.phase is WorkerPhase.STOPPING:
+            if not self._all_settled(now.since):
+                return
+            assert not cluster.outstanding()[worker], "settled with work in flight"
+            epoch = now.epoch + 1
+            changes = {"phase": WorkerPhase.SERVING, "epoch": epoch}
+        cluster.fleet = with_worker(cluster.fleet, worker, **changes)
+
+    def _all_settled(self, since: int) -> bool:
+        hosts = self.cluster.fleet.hosts.values()
+        return all(max(one.settled, one.joined) >= since for one in hosts)
+
+    @invariant()
+    def no_minion_gets_more_than_its_slots(self):
+        counts = self.cluster.outstanding()
+        assert all(count <= self.slots for count in counts.values()), counts
+
+    @invariant()
+    def no_ceiling_is_passed(self):
+        total = len(self.cluster.open)
+        assert not self.service_ceiling or total <= self.service_ceiling
+        assert not self.account_ceiling or total <= self.account_ceiling
+
+    @invariant()
+    def what_a_host_told_as_settled_stays_so(self):
+        for (name, _), send in self.cluster.open.items():
+            worker = self.cluster.fleet.workers[send.worker]
+            if worker.phase is WorkerPhase.STOPPING:
+                assert worker.since > self.cluster.fleet.hosts[name].settled
+
+    def teardown(self):
+        """In the end every request has had its one final outcome."""
+        for _ in range(70):
+            self.cluster.tick(1_000)
+        tales = self.cluster.tales
+        left = [one for one in tales if not tales[one].ended]
+        assert not left, f"without a final outcome: {left}"
+        assert not self.cluster.open
+        for host in self.cluster.hosts.values():
+            assert not host.state.requests
+            assert not host.state.in_use
+
+
+class CeilingsMachine(HostsMachine):
+    """The same with ample slots, where the ceilings hold work back."""
+
+    slots = 9
+    service_ceiling = 4
+    account_ceiling = 5
+
+
+SETTINGS = settings(
+    max_examples=50,
+    stateful_step_count=80,
+    derandomize=True,
+    phases=(Phase.generate,),
+    deadline=None,
+    database=None,
+    suppress_health_check=list(HealthCheck),
+)
+
+TestHosts = HostsMachine.TestCase
+TestHosts.settings = SETTINGS
+TestCeilings = CeilingsMachine.TestCase
+TestCeilings.settings = SETTINGS
--- /dev/null
+++ b/tests/core/requests/test_quota.py
@@ -0,0 +1,231 @@
+"""Shares, loans and their return, and changes of the list of hosts."""
+
+from dataclasses import replace
+
+from courselead.core.fleet.state import HostStatus
+from courselead.core.requests import quota, shares
+from courselead.core.requests.settle import settled_offset
+from courselead.core.requests.turn import Turn
+from courselead.core.table import AccountRow
+from tests.core.requests.cluster import Cluster
+from tests.core.requests.fixtures import (
+    Host,
+    fleet_of,
+    host_state,
+    sends,
+    service,
+    with_host,
+    worker_state,
+)
+
+MINION = "minion:w1:1"
+HOSTS = (host_state("a"), host_state("b"), host_state("c"))
+
+
+def base_of(host: Host, name: str) -> int:
+    return quota.base(Turn(host.state, host.context()), name)
+
+
+def cluster_of(hosts=HOSTS, **parts: tuple) -> Cluster:
+    cluster = Cluster.of(hosts, **parts)
+    cluster.settle()
+    return cluster
+
+
+def fill(cluster: Cluster, name: str, count: int) -> int:
+    """Send as many as may be sent; return how many were."""
+    before = len(cluster.open)
+    for _ in range(count):
+        cluster.arrive(name, deadline_ms=cluster.hosts[name].now_ms + 50_000)
+    return len(cluster.open) - before
+
+
+def test_slots_are_split_without_rest_or_loss():
+    cluster = cluster_of()
+    bases = sorted(base_of(host, MINION) for host in cluster.hosts.values())
+    assert bases == [2, 3, 3]
+
+
+def test_slots_go_to_hosts_of_the_workers_zone():
+    hosts = (host_state("a"), host_state("b", "z2"))
+    workers = (worker_state("w1"), worker_state("w2", "z2"), worker_state("w3", "z3"))
+    cluster = cluster_of(hosts, workers=workers)
+    host = cluster.hosts["a"]
+    names = (MINION, "minion:w2:1", "minion:w3:1")
+    assert [base_of(host, name) for name in names] == [8, 0, 4]
+
+
+def test_ceilings_are_split_and_a_lost_host_keeps_its_share():
+    row = service(ceiling=7)
+    cluster = cluster_of(services=(row,), accounts=(AccountRow("acme", ceiling=3),))
+    for name, total in (("service:acme/web", 7), ("account:acme", 3)):
+        assert sum(base_of(one, name) for one in cluster.hosts.values()) == total
+    kept = base_of(cluster.hosts["a"], "service:acme/web")
+    cluster.lose_host("c")
+    cluster.settle()
+    assert base_of(cluster.hosts["a"], "service:acme/web") == kept
+    basis = cluster.hosts["a"].state.bases[-1]
+    live = sum(base_of(cluster.hosts[one], "service:acme/web") for one in "ab")
+    assert shares.reserved_units(basis, "service:acme/web", 7) == 7 - live
+    assert sum(base_of(cluster.hosts[one], MINION) for one in "ab") == 8
+
+
+def test_a_bigger_share_waits_until_all_have_settled():
+    cluster = cluster_of()
+    host = cluster.hosts["a"]
+    before = base_of(host, MINION)
+    cluster.lose_host("c")
+    cluster.read("a")
+    assert base_of(host, MINION) == before
+    cluster.beat("a")
+    cluster.read("a")
+    assert base_of(host, MINION) == before
+    cluster.read("b")
+    cluster.beat("b")
+    cluster.read("a")
+    assert base_of(host, MINION) == 4
+
+
+def test_a_smaller_share_is_in_force_at_once_and_settled_when_it_is_kept():
+    cluster = cluster_of(HOSTS[:2])
+    host = cluster.hosts["a"]
+    assert fill(cluster, "a", 4) == 4
+    cluster.fleet = with_host(cluster.fleet, host_state("c", joined=2, settled=-1))
+    cluster.read("a")
+    joined = cluster.fleet.offset
+    assert base_of(host, MINION) < 4
+    assert fill(cluster, "a", 1) == 0
+    assert settled_offset(host.state, host.fleet) < joined
+    for key in list(cluster.open):
+        cluster.answer(key)
+    cluster.tick(100, "a")
+    assert settled_offset(host.state, host.fleet) == joined
+
+
+def test_a_host_that_joins_has_no_share_until_the_others_have_settled():
+    late = host_state("b", joined=5, settled=-1)
+    fleet = replace(fleet_of(hosts=(host_state("a"), late)), offset=5)
+    host = Host(fleet, "b")
+    assert not sends(host.arrive())
+    settled = replace(host_state("a"), settled=5, applied=5)
+    host.fleet = with_host(host.fleet, settled)
+    assert len(sends(host.tick(10))) == 1
+
+
+def test_idle_units_are_lent_and_come_back_when_they_are_not_held():
+    cluster = cluster_of(HOSTS[:2])
+    assert fill(cluster, "a", 8) == 4
+    cluster.rounds(3)
+    assert cluster.outstanding()["w1"] == 8
+    while cluster.open:
+        cluster.answer(next(iter(cluster.open)))
+    cluster.rounds(3)
+    assert not cluster.hosts["b"].state.lent
+    assert fill(cluster, "b", 4) == 4
+
+
+def test_a_lender_with_work_of_its_own_gets_its_units_back():
+    cluster = cluster_of(HOSTS[:2])
+    fill(cluster, "a", 16)
+    cluster.rounds(3)
+    fill(cluster, "b", 4)
+    for _ in range(8):
+        for key in [one for one in cluster.open if one[0] == "a"]:
+            cluster.answer(key)
+            fill(cluster, "a", 1)
+        cluster.rounds(1)
+    by_host = [name for name, _ in cluster.open]
+    assert by_host.count("b") == 4
+    assert by_host.count("a") == 4
+
+
+def test_units_given_back_are_not_used_again():
+    cluster = cluster_of(HOSTS[:2])
+    fill(cluster, "a", 8)
+    cluster.rounds(3)
+    for key in list(cluster.open)[:7]:
+        cluster.answer(key)
+    cluster.tick(200, "a")
+    cluster.deliver_all()
+    fill(cluster, "b", 8)
+    fill(cluster, "a", 8)
+    assert cluster.outstanding()["w1"] <= 8
+
+
+def test_an_offer_on_its_way_counts_until_it_is_known_to_be_heard_of():
+    cluster = cluster_of(HOSTS[:2])
+    fill(cluster, "a", 8)
+    cluster.tick(200, "a")
+    cluster.deliver_all()
+    cluster.tick(200)
+    offer = [one for one in cluster.post if one[0] == "a"]
+    cluster.post = [one for one in cluster.post if one[0] == "b"]
+    cluster.deliver_all()
+    assert fill(cluster, "b", 8) == 0
+    cluster.post = offer
+    cluster.deliver_all()
+    assert cluster.outstanding()["w1"] == 8
+
+
+def test_a_loan_is_over_for_new_sends_when_no_report_comes():
+    cluster = cluster_of(HOSTS[:2])
+    fill(cluster, "a", 8)
+    cluster.rounds(3)
+    cluster.tick(1_500)
+    cluster.post.clear()
+    for key in list(cluster.open):
+        cluster.answer(key)
+    assert len(cluster.open) == 0
+    assert fill(cluster, "a", 8) == 4
+
+
+def test_units_of_a_silent_borrower_come_back_after_the_longest_exchange():
+    cluster = cluster_of(HOSTS[:2])
+    fill(cluster, "a", 8)
+    cluster.rounds(2)
+    assert fill(cluster, "b", 1) == 0
+    cluster.tick(66_000, "b")
+    assert "minion:w1:1" in cluster.hosts["b"].state.lent
+    cluster.tick(600, "b")
+    assert "minion:w1:1" not in cluster.hosts["b"].state.lent
+
+
+def test_a_host_in_another_zone_sends_on_a_loan():
+    hosts = (host_state("a"), host_state("b", "z2"))
+    cluster = cluster_of(hosts)
+    assert fill(cluster, "b", 3) == 0
+    cluster.rounds(3)
+    assert cluster.outstanding()["w1"] == 3
+
+
+def test_a_ceiling_holds_over_all_hosts_and_moves_to_where_work_is():
+    cluster = cluster_of(HOSTS, services=(service(ceiling=3),))
+    assert fill(cluster, "a", 6) == 1
+    cluster.rounds(4)
+    assert len(cluster.open) == 3
+
+
+def test_a_ceiling_holds_while_a_host_joins():
+    cluster = cluster_of(HOSTS[:2], services=(service(ceiling=4),))
+    assert fill(cluster, "a", 4) + fill(cluster, "b", 4) == 4
+    joined = host_state("c", joined=cluster.fleet.offset + 1, settled=-1)
+    cluster.fleet = with_host(cluster.fleet, joined)
+    cluster.hosts["c"] = Host(cluster.fleet, "c", now_ms=1_000)
+    cluster.settle()
+    assert fill(cluster, "c", 1) == 0
+    for key in list(cluster.open):
+        cluster.answer(key)
+    for name in "abc":
+        fill(cluster, name, 4)
+    assert len(cluster.open) <= 4
+
+
+def test_slots_of_a_lost_borrower_are_reclaimed_at_once():
+    cluster = cluster_of(HOSTS[:2])
+    fill(cluster, "a", 8)
+    cluster.rounds(2)
+    assert cluster.hosts["b"].state.lent
+    cluster.lose_host("a")
+    cluster.read("b")
+    assert not cluster.hosts["b"].state.lent
+    assert cluster.fleet.hosts["a"].status is HostStatus.LOST
