--- a/standins/worker.py
+++ b/standins/worker.py
@@ -1,7 +1,8 @@
 """The agent of one worker: starts minions, runs tasks under leases, reboots.
 
 Beyond the protocol it answers `GET /-/runs` (what was executed here, over all minions
-the worker ever had) and `POST /-/kill` (a crash: cuts everything, then boots again).
+the worker ever had) and `POST /-/kill` (a crash: cuts everything, then boots again;
+with `?forget` the agent no longer knows of its tasks).
 """
 
 from __future__ import annotations
@@ -101,14 +102,21 @@
         if self.minion is not None:
             self.minion.listener.abort()
 
-    def crash(self) -> None:
-        """Cut the minion and the tasks, then boot."""
+    def crash(self, forget: bool = False) -> None:
+        """Cut the minion and the tasks, then boot.
+
+        Args:
+            forget: Whether the agent comes back without knowing of its tasks.
+        """
         now_ms = self._clock_ms()
         if self.minion is not None and self.minion.state != STOPPED:
             self.minion.kill()
         for task in self._tasks.values():
             if task.fail("the worker crashed", now_ms):
                 self.runs.add_cut_off(1)
+        if forget:
+            self._old_runs.extend(self._tasks.values())
+            self._tasks.clear()
         self._boot_at_ms = now_ms + self.spec.reboot_ms
 
     async def handle(self, call: Call) -> Reply | None:
@@ -120,7 +128,7 @@
             case "GET", ("-", "runs"):
                 return json_reply(200, self._runs("brief" in call.query))
             case "POST", ("-", "kill"):
-                self.crash()
+                self.crash(forget="forget" in call.query)
                 return json_reply(202, {})
             case "POST", ("v1", *rest):
                 return self._fence(call) or await self._act(call, rest)
--- a/tests/processes/system.py
+++ b/tests/processes/system.py
@@ -287,9 +287,10 @@
         answer = await self.call(address, "POST", "/-/fault", faults)
         assert answer.status == STATUS_OK
 
-    async def kill_worker(self, worker: str) -> None:
-        """Crash one worker: it boots again."""
-        answer = await self.call(self.platform["workers"][worker], "POST", "/-/kill")
+    async def kill_worker(self, worker: str, forget: bool = False) -> None:
+        """Crash one worker: it boots again, if asked without its memory."""
+        path = "/-/kill?forget=1" if forget else "/-/kill"
+        answer = await self.call(self.platform["workers"][worker], "POST", path)
         assert answer.status == 202
 
     async def runs(self, worker: str) -> dict:
