--- a/tests/processes/system.py
+++ b/tests/processes/system.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import os
 import signal
 import sys
 import time
@@ -27,7 +28,11 @@
 POLL_S = 0.05
 CALL_MS = 4_000
 STATUS_OK = 200
+# The file that `script/build` makes can be tested instead of the sources.
+ATTR_BINARY = "COURSELEAD_BINARY"
 COURSELEAD = (sys.executable, "-m", "courselead")
+if ATTR_BINARY in os.environ:
+    COURSELEAD = (sys.executable, os.environ[ATTR_BINARY])
 
 Condition = Callable[[], Awaitable[bool]]
 
