Answer callers without the delay of small segments

Cause: the listening socket was made without naming TCP, and asyncio turns Nagle's algorithm off only for sockets that name it: an answer in two segments waited for the caller's delayed acknowledgement. Ruled out: the application (the same code took 1 ms once the socket named TCP). Change: name it.

--- a/courselead/integrations/http_api/server.py
+++ b/courselead/integrations/http_api/server.py
@@ -142,7 +142,8 @@
 
 def _bind(listen: Address) -> socket.socket:
     family = socket.AF_INET6 if ":" in listen.ip else socket.AF_INET
-    sock = socket.socket(family, socket.SOCK_STREAM)
+    # Named, so that asyncio turns the delay of small segments off.
+    sock = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     try:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.bind((listen.ip, listen.port))
--- a/tests/integrations/http_api/test_wire.py
+++ b/tests/integrations/http_api/test_wire.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import json
+import socket
 
 import anyio
 import pytest
@@ -11,7 +12,7 @@
 from courselead.integrations.http_api.errors import ListenFailed
 from courselead.integrations.http_api.host import Answer
 from courselead.integrations.http_api.protocol import GuardedProtocol
-from courselead.integrations.http_api.server import HttpServer
+from courselead.integrations.http_api.server import HttpServer, _bind
 from courselead.settings import Address, LimitSettings
 from tests.integrations.http_api.fakes import (
     BREAK,
@@ -305,3 +306,12 @@
         server = HttpServer(lambda *args: None, taken, LimitSettings())
         with pytest.raises(ListenFailed, match="set another 'listen'"):
             await server.run()
+
+
+async def test_small_segments_are_not_delayed():
+    sock = _bind(Address("127.0.0.1", 0))
+    try:
+        # asyncio turns the delay off for sockets that name their protocol only.
+        assert sock.proto == socket.IPPROTO_TCP
+    finally:
+        sock.close()
