Bench the path with real processes

Cause: what an entry host adds to a call, and costs at rest, was not measured. Change: benchmarks/path starts stand-ins and entry hosts, measures and ends them by id: overhead in alternation with direct calls, start, memory, processor time and bytes at rest, changes in force, a new host from the log alone. Found: an entry host answers on a kept connection after 45 ms instead of 2 ms.

--- /dev/null
+++ b/benchmarks/path/__init__.py
@@ -0,0 +1,1 @@
+"""Figures of real processes over loopback."""
--- /dev/null
+++ b/benchmarks/path/lab.py
@@ -0,0 +1,317 @@
+"""Stand-ins and entry hosts as real processes, all of one run."""
+
+import json
+import os
+import socket
+import sys
+import time
+from collections.abc import Awaitable, Callable, Sequence
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+from subprocess import DEVNULL
+from tempfile import TemporaryDirectory
+
+import anyio
+from anyio.streams.text import TextReceiveStream
+from returns.result import Failure
+
+from courselead.integrations.http import HttpClient, HttpRequest
+from demo.plan import HostPlan, digest
+from demo.processes import READY_TIMEOUT_S, Processes
+
+OPERATOR = "operator-bench-credential"
+STATUS_OK = 200
+POLL_S = 0.02
+WAIT_S = 120.0
+TIMEOUT_MS = 15_000
+FIRST_PORT = 21_000
+PORTS_PER_RUN = 100
+PORT_RANGE = 10_000
+
+
+@dataclass(frozen=True, slots=True)
+class Shape:
+    """What a lab has.
+
+    Attributes:
+        pools: Workers wanted by (client account, service).
+        light: Whether the agents are the small ones of `platform.py`, which
+            serve no minion.
+        timings: Settings beside the defaults.
+    """
+
+    name: str
+    hosts: int
+    zones: int
+    workers: int
+    pools: dict[tuple[str, str], int]
+    light: bool = False
+    reboot_ms: int = 300
+    timings: dict[str, int] = field(default_factory=dict)
+
+
+def even_pools(accounts: int, pools: int, workers: int) -> dict[tuple[str, str], int]:
+    """Return pools of an even size."""
+    made = {}
+    for index in range(pools):
+        account = index % accounts
+        count = workers // pools + (1 if index < workers % pools else 0)
+        made[f"account-{account:02}", f"service-{index:03}"] = count
+    return made
+
+
+ALOISI = Shape("Aloisi", 6, 4, 40, even_pools(1, 5, 40))
+COOPERATIVE = Shape("Cooperative", 6, 3, 30, even_pools(1, 5, 30))
+TARGET = Shape("target", 6, 4, 1_000, even_pools(20, 160, 1_000), light=True)
+
+
+class LabProcesses(Processes):
+    """Processes that can start the bench's own platform too."""
+
+    async def start_platform(self, args: Sequence[str]) -> str:
+        """Start `benchmarks.path.platform` and return its line."""
+        command = [sys.executable, "-m", "benchmarks.path.platform", *args]
+        process = await anyio.open_process(command, stdin=DEVNULL, stderr=None)
+        self._running["standins"] = process
+        with anyio.fail_after(READY_TIMEOUT_S):
+            line = ""
+            async for text in TextReceiveStream(process.stdout):
+                line += text
+                if "\n" in line:
+                    break
+        return line
+
+
+class Lab:
+    """One fleet under measurement."""
+
+    def __init__(self, shape: Shape, processes: LabProcesses) -> None:
+        """Plan the hosts; nothing is started yet."""
+        self.shape = shape
+        self.processes = processes
+        self.platform: dict = {}
+        self.hosts = plan_hosts(shape)
+        self.clients = {
+            host.name: HttpClient(host.url.removeprefix("http://"))
+            for host in self.hosts
+        }
+        self.version = -1
+        self.agent_addresses: list[str] = []
+
+    async def start(self) -> None:
+        """Start everything and wait until all pools serve on all hosts."""
+        shape = self.shape
+        kind = "light" if shape.light else "full"
+        args = [kind, str(shape.workers), str(shape.zones), str(shape.reboot_ms)]
+        line = await self.processes.start_platform(args)
+        self.platform = json.loads(line)
+        self.agent_addresses = await self._list_agents()
+        for host in self.hosts:
+            await self.start_host(host)
+        for host in self.hosts:
+            await self.wait(lambda host=host: self.ready(host))
+        if not shape.pools:
+            return
+        await self.publish(self.rows(), [self.account(name) for name in self.accounts])
+        for host in self.hosts:
+            await self.wait(lambda host=host: self.all_serving(host))
+
+    async def _list_agents(self) -> list[str]:
+        """Return the addresses of the agents as the platform lists them."""
+        client = HttpClient(self.platform["membership"])
+        req = HttpRequest(b"GET", b"/v1/members")
+        fetched = await client.fetch(req, TIMEOUT_MS)
+        client.close()
+        members = json.loads(fetched.unwrap().body)["members"]
+        return [member["address"] for member in members]
+
+    async def start_host(self, host: HostPlan) -> None:
+        """Start one entry host."""
+        path = self.write_settings(host)
+        await self.processes.start_daemon(host.name, path)
+
+    @property
+    def accounts(self) -> list[str]:
+        """Return the names of the client accounts."""
+        return sorted({account for account, _ in self.shape.pools})
+
+    def account(self, name: str) -> dict:
+        """Return the row of an account, whose credential is its name."""
+        return {"client_account": name, "credential_hashes": [digest(name)]}
+
+    def rows(self, window: str = "never", **changes: object) -> list[dict]:
+        """Return the rows of all services."""
+        rows = []
+        for (account, service), workers in self.shape.pools.items():
+            row = {
+                "client_account": account,
+                "service": service,
+                "workers": workers,
+                "window": window,
+            }
+            rows.append(row | changes)
+        return rows
+
+    async def publish(
+        self, services: list[dict], accounts: Sequence[dict] = (), index: int = 0
+    ) -> int:
+        """Publish rows at a host and return the version."""
+        edit = {
+            "base_version": self.version,
+            "accounts": list(accounts),
+            "services": services,
+            "removed": [],
+            "author": "bench",
+        }
+        body = json.dumps(edit).encode()
+        host = self.hosts[index % len(self.hosts)]
+        answer = await self.ask(host, b"POST", "/v1/table", body)
+        self.version = answer["version"]
+        return self.version
+
+    async def ask(
+        self, host: HostPlan, method: bytes, path: str, body: bytes = b""
+    ) -> dict:
+        """Return an entry host's answer.
+
+        Raises:
+            RuntimeError: It was not of status 200.
+        """
+        bearer = f"Bearer {OPERATOR}".encode()
+        headers = [(b"authorization", bearer)]
+        if body:
+            headers.append((b"content-type", b"application/json"))
+        req = HttpRequest(method, path.encode(), tuple(headers), body)
+        fetched = await self.clients[host.name].fetch(req, TIMEOUT_MS)
+        if isinstance(fetched, Failure):
+            reason = str(fetched.failure())
+            raise RuntimeError(f"{path}: {reason}")
+        answer = fetched.unwrap()
+        if answer.status != STATUS_OK:
+            shown = answer.body[:300]
+            raise RuntimeError(f"{path}: {answer.status} {shown}")
+        return json.loads(answer.body) if answer.body[:1] == b"{" else {}
+
+    async def status(self, host: HostPlan) -> dict:
+        """Return an entry host's status."""
+        return await self.ask(host, b"GET", "/v1/status")
+
+    async def ready(self, host: HostPlan) -> bool:
+        """Return whether a host says that it is ready."""
+        try:
+            await self.ask(host, b"GET", "/readyz")
+        except RuntimeError:
+            return False
+        return True
+
+    async def all_serving(self, host: HostPlan) -> bool:
+        """Return whether a host sees all pools staffed."""
+        pools = (await self.status(host))["pools"]
+        serving = [pool["serving"] >= pool["wanted"] for pool in pools]
+        return len(pools) == len(self.shape.pools) and all(serving)
+
+    async def boots(self) -> int:
+        """Return how often the workers have booted."""
+        total = 0
+        for address in self.agent_addresses:
+            client = HttpClient(address)
+            req = HttpRequest(b"GET", b"/v1/state")
+            fetched = await client.fetch(req, TIMEOUT_MS)
+            client.close()
+            total += json.loads(fetched.unwrap().body)["boots"]
+        return total
+
+    async def wait(
+        self, condition: Callable[[], Awaitable[bool]], poll_s: float = POLL_S
+    ) -> float:
+        """Wait for a condition, with a bound; return how long it took in s."""
+        start = time.monotonic()
+        with anyio.fail_after(WAIT_S):
+            while not await condition():
+                self.processes.check_running()
+                await anyio.sleep(poll_s)
+        return time.monotonic() - start
+
+    def write_settings(self, host: HostPlan) -> Path:
+        """Write the settings file of one entry host."""
+        log = self.platform["log"]
+        membership = self.platform["membership"]
+        peers = []
+        for peer in self.hosts:
+            if peer is host:
+                continue
+            peers.append(
+                {
+                    "entry_host": peer.name,
+                    "address": f"127.0.0.1:{peer.peer_port}",
+                    "availability_zone": peer.availability_zone,
+                }
+            )
+        settings = {
+            "entry_host": host.name,
+            "availability_zone": host.availability_zone,
+            "listen": f"127.0.0.1:{host.port}",
+            "peer_listen": f"127.0.0.1:{host.peer_port}",
+            "log_url": f"http://{log}",
+            "membership_url": f"http://{membership}",
+            "operator_credential_hashes": [digest(OPERATOR)],
+            "timings": self.shape.timings,
+            "peers": peers,
+        }
+        path = self.processes.folder / f"{host.name}.json"
+        path.write_text(json.dumps(settings, indent=2))
+        return path
+
+
+def plan_hosts(shape: Shape) -> list[HostPlan]:
+    """Return the entry hosts with free ports."""
+    ports = free_ports(2 * shape.hosts)
+    hosts = []
+    for number in range(shape.hosts):
+        zone = number % shape.zones
+        plan = HostPlan(f"entry-{number}", f"zone-{zone}", ports.pop(), ports.pop())
+        hosts.append(plan)
+    return hosts
+
+
+def free_ports(count: int) -> list[int]:
+    """Return loopback ports that are free now.
+
+    They are below those that the kernel gives to clients, so that no
+    connection takes one between now and the start of its host.
+    """
+    found: list[int] = []
+    port = FIRST_PORT + os.getpid() * PORTS_PER_RUN % PORT_RANGE
+    while len(found) < count:
+        port += 1
+        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as sock:
+            if sock.connect_ex(("127.0.0.1", port)) != 0:
+                found.append(port)
+    return found
+
+
+@asynccontextmanager
+async def running(shape: Shape):
+    """Start a lab, and end all of it whatever happens."""
+    with TemporaryDirectory(prefix="courselead-bench-") as made:
+        processes = LabProcesses((sys.executable, "-m", "courselead"), Path(made))
+        lab = Lab(shape, processes)
+        try:
+            await lab.start()
+            yield lab
+        except BaseException:
+            _show_logs(Path(made))
+            processes.kill_all()
+            raise
+        finally:
+            with anyio.CancelScope(shield=True):
+                await processes.end_all()
+
+
+def _show_logs(folder: Path) -> None:
+    """Show the end of each entry host's log, on standard error."""
+    for path in sorted(folder.glob("*.log")):
+        lines = path.read_text().splitlines() or [""]
+        end = "\n".join(lines[-4:])[:2_000]
+        print(f"{path.name}: {end}", file=sys.stderr)
--- /dev/null
+++ b/benchmarks/path/platform.py
@@ -0,0 +1,202 @@
+"""The platform of a bench in one process: log, list, agents and minions.
+
+`full` runs the stand-ins. Their sockets are made without a protocol number, so
+asyncio leaves Nagle's algorithm on and an answer on a kept connection waits
+40 ms for a delayed acknowledgement; here it is turned off, as in any server
+worth measuring against.
+
+`light` is for many workers: the stand-ins' agents are whole HTTP servers, and a
+thousand of them in one process would be busy with themselves. The agents here
+answer the two calls of a fleet at rest, and start minions that nobody ever
+connects to.
+
+Run as `python -m benchmarks.path.platform full|light WORKERS ZONES REBOOT_MS`;
+prints one JSON line with its addresses when it is ready, and serves until
+SIGINT or SIGTERM.
+"""
+
+import json
+import signal
+import socket
+import sys
+from dataclasses import dataclass
+
+import anyio
+from anyio.abc import SocketStream
+
+from standins.faults import Endpoint
+from standins.fleet import Fleet, FleetSpec
+from standins.log import LogStandin
+from standins.membership import MembershipStandin
+from standins.serving import Listener
+
+HEAD_END = b"\r\n\r\n"
+READ_BYTES = 64 * 1024
+RACKS = 8
+FIRST_MINION_PORT = 20_000
+
+
+@dataclass(slots=True)
+class Agent:
+    """One worker's agent."""
+
+    worker: str
+    number: int
+    epoch: int = 0
+    service: str = ""
+    starts: int = 0
+    port: int = 0
+
+    @property
+    def minion_address(self) -> str:
+        """Return an address that this worker's minions had never before."""
+        port = FIRST_MINION_PORT + self.starts
+        low = self.number % 250 + 1
+        high = self.number // 250
+        return f"127.9.{high}.{low}:{port}"
+
+    async def serve(self, stream: SocketStream) -> None:
+        """Answer the calls of one connection until it ends."""
+        data = b""
+        async with stream:
+            while True:
+                try:
+                    while HEAD_END not in data:
+                        data += await stream.receive(READ_BYTES)
+                    head, _, rest = data.partition(HEAD_END)
+                    length = _length(head)
+                    while len(rest) < length:
+                        rest += await stream.receive(READ_BYTES)
+                    body, data = rest[:length], rest[length:]
+                    await stream.send(self._answer(head, body))
+                except (anyio.EndOfStream, anyio.BrokenResourceError):
+                    return
+
+    def _answer(self, head: bytes, body: bytes) -> bytes:
+        """Return the bytes of the answer to one call."""
+        if head.startswith(b"POST /v1/minion/start"):
+            order = json.loads(body)
+            if order["epoch"] > self.epoch:
+                self.epoch = order["epoch"]
+                self.service = order["service"]
+                self.starts += 1
+            return _reply({"address": self.minion_address})
+        return _reply(self._state())
+
+    def _state(self) -> dict[str, object]:
+        """Return the worker's state."""
+        minion = None
+        if self.service:
+            minion = {
+                "service": self.service,
+                "address": self.minion_address,
+                "state": "serving",
+                "in_flight": 0,
+            }
+        return {
+            "worker": self.worker,
+            "epoch": self.epoch,
+            "minion": minion,
+            "rebooting": False,
+            "boots": 1,
+            "tasks": [],
+            "usage_lag_ms": 0,
+        }
+
+
+def _length(head: bytes) -> int:
+    """Return the length of a call's body."""
+    for line in head.lower().split(b"\r\n"):
+        if line.startswith(b"content-length:"):
+            return int(line.partition(b":")[2])
+    return 0
+
+
+def _reply(data: dict[str, object]) -> bytes:
+    """Return a whole answer."""
+    body = json.dumps(data).encode()
+    length = len(body)
+    lines = (
+        "HTTP/1.1 200 OK",
+        "content-type: application/json",
+        f"content-length: {length}",
+        "",
+        "",
+    )
+    return "\r\n".join(lines).encode() + body
+
+
+def _member(agent: Agent, zones: int) -> dict[str, object]:
+    """Return a worker as the membership list names it."""
+    zone = agent.number % zones
+    rack = agent.number // zones % RACKS
+    return {
+        "id": agent.worker,
+        "kind": "worker",
+        "state": "live",
+        "availability_zone": f"zone-{zone}",
+        "rack": f"zone-{zone}-rack-{rack}",
+        "address": f"127.0.0.1:{agent.port}",
+        "client_account": "shared",
+        "cores": 16.0,
+        "memory_mb": 65_536,
+    }
+
+
+async def serve_light(workers: int, zones: int) -> None:
+    """Serve small agents until a signal."""
+    log = Listener(Endpoint(LogStandin().handle))
+    membership = MembershipStandin()
+    lister = Listener(membership.endpoint)
+    agents = [Agent(f"worker-{number:04}", number) for number in range(workers)]
+    async with anyio.create_task_group() as tasks:
+        for agent in agents:
+            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+            agent.port = listener.extra(anyio.abc.SocketAttribute.local_port)
+            tasks.start_soon(listener.serve, agent.serve)
+        membership.put([_member(agent, zones) for agent in agents])
+        await tasks.start(log.run)
+        await tasks.start(lister.run)
+        await _until_signal({"log": log.address, "membership": lister.address})
+        tasks.cancel_scope.cancel()
+
+
+async def serve_full(workers: int, zones: int, reboot_ms: int) -> None:
+    """Serve the stand-ins until a signal."""
+    fleet = Fleet(FleetSpec(workers=workers, zones=zones, reboot_ms=reboot_ms))
+    async with anyio.create_task_group() as tasks:
+        await tasks.start(fleet.run)
+        await _until_signal(fleet.addresses())
+        tasks.cancel_scope.cancel()
+
+
+async def _until_signal(addresses: dict[str, object]) -> None:
+    """Say where everything answers, and wait for a signal."""
+    with anyio.open_signal_receiver(signal.SIGINT, signal.SIGTERM) as signals:
+        print(json.dumps(addresses), flush=True)
+        async for _ in signals:
+            return
+
+
+def _answer_at_once() -> None:
+    """Turn Nagle's algorithm off on all listeners, whose connections inherit it."""
+    plain = Listener.__init__
+
+    def make(self: Listener, *args: object, **kwargs: object) -> None:
+        plain(self, *args, **kwargs)
+        self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    Listener.__init__ = make
+
+
+def main(kind: str, workers: int, zones: int, reboot_ms: int) -> None:
+    """Serve one kind of platform."""
+    _answer_at_once()
+    if kind == "light":
+        anyio.run(serve_light, workers, zones)
+        return
+    anyio.run(serve_full, workers, zones, reboot_ms)
+
+
+if __name__ == "__main__":
+    main(sys.argv[1], *[int(text) for text in sys.argv[2:5]])
--- /dev/null
+++ b/benchmarks/path/proc.py
@@ -0,0 +1,94 @@
+"""What the kernel says of a process: memory, processor time, bytes on sockets."""
+
+import os
+import re
+import subprocess
+from collections import Counter
+from dataclasses import dataclass, field
+from pathlib import Path
+
+KIB = 1_024
+_TICK_S = 1.0 / os.sysconf("SC_CLK_TCK")
+_PID = re.compile(r"pid=(\d+),fd=(\d+)")
+_SENT = re.compile(r"\bbytes_sent:(\d+)")
+_RECEIVED = re.compile(r"\bbytes_received:(\d+)")
+
+
+@dataclass(frozen=True, slots=True)
+class Memory:
+    """Memory of a process in KiB.
+
+    Attributes:
+        rss: All resident pages.
+        private: Private_Clean + Private_Dirty of smaps_rollup.
+    """
+
+    rss: int
+    private: int
+
+
+@dataclass(slots=True)
+class Wire:
+    """Bytes on the TCP sockets of a process, by socket."""
+
+    sent: dict[tuple[str, str, str], int] = field(default_factory=dict)
+    received: dict[tuple[str, str, str], int] = field(default_factory=dict)
+
+
+def memory(pid: int) -> Memory:
+    """Return the memory of a process."""
+    kinds: Counter[str] = Counter()
+    for line in Path(f"/proc/{pid}/smaps_rollup").read_text().splitlines():
+        name, _, rest = line.partition(":")
+        if rest.strip().endswith("kB"):
+            kinds[name] = int(rest.split()[0])
+    private = kinds["Private_Clean"] + kinds["Private_Dirty"]
+    return Memory(kinds["Rss"], private)
+
+
+def cpu_s(pid: int) -> float:
+    """Return the processor time that a process has used, in seconds."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) * _TICK_S
+
+
+def wire(pid: int) -> Wire:
+    """Return the bytes on the open TCP sockets of a process."""
+    command = ["ss", "-tinpHO", "state", "established"]
+    done = subprocess.run(command, capture_output=True, text=True, check=True)
+    found = Wire()
+    for line in done.stdout.splitlines():
+        pids = {int(one) for one, _ in _PID.findall(line)}
+        if pid not in pids:
+            continue
+        parts = line.split()
+        local, peer = parts[2], parts[3]
+        key = (local, peer, peer.rpartition(":")[2])
+        found.sent[key] = _number(_SENT, line)
+        found.received[key] = _number(_RECEIVED, line)
+    return found
+
+
+def flow(before: Wire, after: Wire) -> tuple[Counter[str], Counter[str], int]:
+    """Return the bytes sent and received between two looks, by local or peer port.
+
+    Returns:
+        Sent and received by the port that the other side listens on (or this
+        side, for connections that were made to it), and how many of the sockets
+        came or went in between, whose bytes are counted only in part.
+    """
+    sent: Counter[str] = Counter()
+    received: Counter[str] = Counter()
+    for key, total in after.sent.items():
+        local = key[0].rpartition(":")[2]
+        for port in (local, key[2]):
+            sent[port] += total - before.sent.get(key, 0)
+            received[port] += after.received[key] - before.received.get(key, 0)
+    churn = len(set(before.sent) ^ set(after.sent))
+    return sent, received, churn
+
+
+def _number(pattern: re.Pattern[str], line: str) -> int:
+    """Return the number that a pattern finds, 0 if none."""
+    found = pattern.search(line)
+    return int(found.group(1)) if found else 0
