--- a/harness/exchange.py
+++ b/harness/exchange.py
@@ -64,7 +64,7 @@
     def _talks(self) -> bool:
         worker = self.world.workers[self.send.worker]
         zone = worker.info.availability_zone
-        return worker.up and self.world.net.zones_talk(self.host.zone, zone)
+        return worker.answers and self.world.net.zones_talk(self.host.zone, zone)
 
     def _arrive(self) -> None:
         minion = self.world.workers[self.send.worker].minion
--- a/harness/hosts.py
+++ b/harness/hosts.py
@@ -367,7 +367,7 @@
         """Let a call arrive; it does also if the caller has died meanwhile."""
         worker = self.world.workers[call.worker]
         zones_talk = self.world.net.zones_talk(self.zone, worker.info.availability_zone)
-        if not worker.up or not zones_talk:
+        if not worker.answers or not zones_talk:
             self._fail_call(life, call, unknown=False)
             return
         parts = worker.call(call)
--- a/harness/workers.py
+++ b/harness/workers.py
@@ -75,12 +75,15 @@
     """One worker's agent, with its minion and its tasks.
 
     Attributes:
+        up: Whether it has power.
+        plugged: Whether it is on the network.
         failing: Whether every request and task given to it fails.
     """
 
     world: object
     info: WorkerInfo
     up: bool = True
+    plugged: bool = True
     epoch: int = 0
     boots: int = 0
     rebooting: bool = False
@@ -94,6 +97,11 @@
         """Return the worker's name."""
         return self.info.worker
 
+    @property
+    def answers(self) -> bool:
+        """Return whether anything of it can be reached."""
+        return self.up and self.plugged
+
     def call(self, call: CallAgent) -> dict:
         """Act on a call; return the parts of the answer."""
         self._settle_tasks()
--- a/harness/world.py
+++ b/harness/world.py
@@ -39,6 +39,7 @@
 LOAD_TO_MS = 16_000
 MEAN_GAP_MS = 70
 STATES_EVERY = 5
+UNPLUGGED_MS = 4_000
 
 
 class World:
@@ -106,18 +107,19 @@
         after(500, self.publish, ACCOUNTS + (WEB, BETA, API))
         after(LOAD_FROM_MS, self._load)
         after(LOOK_MS, self._look)
-        after(2_800, self._submit_jobs, 0)
+        for wave, at_ms in enumerate((2_800, 5_000, 7_300, 9_500, 11_600)):
+            after(at_ms, self._submit_jobs, wave)
         after(4_000, self.publish, (replace(WEB, workers=4),))
-        after(5_000, self._submit_jobs, 1)
         after(6_000, self._crash, "wa2")
         after(6_500, self._cancel_jobs)
         after(7_000, self.race, "a1", "b1")
+        after(7_600, self._fail_all, "wa1")
+        after(7_700, self._submit_jobs, 9, 8, (WEB,))
         after(8_000, self.publish, (replace(BETA, workers=4), replace(WEB, workers=2)))
         after(9_000, self.take_back, "wb4")
-        after(9_500, self._submit_jobs, 2)
-        after(7_600, self._fail_all, "wa1")
-        after(7_700, self._submit_jobs, 3, 8, (WEB,))
+        after(10_500, self._unplug, "wb3")
         after(11_000, self._lose_host, "a2")
+        after(12_000, self.publish, (replace(BETA, workers=2), replace(WEB, workers=4)))
         after(14_500, self._leave, "a1")
 
     def run(self, end_ms: int) -> None:
@@ -167,6 +169,20 @@
         self.note(name, "crashes")
         self.workers[name].crash()
 
+    def _unplug(self, name: str) -> None:
+        """Let a worker be out of reach and out of the list, with all its work."""
+        self.note(name, "unplugged")
+        self.workers[name].plugged = False
+        self.removed.add(name)
+        self.list_workers()
+        self.sched.after(UNPLUGGED_MS, self._plug, name)
+
+    def _plug(self, name: str) -> None:
+        self.note(name, "plugged in")
+        self.workers[name].plugged = True
+        self.removed.discard(name)
+        self.list_workers()
+
     def _fail_all(self, name: str) -> None:
         """Let a worker fail every task it is given."""
         self.workers[name].failing = True
@@ -244,7 +260,7 @@
         for number in range(count):
             row = rows[number % len(rows)]
             job_id = f"j{wave}-{number}"
-            run_ms = rng.randint(600, 8_000 // count)
+            run_ms = rng.randint(600, 20_000 // count)
             self.job_work_ms[job_id] = run_ms
             spec = JobSpec(
                 job_id=job_id,
