Say nothing new to peers only now and then, and beat less often in a large fleet

Cause: at rest every host told every peer five times a second that it had nothing to say: 3,600 bytes a second sent with 6 hosts, 16,714 with 24, and 1.3% of a core to read with 24, beside 2,244 bytes a second of heartbeats; the users' bound for control is 2 KB a second. The field of waiting requests was read by nobody, that of requests in flight only by a policy that is not the chosen one. Change: a peer that is owed nothing and told nothing gets a report every 3 s, and one more right after there was something; in_flight is filled only for a policy that looks at it; waiting is gone. The pause between two heartbeats is at least 200 ms for each host, and a host is lost after three. The owed units are looked at before any are let go, or a lender would wait 3 s for them (a test of loans found that).

--- a/benchmarks/slopes/wire.py
+++ b/benchmarks/slopes/wire.py
@@ -28,8 +28,8 @@
 from courselead.integrations.peers.codec import FrameDecoder, encode
 
 
-def report_of(size: Size, minions: int, pools: int, loans: int = 0) -> PeerReport:
-    """Return a report with some minions in use and some pools waiting."""
+def report_of(size: Size, minions: int, wanted: int, loans: int = 0) -> PeerReport:
+    """Return a report with some minions in use, some units wanted and some lent."""
     in_flight = []
     lent = []
     for index in range(minions):
@@ -37,7 +37,10 @@
     for index in range(loans):
         name = worker_info(size, index).worker
         lent.append(Loan(f"minion:{name}:3", 2, 123_456))
-    waiting = [(service_row(size, index).pool, 12) for index in range(pools)]
+    wants = []
+    for index in range(wanted):
+        name = worker_info(size, index).worker
+        wants.append((f"minion:{name}:3", 2))
     return PeerReport(
         entry_host=host_name(0),
         incarnation=START_WALL_MS,
@@ -45,7 +48,7 @@
         serial=123_456,
         applied=1_234_567,
         in_flight=tuple(in_flight),
-        waiting=tuple(waiting),
+        wants=tuple(wants),
         loans=tuple(lent),
         holding=(("heard", 123_456),),
     )
@@ -56,7 +59,7 @@
     size = Size()
     shapes = {
         "minions in use": [(count, 0, 0) for count in (0, 40, 250, 1_000)],
-        "pools waiting": [(0, count, 0) for count in (0, 40, 160)],
+        "units wanted": [(0, count, 0) for count in (0, 40, 160)],
         "loans": [(0, 0, count) for count in (0, 40, 160)],
     }
     rows = []
--- a/courselead/core/events.py
+++ b/courselead/core/events.py
@@ -198,12 +198,14 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerReport:
-    """What an entry host tells its peers, about five times a second.
+    """What an entry host tells its peers.
+
+    About five times a second while units are wanted or lent, else every few
+    seconds.
 
     Attributes:
         serial: Counts up within the incarnation.
-        in_flight: Requests in flight by worker.
-        waiting: Requests queued by pool.
+        in_flight: Requests in flight by worker, if routing looks at peers'.
         wants: Units wanted by quota.
         loans: What it lends to the receiver now.
         holding: What it holds of the receiver's loans, by quota.
@@ -215,7 +217,6 @@
     serial: int
     applied: int
     in_flight: tuple[tuple[str, int], ...] = ()
-    waiting: tuple[tuple[str, int], ...] = ()
     wants: tuple[tuple[str, int], ...] = ()
     loans: tuple[Loan, ...] = ()
     holding: tuple[tuple[str, int], ...] = ()
--- a/courselead/core/presence.py
+++ b/courselead/core/presence.py
@@ -26,6 +26,9 @@
 
 JOIN_RETRY_MS = 5_000
 DEFAULT_BEAT_MS = 2_000
+# Every host reads every heartbeat, so each beats less often the more there are.
+BEAT_MS_PER_HOST = 200
+BEATS_UNTIL_LOST = 3
 DEFAULT_LOST_AFTER_MS = 10_000
 
 
@@ -155,11 +158,12 @@
 ) -> tuple[PresenceState, tuple[Effect, ...]]:
     """Propose the heartbeat, at once when a stop has just been settled."""
     waiting = any(offset <= settled for offset in state.stops)
-    early_ms = state.beat_ms * 3 // 4 if waiting else 0
+    beat_ms = _beat_ms(state, ctx)
+    early_ms = beat_ms * 3 // 4 if waiting else 0
     if ctx.now_ms < state.beat_at_ms - early_ms:
         return state, ()
     jitter_ms = score(f"beat:{ctx.now_ms}", ctx.me.entry_host, ctx.me.seed) % 200
-    state = replace(state, beat_at_ms=ctx.now_ms + state.beat_ms + jitter_ms)
+    state = replace(state, beat_at_ms=ctx.now_ms + beat_ms + jitter_ms)
     record = HostBeat(
         entry_host=ctx.me.entry_host,
         incarnation=ctx.me.incarnation,
@@ -171,6 +175,11 @@
     return state, (Propose(record),)
 
 
+def _beat_ms(state: PresenceState, ctx: Context) -> int:
+    """Return the pause between two heartbeats with as many hosts as there are."""
+    return max(state.beat_ms, len(live_hosts(ctx.fleet)) * BEAT_MS_PER_HOST)
+
+
 def _leave(
     state: PresenceState, ctx: Context, drained: bool
 ) -> tuple[PresenceState, tuple[Effect, ...]]:
@@ -188,6 +197,7 @@
     effects: list[Effect] = []
     lost_proposed = state.lost_proposed
     names = live_hosts(ctx.fleet)
+    lost_after_ms = max(state.lost_after_ms, BEATS_UNTIL_LOST * _beat_ms(state, ctx))
     for name in names:
         if name == ctx.me.entry_host:
             continue
@@ -196,7 +206,7 @@
             continue
         silent_ms = _silent_ms(state, ctx, name, beat)
         wait_ms = step_in_ms(f"lost:{name}", ctx.me.entry_host, names, ctx.me.seed)
-        if silent_ms < state.lost_after_ms + wait_ms:
+        if silent_ms < lost_after_ms + wait_ms:
             continue
         host = ctx.fleet.hosts[name]
         record = HostLost(name, host.incarnation, beat.offset, ctx.me.entry_host)
--- a/courselead/core/requests/reports.py
+++ b/courselead/core/requests/reports.py
@@ -9,7 +9,14 @@
 from courselead.core.fleet.queries import live_hosts
 from courselead.core.requests import loans, quota, wants
 from courselead.core.requests.shares import UNLIMITED
-from courselead.core.requests.state import LOAN_MS, REPORT_MS, Borrowed, Lent
+from courselead.core.requests.state import (
+    IDLE_REPORT_MS,
+    LOAN_MS,
+    REPORT_MS,
+    Borrowed,
+    Lent,
+    Spoken,
+)
 from courselead.core.requests.turn import Turn
 
 _NONE = Lent()
@@ -25,17 +32,19 @@
     me = turn.ctx.me.entry_host
     peers = [name for name in live_hosts(turn.ctx.fleet) if name != me]
     peers = [name for name in peers if name not in turn.unreachable]
+    # As it stands before anything is let go: the lender waits to hear of that.
+    owed = _owed(turn)
     found = wants.wanted(turn) if peers else {}
     asked = wants.ask(turn, found, peers)
     holding = _hold(turn, found)
     offered = _offer(turn, peers)
-    in_flight = tuple(sorted(turn.by_worker.items()))
-    waiting = tuple(
-        (pool, turn.queues[pool].waiting)
-        for pool in sorted(turn.queues)
-        if turn.queues[pool].waiting
-    )
+    in_flight = ()
+    if turn.policies.routing.uses_peers:
+        in_flight = tuple(sorted(turn.by_worker.items()))
     for peer in peers:
+        said = bool(asked[peer] or holding.get(peer) or offered.get(peer))
+        if not _is_due(turn, peer, said or peer in owed or bool(in_flight)):
+            continue
         view = turn.peers.get(peer)
         heard = view.serial if view is not None else 0
         held = {**holding.get(peer, {}), loans.HEARD: heard}
@@ -46,7 +55,6 @@
             serial=turn.serial,
             applied=turn.ctx.fleet.offset,
             in_flight=in_flight,
-            waiting=waiting,
             wants=tuple(sorted(asked[peer].items())),
             loans=tuple(offered.get(peer, ())),
             holding=tuple(sorted(held.items())),
@@ -54,6 +62,28 @@
         turn.emit(SendPeer(peer, body))
 
 
+def _is_due(turn: Turn, peer: str, busy: bool) -> bool:
+    """Return whether a peer gets a report now, and note it.
+
+    With nothing to say it gets one now and then, which keeps it from holding
+    this host for silent; and one more right after there was something.
+    """
+    spoken = turn.spoken.get(peer)
+    idle = spoken is not None and not busy and not spoken.busy
+    if idle and turn.now - spoken.at_ms < IDLE_REPORT_MS:
+        return False
+    turn.spoken = turn.spoken.set(peer, Spoken(turn.now, busy))
+    return True
+
+
+def _owed(turn: Turn) -> set[str]:
+    """Return the peers that units are lent to or borrowed from."""
+    names: set[str] = set()
+    for parties in (*turn.lent.values(), *turn.borrowed.values()):
+        names.update(parties)
+    return names
+
+
 def _hold(turn: Turn, found: dict[str, int]) -> dict[str, dict[str, int]]:
     """Return what is held of each peer by quota, and let go of the rest.
 
--- a/courselead/core/requests/state.py
+++ b/courselead/core/requests/state.py
@@ -16,6 +16,7 @@
 MAX_EXCHANGE_MS = 60_000
 LOAN_MS = 1_500
 REPORT_MS = 200
+IDLE_REPORT_MS = 3_000
 OLD_LIST_MS = 30_000
 HOST_IN_FLIGHT = 4_096
 HOST_WAITING = 8_192
@@ -219,6 +220,14 @@
     in_flight: Map[str, int]
 
 
+@dataclass(frozen=True, slots=True)
+class Spoken:
+    """The newest report sent to a peer; `busy` if it had something to say."""
+
+    at_ms: int
+    busy: bool
+
+
 @dataclass(frozen=True, slots=True)
 class RequestsState:
     """All of the local request path.
@@ -257,6 +266,7 @@
         timer_slot: First slot not fully worked off; -1 before the first event.
         serial: Of the newest own report.
         reported_ms: When it was made.
+        spoken: By peer, the newest report sent to it.
     """
 
     policies: Policies = field(default_factory=Policies)
@@ -291,6 +301,7 @@
     timer_slot: int = -1
     serial: int = 0
     reported_ms: int = 0
+    spoken: Map[str, Spoken] = field(default_factory=Map)
 
     @classmethod
     def from_policies(cls, policies: Policies) -> "RequestsState":
--- a/courselead/core/requests/turn.py
+++ b/courselead/core/requests/turn.py
@@ -20,6 +20,7 @@
     RequestsState,
     RequestState,
     RetryBucket,
+    Spoken,
     Target,
 )
 
@@ -67,6 +68,7 @@
     timer_slot: int
     serial: int
     reported_ms: int
+    spoken: Map[str, Spoken]
     ctx: Context
     now: int
     effects: list[Effect]
--- a/courselead/integrations/peers/codec.py
+++ b/courselead/integrations/peers/codec.py
@@ -98,7 +98,7 @@
 
 def _check_values(report: PeerReport) -> None:
     numbers = [report.incarnation, report.serial]
-    for name in ("in_flight", "waiting", "wants", "holding"):
+    for name in ("in_flight", "wants", "holding"):
         pairs: tuple[tuple[str, int], ...] = getattr(report, name)
         _check_once([key for key, _ in pairs], name)
         numbers.extend(value for _, value in pairs)
--- a/tests/integrations/peers/test_codec.py
+++ b/tests/integrations/peers/test_codec.py
@@ -16,8 +16,8 @@
     st.builds(Loan, NAME, COUNT, COUNT), max_size=3, unique_by=lambda loan: loan.quota
 ).map(tuple)
 REPORTS = st.builds(
-    PeerReport, NAME, COUNT, NAME, COUNT, st.integers(-1, 9), PAIRS, PAIRS, PAIRS,
-    LOANS, PAIRS,
+    PeerReport, NAME, COUNT, NAME, COUNT, st.integers(-1, 9), PAIRS, PAIRS, LOANS,
+    PAIRS,
 )  # fmt: skip
 FRAMES = st.one_of(REPORTS, st.builds(Hello, COUNT, NAME, COUNT, NAME))
 REPORT = PeerReport("eh-1", 1, "az", 1, 1, loans=(Loan("q", 1, 1),))
