--- a/tests/core/requests/test_claims.py
+++ b/tests/core/requests/test_claims.py
@@ -28,6 +28,7 @@
     ClaimsMade,
     Record,
 )
+from courselead.core.fleet.state import Applied, Verdict
 from tests.core.requests.fixtures import (
     Host,
     fleet_of,
@@ -197,3 +198,14 @@
     assert not of_type(host.feed(full), Propose)
     (again,) = sends(host.tick(200))
     assert again.attempt == 2
+
+
+def test_a_second_copy_of_a_claim_does_not_end_the_first():
+    log = Log()
+    host = log.hosts["a"]
+    effects = log.arrive("a")
+    (made,) = of_type(effects, Propose)
+    (send,) = sends(log.write("a", made.record)["a"])
+    host.answer(send)
+    copy = Applied(99, "a", 1, 1, made.record, Verdict(True))
+    assert not of_type(host.feed(BatchesRead(host.now_ms, ()), (copy,)), Propose)
--- a/tests/core/requests/test_quota.py
+++ b/tests/core/requests/test_quota.py
@@ -2,6 +2,9 @@
 
 from dataclasses import replace
 
+import pytest
+
+from courselead.core.effects import RunState
 from courselead.core.fleet.state import HostStatus
 from courselead.core.requests import quota, shares
 from courselead.core.requests.settle import settled_offset
@@ -12,6 +15,7 @@
     Host,
     fleet_of,
     host_state,
+    problems,
     sends,
     service,
     with_host,
@@ -91,15 +95,16 @@
     host = cluster.hosts["a"]
     assert fill(cluster, "a", 4) == 4
     cluster.fleet = with_host(cluster.fleet, host_state("c", joined=2, settled=-1))
-    cluster.read("a")
     joined = cluster.fleet.offset
+    cluster.beat("b")
+    cluster.read("a")
     assert base_of(host, MINION) < 4
     assert fill(cluster, "a", 1) == 0
     assert settled_offset(host.state, host.fleet) < joined
     for key in list(cluster.open):
         cluster.answer(key)
     cluster.tick(100, "a")
-    assert settled_offset(host.state, host.fleet) == joined
+    assert settled_offset(host.state, host.fleet) == host.fleet.offset
 
 
 def test_a_host_that_joins_has_no_share_until_the_others_have_settled():
@@ -139,11 +144,12 @@
     assert by_host.count("a") == 4
 
 
-def test_units_given_back_are_not_used_again():
+@pytest.mark.parametrize("ended", [2, 7])
+def test_units_given_back_are_not_used_again(ended):
     cluster = cluster_of(HOSTS[:2])
     fill(cluster, "a", 8)
     cluster.rounds(3)
-    for key in list(cluster.open)[:7]:
+    for key in list(cluster.open)[:ended]:
         cluster.answer(key)
     cluster.tick(200, "a")
     cluster.deliver_all()
@@ -212,7 +218,7 @@
     cluster.fleet = with_host(cluster.fleet, joined)
     cluster.hosts["c"] = Host(cluster.fleet, "c", now_ms=1_000)
     cluster.settle()
-    assert fill(cluster, "c", 1) == 0
+    assert base_of(cluster.hosts["c"], "service:acme/web") == 0
     for key in list(cluster.open):
         cluster.answer(key)
     for name in "abc":
@@ -229,3 +235,36 @@
     cluster.read("b")
     assert not cluster.hosts["b"].state.lent
     assert cluster.fleet.hosts["a"].status is HostStatus.LOST
+
+
+def test_a_borrower_settles_the_loss_of_its_lender_when_it_gives_up_the_loan():
+    cluster = cluster_of()
+    fill(cluster, "a", 8)
+    cluster.rounds(4)
+    assert len(cluster.open) == 8
+    cluster.lose_host("b")
+    lost = cluster.fleet.offset
+    cluster.read("a")
+    host = cluster.hosts["a"]
+    assert settled_offset(host.state, host.fleet) < lost
+    for key in list(cluster.open)[:4]:
+        cluster.answer(key)
+    cluster.tick(100, "a")
+    assert settled_offset(host.state, host.fleet) == lost
+
+
+def test_a_host_that_was_lost_starts_over_without_loans():
+    cluster = cluster_of(HOSTS[:2])
+    fill(cluster, "a", 10)
+    cluster.rounds(3)
+    cluster.lose_host("a")
+    cluster.read("a")
+    host = cluster.hosts["a"]
+    assert not host.state.waiting
+    (reply,) = [one for one in problems(host.all) if one.request_id == "a-9"]
+    assert reply.problem.run is RunState.NOT_RUN
+    cluster.rejoin("a")
+    cluster.read("a")
+    assert not host.state.borrowed
+    assert settled_offset(host.state, host.fleet) < cluster.fleet.offset
+    assert fill(cluster, "a", 1) == 0
