--- a/courselead/core/requests/claims.py
+++ b/courselead/core/requests/claims.py
@@ -123,6 +123,22 @@
             _take_one(turn, applied, claim)
 
 
+def after_gap(turn: Turn) -> None:
+    """Look up own claims after records were skipped by loading a snapshot.
+
+    A claim that is not there yet may still come and is waited for.
+    """
+    for req in sync.waiting_requests(turn, Phase.CLAIMING):
+        held = turn.ctx.fleet.claims.get(key_of(req.arrived))
+        if held is None:
+            continue
+        own = held.request_id == req.arrived.request_id
+        if own and held.outcome is ClaimOutcome.PENDING:
+            lifecycle.unhold(turn, replace(req, claimed=True), front=False)
+            continue
+        _lost(turn, req)
+
+
 def log_lost(turn: Turn) -> None:
     """Answer all that waits for the log; it will not hear from it in time."""
     for req in sync.waiting_requests(turn, Phase.CLAIMING):
--- a/courselead/core/requests/reducer.py
+++ b/courselead/core/requests/reducer.py
@@ -19,6 +19,7 @@
     RequestArrived,
     SendNotRun,
     SendUnknown,
+    SnapshotLoaded,
     Tick,
 )
 from courselead.core.requests import (
@@ -95,6 +96,10 @@
     claims.take_verdicts(turn)
 
 
+def _on_snapshot(turn: Turn, event: SnapshotLoaded) -> None:
+    claims.after_gap(turn)
+
+
 def _on_log(turn: Turn, event: LogReachable) -> None:
     if not event.up:
         claims.log_lost(turn)
@@ -140,6 +145,7 @@
     AnswerBroken: attempts.broken,
     Tick: _on_tick,
     BatchesRead: _on_batches,
+    SnapshotLoaded: _on_snapshot,
     LogReachable: _on_log,
     MembersListed: _on_members,
     LeaveAsked: _on_leave,
--- a/tests/core/requests/test_claims.py
+++ b/tests/core/requests/test_claims.py
@@ -19,6 +19,7 @@
     NotRunReason,
     SendNotRun,
     SendUnknown,
+    SnapshotLoaded,
 )
 from courselead.core.fleet.apply import apply_batch
 from courselead.core.fleet.records import (
@@ -209,3 +210,17 @@
     host.answer(send)
     copy = Applied(99, "a", 1, 1, made.record, Verdict(True))
     assert not of_type(host.feed(BatchesRead(host.now_ms, ()), (copy,)), Propose)
+
+
+def test_claims_that_a_snapshot_skipped_are_looked_up():
+    log = Log()
+    host, other = log.hosts["a"], log.hosts["b"]
+    mine = log.arrive("a")
+    lost = log.arrive("a", key="k2")
+    unseen, host.feed = host.feed, lambda *_: []
+    log.write_out("b", log.arrive("b", key="k2"))
+    log.write_out("a", mine + lost)
+    host.feed = unseen
+    effects = host.feed(SnapshotLoaded(host.now_ms, other.fleet))
+    assert [send.request_id for send in sends(effects)] == ["a-1"]
+    assert kind(effects) is ProblemKind.KEY_IN_USE
