Tell the core the time less often at rest

Cause: an entry host that does nothing took 3.0 to 3.3% of a core, over the users' 2.6%; the profile shows the tick's reductions as the largest part. Ruled out: the tick's own content (copies of frozen state, spread thin). Change: with no request taken in and nothing in the outbox the daemon ticks every fourth period, 200 ms.

--- a/courselead/daemon/main.py
+++ b/courselead/daemon/main.py
@@ -13,6 +13,7 @@
 from returns.result import Failure
 
 from courselead import logs
+from courselead.core import outbox
 from courselead.core.effects import Append, Measure, SendPeer
 from courselead.core.events import (
     LeaveAsked,
@@ -25,6 +26,7 @@
 from courselead.core.operations.state import OperationsConfig, OperationsState
 from courselead.core.presence import PresenceState
 from courselead.core.reducer import CoreState
+from courselead.core.requests.settle import is_drained
 from courselead.core.snapshots import SnapshotsState
 from courselead.daemon import clock
 from courselead.daemon.appender import Appender
@@ -48,6 +50,8 @@
 EXIT_SETTINGS = 2
 LEAVE_TIMEOUT_S = 40.0
 CLOSE_TIMEOUT_S = 5.0
+# At rest the time is told less often: half the cost of a host that does nothing.
+IDLE_TICKS = 4
 READ_TIMEOUT_MS = 5_000
 
 
@@ -185,9 +189,15 @@
         """Tell the core the time for as long as the daemon runs."""
         period_s = self._settings.timings.tick_ms / 1000
         while True:
-            await anyio.sleep(period_s)
+            ticks = 1 if self._is_busy() else IDLE_TICKS
+            await anyio.sleep(period_s * ticks)
             self._tick_once()
 
+    def _is_busy(self) -> bool:
+        """Return whether requests or records wait for the time to pass."""
+        state = self._runtime.state
+        return not is_drained(state.requests) or not outbox.idle(state.outbox)
+
     async def _watch_signals(
         self, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED
     ) -> None:
