Record the path's measurements; tick in the bench as the daemon does

Change: the slopes' cluster pauses as the daemon does; the memory table's base is exactly what the daemon loads, without the library of colours that it leaves out.

--- a/benchmarks/path/__main__.py
+++ b/benchmarks/path/__main__.py
@@ -1,5 +1,6 @@
 """Command line: `python -m benchmarks.path [--only NAME] [--write]`."""
 
+import os
 import signal
 import sys
 from collections.abc import Awaitable, Callable
@@ -34,6 +35,9 @@
     write: Annotated[bool, Parameter(help="Put the tables into the page.")] = False,
 ) -> int:
     """Run the parts named, or all; each ends its processes within a bound."""
+    # An installed program has its compiled modules; to compile them at each
+    # start would count as the daemon's time and memory.
+    os.environ.pop("PYTHONDONTWRITEBYTECODE", None)
     for name in only or list(PARTS):
         recorder = Recorder(f"script/bench path --only {name}")
         text = anyio.run(_bounded, PARTS[name])
--- a/benchmarks/path/rest.py
+++ b/benchmarks/path/rest.py
@@ -24,26 +24,45 @@
 STARTS = 5
 KIB = 1_024
 ONE_HOST = Shape("no workers, one entry host", 1, 1, 0, {})
-LIBRARIES = (
-    "anyio, anyio._backends._asyncio, msgpack, msgspec, structlog, aioprometheus, "
-    "returns.result, httpcore, h11, uvicorn, immutables, xxhash"
+DAEMON = "courselead.daemon.main, courselead.integrations.http_api.server"
+# Every module that the daemon loads and that is not its own.
+LIST_OTHERS = (
+    f"import sys; sys.modules['rich'] = None; import {DAEMON}; "
+    "print(','.join(sorted(name for name in sys.modules if name != '__main__' "
+    "and name.partition('.')[0] != 'courselead')))"
 )
-IMPORTS = {
-    "bare interpreter": "sys",
-    "interpreter and the daemon's libraries": LIBRARIES,
-    "the same and courselead.daemon.main": f"{LIBRARIES}, courselead.daemon.main",
-}
+
+
+IMPORTER = """
+import gc, importlib, sys
+sys.modules["rich"] = None  # as `courselead serve` has it
+for name in "{modules}".replace(" ", "").split(","):
+    try:
+        importlib.import_module(name)
+    except ImportError:
+        pass
+gc.collect()
+print("ready", flush=True)
+sys.stdin.read()
+"""
 
 
 async def measure_memory() -> str:
     """Return the memory of interpreters that only import, and of daemons."""
-    rows = []
-    base = 0
-    for name, modules in IMPORTS.items():
-        found = await _imported(modules)
-        if modules == LIBRARIES:
-            base = found.private
-        rows.append((name, found.rss / KIB, found.private / KIB, ""))
+    done = await anyio.run_process([sys.executable, "-c", LIST_OTHERS])
+    libraries = done.stdout.decode().strip()
+    bare = await _imported("sys")
+    others = await _imported(libraries)
+    own = await _imported(DAEMON)
+    base = others.private
+    rows: list[tuple] = []
+    for name, found in (
+        ("bare interpreter", bare),
+        ("all libraries that the daemon loads, imported", others),
+        ("courselead.daemon.main imported", own),
+    ):
+        beyond = (found.private - base) / KIB
+        rows.append((name, found.rss / KIB, found.private / KIB, beyond))
     for shape in (ONE_HOST, ALOISI, COOPERATIVE, TARGET):
         async with running(shape) as lab:
             await anyio.sleep(SETTLE_S)
@@ -57,7 +76,7 @@
         "process",
         "RSS, MiB",
         "private, MiB",
-        "beyond interpreter and libraries, MiB",
+        "private beyond the libraries, MiB",
     )
     return table(columns, rows)
 
@@ -104,7 +123,7 @@
 
 async def _imported(modules: str) -> proc.Memory:
     """Return the memory of an interpreter that has imported some modules."""
-    code = f"import {modules}; print('ready', flush=True); import sys; sys.stdin.read()"
+    code = IMPORTER.format(modules=modules)
     command = [sys.executable, "-c", code]
     process: Process = await anyio.open_process(
         command, stdin=PIPE, stdout=PIPE, stderr=DEVNULL
--- a/benchmarks/slopes/cluster.py
+++ b/benchmarks/slopes/cluster.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 
 from benchmarks.slopes.fleets import START_WALL_MS, Builder, host_name, worker_info
+from courselead.core import outbox
 from courselead.core.effects import Append, CallAgent, Effect, SendPeer
 from courselead.core.events import (
     AgentAnswered,
@@ -29,6 +30,8 @@
 from courselead.core.identity import Identity
 from courselead.core.outbox import OutboxState
 from courselead.core.reducer import CoreState, reduce
+from courselead.core.requests.settle import is_drained
+from courselead.daemon.main import IDLE_TICKS
 from courselead.integrations.peers.codec import FrameDecoder, encode
 
 TICK_MS = 50
@@ -112,10 +115,17 @@
         for effect in effects:
             self._perform(index, effect)
         if isinstance(event, Tick):
-            self._later(index, self._tick(self.now_ms + TICK_MS), TICK_MS)
+            pause_ms = self._pause_ms(index)
+            self._later(index, self._tick(self.now_ms + pause_ms), pause_ms)
         if isinstance(event, MembersListed):
             self._later(index, self._listed(self.now_ms + LIST_MS), LIST_MS)
 
+    def _pause_ms(self, index: int) -> int:
+        """Return the time to a host's next tick, as the daemon has it."""
+        state = self.states[index]
+        busy = not is_drained(state.requests) or not outbox.idle(state.outbox)
+        return TICK_MS if busy else TICK_MS * IDLE_TICKS
+
     def _perform(self, index: int, effect: Effect) -> None:
         """Let the log, a peer or an agent answer."""
         if isinstance(effect, Append):
