Count a peer's silence up to the newest record read, and anew after a break

Cause: core/presence held peers lost while the log was away, if this host had not noticed the outage: a read that waits for records sees it only when it ends, after 5 s, and idle peers report every 3 s now, which is longer than a short lost_after_ms. The `HostLost` proposed meanwhile was stored and accepted when the log came back, before the peers' next heartbeats. Change: silence ends with the newest record read, and reading begins anew after a pause of more than one and a half heartbeats: own heartbeats come back too, so without them it is the log that is silent. Conclusion: an outage that is not noticed writes nobody off.

--- a/courselead/core/presence.py
+++ b/courselead/core/presence.py
@@ -4,7 +4,11 @@
 break for the whole time, has seen no new heartbeat in it, and has heard
 nothing on the peer stream either. So a zone that is cut from the platform
 alone, and still talks to its peers, is never written off; and a host that
-has just come back from an outage of the log writes nobody off.
+has just come back from an outage of the log writes nobody off. Silence is
+counted up to the newest record read, not up to now, and anew after a break in
+the records: while nothing comes from the log, not even this host's own
+heartbeats, the log is silent and not the peers, whether or not this host has
+noticed an outage.
 """
 
 from dataclasses import dataclass, field, replace
@@ -30,6 +34,7 @@
 BEAT_MS_PER_HOST = 200
 BEATS_UNTIL_LOST = 3
 DEFAULT_LOST_AFTER_MS = 10_000
+BEAT_JITTER_MS = 200
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,6 +54,7 @@
         beat_at_ms: When the next heartbeat is due.
         reading_since_ms: Since when the log has been read without a break,
             None while it cannot be read.
+        read_ms: When the newest records were read.
         beats: Newest heartbeat seen of each other host.
         lost_proposed: Heartbeat offsets named in `HostLost` proposals.
         leave_proposed: Whether the leave has been proposed.
@@ -61,6 +67,7 @@
     join_at_ms: int = 0
     beat_at_ms: int = 0
     reading_since_ms: int | None = None
+    read_ms: int = 0
     beats: Map[str, SeenBeat] = field(default_factory=Map)
     lost_proposed: Map[str, int] = field(default_factory=Map)
     leave_proposed: bool = False
@@ -84,12 +91,27 @@
         since_ms = event.now_ms if event.up else None
         return replace(state, reading_since_ms=since_ms), ()
     if isinstance(event, BatchesRead):
+        if event.batches:
+            state = _note_read(state, ctx)
         return _observe(state, ctx)
     if isinstance(event, Tick):
         return _on_tick(state, ctx, settled, drained)
     return state, ()
 
 
+def _note_read(state: PresenceState, ctx: Context) -> PresenceState:
+    """Note that records came; after a break, reading begins anew.
+
+    This host's own heartbeats come back through the log, so that a pause much
+    longer than theirs is a break, whatever the others do.
+    """
+    since_ms = state.reading_since_ms
+    break_ms = _beat_ms(state, ctx) * 3 // 2 + BEAT_JITTER_MS
+    if since_ms is None or ctx.now_ms - state.read_ms > break_ms:
+        since_ms = ctx.now_ms
+    return replace(state, reading_since_ms=since_ms, read_ms=ctx.now_ms)
+
+
 def _observe(
     state: PresenceState, ctx: Context
 ) -> tuple[PresenceState, tuple[Effect, ...]]:
@@ -162,7 +184,8 @@
     early_ms = beat_ms * 3 // 4 if waiting else 0
     if ctx.now_ms < state.beat_at_ms - early_ms:
         return state, ()
-    jitter_ms = score(f"beat:{ctx.now_ms}", ctx.me.entry_host, ctx.me.seed) % 200
+    jitter_ms = score(f"beat:{ctx.now_ms}", ctx.me.entry_host, ctx.me.seed)
+    jitter_ms %= BEAT_JITTER_MS
     state = replace(state, beat_at_ms=ctx.now_ms + beat_ms + jitter_ms)
     record = HostBeat(
         entry_host=ctx.me.entry_host,
@@ -218,7 +241,7 @@
 
 
 def _silent_ms(state: PresenceState, ctx: Context, name: str, beat: SeenBeat) -> int:
-    """Return for how long nothing at all was heard of a host."""
+    """Return for how long others were heard in the log, and a host nowhere."""
     heard_ms = max(beat.seen_ms, ctx.heard_ms.get(name, 0))
     heard_ms = max(heard_ms, state.reading_since_ms or 0)
-    return ctx.now_ms - heard_ms
+    return state.read_ms - heard_ms
--- a/tests/core/test_presence.py
+++ b/tests/core/test_presence.py
@@ -67,6 +67,23 @@
     assert kinds(log, HostLost) == []
 
 
+def test_an_outage_that_is_not_noticed_writes_nobody_off():
+    log, a, _ = pair()
+    before = len(log.batches)
+    a.lose = AppendResult.NOT_STORED
+    healed_ms = 6 * DEFAULT_LOST_AFTER_MS
+    for now_ms in range(1_050, healed_ms, 50):
+        a.tick(now_ms)
+    assert a.state.log_up
+    assert len(log.batches) == before
+    a.lose = None
+    a.run(healed_ms + DEFAULT_LOST_AFTER_MS - 100)
+    assert kinds(log, HostLost) == []
+    assert len(log.batches) > before
+    a.run(healed_ms + 2 * DEFAULT_LOST_AFTER_MS)
+    assert len(kinds(log, HostLost)) == 1
+
+
 def test_a_heartbeat_in_between_voids_the_loss():
     log, a, b = pair()
     named = a.state.fleet.hosts["b"].last_beat
