--- a/demo/processes.py
+++ b/demo/processes.py
@@ -86,6 +86,15 @@
         process.kill()
         return await process.wait()
 
+    async def kill(self, *names: str) -> list[int]:
+        """Kill processes at once and return their exit codes."""
+        # No second signal: sending one reaps a process that has ended, and its
+        # exit code is lost to whoever waits for it.
+        processes = [self._running.pop(name) for name in names]
+        for process in processes:
+            process.kill()
+        return [await process.wait() for process in processes]
+
     async def end_all(self) -> dict[str, int]:
         """End everything, the daemons first; return the exit codes."""
         codes: dict[str, int] = {}
