Bring a worker back at its next epoch after a cancelled stop or a loss

Cause: a stop that was taken back, and a lost worker whose minion answered again, let the worker serve on at the same epoch. A call to stop it that an entry host had under way, or made before a pause, then still counted: it stopped a serving minion that no budget had been claimed for. The same return made its slots' quota current again after the loans of it had been forgotten, so that more was in use than the shares and loans allowed. Change: StopCancelled and WorkerBack lead to STARTING at the next epoch. The agent takes the start of the minion that serves already as done and refuses the older call from then on. MinionUp is valid while STARTING only.

--- a/courselead/core/fleet/stops.py
+++ b/courselead/core/fleet/stops.py
@@ -58,19 +58,17 @@
 def stop_cancelled(
     fleet: FleetState, origin: Origin, record: StopCancelled
 ) -> _Outcome:
-    """Let a worker serve on whose minion has not been stopped."""
+    """Bring a worker back whose stop has not been confirmed.
+
+    An entry host that was paused may yet call for the stop at this epoch. So the
+    worker comes back at the next one: its agent takes the start of a minion
+    that serves already as done, and from then on refuses the older call.
+    """
     worker = fleet.workers.get(record.worker)
     reason = fault(worker, record.epoch, (WorkerPhase.STOPPING,))
     if reason or worker is None:
         return fleet, verdicts.refused(reason)
-    worker = replace(
-        worker,
-        phase=WorkerPhase.SERVING,
-        since=origin.offset,
-        purpose=None,
-        next_pool="",
-        reason=record.reason,
-    )
+    worker = replace(restarted(worker, origin.offset), reason=record.reason)
     return with_worker(fleet, worker), verdicts.ACCEPTED
 
 
--- a/courselead/core/fleet/workers.py
+++ b/courselead/core/fleet/workers.py
@@ -20,7 +20,6 @@
 
 _Outcome = tuple[FleetState, Verdict]
 
-_MAY_COME_UP = (WorkerPhase.STARTING, WorkerPhase.DOWN)
 _NOT_QUARANTINED = frozenset(WorkerPhase) - {
     WorkerPhase.GONE,
     WorkerPhase.QUARANTINED,
@@ -133,7 +132,7 @@
 def minion_up(fleet: FleetState, origin: Origin, record: MinionUp) -> _Outcome:
     """Let a worker serve: its minion is there."""
     worker = fleet.workers.get(record.worker)
-    reason = fault(worker, record.epoch, _MAY_COME_UP)
+    reason = fault(worker, record.epoch, (WorkerPhase.STARTING,))
     if not reason and not record.address:
         reason = verdicts.NO_ADDRESS
     if reason or worker is None:
@@ -166,7 +165,11 @@
 
 
 def worker_back(fleet: FleetState, origin: Origin, record: WorkerBack) -> _Outcome:
-    """Start a new minion on a lost worker that answers again."""
+    """Bring a lost worker back at its next epoch, with or without its minion.
+
+    A call to stop it may be left over from before the loss; see
+    `stops.stop_cancelled`.
+    """
     worker = fleet.workers.get(record.worker)
     reason = fault(worker, record.epoch, (WorkerPhase.DOWN,))
     if reason or worker is None:
--- a/courselead/core/operations/health.py
+++ b/courselead/core/operations/health.py
@@ -7,12 +7,11 @@
 from dataclasses import replace
 
 from courselead.core.events import AgentAnswered, AgentFailed, AgentOp, AgentReport
-from courselead.core.fleet.records import MinionUp, WorkerBack, WorkerDown
+from courselead.core.fleet.records import WorkerBack, WorkerDown
 from courselead.core.fleet.state import WorkerPhase, WorkerState
 from courselead.core.operations.draft import Draft
 from courselead.core.operations.lifecycle import (
     ACTIVE,
-    MINION_SERVING,
     MINION_STOPPED,
 )
 
@@ -100,11 +99,6 @@
         return
     if worker.phase is not WorkerPhase.DOWN or report.rebooting:
         return
-    same = report.epoch == worker.epoch and worker.minion_address
-    if same and report.minion_state == MINION_SERVING:
-        address = report.minion_address
-        draft.propose(MinionUp(worker.worker, worker.epoch, address))
-        return
     draft.propose(WorkerBack(worker.worker, worker.epoch))
 
 
--- a/tests/core/fleet/test_workers.py
+++ b/tests/core/fleet/test_workers.py
@@ -55,6 +55,10 @@
     assert second.reason == verdicts.BUDGET_SPENT
     assert serving_workers(log.fleet, POOL) == ("w2", "w3", "w4")
     log.take("h1", StopCancelled("w1", 1, "full"))
+    assert log.one("h2", stop("w2")).reason == verdicts.BUDGET_SPENT
+    # At the next epoch: a call to stop it may be left over from this one.
+    assert log.one("h1", MinionUp("w1", 1, "w1:80")).reason == verdicts.STALE_EPOCH
+    log.take("h1", MinionUp("w1", 2, "w1:80"))
     assert log.one("h2", stop("w2")).accepted
 
 
