Keep whole rooms for urgent jobs, for longer where moves weigh more

Cause: room kept for urgent jobs in parts was filled up by small batch jobs before it was whole, so that later urgent jobs displaced batch work again. Change: room is kept on named workers, also while it is not whole yet; its size follows larger jobs fast, and its memory is scaled by the account's move_cost.

--- a/benchmarks/jobs/__main__.py
+++ b/benchmarks/jobs/__main__.py
@@ -1,5 +1,7 @@
 """Command line: `python -m benchmarks.jobs --seed S`."""
 
+import sys
+
 from cyclopts import App
 
 from benchmarks.figures import Recorder
@@ -33,6 +35,8 @@
     error: float = 0.6,
     fleet: list[str] | None = None,
     policy: list[str] | None = None,
+    learning: bool | None = None,
+    reserve: bool = True,
     wave: bool = True,
 ) -> None:
     """Run every policy with and without learned sizes, and print the table.
@@ -43,20 +47,22 @@
             makes declared sizes true.
         fleet: Fleets to run, all if none is named.
         policy: Policies to run, all if none is named.
+        learning: Whether to use learned sizes; both ways if not said.
+        reserve: Whether room is kept free for urgent jobs.
         wave: Whether a maintenance wave goes over the fleet meanwhile.
     """
-    command = f"python -m benchmarks.jobs --seed {seed} --error {error:g}"
-    recorder = Recorder(command if wave else f"{command} --no-wave")
+    recorder = Recorder(" ".join(["python -m benchmarks.jobs", *sys.argv[1:]]))
     print(report.header())
     for name in fleet or list(FLEETS):
         shape = FLEETS[name]
         jobs = arrivals(shape, seed, error)
         for kind in policy or list(POLICIES):
-            for learning in (False, True):
-                driver = Driver(Run(shape, POLICIES[kind], learning, wave), jobs)
+            for learns in (False, True) if learning is None else (learning,):
+                run = Run(shape, POLICIES[kind], learns, reserve, wave)
+                driver = Driver(run, jobs)
                 driver.finish()
                 figures = Figures.from_driver(driver)
-                print(report.row(name, kind, learning, figures), flush=True)
+                print(report.row(name, kind, learns, figures), flush=True)
     print()
     print(recorder.source().line())
 
--- a/benchmarks/jobs/driver.py
+++ b/benchmarks/jobs/driver.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
+from immutables import Map
+
 from benchmarks.jobs.load import SERVICES, Arrival, FleetShape, service_name
 from benchmarks.jobs.workers import Worker
 from courselead.core.context import Context
@@ -52,7 +54,8 @@
 WAVE_FROM_MS = 300_000
 WAVE_STEP_MS = 1_000
 LIMIT_MS = 6 * 3_600_000
-CLOCK_MS = 1_000_000
+# Wall time of the begin; workers have never been maintained then.
+CLOCK_MS = 1_700_000_000_000
 
 _OPEN = (JobPhase.WAITING, JobPhase.PLACED, JobPhase.CANCELLING)
 
@@ -63,12 +66,14 @@
 
     Attributes:
         learning: Whether learned sizes are used.
+        reserve: Whether room is kept free for urgent jobs.
         wave: Whether a maintenance wave goes over the fleet meanwhile.
     """
 
     shape: FleetShape
     policy: Policy
     learning: bool
+    reserve: bool
     wave: bool
 
 
@@ -125,6 +130,7 @@
         shape = self.run.shape
         me = self.me
         joined = HostJoined(me.entry_host, 1, me.availability_zone, me.peer_address)
+        account = AccountRow(shape.name, move_cost=shape.move_cost)
         rows = []
         infos = []
         records: list[Record] = []
@@ -145,7 +151,7 @@
                 pool = pool_name(shape.name, name)
                 records.append(WorkerAssigned(worker, 0, pool, 1))
                 records.append(MinionUp(worker, 1, "127.0.0.1:3"))
-        table = TablePublished(-1, (AccountRow(shape.name),), tuple(rows), (), "bench")
+        table = TablePublished(-1, (account,), tuple(rows), (), "bench")
         return [joined, table, WorkersSeen(tuple(infos)), *records]
 
     def _write(self, *records: Record) -> None:
@@ -188,6 +194,8 @@
         self.jobs, effects = reducer.reduce(self.jobs, ctx, event, self.run.policy)
         if not self.run.learning:
             self.jobs = replace(self.jobs, sizes=Sizes())
+        if not self.run.reserve:
+            self.jobs = replace(self.jobs, urgent=Map())
         for effect in effects:
             self._perform(effect)
         if self._proposals and not self._appending:
--- a/benchmarks/jobs/load.py
+++ b/benchmarks/jobs/load.py
@@ -22,13 +22,14 @@
     name: str
     zones: int
     pool_workers: int
+    move_cost: float
     cores: float = 32.0
     memory_mb: int = 128 * 1024
 
 
 FLEETS = {
-    "aloisi": FleetShape("aloisi", zones=4, pool_workers=8),
-    "cooperative": FleetShape("cooperative", zones=3, pool_workers=6),
+    "aloisi": FleetShape("aloisi", zones=4, pool_workers=8, move_cost=4.0),
+    "cooperative": FleetShape("cooperative", zones=3, pool_workers=6, move_cost=1.0),
 }
 
 
--- a/benchmarks/jobs/report.py
+++ b/benchmarks/jobs/report.py
@@ -16,6 +16,7 @@
     Attributes:
         makespan_min: Until the last job ended, minutes.
         batch_p50_min: Median time from submission to end of batch jobs.
+        batch_p95_min: The same, 95th percentile.
         late_pct: Part of the normal jobs that ended after their deadlines,
             those that were refused included.
         late_mean_s: Mean lateness of those that ran, seconds; 0 if in time.
@@ -24,8 +25,7 @@
         killed: Attempts killed for lack of memory.
         moves: Times a job was taken from a worker.
         evictions: Those of them that made room for urgent jobs.
-        used_pct: Part of the cores for jobs that was used, until the end of
-            nine in ten jobs' worth of time.
+        used_pct: Part of the cores for jobs that was used until the last end.
         urgent_p50_ms: Median time from submission to start of urgent jobs.
         urgent_p99_ms: The same, 99th percentile.
         urgent_over_1s: Urgent jobs that started later than 1 s.
@@ -33,6 +33,7 @@
 
     makespan_min: float
     batch_p50_min: float
+    batch_p95_min: float
     late_pct: float
     late_mean_s: float
     refused: int
@@ -50,19 +51,15 @@
         """Return the figures of a finished run."""
         urgent = _waits(driver)
         late = _lateness(driver)
-        batch = [
-            driver.ended_ms[one.spec.job_id] - one.at_ms
-            for one in driver.arrivals.values()
-            if one.spec.request_class is RequestClass.BATCH
-            and one.spec.job_id in driver.ended_ms
-        ]
+        batch = _batch_times(driver)
         jobs = driver.fleet.jobs.values()
         used = sum(worker.used_core_ms for worker in driver.workers.values())
         cores = sum(worker.cores for worker in driver.workers.values())
         span_ms = max(driver.ended_ms.values())
         return cls(
             makespan_min=span_ms / MINUTE_MS,
-            batch_p50_min=_percentile(sorted(batch), 0.5) / MINUTE_MS,
+            batch_p50_min=_percentile(batch, 0.5) / MINUTE_MS,
+            batch_p95_min=_percentile(batch, 0.95) / MINUTE_MS,
             late_pct=100 * sum(one != 0 for one in late) / len(late),
             late_mean_s=sum(max(one, 0) for one in late) / len(late) / 1_000,
             refused=len(driver.refused),
@@ -77,6 +74,17 @@
         )
 
 
+def _batch_times(driver: Driver) -> list[int]:
+    """Return the times from submission to end of batch jobs, sorted."""
+    times = []
+    for job_id, one in driver.arrivals.items():
+        if one.spec.request_class is not RequestClass.BATCH:
+            continue
+        if job_id in driver.ended_ms:
+            times.append(driver.ended_ms[job_id] - one.at_ms)
+    return sorted(times)
+
+
 def _waits(driver: Driver) -> list[int]:
     """Return how long urgent jobs waited for their start, sorted."""
     waits = []
--- a/courselead/core/jobs/pool_plan.py
+++ b/courselead/core/jobs/pool_plan.py
@@ -42,6 +42,7 @@
         queue: The pool's waiting jobs in order.
         rooms: Its workers with what is free on them.
         reserve: What lesser work leaves free for urgent jobs.
+        kept: For how many of them, by worker.
         largest: The most that any of the workers could give a job.
         at: Position of the next job to be looked at.
         misses: Jobs in this pass that found no room.
@@ -59,6 +60,7 @@
     rooms: dict[str, Room]
     reserve: Reserve
     largest: Need
+    kept: dict[str, int] = field(default_factory=dict)
     at: int = 0
     misses: int = 0
     reservation: Reservation | None = None
@@ -83,6 +85,7 @@
             reserve=Reserve.from_state(state, ctx, pool),
             largest=_largest(rooms),
         )
+        plan.kept = plan.reserve.held_on(rooms)
         plan.held.update(one.worker for one in state.evictions.values())
         return plan
 
@@ -126,9 +129,10 @@
                 continue
             if self._is_reserved(room, need):
                 continue
+            kept = self.kept.get(room.worker, 0)
+            if key[0] != _URGENT and not self.reserve.takes(room, need, kept):
+                continue
             rooms.append(room)
-        if key[0] != _URGENT:
-            rooms = self.reserve.leaves(rooms, self.rooms, need)
         return self._without_suspects(rooms, job)
 
     def _without_suspects(self, rooms: list[Room], job: JobState) -> list[Room]:
--- a/courselead/core/jobs/reserve.py
+++ b/courselead/core/jobs/reserve.py
@@ -19,7 +19,11 @@
 from courselead.core.table import RequestClass, pool_name
 
 _ROUND = 0.5
-_SIZE_GAIN = 0.2
+# Bounds of how far an account's weight of moves changes the memory.
+_LEAST_COST = 0.25
+_MOST_COST = 6.0
+_RAISE_GAIN = 0.5
+_LOWER_GAIN = 0.05
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,7 +44,7 @@
         demand = state.urgent.get(pool)
         if demand is None:
             return _NONE
-        kept = int(faded(demand, ctx.now_ms) + _ROUND)
+        kept = int(faded(demand, ctx.now_ms, _move_cost(ctx, pool)) + _ROUND)
         if not kept:
             return _NONE
         kept -= urgent_running(ctx, pool)
@@ -48,45 +52,44 @@
         need = _capped(ctx, pool, need)
         return cls(min(kept, _most(ctx, pool, need)), need)
 
-    def leaves(
-        self, rooms: list[Room], all_rooms: dict[str, Room], need: Need
-    ) -> list[Room]:
-        """Return those of the rooms whose use by a job leaves enough free."""
-        if self.count <= 0 or not rooms:
-            return rooms
-        slots = {room.worker: self._slots(room, _NOTHING) for room in rooms}
-        total = sum(slots.values())
-        for room in all_rooms.values():
-            if room.worker not in slots:
-                total += self._slots(room, _NOTHING)
-        kept = []
-        for room in rooms:
-            lost = slots[room.worker] - self._slots(room, need)
-            if not lost or total - lost >= self.count:
-                kept.append(room)
-        return kept
-
-    def _slots(self, room: Room, taken: Need) -> int:
-        """Return how many urgent jobs have room beside what is taken."""
-        if room.suspect:
-            return 0
-        cores = room.cores - taken.cores
-        memory_mb = room.memory_mb - taken.memory_mb
-        if cores < self.need.cores or memory_mb < self.need.memory_mb:
-            return 0
-        by_cores = cores / self.need.cores if self.need.cores else self.count
-        by_memory = memory_mb / self.need.memory_mb if self.need.memory_mb else by_cores
-        return int(min(by_cores, by_memory))
+    def held_on(self, rooms: dict[str, Room]) -> dict[str, int]:
+        """Return on which workers room for how many urgent jobs is kept.
+
+        Room is kept where the most is free, also where it is not enough yet:
+        lesser work stays off until it is.
+        """
+        free = {
+            room.worker: [room.cores, room.memory_mb]
+            for room in rooms.values()
+            if not room.suspect
+        }
+        held: dict[str, int] = {}
+        for _ in range(self.count if free else 0):
+            worker = max(free, key=lambda name: (*free[name], name))
+            free[worker][0] -= self.need.cores
+            free[worker][1] -= self.need.memory_mb
+            held[worker] = held.get(worker, 0) + 1
+        return held
+
+    def takes(self, room: Room, need: Need, held: int) -> bool:
+        """Return whether a lesser job fits beside the room that is kept."""
+        cores = need.cores + held * self.need.cores
+        memory_mb = need.memory_mb + held * self.need.memory_mb
+        return cores <= room.cores and memory_mb <= room.memory_mb
 
 
 _NOTHING = Need(0.0, 0, 0)
 _NONE = Reserve(0, _NOTHING)
 
 
-def faded(demand: UrgentDemand, now_ms: int) -> float:
-    """Return how many urgent jobs at once are still remembered."""
+def faded(demand: UrgentDemand, now_ms: int, move_cost: float) -> float:
+    """Return how many urgent jobs at once are still remembered.
+
+    An account that weighs moves high keeps the room for longer.
+    """
+    weight = max(_LEAST_COST, min(_MOST_COST, move_cost))
     age_ms = max(0, now_ms - demand.at_ms)
-    return demand.count * 0.5 ** (age_ms / const.URGENT_HALF_LIFE_MS)
+    return demand.count * 0.5 ** (age_ms / (const.URGENT_HALF_LIFE_MS * weight))
 
 
 def note(state: JobsState, ctx: Context, spec: JobSpec) -> UrgentDemand | None:
@@ -99,7 +102,7 @@
     count = urgent_running(ctx, pool) + _urgent_waiting(state, ctx, pool) + 1
     if known is None:
         return UrgentDemand(count, need.cores, need.memory_mb, ctx.now_ms)
-    remembered = faded(known, ctx.now_ms)
+    remembered = faded(known, ctx.now_ms, _move_cost(ctx, pool))
     return UrgentDemand(
         count=max(float(count), remembered),
         cores=_blend(known.cores, need.cores),
@@ -129,6 +132,13 @@
     return count
 
 
+def _move_cost(ctx: Context, pool: str) -> float:
+    """Return what a move weighs for the account of a pool."""
+    row = ctx.fleet.table.services.get(pool)
+    account = queries.account_row(ctx.fleet, row.client_account) if row else None
+    return account.move_cost if account else 1.0
+
+
 def _most(ctx: Context, pool: str, need: Need) -> int:
     """Return for how many urgent jobs room may be kept in a pool."""
     cores = 0.0
@@ -151,5 +161,6 @@
 
 
 def _blend(old: float, new: float) -> float:
-    """Return the size to keep room for after one more job."""
-    return old + _SIZE_GAIN * (new - old)
+    """Return the size to keep room for: larger jobs raise it fast, others lower it."""
+    gain = _RAISE_GAIN if new > old else _LOWER_GAIN
+    return old + gain * (new - old)
--- a/tests/core/jobs/test_machine.py
+++ b/tests/core/jobs/test_machine.py
@@ -9,7 +9,7 @@
     rule,
 )
 
-from courselead.core.fleet.records import StopPlanned, StopPurpose
+from courselead.core.fleet.records import MinionUp, StopPlanned, StopPurpose
 from courselead.core.fleet.state import JobPhase, WorkerPhase
 from courselead.core.jobs import invariants
 from courselead.core.table import RequestClass
@@ -199,6 +199,8 @@
             self.rig.return_worker(name)
         elif worker.phase is WorkerPhase.SERVING and not is_reached:
             self.rig.lose_worker(name)
+        elif worker.phase is WorkerPhase.STARTING and is_reached:
+            self.rig.write(MinionUp(name, worker.epoch, "127.0.0.1:6"))
         elif worker.phase is WorkerPhase.STOPPING:
             if name not in self.rig.fleet.jobs_on:
                 self.rig.cancel_stop(name)
