Name the client account when a minion is started

Cause: the start named the service alone, and an agent takes a start as done when a minion of that service serves. A worker that had left the list with its minion running and came back was given to another account's service of the same name: its requests then ran on the first account's minion. Conclusion: an agent cannot take another account's minion for the one asked for.

--- a/courselead/core/operations/lifecycle.py
+++ b/courselead/core/operations/lifecycle.py
@@ -142,7 +142,8 @@
     draft.call(
         worker,
         AgentOp.START_MINION,
-        service=row.service,
+        # With its account: two accounts may have a service of one name.
+        service=row.pool,
         slots=row.slots,
         connections=row.connections,
     )
--- a/demo/callers.py
+++ b/demo/callers.py
@@ -80,7 +80,7 @@
         if isinstance(fetched, Failure):
             self.tally.outcomes["unknown"] += 1
             return
-        self._judge(fetched.unwrap(), service, body, ticket)
+        self._judge(fetched.unwrap(), f"{account}/{service}", body, ticket)
 
     def _headers(self, account: str, turn: int) -> list[tuple[bytes, bytes]]:
         """Return the headers of a request."""
@@ -88,7 +88,7 @@
         work_ms = str(WORK_MS[turn % len(WORK_MS)]).encode()
         return [(b"authorization", bearer), (b"x-standin-work-ms", work_ms)]
 
-    def _judge(self, answer, service: str, body: bytes, ticket: str) -> None:
+    def _judge(self, answer, pool: str, body: bytes, ticket: str) -> None:
         """Count an answer, and check that it is the one to this request."""
         data = json.loads(answer.body)
         if answer.status != STATUS_OK:
@@ -99,5 +99,5 @@
             return
         self.tally.outcomes["served"] += 1
         right = data["sha256"] == hashlib.sha256(body).hexdigest()
-        if not right or data["service"] != service:
+        if not right or data["service"] != pool:
             self.tally.wrong_answers += 1
--- a/tests/core/operations/test_lifecycle.py
+++ b/tests/core/operations/test_lifecycle.py
@@ -61,7 +61,7 @@
     own, effects = step(OperationsState(), ctx(state, 0))
     (call,) = calls(effects)
     assert (call.op, call.epoch) == (AgentOp.START_MINION, 3)
-    assert (call.service, call.slots, call.connections) == ("web", 5, 9)
+    assert (call.service, call.slots, call.connections) == ("aloisi/web", 5, 9)
     own, effects = step(
         own, ctx(state, 50), answer(AgentOp.START_MINION, 50, address="w1:81")
     )
