Count what agents carry in the bench of bytes at rest

Cause: connections to agents come and go, so the kernel's counters of open sockets missed what closed ones had carried. Change: the bench's small agents count calls and bytes themselves.

--- a/benchmarks/path/platform.py
+++ b/benchmarks/path/platform.py
@@ -36,6 +36,10 @@
 FIRST_MINION_PORT = 20_000
 
 
+# What all agents together have taken in and given out, heads included.
+COUNTS = {"calls": 0, "received_bytes": 0, "sent_bytes": 0}
+
+
 @dataclass(slots=True)
 class Agent:
     """One worker's agent."""
@@ -68,12 +72,18 @@
                     while len(rest) < length:
                         rest += await stream.receive(READ_BYTES)
                     body, data = rest[:length], rest[length:]
-                    await stream.send(self._answer(head, body))
+                    answer = self._answer(head, body)
+                    COUNTS["calls"] += 1
+                    COUNTS["received_bytes"] += len(head) + len(HEAD_END) + length
+                    COUNTS["sent_bytes"] += len(answer)
+                    await stream.send(answer)
                 except (anyio.EndOfStream, anyio.BrokenResourceError):
                     return
 
     def _answer(self, head: bytes, body: bytes) -> bytes:
         """Return the bytes of the answer to one call."""
+        if head.startswith(b"GET /-/counts"):
+            return _reply(COUNTS)
         if head.startswith(b"POST /v1/minion/start"):
             order = json.loads(body)
             if order["epoch"] > self.epoch:
--- a/benchmarks/path/proc.py
+++ b/benchmarks/path/proc.py
@@ -69,13 +69,11 @@
     return found
 
 
-def flow(before: Wire, after: Wire) -> tuple[Counter[str], Counter[str], int]:
-    """Return the bytes sent and received between two looks, by local or peer port.
+def flow(before: Wire, after: Wire) -> tuple[Counter[str], Counter[str]]:
+    """Return the bytes sent and received between two looks, by local and peer port.
 
-    Returns:
-        Sent and received by the port that the other side listens on (or this
-        side, for connections that were made to it), and how many of the sockets
-        came or went in between, whose bytes are counted only in part.
+    Of a socket that went in between, what it carried since the first look is
+    not counted.
     """
     sent: Counter[str] = Counter()
     received: Counter[str] = Counter()
@@ -84,8 +82,7 @@
         for port in (local, key[2]):
             sent[port] += total - before.sent.get(key, 0)
             received[port] += after.received[key] - before.received.get(key, 0)
-    churn = len(set(before.sent) ^ set(after.sent))
-    return sent, received, churn
+    return sent, received
 
 
 def _number(pattern: re.Pattern[str], line: str) -> int:
--- a/benchmarks/path/rest.py
+++ b/benchmarks/path/rest.py
@@ -1,7 +1,9 @@
 """A daemon at rest: memory, processor time, bytes on the wire, start-up."""
 
+import json
 import sys
 import time
+from dataclasses import dataclass, replace
 from subprocess import DEVNULL, PIPE
 
 import anyio
@@ -14,10 +16,12 @@
     ALOISI,
     COOPERATIVE,
     TARGET,
+    TIMEOUT_MS,
     Lab,
     Shape,
     running,
 )
+from courselead.integrations.http import HttpClient, HttpRequest
 
 SETTLE_S = 20.0
 WINDOW_S = 30.0
@@ -86,19 +90,24 @@
     rows = []
     wire_rows = []
     for shape in (ALOISI, COOPERATIVE, TARGET):
-        async with running(shape) as lab:
+        # The small agents count what they carry.
+        async with running(replace(shape, light=True)) as lab:
             await anyio.sleep(SETTLE_S)
-            used, wires = await _watch(lab)
+            used, flows, polls = await _watch(lab)
         name = _name(shape)
-        rows.append((name, min(used), max(used)))
-        wire_rows.extend(_wire_rows(name, lab, wires))
-    columns = ("fleet", "% of a core, least host", "% of a core, most")
+        rows.append((name, min(used), max(used), polls.calls_per_s))
+        wire_rows.extend(_wire_rows(name, lab, flows, polls))
+    columns = (
+        "fleet",
+        "% of a core, least host",
+        "% of a core, most",
+        "polls of agents/s a host",
+    )
     wire_columns = (
         "fleet",
         "with",
         "sent, bytes/s a host",
         "received, bytes/s a host",
-        "sockets that came or went",
     )
     use = table(columns, rows)
     wire = table(wire_columns, wire_rows)
@@ -137,61 +146,81 @@
     return found
 
 
-async def _watch(lab: Lab) -> tuple[list[float], list[tuple]]:
-    """Return the use of a core by host, and the flows on their sockets."""
+@dataclass(frozen=True, slots=True)
+class Polls:
+    """What a host exchanges with agents per second, heads included."""
+
+    calls_per_s: float
+    sent: float
+    received: float
+
+
+@dataclass(frozen=True, slots=True)
+class Flow:
+    """Bytes per second of one host, by port."""
+
+    sent: dict[str, float]
+    received: dict[str, float]
+
+
+async def _watch(lab: Lab) -> tuple[list[float], list[Flow], Polls]:
+    """Return the use of a core by host, the flows on their sockets, and polls."""
     pids = [lab.processes.pid(host.name) for host in lab.hosts]
+    counts = await _counts(lab)
     before = [proc.cpu_s(pid) for pid in pids]
-    wires_before = [proc.wire(pid) for pid in pids]
+    wires = [proc.wire(pid) for pid in pids]
     start = time.monotonic()
     await anyio.sleep(WINDOW_S)
     took = time.monotonic() - start
-    wires = [proc.wire(pid) for pid in pids]
+    after = [proc.wire(pid) for pid in pids]
     used = []
     for pid, at in zip(pids, before, strict=True):
         used.append((proc.cpu_s(pid) - at) / took * 100)
     flows = []
-    for old, new in zip(wires_before, wires, strict=True):
-        flows.append((*proc.flow(old, new), took))
-    return used, flows
+    for old, new in zip(wires, after, strict=True):
+        sent, received = proc.flow(old, new)
+        flow = Flow(
+            {port: count / took for port, count in sent.items()},
+            {port: count / took for port, count in received.items()},
+        )
+        flows.append(flow)
+    now = await _counts(lab)
+    each = took * len(pids)
+    polls = Polls(
+        (now["calls"] - counts["calls"]) / each,
+        (now["received_bytes"] - counts["received_bytes"]) / each,
+        (now["sent_bytes"] - counts["sent_bytes"]) / each,
+    )
+    return used, flows, polls
 
 
-def _wire_rows(name: str, lab: Lab, flows: list[tuple]) -> list[tuple]:
+async def _counts(lab: Lab) -> dict[str, int]:
+    """Return what the small agents have counted."""
+    client = HttpClient(lab.agent_addresses[0])
+    fetched = await client.fetch(HttpRequest(b"GET", b"/-/counts"), TIMEOUT_MS)
+    client.close()
+    return json.loads(fetched.unwrap().body)
+
+
+def _wire_rows(name: str, lab: Lab, flows: list[Flow], polls: Polls) -> list[tuple]:
     """Return the mean flows of a host by what is at the other end."""
-    ports = {
+    groups = {
         "log": {_port(lab.platform["log"])},
         "membership list": {_port(lab.platform["membership"])},
         "peers": {str(host.peer_port) for host in lab.hosts},
     }
-    kinds = {port: kind for kind, group in ports.items() for port in group}
-    sent = dict.fromkeys([*ports, "agents"], 0.0)
-    received = dict.fromkeys(sent, 0.0)
-    churn = 0
-    for out, back, changed, took in flows:
-        churn += changed
-        callers = {str(host.port) for host in lab.hosts}
-        total = 0.0
-        for port, count in out.items():
-            if port in kinds:
-                sent[kinds[port]] += count / took / len(flows)
-                received[kinds[port]] += back[port] / took / len(flows)
-                total += count
-        agents = _agent_ports(lab)
-        for port in out.keys() & agents - callers:
-            sent["agents"] += out[port] / took / len(flows)
-            received["agents"] += back[port] / took / len(flows)
     rows = []
-    for kind in sent:
-        rows.append((name, kind, sent[kind], received[kind], ""))
-    all_sent, all_received = sum(sent.values()), sum(received.values())
-    rows.append((name, "all", all_sent, all_received, churn))
+    for kind, ports in groups.items():
+        sent = sum(flow.sent.get(port, 0.0) for flow in flows for port in ports)
+        back = sum(flow.received.get(port, 0.0) for flow in flows for port in ports)
+        rows.append((name, kind, sent / len(flows), back / len(flows)))
+    rows.append((name, "agents", polls.sent, polls.received))
+    all_sent = sum(row[2] for row in rows)
+    all_received = sum(row[3] for row in rows)
+    rows.append((name, "all", all_sent, all_received))
     return rows
 
 
-def _agent_ports(lab: Lab) -> set[str]:
-    """Return the ports of the agents, which the list names."""
-    return {_port(address) for address in lab.agent_addresses}
-
-
 def _port(address: str) -> str:
     """Return the port of an address."""
     return address.rpartition(":")[2]
