Place no job on a worker that the platform takes back

Cause: only the request path knew which workers the list shows as leaving. And a host that was no member, or jumped over part of the log, kept the view of a call to a worker that was gone, which its own invariants call broken. Change: the context names the leaving workers, and these have no room for jobs; the view is dropped with the record or the jump, as a member or not. The new tests fail before and pass after.

--- a/courselead/core/context.py
+++ b/courselead/core/context.py
@@ -22,6 +22,7 @@
         now_ms: Monotonic, milliseconds.
         wall_ms: Wall time as of the newest tick, milliseconds.
         heard_ms: Monotonic time of the newest report of each peer.
+        leaving_workers: Workers that the platform's list has as leaving.
     """
 
     me: Identity
@@ -33,3 +34,4 @@
     now_ms: int
     wall_ms: int
     heard_ms: Map[str, int] = field(default_factory=Map)
+    leaving_workers: frozenset[str] = frozenset()
--- a/courselead/core/jobs/rooms.py
+++ b/courselead/core/jobs/rooms.py
@@ -11,10 +11,14 @@
 
 
 def rooms_of(state: JobsState, ctx: Context, pool: str) -> dict[str, Room]:
-    """Return the serving workers of a pool with what is free on them."""
+    """Return the serving workers of a pool with what is free on them.
+
+    A worker that the platform takes back gets no more jobs, also while the
+    pool's budget does not let it be stopped yet.
+    """
     rooms = {}
     for name in queries.serving_workers(ctx.fleet, pool):
-        if ctx.now_ms < state.avoid.get(name, 0):
+        if name in ctx.leaving_workers or ctx.now_ms < state.avoid.get(name, 0):
             continue
         rooms[name] = _room_of(state, ctx, ctx.fleet.workers[name])
     for placing in state.placing.values():
--- a/courselead/core/operations/reducer.py
+++ b/courselead/core/operations/reducer.py
@@ -17,7 +17,7 @@
     SnapshotLoaded,
     Tick,
 )
-from courselead.core.fleet.records import HostBeat, HostLeft, HostLost
+from courselead.core.fleet.records import HostBeat, HostLeft, HostLost, WorkersGone
 from courselead.core.fleet.state import Applied, WorkerPhase, WorkerState
 from courselead.core.operations import health, inventory, lifecycle, planner
 from courselead.core.operations.draft import Draft, proposal_key
@@ -59,6 +59,8 @@
     elif _resumes(event):
         # What was proposed before may never be seen to be decided.
         draft.state = replace(state, proposed=Map())
+        for name in state.agents:
+            _drop_if_gone(draft, name)
     return draft.finish()
 
 
@@ -120,6 +122,7 @@
     if not applied:
         return
     draft.state = replace(draft.state, proposed=_undecided(draft, applied))
+    _drop_gone(draft, applied)
     if not draft.ctx.member:
         return
     workers = draft.ctx.fleet.workers
@@ -141,6 +144,22 @@
             lifecycle.drive(draft, worker)
 
 
+def _drop_gone(draft: Draft, applied: tuple[Applied, ...]) -> None:
+    """Forget the agents of workers that are gone, as a member or not."""
+    for item in applied:
+        if not isinstance(item.record, WorkersGone):
+            continue
+        for name in _named(item.record):
+            _drop_if_gone(draft, name)
+
+
+def _drop_if_gone(draft: Draft, name: str) -> None:
+    """Forget the agent of a worker if that is gone."""
+    worker = draft.ctx.fleet.workers.get(name)
+    if worker is not None and worker.phase is WorkerPhase.GONE:
+        draft.drop(name)
+
+
 def _answered(draft: Draft, event: AgentAnswered) -> None:
     """Take in an answer of an agent."""
     worker = draft.ctx.fleet.workers.get(event.worker)
--- a/courselead/core/reducer.py
+++ b/courselead/core/reducer.py
@@ -170,6 +170,7 @@
         now_ms=state.now_ms,
         wall_ms=state.wall_ms,
         heard_ms=state.heard_ms,
+        leaving_workers=state.requests.leaving_workers,
     )
 
 
--- a/tests/matrix/test_found.py
+++ b/tests/matrix/test_found.py
@@ -1,27 +1,49 @@
 """The smallest tests of the faults that the matrix found."""
 
+from dataclasses import replace
+
 import pytest
+from immutables import Map
 
+from courselead.core import reducer as core_reducer
+from courselead.core.context import Context
 from courselead.core.effects import Abort, CallAgent, ReplyProblem, Send
-from courselead.core.events import AgentOp, MembersListed, SendUnknown
+from courselead.core.events import (
+    AgentOp,
+    BatchesRead,
+    MembersListed,
+    SendUnknown,
+    SnapshotLoaded,
+)
 from courselead.core.fleet import verdicts
+from courselead.core.fleet.apply import apply_batch
 from courselead.core.fleet.records import (
+    Batch,
     MinionUp,
     StopCancelled,
     StopPlanned,
     StopPurpose,
     WorkerBack,
     WorkerDown,
+    WorkersGone,
 )
 from courselead.core.fleet.state import WorkerPhase
+from courselead.core.jobs.rooms import rooms_of
+from courselead.core.jobs.state import JobsState
+from courselead.core.operations import reducer as operations
+from courselead.core.operations.invariants import local_faults
+from courselead.core.operations.state import AgentView, OperationsState
+from courselead.core.reducer import CoreState, reduce
 from courselead.core.requests.state import OLD_LIST_MS
 from courselead.core.requests.timers import SLOT_MS
 from harness.workers import SERVING
 from harness.world import World
-from tests.core.fleet.logs import START_MS, three_hosts
+from tests.core.fleet.logs import POOL, START_MS, Log, three_hosts
+from tests.core.helpers import identity
 from tests.core.requests.fixtures import Host, fleet_of, sends, worker_state
 
 MAINTENANCE = StopPurpose.MAINTENANCE
+GONE = WorkersGone((("w1", 1),))
 
 
 def test_a_retry_in_the_slot_of_the_deadline_keeps_the_deadline() -> None:
@@ -93,3 +115,31 @@
     assert call(AgentOp.START_MINION, 2) == began
     assert call(AgentOp.STOP_MINION, 1) == {"refused": "stale_epoch"}
     assert worker.minion.state == SERVING
+
+
+def context(log: Log, **changes: object) -> Context:
+    """What a part sees of a log, as a member unless told otherwise."""
+    view = Context(identity("h1"), log.fleet, (), True, True, False, 0, START_MS)
+    return replace(view, **changes)
+
+
+def test_a_leaving_worker_has_no_room_for_jobs() -> None:
+    state = CoreState(identity())
+    state, _ = reduce(state, MembersListed(0, 1, (), ("w2",), ()))
+    seen = core_reducer._context(state, ())
+    log = three_hosts()
+    ctx = context(log, leaving_workers=seen.leaving_workers)
+    assert set(rooms_of(JobsState(), ctx, POOL)) == {"w1", "w3", "w4"}
+
+
+def test_a_host_that_is_no_member_forgets_the_agent_of_a_gone_worker() -> None:
+    log = three_hosts()
+    waiting = OperationsState(agents=Map({"w1": AgentView(waiting=True)}))
+    batch = Batch("h1", 1, log.seqs["h1", 1] + 1, START_MS, -1, (GONE,))
+    offset = log.fleet.offset + 1
+    fleet, applied = apply_batch(log.fleet, offset, batch)
+    ctx = context(log, fleet=fleet, applied=applied, member=False)
+    state, _ = operations.reduce(waiting, ctx, BatchesRead(0, ((offset, batch),)))
+    assert local_faults(state, fleet) == []
+    jumped, _ = operations.reduce(waiting, ctx, SnapshotLoaded(0, fleet))
+    assert local_faults(jumped, fleet) == []
