--- a/benchmarks/slopes/apply.py
+++ b/benchmarks/slopes/apply.py
@@ -5,7 +5,6 @@
 
 from benchmarks.figures import Fit, best_in_rounds, table
 from benchmarks.slopes.fleets import (
-    HASH,
     START_WALL_MS,
     Builder,
     Size,
@@ -42,6 +41,8 @@
 ITEMS = 100
 EMPTY = "(empty batch)"
 
+HASH = "0123456789abcdef" * 4
+
 
 @dataclass(frozen=True, slots=True)
 class Step:
