--- a/benchmarks/slopes/__main__.py
+++ b/benchmarks/slopes/__main__.py
@@ -7,7 +7,7 @@
 from cyclopts import App, Parameter
 
 from benchmarks.figures import DOCS, Recorder, plot, put_block
-from benchmarks.slopes import apply, decisions, memory, snapshots, steady, wire
+from benchmarks.slopes import apply, changes, decisions, memory, snapshots, steady, wire
 
 PAGE = DOCS / "slopes.md"
 PLOT = DOCS / "slopes.svg"
@@ -75,6 +75,7 @@
     "steady-pools": steady_pools,
     "apply-workers": apply_workers,
     "apply-claims": apply_claims,
+    "changes": changes.changes_table,
     "memory-shared": memory.slopes_table,
     "memory-local": memory.local_table,
     "snapshot-workers": snapshot_workers,
--- a/benchmarks/slopes/cluster.py
+++ b/benchmarks/slopes/cluster.py
@@ -26,6 +26,7 @@
     Tick,
 )
 from courselead.core.fleet.codec import decode_batch, encode_batch
+from courselead.core.fleet.records import Batch, Record
 from courselead.core.fleet.state import FleetState
 from courselead.core.identity import Identity
 from courselead.core.outbox import OutboxState
@@ -101,6 +102,14 @@
             self._feed(index, event)
         self.now_ms = until_ms
 
+    def batch_of(self, index: int, *records: Record) -> Batch:
+        """Return records as the next batch of a host."""
+        state = self.states[index]
+        name = state.me.entry_host
+        seq = state.fleet.hosts[name].last_seq + 1
+        wall_ms = self.wall_from_ms + self.now_ms
+        return Batch(name, state.me.incarnation, seq, wall_ms, -1, records)
+
     def start_over(self) -> None:
         """Forget the costs so far."""
         self.costs = Costs()
