Leave room for a slow service when a request has to wait

Ruled out: the choice of target. Change: a request that has to wait is admitted if 1.25 times the wait and 3 times the mean fit, started while others wait if twice the mean fits, and a time that was cut off below the mean is not counted; a host at rest takes what fits once.

--- a/courselead/core/requests/admission.py
+++ b/courselead/core/requests/admission.py
@@ -18,6 +18,9 @@
 DEFAULT_RETRY_AFTER_MS = 1_000
 MIN_RETRY_AFTER_MS = 100
 MAX_RETRY_AFTER_MS = 60_000
+WAIT_MARGIN = 1.25
+TAIL_AT_ADMISSION = 3.0
+TAIL_AT_START = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,7 +80,7 @@
     service_ms = health.service_ms(turn, pool)
     ahead = ahead_of(queue, event, turn.policies.fairness)
     wait_ms = backlog_ms(turn, pool, ahead)
-    if turn.now + wait_ms + service_ms <= event.deadline_ms:
+    if turn.now + needed_ms(wait_ms, service_ms) <= event.deadline_ms:
         return None
     return _refuse(
         turn,
@@ -88,6 +91,17 @@
     )
 
 
+def needed_ms(wait_ms: int, service_ms: float) -> float:
+    """Return the time that a new request is given to end in.
+
+    One that has to wait is admitted with room for a slow service: it costs a
+    slot that others want, and is lost if its deadline cuts it off.
+    """
+    if wait_ms <= 0:
+        return service_ms
+    return wait_ms * WAIT_MARGIN + service_ms * TAIL_AT_ADMISSION
+
+
 def ahead_of(
     queue: ServiceQueue, event: RequestArrived, fairness: FairnessPolicy
 ) -> int:
--- a/courselead/core/requests/attempts.py
+++ b/courselead/core/requests/attempts.py
@@ -95,7 +95,9 @@
     took_ms = turn.now - req.since_ms
     if not _is_present(turn, req):
         return
-    health.sample(turn, req.pool, took_ms)
+    # Cut off early it says only that the service takes longer than this.
+    if took_ms > health.service_ms(turn, req.pool):
+        health.sample(turn, req.pool, took_ms)
     if req.phase is Phase.SENT and took_ms >= health.SLOW_FAIL_MS:
         health.failed(turn, req.worker)
 
--- a/courselead/core/requests/dispatch.py
+++ b/courselead/core/requests/dispatch.py
@@ -1,8 +1,8 @@
 """Start queued requests, in fair order, as long as there are units for them."""
 
 from courselead.core.effects import ProblemKind
-from courselead.core.requests import lifecycle, quota, routing
-from courselead.core.requests.state import HOST_IN_FLIGHT
+from courselead.core.requests import admission, health, lifecycle, quota, routing
+from courselead.core.requests.state import HOST_IN_FLIGHT, RequestState
 from courselead.core.requests.turn import Turn
 
 
@@ -37,6 +37,9 @@
     if req.deadline_ms <= turn.now:
         late(turn, req)
         return
+    if queue.queued > 1 and _is_hopeless(turn, req):
+        late(turn, req)
+        return
     target = routing.choose(turn, req)
     if target is None:
         lifecycle.block(turn, pool)
@@ -52,6 +55,17 @@
         lifecycle.block(turn, pool)
 
 
+def _is_hopeless(turn: Turn, req: RequestState) -> bool:
+    """Return whether a request would most likely be cut off at its deadline.
+
+    Asked only while others wait: the slot does more good with one of them.
+    """
+    if not turn.policies.refuse_hopeless:
+        return False
+    left_ms = req.deadline_ms - turn.now
+    return left_ms < health.service_ms(turn, req.pool) * admission.TAIL_AT_START
+
+
 def late(turn: Turn, req: object) -> None:
     """Give the final answer to a request whose deadline has passed."""
     lifecycle.give_up(
