Judge at apply that no job is left on a worker that changes its pool

Cause: only the proposer looked whether jobs were still placed on a stopped worker; a proposal from a host that had not seen them could have given a worker to another client account with a task of the one before. Change: the assign record of a stopped worker is refused while a job is placed on it. The test fails without it.

--- a/courselead/core/fleet/verdicts.py
+++ b/courselead/core/fleet/verdicts.py
@@ -31,6 +31,7 @@
 WINDOW_CLOSED = "window_closed"
 BUDGET_SPENT = "budget_spent"
 NOT_SETTLED = "not_settled"
+JOBS_REMAIN = "jobs_remain"
 
 CLAIM_TAKEN = "claim_taken"
 CLAIM_CONFLICT = "claim_conflict"
@@ -77,6 +78,7 @@
     WINDOW_CLOSED: "the maintenance window is closed; wait until it opens",
     BUDGET_SPENT: "too few workers of the pool serve; wait until more do",
     NOT_SETTLED: "an entry host has not settled the stop; wait for its heartbeat",
+    JOBS_REMAIN: "jobs are placed on the worker; let them end first",
     CLAIM_TAKEN: "the key is taken; wait for the outcome of the first request",
     CLAIM_CONFLICT: "the key is taken by a different request; use a new key",
     CLAIM_UNKNOWN: "the request does not hold the key; it is too late to end it",
--- a/courselead/core/fleet/workers.py
+++ b/courselead/core/fleet/workers.py
@@ -5,6 +5,7 @@
 from courselead.core.fleet import verdicts
 from courselead.core.fleet.members import with_worker
 from courselead.core.fleet.origin import Origin
+from courselead.core.fleet.queries import jobs_on
 from courselead.core.fleet.records import (
     MinionUp,
     StopPurpose,
@@ -122,6 +123,9 @@
         return "" if record.pool else verdicts.WRONG_PHASE
     if worker.purpose is not StopPurpose.MOVE:
         return verdicts.WRONG_PHASE
+    # Its next account must never meet a task of the one before.
+    if jobs_on(fleet, worker.worker):
+        return verdicts.JOBS_REMAIN
     # A stopped worker may always be set free: the row of its next pool may
     # have been removed while it was on its way.
     if record.pool not in ("", worker.next_pool):
--- a/tests/core/fleet/test_jobs.py
+++ b/tests/core/fleet/test_jobs.py
@@ -12,11 +12,15 @@
     JobsEnded,
     JobSpec,
     JobsSubmitted,
+    MinionStopped,
+    StopPlanned,
+    StopPurpose,
     TablePublished,
+    WorkerAssigned,
     WorkerDown,
 )
 from courselead.core.fleet.state import JobPhase
-from courselead.core.table import AccountRow, RequestClass
+from courselead.core.table import AccountRow, RequestClass, ServiceRow
 from tests.core.fleet.logs import START_MS, three_hosts
 
 DAY_MS = 86_400_000
@@ -163,3 +167,19 @@
             for host in ("h1", "h2", "h3"):
                 log.beat(host)
         assert set(log.fleet.jobs) == kept
+
+
+def test_a_worker_changes_pool_only_once_no_job_is_left_on_it():
+    log = three_hosts()
+    log.publish(ServiceRow("acme", "api"))
+    assert submit(log, spec()).accepted
+    assert place(log) == ""
+    move = StopPurpose.MOVE
+    log.take("h1", StopPlanned("w1", 1, move, "acme/api", 0, START_MS))
+    for host in ("h1", "h2", "h3"):
+        assert log.beat(host).accepted
+    log.take("h1", MinionStopped("w1", 1))
+    assigned = WorkerAssigned("w1", 1, "acme/api", 0)
+    assert log.one("h1", assigned).reason == verdicts.JOBS_REMAIN
+    assert end(log, JobOutcome.CHECKPOINTED).accepted
+    assert log.one("h1", assigned).accepted
