Leave only after the verdicts on edits and jobs are given

Cause: a host that was told to leave did not wait for job submissions whose verdict had not come; its callers were left without an answer. Change: drained takes them in.

--- a/courselead/core/reducer.py
+++ b/courselead/core/reducer.py
@@ -186,7 +186,8 @@
     edit_state, edit_out = edits.reduce(state.edits, ctx, event)
     snap_state, snap_out = snapshots.reduce(state.snapshots, ctx, event)
     settled = settled_offset(req_state, ctx.fleet)
-    drained = is_drained(req_state) and not state.edits.waiting
+    drained = is_drained(req_state)
+    drained = drained and not edit_state.waiting and not job_state.asks
     here, here_out = presence.reduce(state.presence, ctx, event, settled, drained)
     state = replace(
         state,
