Leave a target alone that has said it is leaving

Cause: a target's own word that it is leaving put it out of use for 3 s, then it was tried again, and any answer to a request that was under way there put it back into use at once. So new work went to it more than 3 s after its word. Change: that word holds until the target is another one (epoch or address); an answer to what was under way does not lift a refusal. The new test fails before and passes after.

--- a/courselead/core/requests/health.py
+++ b/courselead/core/requests/health.py
@@ -20,6 +20,7 @@
 EJECT_MS = 1_000
 REFUSED_MS = 3_000
 MAX_EJECT_MS = 60_000
+NEVER_MS = 1 << 60
 FULL_MS = 100
 SLOW_FAIL_MS = 1_000
 FIRST_ERROR = 500
@@ -48,7 +49,12 @@
         health = of(turn, worker)
         ewma_ms = _ewma(health.ewma_ms, took_ms)
         fail = health.fail * (1.0 - ALPHA)
-        turn.health = turn.health.set(worker, Health(ewma_ms, fail))
+        if health.hard and turn.now < health.until_ms:
+            # What was under way ends well also where new work is refused.
+            health = replace(health, ewma_ms=ewma_ms, fail=fail)
+        else:
+            health = Health(ewma_ms, fail)
+        turn.health = turn.health.set(worker, health)
     sample(turn, pool, took_ms)
 
 
@@ -106,6 +112,14 @@
         turn.health = turn.health.set(worker, replace(health, full_until_ms=until_ms))
         rest(turn, worker, until_ms)
         return
+    if reason is NotRunReason.LEAVING:
+        # A minion that leaves does not come back: the next one has another
+        # address, and a worker that is brought back another epoch.
+        health = replace(health, until_ms=NEVER_MS, hard=True)
+        turn.health = turn.health.set(worker, health)
+        fields = (("worker", worker), ("reason", str(reason)))
+        turn.emit(Note("warning", "target_ejected", fields))
+        return
     _eject(turn, target, health, REFUSED_MS, hard=True)
 
 
--- a/tests/matrix/test_found.py
+++ b/tests/matrix/test_found.py
@@ -12,6 +12,8 @@
     AgentOp,
     BatchesRead,
     MembersListed,
+    NotRunReason,
+    SendNotRun,
     SendUnknown,
     SnapshotLoaded,
 )
@@ -40,7 +42,13 @@
 from harness.world import World
 from tests.core.fleet.logs import POOL, START_MS, Log, three_hosts
 from tests.core.helpers import identity
-from tests.core.requests.fixtures import Host, fleet_of, sends, worker_state
+from tests.core.requests.fixtures import (
+    Host,
+    fleet_of,
+    sends,
+    with_worker,
+    worker_state,
+)
 
 MAINTENANCE = StopPurpose.MAINTENANCE
 GONE = WorkersGone((("w1", 1),))
@@ -143,3 +151,22 @@
     assert local_faults(state, fleet) == []
     jumped, _ = operations.reduce(waiting, ctx, SnapshotLoaded(0, fleet))
     assert local_faults(jumped, fleet) == []
+
+
+def test_a_target_that_said_it_is_leaving_is_left_alone_until_it_is_another() -> None:
+    fleet = fleet_of(workers=(worker_state("w1"),))
+    host = Host(fleet)
+    host.tick()
+    (first,) = sends(host.arrive())
+    (second,) = sends(host.arrive())
+    reason = NotRunReason.LEAVING
+    host.feed(SendNotRun(host.now_ms, second.request_id, 1, reason))
+    # What was under way ends well; that is no sign that it takes new work.
+    host.answer(first)
+    late_ms = host.now_ms + 61_000
+    while host.now_ms < late_ms:
+        assert sends(host.tick(500)) == []
+        assert sends(host.arrive(deadline_ms=host.now_ms + 400)) == []
+    host.fleet = with_worker(host.fleet, "w1", epoch=2)
+    host.feed(BatchesRead(host.now_ms, ()))
+    assert [send.worker for send in sends(host.arrive())] == ["w1"]
