Let every step come in the harness: minions that leave, stops taken back

Cause: refusals, cancelled stops and quarantines did not come in the matrix's one seed. Change: a minion leaves by itself, a stop is upset, jobs fail on a worker that stays; a step is run in the first of twelve seeds in which it comes, and an edit follows every fault.

--- a/harness/commands.py
+++ b/harness/commands.py
@@ -85,7 +85,7 @@
 
 
 def _run_all(args: argparse.Namespace) -> list[Run]:
-    table = Matrix.profiled(args.seed)
+    table = Matrix.from_seed(args.seed)
     return [table.run(pair) for pair in _chosen_pairs(args)]
 
 
@@ -158,7 +158,7 @@
 
 def _first_caught(seed: int, mutation: object) -> tuple[Pair | None, int]:
     """Return the first cell that fails without a guard, and how many were run."""
-    table = Matrix.profiled(seed)
+    table = Matrix.from_seed(seed)
     found = list(pairs())
     Random(seed).shuffle(found)
     found.sort(key=lambda pair: pair.fault not in mutation.faults)
--- a/harness/faults.py
+++ b/harness/faults.py
@@ -1,15 +1,16 @@
 """Faults, and the moment at which one strikes: the k-th time of a step."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 
 from harness.checks import NEVER_MS
 from harness.hosts import SimHost
-from harness.world import World
+from harness.world import API, World
 
 TAIL_MS = 10_000
 LOAD_MS = 5_000
+EDIT_AFTER_MS = 4_800
 WATCH_MS = 250
 LIST_LAG_MS = 6_000
 
@@ -74,7 +75,7 @@
             # The log may have let go of what this host was to read next.
             host.start_over()
 
-    strike.later(800, 6_000, heal)
+    strike.later(800, 4_500, heal)
 
 
 def platform_down(strike: Strike) -> None:
@@ -88,7 +89,7 @@
         net.platform_down = False
         strike.steady(hosts)
 
-    strike.later(800, 6_000, heal)
+    strike.later(800, 4_500, heal)
 
 
 def slow(strike: Strike) -> None:
@@ -206,6 +207,9 @@
         world.load_to_ms = self.struck_ms + LOAD_MS
         world.note(host.name, f"{self.fault} strikes {self.place} {self.step}")
         world.checks.arm()
+        # An edit after the fault, with time left to see it in force.
+        row = replace(API, queue_limit=API.queue_limit + 7)
+        world.sched.after(EDIT_AFTER_MS, world.publish, (row,))
         FAULTS[self.fault](Strike(world, host, self.rng))
 
 
--- a/harness/matrix.py
+++ b/harness/matrix.py
@@ -21,8 +21,9 @@
 
 END_MS = 22_000
 # A fault that strikes later would meet a run with no load left.
-STRIKE_BY_MS = 13_000
+STRIKE_BY_MS = 11_000
 LEASE_MS = 4_000
+SEEDS_TRIED = 12
 RUNS_PER_COLLECT = 20
 
 
@@ -88,52 +89,71 @@
     return tuple(Pair(fault, step) for step in steps() for fault in FAULTS)
 
 
-@dataclass(slots=True)
-class Matrix:
-    """Runs of one seed, each a fault at a step.
+@dataclass(frozen=True, slots=True)
+class Profile:
+    """How often each step comes in a run without a fault.
 
     Attributes:
-        early: How often each step came in a run without a fault, while there
-            was load; `all` over the whole run.
+        early: While there is load enough after it; `all` over the whole run.
     """
 
-    seed: int
-    early: Counter = field(default_factory=Counter)
-    all: Counter = field(default_factory=Counter)
-    _runs: int = 0
+    early: Counter
+    all: Counter
 
     @classmethod
-    def profiled(cls, seed: int) -> "Matrix":
-        """Return a matrix that knows how often each step comes."""
-        const.LEASE_MS = LEASE_MS
-        gc.disable()
-        found = cls(seed)
+    def of_seed(cls, seed: int) -> "Profile":
+        """Run a world without a fault."""
         world = World(seed)
         world.begin()
         world.sched.run_until(STRIKE_BY_MS)
-        found.early = Counter(world.seen)
+        early = Counter(world.seen)
         world.sched.run_until(END_MS)
-        found.all = world.seen
-        return found
+        return cls(early, world.seen)
+
+    def count(self, step: str, place: str) -> int:
+        """Return among how many occurrences a fault may strike."""
+        return self.early[(step, place)] or self.all[(step, place)]
+
+
+@dataclass(slots=True)
+class Matrix:
+    """Runs from one seed on, each a fault at a step."""
+
+    seed: int
+    _profiles: dict[int, Profile] = field(default_factory=dict)
+    _runs: int = 0
+
+    @classmethod
+    def from_seed(cls, seed: int) -> "Matrix":
+        """Return a matrix whose times are scaled to the harness's."""
+        const.LEASE_MS = LEASE_MS
+        gc.disable()
+        return cls(seed)
 
     def run(self, pair: Pair) -> Run:
-        """Run a fault at a step."""
+        """Run a fault at a step, in the first seed in which that comes."""
         rng = Random(zlib.crc32(f"{self.seed} {pair.fault} {pair.step}".encode()))
         place = rng.choice(("before", "after"))
         if pair.step.startswith("record:"):
             place = "after"
-        count = self.early[(pair.step, place)] or self.all[(pair.step, place)]
-        world = World(self.seed)
-        nth = rng.randint(1, max(1, count))
+        seed = self.seed
+        while not self._profile(seed).count(pair.step, place):
+            seed += 1
+            if seed >= self.seed + SEEDS_TRIED:
+                return Run(pair, self.seed, -1, (), frozenset())
+        return self._strike(pair, place, seed, rng)
+
+    def _strike(self, pair: Pair, place: str, seed: int, rng: Random) -> Run:
+        world = World(seed)
+        nth = rng.randint(1, self._profile(seed).count(pair.step, place))
         injector = Injector(world, pair.fault, pair.step, place, nth, rng)
-        if count:
-            _guarded(injector)
+        _guarded(injector)
         self._collect()
         violations = tuple(world.checks.violations)
         bad = violations or world.broken
         return Run(
             pair=pair,
-            seed=self.seed,
+            seed=seed,
             struck_ms=injector.struck_ms,
             violations=violations,
             exercised=frozenset(world.checks.exercised),
@@ -141,6 +161,11 @@
             trace=tuple(world.trace) if bad else (),
         )
 
+    def _profile(self, seed: int) -> Profile:
+        if seed not in self._profiles:
+            self._profiles[seed] = Profile.of_seed(seed)
+        return self._profiles[seed]
+
     def _collect(self) -> None:
         """Collect garbage now and then: it is off while a run goes on."""
         self._runs += 1
--- a/harness/world.py
+++ b/harness/world.py
@@ -4,14 +4,14 @@
 from collections.abc import Callable
 from dataclasses import replace
 
-from courselead.core.fleet.records import JobSpec, WorkerInfo
-from courselead.core.fleet.state import Applied
+from courselead.core.fleet.records import JobSpec, StopPlanned, WorkerInfo
+from courselead.core.fleet.state import Applied, FleetState
 from courselead.core.invariants import check
 from courselead.core.table import AccountRow, RequestClass, ServiceRow
 from harness.callers import Callers, Ticket
-from harness.checks import LOOK_MS, Checks
+from harness.checks import LOOK_MS, NEVER_MS, Checks
 from harness.hosts import SimHost
-from harness.log import FakeLog, FakeMembership
+from harness.log import FakeLog, FakeMembership, accepted
 from harness.sched import Network, Scheduler
 from harness.workers import Worker
 
@@ -40,6 +40,8 @@
 MEAN_GAP_MS = 70
 STATES_EVERY = 5
 UNPLUGGED_MS = 4_000
+UPSET_MS = 4_800
+UPSET_FOR_MS = 3_500
 
 
 class World:
@@ -64,6 +66,7 @@
             info = WorkerInfo(name, zone, rack, f"{name}:1", 4.0, 8_000)
             self.workers[name] = Worker(self, info)
         self.leaving: set[str] = set()
+        self._upset_done = False
         self.removed: set[str] = set()
         self.hosts: dict[str, SimHost] = {}
         for number, (name, zone) in enumerate(HOSTS):
@@ -102,6 +105,7 @@
         after = self.sched.after
         rng = self.sched.rng
         self.list_workers()
+        self.log.listeners.append(self._upset)
         for host in self.hosts.values():
             after(rng.randint(0, 40), host.start)
         after(500, self.publish, ACCOUNTS + (WEB, BETA, API))
@@ -113,13 +117,14 @@
         after(6_000, self._crash, "wa2")
         after(6_500, self._cancel_jobs)
         after(7_000, self.race, "a1", "b1")
-        after(7_600, self._fail_all, "wa1")
-        after(7_700, self._submit_jobs, 9, 8, (WEB,))
-        after(8_000, self.publish, (replace(BETA, workers=4), replace(WEB, workers=2)))
+        after(7_900, self._fail_all)
+        after(8_000, self._submit_jobs, 9, 10, (WEB,))
+        after(10_200, self.publish, (replace(BETA, workers=4), replace(WEB, workers=2)))
         after(9_000, self.take_back, "wb4")
+        after(9_800, self._stop_minion, "wa3")
         after(10_500, self._unplug, "wb3")
         after(11_000, self._lose_host, "a2")
-        after(12_000, self.publish, (replace(BETA, workers=2), replace(WEB, workers=4)))
+        after(12_700, self.publish, (replace(BETA, workers=2), replace(WEB, workers=4)))
         after(14_500, self._leave, "a1")
 
     def run(self, end_ms: int) -> None:
@@ -183,9 +188,43 @@
         self.removed.discard(name)
         self.list_workers()
 
-    def _fail_all(self, name: str) -> None:
+    def _fail_all(self) -> None:
         """Let a worker fail every task it is given."""
-        self.workers[name].failing = True
+        truth = self.log.truth
+        serving = [truth.workers[name] for name in truth.serving.get(WEB.pool, ())]
+        # The one that is rebooted last of all, so that it stays as it is.
+        serving.sort(key=lambda worker: -worker.maintained_ms)
+        for worker in serving[:1]:
+            self.note(worker.worker, "fails every task")
+            self.workers[worker.worker].failing = True
+
+    def _stop_minion(self, name: str) -> None:
+        """Let a minion leave of its own accord."""
+        minion = self.workers[name].minion
+        if minion is not None:
+            self.note(name, "minion leaves by itself")
+            minion.stop()
+
+    def _upset(self, before: FleetState, applied: tuple[Applied, ...]) -> None:
+        """Upset the first stop from some time on, so that it is taken back.
+
+        A host does not hear of it, and another worker of the pool crashes.
+        """
+        stops = accepted(applied, StopPlanned)
+        if self._upset_done or self.sched.now_ms < UPSET_MS or not stops:
+            return
+        self._upset_done = True
+        pool = self.log.truth.workers[stops[0].record.worker].pool
+        for name in self.log.truth.serving.get(pool, ())[:1]:
+            self._crash(name)
+        host = self.hosts["b1"]
+        host.steady_ms = NEVER_MS
+        self.net.off_platform.add(host.name)
+        self.sched.after(UPSET_FOR_MS, self._calm, host)
+
+    def _calm(self, host: SimHost) -> None:
+        self.net.off_platform.discard(host.name)
+        host.steady_ms = self.sched.now_ms
 
     def _lose_host(self, name: str) -> None:
         self.hosts[name].kill()
@@ -260,7 +299,7 @@
         for number in range(count):
             row = rows[number % len(rows)]
             job_id = f"j{wave}-{number}"
-            run_ms = rng.randint(600, 20_000 // count)
+            run_ms = rng.randint(600, 5_000 if count == 4 else 900)
             self.job_work_ms[job_id] = run_ms
             spec = JobSpec(
                 job_id=job_id,
