Let callers go before the server closes their connections

Cause: when an entry host had left, integrations/http_api closed kept and new connections at once; a request that had just been sent on one was lost without an answer, and its caller had to take it for unknown. Change: a host that is not ready says `Connection: close` on each answer, so does a server that stops, for half a second before it closes what is idle; a new connection gets 0.2 s for its first request. A connection that was idle for the whole leave can still be closed in the moment its caller uses it, as HTTP/1.1 has it.

--- a/courselead/integrations/http_api/app.py
+++ b/courselead/integrations/http_api/app.py
@@ -83,10 +83,15 @@
         """Serve one HTTP exchange."""
         if scope["type"] != "http":
             return
-        exchange = Exchange(scope, receive, send, self._limits, self._new_id())
+        exchange = Exchange(
+            scope, receive, send, self._limits, self._new_id(), self._is_ready
+        )
         with request_context(exchange.request_id):
             await self._guarded(exchange)
 
+    def _is_ready(self) -> bool:
+        return self._host.ready
+
     async def _guarded(self, exchange: Exchange) -> None:
         try:
             await self._serve(exchange)
--- a/courselead/integrations/http_api/exchange.py
+++ b/courselead/integrations/http_api/exchange.py
@@ -26,6 +26,7 @@
 _BODY = "http.response.body"
 _DISCONNECT = "http.disconnect"
 _STATE_CONNECTION = "connection"
+_CLOSE = (const.ATTR_CONNECTION, b"close")
 
 
 class Connection(Protocol):
@@ -36,6 +37,11 @@
         """Return whether there are too many connections for this one."""
         ...
 
+    @property
+    def stopping(self) -> bool:
+        """Return whether the server takes no more connections soon."""
+        ...
+
     def abort(self) -> None:
         """Drop the connection with whatever is unsent."""
         ...
@@ -51,8 +57,18 @@
         send: Send,
         limits: LimitSettings,
         request_id: str,
+        is_ready: Callable[[], bool] = lambda: True,
     ) -> None:
-        """Wrap the three parts of an ASGI call."""
+        """Wrap the three parts of an ASGI call.
+
+        Args:
+            scope: Of the call.
+            receive: Of the call.
+            send: Of the call.
+            limits: Bounds of what is read.
+            request_id: Of this exchange.
+            is_ready: Whether further requests should come here.
+        """
         self.method: str = scope["method"]
         self.path: bytes = scope["raw_path"]
         self.query: bytes = scope["query_string"]
@@ -65,6 +81,7 @@
         self._receive = receive
         self._send_raw = send
         self._limits = limits
+        self._is_ready = is_ready
         self._body_read = False
         state = scope.get("state") or {}
         self.connection: Connection | None = state.get(_STATE_CONNECTION)
@@ -142,12 +159,13 @@
 
     async def start(self, status: int, headers: tuple[Header, ...]) -> None:
         """Write the head of the answer."""
-        request_id = (const.ATTR_REQUEST_ID, self.request_id.encode("ascii"))
+        all_headers = [*headers]
+        all_headers.append((const.ATTR_REQUEST_ID, self.request_id.encode("ascii")))
+        if self._is_last() and _CLOSE not in all_headers:
+            all_headers.append(_CLOSE)
         self.started = True
         self.status = status
-        await self._send(
-            {"type": _START, "status": status, "headers": [*headers, request_id]}
-        )
+        await self._send({"type": _START, "status": status, "headers": all_headers})
 
     async def write(self, chunk: bytes) -> None:
         """Write a chunk of the answer's body."""
@@ -177,6 +195,12 @@
             await self._drain()
         await self.finish()
 
+    def _is_last(self) -> bool:
+        # A caller that is told so does not send on a connection about to close.
+        if self.connection is not None and self.connection.stopping:
+            return True
+        return not self._is_ready()
+
     async def _begin(
         self, status: int, body: bytes, content_type: bytes, headers: tuple[Header, ...]
     ) -> None:
--- a/courselead/integrations/http_api/protocol.py
+++ b/courselead/integrations/http_api/protocol.py
@@ -13,6 +13,8 @@
 from courselead.integrations.http_api.problems import ApiProblem, EdgeKind, bad_request
 from courselead.settings import LimitSettings
 
+# Time for the first request of a connection that is new when the server stops.
+_FIRST_REQUEST_S = 0.2
 # Beyond this part over the limit a connection is dropped without an answer.
 _SURPLUS_SHARE = 4
 _SURPLUS_LEAST = 16
@@ -26,6 +28,7 @@
     """
 
     limits: ClassVar[LimitSettings] = LimitSettings()
+    stopping: ClassVar[bool] = False
 
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         """Lend this connection to the application."""
@@ -45,6 +48,14 @@
         if len(self.connections) > most + surplus:
             self.abort()
 
+    def shutdown(self) -> None:
+        """Close the connection once nothing is under way on it."""
+        if self.cycle is not None:
+            super().shutdown()
+            return
+        # Its first request may be on its way, and closing now would lose it.
+        self.loop.call_later(_FIRST_REQUEST_S, self._shut_down_late)
+
     def abort(self) -> None:
         """Drop the connection with whatever is unsent."""
         self.transport.abort()
@@ -72,6 +83,10 @@
         """Answer bytes that are no HTTP request with a problem."""
         self._send_problem(bad_request("the request is not valid HTTP/1.1; mend it"))
 
+    def _shut_down_late(self) -> None:
+        if not self.transport.is_closing():
+            super().shutdown()
+
     def _check_closing(self, now: float) -> None:
         if self._closing_since is None:
             self._closing_since = now
--- a/courselead/integrations/http_api/server.py
+++ b/courselead/integrations/http_api/server.py
@@ -19,6 +19,7 @@
 _BACKLOG = 512
 _SWEEP_S = 0.25
 _SETTLE_S = 1.0
+_LINGER_S = 0.5
 _DEFAULT_DRAIN_MS = 30_000
 
 
@@ -69,9 +70,23 @@
             self._closed.set()
 
     def stop(self) -> None:
-        """Stop listening, let open exchanges end, then return from `run`."""
+        """Stop listening, let open exchanges end, then return from `run`.
+
+        For a moment each answer still says that its connection closes, so that
+        callers let go of theirs by themselves.
+        """
         self._server.should_exit = True
 
+    @property
+    def stopping(self) -> bool:
+        """Return whether answers say now that their connections close."""
+        return self._server.config.http_protocol_class.stopping
+
+    @property
+    def connections(self) -> int:
+        """Return how many connections of callers are open."""
+        return len(self._server.server_state.connections)
+
     async def wait_closed(self) -> None:
         """Return when `run` is over: until then answers may be under way."""
         await self._closed.wait()
@@ -104,6 +119,15 @@
         await super().startup(sockets)
         self.listening.set()
 
+    async def shutdown(self, sockets: list[socket.socket] | None = None) -> None:
+        """Let callers go, then close what is left."""
+        # The class is this server's own, see `_config`.
+        self.config.http_protocol_class.stopping = True  # type: ignore[attr-defined]
+        with anyio.move_on_after(_LINGER_S):
+            while self.server_state.connections:
+                await anyio.sleep(_LINGER_S / 50)
+        await super().shutdown(sockets)
+
     async def settle(self) -> None:
         """Give the exchanges that were cut off a moment to say so."""
         with anyio.move_on_after(_SETTLE_S):
--- a/tests/integrations/http_api/test_wire.py
+++ b/tests/integrations/http_api/test_wire.py
@@ -8,6 +8,7 @@
 import pytest
 from uvicorn.server import ServerState
 
+from courselead.integrations.http_api import server as server_module
 from courselead.integrations.http_api.app import HttpApi
 from courselead.integrations.http_api.errors import ListenFailed
 from courselead.integrations.http_api.host import Answer
@@ -244,6 +245,53 @@
     assert data.endswith(b"4\r\nlate\r\n0\r\n\r\n")
 
 
+async def test_a_host_that_is_not_ready_lets_its_callers_go():
+    host = FakeHost(lambda req: whole(b"hi"), ready=False)
+    data = await exchange(host, head())
+    assert data.startswith(b"HTTP/1.1 200")
+    assert data.lower().count(b"connection: close") == 1
+
+
+async def test_stop_answers_requests_that_come_meanwhile():
+    host = FakeHost(lambda req: whole(b"hi"))
+    chosen = settings()
+    server = HttpServer(HttpApi(host, chosen), chosen.listen, chosen.limits)
+    with anyio.fail_after(10):
+        async with anyio.create_task_group() as tasks:
+            address = await tasks.start(server.run)
+            async with Caller.to(address) as kept, Caller.to(address) as new:
+                await kept.send(head())
+                got = await kept.until(b"0\r\n\r\n")
+                assert b"connection: close" not in got.lower()
+                server.stop()
+                await until_true(lambda: server.stopping)
+                for caller in (kept, new):
+                    await caller.send(head())
+                    data = await caller.to_end()
+                    assert data.startswith(b"HTTP/1.1 200")
+                    assert b"connection: close" in data.lower()
+                await server.wait_closed()
+    assert len(host.requests) == 3
+
+
+async def test_stop_waits_for_the_first_request_of_a_new_connection(monkeypatch):
+    monkeypatch.setattr(server_module, "_LINGER_S", 0)
+    host = FakeHost(lambda req: whole(b"hi"))
+    chosen = settings()
+    server = HttpServer(HttpApi(host, chosen), chosen.listen, chosen.limits)
+    with anyio.fail_after(10):
+        async with anyio.create_task_group() as tasks:
+            address = await tasks.start(server.run)
+            async with Caller.to(address) as caller:
+                await until_true(lambda: server.connections)
+                server.stop()
+                await until_true(lambda: server.stopping)
+                await caller.send(head())
+                data = await caller.to_end()
+                assert data.startswith(b"HTTP/1.1 200")
+                assert b"connection: close" in data.lower()
+
+
 async def test_stop_cuts_off_what_takes_too_long():
     host = FakeHost(lambda req: None)
     chosen = settings()
