Take the guard against jobs left on a moved worker out at apply too

Cause: the guard stands at apply as well since the last change of the fold, so the mutation that took out the proposer's alone was no longer caught by any cell. Change: the mutation takes out both.

--- a/harness/mutations.py
+++ b/harness/mutations.py
@@ -12,7 +12,7 @@
 from courselead.core import reducer
 from courselead.core.effects import ReplyProblem, RunState
 from courselead.core.events import MembersListed, NotRunReason, SendNotRun, SendUnknown
-from courselead.core.fleet import stops, tables
+from courselead.core.fleet import stops, tables, workers
 from courselead.core.operations import lifecycle as operations, maintenance, planner
 from courselead.core.requests import (
     attempts,
@@ -122,7 +122,10 @@
     "jobs_before_move": Mutation(
         Promise.ONE_POOL,
         "a worker goes to its next pool when no job is left on it",
-        ((operations, "jobs_on", lambda fleet, worker: ()),),
+        (
+            (operations, "jobs_on", lambda fleet, worker: ()),
+            (workers, "jobs_on", lambda fleet, worker: ()),
+        ),
         ("freeze",),
     ),
     "fingerprint": Mutation(
