--- a/benchmarks/path/config.py
+++ b/benchmarks/path/config.py
@@ -8,7 +8,7 @@
 from returns.result import Failure
 
 from benchmarks.figures import percentile, table
-from benchmarks.path.lab import ALOISI, Lab, running
+from benchmarks.path.lab import ALOISI, TARGET_12, Lab, running
 from courselead.integrations.http import HttpClient, HttpRequest
 from demo.plan import HostPlan
 
@@ -37,6 +37,9 @@
             load.stopped = True
         boots = await lab.boots() - boots
         rows.append(("load and wave", *_figures(busy), boots, load.served, load.others))
+    async with running(TARGET_12) as lab:
+        quiet = await _changes(lab, "never")
+        rows.append(("1,000 workers, 12 hosts, at rest", *_figures(quiet), 0, 0, 0))
     columns = (
         "state",
         "changes",
--- a/benchmarks/path/lab.py
+++ b/benchmarks/path/lab.py
@@ -7,7 +7,7 @@
 import time
 from collections.abc import Awaitable, Callable, Sequence
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from subprocess import DEVNULL
 from tempfile import TemporaryDirectory
@@ -64,6 +64,9 @@
 ALOISI = Shape("Aloisi", 6, 4, 40, even_pools(1, 5, 40))
 COOPERATIVE = Shape("Cooperative", 6, 3, 30, even_pools(1, 5, 30))
 TARGET = Shape("target", 6, 4, 1_000, even_pools(20, 160, 1_000), light=True)
+# Two regions of four zones each: 12 hosts, and three in every zone.
+TARGET_12 = replace(TARGET, hosts=12, zones=8)
+TARGET_24 = replace(TARGET, hosts=24, zones=8)
 
 
 class LabProcesses(Processes):
--- a/benchmarks/path/rest.py
+++ b/benchmarks/path/rest.py
@@ -16,6 +16,8 @@
     ALOISI,
     COOPERATIVE,
     TARGET,
+    TARGET_12,
+    TARGET_24,
     TIMEOUT_MS,
     Lab,
     Shape,
@@ -67,7 +69,7 @@
     ):
         beyond = (found.private - base) / KIB
         rows.append((name, found.rss / KIB, found.private / KIB, beyond))
-    for shape in (ONE_HOST, ALOISI, COOPERATIVE, TARGET):
+    for shape in (ONE_HOST, ALOISI, COOPERATIVE, TARGET, TARGET_24):
         async with running(shape) as lab:
             await anyio.sleep(SETTLE_S)
             pids = [lab.processes.pid(host.name) for host in lab.hosts]
@@ -89,7 +91,7 @@
     """Return the processor time and the bytes of daemons at rest."""
     rows = []
     wire_rows = []
-    for shape in (ALOISI, COOPERATIVE, TARGET):
+    for shape in (ALOISI, COOPERATIVE, TARGET, TARGET_12, TARGET_24):
         # The small agents count what they carry.
         async with running(replace(shape, light=True)) as lab:
             await anyio.sleep(SETTLE_S)
