--- /dev/null
+++ b/tests/matrix/machine.py
@@ -0,0 +1,75 @@
+"""Several hosts under drawn faults, as a state machine; run by test_machine.py."""
+
+from random import Random
+
+from hypothesis import HealthCheck, settings, strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from courselead.core.jobs import const
+from harness.faults import FAULTS, Strike
+from harness.matrix import LEASE_MS
+from harness.world import HOSTS, World
+
+LAST_MS = 18_000
+QUIET_MS = 8_000
+NAMES = [name for name, _ in HOSTS]
+
+
+class Fleet(RuleBasedStateMachine):
+    """A world in which faults strike whenever they like."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        const.LEASE_MS = LEASE_MS
+        self.world = World(0)
+        self.ended = False
+
+    @initialize(seed=st.integers(0, 1_000))
+    def begin(self, seed: int) -> None:
+        self.world = World(seed)
+        self.world.checks.arm()
+        self.world.begin()
+
+    @precondition(lambda self: self.world.sched.now_ms < LAST_MS)
+    @rule(passed_ms=st.integers(50, 4_000))
+    def let_time_pass(self, passed_ms: int) -> None:
+        self.world.sched.run_until(self.world.sched.now_ms + passed_ms)
+
+    @precondition(lambda self: self.world.sched.now_ms < LAST_MS)
+    @rule(
+        fault=st.sampled_from(sorted(FAULTS)),
+        host=st.sampled_from(NAMES),
+        draw=st.integers(0, 1_000),
+    )
+    def let_a_fault_strike(self, fault: str, host: str, draw: int) -> None:
+        strike = Strike(self.world, self.world.hosts[host], Random(draw))
+        self.world.note(host, f"{fault} strikes")
+        FAULTS[fault](strike)
+
+    @invariant()
+    def no_promise_is_broken(self) -> None:
+        assert self.world.checks.violations == []
+        assert self.world.broken == []
+
+    def teardown(self) -> None:
+        """Let everything come to rest; every caller has its answer by then."""
+        self.world.load_to_ms = 0
+        self.world.run(self.world.sched.now_ms + QUIET_MS)
+        self.no_promise_is_broken()
+
+
+Fleet.TestCase.settings = settings(
+    max_examples=20,
+    stateful_step_count=12,
+    derandomize=True,
+    deadline=None,
+    database=None,
+    suppress_health_check=list(HealthCheck),
+)
+TestFleet = Fleet.TestCase
