Keep out of use what left the membership list while leaving

Cause: a worker that was listed as leaving and then was in the list no more was taken for one that is in use again. New requests went to a machine that had gone, until its loss was in the log. Change: it stays out of use until a newer list has it as live or the shared state knows that it is gone. A test of routing took the same list without any worker for one that brings a worker back; it now asks for both, gone and listed as live. The new test fails before and passes after. Conclusion: only a list that has the worker as live brings it back.

--- a/courselead/core/requests/reducer.py
+++ b/courselead/core/requests/reducer.py
@@ -22,6 +22,7 @@
     SnapshotLoaded,
     Tick,
 )
+from courselead.core.fleet.state import WorkerPhase
 from courselead.core.requests import (
     arrivals,
     attempts,
@@ -114,6 +115,7 @@
     turn.list_version = event.version
     turn.listed_ms = turn.now
     leaving = frozenset(event.leaving_workers)
+    leaving |= _left_the_list(turn, event, turn.leaving_workers - leaving)
     back = sorted(turn.leaving_workers - leaving)
     turn.leaving_workers = leaving
     for worker in back:
@@ -124,6 +126,23 @@
         lifecycle.wake(turn, target.pool)
 
 
+def _left_the_list(
+    turn: Turn, event: MembersListed, before: frozenset[str]
+) -> frozenset[str]:
+    """Return those that were leaving and are in the list no more: they have left.
+
+    They stay out of use until the shared state knows that they are gone.
+    """
+    if not before:
+        return before
+    gone = before - {info.worker for info in event.workers}
+    workers = turn.ctx.fleet.workers
+    known = [name for name in gone if name in workers]
+    return frozenset(
+        name for name in known if workers[name].phase is not WorkerPhase.GONE
+    )
+
+
 def _on_leave(turn: Turn, event: LeaveAsked) -> None:
     turn.leaving = True
 
--- a/harness/checks.py
+++ b/harness/checks.py
@@ -281,6 +281,9 @@
             return
         now_ms = self.world.sched.now_ms
         told = {name: since.get(name, now_ms) for name in event.leaving_workers}
+        listed = {info.worker for info in event.workers}
+        # One that was leaving and is listed no more has left.
+        told.update((name, at) for name, at in since.items() if name not in listed)
         self._told[key] = (event.version, told)
 
     def sent(self, host: object, send: Send) -> None:
--- a/tests/core/requests/test_routing.py
+++ b/tests/core/requests/test_routing.py
@@ -11,6 +11,7 @@
     SendNotRun,
     SendUnknown,
 )
+from courselead.core.fleet.records import WorkerInfo
 from courselead.core.fleet.state import WorkerPhase
 from courselead.core.requests import policies
 from courselead.core.requests.state import RequestsState
@@ -93,6 +94,9 @@
     host.fleet = with_worker(host.fleet, "w1", **stopping)
     assert not sends(host.arrive())
     host.feed(replace(listed, version=2, leaving_workers=()))
+    assert not sends(host.all)  # It has left the list, not come back.
+    live = (WorkerInfo("w2", "z1", "r1", "w2:1", 4.0, 1024),)
+    host.feed(replace(listed, version=3, workers=live, leaving_workers=()))
     assert [send.worker for send in sends(host.all)] == ["w2"]
 
 
--- a/tests/matrix/test_found.py
+++ b/tests/matrix/test_found.py
@@ -27,6 +27,7 @@
     StopPurpose,
     WorkerBack,
     WorkerDown,
+    WorkerInfo,
     WorkersGone,
 )
 from courselead.core.fleet.state import WorkerPhase
@@ -75,8 +76,9 @@
     ]
 
 
-def listed(host: Host, version: int, *leaving: str) -> MembersListed:
-    return MembersListed(host.now_ms, version, (), leaving, ())
+def listed(host: Host, version: int, *leaving: str, names=("w1", "w2")):
+    infos = tuple(WorkerInfo(name, "z1", "r1", name, 4.0, 1024) for name in names)
+    return MembersListed(host.now_ms, version, infos, leaving, ())
 
 
 def test_an_older_list_does_not_let_a_leaving_worker_be_used_again() -> None:
@@ -170,3 +172,16 @@
     host.fleet = with_worker(host.fleet, "w1", epoch=2)
     host.feed(BatchesRead(host.now_ms, ()))
     assert [send.worker for send in sends(host.arrive())] == ["w1"]
+
+
+def test_a_worker_that_left_the_list_while_leaving_is_not_used_again() -> None:
+    host = Host(fleet_of(workers=(worker_state("w1"), worker_state("w2"))))
+    host.tick()
+    host.feed(listed(host, 1, "w1"))
+    host.feed(listed(host, 2, names=("w2",)))
+    for _ in range(6):
+        for send in sends(host.arrive()):
+            assert send.worker == "w2"
+    host.feed(listed(host, 3))
+    used = {send.worker for _ in range(6) for send in sends(host.arrive())}
+    assert "w1" in used
