Tell from the paths alone whether a host is connected

Cause: with faults that overlap, the end of one marked a host as well connected that another still cut off; and a restarted host was held to what its earlier process had been told.

--- a/harness/checks.py
+++ b/harness/checks.py
@@ -309,7 +309,7 @@
         minion = self.world.workers[send.worker].minion
         if reason is not NotRunReason.LEAVING or minion is None:
             return
-        first_ms = minion.told_leaving.get(host.name, 1 << 60)
+        first_ms = minion.told_leaving.get(f"{host.name}:{host.life}", NEVER_MS)
         first_ms = max(first_ms, host.steady_ms)
         now_ms = self.world.sched.now_ms
         self._count(Promise.LEAVING)
--- a/harness/exchange.py
+++ b/harness/exchange.py
@@ -81,7 +81,8 @@
             self._after(2, self._not_run, NotRunReason.REFUSED)
             return
         if minion.state != SERVING:
-            minion.told_leaving.setdefault(self.host.name, self.world.sched.now_ms)
+            key = f"{self.host.name}:{self.host.life}"
+            minion.told_leaving.setdefault(key, self.world.sched.now_ms)
             self._after(2, self._not_run, NotRunReason.LEAVING)
             return
         if len(minion.runs) >= minion.slots:
--- a/harness/faults.py
+++ b/harness/faults.py
@@ -4,7 +4,6 @@
 from dataclasses import dataclass, replace
 from random import Random
 
-from harness.checks import NEVER_MS
 from harness.hosts import SimHost
 from harness.world import API, World
 
@@ -31,16 +30,6 @@
         """Call a function after a drawn time."""
         self.world.sched.after(self.rng.randint(low_ms, high_ms), call, *args)
 
-    def unsteady(self, hosts: list[SimHost]) -> None:
-        """Note that hosts are not well connected from here on."""
-        for host in hosts:
-            host.steady_ms = NEVER_MS
-
-    def steady(self, hosts: list[SimHost]) -> None:
-        """Note that hosts are well connected from here on."""
-        for host in hosts:
-            host.steady_ms = self.world.sched.now_ms
-
 
 def kill(strike: Strike) -> None:
     """End the process; it starts again later and knows nothing."""
@@ -65,12 +54,10 @@
 def cut_platform(strike: Strike) -> None:
     """Cut one host from the log and the list, and from nothing else."""
     net, host = strike.world.net, strike.host
-    strike.unsteady([host])
     net.off_platform.add(host.name)
 
     def heal() -> None:
         net.off_platform.discard(host.name)
-        strike.steady([host])
         if strike.rng.random() < 0.5 and host.alive:
             # The log may have let go of what this host was to read next.
             host.start_over()
@@ -81,13 +68,10 @@
 def platform_down(strike: Strike) -> None:
     """Let the log and the list be out of reach for all."""
     net = strike.world.net
-    hosts = list(strike.world.hosts.values())
-    strike.unsteady(hosts)
     net.platform_down = True
 
     def heal() -> None:
         net.platform_down = False
-        strike.steady(hosts)
 
     strike.later(800, 4_500, heal)
 
--- a/harness/workers.py
+++ b/harness/workers.py
@@ -27,7 +27,7 @@
         runs: Exchanges that run now.
         failing: Whether it answers everything with an error.
         slow: Factor on the time of all work.
-        told_leaving: When it first refused a host as leaving, by host.
+        told_leaving: When it first refused a host's process as leaving.
     """
 
     worker: "Worker"
--- a/harness/world.py
+++ b/harness/world.py
@@ -218,13 +218,8 @@
         for name in self.log.truth.serving.get(pool, ())[:1]:
             self._crash(name)
         host = self.hosts["b1"]
-        host.steady_ms = NEVER_MS
         self.net.off_platform.add(host.name)
-        self.sched.after(UPSET_FOR_MS, self._calm, host)
-
-    def _calm(self, host: SimHost) -> None:
-        self.net.off_platform.discard(host.name)
-        host.steady_ms = self.sched.now_ms
+        self.sched.after(UPSET_FOR_MS, self.net.off_platform.discard, host.name)
 
     def _lose_host(self, name: str) -> None:
         self.hosts[name].kill()
@@ -241,6 +236,11 @@
 
     def _look(self) -> None:
         self.checks.look_at_list()
+        for host in self.hosts.values():
+            if not self.net.on_platform(host.name):
+                host.steady_ms = NEVER_MS
+            elif host.steady_ms == NEVER_MS:
+                host.steady_ms = self.sched.now_ms
         if self.sched.now_ms // LOOK_MS % STATES_EVERY == 0:
             self._look_at_states()
         self.sched.after(LOOK_MS, self._look)
