--- a/courselead/__main__.py
+++ b/courselead/__main__.py
@@ -10,7 +10,8 @@
 COMMAND_SERVE = "serve"
 CONF_OPTION = "--config"
 HELP_OPTIONS = ("-h", "--help")
-SERVE_USAGE = "usage: courselead serve --config FILE"
+PLATFORM_OPTION = "--platform"
+SERVE_USAGE = "usage: courselead serve --config FILE | courselead serve --platform"
 LIBRARY_OF_COLOURS = "rich"
 EXIT_OK = 0
 EXIT_USAGE = 2
@@ -38,6 +39,11 @@
     if args and args[0] in HELP_OPTIONS:
         sys.stdout.write(f"{SERVE_USAGE}\n")
         return EXIT_OK
+    if args == [PLATFORM_OPTION]:
+        sys.modules.setdefault(LIBRARY_OF_COLOURS, None)
+        from courselead.daemon.scheduling.main import run as run_on_platform
+
+        return run_on_platform()
     path = _config_path(args)
     if not path:
         sys.stderr.write(f"{SERVE_USAGE}\n")
--- /dev/null
+++ b/courselead/core/scheduler/book.py
@@ -0,0 +1,101 @@
+"""The fold of the job log that every host keeps."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from courselead.core.scheduler.models import JobSpec, JobState
+from courselead.core.scheduler.records import (
+    JobAccepted,
+    JobCancelled,
+    JobForgotten,
+    JobProgress,
+    OwnerBeat,
+    Record,
+)
+
+
+@dataclass(slots=True)
+class JobEntry:
+    """A job as the log knows it."""
+
+    job_id: str
+    queue: str
+    spec: JobSpec
+    progress: JobProgress | None = None
+    cancelled: bool = False
+
+    @property
+    def state(self) -> JobState:
+        """Return what a caller is told."""
+        progress = self.progress
+        if progress is not None and progress.state.final:
+            return progress.state
+        if self.cancelled:
+            return JobState.CANCELLED
+        if progress is None or not progress.begun:
+            return JobState.QUEUED
+        return JobState.RUNNING
+
+
+class JobBook:
+    """All jobs of the log, applied record by record in its order.
+
+    Records may come before the job that they belong to, when a page of the
+    newest records is read; they are kept until it comes.
+    """
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.jobs: dict[str, JobEntry] = {}
+        self.owner: OwnerBeat | None = None
+        self._early_progress: dict[str, JobProgress] = {}
+        self._early_cancels: set[str] = set()
+
+    def apply(self, record: Record) -> None:
+        """Apply one record."""
+        match record:
+            case JobAccepted():
+                self._accepted(record)
+            case JobProgress():
+                self._progressed(record)
+            case JobCancelled():
+                self._cancelled(record)
+            case JobForgotten():
+                self.jobs.pop(record.job_id, None)
+                self._early_progress.pop(record.job_id, None)
+                self._early_cancels.discard(record.job_id)
+            case OwnerBeat():
+                if self.owner is None or record.fence >= self.owner.fence:
+                    self.owner = record
+
+    def pending(self, queue: str) -> int:
+        """Return how many jobs of a queue wait for their first task."""
+        count = 0
+        for entry in self.jobs.values():
+            if entry.queue == queue and entry.state is JobState.QUEUED:
+                count += 1
+        return count
+
+    def _accepted(self, record: JobAccepted) -> None:
+        if record.job_id in self.jobs:
+            return
+        entry = JobEntry(record.job_id, record.queue, record.spec)
+        entry.progress = self._early_progress.pop(record.job_id, None)
+        entry.cancelled = record.job_id in self._early_cancels
+        self._early_cancels.discard(record.job_id)
+        self.jobs[record.job_id] = entry
+
+    def _progressed(self, record: JobProgress) -> None:
+        entry = self.jobs.get(record.job_id)
+        if entry is None:
+            self._early_progress[record.job_id] = record
+            return
+        entry.progress = record
+
+    def _cancelled(self, record: JobCancelled) -> None:
+        entry = self.jobs.get(record.job_id)
+        if entry is None:
+            self._early_cancels.add(record.job_id)
+            return
+        entry.cancelled = True
--- /dev/null
+++ b/courselead/core/scheduler/const.py
@@ -0,0 +1,61 @@
+"""Figures of the scheduler: each with its unit and where it comes from."""
+
+RUNS_PER_FENCE = 1_000_000
+"""Run numbers an owner may give out: far above the starts of a task in a day."""
+
+CLOCK_SLOWNESS = 0.98
+"""A minion's steady clock may be 2% slow (the platform's protocol)."""
+
+LEASE_MARGIN_MS = 300
+"""Added to a lease's end before its runs count as gone: wake-up of a busy minion."""
+
+UNREACHABLE_FAILURES = 2
+"""Failed looks in a row until a minion gets no new work: one may be a lost answer."""
+
+QUARANTINE_FAILURES = 3
+"""Failed runs in a row, of different jobs, until a minion gets no finite work."""
+
+QUARANTINE_MS = 4_000
+"""Rest of a minion that fails what it starts; a first guess, not yet tuned."""
+
+STALL_MS = 2_500
+"""A run whose percent stands still this long is stopped: two looks and a half."""
+
+STALL_FACTOR = 3
+"""A run is stalled only beyond this many times its expected time."""
+
+RESTART_BACKOFF_MS = 200
+"""First wait before a lasting task that failed is started again."""
+
+RESTART_BACKOFF_MAX_MS = 2_000
+"""Longest such wait: below the 3 s within which a lasting task must run again."""
+
+ROOM_REFUSAL_MS = 400
+"""Rest of a minion that refused a start for want of room: until the next look."""
+
+SHED_MS = 500
+"""Rest of a minion that answered 429 or 503: nothing was done there."""
+
+MISFIT_LIMIT = 40
+"""Units that do not fit in a row until a round of placement ends: bounds its time."""
+
+HOLD_WAIT_MS = 1_000
+"""Time a look waits for an end: percent and tails are at most this old."""
+
+HOLD_WAIT_PACED_MS = 500
+"""The same where tasks that fill run beside tasks that serve: tails are half a
+second's figures."""
+
+LEARN_WEIGHT = 0.2
+"""Weight of a new run time in the moving average of a queue's step."""
+
+DOUBT_SLACK_MS = 1_500
+"""Added to the longest lease after a takeover: the time that a deposed owner may
+go on renewing leases before it meets the newer fence."""
+
+STOP_RETRY_MS = 700
+"""Time until an unanswered stop is sent again."""
+
+STARTUP_MS = 1_000
+"""Time in which a lasting task that was started is at work, for its quota of away
+tasks; a short start-up by the protocol."""
--- /dev/null
+++ b/courselead/core/scheduler/events.py
@@ -0,0 +1,341 @@
+"""What the scheduler is told and what it wants done."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from courselead.core.scheduler.models import (
+    FleetConfig,
+    MaintenanceWave,
+    MinionInfo,
+    Worker,
+)
+from courselead.core.scheduler.records import JobProgress
+
+
+class EndKind(StrEnum):
+    """How a run ended."""
+
+    DONE = "done"
+    FAILED = "failed"
+    STOPPED = "stopped"
+    LAPSED = "lapsed"
+    BROKEN = "broken"
+    ALONE = "alone"
+
+
+class Outcome(StrEnum):
+    """What became of an order to a minion."""
+
+    OK = "ok"
+    FENCED = "fenced"
+    SUPERSEDED = "superseded"
+    LEASE_OVER = "lease_over"
+    NO_ROOM = "no_room"
+    NO_TICKET = "no_ticket"
+    SHED = "shed"
+    REFUSED = "refused"
+    OTHER_LIFE = "other_life"
+    NOT_SENT = "not_sent"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True, slots=True)
+class RunReport:
+    """A run that a minion says it has; `figure` is a tail in ms or cpu in use."""
+
+    task: str
+    number: int
+    checkpoint: str
+    percent: int
+    figure: int
+
+
+@dataclass(frozen=True, slots=True)
+class EndReport:
+    """A run that a minion says has ended."""
+
+    sequence: int
+    task: str
+    number: int
+    kind: EndKind
+    checkpoint: str
+
+
+# Events
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigChanged:
+    """A newer configuration."""
+
+    config: FleetConfig
+
+
+@dataclass(frozen=True, slots=True)
+class MinionListed:
+    """The platform's list has a minion, new or changed."""
+
+    info: MinionInfo
+
+
+@dataclass(frozen=True, slots=True)
+class MinionUnlisted:
+    """The platform's list has a minion no more; it may still run."""
+
+    minion_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class JobArrived:
+    """The log has a job that is new to this owner."""
+
+    job_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class JobCancelRequested:
+    """The log has a cancel."""
+
+    job_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class HoldAnswered:
+    """A minion answered a look."""
+
+    minion_id: str
+    sent_ms: int
+    clock_ms: int
+    running: tuple[RunReport, ...]
+    ended: tuple[EndReport, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class HoldFailed:
+    """A look failed."""
+
+    minion_id: str
+    outcome: Outcome
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class OrderAnswered:
+    """A start, stop or pace order was answered, or given up."""
+
+    minion_id: str
+    task: str
+    number: int
+    verb: str
+    outcome: Outcome
+    clock_ms: int = 0
+    reason: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class ProgressSaved:
+    """The log has all records up to a batch."""
+
+    batch: int
+
+
+@dataclass(frozen=True, slots=True)
+class AdviceGiven:
+    """The advice service answered; `tickets` by minion."""
+
+    step: str
+    tickets: dict[str, str]
+    valid_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class AdviceFailed:
+    """The advice service did not answer."""
+
+    step: str
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class WorkersListed:
+    """The cloud's list of workers, asked for at `asked_ms`."""
+
+    asked_ms: int
+    workers: tuple[Worker, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class DutyAnswered:
+    """The cloud answered a move or a maintenance order, or did not."""
+
+    worker_id: str
+    outcome: Outcome
+    reason: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class WaveRequested:
+    """The operator wants workers maintained."""
+
+    wave: MaintenanceWave
+
+
+@dataclass(frozen=True, slots=True)
+class Tick:
+    """Time passed; `wall_ms` is since 1970."""
+
+    wall_ms: int
+
+
+Event = (
+    ConfigChanged
+    | MinionListed
+    | MinionUnlisted
+    | JobArrived
+    | JobCancelRequested
+    | HoldAnswered
+    | HoldFailed
+    | OrderAnswered
+    | ProgressSaved
+    | AdviceGiven
+    | AdviceFailed
+    | WorkersListed
+    | DutyAnswered
+    | WaveRequested
+    | Tick
+)
+
+# Effects
+
+
+@dataclass(frozen=True, slots=True)
+class StartRun:
+    """Start a task on a minion; `lease_ms` is on its clock."""
+
+    minion_id: str
+    task: str
+    number: int
+    payload: str
+    lease_ms: int
+    checkpoint: str
+    ticket: str
+
+
+@dataclass(frozen=True, slots=True)
+class StopRun:
+    """Stop a run on a minion."""
+
+    minion_id: str
+    task: str
+    number: int
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class PaceRun:
+    """Let a run work at a share."""
+
+    minion_id: str
+    task: str
+    number: int
+    percent: int
+
+
+@dataclass(frozen=True, slots=True)
+class SaveProgress:
+    """Store a job's progress in the batch that is open now."""
+
+    progress: JobProgress
+
+
+@dataclass(frozen=True, slots=True)
+class ForgetJob:
+    """Drop a job that ended long ago."""
+
+    job_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class AskAdvice:
+    """Ask which of these minions may run a step."""
+
+    step: str
+    minion_ids: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class MoveWorker:
+    """Move a worker to another pool."""
+
+    worker_id: str
+    pool: str
+
+
+@dataclass(frozen=True, slots=True)
+class MaintainWorker:
+    """Take a worker down for its maintenance."""
+
+    worker_id: str
+    wave: int
+
+
+@dataclass(frozen=True, slots=True)
+class ListWorkers:
+    """Ask the cloud for its list."""
+
+
+@dataclass(frozen=True, slots=True)
+class SaveWaveStatus:
+    """Tell the operator how far a wave is."""
+
+    wave: int
+    completed: bool
+
+
+@dataclass(frozen=True, slots=True)
+class FollowMinion:
+    """Keep looking at a minion from now on."""
+
+    minion_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class LeaveMinion:
+    """Look at a minion no more: its life is over."""
+
+    minion_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class StepDown:
+    """A newer owner exists."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Note:
+    """A decision for the log of the process."""
+
+    event: str
+    fields: dict[str, object]
+
+
+Effect = (
+    StartRun
+    | StopRun
+    | PaceRun
+    | SaveProgress
+    | ForgetJob
+    | AskAdvice
+    | MoveWorker
+    | MaintainWorker
+    | ListWorkers
+    | SaveWaveStatus
+    | FollowMinion
+    | LeaveMinion
+    | StepDown
+    | Note
+)
--- /dev/null
+++ b/courselead/core/scheduler/jobs.py
@@ -0,0 +1,289 @@
+"""Life of a job: its occurrences, steps and units, and what is saved of it."""
+
+from __future__ import annotations
+
+from courselead.core.scheduler.book import JobEntry
+from courselead.core.scheduler.events import ForgetJob, SaveProgress
+from courselead.core.scheduler.models import JobState
+from courselead.core.scheduler.records import JobProgress, OccurrenceProgress
+from courselead.core.scheduler.schedule import Schedule
+from courselead.core.scheduler.state import Job, StepRun, Unit
+
+
+def open_job(schedule: Schedule, entry: JobEntry, from_before: bool) -> Job:
+    """Take a job of the log into the schedule.
+
+    Args:
+        schedule: The state.
+        entry: The job, with what was saved of it.
+        from_before: Whether an earlier owner may have started some of it.
+    """
+    job = Job(entry.job_id, entry.queue, entry.spec, schedule.now_ms, from_before)
+    queue = schedule.queue(entry.queue)
+    job.pool = queue.pool if queue is not None else ""
+    schedule.jobs[job.job_id] = job
+    job.state = entry.state
+    progress = entry.progress
+    saved: dict[int, OccurrenceProgress] = {}
+    if progress is not None:
+        job.begun = progress.begun
+        job.closed = set(progress.closed)
+        job.ended_ms = progress.ended_ms
+        saved = {item.number: item for item in progress.occurrences}
+    if not job.spec.timed:
+        _open_occurrence(schedule, job, 0, saved.get(0))
+        return job
+    for number, item in sorted(saved.items()):
+        _open_occurrence(schedule, job, number, item)
+    open_due(schedule, job)
+    return job
+
+
+def open_due(schedule: Schedule, job: Job) -> None:
+    """Open the occurrences of a job with times that are due."""
+    if job.state.final:
+        return
+    while job.next_occurrence < job.spec.repeats:
+        number = job.next_occurrence
+        if job.spec.due_ms(number) > schedule.wall_ms:
+            return
+        job.next_occurrence += 1
+        if number in job.closed or number in job.occurrences:
+            continue
+        _open_occurrence(schedule, job, number, None)
+
+
+def unit_of(schedule: Schedule, task: str) -> Unit | None:
+    """Return the unit of a task's name, also of a job that has ended."""
+    unit = schedule.units.get(task)
+    if unit is not None:
+        return unit
+    job_id = task.partition(".")[0]
+    entry = schedule.book.jobs.get(job_id)
+    if entry is None or job_id in schedule.jobs:
+        return None
+    open_job(schedule, entry, from_before=True)
+    return schedule.units.get(task)
+
+
+def unit_done(schedule: Schedule, unit: Unit) -> None:
+    """Count a unit as done for good."""
+    if unit.done:
+        return
+    unit.done = True
+    step = unit.step
+    step.open_units -= 1
+    for run in list(unit.runs):
+        if len(unit.indexes) == 1:
+            schedule.stop_run(run, "another copy is done")
+    save(schedule, unit.job)
+    if step.open_units == 0:
+        _step_done(schedule, step)
+
+
+def unit_failed(schedule: Schedule, unit: Unit, number: int) -> None:
+    """Count a failed run; the job fails with the last allowed attempt."""
+    if number in unit.failed_numbers:
+        return
+    unit.failed_numbers.add(number)
+    unit.failed += 1
+    job = unit.job
+    save(schedule, job)
+    if unit.spec.long_running or unit.done or job.state.final:
+        return
+    queue = schedule.queue(job.queue)
+    limit = queue.max_attempts if queue is not None else 1
+    if unit.failed >= limit:
+        end_job(schedule, job, JobState.FAILED, "a task failed too often")
+
+
+def requeue(schedule: Schedule, unit: Unit) -> None:
+    """Put a unit back in line once nothing of it runs any more."""
+    if unit.done or unit.runs or unit.job.state.final:
+        return
+    pool = schedule.pool_of(unit.job)
+    line = schedule.ready.setdefault(pool, [])
+    if unit not in line:
+        unit.ready_ms = schedule.now_ms
+        line.append(unit)
+    schedule.dirty_pools.add(pool)
+
+
+def begin(schedule: Schedule, job: Job) -> None:
+    """Note that a first task of a job was started."""
+    if job.begun:
+        return
+    job.begun = True
+    if not job.state.final:
+        job.state = JobState.RUNNING
+    save(schedule, job)
+
+
+def cancel(schedule: Schedule, job_id: str) -> None:
+    """End a job at its caller's wish."""
+    job = schedule.jobs.get(job_id)
+    if job is None or job.state.final:
+        return
+    end_job(schedule, job, JobState.CANCELLED, "cancelled by its caller")
+
+
+def end_job(schedule: Schedule, job: Job, state: JobState, reason: str) -> None:
+    """End a job: nothing of it starts any more, and what runs is stopped."""
+    job.state = state
+    job.ended_ms = schedule.wall_ms
+    save(schedule, job)
+    schedule.note("job_ended", job_id=job.job_id, state=str(state), reason=reason)
+    for steps in job.occurrences.values():
+        for step in steps:
+            schedule.advice.pop(step.name, None)
+            for unit in step.units:
+                for run in unit.runs:
+                    schedule.stop_run(run, reason)
+
+
+def save(schedule: Schedule, job: Job) -> None:
+    """Store the job's progress with the batch that is open."""
+    schedule.dirty_jobs[job.job_id] = None
+
+
+def flush(schedule: Schedule) -> None:
+    """Turn the jobs to be saved into records of the open batch."""
+    for job_id in schedule.dirty_jobs:
+        job = schedule.jobs.get(job_id)
+        if job is not None:
+            schedule.emit(SaveProgress(_progress(job)))
+    schedule.dirty_jobs.clear()
+
+
+def forget_old(schedule: Schedule) -> None:
+    """Drop jobs that ended long ago from the log."""
+    keep_ms = 2 * schedule.bounds.status_s * 1000
+    for entry in list(schedule.book.jobs.values()):
+        progress = entry.progress
+        if progress is None or not progress.state.final or not progress.ended_ms:
+            continue
+        if schedule.wall_ms - progress.ended_ms < keep_ms:
+            continue
+        job = schedule.jobs.get(entry.job_id)
+        if job is not None and job.live_runs:
+            continue
+        drop_job(schedule, entry.job_id)
+        schedule.emit(ForgetJob(entry.job_id))
+
+
+def drop_job(schedule: Schedule, job_id: str) -> None:
+    """Forget what the schedule keeps of a job."""
+    job = schedule.jobs.pop(job_id, None)
+    if job is None:
+        return
+    for steps in job.occurrences.values():
+        _drop_units(schedule, steps)
+
+
+def _open_occurrence(
+    schedule: Schedule, job: Job, number: int, saved: OccurrenceProgress | None
+) -> None:
+    steps: list[StepRun] = []
+    for step_number, spec in enumerate(job.spec.steps):
+        step = StepRun(job, number, step_number, spec)
+        done = set(saved.done[step_number]) if saved is not None else set()
+        if spec.gang:
+            groups = [tuple(range(spec.count))]
+        else:
+            groups = [(index,) for index in range(spec.count)]
+        for indexes in groups:
+            unit = Unit(step, indexes, done=indexes[0] in done)
+            _restore(unit, saved)
+            step.units.append(unit)
+            for index in indexes:
+                schedule.units[unit.task_name(index)] = unit
+        step.open_units = sum(not unit.done for unit in step.units)
+        steps.append(step)
+    job.occurrences[number] = steps
+    job.next_occurrence = max(job.next_occurrence, number + 1)
+    _release(schedule, job, number)
+
+
+def _restore(unit: Unit, saved: OccurrenceProgress | None) -> None:
+    if saved is None:
+        return
+    unit.failed = saved.failed.get(unit.checkpoint_key, 0)
+    unit.checkpoint = saved.checkpoints.get(unit.checkpoint_key, "")
+
+
+def _release(schedule: Schedule, job: Job, number: int) -> None:
+    """Put the units of all steps in line whose earlier steps are done."""
+    steps = job.occurrences[number]
+    if all(step.open_units == 0 for step in steps):
+        _close_occurrence(schedule, job, number)
+        return
+    for step in steps:
+        if step.ready:
+            continue
+        if any(steps[before].open_units for before in step.spec.after):
+            continue
+        step.ready = True
+        for unit in step.units:
+            requeue(schedule, unit)
+
+
+def _step_done(schedule: Schedule, step: StepRun) -> None:
+    schedule.advice.pop(step.name, None)
+    if step.occurrence in step.job.occurrences:
+        _release(schedule, step.job, step.occurrence)
+
+
+def _close_occurrence(schedule: Schedule, job: Job, number: int) -> None:
+    job.closed.add(number)
+    save(schedule, job)
+    steps = job.occurrences[number]
+    if not any(unit.runs for step in steps for unit in step.units):
+        _drop_units(schedule, steps)
+        del job.occurrences[number]
+    if job.state.final:
+        return
+    if len(job.closed) >= max(1, job.spec.repeats):
+        job.state = JobState.COMPLETED
+        job.ended_ms = schedule.wall_ms
+        schedule.note("job_ended", job_id=job.job_id, state="completed", reason="")
+
+
+def _drop_units(schedule: Schedule, steps: list[StepRun]) -> None:
+    for step in steps:
+        for unit in step.units:
+            for index in unit.indexes:
+                schedule.units.pop(unit.task_name(index), None)
+
+
+def _progress(job: Job) -> JobProgress:
+    occurrences = []
+    if not job.state.final:
+        for number, steps in sorted(job.occurrences.items()):
+            if number not in job.closed:
+                occurrences.append(_occurrence_progress(number, steps))
+    return JobProgress(
+        job.job_id,
+        job.state,
+        job.begun,
+        sorted(job.closed),
+        occurrences,
+        job.ended_ms,
+    )
+
+
+def _occurrence_progress(number: int, steps: list[StepRun]) -> OccurrenceProgress:
+    done: list[list[int]] = []
+    failed: dict[str, int] = {}
+    checkpoints: dict[str, str] = {}
+    for step in steps:
+        finished: list[int] = []
+        for unit in step.units:
+            if unit.done:
+                finished.extend(unit.indexes)
+                continue
+            if unit.failed and not step.spec.long_running:
+                failed[unit.checkpoint_key] = unit.failed
+            if unit.checkpoint:
+                checkpoints[unit.checkpoint_key] = unit.checkpoint
+        done.append(finished)
+    return OccurrenceProgress(number, done, failed, checkpoints)
--- /dev/null
+++ b/courselead/core/scheduler/minions.py
@@ -0,0 +1,374 @@
+"""What minions report: runs, ends, silence and the end of their lives."""
+
+from __future__ import annotations
+
+from courselead.core.scheduler import const, jobs, pace
+from courselead.core.scheduler.events import (
+    EndKind,
+    EndReport,
+    FollowMinion,
+    HoldAnswered,
+    HoldFailed,
+    LeaveMinion,
+    OrderAnswered,
+    Outcome,
+    RunReport,
+    StepDown,
+    StopRun,
+)
+from courselead.core.scheduler.models import MinionInfo
+from courselead.core.scheduler.schedule import Schedule
+from courselead.core.scheduler.state import Minion, Run, RunPhase, Unit
+
+
+def listed(schedule: Schedule, info: MinionInfo) -> None:
+    """Take a minion of the platform's list."""
+    if info.minion_id in schedule.dead:
+        return
+    minion = schedule.minions.get(info.minion_id)
+    if minion is None:
+        minion = Minion(info)
+        schedule.minions[info.minion_id] = minion
+        schedule.emit(FollowMinion(info.minion_id))
+        schedule.note("minion_listed", minion=info.minion_id, pool=info.pool)
+    if info.draining and not minion.info.draining:
+        schedule.note("minion_draining", minion=info.minion_id)
+    minion.info = info
+    minion.listed = True
+    schedule.doubted_lives.pop(info.minion_id, None)
+    schedule.dirty_pools.add(info.pool)
+
+
+def unlisted(schedule: Schedule, minion_id: str) -> None:
+    """Note that the platform's list has a minion no more; it may still run."""
+    minion = schedule.minions.get(minion_id)
+    if minion is None:
+        return
+    minion.listed = False
+    schedule.note("minion_unlisted", minion=minion_id, runs=len(minion.runs))
+    if not minion.runs and minion.failures:
+        dead(schedule, minion, "left the list")
+
+
+def hold_answered(schedule: Schedule, event: HoldAnswered) -> None:
+    """Take a minion's whole report."""
+    minion = schedule.minions.get(event.minion_id)
+    if minion is None:
+        return
+    if minion.failures:
+        schedule.note("minion_reached", minion=minion.minion_id)
+        schedule.dirty_pools.add(minion.info.pool)
+    minion.failures = 0
+    minion.clock_ms = event.clock_ms
+    minion.clock_at_ms = schedule.now_ms
+    minion.seen_ms = schedule.now_ms
+    reported: set[tuple[str, int]] = set()
+    for report in event.running:
+        reported.add((report.task, report.number))
+        _running(schedule, minion, report)
+    for end in event.ended:
+        reported.add((end.task, end.number))
+        _ended(schedule, minion, end)
+    _vanished(schedule, minion, event.sent_ms, reported)
+    if not minion.synced:
+        minion.synced = True
+        schedule.dirty_pools.add(minion.info.pool)
+        schedule.note("minion_synced", minion=minion.minion_id, runs=len(event.running))
+    pace.adjust(schedule, minion)
+
+
+def hold_failed(schedule: Schedule, event: HoldFailed) -> None:
+    """Take a failed look."""
+    minion = schedule.minions.get(event.minion_id)
+    if minion is None:
+        return
+    if event.outcome is Outcome.FENCED:
+        schedule.emit(StepDown("a minion has seen a newer fence"))
+        return
+    if event.outcome is Outcome.OTHER_LIFE:
+        dead(schedule, minion, "another life answers at its address")
+        return
+    minion.failures += 1
+    if minion.failures == const.UNREACHABLE_FAILURES:
+        schedule.note(
+            "minion_unreachable", minion=minion.minion_id, reason=event.reason
+        )
+    if not minion.listed and not minion.runs:
+        dead(schedule, minion, "left the list and does not answer")
+
+
+def order_answered(schedule: Schedule, event: OrderAnswered) -> None:
+    """Take the answer to a start, stop or pace order, or its lack."""
+    minion = schedule.minions.get(event.minion_id)
+    if minion is None:
+        return
+    if event.outcome is Outcome.FENCED:
+        schedule.emit(StepDown("a minion has seen a newer fence"))
+        return
+    if event.outcome is Outcome.OTHER_LIFE:
+        dead(schedule, minion, "another life answers at its address")
+        return
+    run = minion.runs.get((event.task, event.number))
+    if run is None:
+        return
+    if event.verb == "start":
+        _start_answered(schedule, minion, run, event)
+    elif event.verb == "stop" and event.outcome is Outcome.OK:
+        run.stop_answered_ms = schedule.now_ms
+
+
+def dead(schedule: Schedule, minion: Minion, reason: str) -> None:
+    """Take a life as over: its runs are gone for certain."""
+    schedule.note(
+        "minion_dead",
+        minion=minion.minion_id,
+        reason=reason,
+        runs=len(minion.runs),
+    )
+    for run in list(minion.runs.values()):
+        lost(schedule, run)
+    schedule.minions.pop(minion.minion_id, None)
+    schedule.dead.add(minion.minion_id)
+    schedule.doubted_lives.pop(minion.minion_id, None)
+    schedule.dirty_pools.add(minion.info.pool)
+    schedule.emit(LeaveMinion(minion.minion_id))
+
+
+def lost(schedule: Schedule, run: Run) -> None:
+    """Take a run as gone for certain without a report of its end."""
+    unit = run.unit
+    if run.checkpoint:
+        unit.checkpoint = run.checkpoint
+    schedule.drop_run(run)
+    _gang_broken(schedule, unit)
+    jobs.requeue(schedule, unit)
+
+
+def tick(schedule: Schedule) -> None:
+    """Act on leases that ran out, stops without an answer and stalled runs."""
+    for minion in list(schedule.minions.values()):
+        if minion.failures and minion.runs:
+            _lapse(schedule, minion)
+        for run in list(minion.runs.values()):
+            if run.phase is RunPhase.STOPPING:
+                _stop_again(schedule, run)
+            elif _stalled(schedule, run):
+                run.unit.avoid.add(run.minion_id)
+                schedule.stop_run(run, "stands still")
+        if minion.info.draining:
+            _leave_draining(schedule, minion)
+
+
+def _leave_draining(schedule: Schedule, minion: Minion) -> None:
+    """Take what would be lost away from a minion that is about to leave."""
+    for run in list(minion.runs.values()):
+        if run.phase is not RunPhase.RUNNING:
+            continue
+        spec = run.unit.spec
+        if spec.long_running or (spec.checkpoints and not spec.gang):
+            schedule.stop_run(run, "its minion drains")
+
+
+def _lapse(schedule: Schedule, minion: Minion) -> None:
+    if schedule.now_ms < minion.lease_over_ms():
+        return
+    schedule.note("lease_over", minion=minion.minion_id, runs=len(minion.runs))
+    for run in list(minion.runs.values()):
+        lost(schedule, run)
+    minion.synced = False
+    if not minion.listed:
+        dead(schedule, minion, "left the list and its lease is over")
+
+
+def _stop_again(schedule: Schedule, run: Run) -> None:
+    if run.stop_answered_ms is not None:
+        return
+    if schedule.now_ms - run.stop_sent_ms < const.STOP_RETRY_MS:
+        return
+    run.stop_sent_ms = schedule.now_ms
+    schedule.emit(StopRun(run.minion_id, run.task, run.number, run.stop_reason))
+
+
+def _stalled(schedule: Schedule, run: Run) -> bool:
+    if run.phase is not RunPhase.RUNNING:
+        return False
+    unit = run.unit
+    if unit.spec.gang or run.pace < 100:
+        return False
+    still_ms = schedule.now_ms - max(run.percent_ms, run.started_ms)
+    if still_ms < const.STALL_MS or schedule.minions[run.minion_id].failures:
+        return False
+    if unit.spec.long_running:
+        return run.percent < 100 and not unit.spec.fills
+    expected = schedule.run_ms.get(unit.job.queue, unit.spec.estimate_ms)
+    age_ms = schedule.now_ms - run.started_ms
+    return age_ms > const.STALL_FACTOR * expected
+
+
+def _running(schedule: Schedule, minion: Minion, report: RunReport) -> None:
+    run = minion.runs.get((report.task, report.number))
+    if run is None:
+        run = _adopt(schedule, minion, report)
+        if run is None:
+            return
+    if run.phase is RunPhase.SENT:
+        run.phase = RunPhase.RUNNING
+        jobs.begin(schedule, run.unit.job)
+    if report.checkpoint:
+        run.checkpoint = report.checkpoint
+    if report.percent != run.percent:
+        run.percent = report.percent
+        run.percent_ms = schedule.now_ms
+    run.figure = report.figure
+
+
+def _adopt(schedule: Schedule, minion: Minion, report: RunReport) -> Run | None:
+    """Take over a run that an earlier owner started."""
+    unit = jobs.unit_of(schedule, report.task)
+    if unit is None:
+        schedule.emit(
+            StopRun(minion.minion_id, report.task, report.number, "unknown job")
+        )
+        return None
+    index = int(report.task.rpartition(".")[2])
+    run = Run(
+        unit, index, report.number, minion.minion_id, schedule.now_ms, RunPhase.RUNNING
+    )
+    run.percent_ms = schedule.now_ms
+    rival = [other for other in unit.runs if other.index == index]
+    schedule.add_run(minion, run)
+    unit.next_number = max(unit.next_number, report.number + 1)
+    line = schedule.ready.get(schedule.pool_of(unit.job), [])
+    if unit in line:
+        line.remove(unit)
+    jobs.begin(schedule, unit.job)
+    if unit.done or unit.job.state.final:
+        schedule.stop_run(run, "its job or task has ended")
+    elif rival and not unit.spec.speculative:
+        schedule.stop_run(run, "another run of the task is known")
+    return run
+
+
+def _ended(schedule: Schedule, minion: Minion, end: EndReport) -> None:
+    if end.sequence <= minion.ended_seen:
+        return
+    minion.ended_seen = end.sequence
+    minion.unsaved.append((end.sequence, schedule.open_batch))
+    run = minion.runs.get((end.task, end.number))
+    unit = run.unit if run is not None else jobs.unit_of(schedule, end.task)
+    if unit is None:
+        return
+    unit.next_number = max(unit.next_number, end.number + 1)
+    if end.checkpoint and end.kind is not EndKind.DONE:
+        unit.checkpoint = end.checkpoint
+        if not unit.job.state.final:
+            jobs.save(schedule, unit.job)
+    if run is not None:
+        _learn(schedule, run, end.kind)
+        schedule.drop_run(run)
+    if end.kind is EndKind.DONE:
+        minion.failures_in_row.clear()
+        jobs.unit_done(schedule, unit)
+        return
+    if end.kind is EndKind.FAILED:
+        _failed(schedule, minion, unit, end.number)
+    else:
+        _gang_broken(schedule, unit)
+    jobs.requeue(schedule, unit)
+
+
+def _learn(schedule: Schedule, run: Run, kind: EndKind) -> None:
+    if kind is not EndKind.DONE or run.unit.checkpoint:
+        return
+    queue = run.unit.job.queue
+    took_ms = schedule.now_ms - run.started_ms
+    known = schedule.run_ms.get(queue, took_ms)
+    schedule.run_ms[queue] = known + const.LEARN_WEIGHT * (took_ms - known)
+
+
+def _failed(schedule: Schedule, minion: Minion, unit: Unit, number: int) -> None:
+    unit.avoid.add(minion.minion_id)
+    if unit.spec.long_running:
+        backoff = unit.backoff_ms * 2 or const.RESTART_BACKOFF_MS
+        unit.backoff_ms = min(backoff, const.RESTART_BACKOFF_MAX_MS)
+        unit.not_before_ms = schedule.now_ms + unit.backoff_ms
+    else:
+        _suspect(schedule, minion, unit)
+    jobs.unit_failed(schedule, unit, number)
+    schedule.note(
+        "run_failed",
+        job_id=unit.job.job_id,
+        task=unit.task_name(unit.indexes[0]),
+        minion=minion.minion_id,
+        failed=unit.failed,
+    )
+    _gang_broken(schedule, unit)
+
+
+def _suspect(schedule: Schedule, minion: Minion, unit: Unit) -> None:
+    """Rest a minion on which different jobs failed one after the other."""
+    row = minion.failures_in_row
+    if unit.job.job_id not in row:
+        row.append(unit.job.job_id)
+    if len(row) < const.QUARANTINE_FAILURES:
+        return
+    row.clear()
+    minion.quarantine_until_ms = schedule.now_ms + const.QUARANTINE_MS
+    schedule.note("minion_quarantined", minion=minion.minion_id)
+
+
+def _gang_broken(schedule: Schedule, unit: Unit) -> None:
+    """Stop the other members of a gang that has lost one."""
+    if not unit.spec.gang or unit.done:
+        return
+    for run in unit.runs:
+        schedule.stop_run(run, "a member of its gang ended")
+
+
+def _vanished(
+    schedule: Schedule, minion: Minion, sent_ms: int, reported: set[tuple[str, int]]
+) -> None:
+    """Take stopped runs as gone that a later look does not show."""
+    for run in list(minion.runs.values()):
+        if run.key in reported or run.stop_answered_ms is None:
+            continue
+        if sent_ms > run.stop_answered_ms:
+            lost(schedule, run)
+
+
+def _start_answered(
+    schedule: Schedule, minion: Minion, run: Run, event: OrderAnswered
+) -> None:
+    unit = run.unit
+    match event.outcome:
+        case Outcome.OK:
+            if run.phase is RunPhase.SENT:
+                run.phase = RunPhase.RUNNING
+                run.percent_ms = schedule.now_ms
+            jobs.begin(schedule, unit.job)
+            return
+        case Outcome.UNKNOWN | Outcome.SUPERSEDED:
+            schedule.note(
+                "start_unknown",
+                task=run.task,
+                run=run.number,
+                minion=minion.minion_id,
+                reason=event.reason,
+            )
+            schedule.stop_run(run, "its start was not answered")
+            return
+        case Outcome.NO_ROOM:
+            minion.rest_until_ms = schedule.now_ms + const.ROOM_REFUSAL_MS
+        case Outcome.NO_TICKET:
+            schedule.advice.pop(unit.step.name, None)
+        case _:
+            minion.rest_until_ms = schedule.now_ms + const.SHED_MS
+    schedule.note(
+        "start_refused",
+        task=run.task,
+        run=run.number,
+        minion=minion.minion_id,
+        outcome=str(event.outcome),
+        reason=event.reason,
+    )
+    lost(schedule, run)
--- /dev/null
+++ b/courselead/core/scheduler/models.py
@@ -0,0 +1,213 @@
+"""What the scheduler is told: jobs, queues, pools, minions and bounds."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+import msgspec
+
+
+class JobState(StrEnum):
+    """What a caller is told about a job."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    COMPLETED = "completed"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+    @property
+    def final(self) -> bool:
+        """Return whether the job has ended for good."""
+        return self in (JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED)
+
+
+class Resources(msgspec.Struct, frozen=True, array_like=True):
+    """Room of a minion or need of a task: thousandths of a core, MB, devices."""
+
+    cpu_milli: int = 0
+    memory_mb: int = 0
+    gpus: int = 0
+
+    def fits(self, room: Resources) -> bool:
+        """Return whether this need fits into a room."""
+        return (
+            self.cpu_milli <= room.cpu_milli
+            and self.memory_mb <= room.memory_mb
+            and self.gpus <= room.gpus
+        )
+
+    def plus(self, other: Resources) -> Resources:
+        """Return the sum."""
+        return Resources(
+            self.cpu_milli + other.cpu_milli,
+            self.memory_mb + other.memory_mb,
+            self.gpus + other.gpus,
+        )
+
+    def minus(self, other: Resources) -> Resources:
+        """Return the difference; it may be negative on an overcommitted minion."""
+        return Resources(
+            self.cpu_milli - other.cpu_milli,
+            self.memory_mb - other.memory_mb,
+            self.gpus - other.gpus,
+        )
+
+
+class StepSpec(msgspec.Struct, frozen=True, array_like=True):
+    """One step of a job: `count` tasks of the same need."""
+
+    count: int
+    need: Resources
+    estimate_ms: int = 0
+    after: tuple[int, ...] = ()
+    gang: bool = False
+    rack_local: bool = False
+    required_label: str = ""
+    preferred_rack: str = ""
+    max_per_minion: int = 0
+    speculative: bool = False
+    checkpoints: bool = False
+    long_running: bool = False
+    image: str = ""
+    target_tail_ms: int = 0
+    fills: bool = False
+    may_miss: int = 0
+
+    @property
+    def charge(self) -> Resources:
+        """Return what a task takes from its minion's room."""
+        if not self.fills:
+            return self.need
+        return Resources(0, self.need.memory_mb, self.need.gpus)
+
+
+class JobSpec(msgspec.Struct, frozen=True, array_like=True):
+    """A job as its caller submitted it; times are milliseconds since 1970."""
+
+    payload: str
+    steps: tuple[StepSpec, ...]
+    first_due_ms: int = 0
+    interval_ms: int = 0
+    repeats: int = 0
+
+    @property
+    def timed(self) -> bool:
+        """Return whether the job has occurrences with due times."""
+        return self.repeats > 0
+
+    def due_ms(self, occurrence: int) -> int:
+        """Return when an occurrence is due, 0 for a job without times."""
+        if not self.timed:
+            return 0
+        return self.first_due_ms + occurrence * self.interval_ms
+
+
+@dataclass(frozen=True, slots=True)
+class AdvicePolicy:
+    """How the advice service decides for a queue; all milliseconds."""
+
+    decide_ms: int
+    each_ms: int
+    valid_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class Queue:
+    """A queue of the configuration: `priority` 0 comes first."""
+
+    name: str
+    pool: str
+    priority: int = 0
+    max_attempts: int = 1
+    stretch: float = 1.0
+    slo_ms: int = 0
+    advice: AdvicePolicy | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Pool:
+    """A pool of workers; those of a spare pool are switched off."""
+
+    name: str
+    spare: bool = False
+    admission_control: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class FleetConfig:
+    """The newest configuration, as far as the scheduler needs it."""
+
+    version: int = 0
+    queues: dict[str, Queue] = field(default_factory=dict)
+    pools: dict[str, Pool] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class MinionInfo:
+    """What a minion says about itself in the platform's list."""
+
+    minion_id: str
+    address: str
+    pool: str
+    zone: str
+    room: Resources
+    labels: tuple[str, ...] = ()
+    draining: bool = False
+    remaining_ms: int = 0
+
+    @property
+    def rack(self) -> str:
+        """Return the rack: the last label, as the first one is the kind."""
+        return self.labels[-1] if len(self.labels) > 1 else ""
+
+
+class WorkerPhase(StrEnum):
+    """What the cloud says about a worker."""
+
+    UP = "up"
+    MOVING = "moving"
+    MAINTENANCE = "maintenance"
+    DOWN = "down"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True, slots=True)
+class Worker:
+    """A machine of the cloud's list and the life of the minion on it."""
+
+    worker_id: str
+    pool: str
+    phase: WorkerPhase
+    zone: str
+    room: Resources
+    labels: tuple[str, ...]
+    minion_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class MaintenanceWave:
+    """Workers that are due for maintenance, at most `cap` of them down at once."""
+
+    wave: int
+    workers: tuple[str, ...]
+    deadline_s: float
+    cap: int
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """Bounds of the deployment, from the settings of the process."""
+
+    lease_max_ms: int = 10_000
+    stop_ms: int = 900
+    gang_wait_ms: int = 3_000
+    remote_factor: float = 2.0
+    restore_ms: int = 250
+    notice_ms: int = 4_500
+    move_ms: int = 1_500
+    maintenance_ms: int = 2_000
+    duty_lease_ms: int = 3_000
+    harm_ms: int = 4_000
+    status_s: int = 120
--- /dev/null
+++ b/courselead/core/scheduler/placement.py
@@ -0,0 +1,280 @@
+"""Which unit is started next, and on which minion."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+
+from courselead.core.scheduler import const
+from courselead.core.scheduler.events import AskAdvice, StartRun
+from courselead.core.scheduler.models import Queue, Resources
+from courselead.core.scheduler.schedule import Schedule, StepAdvice
+from courselead.core.scheduler.state import Minion, Run, Unit
+
+MAX_ADVICE_MINIONS = 100
+"""Most workers that one question to the advice service may name (the protocol)."""
+
+ADVICE_MARGIN_MS = 300
+"""A ticket is not used in its last moments: a start may take that long to arrive."""
+
+LATE_RETRY_MS = 500
+"""Wait before the advice service is asked again after a failure."""
+
+CLOUD_WAIT_MS = 1_000
+"""Time after a takeover in which the cloud's list is waited for."""
+
+
+def place_all(schedule: Schedule) -> None:
+    """Start what fits in all pools in which something has changed."""
+    pools, schedule.dirty_pools = schedule.dirty_pools, set()
+    for pool in sorted(pools):
+        if schedule.ready.get(pool):
+            _place_pool(schedule, pool)
+
+
+def _place_pool(schedule: Schedule, pool: str) -> None:
+    line = _cleaned(schedule, pool)
+    minions = _usable(schedule, pool)
+    if not minions:
+        schedule.ready[pool] = line
+        return
+    line.sort(key=lambda unit: _order(schedule, unit))
+    waiting: list[Unit] = []
+    misfits = 0
+    doubted = _in_doubt(schedule, pool)
+    for position, unit in enumerate(line):
+        if misfits >= const.MISFIT_LIMIT:
+            waiting.extend(line[position:])
+            break
+        if unit.not_before_ms > schedule.now_ms or (doubted and _held(unit)):
+            waiting.append(unit)
+            continue
+        if not _try_start(schedule, unit, minions):
+            waiting.append(unit)
+            misfits += 1
+    schedule.ready[pool] = waiting
+
+
+def _cleaned(schedule: Schedule, pool: str) -> list[Unit]:
+    """Return the line without units that need no start any more."""
+    line: list[Unit] = []
+    for unit in schedule.ready.get(pool, []):
+        if unit.done or unit.runs or unit.job.state.final:
+            continue
+        current = schedule.pool_of(unit.job)
+        if current != pool:
+            schedule.ready.setdefault(current, []).append(unit)
+            schedule.dirty_pools.add(current)
+            continue
+        line.append(unit)
+    return line
+
+
+def _usable(schedule: Schedule, pool: str) -> list[Minion]:
+    minions = []
+    for minion in schedule.minions.values():
+        if minion.info.pool != pool or minion.info.draining or not minion.listed:
+            continue
+        if not minion.synced or minion.cordoned or minion.failures:
+            continue
+        if schedule.now_ms < minion.rest_until_ms:
+            continue
+        minions.append(minion)
+    return minions
+
+
+def _in_doubt(schedule: Schedule, pool: str) -> bool:
+    """Return whether an earlier owner's runs may be out there unseen."""
+    if schedule.now_ms >= schedule.doubt_until_ms:
+        return False
+    for minion in schedule.minions.values():
+        if minion.info.pool == pool and not minion.synced:
+            return True
+    if pool in schedule.doubted_lives.values():
+        return True
+    waited = schedule.now_ms - schedule.claimed_ms >= CLOUD_WAIT_MS
+    return schedule.workers_ms < 0 and not waited
+
+
+def _held(unit: Unit) -> bool:
+    return unit.job.from_before
+
+
+def _order(schedule: Schedule, unit: Unit) -> tuple[int, int, int, int]:
+    """Return the order of start: lowest first."""
+    job = unit.job
+    queue = schedule.queue(job.queue)
+    priority = queue.priority if queue is not None else 0
+    if unit.spec.long_running:
+        return (priority, 0, 0, unit.ready_ms)
+    due_ms = job.accepted_ms
+    if queue is not None:
+        due_ms += int(queue.slo_ms)
+    return (priority, 1, 0, due_ms)
+
+
+def _try_start(schedule: Schedule, unit: Unit, minions: list[Minion]) -> bool:
+    queue = schedule.queue(unit.job.queue)
+    tickets: dict[str, str] | None = None
+    if queue is not None and queue.advice is not None:
+        tickets = _tickets(schedule, unit, minions)
+        if tickets is None:
+            return False
+        minions = [item for item in minions if item.minion_id in tickets]
+    places = _places(schedule, unit, minions)
+    if places is None:
+        return False
+    number = max(schedule.first_run_number, unit.next_number)
+    unit.next_number = number + 1
+    for index, minion in places:
+        ticket = tickets[minion.minion_id] if tickets is not None else ""
+        _start(schedule, unit, index, minion, number, ticket)
+    return True
+
+
+def _start(
+    schedule: Schedule, unit: Unit, index: int, minion: Minion, number: int, ticket: str
+) -> None:
+    run = Run(unit, index, number, minion.minion_id, schedule.now_ms)
+    run.percent_ms = schedule.now_ms
+    schedule.add_run(minion, run)
+    lease_ms = minion.clock_now_ms(schedule.now_ms) + schedule.bounds.lease_max_ms
+    minion.lease_ms = max(minion.lease_ms, lease_ms)
+    schedule.emit(
+        StartRun(
+            minion.minion_id,
+            run.task,
+            number,
+            unit.job.spec.payload,
+            lease_ms,
+            unit.checkpoint,
+            ticket,
+        )
+    )
+
+
+def _places(
+    schedule: Schedule, unit: Unit, minions: list[Minion]
+) -> list[tuple[int, Minion]] | None:
+    """Return a minion for each task of a unit, or nothing if one has none."""
+    if not unit.spec.gang:
+        minion = _choose(schedule, unit, minions, {}, {})
+        return None if minion is None else [(unit.indexes[0], minion)]
+    if unit.spec.rack_local:
+        racks: dict[str, list[Minion]] = defaultdict(list)
+        for minion in minions:
+            racks[minion.info.rack].append(minion)
+        ordered = sorted(racks, key=lambda rack: rack != unit.spec.preferred_rack)
+        for rack in ordered:
+            places = _gang_places(schedule, unit, racks[rack])
+            if places is not None:
+                return places
+    return _gang_places(schedule, unit, minions)
+
+
+def _gang_places(
+    schedule: Schedule, unit: Unit, minions: list[Minion]
+) -> list[tuple[int, Minion]] | None:
+    taken: dict[str, Resources] = {}
+    counts: dict[str, int] = {}
+    places = []
+    for index in unit.indexes:
+        minion = _choose(schedule, unit, minions, taken, counts)
+        if minion is None:
+            return None
+        key = minion.minion_id
+        taken[key] = taken.get(key, Resources()).plus(unit.spec.charge)
+        counts[key] = counts.get(key, 0) + 1
+        places.append((index, minion))
+    return places
+
+
+def _choose(
+    schedule: Schedule,
+    unit: Unit,
+    minions: list[Minion],
+    taken: dict[str, Resources],
+    counts: dict[str, int],
+) -> Minion | None:
+    spec = unit.spec
+    need = spec.charge
+    best: Minion | None = None
+    best_score: tuple[int, int, int, int] | None = None
+    for minion in minions:
+        room = minion.room
+        if taken:
+            room = room.minus(taken.get(minion.minion_id, Resources()))
+        if not need.fits(room):
+            continue
+        if spec.required_label and spec.required_label not in minion.info.labels:
+            continue
+        if spec.max_per_minion:
+            here = _of_step(unit, minion) + counts.get(minion.minion_id, 0)
+            if here >= spec.max_per_minion:
+                continue
+        score = _score(schedule, unit, minion, room)
+        if best_score is None or score < best_score:
+            best, best_score = minion, score
+    return best
+
+
+def _of_step(unit: Unit, minion: Minion) -> int:
+    return sum(run.unit.step is unit.step for run in minion.runs.values())
+
+
+def _score(
+    schedule: Schedule, unit: Unit, minion: Minion, room: Resources
+) -> tuple[int, int, int, int]:
+    spec = unit.spec
+    shunned = minion.minion_id in unit.avoid
+    shunned = shunned or schedule.now_ms < minion.quarantine_until_ms
+    far = bool(spec.preferred_rack) and minion.info.rack != spec.preferred_rack
+    beside = 0
+    if spec.long_running:
+        # Tasks that serve and tasks that fill disturb each other.
+        for run in minion.runs.values():
+            beside += run.unit.spec.long_running
+            beside += run.unit.spec.fills != spec.fills
+        return (shunned, far, beside, -room.cpu_milli)
+    return (shunned, far, 0, room.cpu_milli)
+
+
+def _tickets(
+    schedule: Schedule, unit: Unit, minions: list[Minion]
+) -> dict[str, str] | None:
+    """Return the step's tickets, or nothing while they are being asked for."""
+    advice = schedule.advice.setdefault(unit.step.name, StepAdvice())
+    if advice.tickets and schedule.now_ms < advice.until_ms - ADVICE_MARGIN_MS:
+        return advice.tickets
+    if not advice.asked and schedule.now_ms >= advice.retry_ms:
+        advice.asked = True
+        ids = tuple(item.minion_id for item in minions[:MAX_ADVICE_MINIONS])
+        schedule.emit(AskAdvice(unit.step.name, ids))
+    return None
+
+
+def advice_given(
+    schedule: Schedule, step: str, tickets: dict[str, str], valid_ms: int
+) -> None:
+    """Keep the tickets of a step."""
+    advice = schedule.advice.get(step)
+    if advice is None:
+        return
+    advice.asked = False
+    advice.tickets = tickets
+    advice.until_ms = schedule.now_ms + valid_ms
+    if not tickets:
+        advice.retry_ms = schedule.now_ms + LATE_RETRY_MS
+    schedule.dirty_pools.update(schedule.ready)
+
+
+def advice_failed(schedule: Schedule, step: str) -> None:
+    """Ask again later."""
+    advice = schedule.advice.get(step)
+    if advice is not None:
+        advice.asked = False
+        advice.retry_ms = schedule.now_ms + LATE_RETRY_MS
+
+
+def queue_of(schedule: Schedule, unit: Unit) -> Queue | None:
+    """Return the queue of a unit's job."""
+    return schedule.queue(unit.job.queue)
--- /dev/null
+++ b/courselead/core/scheduler/records.py
@@ -0,0 +1,134 @@
+"""The records of the job log: what lasts beyond any process.
+
+The log is compacted by key, so each record says all that its key stands for.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from courselead.core.scheduler.models import JobSpec, JobState
+
+
+class JobAccepted(msgspec.Struct, frozen=True, array_like=True):
+    """A caller's job; a repeat of it is the same job."""
+
+    job_id: str
+    queue: str
+    spec: JobSpec
+
+
+class OccurrenceProgress(msgspec.Struct, frozen=True, array_like=True):
+    """How far one occurrence of a job is.
+
+    Attributes:
+        number: Counted from 0.
+        done: For each step the indexes of the tasks that ended well.
+        failed: Counts of failed runs by `step.index`.
+        checkpoints: Newest checkpoint by `step.index`, of ends that were
+            acknowledged to the minion.
+    """
+
+    number: int
+    done: list[list[int]]
+    failed: dict[str, int] = {}
+    checkpoints: dict[str, str] = {}
+
+
+class JobProgress(msgspec.Struct, frozen=True, array_like=True):
+    """State of a job as the owner of the schedule last saved it."""
+
+    job_id: str
+    state: JobState
+    begun: bool = False
+    closed: list[int] = []
+    occurrences: list[OccurrenceProgress] = []
+    ended_ms: int = 0
+
+
+class JobCancelled(msgspec.Struct, frozen=True, array_like=True):
+    """A caller's wish that nothing of the job runs any more."""
+
+    job_id: str
+
+
+class JobForgotten(msgspec.Struct, frozen=True, array_like=True):
+    """A job that ended long ago; one of its records is dropped."""
+
+    job_id: str
+
+
+class OwnerBeat(msgspec.Struct, frozen=True, array_like=True):
+    """Sign of life of the schedule's owner; `released` hands the schedule over."""
+
+    fence: int
+    host: str
+    beat: int
+    released: bool = False
+    pool_holds: dict[str, int] = {}
+
+
+Record = JobAccepted | JobProgress | JobCancelled | JobForgotten | OwnerBeat
+
+_KEY_ACCEPTED = b"j"
+_KEY_PROGRESS = b"p"
+_KEY_CANCELLED = b"x"
+_KEY_OWNER = b"o"
+
+_TYPES: dict[bytes, type] = {
+    _KEY_ACCEPTED: JobAccepted,
+    _KEY_PROGRESS: JobProgress,
+    _KEY_CANCELLED: JobCancelled,
+    _KEY_OWNER: OwnerBeat,
+}
+
+
+class KeyedRecord(msgspec.Struct, frozen=True, array_like=True):
+    """A record as the log keeps it; an empty value drops the key."""
+
+    key: bytes
+    value: bytes
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODERS = {key: msgspec.msgpack.Decoder(kind) for key, kind in _TYPES.items()}
+
+
+def encode(record: Record) -> KeyedRecord:
+    """Return a record as key and value."""
+    match record:
+        case JobAccepted():
+            key = _KEY_ACCEPTED + record.job_id.encode()
+        case JobProgress():
+            key = _KEY_PROGRESS + record.job_id.encode()
+        case JobCancelled():
+            key = _KEY_CANCELLED + record.job_id.encode()
+        case OwnerBeat():
+            key = _KEY_OWNER
+        case JobForgotten():
+            raise ValueError("a forgotten job has several keys: use forget()")
+    return KeyedRecord(key, _ENCODER.encode(record))
+
+
+def forget(job_id: str) -> list[KeyedRecord]:
+    """Return the records that drop all that is kept of a job."""
+    name = job_id.encode()
+    prefixes = (_KEY_CANCELLED, _KEY_PROGRESS, _KEY_ACCEPTED)
+    return [KeyedRecord(prefix + name, b"") for prefix in prefixes]
+
+
+def decode(keyed: KeyedRecord) -> Record:
+    """Return what a keyed record says.
+
+    Raises:
+        ValueError: The record is not one of this log.
+    """
+    prefix, name = keyed.key[:1], keyed.key[1:]
+    if prefix not in _DECODERS:
+        raise ValueError("record with an unknown kind of key")
+    if not keyed.value:
+        return JobForgotten(name.decode())
+    try:
+        return _DECODERS[prefix].decode(keyed.value)
+    except msgspec.MsgspecError as exc:
+        raise ValueError(f"malformed record: {exc}") from exc
--- /dev/null
+++ b/courselead/core/scheduler/schedule.py
@@ -0,0 +1,160 @@
+"""The whole state of a schedule's owner, and the ways to change a run in it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from courselead.core.scheduler import const
+from courselead.core.scheduler.book import JobBook
+from courselead.core.scheduler.events import Effect, Note, StopRun
+from courselead.core.scheduler.models import Bounds, FleetConfig, Queue, Worker
+from courselead.core.scheduler.state import (
+    Job,
+    Minion,
+    Run,
+    RunPhase,
+    StepRun,
+    Unit,
+)
+
+
+@dataclass(slots=True)
+class StepAdvice:
+    """Tickets for a step, by minion; `asked` while a question is under way."""
+
+    tickets: dict[str, str] = field(default_factory=dict)
+    until_ms: int = 0
+    asked: bool = False
+    retry_ms: int = 0
+
+
+@dataclass(slots=True)
+class WaveState:
+    """How far a maintenance wave is."""
+
+    workers: tuple[str, ...]
+    cap: int
+    due_ms: int
+    begun: set[str] = field(default_factory=set)
+    down: dict[str, int] = field(default_factory=dict)
+    evacuating: dict[str, int] = field(default_factory=dict)
+    retry_ms: dict[str, int] = field(default_factory=dict)
+    told_running: bool = False
+    completed: bool = False
+
+
+@dataclass(slots=True)
+class MoveState:
+    """A move of a worker between pools that was ordered."""
+
+    pool: str
+    sent_ms: int
+    accepted_ms: int = 0
+
+
+@dataclass(slots=True)
+class Schedule:
+    """State of the owner; changed in place by the functions of this package.
+
+    Times are milliseconds of the owner's steady clock, but for `wall_ms`.
+    """
+
+    fence: int
+    first_owner: bool
+    bounds: Bounds
+    config: FleetConfig
+    book: JobBook
+    claimed_ms: int
+    now_ms: int
+    wall_ms: int
+    jobs: dict[str, Job] = field(default_factory=dict)
+    units: dict[str, Unit] = field(default_factory=dict)
+    minions: dict[str, Minion] = field(default_factory=dict)
+    dead: set[str] = field(default_factory=set)
+    ready: dict[str, list[Unit]] = field(default_factory=dict)
+    dirty_pools: set[str] = field(default_factory=set)
+    dirty_jobs: dict[str, None] = field(default_factory=dict)
+    open_batch: int = 1
+    advice: dict[str, StepAdvice] = field(default_factory=dict)
+    workers: dict[str, Worker] = field(default_factory=dict)
+    workers_asked_ms: int = 0
+    workers_ms: int = -1
+    doubted_lives: dict[str, str] = field(default_factory=dict)
+    waves: dict[int, WaveState] = field(default_factory=dict)
+    run_ms: dict[str, float] = field(default_factory=dict)
+    moves: dict[str, MoveState] = field(default_factory=dict)
+    duty_after_ms: int = 0
+    effects: list[Effect] = field(default_factory=list)
+
+    @property
+    def first_run_number(self) -> int:
+        """Return the lowest run number that this owner may give out."""
+        return (self.fence - 1) * const.RUNS_PER_FENCE + 1
+
+    @property
+    def doubt_until_ms(self) -> int:
+        """Return when no lease given by an earlier owner can still run."""
+        longest_ms = int(self.bounds.lease_max_ms / const.CLOCK_SLOWNESS)
+        return self.claimed_ms + longest_ms + const.DOUBT_SLACK_MS
+
+    def queue(self, name: str) -> Queue | None:
+        """Return a queue of the newest configuration."""
+        return self.config.queues.get(name)
+
+    def emit(self, effect: Effect) -> None:
+        """Want something done."""
+        self.effects.append(effect)
+
+    def note(self, event: str, **fields: object) -> None:
+        """Want a decision logged."""
+        self.effects.append(Note(event, fields))
+
+    def add_run(self, minion: Minion, run: Run) -> None:
+        """Keep a run until its end is proved."""
+        minion.runs[run.key] = run
+        minion.used = minion.used.plus(run.unit.spec.charge)
+        run.unit.runs.append(run)
+        run.unit.job.live_runs += 1
+
+    def drop_run(self, run: Run) -> None:
+        """Forget a run whose end is proved."""
+        minion = self.minions.get(run.minion_id)
+        if minion is not None and minion.runs.pop(run.key, None) is not None:
+            minion.used = minion.used.minus(run.unit.spec.charge)
+            self.dirty_pools.add(minion.info.pool)
+        if run in run.unit.runs:
+            run.unit.runs.remove(run)
+            run.unit.job.live_runs -= 1
+
+    def stop_run(self, run: Run, reason: str) -> None:
+        """Order a run's stop; it counts until its end is proved."""
+        if run.phase is RunPhase.STOPPING:
+            return
+        run.phase = RunPhase.STOPPING
+        run.stop_reason = reason
+        run.stop_sent_ms = self.now_ms
+        self.emit(StopRun(run.minion_id, run.task, run.number, reason))
+
+    def pool_of(self, job: Job) -> str:
+        """Return the pool that a job's tasks run in, "" if no queue names one."""
+        queue = self.queue(job.queue)
+        return queue.pool if queue is not None else job.pool
+
+    def away_in_step(self, step: StepRun, but: Run | None = None) -> int:
+        """Return how many tasks of a lasting step are not at work."""
+        away = 0
+        for unit in step.units:
+            if but is not None and but.unit is unit:
+                continue
+            if any(run.at_work for run in unit.runs):
+                continue
+            away += 1
+        return away
+
+    def may_interrupt(self, run: Run) -> bool:
+        """Return whether a lasting task may be stopped within its step's budget."""
+        spec = run.unit.spec
+        if not spec.long_running:
+            return True
+        allowed = max(1, spec.may_miss)
+        return self.away_in_step(run.unit.step, run) < allowed
--- /dev/null
+++ b/courselead/core/scheduler/scheduler.py
@@ -0,0 +1,227 @@
+"""The reducer of the schedule's owner: events in, effects out."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from courselead.core.scheduler import const, jobs, minions, pace, placement, waves
+from courselead.core.scheduler.book import JobBook
+from courselead.core.scheduler.events import (
+    AdviceFailed,
+    AdviceGiven,
+    ConfigChanged,
+    DutyAnswered,
+    Effect,
+    Event,
+    HoldAnswered,
+    HoldFailed,
+    JobArrived,
+    JobCancelRequested,
+    MinionListed,
+    MinionUnlisted,
+    OrderAnswered,
+    Outcome,
+    ProgressSaved,
+    Tick,
+    WaveRequested,
+    WorkersListed,
+)
+from courselead.core.scheduler.models import Bounds, FleetConfig, WorkerPhase
+from courselead.core.scheduler.schedule import Schedule
+
+FORGET_PERIOD_MS = 10_000
+"""Time between sweeps for jobs that ended long ago: bounds their cost."""
+
+_LIFE_OVER = (WorkerPhase.DOWN, WorkerPhase.MOVING, WorkerPhase.MAINTENANCE)
+
+
+@dataclass(frozen=True, slots=True)
+class HoldCall:
+    """A look at a minion that is due: `lease_ms` 0 renews nothing."""
+
+    lease_ms: int
+    cursor: int
+    wait_ms: int
+
+
+class Scheduler:
+    """Owns the schedule under one fence."""
+
+    def __init__(
+        self,
+        fence: int,
+        first_owner: bool,
+        config: FleetConfig,
+        bounds: Bounds,
+        book: JobBook,
+        now_ms: int,
+        wall_ms: int,
+    ) -> None:
+        """Take over what the log says.
+
+        Args:
+            fence: Of the claim; all orders carry it.
+            first_owner: Whether no claim came before.
+            config: The newest configuration.
+            bounds: Of the deployment.
+            book: The fold of the log, kept up by the host.
+            now_ms: Steady clock.
+            wall_ms: Time since 1970.
+        """
+        schedule = Schedule(
+            fence, first_owner, bounds, config, book, now_ms, now_ms, wall_ms
+        )
+        if not first_owner:
+            schedule.duty_after_ms = now_ms + bounds.duty_lease_ms + 500
+        self.schedule = schedule
+        self._forgot_ms = now_ms
+        for entry in list(book.jobs.values()):
+            if not entry.state.final:
+                jobs.open_job(schedule, entry, from_before=True)
+
+    def handle(self, event: Event, now_ms: int) -> None:
+        """Apply an event; what it wants done is taken by `take_effects`."""
+        schedule = self.schedule
+        schedule.now_ms = now_ms
+        match event:
+            case HoldAnswered():
+                minions.hold_answered(schedule, event)
+            case OrderAnswered():
+                minions.order_answered(schedule, event)
+            case HoldFailed():
+                minions.hold_failed(schedule, event)
+            case JobArrived():
+                self._job_arrived(event.job_id)
+            case JobCancelRequested():
+                jobs.cancel(schedule, event.job_id)
+            case ProgressSaved():
+                self._saved(event.batch)
+            case MinionListed():
+                minions.listed(schedule, event.info)
+            case MinionUnlisted():
+                minions.unlisted(schedule, event.minion_id)
+            case ConfigChanged():
+                schedule.config = event.config
+                schedule.dirty_pools.update(schedule.ready)
+            case AdviceGiven():
+                placement.advice_given(
+                    schedule, event.step, event.tickets, event.valid_ms
+                )
+            case AdviceFailed():
+                placement.advice_failed(schedule, event.step)
+            case WorkersListed():
+                self._workers_listed(event)
+            case DutyAnswered():
+                self._duty_answered(event)
+            case WaveRequested():
+                waves.requested(schedule, event.wave, set())
+            case Tick():
+                self._tick(event.wall_ms)
+
+    def place(self, now_ms: int) -> None:
+        """Start what fits; to be called after a bunch of events."""
+        self.schedule.now_ms = now_ms
+        placement.place_all(self.schedule)
+
+    def take_effects(self) -> list[Effect]:
+        """Return what is to be done since the last call, saves not included."""
+        effects, self.schedule.effects = self.schedule.effects, []
+        return effects
+
+    def take_saves(self) -> tuple[int, list[Effect]]:
+        """Close the open batch and return its number and records."""
+        schedule = self.schedule
+        if not schedule.dirty_jobs:
+            return schedule.open_batch, []
+        kept, schedule.effects = schedule.effects, []
+        jobs.flush(schedule)
+        saves, schedule.effects = schedule.effects, kept
+        batch = schedule.open_batch
+        schedule.open_batch += 1
+        return batch, saves
+
+    def hold_call(self, minion_id: str, now_ms: int) -> HoldCall | None:
+        """Return the next look at a minion, nothing if it is followed no more."""
+        schedule = self.schedule
+        schedule.now_ms = now_ms
+        minion = schedule.minions.get(minion_id)
+        if minion is None:
+            return None
+        lease_ms = 0
+        # A look that renews a lease may arrive though its answers do not.
+        if minion.synced and minion.failures < const.UNREACHABLE_FAILURES:
+            lease_ms = minion.clock_now_ms(now_ms) + schedule.bounds.lease_max_ms
+            minion.lease_ms = max(minion.lease_ms, lease_ms)
+        wait_ms = const.HOLD_WAIT_MS
+        if not minion.synced or minion.failures:
+            wait_ms = 0
+        elif pace.has_both(minion):
+            wait_ms = const.HOLD_WAIT_PACED_MS
+        return HoldCall(lease_ms, minion.cursor, wait_ms)
+
+    def _job_arrived(self, job_id: str) -> None:
+        schedule = self.schedule
+        entry = schedule.book.jobs.get(job_id)
+        if entry is None or job_id in schedule.jobs:
+            return
+        jobs.open_job(schedule, entry, from_before=False)
+
+    def _saved(self, batch: int) -> None:
+        for minion in self.schedule.minions.values():
+            unsaved = minion.unsaved
+            while unsaved and unsaved[0][1] <= batch:
+                minion.cursor = unsaved.pop(0)[0]
+
+    def _workers_listed(self, event: WorkersListed) -> None:
+        schedule = self.schedule
+        first = schedule.workers_ms < 0
+        schedule.workers_ms = schedule.now_ms
+        schedule.workers = {item.worker_id: item for item in event.workers}
+        lives = set()
+        for worker in event.workers:
+            lives.add(worker.minion_id)
+            minion = schedule.minions.get(worker.minion_id)
+            if minion is not None:
+                minion.worker_id = worker.worker_id
+            elif first and worker.phase is WorkerPhase.UP and worker.minion_id:
+                schedule.doubted_lives[worker.minion_id] = worker.pool
+        self._end_replaced_lives(event)
+        waves.workers_listed(schedule, event.asked_ms)
+
+    def _end_replaced_lives(self, event: WorkersListed) -> None:
+        """Take the lives as over that the cloud says are."""
+        schedule = self.schedule
+        for minion in list(schedule.minions.values()):
+            if not minion.failures or not minion.worker_id:
+                continue
+            worker = schedule.workers.get(minion.worker_id)
+            if worker is None:
+                continue
+            replaced = worker.minion_id and worker.minion_id != minion.minion_id
+            if replaced or worker.phase in _LIFE_OVER:
+                minions.dead(schedule, minion, f"cloud: worker is {worker.phase}")
+
+    def _duty_answered(self, event: DutyAnswered) -> None:
+        schedule = self.schedule
+        schedule.note(
+            "duty_answered",
+            worker=event.worker_id,
+            outcome=str(event.outcome),
+            reason=event.reason,
+        )
+        if event.outcome is Outcome.FENCED:
+            return
+        waves.answered(schedule, event.worker_id, event.outcome)
+
+    def _tick(self, wall_ms: int) -> None:
+        schedule = self.schedule
+        schedule.wall_ms = wall_ms
+        for job in list(schedule.jobs.values()):
+            if job.spec.timed:
+                jobs.open_due(schedule, job)
+        minions.tick(schedule)
+        waves.tick(schedule)
+        schedule.dirty_pools.update(schedule.ready)
+        if schedule.now_ms - self._forgot_ms >= FORGET_PERIOD_MS:
+            self._forgot_ms = schedule.now_ms
+            jobs.forget_old(schedule)
--- /dev/null
+++ b/courselead/core/scheduler/state.py
@@ -0,0 +1,192 @@
+"""What the owner of the schedule knows: jobs, units, runs, minions."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from courselead.core.scheduler import const
+from courselead.core.scheduler.models import (
+    JobSpec,
+    JobState,
+    MinionInfo,
+    Resources,
+    StepSpec,
+)
+
+
+class RunPhase(StrEnum):
+    """How far a run is, as the owner knows."""
+
+    SENT = "sent"
+    RUNNING = "running"
+    STOPPING = "stopping"
+
+
+@dataclass(slots=True, eq=False)
+class Run:
+    """One start of a task on one minion, until its end is proved.
+
+    Times are milliseconds on the owner's steady clock.
+    """
+
+    unit: Unit
+    index: int
+    number: int
+    minion_id: str
+    started_ms: int
+    phase: RunPhase = RunPhase.SENT
+    checkpoint: str = ""
+    percent: int = 0
+    percent_ms: int = 0
+    figure: int = 0
+    stop_sent_ms: int = 0
+    stop_answered_ms: int | None = None
+    stop_reason: str = ""
+    counts_as_away: bool = False
+    pace: int = 100
+    pace_ms: int = 0
+
+    @property
+    def task(self) -> str:
+        """Return the task's name."""
+        return self.unit.task_name(self.index)
+
+    @property
+    def key(self) -> tuple[str, int]:
+        """Return what names the run on its minion."""
+        return (self.task, self.number)
+
+    @property
+    def at_work(self) -> bool:
+        """Return whether a lasting task is at work."""
+        return self.phase is RunPhase.RUNNING and self.percent >= 100
+
+
+@dataclass(slots=True, eq=False)
+class Unit:
+    """What is started as one: a task, or all tasks of a gang."""
+
+    step: StepRun
+    indexes: tuple[int, ...]
+    done: bool = False
+    failed: int = 0
+    failed_numbers: set[int] = field(default_factory=set)
+    runs: list[Run] = field(default_factory=list)
+    checkpoint: str = ""
+    next_number: int = 1
+    ready_ms: int = 0
+    not_before_ms: int = 0
+    backoff_ms: int = 0
+    avoid: set[str] = field(default_factory=set)
+
+    @property
+    def spec(self) -> StepSpec:
+        """Return the step's specification."""
+        return self.step.spec
+
+    @property
+    def job(self) -> Job:
+        """Return the job."""
+        return self.step.job
+
+    @property
+    def checkpoint_key(self) -> str:
+        """Return the name under which progress keeps the unit."""
+        return f"{self.step.number}.{self.indexes[0]}"
+
+    def task_name(self, index: int) -> str:
+        """Return the name of one of its tasks."""
+        step = self.step
+        return f"{step.job.job_id}.{step.occurrence}.{step.number}.{index}"
+
+
+@dataclass(slots=True, eq=False)
+class StepRun:
+    """A step of one occurrence of a job."""
+
+    job: Job
+    occurrence: int
+    number: int
+    spec: StepSpec
+    units: list[Unit] = field(default_factory=list)
+    open_units: int = 0
+    ready: bool = False
+
+    @property
+    def name(self) -> str:
+        """Return the step's name, as the advice service knows it."""
+        return f"{self.job.job_id}.{self.occurrence}.{self.number}"
+
+
+@dataclass(slots=True, eq=False)
+class Job:
+    """A job that has not ended, or whose runs have not."""
+
+    job_id: str
+    queue: str
+    spec: JobSpec
+    accepted_ms: int
+    from_before: bool
+    pool: str = ""
+    state: JobState = JobState.QUEUED
+    begun: bool = False
+    closed: set[int] = field(default_factory=set)
+    occurrences: dict[int, list[StepRun]] = field(default_factory=dict)
+    next_occurrence: int = 0
+    live_runs: int = 0
+    ended_ms: int = 0
+
+
+@dataclass(slots=True, eq=False)
+class Minion:
+    """A minion, as far as the owner has seen it.
+
+    Attributes:
+        clock_ms: Its clock in its newest answer.
+        clock_at_ms: When that answer came, on the owner's clock.
+        lease_ms: Newest lease's end sent to it, on its clock.
+        synced: Whether it answered a look with this owner's fence.
+        ended_seen: Number of the newest end that was processed.
+        unsaved: Ends as (number, batch of records that must be stored first).
+        cursor: Ends up to this number may be forgotten by the minion.
+    """
+
+    info: MinionInfo
+    listed: bool = True
+    worker_id: str = ""
+    clock_ms: int = 0
+    clock_at_ms: int = 0
+    lease_ms: int = 0
+    synced: bool = False
+    failures: int = 0
+    failures_in_row: list[str] = field(default_factory=list)
+    rest_until_ms: int = 0
+    quarantine_until_ms: int = 0
+    cordoned: bool = False
+    ended_seen: int = 0
+    unsaved: list[tuple[int, int]] = field(default_factory=list)
+    cursor: int = 0
+    used: Resources = field(default_factory=Resources)
+    runs: dict[tuple[str, int], Run] = field(default_factory=dict)
+    seen_ms: int = 0
+
+    @property
+    def minion_id(self) -> str:
+        """Return its id."""
+        return self.info.minion_id
+
+    @property
+    def room(self) -> Resources:
+        """Return what is left of its room."""
+        return self.info.room.minus(self.used)
+
+    def clock_now_ms(self, now_ms: int) -> int:
+        """Return an estimate of its clock."""
+        return self.clock_ms + now_ms - self.clock_at_ms
+
+    def lease_over_ms(self) -> int:
+        """Return when, on the owner's clock, no lease sent to it can still run."""
+        left_ms = max(0, self.lease_ms - self.clock_ms)
+        slow_ms = int(left_ms / const.CLOCK_SLOWNESS)
+        return self.clock_at_ms + slow_ms + const.LEASE_MARGIN_MS
--- /dev/null
+++ b/courselead/core/scheduler/waves.py
@@ -0,0 +1,169 @@
+"""Maintenance waves: within the cap, in time, and without taking more away."""
+
+from __future__ import annotations
+
+from courselead.core.scheduler.events import (
+    ListWorkers,
+    MaintainWorker,
+    Outcome,
+    SaveWaveStatus,
+)
+from courselead.core.scheduler.models import MaintenanceWave, WorkerPhase
+from courselead.core.scheduler.schedule import Schedule, WaveState
+from courselead.core.scheduler.state import Minion, Run, RunPhase
+
+LIST_PERIOD_MS = 700
+"""Time between looks at the cloud's list while it is needed; each look is priced."""
+
+EVACUATE_AHEAD = 1
+"""Workers emptied beyond those that may be down: their tasks end meanwhile."""
+
+EVACUATE_MS = 2_500
+"""Time that finite tasks get to end by themselves: about three short run times."""
+
+RETRY_MS = 400
+"""Wait before a refused or unanswered order is sent again."""
+
+SECOND_MS = 1_000
+
+
+def requested(schedule: Schedule, wave: MaintenanceWave, begun: set[str]) -> None:
+    """Take a wave of the operator; `begun` is what earlier owners have saved."""
+    state = schedule.waves.get(wave.wave)
+    if state is not None:
+        return
+    due_ms = schedule.now_ms + int(wave.deadline_s * SECOND_MS)
+    schedule.waves[wave.wave] = WaveState(
+        wave.workers, max(1, wave.cap), due_ms, begun=begun
+    )
+    schedule.note("wave_requested", wave=wave.wave, workers=len(wave.workers))
+
+
+def tick(schedule: Schedule) -> None:
+    """Drive all waves on, and ask for the cloud's list where it is needed."""
+    if _wants_list(schedule):
+        schedule.workers_asked_ms = schedule.now_ms
+        schedule.emit(ListWorkers())
+    if schedule.workers_ms < 0 or schedule.now_ms < schedule.duty_after_ms:
+        return
+    for number, wave in schedule.waves.items():
+        if not wave.completed:
+            _drive(schedule, number, wave)
+
+
+def workers_listed(schedule: Schedule, asked_ms: int) -> None:
+    """Take what the cloud says of workers in maintenance."""
+    for wave in schedule.waves.values():
+        for worker_id, began_ms in list(wave.down.items()):
+            worker = schedule.workers.get(worker_id)
+            if worker is None:
+                del wave.down[worker_id]
+                continue
+            back = worker.phase is WorkerPhase.UP and worker.minion_id
+            if back and asked_ms >= began_ms + schedule.bounds.maintenance_ms:
+                del wave.down[worker_id]
+
+
+def answered(schedule: Schedule, worker_id: str, outcome: Outcome) -> None:
+    """Take the answer to a maintenance order."""
+    for wave in schedule.waves.values():
+        if worker_id not in wave.evacuating:
+            continue
+        if outcome is Outcome.OK:
+            _begun(schedule, wave, worker_id)
+            return
+        wave.retry_ms[worker_id] = schedule.now_ms + RETRY_MS
+        if outcome is Outcome.UNKNOWN:
+            return
+        wave.down.pop(worker_id, None)
+        if outcome is Outcome.REFUSED:
+            wave.begun.add(worker_id)
+            wave.evacuating.pop(worker_id, None)
+
+
+def _begun(schedule: Schedule, wave: WaveState, worker_id: str) -> None:
+    wave.begun.add(worker_id)
+    wave.down[worker_id] = schedule.now_ms
+    wave.evacuating.pop(worker_id, None)
+    schedule.note("maintenance_begun", worker=worker_id)
+
+
+def _wants_list(schedule: Schedule) -> bool:
+    age_ms = schedule.now_ms - schedule.workers_asked_ms
+    if schedule.workers_ms < 0:
+        return age_ms >= LIST_PERIOD_MS or schedule.workers_asked_ms == 0
+    if age_ms < LIST_PERIOD_MS:
+        return False
+    if any(not wave.completed for wave in schedule.waves.values()):
+        return True
+    if schedule.moves or schedule.doubted_lives:
+        return True
+    return any(item.failures and item.runs for item in schedule.minions.values())
+
+
+def _drive(schedule: Schedule, number: int, wave: WaveState) -> None:
+    if not wave.told_running:
+        wave.told_running = True
+        schedule.emit(SaveWaveStatus(number, False))
+    left = [item for item in wave.workers if item not in wave.begun]
+    staying = [item for item in left if item in schedule.workers]
+    if not staying:
+        wave.completed = True
+        schedule.emit(SaveWaveStatus(number, True))
+        schedule.note("wave_completed", wave=number)
+        return
+    for worker_id in staying:
+        if worker_id in wave.evacuating:
+            _evacuate(schedule, number, wave, worker_id)
+    for worker_id in sorted(staying, key=lambda item: _load(schedule, item)):
+        busy = len(wave.evacuating) + len(wave.down)
+        if busy >= wave.cap + EVACUATE_AHEAD:
+            return
+        if worker_id in wave.evacuating:
+            continue
+        if schedule.workers[worker_id].phase is not WorkerPhase.UP:
+            continue
+        wave.evacuating[worker_id] = schedule.now_ms
+        _evacuate(schedule, number, wave, worker_id)
+
+
+def _load(schedule: Schedule, worker_id: str) -> int:
+    minion = _minion(schedule, worker_id)
+    return 0 if minion is None else len(minion.runs)
+
+
+def _minion(schedule: Schedule, worker_id: str) -> Minion | None:
+    worker = schedule.workers.get(worker_id)
+    if worker is None:
+        return None
+    return schedule.minions.get(worker.minion_id)
+
+
+def _evacuate(schedule: Schedule, number: int, wave: WaveState, worker_id: str) -> None:
+    minion = _minion(schedule, worker_id)
+    if minion is not None:
+        minion.cordoned = True
+        waited_ms = schedule.now_ms - wave.evacuating[worker_id]
+        for run in list(minion.runs.values()):
+            _move_away(schedule, run, waited_ms)
+        if minion.runs:
+            return
+    if len(wave.down) >= wave.cap and worker_id not in wave.down:
+        return
+    if schedule.now_ms < wave.retry_ms.get(worker_id, 0):
+        return
+    wave.retry_ms[worker_id] = schedule.now_ms + 2 * SECOND_MS
+    wave.down[worker_id] = schedule.now_ms
+    schedule.emit(MaintainWorker(worker_id, number))
+
+
+def _move_away(schedule: Schedule, run: Run, waited_ms: int) -> None:
+    if run.phase is not RunPhase.RUNNING:
+        return
+    spec = run.unit.spec
+    if spec.long_running:
+        if schedule.may_interrupt(run):
+            schedule.stop_run(run, "its worker is due for maintenance")
+        return
+    if spec.checkpoints or waited_ms >= EVACUATE_MS:
+        schedule.stop_run(run, "its worker is due for maintenance")
--- /dev/null
+++ b/courselead/daemon/scheduling/claims.py
@@ -0,0 +1,63 @@
+"""Claims of the schedule: whoever appends the next one owns it."""
+
+from __future__ import annotations
+
+import secrets
+from dataclasses import dataclass
+
+import structlog
+from returns.result import Failure, Result, Success
+
+from courselead.core.scheduler.records import KeyedRecord
+from courselead.daemon.scheduling.ports import AppendUnknown, KeyedLog
+
+_LOGGER = structlog.get_logger(__name__)
+
+CLAIM_KEY = b"schedule"
+CLAIM_TIMEOUT_MS = 1_500
+"""Time-out of a claim: it is not repeated, so it gets longer than other appends."""
+
+
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """A won claim: its fence is higher than that of all claims before."""
+
+    fence: int
+    first: bool
+
+
+class Claimant:
+    """Claims the schedule for one process."""
+
+    def __init__(self, log: KeyedLog, host: str) -> None:
+        """Keep the log of claims and this host's name."""
+        self._log = log
+        self._host = host
+
+    async def claim(self) -> Result[Claim, str]:
+        """Try to become the owner; a failure says why not."""
+        newest = await self._log.newest()
+        if isinstance(newest, Failure):
+            return Failure(str(newest.failure()))
+        end = newest.unwrap().end
+        # Tells this claim from another one of the same host whose answer was lost.
+        nonce = secrets.token_hex(8)
+        record = KeyedRecord(CLAIM_KEY, f"{self._host} {nonce}".encode())
+        result = await self._log.append([record], CLAIM_TIMEOUT_MS, expected_end=end)
+        if isinstance(result, Success):
+            offset = result.unwrap().offset
+            return Success(Claim(offset + 1, offset == 0))
+        error = result.failure()
+        if not isinstance(error, AppendUnknown):
+            return Failure(str(error))
+        return await self._look(record)
+
+    async def _look(self, record: KeyedRecord) -> Result[Claim, str]:
+        """Return whether a claim without an answer was stored."""
+        newest = await self._log.newest()
+        if isinstance(newest, Failure):
+            return Failure(str(newest.failure()))
+        for item in newest.unwrap().records:
+            if item.record == record:
+                return Success(Claim(item.offset + 1, item.offset == 0))
+        return Failure("the claim was not answered and is not stored")
--- /dev/null
+++ b/courselead/daemon/scheduling/follower.py
@@ -0,0 +1,233 @@
+"""Following a keyed log: the newest of each key first, then what comes."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+import anyio
+import structlog
+from returns.result import Failure
+
+from courselead.core.scheduler.book import JobBook
+from courselead.core.scheduler.records import (
+    JobAccepted,
+    JobCancelled,
+    JobProgress,
+    KeyedRecord,
+    OwnerBeat,
+    Record,
+    decode,
+)
+from courselead.daemon.scheduling.ports import (
+    HistoryGone,
+    HostCounters,
+    KeyedLog,
+    LogBatch,
+    Newest,
+)
+
+_LOGGER = structlog.get_logger(__name__)
+
+READ_WAIT_MS = 1_500
+"""Wait of one read: a cut connection is noticed a second after it."""
+
+RETRY_LEAST_S = 0.05
+RETRY_MOST_S = 0.6
+"""Bounds of the wait after a failed read, with jitter: a store that is back is
+followed again well within the 2 s in which a configuration must be in force."""
+
+
+class KeyedFollower:
+    """Follows one log; records are applied in order, each once."""
+
+    def __init__(
+        self,
+        name: str,
+        log: KeyedLog,
+        on_record: Callable[[KeyedRecord], None],
+        on_newest: Callable[[set[bytes]], None] = lambda keys: None,
+        gap_s: float = 0.0,
+    ) -> None:
+        """Keep the parts.
+
+        Args:
+            name: For log lines.
+            log: What is followed.
+            on_record: Takes each record.
+            on_newest: Told the keys that exist, after a start from the newest.
+            gap_s: Pause between two reads: several records share a call.
+        """
+        self._name = name
+        self._log = log
+        self._on_record = on_record
+        self._on_newest = on_newest
+        self.gap_s = gap_s
+        self.offset = -1
+        self.reached_at = 0.0
+        self._floors: dict[bytes, int] = {}
+        self._failures = 0
+        self._lock = anyio.Lock()
+
+    async def run(self) -> None:
+        """Follow for good."""
+        while True:
+            if not await self._step(READ_WAIT_MS):
+                most = min(RETRY_MOST_S, RETRY_LEAST_S * 2**self._failures)
+                await anyio.sleep(random.uniform(RETRY_LEAST_S, most))
+            elif self.gap_s:
+                await anyio.sleep(self.gap_s)
+
+    async def read_now(self) -> bool:
+        """Read what there is beyond the offset without waiting for more."""
+        return await self._step(0)
+
+    async def _step(self, wait_ms: int) -> bool:
+        if self.offset < 0:
+            return await self._restart()
+        asked_at = anyio.current_time()
+        start = self.offset
+        result = await self._log.read(start, wait_ms)
+        if isinstance(result, Failure):
+            error = result.failure()
+            if isinstance(error, HistoryGone):
+                _LOGGER.info("history_gone", log=self._name, offset=start)
+                self.offset = -1
+                return True
+            return self._failed(error.reason)
+        self._take(result.unwrap())
+        self._reached(asked_at)
+        return True
+
+    async def _restart(self) -> bool:
+        asked_at = anyio.current_time()
+        async with self._lock:
+            if self.offset >= 0:
+                return True
+            result = await self._log.newest()
+            if isinstance(result, Failure):
+                error = result.failure()
+                reason = "" if isinstance(error, HistoryGone) else error.reason
+                return self._failed(reason)
+            self._take_newest(result.unwrap())
+        self._reached(asked_at)
+        return True
+
+    def _take_newest(self, newest: Newest) -> None:
+        self._floors = {}
+        for item in sorted(newest.records, key=lambda item: item.offset):
+            self._floors[item.record.key] = item.offset
+            self._on_record(item.record)
+        self._on_newest(set(self._floors))
+        self.offset = newest.end
+
+    def _take(self, batch: LogBatch) -> None:
+        for position, record in enumerate(batch.records):
+            offset = batch.start + position
+            if offset < self.offset:
+                continue
+            self.offset = offset + 1
+            if offset > self._floors.get(record.key, -1):
+                self._on_record(record)
+
+    def _reached(self, asked_at: float) -> None:
+        if self._failures:
+            _LOGGER.info("log_reached", log=self._name, failures=self._failures)
+        self._failures = 0
+        self.reached_at = max(self.reached_at, asked_at)
+
+    def _failed(self, reason: str) -> bool:
+        if self._failures == 0:
+            _LOGGER.warning("log_unreachable", log=self._name, reason=reason)
+        self._failures += 1
+        return False
+
+
+class JobFollower:
+    """The fold of the job log, kept by every host."""
+
+    def __init__(self, log: KeyedLog, counters: HostCounters) -> None:
+        """Start with nothing read."""
+        self.book = JobBook()
+        self.on_change: Callable[[Record], None] = lambda record: None
+        self.beat_at = 0.0
+        self._counters = counters
+        self._follower = KeyedFollower("jobs", log, self._apply, gap_s=GAP_S)
+        self._reading: anyio.Event | None = None
+        self._queued: anyio.Event | None = None
+        self._outcome = False
+
+    @property
+    def offset(self) -> int:
+        """Return the offset of the next record to be read."""
+        return self._follower.offset
+
+    @property
+    def reached_at(self) -> float:
+        """Return when the newest read that was answered was sent."""
+        return self._follower.reached_at
+
+    @property
+    def started(self) -> bool:
+        """Return whether the log was read once."""
+        return self._follower.offset >= 0
+
+    async def run(self) -> None:
+        """Follow for good."""
+        await self._follower.run()
+
+    def follow_closely(self, close: bool) -> None:
+        """Read without pauses while this host owns the schedule."""
+        self._follower.gap_s = 0.0 if close else GAP_S
+
+    async def catch_up(self) -> bool:
+        """Apply all that was stored before this call; calls share reads."""
+        if self._reading is not None:
+            # A read under way may have begun before this call: wait for the next.
+            if self._queued is None:
+                return await self._read_next(self._reading)
+            await self._queued.wait()
+            return self._outcome
+        return await self._read(anyio.Event())
+
+    def learned(self, record: JobAccepted | JobCancelled) -> None:
+        """Apply a record that this host has just stored, before it is read."""
+        self.book.apply(record)
+
+    async def _read_next(self, under_way: anyio.Event) -> bool:
+        queued = self._queued = anyio.Event()
+        try:
+            await under_way.wait()
+        except BaseException:
+            self._outcome = False
+            queued.set()
+            raise
+        finally:
+            self._queued = None
+        return await self._read(queued)
+
+    async def _read(self, done: anyio.Event) -> bool:
+        self._reading = done
+        self._counters.add("catch_ups")
+        try:
+            self._outcome = await self._follower.read_now()
+            return self._outcome
+        finally:
+            self._reading = None
+            done.set()
+
+    def _apply(self, keyed: KeyedRecord) -> None:
+        try:
+            record = decode(keyed)
+        except ValueError as exc:
+            _LOGGER.error("record_malformed", reason=str(exc))
+            return
+        if isinstance(record, OwnerBeat | JobProgress):
+            self.beat_at = anyio.current_time()
+        self.book.apply(record)
+        self.on_change(record)
+
+
+GAP_S = 0.15
+"""Pause between reads of a host that does not own the schedule: each read is priced,
+and a caller's question makes a read of its own."""
--- /dev/null
+++ b/courselead/daemon/scheduling/main.py
@@ -0,0 +1,89 @@
+"""`courselead serve --platform`: an entry host on the users' platform."""
+
+from __future__ import annotations
+
+import signal
+import sys
+
+import anyio
+import structlog
+from returns.result import Failure
+
+from courselead import logs
+from courselead.daemon.scheduling.host import SchedulingHost
+from courselead.integrations.http_api.server import HttpServer
+from courselead.platform.ingress import JobsApp, ReadyApp
+from courselead.platform.settings import NodeSettings
+from courselead.platform.wiring import load_settings, make_platform
+from courselead.settings import Address, LimitSettings
+
+_LOGGER = structlog.get_logger(__name__)
+
+EXIT_OK = 0
+EXIT_SETTINGS = 2
+
+LINGER_S = 2.6
+"""Time for which a leaving host still serves: the platform asks for readiness once a
+second and sends new connections until two answers were missed."""
+
+DRAIN_MS = 1_500
+"""Time for open exchanges to end after that; both fit well into the platform's grace."""
+
+
+def run() -> int:
+    """Run the daemon until it is told to end; return its exit code."""
+    logs.configure("info", sys.stdout)
+    loaded = load_settings()
+    if isinstance(loaded, Failure):
+        _LOGGER.error("settings_refused", reason=loaded.failure())
+        return EXIT_SETTINGS
+    anyio.run(_serve, loaded.unwrap())
+    return EXIT_OK
+
+
+async def _serve(settings: NodeSettings) -> None:
+    host = SchedulingHost(
+        settings.node, make_platform(settings), settings.bounds.bounds()
+    )
+    front = HttpServer(
+        JobsApp(host.intake, lambda: host.leaving),  # type: ignore[arg-type]
+        _address(settings.listen.front),
+        LimitSettings(),
+        DRAIN_MS,
+    )
+    ready = HttpServer(
+        ReadyApp(lambda: host.ready),  # type: ignore[arg-type]
+        _address(settings.listen.ready),
+        LimitSettings(),
+        DRAIN_MS,
+    )
+    _LOGGER.info("started", host=settings.node, front=settings.listen.front)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(host.run)
+        tasks.start_soon(front.run)
+        tasks.start_soon(ready.run)
+        await _wait_for_end()
+        _LOGGER.info("leaving", host=settings.node)
+        tasks.start_soon(host.leave)
+        await anyio.sleep(LINGER_S)
+        front.stop()
+        await front.wait_closed()
+        tasks.cancel_scope.cancel()
+    _LOGGER.info("stopped", host=settings.node)
+
+
+async def _wait_for_end() -> None:
+    """Return at SIGTERM or SIGINT; SIGHUP is noted, its settings need a new start."""
+    with anyio.open_signal_receiver(
+        signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+    ) as received:
+        async for number in received:
+            if number == signal.SIGHUP:
+                _LOGGER.info("reload_asked", changed="nothing that is read at run time")
+                continue
+            return
+
+
+def _address(text: str) -> Address:
+    ip, _, port = text.rpartition(":")
+    return Address(ip, int(port))
--- /dev/null
+++ b/courselead/daemon/scheduling/ports.py
@@ -0,0 +1,280 @@
+"""What the scheduling daemon needs from outside, and the types it speaks."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from returns.result import Result
+
+from courselead.core.scheduler.events import (
+    EndReport,
+    Outcome,
+    RunReport,
+    StartRun,
+)
+from courselead.core.scheduler.models import (
+    FleetConfig,
+    MaintenanceWave,
+    MinionInfo,
+    Worker,
+)
+from courselead.core.scheduler.records import KeyedRecord
+
+
+@dataclass(frozen=True, slots=True)
+class Appended:
+    """Offsets of the first record that was stored and of the log's end after."""
+
+    offset: int
+    end: int
+
+
+@dataclass(frozen=True, slots=True)
+class NotAppended:
+    """The log answered that nothing was stored, or never got the request."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class AppendUnknown:
+    """No answer: the records may be stored, now or seconds later."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class AppendFenced:
+    """A producer of a higher epoch has written."""
+
+
+@dataclass(frozen=True, slots=True)
+class EndMoved:
+    """The log does not end where it was expected to."""
+
+    end: int
+
+
+AppendError = NotAppended | AppendUnknown | AppendFenced | EndMoved
+
+
+@dataclass(frozen=True, slots=True)
+class LogBatch:
+    """Records of a log from an offset on; empty when the wait was over."""
+
+    start: int
+    end: int
+    records: tuple[KeyedRecord, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class HistoryGone:
+    """The records asked for are dropped: start from the newest of each key."""
+
+
+@dataclass(frozen=True, slots=True)
+class ReadFailed:
+    """The log did not answer."""
+
+    reason: str
+
+
+ReadError = HistoryGone | ReadFailed
+
+
+@dataclass(frozen=True, slots=True)
+class NewestRecord:
+    """The newest record of a key."""
+
+    offset: int
+    record: KeyedRecord
+
+
+@dataclass(frozen=True, slots=True)
+class Newest:
+    """The newest record of each key; read on from `end`, before which pages began."""
+
+    end: int
+    records: tuple[NewestRecord, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ProducerMark:
+    """Makes an append the only one of its number, and fences older epochs."""
+
+    name: str
+    epoch: int
+    sequence: int
+
+
+class KeyedLog(Protocol):
+    """A log whose newest record of each key is kept."""
+
+    async def append(
+        self,
+        records: Sequence[KeyedRecord],
+        timeout_ms: int,
+        expected_end: int | None = None,
+        mark: ProducerMark | None = None,
+    ) -> Result[Appended, AppendError]:
+        """Store records, all or none."""
+        ...
+
+    async def read(self, start: int, wait_ms: int) -> Result[LogBatch, ReadError]:
+        """Return records from an offset on, waiting for the first of them."""
+        ...
+
+    async def newest(self) -> Result[Newest, ReadError]:
+        """Return the newest record of each key."""
+        ...
+
+
+@dataclass(frozen=True, slots=True)
+class MinionHold:
+    """A minion's whole report."""
+
+    clock_ms: int
+    running: tuple[RunReport, ...]
+    ended: tuple[EndReport, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class OrderAnswer:
+    """What a minion said to an order; `tries` counts sendings."""
+
+    outcome: Outcome
+    clock_ms: int = 0
+    reason: str = ""
+
+
+class MinionLink(Protocol):
+    """The way to one life of a minion."""
+
+    async def hold(
+        self, fence: int, cursor: int, lease_ms: int, wait_ms: int
+    ) -> Result[MinionHold, OrderAnswer]:
+        """Look at the minion and renew its lease; `lease_ms` 0 renews nothing."""
+        ...
+
+    async def start(self, order: StartRun, fence: int) -> OrderAnswer:
+        """Start a run."""
+        ...
+
+    async def stop(self, task: str, number: int, fence: int) -> OrderAnswer:
+        """Stop a run."""
+        ...
+
+    async def pace(
+        self, task: str, number: int, percent: int, fence: int
+    ) -> OrderAnswer:
+        """Set the pace of a run."""
+        ...
+
+    def close(self) -> None:
+        """Close all connections."""
+        ...
+
+
+@dataclass(frozen=True, slots=True)
+class Tickets:
+    """An answer of the advice service."""
+
+    tickets: dict[str, str]
+    valid_ms: int
+
+
+class AdviceService(Protocol):
+    """Says which minions may run a step."""
+
+    async def ask(
+        self, step: str, minion_ids: Sequence[str], timeout_ms: int
+    ) -> Result[Tickets, str]:
+        """Return the minions that may run a step, or why there is no answer."""
+        ...
+
+
+class Cloud(Protocol):
+    """The cloud's workers."""
+
+    async def workers(self) -> Result[tuple[Worker, ...], str]:
+        """Return all workers."""
+        ...
+
+    async def move(self, worker_id: str, pool: str, fence: int) -> OrderAnswer:
+        """Move a worker to another pool."""
+        ...
+
+    async def maintain(self, worker_id: str, wave: int, fence: int) -> OrderAnswer:
+        """Take a worker down for its maintenance."""
+        ...
+
+
+@dataclass(frozen=True, slots=True)
+class RouteRule:
+    """Requests of a host and path prefix belong to a queue."""
+
+    host: str
+    prefix: str
+    queue: str
+
+
+@dataclass(frozen=True, slots=True)
+class Directions:
+    """The operators' configuration, decoded."""
+
+    version: int
+    routes: tuple[RouteRule, ...]
+    fleet: FleetConfig
+    body_bytes: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Platform:
+    """Everything of the platform that the daemon uses."""
+
+    jobs: KeyedLog
+    claims: KeyedLog
+    directions: KeyedLog
+    minions: KeyedLog
+    status: KeyedLog
+    advice: AdviceService
+    cloud: Cloud
+    decode: Decoder
+    link: LinkFactory
+
+
+class Decoder(Protocol):
+    """Turns records of the platform into types."""
+
+    def directions(self, record: KeyedRecord) -> Directions | MaintenanceWave | None:
+        """Return what an operator's record says, nothing if it is of no concern."""
+        ...
+
+    def minion(self, record: KeyedRecord) -> MinionInfo | str:
+        """Return a minion of the list, or the id of one that left it."""
+        ...
+
+    def wave_status(self, wave: int, completed: bool) -> KeyedRecord:
+        """Return the record that tells the operator how far a wave is."""
+        ...
+
+
+class LinkFactory(Protocol):
+    """Makes the way to a minion."""
+
+    def __call__(self, info: MinionInfo) -> MinionLink:
+        """Return the way to one life of a minion."""
+        ...
+
+
+@dataclass(slots=True)
+class HostCounters:
+    """Counts since the start, shown by the metrics address."""
+
+    counts: dict[str, int] = field(default_factory=dict)
+
+    def add(self, name: str, by: int = 1) -> None:
+        """Count something."""
+        self.counts[name] = self.counts.get(name, 0) + by
--- /dev/null
+++ b/courselead/daemon/scheduling/writer.py
@@ -0,0 +1,112 @@
+"""Group commit of callers' records."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+import anyio
+import structlog
+from returns.result import Success
+
+from courselead.core.scheduler.records import (
+    JobAccepted,
+    JobCancelled,
+    KeyedRecord,
+    encode,
+)
+from courselead.daemon.scheduling.ports import (
+    AppendUnknown,
+    HostCounters,
+    KeyedLog,
+)
+
+_LOGGER = structlog.get_logger(__name__)
+
+ATTEMPT_MS = 700
+"""Time-out of one append: the store takes 4 ms, up to 250 ms where it is slow."""
+
+RETRIES = 1
+"""Repetitions of an append that was refused: a refusal is passed on at once, but for
+one repetition, since the store turns calls away at its rate as well."""
+
+RETRY_PAUSE_S = 0.02
+MOST_RECORDS = 64
+"""Records of one append: a bound of its size far below the store's."""
+
+AWAY_MS = 1_000
+"""Time for which new records are refused after an append was not answered."""
+
+
+@dataclass(frozen=True, slots=True)
+class Stored:
+    """What became of a record; `in_doubt` if it may be stored yet."""
+
+    ok: bool
+    in_doubt: bool = False
+    reason: str = ""
+
+
+@dataclass(slots=True, eq=False)
+class _Waiting:
+    record: KeyedRecord
+    done: anyio.Event = field(default_factory=anyio.Event)
+    stored: Stored = Stored(False, True, "not tried")
+
+
+class JobWriter:
+    """Stores callers' records: one append at a time, all that wait in the next."""
+
+    def __init__(self, log: KeyedLog, counters: HostCounters) -> None:
+        """Start with nothing to store."""
+        self._log = log
+        self._counters = counters
+        self._line: list[_Waiting] = []
+        self._wake = anyio.Event()
+        self._away_until = 0.0
+
+    async def store(self, record: JobAccepted | JobCancelled) -> Stored:
+        """Store a record and return what became of it."""
+        now = anyio.current_time()
+        if now < self._away_until:
+            return Stored(False, False, "the log does not answer")
+        waiting = _Waiting(encode(record))
+        self._line.append(waiting)
+        self._wake.set()
+        await waiting.done.wait()
+        return waiting.stored
+
+    async def run(self) -> None:
+        """Store for good."""
+        while True:
+            await self._wake.wait()
+            self._wake = anyio.Event()
+            while self._line:
+                group = self._line[:MOST_RECORDS]
+                del self._line[:MOST_RECORDS]
+                await self._commit(group)
+
+    async def _commit(self, group: list[_Waiting]) -> None:
+        stored = await self._append([item.record for item in group])
+        for item in group:
+            item.stored = stored
+            item.done.set()
+
+    async def _append(self, records: list[KeyedRecord]) -> Stored:
+        doubt = False
+        reason = ""
+        for attempt in range(1 + RETRIES):
+            if attempt:
+                await anyio.sleep(RETRY_PAUSE_S)
+            self._counters.add("append_calls")
+            result = await self._log.append(records, ATTEMPT_MS)
+            if isinstance(result, Success):
+                self._away_until = 0.0
+                return Stored(True)
+            error = result.failure()
+            reason = getattr(error, "reason", type(error).__name__)
+            if isinstance(error, AppendUnknown):
+                doubt = True
+        _LOGGER.warning("append_failed", reason=reason, in_doubt=doubt)
+        if doubt:
+            self._away_until = anyio.current_time() + AWAY_MS / 1000
+        return Stored(False, doubt, reason)
--- /dev/null
+++ b/courselead/integrations/lean_http/pool.py
@@ -0,0 +1,42 @@
+"""A few connections to one address; a call waits only when all are busy."""
+
+from __future__ import annotations
+
+import anyio
+from returns.result import Result
+
+from courselead.integrations.http.errors import ExchangeError
+from courselead.integrations.lean_http.connection import Answer, Call, LeanConnection
+
+
+class LeanPool:
+    """Up to `size` connections, the one used last first, so that few stay open."""
+
+    def __init__(self, address: str, size: int) -> None:
+        """Keep the address; nothing is opened yet."""
+        self.address = address
+        self._idle: list[LeanConnection] = []
+        self._all: list[LeanConnection] = []
+        self._size = size
+        self._slots = anyio.Semaphore(size)
+
+    async def call(self, call: Call, timeout_ms: int) -> Result[Answer, ExchangeError]:
+        """Send a request on a free connection and return the whole answer."""
+        async with self._slots:
+            conn = self._take()
+            try:
+                return await conn.call(call, timeout_ms)
+            finally:
+                self._idle.append(conn)
+
+    def close(self) -> None:
+        """Close all connections."""
+        for conn in self._all:
+            conn.close()
+
+    def _take(self) -> LeanConnection:
+        if self._idle:
+            return self._idle.pop()
+        conn = LeanConnection(self.address)
+        self._all.append(conn)
+        return conn
--- /dev/null
+++ b/courselead/platform/const.py
@@ -0,0 +1,59 @@
+"""Names and bounds of the platform's protocol."""
+
+ENV_SETTINGS = "COURSELEAD_NODE_FILE"
+
+PATH_READY = "/-/ready"
+PATH_APPEND = "/-/log-append"
+PATH_READ = "/-/log-read"
+PATH_NEWEST = "/-/log-newest"
+PATH_START = "/-/run-start"
+PATH_STOP = "/-/run-stop"
+PATH_HOLD = "/-/hold"
+PATH_PACE = "/-/pace"
+PATH_ADVISE = "/-/advise"
+PATH_MACHINES = "/-/machines"
+PATH_MOVE = "/-/machine-move"
+PATH_UPKEEP = "/-/machine-upkeep"
+
+HEADER_DEADLINE = b"x-courselead-deadline-ms"
+HEADER_EXPECT_INSTANCE = "X-Courselead-Expect-Instance"
+HEADER_HOLDER = "X-Courselead-Lease-Holder"
+HEADER_FENCE = "X-Courselead-Fencing-Token"
+
+TOPIC_JOBS = "keyed.jobs"
+TOPIC_CLAIMS = "keyed.claims"
+TOPIC_OPERATOR = "keyed.op"
+TOPIC_SERVERS = "keyed.servers"
+TOPIC_STATUS = "keyed.status"
+
+KEY_CONFIG = "config"
+KEY_WAVE = "wave/"
+
+STATE_DRAINING = "draining"
+STATE_RUNNING = "running"
+STATE_COMPLETED = "completed"
+
+READ_SLACK_MS = 1_200
+"""Time beyond the wait of a read until it counts as lost: store answers take 4 ms,
+up to some hundred where it is slow."""
+
+READ_LEAST_MS = 1_500
+"""Least time of a read without a wait, for the same reason."""
+
+READ_KB = 1_024
+"""Most that one read returns (the protocol's default)."""
+
+START_TIMEOUT_MS = 300
+"""First time-out of an order: a hundred times a calm round trip."""
+
+ORDER_TIMEOUT_MS = 1_000
+"""Time-out of an order's repetition."""
+
+HOLD_SLACK_MS = 800
+"""Time beyond a look's wait until it counts as lost."""
+
+CLOUD_TIMEOUT_MS = 1_500
+"""Time-out of a call to the cloud, which may be slow."""
+
+ORDER_CONNECTIONS = 4
+"""Most connections for orders to one minion, of the 64 that it takes."""
--- /dev/null
+++ b/courselead/platform/minions.py
@@ -0,0 +1,170 @@
+"""Orders to minions and their reports."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from courselead.core.scheduler.events import (
+    EndKind,
+    EndReport,
+    Outcome,
+    RunReport,
+    StartRun,
+)
+from courselead.core.scheduler.models import MinionInfo
+from courselead.daemon.scheduling.ports import MinionHold, OrderAnswer
+from courselead.integrations.http.errors import ExchangeError, NotSent
+from courselead.integrations.lean_http import Answer, Call, LeanConnection, LeanPool
+from courselead.platform import const
+
+_REASONS = {
+    "fence": Outcome.FENCED,
+    "old": Outcome.SUPERSEDED,
+    "late": Outcome.LEASE_OVER,
+    "room": Outcome.NO_ROOM,
+    "ticket": Outcome.NO_TICKET,
+}
+_ENCODER = msgspec.json.Encoder()
+
+
+class _OrderAnswer(msgspec.Struct, rename="camel"):
+    clock_ms: int = 0
+    reason: str = ""
+
+
+class _HoldAnswer(msgspec.Struct, rename="camel"):
+    clock_ms: int
+    # Rows of task, run, newest checkpoint, percent, and the half second's figure.
+    running: list[list[Any]] = []
+    # Rows of sequence number, task, run, kind of end, checkpoint.
+    finished: list[tuple[int, str, int, str, str]] = []
+
+
+class HttpMinionLink:
+    """The way to one life of a minion: a connection for looks, some for orders."""
+
+    def __init__(self, info: MinionInfo) -> None:
+        """Keep the address; connections are opened on need."""
+        self._looks = LeanConnection(info.address)
+        self._orders = LeanPool(info.address, const.ORDER_CONNECTIONS)
+        self._headers = (
+            ("Content-Type", "application/json"),
+            (const.HEADER_EXPECT_INSTANCE, info.minion_id),
+        )
+
+    async def hold(
+        self, fence: int, cursor: int, lease_ms: int, wait_ms: int
+    ) -> Result[MinionHold, OrderAnswer]:
+        """Look at the minion and renew its lease; `lease_ms` 0 renews nothing."""
+        body: dict[str, int] = {"fence": fence, "ackCursor": cursor}
+        if lease_ms:
+            body["deadlineMs"] = lease_ms
+        if wait_ms:
+            body["waitMs"] = wait_ms
+        answered = await self._looks.call(
+            self._call(const.PATH_HOLD, body), wait_ms + const.HOLD_SLACK_MS
+        )
+        if isinstance(answered, Failure):
+            return Failure(_failed(answered.failure()))
+        answer = answered.unwrap()
+        if answer.status != 200:
+            return Failure(_order_answer(answer))
+        try:
+            held = msgspec.json.decode(answer.body, type=_HoldAnswer)
+            return Success(_hold(held))
+        except (msgspec.MsgspecError, ValueError, IndexError) as exc:
+            reason = f"malformed report: {exc}"
+            return Failure(OrderAnswer(Outcome.UNKNOWN, 0, reason))
+
+    async def start(self, order: StartRun, fence: int) -> OrderAnswer:
+        """Start a run; the same order is sent again once if it is not answered."""
+        body: dict[str, object] = {
+            "task": order.task,
+            "run": order.number,
+            "spec": order.payload,
+            "deadlineMs": order.lease_ms,
+            "fence": fence,
+        }
+        if order.checkpoint:
+            body["lastCheckpoint"] = order.checkpoint
+        if order.ticket:
+            body["ticket"] = order.ticket
+        call = self._call(const.PATH_START, body)
+        first = await self._order(call, const.START_TIMEOUT_MS)
+        if first.outcome is not Outcome.UNKNOWN:
+            return first
+        second = await self._order(call, const.ORDER_TIMEOUT_MS)
+        if second.outcome in (Outcome.OK, Outcome.FENCED, Outcome.OTHER_LIFE):
+            return second
+        # The first order may still be carried out, whatever this one was told.
+        return OrderAnswer(Outcome.UNKNOWN, second.clock_ms, second.reason)
+
+    async def stop(self, task: str, number: int, fence: int) -> OrderAnswer:
+        """Stop a run."""
+        body = {"task": task, "run": number, "fence": fence}
+        return await self._order(
+            self._call(const.PATH_STOP, body), const.ORDER_TIMEOUT_MS
+        )
+
+    async def pace(
+        self, task: str, number: int, percent: int, fence: int
+    ) -> OrderAnswer:
+        """Set the pace of a run."""
+        body = {"task": task, "run": number, "percent": percent, "fence": fence}
+        return await self._order(
+            self._call(const.PATH_PACE, body), const.ORDER_TIMEOUT_MS
+        )
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._looks.close()
+        self._orders.close()
+
+    def _call(self, path: str, body: object) -> Call:
+        return Call("POST", path, _ENCODER.encode(body), self._headers)
+
+    async def _order(self, call: Call, timeout_ms: int) -> OrderAnswer:
+        answered = await self._orders.call(call, timeout_ms)
+        if isinstance(answered, Failure):
+            return _failed(answered.failure())
+        return _order_answer(answered.unwrap())
+
+
+def _failed(error: ExchangeError) -> OrderAnswer:
+    outcome = Outcome.NOT_SENT if isinstance(error, NotSent) else Outcome.UNKNOWN
+    return OrderAnswer(outcome, 0, error.reason)
+
+
+def _order_answer(answer: Answer) -> OrderAnswer:
+    if answer.status == 421:
+        return OrderAnswer(Outcome.OTHER_LIFE, 0, "another incarnation answered")
+    if answer.status in (429, 503):
+        return OrderAnswer(Outcome.SHED, 0, f"status {answer.status}")
+    try:
+        said = msgspec.json.decode(answer.body or b"{}", type=_OrderAnswer)
+    except msgspec.MsgspecError as exc:
+        return OrderAnswer(Outcome.UNKNOWN, 0, f"malformed answer: {exc}")
+    if answer.status == 200:
+        return OrderAnswer(Outcome.OK, said.clock_ms)
+    if answer.status == 409:
+        outcome = _REASONS.get(said.reason, Outcome.UNKNOWN)
+        return OrderAnswer(outcome, said.clock_ms, said.reason)
+    if answer.status == 400:
+        return OrderAnswer(Outcome.REFUSED, said.clock_ms, "status 400")
+    return OrderAnswer(Outcome.UNKNOWN, said.clock_ms, f"status {answer.status}")
+
+
+def _hold(held: _HoldAnswer) -> MinionHold:
+    running = []
+    for row in held.running:
+        figure = int(row[4]) if len(row) > 4 else 0
+        running.append(
+            RunReport(row[0], int(row[1]), row[2] or "", int(row[3]), figure)
+        )
+    ended = []
+    for sequence, task, number, kind, checkpoint in sorted(held.finished):
+        ended.append(EndReport(sequence, task, number, EndKind(kind), checkpoint))
+    return MinionHold(held.clock_ms, tuple(running), tuple(ended))
--- /dev/null
+++ b/courselead/platform/settings.py
@@ -0,0 +1,86 @@
+"""The settings file of a process, as the platform writes it."""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from courselead.core.scheduler.models import Bounds
+
+
+class _Listen(msgspec.Struct):
+    front: str = ""
+    ready: str = ""
+    control: str = ""
+
+
+class _Store(msgspec.Struct):
+    address: str = ""
+
+
+class _Cloud(msgspec.Struct):
+    address: str = ""
+
+
+class _Bounds(msgspec.Struct, rename="camel"):
+    hold_max_ms: int = 10_000
+    stop_ms: int = 900
+    gang_wait_ms: int = 3_000
+    remote_factor: float = 2.0
+    restore_ms: int = 250
+    notice_ms: int = 4_500
+    move_s: float = 1.5
+    upkeep_s: float = 2.0
+    lease_ms: int = 3_000
+    harm_ms: int = 4_000
+    grace_s: float = 6.0
+    # Spelled with an underscore on the wire, unlike the fields around it.
+    status_s: int = msgspec.field(default=120, name="status_s")
+
+    def bounds(self) -> Bounds:
+        """Return the bounds that the scheduler keeps to."""
+        return Bounds(
+            lease_max_ms=self.hold_max_ms,
+            stop_ms=self.stop_ms,
+            gang_wait_ms=self.gang_wait_ms,
+            remote_factor=self.remote_factor,
+            restore_ms=self.restore_ms,
+            notice_ms=self.notice_ms,
+            move_ms=int(self.move_s * 1000),
+            maintenance_ms=int(self.upkeep_s * 1000),
+            # Not a minion's lease: the time within which duties must not change hands.
+            duty_lease_ms=self.lease_ms,
+            harm_ms=self.harm_ms,
+            status_s=self.status_s,
+        )
+
+
+class NodeSettings(msgspec.Struct, rename="camel"):
+    """What the platform tells a process; unknown fields are ignored."""
+
+    node: str
+    zone: str = ""
+    listen: _Listen = msgspec.field(default_factory=_Listen)
+    platform: _Store = msgspec.field(default_factory=_Store)
+    cloud_api: _Cloud = msgspec.field(default_factory=_Cloud)
+    advice: str = ""
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+
+    @classmethod
+    def from_file(cls, path: Path) -> Result[NodeSettings, str]:
+        """Read and check the file; a failure says what to mend."""
+        try:
+            text = path.read_bytes()
+        except OSError as exc:
+            reason = exc.strerror or type(exc).__name__
+            return Failure(f"{path}: {reason}; check the path of the settings file")
+        try:
+            settings = msgspec.convert(tomllib.loads(text.decode()), cls)
+        except (ValueError, msgspec.MsgspecError) as exc:
+            return Failure(f"{path}: {exc}; mend the field that is named")
+        if not settings.listen.front or not settings.platform.address:
+            return Failure(f"{path}: listen.front and platform.address are needed")
+        return Success(settings)
