--- a/courselead/daemon/scheduling/main.py
+++ b/courselead/daemon/scheduling/main.py
@@ -27,7 +27,7 @@
 second and sends new connections until two answers were missed."""
 
 DRAIN_MS = 1_500
-"""Time for open exchanges to end after that; both fit well into the platform's grace."""
+"""Time for open exchanges to end after that; both fit into the platform's grace."""
 
 
 def run() -> int:
