Save how far a wave is, and mend two takeover faults

Change: records of a wave's progress; workers that stay up are given back their work; a silent minion counts as empty only once it has reported or the longest lease is over; a claim is checked against the newest owner after the catch-up.

--- a/courselead/core/scheduler/book.py
+++ b/courselead/core/scheduler/book.py
@@ -12,6 +12,7 @@
     JobProgress,
     OwnerBeat,
     Record,
+    WaveProgress,
 )
 
 
@@ -49,6 +50,7 @@
         """Start empty."""
         self.jobs: dict[str, JobEntry] = {}
         self.owner: OwnerBeat | None = None
+        self.waves: dict[int, set[str]] = {}
         self._early_progress: dict[str, JobProgress] = {}
         self._early_cancels: set[str] = set()
 
@@ -65,6 +67,8 @@
                 self.jobs.pop(record.job_id, None)
                 self._early_progress.pop(record.job_id, None)
                 self._early_cancels.discard(record.job_id)
+            case WaveProgress():
+                self.waves[record.wave] = set(record.begun)
             case OwnerBeat():
                 if self.owner is None or record.fence >= self.owner.fence:
                     self.owner = record
--- a/courselead/core/scheduler/events.py
+++ b/courselead/core/scheduler/events.py
@@ -11,7 +11,7 @@
     MinionInfo,
     Worker,
 )
-from courselead.core.scheduler.records import JobProgress
+from courselead.core.scheduler.records import JobProgress, WaveProgress
 
 
 class EndKind(StrEnum):
@@ -245,9 +245,9 @@
 
 @dataclass(frozen=True, slots=True)
 class SaveProgress:
-    """Store a job's progress in the batch that is open now."""
+    """Store how far a job or a wave is in the batch that is open now."""
 
-    progress: JobProgress
+    progress: JobProgress | WaveProgress
 
 
 @dataclass(frozen=True, slots=True)
--- a/courselead/core/scheduler/jobs.py
+++ b/courselead/core/scheduler/jobs.py
@@ -5,7 +5,11 @@
 from courselead.core.scheduler.book import JobEntry
 from courselead.core.scheduler.events import ForgetJob, SaveProgress
 from courselead.core.scheduler.models import JobState
-from courselead.core.scheduler.records import JobProgress, OccurrenceProgress
+from courselead.core.scheduler.records import (
+    JobProgress,
+    OccurrenceProgress,
+    WaveProgress,
+)
 from courselead.core.scheduler.schedule import Schedule
 from courselead.core.scheduler.state import Job, StepRun, Unit
 
@@ -153,6 +157,10 @@
         if job is not None:
             schedule.emit(SaveProgress(_progress(job)))
     schedule.dirty_jobs.clear()
+    for number in sorted(schedule.dirty_waves):
+        begun = sorted(schedule.waves[number].begun)
+        schedule.emit(SaveProgress(WaveProgress(number, begun)))
+    schedule.dirty_waves.clear()
 
 
 def forget_old(schedule: Schedule) -> None:
--- a/courselead/core/scheduler/minions.py
+++ b/courselead/core/scheduler/minions.py
@@ -46,7 +46,7 @@
         return
     minion.listed = False
     schedule.note("minion_unlisted", minion=minion_id, runs=len(minion.runs))
-    if not minion.runs and minion.failures:
+    if minion.failures and _known_empty(schedule, minion):
         dead(schedule, minion, "left the list")
 
 
@@ -93,10 +93,20 @@
         schedule.note(
             "minion_unreachable", minion=minion.minion_id, reason=event.reason
         )
-    if not minion.listed and not minion.runs:
+    if not minion.listed and _known_empty(schedule, minion):
         dead(schedule, minion, "left the list and does not answer")
 
 
+def _known_empty(schedule: Schedule, minion: Minion) -> bool:
+    """Return whether nothing can run on a minion that does not answer.
+
+    Before its first report to this owner it may have runs of an earlier one.
+    """
+    if minion.runs:
+        return False
+    return minion.synced or schedule.now_ms >= schedule.doubt_until_ms
+
+
 def order_answered(schedule: Schedule, event: OrderAnswered) -> None:
     """Take the answer to a start, stop or pace order, or its lack."""
     minion = schedule.minions.get(event.minion_id)
--- a/courselead/core/scheduler/records.py
+++ b/courselead/core/scheduler/records.py
@@ -68,18 +68,29 @@
     pool_holds: dict[str, int] = {}
 
 
-Record = JobAccepted | JobProgress | JobCancelled | JobForgotten | OwnerBeat
+class WaveProgress(msgspec.Struct, frozen=True, array_like=True):
+    """Workers of a maintenance wave whose maintenance has begun or is not due."""
+
+    wave: int
+    begun: list[str]
+
+
+Record = (
+    JobAccepted | JobProgress | JobCancelled | JobForgotten | OwnerBeat | WaveProgress
+)
 
 _KEY_ACCEPTED = b"j"
 _KEY_PROGRESS = b"p"
 _KEY_CANCELLED = b"x"
 _KEY_OWNER = b"o"
+_KEY_WAVE = b"w"
 
 _TYPES: dict[bytes, type] = {
     _KEY_ACCEPTED: JobAccepted,
     _KEY_PROGRESS: JobProgress,
     _KEY_CANCELLED: JobCancelled,
     _KEY_OWNER: OwnerBeat,
+    _KEY_WAVE: WaveProgress,
 }
 
 
@@ -105,6 +116,8 @@
             key = _KEY_CANCELLED + record.job_id.encode()
         case OwnerBeat():
             key = _KEY_OWNER
+        case WaveProgress():
+            key = _KEY_WAVE + str(record.wave).encode()
         case JobForgotten():
             raise ValueError("a forgotten job has several keys: use forget()")
     return KeyedRecord(key, _ENCODER.encode(record))
--- a/courselead/core/scheduler/schedule.py
+++ b/courselead/core/scheduler/schedule.py
@@ -74,6 +74,7 @@
     ready: dict[str, list[Unit]] = field(default_factory=dict)
     dirty_pools: set[str] = field(default_factory=set)
     dirty_jobs: dict[str, None] = field(default_factory=dict)
+    dirty_waves: set[int] = field(default_factory=set)
     open_batch: int = 1
     advice: dict[str, StepAdvice] = field(default_factory=dict)
     workers: dict[str, Worker] = field(default_factory=dict)
@@ -86,6 +87,11 @@
     duty_after_ms: int = 0
     effects: list[Effect] = field(default_factory=list)
 
+    @property
+    def unsaved(self) -> bool:
+        """Return whether the open batch has anything to store."""
+        return bool(self.dirty_jobs or self.dirty_waves)
+
     @property
     def first_run_number(self) -> int:
         """Return the lowest run number that this owner may give out."""
--- a/courselead/core/scheduler/scheduler.py
+++ b/courselead/core/scheduler/scheduler.py
@@ -114,7 +114,7 @@
             case DutyAnswered():
                 self._duty_answered(event)
             case WaveRequested():
-                waves.requested(schedule, event.wave, set())
+                waves.requested(schedule, event.wave)
             case Tick():
                 self._tick(event.wall_ms)
 
@@ -131,7 +131,7 @@
     def take_saves(self) -> tuple[int, list[Effect]]:
         """Close the open batch and return its number and records."""
         schedule = self.schedule
-        if not schedule.dirty_jobs:
+        if not schedule.unsaved:
             return schedule.open_batch, []
         kept, schedule.effects = schedule.effects, []
         jobs.flush(schedule)
--- a/courselead/core/scheduler/waves.py
+++ b/courselead/core/scheduler/waves.py
@@ -27,11 +27,12 @@
 SECOND_MS = 1_000
 
 
-def requested(schedule: Schedule, wave: MaintenanceWave, begun: set[str]) -> None:
-    """Take a wave of the operator; `begun` is what earlier owners have saved."""
+def requested(schedule: Schedule, wave: MaintenanceWave) -> None:
+    """Take a wave of the operator, as far as earlier owners have come with it."""
     state = schedule.waves.get(wave.wave)
     if state is not None:
         return
+    begun = set(schedule.book.waves.get(wave.wave, ()))
     due_ms = schedule.now_ms + int(wave.deadline_s * SECOND_MS)
     schedule.waves[wave.wave] = WaveState(
         wave.workers, max(1, wave.cap), due_ms, begun=begun
@@ -62,15 +63,18 @@
             back = worker.phase is WorkerPhase.UP and worker.minion_id
             if back and asked_ms >= began_ms + schedule.bounds.maintenance_ms:
                 del wave.down[worker_id]
+                # An order that was carried out before ends no life a second time.
+                if worker_id in wave.begun:
+                    _release(schedule, wave, worker_id)
 
 
 def answered(schedule: Schedule, worker_id: str, outcome: Outcome) -> None:
     """Take the answer to a maintenance order."""
-    for wave in schedule.waves.values():
+    for number, wave in schedule.waves.items():
         if worker_id not in wave.evacuating:
             continue
         if outcome is Outcome.OK:
-            _begun(schedule, wave, worker_id)
+            _begun(schedule, number, wave, worker_id)
             return
         wave.retry_ms[worker_id] = schedule.now_ms + RETRY_MS
         if outcome is Outcome.UNKNOWN:
@@ -78,11 +82,22 @@
         wave.down.pop(worker_id, None)
         if outcome is Outcome.REFUSED:
             wave.begun.add(worker_id)
-            wave.evacuating.pop(worker_id, None)
+            schedule.dirty_waves.add(number)
+            _release(schedule, wave, worker_id)
+
+
+def _release(schedule: Schedule, wave: WaveState, worker_id: str) -> None:
+    """Give a worker that stays up its work back."""
+    wave.evacuating.pop(worker_id, None)
+    minion = _minion(schedule, worker_id)
+    if minion is not None:
+        minion.cordoned = False
+        schedule.dirty_pools.add(minion.info.pool)
 
 
-def _begun(schedule: Schedule, wave: WaveState, worker_id: str) -> None:
+def _begun(schedule: Schedule, number: int, wave: WaveState, worker_id: str) -> None:
     wave.begun.add(worker_id)
+    schedule.dirty_waves.add(number)
     wave.down[worker_id] = schedule.now_ms
     wave.evacuating.pop(worker_id, None)
     schedule.note("maintenance_begun", worker=worker_id)
--- a/courselead/daemon/scheduling/owner.py
+++ b/courselead/daemon/scheduling/owner.py
@@ -176,14 +176,16 @@
 
     async def _fence_the_log(self) -> bool:
         """Write under the claim's fence, and read the log up to that record."""
-        while True:
-            result = await self._append([self._beat_record(False)])
-            if result is None:
-                return False
-            while self._follower.offset <= result:
-                if not await self._follower.catch_up():
-                    await anyio.sleep(APPEND_RETRY_S)
-            return True
+        result = await self._append([self._beat_record(False)])
+        if result is None:
+            return False
+        while self._follower.offset <= result:
+            if not await self._follower.catch_up():
+                await anyio.sleep(APPEND_RETRY_S)
+        # The same read may have brought a newer claim and jobs stored after it,
+        # which that owner takes for untouched.
+        newest = self._follower.book.owner
+        return newest is not None and newest.fence == self._claim.fence
 
     def _begin(self) -> None:
         self._scheduler = Scheduler(
@@ -283,7 +285,7 @@
             self._scheduler.place(now_ms())
             for effect in self._scheduler.take_effects():
                 self._carry_out(effect)
-            if self._scheduler is not None and self._scheduler.schedule.dirty_jobs:
+            if self._scheduler is not None and self._scheduler.schedule.unsaved:
                 self._save_wake.set()
 
     def _carry_out(self, effect: Effect) -> None:
