--- /dev/null
+++ b/tests/core/scheduler/test_waves.py
@@ -0,0 +1,70 @@
+"""Maintenance waves: within the cap, each worker once, serving tasks moved first."""
+
+from courselead.core.scheduler import events as ev
+from courselead.core.scheduler.models import MaintenanceWave
+from tests.core.scheduler.world import World, job, step
+
+
+def wave(world: World, cap=1) -> None:
+    workers = tuple(sorted({minion.worker_id for minion in world.all_minions}))
+    request = ev.WaveRequested(MaintenanceWave(1, workers, 60, cap))
+    assert world.owner is not None
+    world.owner.handle(request, world.now_ms)
+
+
+def test_all_workers_are_maintained_within_the_cap():
+    world = World(minions=4)
+    world.claim()
+    world.run(500)
+    wave(world, cap=2)
+    most = 0
+    for _ in range(300):
+        world.run(50)
+        most = max(most, len(world.down))
+    assert sorted(world.maintained) == ["w0", "w1", "w2", "w3"]
+    assert most == 2
+    assert world.wave_status == [(1, False), (1, True)]
+
+
+def test_serving_tasks_are_moved_before_their_worker_goes_down():
+    world = World(minions=3)
+    world.claim()
+    world.submit(job(step(2, long_running=True, max_per_minion=1, may_miss=1)))
+    world.run(500)
+    wave(world)
+    world.run(40_000)
+    assert sorted(world.maintained) == ["w0", "w1", "w2"]
+    running = [run for minion in world.all_minions for run in minion.runs]
+    assert len(running) == 2
+
+
+def test_a_new_owner_goes_on_with_a_wave_and_gives_workers_back():
+    # aloisi-sched and lakescore-sched scale-1: the second owner ordered the whole
+    # wave again and left all its workers without work.
+    world = World(minions=3)
+    world.claim()
+    world.run(500)
+    wave(world)
+    world.run(15_000)
+    assert len(world.maintained) == 3
+    orders = sum(isinstance(item, ev.MaintainWorker) for item in world.orders)
+    world.claim()
+    wave(world)
+    world.run(8_000)
+    again = sum(isinstance(item, ev.MaintainWorker) for item in world.orders)
+    assert again == orders
+    assert world.owner is not None
+    minions = world.owner.schedule.minions.values()
+    assert not any(minion.cordoned for minion in minions)
+
+
+def test_a_worker_whose_order_was_carried_out_before_works_again():
+    world = World(minions=2)
+    world.maintained = ["w0", "w1"]
+    world.claim()
+    world.run(500)
+    wave(world)
+    world.run(10_000)
+    assert world.owner is not None
+    minions = world.owner.schedule.minions.values()
+    assert not any(minion.cordoned for minion in minions)
--- /dev/null
+++ b/tests/core/scheduler/world.py
@@ -0,0 +1,515 @@
+"""Owners and minions in virtual time, with faults, and a check of every start."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from dataclasses import dataclass, field
+
+from courselead.core.scheduler import events as ev
+from courselead.core.scheduler.book import JobBook
+from courselead.core.scheduler.models import (
+    Bounds,
+    FleetConfig,
+    JobSpec,
+    JobState,
+    MinionInfo,
+    Pool,
+    Queue,
+    Resources,
+    StepSpec,
+    Worker,
+    WorkerPhase,
+)
+from courselead.core.scheduler.records import (
+    JobAccepted,
+    JobCancelled,
+    decode,
+    encode,
+)
+from courselead.core.scheduler.scheduler import Scheduler
+
+LATENCY_MS = 2
+HOLD_MS = 200
+TICK_MS = 100
+WALL_START_MS = 1_700_000_000_000
+
+QUEUE = "q"
+POOL = "p"
+
+
+def step(count=1, cpu=1000, memory=100, **fields) -> StepSpec:
+    fields.setdefault("estimate_ms", 500)
+    return StepSpec(count=count, need=Resources(cpu, memory), **fields)
+
+
+def job(*steps: StepSpec, **fields) -> JobSpec:
+    return JobSpec("payload", tuple(steps), **fields)
+
+
+def config(**fields) -> FleetConfig:
+    fields.setdefault("max_attempts", 3)
+    queue = Queue(QUEUE, POOL, **fields)
+    return FleetConfig(1, {QUEUE: queue}, {POOL: Pool(POOL)})
+
+
+@dataclass
+class FakeRun:
+    task: str
+    number: int
+    started_ms: int
+    length_ms: int
+    long_running: bool
+    gang: tuple[str, int] | None = None
+    checkpoint: str = ""
+    stop_at_ms: int | None = None
+
+
+@dataclass
+class FakeMinion:
+    """A minion as the platform's protocol describes it."""
+
+    minion_id: str
+    worker_id: str
+    room: Resources = Resources(4000, 4000)
+    labels: tuple[str, ...] = ("a", "r1")
+    slowness: float = 1.0
+    fence: int = 0
+    lease_ms: int = 0
+    up: bool = True
+    cut: bool = False
+    draining: bool = False
+    fails_all: bool = False
+    sequence: int = 0
+    runs: dict[tuple[str, int], FakeRun] = field(default_factory=dict)
+    ended: list[ev.EndReport] = field(default_factory=list)
+    highest: dict[str, int] = field(default_factory=dict)
+    clock_offset: int = 5_000
+
+    def clock(self, now_ms: int) -> int:
+        return self.clock_offset + int(now_ms * self.slowness)
+
+    def info(self) -> MinionInfo:
+        return MinionInfo(
+            self.minion_id, "", POOL, "z", self.room, self.labels, self.draining
+        )
+
+
+class World:
+    """One log, one list, some minions and the owners that come and go."""
+
+    def __init__(
+        self,
+        minions=2,
+        cfg: FleetConfig | None = None,
+        bounds: Bounds | None = None,
+        seed=0,
+        guards=False,
+        room=Resources(4000, 4000),
+    ) -> None:
+        self.now_ms = 1_000
+        self.random = random.Random(seed)
+        self.config = cfg or config()
+        self.bounds = bounds or Bounds()
+        self.book = JobBook()
+        self.minions: dict[str, FakeMinion] = {}
+        self.all_minions: list[FakeMinion] = []
+        self.listed: set[str] = set()
+        self.owner: Scheduler | None = None
+        self.owners: list[Scheduler] = []
+        self.fence = 0
+        self.done: dict[str, list[tuple[str, int]]] = {}
+        self.noted: set[tuple[str, int]] = set()
+        self.failed: dict[str, int] = {}
+        self.starts: list[tuple[int, str, int, str]] = []
+        self.lengths: dict[str, int] = {}
+        self.poison: set[str] = set()
+        self.lose_answers = 0.0
+        self.late_orders = 0.0
+        self.store_down = False
+        self.guards = guards
+        self.maintained: list[str] = []
+        self.down: dict[str, int] = {}
+        self.wave_status: list[tuple[int, bool]] = []
+        self.advised: dict[str, str] = {}
+        self.advice_calls = 0
+        self.paces: list[tuple[str, int]] = []
+        self.figures: dict[str, int] = {}
+        self.orders: list[ev.Effect] = []
+        self.workers_known = True
+        self._queue: list[tuple[int, int, object]] = []
+        self._count = itertools.count()
+        self._lives = itertools.count(1)
+        for number in range(minions):
+            self.add_minion(f"w{number}", room=room)
+
+    # Set-up
+
+    def add_minion(self, worker_id: str, **fields) -> FakeMinion:
+        minion = FakeMinion(f"i{next(self._lives)}", worker_id, **fields)
+        self.minions[minion.minion_id] = minion
+        self.all_minions.append(minion)
+        self.listed.add(minion.minion_id)
+        self._tell(ev.MinionListed(minion.info()))
+        return minion
+
+    def claim(self) -> Scheduler:
+        """A new owner takes over; the one before is not told."""
+        self.fence += 1
+        owner = Scheduler(
+            self.fence,
+            self.fence == 1,
+            self.config,
+            self.bounds,
+            self.book,
+            self.now_ms,
+            WALL_START_MS + self.now_ms,
+        )
+        self.owner = owner
+        self.owners.append(owner)
+        for minion_id in sorted(self.listed):
+            owner.handle(
+                ev.MinionListed(self.minions[minion_id].info()), self.now_ms
+            )
+        self._at(0, lambda: self._tick(owner))
+        self._pump(owner)
+        return owner
+
+    def submit(self, spec: JobSpec, job_id="00000000000000aa", length_ms=500) -> str:
+        self.lengths[job_id] = length_ms
+        self.book.apply(decode(encode(JobAccepted(job_id, QUEUE, spec))))
+        self._tell(ev.JobArrived(job_id))
+        return job_id
+
+    def cancel(self, job_id: str) -> None:
+        self.book.apply(JobCancelled(job_id))
+        self._tell(ev.JobCancelRequested(job_id))
+
+    def state(self, job_id: str) -> JobState:
+        return self.book.jobs[job_id].state
+
+    def crash(self, minion_id: str, silent=False) -> None:
+        minion = self.minions[minion_id]
+        minion.up = False
+        minion.runs.clear()
+        minion.ended.clear()
+        if not silent:
+            self.unlist(minion_id)
+
+    def unlist(self, minion_id: str) -> None:
+        self.listed.discard(minion_id)
+        self._tell(ev.MinionUnlisted(minion_id))
+
+    def drain(self, minion_id: str) -> None:
+        minion = self.minions[minion_id]
+        minion.draining = True
+        self._tell(ev.MinionListed(minion.info()))
+
+    # Time
+
+    def run(self, for_ms: int) -> None:
+        until = self.now_ms + for_ms
+        while self._queue and self._queue[0][0] <= until:
+            at, _, work = heapq.heappop(self._queue)
+            self._advance(at)
+            work()  # type: ignore[operator]
+        self._advance(until)
+
+    def _advance(self, at: int) -> None:
+        self.now_ms = max(self.now_ms, at)
+        for minion in self.all_minions:
+            self._work(minion)
+
+    def _at(self, in_ms: int, work) -> None:
+        heapq.heappush(self._queue, (self.now_ms + in_ms, next(self._count), work))
+
+    def _tell(self, event: ev.Event) -> None:
+        if self.owner is not None:
+            self.owner.handle(event, self.now_ms)
+            self._pump(self.owner)
+
+    def _tick(self, owner: Scheduler) -> None:
+        if owner not in self.owners:
+            return
+        owner.handle(ev.Tick(WALL_START_MS + self.now_ms), self.now_ms)
+        self._pump(owner)
+        self._at(TICK_MS, lambda: self._tick(owner))
+
+    # Minions at work
+
+    def _work(self, minion: FakeMinion) -> None:
+        if not minion.up:
+            return
+        if minion.runs and minion.clock(self.now_ms) > minion.lease_ms:
+            for run in list(minion.runs.values()):
+                self._end(minion, run, ev.EndKind.LAPSED)
+            return
+        for run in list(minion.runs.values()):
+            if run.stop_at_ms is not None and self.now_ms >= run.stop_at_ms:
+                self._end(minion, run, ev.EndKind.STOPPED)
+            elif run.long_running:
+                continue
+            elif self.now_ms - run.started_ms >= run.length_ms:
+                self._finish(minion, run)
+
+    def _finish(self, minion: FakeMinion, run: FakeRun) -> None:
+        job_id = run.task.partition(".")[0]
+        bad = minion.fails_all or job_id in self.poison
+        self._end(minion, run, ev.EndKind.FAILED if bad else ev.EndKind.DONE)
+
+    def _end(self, minion: FakeMinion, run: FakeRun, kind: ev.EndKind) -> None:
+        del minion.runs[(run.task, run.number)]
+        minion.sequence += 1
+        minion.highest[run.task] = max(minion.highest.get(run.task, 0), run.number)
+        minion.ended.append(
+            ev.EndReport(minion.sequence, run.task, run.number, kind, run.checkpoint)
+        )
+        if kind is ev.EndKind.DONE:
+            self.done.setdefault(run.task, []).append(
+                (minion.minion_id, minion.sequence)
+            )
+        if kind is ev.EndKind.FAILED:
+            self.failed[run.task] = self.failed.get(run.task, 0) + 1
+
+    def _spec_of(self, task: str) -> StepSpec:
+        job_id, _, number, _ = task.split(".")
+        return self.book.jobs[job_id].spec.steps[int(number)]
+
+    def _start(self, minion: FakeMinion, order: ev.StartRun, fence: int) -> ev.Outcome:
+        if fence < minion.fence:
+            return ev.Outcome.FENCED
+        minion.fence = fence
+        minion.lease_ms = max(
+            minion.lease_ms,
+            min(order.lease_ms, minion.clock(self.now_ms) + self.bounds.lease_max_ms),
+        )
+        key = (order.task, order.number)
+        if key in minion.runs:
+            return ev.Outcome.OK
+        if order.number <= minion.highest.get(order.task, 0):
+            return ev.Outcome.SUPERSEDED
+        spec = self._spec_of(order.task)
+        used = Resources()
+        for run in minion.runs.values():
+            used = used.plus(self._spec_of(run.task).charge)
+        fits = spec.charge.fits(minion.room.minus(used))
+        if self.guards and not fits:
+            return ev.Outcome.NO_ROOM
+        if self.advised and order.ticket != self.advised.get(minion.minion_id):
+            return ev.Outcome.NO_TICKET
+        assert fits, f"LIMIT: {order.task} on {minion.minion_id}"
+        self._check_start(minion, order, spec)
+        job_id = order.task.partition(".")[0]
+        minion.runs[key] = FakeRun(
+            order.task,
+            order.number,
+            self.now_ms,
+            self.lengths[job_id],
+            spec.long_running,
+        )
+        self.starts.append((self.now_ms, order.task, order.number, minion.minion_id))
+        return ev.Outcome.OK
+
+    def _check_start(
+        self, minion: FakeMinion, order: ev.StartRun, spec: StepSpec
+    ) -> None:
+        task = order.task
+        entry = self.book.jobs[task.partition(".")[0]]
+        if not spec.speculative:
+            for other in self.all_minions:
+                running = [key for key in other.runs if key[0] == task]
+                assert not running, f"TWICE: {task} also runs on {other.minion_id}"
+            for life, sequence in self.done.get(task, []):
+                noted = (life, sequence) in self.noted
+                assert not noted, f"TWICE: {task} was done and noted"
+        prefix, number, _ = task.rsplit(".", 2)
+        for before in entry.spec.steps[int(number)].after:
+            for index in range(entry.spec.steps[before].count):
+                name = f"{prefix}.{before}.{index}"
+                gang = entry.spec.steps[before].gang
+                assert gang or self.done.get(name), f"ORDER: {task} before {name}"
+        if not spec.long_running:
+            limit = self.config.queues[QUEUE].max_attempts
+            assert self.failed.get(task, 0) < limit, f"BUDGET: {task}"
+        if spec.max_per_minion:
+            same = [
+                run
+                for run in minion.runs.values()
+                if run.task.rpartition(".")[0] == task.rpartition(".")[0]
+            ]
+            assert len(same) < spec.max_per_minion, f"ROUTE: {task}"
+
+    # The driver's part
+
+    def _pump(self, owner: Scheduler) -> None:
+        owner.place(self.now_ms)
+        for effect in owner.take_effects():
+            self.orders.append(effect)
+            self._carry_out(owner, effect)
+        self._save(owner)
+
+    def _save(self, owner: Scheduler) -> None:
+        if self.store_down or owner is not self.owner:
+            return
+        batch, saves = owner.take_saves()
+        if not saves:
+            return
+
+        def stored() -> None:
+            if owner is not self.owner:
+                return
+            for effect in saves:
+                self.book.apply(decode(encode(effect.progress)))
+            owner.handle(ev.ProgressSaved(batch), self.now_ms)
+            self._pump(owner)
+
+        self._at(LATENCY_MS, stored)
+
+    def _carry_out(self, owner: Scheduler, effect: ev.Effect) -> None:
+        fence = owner.schedule.fence
+        match effect:
+            case ev.FollowMinion():
+                self._at(1, lambda: self._hold(owner, effect.minion_id))
+            case ev.StartRun():
+                self._order(owner, effect, lambda m: self._start(m, effect, fence))
+            case ev.StopRun():
+                self._order(owner, effect, lambda m: self._stop(m, effect, fence))
+            case ev.PaceRun():
+                self.paces.append((effect.task, effect.percent))
+            case ev.ListWorkers():
+                if self.workers_known:
+                    asked = self.now_ms
+                    self._at(LATENCY_MS, lambda: self._workers(owner, asked))
+            case ev.MaintainWorker():
+                self._at(LATENCY_MS, lambda: self._maintain(owner, effect))
+            case ev.SaveWaveStatus():
+                self.wave_status.append((effect.wave, effect.completed))
+            case ev.AskAdvice():
+                self.advice_calls += 1
+                given = ev.AdviceGiven(effect.step, dict(self.advised), 3_000)
+                self._at(LATENCY_MS, lambda: self._reply(owner, given))
+
+    def _reply(self, owner: Scheduler, event: ev.Event) -> None:
+        owner.handle(event, self.now_ms)
+        self._pump(owner)
+
+    def _order(self, owner: Scheduler, effect, act) -> None:
+        minion = self.minions[effect.minion_id]
+        verb = "start" if isinstance(effect, ev.StartRun) else "stop"
+
+        def answer(outcome: ev.Outcome) -> None:
+            self._reply(
+                owner,
+                ev.OrderAnswered(
+                    effect.minion_id, effect.task, effect.number, verb, outcome
+                ),
+            )
+
+        def arrive() -> None:
+            if not minion.up or minion.cut:
+                self._at(1_000, lambda: answer(ev.Outcome.UNKNOWN))
+                return
+            if self.random.random() < self.late_orders:
+                self._at(self.random.randint(500, 6_000), late)
+                self._at(1_000, lambda: answer(ev.Outcome.UNKNOWN))
+                return
+            outcome = act(minion)
+            if self.random.random() < self.lose_answers:
+                self._at(1_000, lambda: answer(ev.Outcome.UNKNOWN))
+                return
+            self._at(LATENCY_MS, lambda: answer(outcome))
+
+        def late() -> None:
+            if minion.up:
+                act(minion)
+
+        self._at(LATENCY_MS, arrive)
+
+    def _stop(self, minion: FakeMinion, order: ev.StopRun, fence: int) -> ev.Outcome:
+        if fence < minion.fence:
+            return ev.Outcome.FENCED
+        minion.fence = fence
+        highest = minion.highest.get(order.task, 0)
+        minion.highest[order.task] = max(highest, order.number)
+        run = minion.runs.get((order.task, order.number))
+        if run is not None and run.stop_at_ms is None:
+            run.stop_at_ms = self.now_ms + 100
+        return ev.Outcome.OK
+
+    def _hold(self, owner: Scheduler, minion_id: str) -> None:
+        if owner not in self.owners:
+            return
+        call = owner.hold_call(minion_id, self.now_ms)
+        if call is None:
+            return
+        minion = self.minions[minion_id]
+        sent = self.now_ms
+        if not minion.up or minion.cut:
+            failed = ev.HoldFailed(minion_id, ev.Outcome.UNKNOWN, "silent")
+            self._at(300, lambda: self._reply(owner, failed))
+            self._at(400, lambda: self._hold(owner, minion_id))
+            return
+        fence = owner.schedule.fence
+        if fence < minion.fence:
+            failed = ev.HoldFailed(minion_id, ev.Outcome.FENCED, "")
+            self._at(LATENCY_MS, lambda: self._reply(owner, failed))
+            return
+        minion.fence = fence
+        if call.lease_ms:
+            longest = minion.clock(self.now_ms) + self.bounds.lease_max_ms
+            minion.lease_ms = max(minion.lease_ms, min(call.lease_ms, longest))
+        for end in minion.ended:
+            if end.sequence <= call.cursor:
+                self.noted.add((minion_id, end.sequence))
+        minion.ended = [end for end in minion.ended if end.sequence > call.cursor]
+        running = tuple(
+            ev.RunReport(
+                run.task, run.number, run.checkpoint, 100, self.figures.get(run.task, 0)
+            )
+            for run in minion.runs.values()
+        )
+        report = ev.HoldAnswered(
+            minion_id, sent, minion.clock(self.now_ms), running, tuple(minion.ended)
+        )
+        self._at(LATENCY_MS, lambda: self._reply(owner, report))
+        self._at(HOLD_MS, lambda: self._hold(owner, minion_id))
+
+    def _workers(self, owner: Scheduler, asked_ms: int) -> None:
+        workers = []
+        for minion in self.minions.values():
+            workers.append(
+                Worker(
+                    minion.worker_id,
+                    POOL,
+                    WorkerPhase.UP if minion.up else WorkerPhase.DOWN,
+                    "z",
+                    minion.room,
+                    minion.labels,
+                    minion.minion_id,
+                )
+            )
+        by_worker = {item.worker_id: item for item in workers}
+        self._reply(owner, ev.WorkersListed(asked_ms, tuple(by_worker.values())))
+
+    def _maintain(self, owner: Scheduler, order: ev.MaintainWorker) -> None:
+        minion = [
+            item
+            for item in self.minions.values()
+            if item.worker_id == order.worker_id
+        ][-1]
+        again = order.worker_id in self.maintained
+        self._reply(owner, ev.DutyAnswered(order.worker_id, ev.Outcome.OK))
+        if again:
+            return
+        self.maintained.append(order.worker_id)
+        lasting = [run for run in minion.runs.values() if run.long_running]
+        assert not lasting, f"AVAIL: {order.worker_id} still serves"
+        self.down[order.worker_id] = self.now_ms
+        self.crash(minion.minion_id)
+
+        def back() -> None:
+            del self.down[order.worker_id]
+            self.add_minion(order.worker_id, room=minion.room)
+
+        self._at(self.bounds.maintenance_ms, back)
--- /dev/null
+++ b/tests/daemon/scheduling/fakes.py
@@ -0,0 +1,103 @@
+"""A keyed log in memory, with faults, for the tests of the daemon."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+import anyio
+from returns.result import Failure, Result, Success
+
+from courselead.core.scheduler.records import KeyedRecord
+from courselead.daemon.scheduling.ports import (
+    AppendError,
+    AppendFenced,
+    Appended,
+    AppendUnknown,
+    EndMoved,
+    HistoryGone,
+    LogBatch,
+    Newest,
+    NewestRecord,
+    NotAppended,
+    ProducerMark,
+    ReadError,
+    ReadFailed,
+)
+
+
+@dataclass
+class MemoryLog:
+    """Behaves as the platform's store does for one keyed topic."""
+
+    records: list[KeyedRecord] = field(default_factory=list)
+    first: int = 0
+    epoch: int = 0
+    answers: dict[tuple[int, int], Appended] = field(default_factory=dict)
+    refuse: bool = False
+    silent: bool = False
+    lose_answers: int = 0
+    appends: int = 0
+    reads: int = 0
+
+    async def append(
+        self,
+        records: Sequence[KeyedRecord],
+        timeout_ms: int,
+        expected_end: int | None = None,
+        mark: ProducerMark | None = None,
+    ) -> Result[Appended, AppendError]:
+        self.appends += 1
+        await anyio.lowlevel.checkpoint()
+        if self.refuse:
+            return Failure(NotAppended("status 503"))
+        if self.silent:
+            await anyio.sleep(timeout_ms / 1000)
+            return Failure(AppendUnknown("no answer"))
+        if mark is not None:
+            if mark.epoch < self.epoch:
+                return Failure(AppendFenced())
+            self.epoch = mark.epoch
+            repeated = self.answers.get((mark.epoch, mark.sequence))
+            if repeated is not None:
+                return Success(repeated)
+        if expected_end is not None and expected_end != len(self.records):
+            return Failure(EndMoved(len(self.records)))
+        offset = len(self.records)
+        self.records.extend(records)
+        answer = Appended(offset, len(self.records))
+        if mark is not None:
+            self.answers[(mark.epoch, mark.sequence)] = answer
+        if self.lose_answers > 0:
+            self.lose_answers -= 1
+            return Failure(AppendUnknown("connection closed"))
+        return Success(answer)
+
+    async def read(self, start: int, wait_ms: int) -> Result[LogBatch, ReadError]:
+        self.reads += 1
+        if self.refuse or self.silent:
+            await anyio.sleep(0.01)
+            return Failure(ReadFailed("status 503"))
+        if start < self.first:
+            return Failure(HistoryGone())
+        waited = 0
+        while len(self.records) <= start and waited < wait_ms:
+            await anyio.sleep(0.005)
+            waited += 5
+        await anyio.lowlevel.checkpoint()
+        records = tuple(self.records[start:])
+        return Success(LogBatch(start, len(self.records), records))
+
+    async def newest(self) -> Result[Newest, ReadError]:
+        await anyio.lowlevel.checkpoint()
+        if self.refuse or self.silent:
+            return Failure(ReadFailed("status 503"))
+        newest: dict[bytes, NewestRecord] = {}
+        for offset, record in enumerate(self.records):
+            newest.pop(record.key, None)
+            if record.value:
+                newest[record.key] = NewestRecord(offset, record)
+        return Success(Newest(len(self.records), tuple(newest.values())))
+
+    def forget_history(self) -> None:
+        self.first = len(self.records)
--- /dev/null
+++ b/tests/daemon/scheduling/test_log.py
@@ -0,0 +1,177 @@
+"""Claims, callers' records and the fold, over a log that fails."""
+
+import anyio
+import pytest
+from returns.result import Failure, Success
+
+from courselead.core.scheduler.models import JobSpec, JobState, Resources, StepSpec
+from courselead.core.scheduler.records import (
+    JobAccepted,
+    JobCancelled,
+    JobProgress,
+    KeyedRecord,
+    OwnerBeat,
+    decode,
+    encode,
+    forget,
+)
+from courselead.daemon.scheduling.claims import Claimant
+from courselead.daemon.scheduling.follower import JobFollower, KeyedFollower
+from courselead.daemon.scheduling.ports import HostCounters
+from courselead.daemon.scheduling.writer import JobWriter
+from tests.daemon.scheduling.fakes import MemoryLog
+
+pytestmark = pytest.mark.anyio
+
+SPEC = JobSpec("text", (StepSpec(2, Resources(500, 64)),))
+JOB = "00000000000000aa"
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+@pytest.mark.parametrize(
+    "record",
+    [
+        JobAccepted(JOB, "q", SPEC),
+        JobProgress(JOB, JobState.RUNNING, True),
+        JobCancelled(JOB),
+        OwnerBeat(3, "host", 7, True),
+    ],
+)
+def test_records_come_back_as_they_were(record):
+    assert decode(encode(record)) == record
+
+
+def test_a_record_of_no_known_kind_is_refused():
+    with pytest.raises(ValueError, match="unknown kind"):
+        decode(KeyedRecord(b"?x", b"y"))
+    with pytest.raises(ValueError, match="malformed"):
+        decode(KeyedRecord(b"j" + JOB.encode(), b"\x93"))
+
+
+async def test_claims_rise_and_a_race_has_one_winner():
+    log = MemoryLog()
+    first = (await Claimant(log, "a").claim()).unwrap()
+    assert (first.fence, first.first) == (1, True)
+    results = []
+
+    async def race(host):
+        results.append(await Claimant(log, host).claim())
+
+    async with anyio.create_task_group() as tasks:
+        for host in "bcd":
+            tasks.start_soon(race, host)
+    won = [result.unwrap() for result in results if isinstance(result, Success)]
+    assert [claim.fence for claim in won] == [2]
+    assert not won[0].first
+
+
+async def test_a_claim_whose_answer_is_lost_is_recognised():
+    log = MemoryLog(lose_answers=1)
+    claim = (await Claimant(log, "a").claim()).unwrap()
+    assert claim.fence == 1
+    assert len(log.records) == 1
+
+
+async def test_a_claim_that_was_not_stored_is_not_won():
+    log = MemoryLog(refuse=True)
+    assert isinstance(await Claimant(log, "a").claim(), Failure)
+
+
+async def store(log: MemoryLog):
+    writer = JobWriter(log, HostCounters())
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(writer.run)
+        stored = await writer.store(JobAccepted(JOB, "q", SPEC))
+        tasks.cancel_scope.cancel()
+    return stored
+
+
+async def test_a_refused_record_is_told_as_not_stored():
+    log = MemoryLog(refuse=True)
+    stored = await store(log)
+    assert (stored.ok, stored.in_doubt) == (False, False)
+    assert not log.records
+
+
+async def test_a_record_whose_answer_is_lost_is_stored_again_or_in_doubt():
+    stored = await store(MemoryLog(lose_answers=1))
+    assert stored.ok
+    stored = await store(MemoryLog(lose_answers=9))
+    assert (stored.ok, stored.in_doubt) == (False, True)
+
+
+async def test_records_that_wait_share_an_append():
+    log = MemoryLog()
+    writer = JobWriter(log, HostCounters())
+    async with anyio.create_task_group() as tasks:
+        for number in range(10):
+            record = JobAccepted(f"{number:016x}", "q", SPEC)
+            tasks.start_soon(writer.store, record)
+        await anyio.lowlevel.checkpoint()
+        tasks.start_soon(writer.run)
+        while len(log.records) < 10:
+            await anyio.lowlevel.checkpoint()
+        tasks.cancel_scope.cancel()
+    assert log.appends == 1
+
+
+async def test_a_fold_starts_from_the_newest_when_history_is_gone():
+    log = MemoryLog([encode(JobAccepted(JOB, "q", SPEC))])
+    follower = JobFollower(log, HostCounters())
+    assert await follower.catch_up()
+    log.records.append(encode(JobProgress(JOB, JobState.RUNNING, True)))
+    log.records.append(encode(JobProgress(JOB, JobState.COMPLETED, True)))
+    log.forget_history()
+    assert await follower.catch_up()
+    assert await follower.catch_up()
+    assert follower.book.jobs[JOB].state is JobState.COMPLETED
+
+
+async def test_records_are_applied_once_however_reads_overlap():
+    log = MemoryLog()
+    seen = []
+    follower = KeyedFollower("test", log, lambda record: seen.append(record.key))
+    await follower.read_now()
+    log.records.extend(KeyedRecord(bytes([key]), b"v") for key in range(65, 70))
+    async with anyio.create_task_group() as tasks:
+        for _ in range(4):
+            tasks.start_soon(follower.read_now)
+    assert seen == [b"A", b"B", b"C", b"D", b"E"]
+
+
+async def test_catch_up_says_so_when_the_log_does_not_answer():
+    log = MemoryLog(refuse=True)
+    follower = JobFollower(log, HostCounters())
+    assert not await follower.catch_up()
+    log.refuse = False
+    assert await follower.catch_up()
+
+
+async def test_many_questions_share_a_read():
+    log = MemoryLog()
+    follower = JobFollower(log, HostCounters())
+    await follower.catch_up()
+    async with anyio.create_task_group() as tasks:
+        for _ in range(20):
+            tasks.start_soon(follower.catch_up)
+    assert log.reads <= 3
+
+
+async def test_a_forgotten_job_leaves_the_fold():
+    log = MemoryLog([encode(JobAccepted(JOB, "q", SPEC)), *forget(JOB)])
+    follower = JobFollower(log, HostCounters())
+    await follower.catch_up()
+    log.records.append(encode(JobCancelled("00000000000000bb")))
+    await follower.catch_up()
+    assert not follower.book.jobs
+
+
+async def test_a_cancel_that_comes_before_its_job_holds():
+    log = MemoryLog([encode(JobCancelled(JOB)), encode(JobAccepted(JOB, "q", SPEC))])
+    follower = JobFollower(log, HostCounters())
+    await follower.catch_up()
+    assert follower.book.jobs[JOB].state is JobState.CANCELLED
