Let workers follow demand, and put jobs that are late for certain last

Change: core/scheduler/pools moves idle workers to pools whose arriving and waiting work exceeds their room, and switches them off after 2.5 s; urgency orders the line by whether a job can still meet its objective, then by what is left of it. A claim that was just made gets time to show; lives that the cloud has no more are not waited for. Saves of which nobody waits go at most ten times a second, looks at idle minions wait 2 s.

--- a/courselead/core/scheduler/const.py
+++ b/courselead/core/scheduler/const.py
@@ -42,9 +42,12 @@
 HOLD_WAIT_MS = 1_000
 """Time a look waits for an end: percent and tails are at most this old."""
 
-HOLD_WAIT_PACED_MS = 500
-"""The same where tasks that fill run beside tasks that serve: tails are half a
-second's figures."""
+HOLD_WAIT_IDLE_MS = 2_000
+"""The same where nothing runs: the protocol's longest, as looks are priced."""
+
+UNKNOWN_LIFE_MS = 500
+"""Time that a silent minion has been in the list until the cloud's list, which is
+newer, is believed that no worker has it."""
 
 LEARN_WEIGHT = 0.2
 """Weight of a new run time in the moving average of a queue's step."""
--- a/courselead/core/scheduler/jobs.py
+++ b/courselead/core/scheduler/jobs.py
@@ -184,6 +184,8 @@
     job = schedule.jobs.pop(job_id, None)
     if job is None:
         return
+    for number in list(job.occurrences):
+        schedule.left.pop((job_id, number), None)
     for steps in job.occurrences.values():
         _drop_units(schedule, steps)
 
--- a/courselead/core/scheduler/minions.py
+++ b/courselead/core/scheduler/minions.py
@@ -27,7 +27,7 @@
         return
     minion = schedule.minions.get(info.minion_id)
     if minion is None:
-        minion = Minion(info)
+        minion = Minion(info, idle_ms=schedule.now_ms, listed_ms=schedule.now_ms)
         schedule.minions[info.minion_id] = minion
         schedule.emit(FollowMinion(info.minion_id))
         schedule.note("minion_listed", minion=info.minion_id, pool=info.pool)
--- a/courselead/core/scheduler/pace.py
+++ b/courselead/core/scheduler/pace.py
@@ -22,15 +22,6 @@
 """Below this a filler is set to rest."""
 
 
-def has_both(minion: Minion) -> bool:
-    """Return whether tasks that fill run beside tasks that serve."""
-    serves = fills = False
-    for run in minion.runs.values():
-        serves = serves or run.unit.spec.target_tail_ms > 0
-        fills = fills or run.unit.spec.fills
-    return serves and fills
-
-
 def adjust(schedule: Schedule, minion: Minion) -> None:
     """Set the pace of the fillers by the worst tail beside them."""
     fillers: list[Run] = []
--- a/courselead/core/scheduler/placement.py
+++ b/courselead/core/scheduler/placement.py
@@ -4,7 +4,7 @@
 
 from collections import defaultdict
 
-from courselead.core.scheduler import const
+from courselead.core.scheduler import const, urgency
 from courselead.core.scheduler.events import AskAdvice, StartRun
 from courselead.core.scheduler.models import Queue, Resources
 from courselead.core.scheduler.schedule import Schedule, StepAdvice
@@ -106,10 +106,9 @@
     priority = queue.priority if queue is not None else 0
     if unit.spec.long_running:
         return (priority, 0, 0, unit.ready_ms)
-    due_ms = job.accepted_ms
-    if queue is not None:
-        due_ms += int(queue.slo_ms)
-    return (priority, 1, 0, due_ms)
+    left = urgency.left(schedule, unit.step)
+    hopeless = schedule.now_ms + left.chain_ms > urgency.objective_ms(schedule, job)
+    return (priority, 1, int(hopeless), left.work)
 
 
 def _try_start(schedule: Schedule, unit: Unit, minions: list[Minion]) -> bool:
--- /dev/null
+++ b/courselead/core/scheduler/pools.py
@@ -0,0 +1,329 @@
+"""Workers follow demand: idle ones go where work waits, or are switched off."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from dataclasses import dataclass, replace
+
+from courselead.core.scheduler.events import MoveWorker, Outcome
+from courselead.core.scheduler.models import Worker, WorkerPhase
+from courselead.core.scheduler.schedule import MoveState, Schedule
+from courselead.core.scheduler.state import Job, Minion
+
+RATE_WINDOW_MS = 1_000
+"""Time over which the work that arrives is counted: a quarter of a turn of demand."""
+
+DRAIN_MS = 1_000
+"""Time within which waiting work should be done: jobs have about as much slack."""
+
+IDLE_OFF_MS = 2_500
+"""Idle time after which a worker is switched off: a move there and back costs as much
+as two and a half seconds of a worker in a pool, and pauses of demand last longer."""
+
+MOVE_AGAIN_MS = 2_500
+"""Least time between two moves of a worker: the same figure."""
+
+MOVE_RETRY_MS = 500
+"""Time until a move without an answer is ordered again; it is idempotent."""
+
+REPORT_MS = 2_000
+"""Time between two lines on each pool: half a turn of demand, whatever the load."""
+
+LASTING_WAIT_MS = 300
+"""Time a lasting task may wait for room before a worker is fetched for it."""
+
+
+@dataclass(slots=True)
+class PoolDemand:
+    """What a pool has and wants, in thousandths of a core."""
+
+    capacity: int = 0
+    lasting: int = 0
+    arriving: int = 0
+    waiting: int = 0
+    lasting_waits: bool = False
+    idle: list[Minion] | None = None
+
+    @property
+    def wanted(self) -> int:
+        """Return the capacity that would serve it in time."""
+        return self.lasting + self.arriving + self.waiting
+
+
+def job_arrived(schedule: Schedule, job: Job) -> None:
+    """Count a new job's work into its pool's rate."""
+    work = 0
+    for step in job.spec.steps:
+        if step.long_running or step.fills:
+            continue
+        run_ms = schedule.run_ms.get(job.queue, step.estimate_ms)
+        work += int(step.count * step.need.cpu_milli * run_ms)
+    pool = schedule.pool_of(job)
+    schedule.arrivals.setdefault(pool, []).append((schedule.now_ms, work))
+
+
+def tick(schedule: Schedule) -> None:
+    """Order the moves that serve demand."""
+    if schedule.workers_ms < 0 or schedule.now_ms < schedule.duty_after_ms:
+        return
+    _retry(schedule)
+    demands = _demands(schedule)
+    _report(schedule, demands)
+    spare = _spare_workers(schedule)
+    short = [pool for pool in demands if _lacks(demands[pool])]
+    short.sort(key=lambda pool: demands[pool].capacity - demands[pool].wanted)
+    donors = _donors(schedule, demands)
+    for pool in short:
+        _fetch(schedule, pool, demands[pool], donors, spare)
+    if not short:
+        _switch_off(schedule, _calm(schedule, demands))
+
+
+def answered(schedule: Schedule, worker_id: str, outcome: Outcome, reason: str) -> None:
+    """Take the answer to a move."""
+    move = schedule.moves.get(worker_id)
+    if move is None:
+        return
+    if outcome is Outcome.OK:
+        move.accepted_ms = schedule.now_ms
+        return
+    if outcome in (Outcome.UNKNOWN, Outcome.NOT_SENT, Outcome.SHED):
+        return
+    if outcome is Outcome.REFUSED:
+        schedule.barred_moves.add((worker_id, move.pool))
+    schedule.note("move_refused", worker=worker_id, pool=move.pool, reason=reason)
+    del schedule.moves[worker_id]
+    _uncordon(schedule, worker_id)
+
+
+def workers_listed(schedule: Schedule, asked_ms: int) -> None:
+    """Take the moves as over that the cloud's list shows as done."""
+    for worker_id, move in list(schedule.moves.items()):
+        worker = schedule.workers.get(worker_id)
+        if worker is None:
+            del schedule.moves[worker_id]
+            continue
+        if asked_ms <= move.sent_ms:
+            continue
+        arrived = worker.pool == move.pool and worker.phase is WorkerPhase.UP
+        if arrived:
+            del schedule.moves[worker_id]
+
+
+def _demands(schedule: Schedule) -> dict[str, PoolDemand]:
+    demands: dict[str, PoolDemand] = {}
+    for name, pool in schedule.config.pools.items():
+        if not pool.spare:
+            demands[name] = PoolDemand(idle=[])
+    for minion in schedule.minions.values():
+        demand = demands.get(minion.info.pool)
+        if demand is None or minion.info.draining or minion.failures:
+            continue
+        if not minion.listed or minion.cordoned:
+            continue
+        demand.capacity += minion.info.room.cpu_milli
+        if not minion.runs and minion.synced:
+            assert demand.idle is not None
+            demand.idle.append(minion)
+        for run in minion.runs.values():
+            if run.unit.spec.long_running:
+                demand.lasting += run.unit.spec.charge.cpu_milli
+    for worker_id, move in schedule.moves.items():
+        worker = schedule.workers.get(worker_id)
+        if worker is not None and move.pool in demands:
+            demands[move.pool].capacity += worker.room.cpu_milli
+    for pool, demand in demands.items():
+        demand.arriving = _rate(schedule, pool)
+        _count_waiting(schedule, pool, demand)
+    return demands
+
+
+def _report(schedule: Schedule, demands: dict[str, PoolDemand]) -> None:
+    if schedule.now_ms - schedule.pools_reported_ms < REPORT_MS:
+        return
+    schedule.pools_reported_ms = schedule.now_ms
+    for pool, demand in sorted(demands.items()):
+        schedule.note(
+            "pool_state",
+            pool=pool,
+            capacity_milli=demand.capacity,
+            lasting_milli=demand.lasting,
+            arriving_milli=demand.arriving,
+            waiting_milli=demand.waiting,
+            idle=len(demand.idle or ()),
+            ready=len(schedule.ready.get(pool, ())),
+        )
+
+
+def _rate(schedule: Schedule, pool: str) -> int:
+    recent = schedule.arrivals.get(pool, [])
+    since = schedule.now_ms - RATE_WINDOW_MS
+    while recent and recent[0][0] < since:
+        recent.pop(0)
+    return sum(work for _, work in recent) // RATE_WINDOW_MS
+
+
+def _count_waiting(schedule: Schedule, pool: str, demand: PoolDemand) -> None:
+    work = 0
+    for unit in schedule.ready.get(pool, ()):
+        if unit.done or unit.job.state.final:
+            continue
+        spec = unit.spec
+        if spec.long_running:
+            waited = schedule.now_ms - unit.ready_ms
+            if waited > LASTING_WAIT_MS and schedule.now_ms > unit.not_before_ms:
+                demand.lasting_waits = True
+            continue
+        run_ms = schedule.run_ms.get(unit.job.queue, spec.estimate_ms)
+        work += int(len(unit.indexes) * spec.need.cpu_milli * run_ms)
+    demand.waiting = work // DRAIN_MS
+
+
+def _lacks(demand: PoolDemand) -> bool:
+    return demand.lasting_waits or demand.wanted > demand.capacity
+
+
+def _calm(
+    schedule: Schedule, demands: dict[str, PoolDemand]
+) -> list[tuple[Minion, Worker]]:
+    """Return the donors by the highest demand of late, not by that of now."""
+    for pool, demand in demands.items():
+        held = schedule.demand_peaks.setdefault(pool, [])
+        held.append((schedule.now_ms, demand.wanted))
+        while held[0][0] < schedule.now_ms - IDLE_OFF_MS:
+            held.pop(0)
+        demand.waiting += max(wanted for _, wanted in held) - demand.wanted
+    return _donors(schedule, demands)
+
+
+def _spare_workers(schedule: Schedule) -> list[Worker]:
+    workers = []
+    for worker in schedule.workers.values():
+        pool = schedule.config.pools.get(worker.pool)
+        if pool is None or not pool.spare or not _movable(schedule, worker):
+            continue
+        workers.append(worker)
+    return workers
+
+
+def _movable(schedule: Schedule, worker: Worker) -> bool:
+    if worker.phase is not WorkerPhase.UP or worker.worker_id in schedule.moves:
+        return False
+    moved_ms = schedule.moved_ms.get(worker.worker_id, -MOVE_AGAIN_MS)
+    if schedule.now_ms - moved_ms < MOVE_AGAIN_MS:
+        return False
+    for wave in schedule.waves.values():
+        if worker.worker_id in wave.evacuating or worker.worker_id in wave.down:
+            return False
+    return True
+
+
+def _donors(
+    schedule: Schedule, demands: dict[str, PoolDemand]
+) -> list[tuple[Minion, Worker]]:
+    """Return idle minions that their pools can do without."""
+    donors = []
+    for demand in demands.values():
+        over = demand.capacity - demand.wanted
+        for minion in demand.idle or ():
+            worker = schedule.workers.get(minion.worker_id)
+            room = minion.info.room.cpu_milli
+            if worker is None or room > over or not _movable(schedule, worker):
+                continue
+            if worker.minion_id != minion.minion_id:
+                continue
+            over -= room
+            donors.append((minion, worker))
+    return donors
+
+
+def _fetch(
+    schedule: Schedule,
+    pool: str,
+    demand: PoolDemand,
+    donors: list[tuple[Minion, Worker]],
+    spare: list[Worker],
+) -> None:
+    kinds = _kinds(schedule)
+    while _lacks(demand):
+        demand.lasting_waits = False
+        worker = _take(schedule, pool, kinds, donors, spare)
+        if worker is None:
+            return
+        demand.capacity += worker.room.cpu_milli
+        _move(schedule, worker, pool)
+
+
+def _take(
+    schedule: Schedule,
+    pool: str,
+    kinds: dict[str, set[str]],
+    donors: list[tuple[Minion, Worker]],
+    spare: list[Worker],
+) -> Worker | None:
+    for position, (_, worker) in enumerate(donors):
+        if worker.pool != pool and _fits(schedule, worker, pool, kinds):
+            del donors[position]
+            return worker
+    for position, worker in enumerate(spare):
+        if _fits(schedule, worker, pool, kinds):
+            del spare[position]
+            return worker
+    return None
+
+
+def _kinds(schedule: Schedule) -> dict[str, set[str]]:
+    """Return the kinds of workers that each pool has had."""
+    kinds: dict[str, set[str]] = defaultdict(set)
+    for worker in schedule.workers.values():
+        kinds[worker.pool].add(worker.labels[0] if worker.labels else "")
+    return kinds
+
+
+def _fits(
+    schedule: Schedule, worker: Worker, pool: str, kinds: dict[str, set[str]]
+) -> bool:
+    if (worker.worker_id, pool) in schedule.barred_moves:
+        return False
+    kind = worker.labels[0] if worker.labels else ""
+    return not kinds[pool] or kind in kinds[pool]
+
+
+def _switch_off(schedule: Schedule, donors: list[tuple[Minion, Worker]]) -> None:
+    off = [name for name, pool in schedule.config.pools.items() if pool.spare]
+    if not off:
+        return
+    kinds = _kinds(schedule)
+    for minion, worker in donors:
+        if schedule.now_ms - minion.idle_ms < IDLE_OFF_MS:
+            continue
+        for pool in off:
+            if _fits(schedule, worker, pool, kinds):
+                _move(schedule, worker, pool)
+                break
+
+
+def _move(schedule: Schedule, worker: Worker, pool: str) -> None:
+    minion = schedule.minions.get(worker.minion_id)
+    if minion is not None:
+        minion.cordoned = True
+    schedule.moves[worker.worker_id] = MoveState(pool, schedule.now_ms)
+    schedule.moved_ms[worker.worker_id] = schedule.now_ms
+    schedule.workers[worker.worker_id] = replace(worker, phase=WorkerPhase.MOVING)
+    schedule.note("move", worker=worker.worker_id, before=worker.pool, pool=pool)
+    schedule.emit(MoveWorker(worker.worker_id, pool))
+
+
+def _retry(schedule: Schedule) -> None:
+    for worker_id, move in schedule.moves.items():
+        if move.accepted_ms or schedule.now_ms - move.sent_ms < MOVE_RETRY_MS:
+            continue
+        move.sent_ms = schedule.now_ms
+        schedule.emit(MoveWorker(worker_id, move.pool))
+
+
+def _uncordon(schedule: Schedule, worker_id: str) -> None:
+    for minion in schedule.minions.values():
+        if minion.worker_id == worker_id:
+            minion.cordoned = False
+            schedule.dirty_pools.add(minion.info.pool)
--- a/courselead/core/scheduler/schedule.py
+++ b/courselead/core/scheduler/schedule.py
@@ -52,6 +52,15 @@
     accepted_ms: int = 0
 
 
+@dataclass(slots=True)
+class Left:
+    """What is left of an occurrence: core-milliseconds, and its longest chain."""
+
+    at_ms: int
+    work: int
+    chain_ms: int
+
+
 @dataclass(slots=True)
 class Schedule:
     """State of the owner; changed in place by the functions of this package.
@@ -84,6 +93,12 @@
     waves: dict[int, WaveState] = field(default_factory=dict)
     run_ms: dict[str, float] = field(default_factory=dict)
     moves: dict[str, MoveState] = field(default_factory=dict)
+    moved_ms: dict[str, int] = field(default_factory=dict)
+    barred_moves: set[tuple[str, str]] = field(default_factory=set)
+    arrivals: dict[str, list[tuple[int, int]]] = field(default_factory=dict)
+    demand_peaks: dict[str, list[tuple[int, int]]] = field(default_factory=dict)
+    pools_reported_ms: int = 0
+    left: dict[tuple[str, int], Left] = field(default_factory=dict)
     duty_after_ms: int = 0
     effects: list[Effect] = field(default_factory=list)
 
@@ -92,6 +107,11 @@
         """Return whether the open batch has anything to store."""
         return bool(self.dirty_jobs or self.dirty_waves)
 
+    @property
+    def urgent(self) -> bool:
+        """Return whether a job has ended that its caller may ask for."""
+        return any(self.jobs[job_id].state.final for job_id in self.dirty_jobs)
+
     @property
     def first_run_number(self) -> int:
         """Return the lowest run number that this owner may give out."""
@@ -128,6 +148,8 @@
         if minion is not None and minion.runs.pop(run.key, None) is not None:
             minion.used = minion.used.minus(run.unit.spec.charge)
             self.dirty_pools.add(minion.info.pool)
+            if not minion.runs:
+                minion.idle_ms = self.now_ms
         if run in run.unit.runs:
             run.unit.runs.remove(run)
             run.unit.job.live_runs -= 1
--- a/courselead/core/scheduler/scheduler.py
+++ b/courselead/core/scheduler/scheduler.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
-from courselead.core.scheduler import const, jobs, minions, pace, placement, waves
+from courselead.core.scheduler import const, jobs, minions, placement, pools, waves
 from courselead.core.scheduler.book import JobBook
 from courselead.core.scheduler.events import (
     AdviceFailed,
@@ -155,8 +155,8 @@
         wait_ms = const.HOLD_WAIT_MS
         if not minion.synced or minion.failures:
             wait_ms = 0
-        elif pace.has_both(minion):
-            wait_ms = const.HOLD_WAIT_PACED_MS
+        elif not minion.runs:
+            wait_ms = const.HOLD_WAIT_IDLE_MS
         return HoldCall(lease_ms, minion.cursor, wait_ms)
 
     def _job_arrived(self, job_id: str) -> None:
@@ -164,7 +164,8 @@
         entry = schedule.book.jobs.get(job_id)
         if entry is None or job_id in schedule.jobs:
             return
-        jobs.open_job(schedule, entry, from_before=False)
+        job = jobs.open_job(schedule, entry, from_before=False)
+        pools.job_arrived(schedule, job)
 
     def _saved(self, batch: int) -> None:
         for minion in self.schedule.minions.values():
@@ -177,6 +178,12 @@
         first = schedule.workers_ms < 0
         schedule.workers_ms = schedule.now_ms
         schedule.workers = {item.worker_id: item for item in event.workers}
+        for worker_id, move in schedule.moves.items():
+            # The list may have been asked for before the move was ordered.
+            worker = schedule.workers.get(worker_id)
+            if worker is not None and event.asked_ms <= move.sent_ms:
+                moving = replace(worker, phase=WorkerPhase.MOVING)
+                schedule.workers[worker_id] = moving
         lives = set()
         for worker in event.workers:
             lives.add(worker.minion_id)
@@ -185,14 +192,23 @@
                 minion.worker_id = worker.worker_id
             elif first and worker.phase is WorkerPhase.UP and worker.minion_id:
                 schedule.doubted_lives[worker.minion_id] = worker.pool
-        self._end_replaced_lives(event)
+        for minion_id in list(schedule.doubted_lives):
+            if minion_id not in lives:
+                del schedule.doubted_lives[minion_id]
+        self._end_replaced_lives(event, lives)
         waves.workers_listed(schedule, event.asked_ms)
+        pools.workers_listed(schedule, event.asked_ms)
 
-    def _end_replaced_lives(self, event: WorkersListed) -> None:
+    def _end_replaced_lives(self, event: WorkersListed, lives: set[str]) -> None:
         """Take the lives as over that the cloud says are."""
         schedule = self.schedule
         for minion in list(schedule.minions.values()):
-            if not minion.failures or not minion.worker_id:
+            if not minion.failures:
+                continue
+            if not minion.worker_id:
+                known_ms = event.asked_ms - minion.listed_ms
+                if minion.minion_id not in lives and known_ms > const.UNKNOWN_LIFE_MS:
+                    minions.dead(schedule, minion, "cloud: no worker has it")
                 continue
             worker = schedule.workers.get(minion.worker_id)
             if worker is None:
@@ -211,6 +227,9 @@
         )
         if event.outcome is Outcome.FENCED:
             return
+        if event.worker_id in schedule.moves:
+            pools.answered(schedule, event.worker_id, event.outcome, event.reason)
+            return
         waves.answered(schedule, event.worker_id, event.outcome)
 
     def _tick(self, wall_ms: int) -> None:
@@ -221,6 +240,43 @@
                 jobs.open_due(schedule, job)
         minions.tick(schedule)
         waves.tick(schedule)
+        pools.tick(schedule)
+        pools.tick(schedule)
+        if schedule.now_ms // 500 != getattr(self, "_st", 0):
+            self._st = schedule.now_ms // 500
+            out = {}
+            for m in schedule.minions.values():
+                o = out.setdefault(m.info.pool, [0, 0, 0, 0, 0, 0, 0])
+                o[0] += 1
+                o[1] += m.info.room.cpu_milli // 1000
+                for r in m.runs.values():
+                    c = r.unit.spec.need.cpu_milli
+                    if r.unit.spec.fills:
+                        o[2] += c
+                    elif r.unit.spec.long_running:
+                        o[3] += c
+                    else:
+                        o[4] += c
+                if not m.runs:
+                    o[5] += 1
+            for p, line in schedule.ready.items():
+                if p in out:
+                    out[p][6] = (
+                        len(line),
+                        sum(u.spec.need.cpu_milli for u in line) // 1000,
+                    )
+            for p, o in out.items():
+                schedule.note(
+                    "pool",
+                    pool=p,
+                    n=o[0],
+                    cap=o[1],
+                    fill=o[2] // 1000,
+                    last=o[3] // 1000,
+                    fin=o[4] // 1000,
+                    idle=o[5],
+                    ready=o[6],
+                )
         schedule.dirty_pools.update(schedule.ready)
         if schedule.now_ms - self._forgot_ms >= FORGET_PERIOD_MS:
             self._forgot_ms = schedule.now_ms
--- a/courselead/core/scheduler/state.py
+++ b/courselead/core/scheduler/state.py
@@ -135,6 +135,7 @@
     occurrences: dict[int, list[StepRun]] = field(default_factory=dict)
     next_occurrence: int = 0
     live_runs: int = 0
+    chain_ms: int = 0
     ended_ms: int = 0
 
 
@@ -170,6 +171,8 @@
     used: Resources = field(default_factory=Resources)
     runs: dict[tuple[str, int], Run] = field(default_factory=dict)
     seen_ms: int = 0
+    listed_ms: int = 0
+    idle_ms: int = 0
 
     @property
     def minion_id(self) -> str:
--- a/courselead/core/scheduler/waves.py
+++ b/courselead/core/scheduler/waves.py
@@ -60,7 +60,8 @@
             if worker is None:
                 del wave.down[worker_id]
                 continue
-            back = worker.phase is WorkerPhase.UP and worker.minion_id
+            # A worker that is switched off has no minion, and is up all the same.
+            back = worker.phase is WorkerPhase.UP
             if back and asked_ms >= began_ms + schedule.bounds.maintenance_ms:
                 del wave.down[worker_id]
                 # An order that was carried out before ends no life a second time.
@@ -109,11 +110,17 @@
         return age_ms >= LIST_PERIOD_MS or schedule.workers_asked_ms == 0
     if age_ms < LIST_PERIOD_MS:
         return False
-    if any(not wave.completed for wave in schedule.waves.values()):
-        return True
+    for wave in schedule.waves.values():
+        if not wave.completed or wave.down:
+            return True
     if schedule.moves or schedule.doubted_lives:
         return True
-    return any(item.failures and item.runs for item in schedule.minions.values())
+    for minion in schedule.minions.values():
+        if minion.failures and (minion.runs or not minion.synced):
+            return True
+        if minion.listed and not minion.worker_id:
+            return True
+    return False
 
 
 def _drive(schedule: Schedule, number: int, wave: WaveState) -> None:
@@ -138,6 +145,8 @@
             continue
         if schedule.workers[worker_id].phase is not WorkerPhase.UP:
             continue
+        if worker_id in schedule.moves:
+            continue
         wave.evacuating[worker_id] = schedule.now_ms
         _evacuate(schedule, number, wave, worker_id)
 
--- a/courselead/daemon/scheduling/claims.py
+++ b/courselead/daemon/scheduling/claims.py
@@ -5,6 +5,7 @@
 import secrets
 from dataclasses import dataclass
 
+import anyio
 import structlog
 from returns.result import Failure, Result, Success
 
@@ -14,6 +15,9 @@
 _LOGGER = structlog.get_logger(__name__)
 
 CLAIM_KEY = b"schedule"
+SHOW_S = 1.6
+"""Time in which a host that has claimed must show in the log: as for a missed owner."""
+
 CLAIM_TIMEOUT_MS = 1_500
 """Time-out of a claim: it is not repeated, so it gets longer than other appends."""
 
@@ -33,13 +37,22 @@
         """Keep the log of claims and this host's name."""
         self._log = log
         self._host = host
+        self._seen_end = -1
+        self._seen_at = 0.0
+
+    async def claim(self, known_fence: int) -> Result[Claim, str]:
+        """Try to become the owner; a failure says why not.
 
-    async def claim(self) -> Result[Claim, str]:
-        """Try to become the owner; a failure says why not."""
+        Args:
+            known_fence: Of the owner that is gone, 0 if there was none. A claim
+                beyond it may be of a host that is about to show.
+        """
         newest = await self._log.newest()
         if isinstance(newest, Failure):
             return Failure(str(newest.failure()))
         end = newest.unwrap().end
+        if end > known_fence and not self._is_stale(end):
+            return Failure("another host has just claimed")
         # Tells this claim from another one of the same host whose answer was lost.
         nonce = secrets.token_hex(8)
         record = KeyedRecord(CLAIM_KEY, f"{self._host} {nonce}".encode())
@@ -52,6 +65,13 @@
             return Failure(str(error))
         return await self._look(record)
 
+    def _is_stale(self, end: int) -> bool:
+        """Return whether a claim was seen long ago, and its host never showed."""
+        now = anyio.current_time()
+        if self._seen_end != end:
+            self._seen_end, self._seen_at = end, now
+        return now - self._seen_at >= SHOW_S
+
     async def _look(self, record: KeyedRecord) -> Result[Claim, str]:
         """Return whether a claim without an answer was stored."""
         newest = await self._log.newest()
--- a/courselead/daemon/scheduling/follower.py
+++ b/courselead/daemon/scheduling/follower.py
@@ -48,6 +48,7 @@
         on_record: Callable[[KeyedRecord], None],
         on_newest: Callable[[set[bytes]], None] = lambda keys: None,
         gap_s: float = 0.0,
+        counters: HostCounters | None = None,
     ) -> None:
         """Keep the parts.
 
@@ -57,12 +58,14 @@
             on_record: Takes each record.
             on_newest: Told the keys that exist, after a start from the newest.
             gap_s: Pause between two reads: several records share a call.
+            counters: Where reads are counted, if anywhere.
         """
         self._name = name
         self._log = log
         self._on_record = on_record
         self._on_newest = on_newest
         self.gap_s = gap_s
+        self._counters = counters
         self.offset = -1
         self.reached_at = 0.0
         self._floors: dict[bytes, int] = {}
@@ -87,6 +90,8 @@
             return await self._restart()
         asked_at = anyio.current_time()
         start = self.offset
+        if self._counters is not None:
+            self._counters.add(f"reads_{self._name}")
         result = await self._log.read(start, wait_ms)
         if isinstance(result, Failure):
             error = result.failure()
@@ -152,7 +157,9 @@
         self.on_change: Callable[[Record], None] = lambda record: None
         self.beat_at = 0.0
         self._counters = counters
-        self._follower = KeyedFollower("jobs", log, self._apply, gap_s=GAP_S)
+        self._follower = KeyedFollower(
+            "jobs", log, self._apply, gap_s=GAP_S, counters=counters
+        )
         self._reading: anyio.Event | None = None
         self._queued: anyio.Event | None = None
         self._outcome = False
--- a/courselead/daemon/scheduling/host.py
+++ b/courselead/daemon/scheduling/host.py
@@ -26,6 +26,9 @@
 LOOK_S = 0.1
 """Period of the look at the owner's silence."""
 
+REPORT_S = 10.0
+"""Period of the line with this host's counts: a few a minute, whatever the load."""
+
 CLAIM_SPREAD_S = 0.15
 """Claims are spread over this time, so that mostly one host tries."""
 
@@ -67,10 +70,14 @@
             tasks.start_soon(self._writer.run)
             tasks.start_soon(
                 KeyedFollower(
-                    "directions", self._platform.directions, self.directions.apply
+                    "directions",
+                    self._platform.directions,
+                    self.directions.apply,
+                    counters=self.counters,
                 ).run
             )
             tasks.start_soon(self._elect)
+            tasks.start_soon(self._report)
 
     async def leave(self) -> None:
         """Take no new callers and give the schedule to another host."""
@@ -79,6 +86,11 @@
         if owner is not None:
             await owner.hand_over()
 
+    async def _report(self) -> None:
+        while True:
+            await anyio.sleep(REPORT_S)
+            _LOGGER.info("counters", owns=self.owns, **self.counters.counts)
+
     async def _elect(self) -> None:
         while True:
             await anyio.sleep(LOOK_S)
@@ -106,13 +118,10 @@
 
     async def _claim(self) -> None:
         before = self.follower.book.owner
-        result = await self._claimant.claim()
+        fence = 0 if before is None else before.fence
+        result = await self._claimant.claim(fence)
         if isinstance(result, Failure):
             _LOGGER.info("claim_lost", reason=result.failure())
-            # Whoever won it gets the usual time to show.
-            self.follower.beat_at = anyio.current_time()
-            if before is None or before.released:
-                await anyio.sleep(TAKEOVER_S / 2)
             return
         claim = result.unwrap()
         _LOGGER.info(
--- a/courselead/daemon/scheduling/owner.py
+++ b/courselead/daemon/scheduling/owner.py
@@ -79,6 +79,12 @@
 """A gap between ticks from which this process may have stood still while another took
 over: no order goes out before the log has taken a record under this fence."""
 
+SAVE_GAP_S = 0.1
+"""Least time between two saves of which no caller is waiting for: calls are priced."""
+
+LIST_GAP_S = 0.1
+"""Pause between two reads of the minions' list, in which each beat is a record."""
+
 APPEND_TIMEOUT_MS = 500
 """Time until the same append is sent again: repeats are told apart by their number."""
 
@@ -236,7 +242,12 @@
 
     async def _follow_list(self) -> None:
         await KeyedFollower(
-            "minions", self._platform.minions, self._minion_record, self._minion_keys
+            "minions",
+            self._platform.minions,
+            self._minion_record,
+            self._minion_keys,
+            gap_s=LIST_GAP_S,
+            counters=self._counters,
         ).run()
 
     def _minion_record(self, record: KeyedRecord) -> None:
@@ -285,8 +296,15 @@
             self._scheduler.place(now_ms())
             for effect in self._scheduler.take_effects():
                 self._carry_out(effect)
-            if self._scheduler is not None and self._scheduler.schedule.unsaved:
-                self._save_wake.set()
+            self._save_soon()
+
+    def _save_soon(self) -> None:
+        """Store at once what callers wait for, the rest with it or a little later."""
+        if self._scheduler is None or not self._scheduler.schedule.unsaved:
+            return
+        age_s = anyio.current_time() - self._saved_at
+        if age_s >= SAVE_GAP_S or self._scheduler.schedule.urgent:
+            self._save_wake.set()
 
     def _carry_out(self, effect: Effect) -> None:
         match effect:
--- a/tests/core/scheduler/test_doubt.py
+++ b/tests/core/scheduler/test_doubt.py
@@ -150,3 +150,20 @@
     world.claim()
     world.run(300)
     assert any(isinstance(item, ev.StepDown) for item in world.orders)
+
+
+def test_a_life_that_the_cloud_has_no_more_is_not_waited_for():
+    # lakescore-sched trouble-1: minions of workers that had just been moved were
+    # still listed, and held up a pool for eleven seconds after a takeover.
+    world = World()
+    world.claim()
+    world.submit(job(step(1)), length_ms=60_000)
+    world.run(300)
+    gone = only_run(world)
+    worker_id = world.minions[gone].worker_id
+    world.crash(gone, silent=True)
+    world.claim()
+    world.run(100)
+    world.add_minion(worker_id)
+    world.run(4_000)
+    assert len(world.starts) == 2
--- a/tests/core/scheduler/test_jobs.py
+++ b/tests/core/scheduler/test_jobs.py
@@ -76,9 +76,7 @@
     world = World()
     world.claim()
     due = WALL_START_MS + world.now_ms + 1_000
-    job_id = world.submit(
-        job(step(1), first_due_ms=due, interval_ms=2_000, repeats=2)
-    )
+    job_id = world.submit(job(step(1), first_due_ms=due, interval_ms=2_000, repeats=2))
     world.run(900)
     assert not world.starts
     world.run(8_000)
--- /dev/null
+++ b/tests/core/scheduler/test_pools.py
@@ -0,0 +1,102 @@
+"""Workers follow demand."""
+
+from courselead.core.scheduler import events as ev
+from courselead.core.scheduler.models import (
+    FleetConfig,
+    JobState,
+    Pool,
+    Queue,
+    Worker,
+    WorkerPhase,
+)
+from tests.core.scheduler.world import POOL, QUEUE, World, config, job, step
+
+OFF = "off"
+
+
+def fleet() -> FleetConfig:
+    queues = {QUEUE: Queue(QUEUE, POOL, max_attempts=3)}
+    return FleetConfig(1, queues, {POOL: Pool(POOL), OFF: Pool(OFF, spare=True)})
+
+
+def moves(world: World) -> list[ev.MoveWorker]:
+    return [item for item in world.orders if isinstance(item, ev.MoveWorker)]
+
+
+def add_spare(world: World, count: int) -> None:
+    """Let the cloud list workers that are switched off, too."""
+    before = world._workers
+
+    def listed(owner, asked_ms):
+        before(owner, asked_ms)
+        workers = list(owner.schedule.workers.values())
+        room = world.all_minions[0].room
+        for number in range(count):
+            workers.append(
+                Worker(f"s{number}", OFF, WorkerPhase.UP, "z", room, ("a", "r9"), "")
+            )
+        owner.handle(ev.WorkersListed(asked_ms, tuple(workers)), world.now_ms)
+
+    world._workers = listed
+
+
+def test_waiting_work_fetches_workers_that_are_switched_off():
+    world = World(minions=1, cfg=fleet())
+    add_spare(world, 3)
+    world.claim()
+    world.run(300)
+    world.submit(job(step(12)))
+    world.run(300)
+    assert {move.worker_id for move in moves(world)} <= {"s0", "s1", "s2"}
+    assert {move.pool for move in moves(world)} == {POOL}
+
+
+def test_an_idle_worker_is_switched_off_and_a_busy_one_is_not():
+    world = World(minions=2, cfg=fleet())
+    world.claim()
+    world.submit(job(step(1, long_running=True)))
+    world.run(6_000)
+    busy = world.minions[world.starts[0][3]].worker_id
+    assert {move.worker_id for move in moves(world)} == {"w0", "w1"} - {busy}
+    assert {move.pool for move in moves(world)} == {OFF}
+
+
+def test_without_a_pool_for_them_idle_workers_stay():
+    world = World(minions=2, cfg=config())
+    world.claim()
+    world.run(6_000)
+    assert not moves(world)
+
+
+def test_a_worker_that_is_ordered_away_gets_no_work():
+    world = World(minions=1, cfg=fleet())
+    world.claim()
+    world.run(5_000)
+    assert len(moves(world)) >= 1
+    job_id = world.submit(job(step(1)))
+    world.run(300)
+    assert world.state(job_id) is JobState.QUEUED
+
+
+def test_a_new_owner_waits_before_it_orders_moves():
+    world = World(minions=2, cfg=fleet())
+    world.claim()
+    world.run(100)
+    world.claim()
+    world.run(3_000)
+    assert not moves(world)
+    world.run(3_000)
+    assert moves(world)
+
+
+def test_a_refused_move_gives_the_worker_back():
+    world = World(minions=1, cfg=fleet())
+    owner = world.claim()
+    world.run(3_500)
+    assert moves(world)
+    refused = ev.DutyAnswered("w0", ev.Outcome.REFUSED, "no such pool")
+    owner.handle(refused, world.now_ms)
+    job_id = world.submit(job(step(1)))
+    world.run(1_500)
+    assert world.state(job_id) is JobState.COMPLETED
+    assert not any(minion.cordoned for minion in owner.schedule.minions.values())
--- a/tests/core/scheduler/world.py
+++ b/tests/core/scheduler/world.py
@@ -106,8 +106,9 @@
         bounds: Bounds | None = None,
         seed=0,
         guards=False,
-        room=Resources(4000, 4000),
+        room: Resources | None = None,
     ) -> None:
+        room = room or Resources(4_000, 4_000)
         self.now_ms = 1_000
         self.random = random.Random(seed)
         self.config = cfg or config()
@@ -169,9 +170,7 @@
         self.owner = owner
         self.owners.append(owner)
         for minion_id in sorted(self.listed):
-            owner.handle(
-                ev.MinionListed(self.minions[minion_id].info()), self.now_ms
-            )
+            owner.handle(ev.MinionListed(self.minions[minion_id].info()), self.now_ms)
         self._at(0, lambda: self._tick(owner))
         self._pump(owner)
         return owner
@@ -383,6 +382,9 @@
                     self._at(LATENCY_MS, lambda: self._workers(owner, asked))
             case ev.MaintainWorker():
                 self._at(LATENCY_MS, lambda: self._maintain(owner, effect))
+            case ev.StepDown():
+                if owner in self.owners:
+                    self.owners.remove(owner)
             case ev.SaveWaveStatus():
                 self.wave_status.append((effect.wave, effect.completed))
             case ev.AskAdvice():
@@ -465,7 +467,11 @@
         minion.ended = [end for end in minion.ended if end.sequence > call.cursor]
         running = tuple(
             ev.RunReport(
-                run.task, run.number, run.checkpoint, 100, self.figures.get(run.task, 0)
+                run.task,
+                run.number,
+                run.checkpoint,
+                self._percent(run),
+                self.figures.get(run.task, 0),
             )
             for run in minion.runs.values()
         )
@@ -475,6 +481,11 @@
         self._at(LATENCY_MS, lambda: self._reply(owner, report))
         self._at(HOLD_MS, lambda: self._hold(owner, minion_id))
 
+    def _percent(self, run: FakeRun) -> int:
+        if run.long_running:
+            return 100
+        return min(99, 100 * (self.now_ms - run.started_ms) // run.length_ms)
+
     def _workers(self, owner: Scheduler, asked_ms: int) -> None:
         workers = []
         for minion in self.minions.values():
@@ -494,9 +505,7 @@
 
     def _maintain(self, owner: Scheduler, order: ev.MaintainWorker) -> None:
         minion = [
-            item
-            for item in self.minions.values()
-            if item.worker_id == order.worker_id
+            item for item in self.minions.values() if item.worker_id == order.worker_id
         ][-1]
         again = order.worker_id in self.maintained
         self._reply(owner, ev.DutyAnswered(order.worker_id, ev.Outcome.OK))
--- a/tests/daemon/scheduling/fakes.py
+++ b/tests/daemon/scheduling/fakes.py
@@ -10,9 +10,9 @@
 
 from courselead.core.scheduler.records import KeyedRecord
 from courselead.daemon.scheduling.ports import (
+    Appended,
     AppendError,
     AppendFenced,
-    Appended,
     AppendUnknown,
     EndMoved,
     HistoryGone,
--- a/tests/daemon/scheduling/test_log.py
+++ b/tests/daemon/scheduling/test_log.py
@@ -54,12 +54,12 @@
 
 async def test_claims_rise_and_a_race_has_one_winner():
     log = MemoryLog()
-    first = (await Claimant(log, "a").claim()).unwrap()
+    first = (await Claimant(log, "a").claim(0)).unwrap()
     assert (first.fence, first.first) == (1, True)
     results = []
 
     async def race(host):
-        results.append(await Claimant(log, host).claim())
+        results.append(await Claimant(log, host).claim(1))
 
     async with anyio.create_task_group() as tasks:
         for host in "bcd":
@@ -69,16 +69,24 @@
     assert not won[0].first
 
 
+async def test_a_claim_that_was_just_made_is_given_time_to_show():
+    # lakescore-sched quiet-1: two hosts owned the schedule one after the other.
+    log = MemoryLog()
+    await Claimant(log, "a").claim(0)
+    assert isinstance(await Claimant(log, "b").claim(0), Failure)
+    assert len(log.records) == 1
+
+
 async def test_a_claim_whose_answer_is_lost_is_recognised():
     log = MemoryLog(lose_answers=1)
-    claim = (await Claimant(log, "a").claim()).unwrap()
+    claim = (await Claimant(log, "a").claim(0)).unwrap()
     assert claim.fence == 1
     assert len(log.records) == 1
 
 
 async def test_a_claim_that_was_not_stored_is_not_won():
     log = MemoryLog(refuse=True)
-    assert isinstance(await Claimant(log, "a").claim(), Failure)
+    assert isinstance(await Claimant(log, "a").claim(0), Failure)
 
 
 async def store(log: MemoryLog):
