Share workers by what pools lack, and look at minions only when it can tell

Change: workers go one by one to the pool that lacks the largest part; saves wait 30 ms at most and the next look waits for them; the wait counts from the old owner's last sign of life, with a second for what it may have ordered after.

--- a/courselead/core/scheduler/const.py
+++ b/courselead/core/scheduler/const.py
@@ -56,6 +56,10 @@
 """Added to the longest lease after a takeover: the time that a deposed owner may
 go on renewing leases before it meets the newer fence."""
 
+DUTY_SLACK_MS = 1_000
+"""Added to the time in which orders to the cloud must not change hands: an owner
+writes a sign of life at least every 400 ms and may order until the next one."""
+
 STOP_RETRY_MS = 700
 """Time until an unanswered stop is sent again."""
 
--- a/courselead/core/scheduler/pools.py
+++ b/courselead/core/scheduler/pools.py
@@ -49,6 +49,11 @@
         """Return the capacity that would serve it in time."""
         return self.lasting + self.arriving + self.waiting
 
+    @property
+    def pressure(self) -> float:
+        """Return how many times its capacity it wants."""
+        return self.wanted / max(1, self.capacity)
+
 
 def job_arrived(schedule: Schedule, job: Job) -> None:
     """Count a new job's work into its pool's rate."""
@@ -70,12 +75,10 @@
     demands = _demands(schedule)
     _report(schedule, demands)
     spare = _spare_workers(schedule)
-    short = [pool for pool in demands if _lacks(demands[pool])]
-    short.sort(key=lambda pool: demands[pool].capacity - demands[pool].wanted)
-    donors = _donors(schedule, demands)
-    for pool in short:
-        _fetch(schedule, pool, demands[pool], donors, spare)
-    if not short:
+    short = {pool: demand for pool, demand in demands.items() if _lacks(demand)}
+    if short:
+        _fetch(schedule, short, _donors(schedule, demands), spare)
+    else:
         _switch_off(schedule, _calm(schedule, demands))
 
 
@@ -239,19 +242,24 @@
 
 def _fetch(
     schedule: Schedule,
-    pool: str,
-    demand: PoolDemand,
+    short: dict[str, PoolDemand],
     donors: list[tuple[Minion, Worker]],
     spare: list[Worker],
 ) -> None:
+    """Give workers one by one to the pool that lacks the largest part."""
     kinds = _kinds(schedule)
-    while _lacks(demand):
-        demand.lasting_waits = False
+    while short:
+        pool = max(short, key=lambda name: short[name].pressure)
+        demand = short[pool]
         worker = _take(schedule, pool, kinds, donors, spare)
         if worker is None:
-            return
+            del short[pool]
+            continue
+        demand.lasting_waits = False
         demand.capacity += worker.room.cpu_milli
         _move(schedule, worker, pool)
+        if not _lacks(demand):
+            del short[pool]
 
 
 def _take(
--- a/courselead/core/scheduler/scheduler.py
+++ b/courselead/core/scheduler/scheduler.py
@@ -56,6 +56,7 @@
         book: JobBook,
         now_ms: int,
         wall_ms: int,
+        quiet_ms: int = 0,
     ) -> None:
         """Take over what the log says.
 
@@ -67,12 +68,14 @@
             book: The fold of the log, kept up by the host.
             now_ms: Steady clock.
             wall_ms: Time since 1970.
+            quiet_ms: Time since the last sign of life of the owner before.
         """
         schedule = Schedule(
             fence, first_owner, bounds, config, book, now_ms, now_ms, wall_ms
         )
         if not first_owner:
-            schedule.duty_after_ms = now_ms + bounds.duty_lease_ms + 500
+            wait_ms = bounds.duty_lease_ms + const.DUTY_SLACK_MS - quiet_ms
+            schedule.duty_after_ms = now_ms + max(0, wait_ms)
         self.schedule = schedule
         self._forgot_ms = now_ms
         for entry in list(book.jobs.values()):
--- a/courselead/daemon/scheduling/owner.py
+++ b/courselead/daemon/scheduling/owner.py
@@ -79,8 +79,12 @@
 """A gap between ticks from which this process may have stood still while another took
 over: no order goes out before the log has taken a record under this fence."""
 
-SAVE_GAP_S = 0.1
-"""Least time between two saves of which no caller is waiting for: calls are priced."""
+SAVE_GAP_S = 0.03
+"""Least time between two saves that no caller waits for: calls are priced, and so are
+looks at minions, which answer at once until the ends that they report are stored."""
+
+SAVED_WAIT_S = 0.2
+"""Longest wait for that before the next look, for the time of the log's outages."""
 
 LIST_GAP_S = 0.1
 """Pause between two reads of the minions' list, in which each beat is a record."""
@@ -120,8 +124,10 @@
         directions: DirectionsView,
         bounds: Bounds,
         counters: HostCounters,
+        quiet_ms: int,
     ) -> None:
         """Keep the parts; `run` takes over."""
+        self._quiet_ms = quiet_ms
         self._claim = claim
         self._host = host
         self._platform = platform
@@ -139,6 +145,7 @@
         self._handing_over = False
         self._wake = anyio.Event()
         self._save_wake = anyio.Event()
+        self._saved = anyio.Event()
         self._ended = anyio.Event()
         self._advice_turn = anyio.Lock()
         self._status_turn = anyio.Lock()
@@ -202,6 +209,7 @@
             self._follower.book,
             now_ms(),
             wall_ms(),
+            self._quiet_ms,
         )
         self._alive_ms = now_ms()
         self._follower.on_change = self._log_changed
@@ -412,11 +420,21 @@
                     )
                 )
                 await anyio.sleep(HOLD_PAUSE_S)
+                await self._wait_saved(minion_id)
                 continue
             failed = result.failure()
             self._handle(HoldFailed(minion_id, failed.outcome, failed.reason))
             await anyio.sleep(HOLD_RETRY_S)
 
+    async def _wait_saved(self, minion_id: str) -> None:
+        """Wait until the minion may forget the ends that it has just reported."""
+        with anyio.move_on_after(SAVED_WAIT_S):
+            while self._scheduler is not None:
+                minion = self._scheduler.schedule.minions.get(minion_id)
+                if minion is None or not minion.unsaved:
+                    return
+                await self._saved.wait()
+
     async def _ask_advice(self, ask: AskAdvice) -> None:
         wait_ms = ADVICE_SLACK_MS
         async with self._advice_turn:
@@ -501,6 +519,7 @@
 
     def _stored(self, batch: int, saves: list[Effect]) -> None:
         self._saved_at = anyio.current_time()
+        saved, self._saved = self._saved, anyio.Event()
         if self._unsure:
             _LOGGER.info("pause_over", fence=self._claim.fence)
             self._unsure = False
@@ -510,6 +529,7 @@
                 self._follower.book.apply(item.progress)
         if saves:
             self._handle(ProgressSaved(batch))
+        saved.set()
         self._wake.set()
 
     async def _append(self, records: list[KeyedRecord]) -> int | None:
