Expect turns of demand, and keep lasting tasks on few workers

Change: a turn is seen by the count of arriving jobs, and the next one expected by the time between the last two; workers come 2.2 s ahead; a pool that has not had its turn keeps its workers. What was learned goes along with the owner's signs of life. Lasting tasks go to workers that have some already.

--- a/courselead/core/scheduler/book.py
+++ b/courselead/core/scheduler/book.py
@@ -14,6 +14,7 @@
     Record,
     WaveProgress,
 )
+from courselead.core.scheduler.turns import TurnMemory
 
 
 @dataclass(slots=True)
@@ -51,6 +52,7 @@
         self.jobs: dict[str, JobEntry] = {}
         self.owner: OwnerBeat | None = None
         self.waves: dict[int, set[str]] = {}
+        self.turns: dict[str, TurnMemory] = {}
         self._early_progress: dict[str, JobProgress] = {}
         self._early_cancels: set[str] = set()
 
@@ -72,6 +74,7 @@
             case OwnerBeat():
                 if self.owner is None or record.fence >= self.owner.fence:
                     self.owner = record
+                    self.turns.update(record.turns)
 
     def pending(self, queue: str) -> int:
         """Return how many jobs of a queue wait for their first task."""
--- a/courselead/core/scheduler/placement.py
+++ b/courselead/core/scheduler/placement.py
@@ -197,7 +197,7 @@
     spec = unit.spec
     need = spec.charge
     best: Minion | None = None
-    best_score: tuple[int, int, int, int] | None = None
+    best_score: tuple[int, int, int, int, int] | None = None
     for minion in minions:
         room = minion.room
         if taken:
@@ -222,19 +222,20 @@
 
 def _score(
     schedule: Schedule, unit: Unit, minion: Minion, room: Resources
-) -> tuple[int, int, int, int]:
+) -> tuple[int, int, int, int, int]:
     spec = unit.spec
     shunned = minion.minion_id in unit.avoid
     shunned = shunned or schedule.now_ms < minion.quarantine_until_ms
     far = bool(spec.preferred_rack) and minion.info.rack != spec.preferred_rack
-    beside = 0
-    if spec.long_running:
-        # Tasks that serve and tasks that fill disturb each other.
-        for run in minion.runs.values():
-            beside += run.unit.spec.long_running
-            beside += run.unit.spec.fills != spec.fills
-        return (shunned, far, beside, -room.cpu_milli)
-    return (shunned, far, 0, room.cpu_milli)
+    if not spec.long_running:
+        return (shunned, far, 0, 0, room.cpu_milli)
+    # A worker with a lasting task stays where it is: the fewer, the better. Tasks
+    # that serve and tasks that fill disturb each other.
+    lasting = disturbed = 0
+    for run in minion.runs.values():
+        lasting += run.unit.spec.long_running
+        disturbed += run.unit.spec.fills != spec.fills
+    return (shunned, far, not lasting, disturbed, -room.cpu_milli)
 
 
 def _tickets(
--- a/courselead/core/scheduler/pools.py
+++ b/courselead/core/scheduler/pools.py
@@ -5,10 +5,13 @@
 from collections import defaultdict
 from dataclasses import dataclass, replace
 
+import msgspec
+
 from courselead.core.scheduler.events import MoveWorker, Outcome
 from courselead.core.scheduler.models import Worker, WorkerPhase
 from courselead.core.scheduler.schedule import MoveState, Schedule
 from courselead.core.scheduler.state import Job, Minion
+from courselead.core.scheduler.turns import TurnMemory, Turns
 
 RATE_WINDOW_MS = 1_000
 """Time over which the work that arrives is counted: a quarter of a turn of demand."""
@@ -29,6 +32,9 @@
 REPORT_MS = 2_000
 """Time between two lines on each pool: half a turn of demand, whatever the load."""
 
+JOIN_MS = 700
+"""Time from the end of a move until the minion is listed and has answered a look."""
+
 LASTING_WAIT_MS = 300
 """Time a lasting task may wait for room before a worker is fetched for it."""
 
@@ -42,6 +48,7 @@
     arriving: int = 0
     waiting: int = 0
     lasting_waits: bool = False
+    untried: bool = False
     idle: list[Minion] | None = None
 
     @property
@@ -137,6 +144,13 @@
             demands[move.pool].capacity += worker.room.cpu_milli
     for pool, demand in demands.items():
         demand.arriving = _rate(schedule, pool)
+        turns = turns_of(schedule, pool)
+        jobs = len(schedule.arrivals.get(pool, ()))
+        turns.follow(schedule.wall_ms, demand.arriving, jobs)
+        lead_ms = schedule.bounds.move_ms + JOIN_MS
+        due = turns.due_milli(schedule.wall_ms, lead_ms)
+        demand.arriving = max(demand.arriving, due)
+        demand.untried = not turns.seen
         _count_waiting(schedule, pool, demand)
     return demands
 
@@ -196,7 +210,17 @@
         while held[0][0] < schedule.now_ms - IDLE_OFF_MS:
             held.pop(0)
         demand.waiting += max(wanted for _, wanted in held) - demand.wanted
-    return _donors(schedule, demands)
+    tried = {pool: item for pool, item in demands.items() if not item.untried}
+    return _donors(schedule, tried)
+
+
+def turns_of(schedule: Schedule, pool: str) -> Turns:
+    """Return what is known of a pool's turns."""
+    turns = schedule.turns.get(pool)
+    if turns is None:
+        memory = schedule.book.turns.get(pool, TurnMemory())
+        turns = schedule.turns[pool] = Turns(msgspec.structs.replace(memory))
+    return turns
 
 
 def _spare_workers(schedule: Schedule) -> list[Worker]:
--- a/courselead/core/scheduler/records.py
+++ b/courselead/core/scheduler/records.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from courselead.core.scheduler.models import JobSpec, JobState
+from courselead.core.scheduler.turns import TurnMemory
 
 
 class JobAccepted(msgspec.Struct, frozen=True, array_like=True):
@@ -60,13 +61,16 @@
 
 
 class OwnerBeat(msgspec.Struct, frozen=True, array_like=True):
-    """Sign of life of the schedule's owner; `released` hands the schedule over."""
+    """Sign of life of the schedule's owner; `released` hands the schedule over.
+
+    It carries what the owner has learned of the pools' turns of demand.
+    """
 
     fence: int
     host: str
     beat: int
     released: bool = False
-    pool_holds: dict[str, int] = {}
+    turns: dict[str, TurnMemory] = {}
 
 
 class WaveProgress(msgspec.Struct, frozen=True, array_like=True):
--- a/courselead/core/scheduler/schedule.py
+++ b/courselead/core/scheduler/schedule.py
@@ -16,6 +16,7 @@
     StepRun,
     Unit,
 )
+from courselead.core.scheduler.turns import Turns
 
 
 @dataclass(slots=True)
@@ -97,6 +98,7 @@
     barred_moves: set[tuple[str, str]] = field(default_factory=set)
     arrivals: dict[str, list[tuple[int, int]]] = field(default_factory=dict)
     demand_peaks: dict[str, list[tuple[int, int]]] = field(default_factory=dict)
+    turns: dict[str, Turns] = field(default_factory=dict)
     pools_reported_ms: int = 0
     left: dict[tuple[str, int], Left] = field(default_factory=dict)
     duty_after_ms: int = 0
--- a/courselead/daemon/scheduling/owner.py
+++ b/courselead/daemon/scheduling/owner.py
@@ -492,7 +492,14 @@
 
     def _beat_record(self, released: bool) -> KeyedRecord:
         self._beat += 1
-        return encode(OwnerBeat(self._claim.fence, self._host, self._beat, released))
+        turns = {}
+        if self._scheduler is not None:
+            for pool, known in self._scheduler.schedule.turns.items():
+                if known.seen:
+                    turns[pool] = known.memory
+        return encode(
+            OwnerBeat(self._claim.fence, self._host, self._beat, released, turns)
+        )
 
     async def _save(self) -> None:
         while True:
