Reach the store through another host, and test the adapter on bytes

Change: every host lends its way to the logs of jobs, directions, minions and status to the others (daemon/scheduling/relay.py); a host whose own way fails uses theirs until a probe succeeds. Conditional appends are never relayed.

--- a/courselead/core/scheduler/book.py
+++ b/courselead/core/scheduler/book.py
@@ -6,6 +6,7 @@
 
 from courselead.core.scheduler.models import JobSpec, JobState
 from courselead.core.scheduler.records import (
+    HostSeen,
     JobAccepted,
     JobCancelled,
     JobForgotten,
@@ -51,6 +52,7 @@
         """Start empty."""
         self.jobs: dict[str, JobEntry] = {}
         self.owner: OwnerBeat | None = None
+        self.hosts: dict[str, str] = {}
         self.waves: dict[int, set[str]] = {}
         self.turns: dict[str, TurnMemory] = {}
         self._early_progress: dict[str, JobProgress] = {}
@@ -69,6 +71,8 @@
                 self.jobs.pop(record.job_id, None)
                 self._early_progress.pop(record.job_id, None)
                 self._early_cancels.discard(record.job_id)
+            case HostSeen():
+                self.hosts[record.host] = record.address
             case WaveProgress():
                 self.waves[record.wave] = set(record.begun)
             case OwnerBeat():
--- a/courselead/core/scheduler/records.py
+++ b/courselead/core/scheduler/records.py
@@ -80,8 +80,21 @@
     begun: list[str]
 
 
+class HostSeen(msgspec.Struct, frozen=True, array_like=True):
+    """Where a host lends its way to the log to the others."""
+
+    host: str
+    address: str
+
+
 Record = (
-    JobAccepted | JobProgress | JobCancelled | JobForgotten | OwnerBeat | WaveProgress
+    HostSeen
+    | JobAccepted
+    | JobProgress
+    | JobCancelled
+    | JobForgotten
+    | OwnerBeat
+    | WaveProgress
 )
 
 _KEY_ACCEPTED = b"j"
@@ -89,6 +102,7 @@
 _KEY_CANCELLED = b"x"
 _KEY_OWNER = b"o"
 _KEY_WAVE = b"w"
+_KEY_HOST = b"h"
 
 _TYPES: dict[bytes, type] = {
     _KEY_ACCEPTED: JobAccepted,
@@ -96,6 +110,7 @@
     _KEY_CANCELLED: JobCancelled,
     _KEY_OWNER: OwnerBeat,
     _KEY_WAVE: WaveProgress,
+    _KEY_HOST: HostSeen,
 }
 
 
@@ -123,6 +138,8 @@
             key = _KEY_OWNER
         case WaveProgress():
             key = _KEY_WAVE + str(record.wave).encode()
+        case HostSeen():
+            key = _KEY_HOST + record.host.encode()
         case JobForgotten():
             raise ValueError("a forgotten job has several keys: use forget()")
     return KeyedRecord(key, _ENCODER.encode(record))
--- a/courselead/daemon/scheduling/follower.py
+++ b/courselead/daemon/scheduling/follower.py
@@ -29,7 +29,7 @@
 
 _LOGGER = structlog.get_logger(__name__)
 
-READ_WAIT_MS = 1_500
+READ_WAIT_MS = 1_000
 """Wait of one read: a cut connection is noticed a second after it."""
 
 RETRY_LEAST_S = 0.05
--- a/courselead/daemon/scheduling/host.py
+++ b/courselead/daemon/scheduling/host.py
@@ -3,18 +3,21 @@
 from __future__ import annotations
 
 import random
+from dataclasses import replace
 
 import anyio
 import structlog
-from returns.result import Failure
+from returns.result import Failure, Success
 
 from courselead.core.scheduler.models import Bounds
+from courselead.core.scheduler.records import HostSeen, encode
 from courselead.daemon.scheduling.claims import Claimant
 from courselead.daemon.scheduling.directions import DirectionsView
 from courselead.daemon.scheduling.follower import JobFollower, KeyedFollower
 from courselead.daemon.scheduling.intake import Intake
 from courselead.daemon.scheduling.owner import Owner
 from courselead.daemon.scheduling.ports import HostCounters, Platform
+from courselead.daemon.scheduling.relay import RelayApp, RelayedLog, Ways
 from courselead.daemon.scheduling.writer import JobWriter
 
 _LOGGER = structlog.get_logger(__name__)
@@ -26,6 +29,14 @@
 LOOK_S = 0.1
 """Period of the look at the owner's silence."""
 
+RELAYED_LOGS = ("jobs", "directions", "minions", "status")
+"""Logs that hosts reach for each other: all but that of claims, whose appends are
+conditional and are not repeated."""
+
+REGISTER_TIMEOUT_MS = 1_000
+REGISTER_RETRY_S = 0.5
+"""Time-out and pause of the record that names this host's address: at start only."""
+
 REPORT_S = 10.0
 """Period of the line with this host's counts: a few a minute, whatever the load."""
 
@@ -36,10 +47,27 @@
 class SchedulingHost:
     """All tasks of one process but the servers."""
 
-    def __init__(self, host: str, platform: Platform, bounds: Bounds) -> None:
-        """Wire the parts."""
+    def __init__(
+        self, host: str, platform: Platform, bounds: Bounds, relay_address: str = ""
+    ) -> None:
+        """Wire the parts.
+
+        Args:
+            host: This host's name.
+            platform: Everything of the platform that is used.
+            bounds: Of the deployment.
+            relay_address: Where the other hosts reach this one.
+        """
         self.counters = HostCounters()
         self._host = host
+        self._relay_address = relay_address
+        ways = self._ways = Ways(self._peers, self.counters)
+        # The log of claims holds one short record: the cheapest to ask for.
+        self._claims = platform.claims
+        logs = {name: getattr(platform, name) for name in RELAYED_LOGS}
+        self.relay = RelayApp(logs, ways)
+        relayed = {name: RelayedLog(name, log, ways) for name, log in logs.items()}
+        platform = replace(platform, **relayed)
         self._platform = platform
         self._bounds = bounds
         self.directions = DirectionsView(platform.decode)
@@ -78,6 +106,8 @@
             )
             tasks.start_soon(self._elect)
             tasks.start_soon(self._report)
+            tasks.start_soon(self._register)
+            tasks.start_soon(self._ways.probe, self._claims)
 
     async def leave(self) -> None:
         """Take no new callers and give the schedule to another host."""
@@ -86,6 +116,21 @@
         if owner is not None:
             await owner.hand_over()
 
+    def _peers(self) -> list[str]:
+        """Return the addresses of the other hosts."""
+        hosts = self.follower.book.hosts
+        return [address for host, address in hosts.items() if host != self._host]
+
+    async def _register(self) -> None:
+        """Tell the other hosts where this one is."""
+        record = encode(HostSeen(self._host, self._relay_address))
+        while self._relay_address:
+            result = await self._platform.jobs.append([record], REGISTER_TIMEOUT_MS)
+            if isinstance(result, Success):
+                return
+            _LOGGER.info("register_failed", reason=str(result.failure()))
+            await anyio.sleep(REGISTER_RETRY_S)
+
     async def _report(self) -> None:
         while True:
             await anyio.sleep(REPORT_S)
--- a/courselead/daemon/scheduling/main.py
+++ b/courselead/daemon/scheduling/main.py
@@ -43,7 +43,10 @@
 
 async def _serve(settings: NodeSettings) -> None:
     host = SchedulingHost(
-        settings.node, make_platform(settings), settings.bounds.bounds()
+        settings.node,
+        make_platform(settings),
+        settings.bounds.bounds(),
+        settings.peer_address,
     )
     front = HttpServer(
         JobsApp(host.intake, lambda: host.leaving),  # type: ignore[arg-type]
@@ -57,11 +60,18 @@
         LimitSettings(),
         DRAIN_MS,
     )
+    relay = HttpServer(
+        host.relay,  # type: ignore[arg-type]
+        _address(settings.peer_address),
+        LimitSettings(),
+        DRAIN_MS,
+    )
     _LOGGER.info("started", host=settings.node, front=settings.listen.front)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(host.run)
         tasks.start_soon(front.run)
         tasks.start_soon(ready.run)
+        tasks.start_soon(relay.run)
         await _wait_for_end()
         _LOGGER.info("leaving", host=settings.node)
         tasks.start_soon(host.leave)
--- /dev/null
+++ b/courselead/daemon/scheduling/relay.py
@@ -0,0 +1,351 @@
+"""The store through another host, for a host that alone cannot reach it.
+
+A store outage often strikes some hosts only. Every host lends its own way
+to the others; the records say who wrote them, so a relayed append is fenced and
+told from its repetition like a direct one.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Awaitable, Callable, MutableMapping, Sequence
+from typing import Any
+
+import anyio
+import msgspec
+import structlog
+from returns.result import Failure, Result, Success
+
+from courselead.core.scheduler.records import KeyedRecord
+from courselead.daemon.scheduling.ports import (
+    Appended,
+    AppendError,
+    AppendFenced,
+    AppendUnknown,
+    EndMoved,
+    HistoryGone,
+    HostCounters,
+    KeyedLog,
+    LogBatch,
+    Newest,
+    NewestRecord,
+    NotAppended,
+    ProducerMark,
+    ReadError,
+    ReadFailed,
+)
+from courselead.integrations.http.errors import NotSent
+from courselead.integrations.lean_http import Call, LeanPool
+
+_LOGGER = structlog.get_logger(__name__)
+
+PATH_APPEND = "/relay/append"
+PATH_READ = "/relay/read"
+PATH_NEWEST = "/relay/newest"
+
+PROBE_S = 0.3
+"""Mean pause between two tries of the own way while it does not work: a store that is
+back is used again well within the 2 s in which a configuration must be in force."""
+
+HOP_MS = 300
+"""Time beyond that of the call itself until a relayed one counts as lost."""
+
+PEERS_TRIED = 2
+"""Other hosts asked for one call: a third that cannot help either is no chance."""
+
+_CONNECTIONS = 4
+
+Scope = MutableMapping[str, Any]
+Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
+Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
+
+
+class _Append(msgspec.Struct, array_like=True):
+    log: str
+    records: list[KeyedRecord]
+    timeout_ms: int
+    mark: tuple[str, int, int] | None = None
+
+
+class _Read(msgspec.Struct, array_like=True):
+    log: str
+    start: int
+    wait_ms: int
+
+
+class _Newest(msgspec.Struct, array_like=True):
+    log: str
+
+
+class _Reply(msgspec.Struct, array_like=True):
+    """`kind` names the result's type; the rest is what that type holds."""
+
+    kind: str
+    start: int = 0
+    end: int = 0
+    reason: str = ""
+    records: list[KeyedRecord] = []
+    offsets: list[int] = []
+
+
+_DECODE_REPLY = msgspec.msgpack.Decoder(_Reply)
+
+
+class Ways:
+    """This host's own way to the store, and those through other hosts."""
+
+    def __init__(
+        self, peers: Callable[[], Sequence[str]], counters: HostCounters
+    ) -> None:
+        """Keep who knows the addresses of the other hosts."""
+        self._peers = peers
+        self._counters = counters
+        self._pools: dict[str, LeanPool] = {}
+        self._lost = anyio.Event()
+
+    @property
+    def reachable(self) -> bool:
+        """Return whether the own way worked when it was last tried."""
+        return not self._lost.is_set()
+
+    def note(self, reached: bool) -> None:
+        """Take how an attempt on the own way went."""
+        if reached and self._lost.is_set():
+            _LOGGER.info("own_way_regained")
+            self._lost = anyio.Event()
+        elif not reached and not self._lost.is_set():
+            _LOGGER.warning("own_way_lost", peers=len(self._peers()))
+            self._lost.set()
+
+    async def watched(
+        self, read: Callable[[], Awaitable[Result[Any, ReadError]]]
+    ) -> Result[Any, ReadError]:
+        """Read on the own way, but no longer than that is known to work."""
+        result: Result[Any, ReadError] = Failure(ReadFailed("the own way was lost"))
+        lost = self._lost
+        async with anyio.create_task_group() as tasks:
+
+            async def give_up() -> None:
+                await lost.wait()
+                tasks.cancel_scope.cancel()
+
+            tasks.start_soon(give_up)
+            result = await read()
+            tasks.cancel_scope.cancel()
+        return result
+
+    async def probe(self, direct: KeyedLog) -> None:
+        """Try the own way for good while it does not work."""
+        while True:
+            await anyio.sleep(random.uniform(0.5, 1.5) * PROBE_S)
+            if self.reachable:
+                continue
+            result = await direct.newest()
+            if isinstance(result, Success):
+                self.note(True)
+
+    async def ask(
+        self, path: str, body: bytes, timeout_ms: int
+    ) -> Result[_Reply, AppendError]:
+        """Ask other hosts in turn until one has an answer of the store's."""
+        addresses = list(self._peers())
+        random.shuffle(addresses)
+        last: AppendError = NotAppended("no other host is known")
+        for address in addresses[:PEERS_TRIED]:
+            self._counters.add("relayed_calls")
+            answered = await self._pool(address).call(
+                Call("POST", path, body), timeout_ms
+            )
+            if isinstance(answered, Failure):
+                error = answered.failure()
+                if not isinstance(error, NotSent):
+                    return Failure(AppendUnknown(error.reason))
+                last = NotAppended(error.reason)
+                continue
+            reply = _decoded(answered.unwrap().body)
+            if reply.kind != "not_done":
+                return Success(reply)
+            last = NotAppended(reply.reason)
+        return Failure(last)
+
+    def _pool(self, address: str) -> LeanPool:
+        pool = self._pools.get(address)
+        if pool is None:
+            pool = self._pools[address] = LeanPool(address, _CONNECTIONS)
+        return pool
+
+
+class RelayedLog:
+    """A keyed log that is reached directly, or through another host."""
+
+    def __init__(self, name: str, direct: KeyedLog, ways: Ways) -> None:
+        """Keep the log's name among the hosts, and the ways to it."""
+        self._name = name
+        self._direct = direct
+        self._ways = ways
+
+    async def append(
+        self,
+        records: Sequence[KeyedRecord],
+        timeout_ms: int,
+        expected_end: int | None = None,
+        mark: ProducerMark | None = None,
+    ) -> Result[Appended, AppendError]:
+        """Store records; a conditional append is made on the own way only."""
+        if expected_end is not None:
+            return await self._direct.append(records, timeout_ms, expected_end, mark)
+        first: AppendError = NotAppended("the own way does not work")
+        if self._ways.reachable:
+            result = await self._direct.append(records, timeout_ms, mark=mark)
+            if isinstance(result, Success) or isinstance(
+                result.failure(), AppendFenced | EndMoved
+            ):
+                self._ways.note(True)
+                return result
+            self._ways.note(False)
+            first = result.failure()
+        relayed = await self._relay_append(records, timeout_ms, mark)
+        if isinstance(relayed, Success) or isinstance(
+            relayed.failure(), AppendFenced | AppendUnknown
+        ):
+            return relayed
+        # What the own way left open stays open, whatever the others say.
+        return Failure(first)
+
+    async def read(self, start: int, wait_ms: int) -> Result[LogBatch, ReadError]:
+        """Return records from an offset on."""
+        if not self._ways.reachable:
+            body = msgspec.msgpack.encode(_Read(self._name, start, wait_ms))
+            asked = await self._ways.ask(PATH_READ, body, wait_ms + 4 * HOP_MS)
+            if isinstance(asked, Success):
+                reply = asked.unwrap()
+                if reply.kind == "batch":
+                    batch = LogBatch(start, reply.end, tuple(reply.records))
+                    return Success(batch)
+                if reply.kind == "history_gone":
+                    return Failure(HistoryGone())
+            return Failure(ReadFailed("neither the own way nor others work"))
+        result = await self._ways.watched(lambda: self._direct.read(start, wait_ms))
+        self._note_read(result)
+        return result
+
+    async def newest(self) -> Result[Newest, ReadError]:
+        """Return the newest record of each key."""
+        if not self._ways.reachable:
+            body = msgspec.msgpack.encode(_Newest(self._name))
+            asked = await self._ways.ask(PATH_NEWEST, body, 4 * HOP_MS)
+            if isinstance(asked, Success) and asked.unwrap().kind == "newest":
+                reply = asked.unwrap()
+                pairs = zip(reply.offsets, reply.records, strict=True)
+                records = tuple(NewestRecord(*pair) for pair in pairs)
+                return Success(Newest(reply.end, records))
+            return Failure(ReadFailed("neither the own way nor others work"))
+        result = await self._ways.watched(self._direct.newest)
+        self._note_read(result)
+        return result
+
+    def _note_read(self, result: Result[object, ReadError]) -> None:
+        failed = isinstance(result, Failure) and isinstance(
+            result.failure(), ReadFailed
+        )
+        self._ways.note(not failed)
+
+    async def _relay_append(
+        self,
+        records: Sequence[KeyedRecord],
+        timeout_ms: int,
+        mark: ProducerMark | None,
+    ) -> Result[Appended, AppendError]:
+        marked = None if mark is None else (mark.name, mark.epoch, mark.sequence)
+        append = _Append(self._name, list(records), timeout_ms, marked)
+        asked = await self._ways.ask(
+            PATH_APPEND, msgspec.msgpack.encode(append), timeout_ms + HOP_MS
+        )
+        if isinstance(asked, Failure):
+            return Failure(asked.failure())
+        reply = asked.unwrap()
+        if reply.kind == "appended":
+            return Success(Appended(reply.start, reply.end))
+        if reply.kind == "fenced":
+            return Failure(AppendFenced())
+        return Failure(AppendUnknown(reply.reason))
+
+
+class RelayApp:
+    """The ASGI application that lends this host's way to the store to the others."""
+
+    def __init__(self, logs: dict[str, KeyedLog], ways: Ways) -> None:
+        """Keep the logs by their names among the hosts, on the own way."""
+        self._logs = logs
+        self._ways = ways
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one HTTP exchange."""
+        if scope["type"] != "http":
+            return
+        body = bytearray()
+        while True:
+            message = await receive()
+            body += message.get("body", b"")
+            if not message.get("more_body"):
+                break
+        reply = await self._serve(scope["path"], bytes(body))
+        content = msgspec.msgpack.encode(reply)
+        headers = [(b"content-length", str(len(content)).encode())]
+        await send({"type": "http.response.start", "status": 200, "headers": headers})
+        await send({"type": "http.response.body", "body": content})
+
+    async def _serve(self, path: str, body: bytes) -> _Reply:
+        if not self._ways.reachable:
+            return _Reply("not_done", reason="this host does not reach it either")
+        decode = msgspec.msgpack.decode
+        try:
+            if path == PATH_APPEND:
+                return await self._append(decode(body, type=_Append))
+            if path == PATH_READ:
+                return await self._read(decode(body, type=_Read))
+            if path == PATH_NEWEST:
+                return await self._newest(decode(body, type=_Newest))
+        except (msgspec.MsgspecError, KeyError) as exc:
+            _LOGGER.warning("relay_malformed", reason=repr(exc))
+        return _Reply("not_done", reason="the request is not understood")
+
+    async def _append(self, asked: _Append) -> _Reply:
+        mark = None if asked.mark is None else ProducerMark(*asked.mark)
+        result = await self._logs[asked.log].append(
+            asked.records, asked.timeout_ms, mark=mark
+        )
+        if isinstance(result, Success):
+            appended = result.unwrap()
+            return _Reply("appended", appended.offset, appended.end)
+        error = result.failure()
+        if isinstance(error, AppendFenced):
+            return _Reply("fenced")
+        if isinstance(error, NotAppended):
+            return _Reply("not_done", reason=error.reason)
+        return _Reply("unknown", reason=str(error))
+
+    async def _read(self, asked: _Read) -> _Reply:
+        result = await self._logs[asked.log].read(asked.start, asked.wait_ms)
+        if isinstance(result, Success):
+            batch = result.unwrap()
+            return _Reply("batch", asked.start, batch.end, "", list(batch.records))
+        if isinstance(result.failure(), HistoryGone):
+            return _Reply("history_gone")
+        return _Reply("not_done", reason="the read failed")
+
+    async def _newest(self, asked: _Newest) -> _Reply:
+        result = await self._logs[asked.log].newest()
+        if isinstance(result, Failure):
+            return _Reply("not_done", reason="the read failed")
+        newest = result.unwrap()
+        records = [item.record for item in newest.records]
+        offsets = [item.offset for item in newest.records]
+        return _Reply("newest", 0, newest.end, "", records, offsets)
+
+
+def _decoded(body: bytes) -> _Reply:
+    try:
+        return _DECODE_REPLY.decode(body)
+    except msgspec.MsgspecError as exc:
+        return _Reply("unknown", reason=f"malformed reply: {exc}")
--- a/courselead/platform/const.py
+++ b/courselead/platform/const.py
@@ -33,7 +33,7 @@
 STATE_RUNNING = "running"
 STATE_COMPLETED = "completed"
 
-READ_SLACK_MS = 1_200
+READ_SLACK_MS = 800
 """Time beyond the wait of a read until it counts as lost: store answers take 4 ms,
 up to some hundred where it is slow."""
 
--- a/courselead/platform/settings.py
+++ b/courselead/platform/settings.py
@@ -62,13 +62,21 @@
     """What the platform tells a process; unknown fields are ignored."""
 
     node: str
+    ip: str = ""
     zone: str = ""
+    # First and last port that is free for traffic between hosts.
+    port_range: tuple[int, int] = (7060, 7075)
     listen: _Listen = msgspec.field(default_factory=_Listen)
     platform: _Store = msgspec.field(default_factory=_Store)
     cloud_api: _Cloud = msgspec.field(default_factory=_Cloud)
     advice: str = ""
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
 
+    @property
+    def peer_address(self) -> str:
+        """Return where the other hosts reach this one."""
+        return f"{self.ip}:{self.port_range[0]}"
+
     @classmethod
     def from_file(cls, path: Path) -> Result[NodeSettings, str]:
         """Read and check the file; a failure says what to mend."""
--- /dev/null
+++ b/tests/daemon/scheduling/test_relay.py
@@ -0,0 +1,138 @@
+"""A host that alone cannot reach the store gets there through another one."""
+
+from contextlib import asynccontextmanager
+
+import anyio
+import pytest
+from returns.result import Failure, Success
+
+from courselead.core.scheduler.records import KeyedRecord
+from courselead.daemon.scheduling.ports import (
+    AppendFenced,
+    AppendUnknown,
+    HistoryGone,
+    HostCounters,
+    NotAppended,
+    ProducerMark,
+    ReadFailed,
+)
+from courselead.daemon.scheduling.relay import RelayApp, RelayedLog, Ways
+from courselead.integrations.http_api.server import HttpServer
+from courselead.settings import Address, LimitSettings
+from tests.daemon.scheduling.fakes import MemoryLog
+
+pytestmark = pytest.mark.anyio
+RECORD = KeyedRecord(b"k", b"v")
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+@asynccontextmanager
+async def peer(log: MemoryLog, reaches=True):
+    """Serve another host's way to a log on loopback."""
+    ways = Ways(list, HostCounters())
+    ways.note(reaches)
+    app = RelayApp({"jobs": log}, ways)
+    server = HttpServer(app, Address("127.0.0.1", 0), LimitSettings(), 100)
+    async with anyio.create_task_group() as tasks:
+        address = await tasks.start(server.run)
+        yield str(address)
+        server.stop()
+
+
+def cut_off(*addresses: str) -> tuple[MemoryLog, RelayedLog, Ways]:
+    own = MemoryLog(refuse=True)
+    ways = Ways(lambda: list(addresses), HostCounters())
+    return own, RelayedLog("jobs", own, ways), ways
+
+
+async def test_an_append_goes_through_another_host():
+    shared = MemoryLog()
+    async with peer(shared) as address:
+        _, log, ways = cut_off(address)
+        appended = (await log.append([RECORD], 500)).unwrap()
+        assert (appended.offset, appended.end) == (0, 1)
+        assert shared.records == [RECORD]
+        assert not ways.reachable
+
+
+async def test_reads_go_through_another_host():
+    shared = MemoryLog([RECORD])
+    async with peer(shared) as address:
+        _, log, ways = cut_off(address)
+        ways.note(False)
+        assert (await log.read(0, 0)).unwrap().records == (RECORD,)
+        newest = (await log.newest()).unwrap()
+        assert newest.records[0].record == RECORD
+        shared.forget_history()
+        assert (await log.read(0, 0)).failure() == HistoryGone()
+
+
+async def test_a_relayed_append_is_fenced_and_not_stored_twice():
+    shared = MemoryLog()
+    async with peer(shared) as address:
+        _, log, _ = cut_off(address)
+        mark = ProducerMark("owner", 5, 0)
+        await log.append([RECORD], 500, mark=mark)
+        await log.append([RECORD], 500, mark=mark)
+        assert len(shared.records) == 1
+        older = ProducerMark("owner", 4, 0)
+        assert (await log.append([RECORD], 500, mark=older)).failure() == AppendFenced()
+
+
+async def test_without_any_way_an_append_was_not_made():
+    async with peer(MemoryLog(), reaches=False) as address:
+        _, log, _ = cut_off(address)
+        error = (await log.append([RECORD], 500)).failure()
+        assert isinstance(error, NotAppended)
+        read = await log.read(0, 0)
+        assert isinstance(read.failure(), ReadFailed)
+
+
+async def test_what_the_own_way_left_open_stays_open():
+    own = MemoryLog(lose_answers=1)
+    ways = Ways(list, HostCounters())
+    log = RelayedLog("jobs", own, ways)
+    error = (await log.append([RECORD], 500)).failure()
+    assert isinstance(error, AppendUnknown)
+
+
+async def test_a_conditional_append_is_never_relayed():
+    shared = MemoryLog()
+    async with peer(shared) as address:
+        _, log, _ = cut_off(address)
+        result = await log.append([RECORD], 500, expected_end=0)
+        assert isinstance(result, Failure)
+        assert not shared.records
+
+
+async def test_the_own_way_is_taken_again_when_it_works():
+    own, log, ways = cut_off()
+    ways.note(False)
+    own.refuse = False
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(ways.probe, own)
+        while not ways.reachable:
+            await anyio.sleep(0.01)
+        tasks.cancel_scope.cancel()
+    assert isinstance(await log.append([RECORD], 500), Success)
+
+
+async def test_a_read_under_way_ends_when_the_own_way_is_lost():
+    own = MemoryLog()
+    ways = Ways(list, HostCounters())
+    log = RelayedLog("jobs", own, ways)
+    results = []
+
+    async def read() -> None:
+        results.append(await log.read(0, 30_000))
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(read)
+        while not own.reads:
+            await anyio.lowlevel.checkpoint()
+        ways.note(False)
+    assert isinstance(results[0].failure(), ReadFailed)
--- /dev/null
+++ b/tests/platform/test_ingress.py
@@ -0,0 +1,263 @@
+"""Callers' requests: decoded, checked, and answered as the platform expects."""
+
+import json
+
+import anyio
+import pytest
+from returns.result import Failure, Success
+
+from courselead.core.scheduler.models import JobState
+from courselead.core.scheduler.records import (
+    JobProgress,
+    KeyedRecord,
+    OwnerBeat,
+    encode,
+)
+from courselead.daemon.scheduling.directions import DirectionsView
+from courselead.daemon.scheduling.follower import JobFollower
+from courselead.daemon.scheduling.intake import Intake
+from courselead.daemon.scheduling.ports import HostCounters
+from courselead.daemon.scheduling.writer import JobWriter
+from courselead.platform.decode import RecordDecoder
+from courselead.platform.ingress import JobsApp, ReadyApp, decode_job
+from tests.daemon.scheduling.fakes import MemoryLog
+
+pytestmark = pytest.mark.anyio
+JOB = "5c0e7a21d94b36f8"
+CONFIG = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r-1",
+            "host": "a.example",
+            "pathPrefix": "/q/",
+            "service": "s",
+            "sloMs": 600,
+            "priority": 1,
+            "maxAttempts": 4,
+            "stretch": 1.6,
+        },
+        {"name": "r-2", "host": "a.example", "pathPrefix": "/q/long/", "service": "s"},
+    ],
+    "services": [{"name": "s", "admissionControl": True, "spare": False}],
+    "limits": {"maxBodyBytes": 262144},
+}
+BODY = {"spec": "text", "steps": [{"count": 2, "cpu": 500, "memMb": 256}]}
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+class NoOwner:
+    owns = False
+
+
+class Door:
+    """One host's way in, over a log in memory."""
+
+    def __init__(self, log: MemoryLog) -> None:
+        self.log = log
+        counters = HostCounters()
+        self.directions = DirectionsView(RecordDecoder())
+        self.follower = JobFollower(log, counters)
+        self.writer = JobWriter(log, counters)
+        intake = Intake(
+            self.directions, self.follower, self.writer, NoOwner(), counters
+        )
+        self.app = JobsApp(intake)
+
+    def configure(self, document=CONFIG) -> None:
+        record = KeyedRecord(b"config", json.dumps(document).encode())
+        self.directions.apply(record)
+
+    async def call(self, method, path, body=b"", host=b"a.example"):
+        scope = {
+            "type": "http",
+            "method": method,
+            "path": path,
+            "headers": [(b"host", host)],
+        }
+        sent = []
+
+        async def receive():
+            return {"type": "http.request", "body": body, "more_body": False}
+
+        async def send(message):
+            sent.append(message)
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.writer.run)
+            await self.app(scope, receive, send)
+            tasks.cancel_scope.cancel()
+        headers = dict(sent[0]["headers"])
+        return sent[0]["status"], json.loads(sent[1]["body"]), headers
+
+    async def post(self, job_id=JOB, body=BODY):
+        return await self.call("POST", f"/q/{job_id}", json.dumps(body).encode())
+
+
+async def test_a_job_is_accepted_once_it_is_stored():
+    door = Door(MemoryLog())
+    door.configure()
+    status, _, _ = await door.post()
+    assert status == 200
+    assert len(door.log.records) == 1
+    status, _, _ = await door.post()
+    assert status == 200
+    assert len(door.log.records) == 1
+
+
+async def test_a_refused_job_is_told_when_to_come_back_and_is_not_stored():
+    door = Door(MemoryLog(refuse=True))
+    door.configure()
+    status, _, headers = await door.post()
+    assert status == 503
+    assert headers[b"retry-after"] == b"1"
+    assert not door.log.records
+
+
+async def test_a_job_whose_storing_is_open_is_not_said_to_be_refused():
+    door = Door(MemoryLog(lose_answers=9))
+    door.configure()
+    status, _, _ = await door.post()
+    assert status == 504
+
+
+async def test_before_the_first_configuration_nothing_is_known_to_be_missing():
+    status, _, _ = await Door(MemoryLog()).post()
+    assert status == 503
+
+
+async def test_the_longest_prefix_of_the_host_names_the_queue():
+    door = Door(MemoryLog())
+    door.configure()
+    assert door.directions.route("a.example", f"/q/{JOB}") == ("r-1", JOB)
+    assert door.directions.route("a.example", f"/q/long/{JOB}") == ("r-2", JOB)
+    assert (await door.call("GET", "/other/"))[0] == 404
+    assert (await door.call("GET", "/q/", host=b"b.example"))[0] == 404
+
+
+async def test_an_older_configuration_changes_nothing():
+    door = Door(MemoryLog())
+    door.configure()
+    door.configure({**CONFIG, "version": 6, "routes": []})
+    assert door.directions.version == 7
+    assert door.directions.route("a.example", "/q/") is not None
+
+
+async def test_states_are_read_anew_and_unknown_jobs_are_gone():
+    door = Door(MemoryLog())
+    door.configure()
+    assert (await door.call("GET", f"/q/{JOB}"))[0] == 410
+    await door.post()
+    assert (await door.call("GET", f"/q/{JOB}"))[1] == {"state": "queued"}
+    door.log.records.append(encode(JobProgress(JOB, JobState.COMPLETED, True)))
+    assert (await door.call("GET", f"/q/{JOB}"))[1] == {"state": "completed"}
+    assert (await door.call("GET", f"/q/long/{JOB}"))[0] == 410
+
+
+async def test_a_job_is_cancelled_once_that_is_stored():
+    door = Door(MemoryLog())
+    door.configure()
+    await door.post()
+    assert (await door.call("GET", "/q/"))[1] == {"pending": 1}
+    assert (await door.call("DELETE", f"/q/{JOB}"))[0] == 200
+    assert (await door.call("GET", f"/q/{JOB}"))[1] == {"state": "cancelled"}
+    assert (await door.call("GET", "/q/"))[1] == {"pending": 0}
+    assert (await door.call("DELETE", "/q/" + "0" * 16))[0] == 410
+
+
+@pytest.mark.parametrize(
+    ("body", "says"),
+    [
+        (b"{", "malformed"),
+        (b'{"steps": []}', "spec"),
+        (b'{"spec": "x", "steps": []}', "at least one step"),
+        (b'{"spec": "x", "steps": [{"after": [0]}]}', "earlier steps"),
+        (b'{"spec": "x", "steps": [{"after": [1]}, {}]}', "earlier steps"),
+        (b'{"spec": "x", "steps": [{"count": 0}]}', "count"),
+        (b'{"spec": "x", "steps": [{"cpu": -1}]}', "negative"),
+        (b'{"spec": "' + b"x" * 4001 + b'", "steps": [{}]}', "4000"),
+    ],
+)
+async def test_a_malformed_job_is_refused_and_nothing_is_stored(body, says):
+    door = Door(MemoryLog())
+    door.configure()
+    status, answer, _ = await door.call("POST", f"/q/{JOB}", body)
+    assert status == 400
+    assert says in answer["error"]
+    assert not door.log.records
+
+
+@pytest.mark.parametrize("job_id", ["", "xyz", JOB.upper(), JOB + "0"])
+async def test_an_id_must_be_sixteen_hexadecimal_digits(job_id):
+    door = Door(MemoryLog())
+    door.configure()
+    status, _, _ = await door.post(job_id)
+    assert status in (400, 405)
+    assert not door.log.records
+
+
+def test_every_field_of_a_step_is_decoded():
+    body = {
+        "spec": "text",
+        "startAtMs": 5,
+        "intervalMs": 6,
+        "repeats": 7,
+        "steps": [
+            {"count": 1},
+            {
+                "count": 3,
+                "cpu": 500,
+                "memMb": 256,
+                "gpu": 1,
+                "estRuntimeMs": 900,
+                "after": [0],
+                "gang": True,
+                "rackLocal": True,
+                "constraints": "b",
+                "affinity": "r1-3",
+                "antiAffinity": 2,
+                "speculative": True,
+                "checkpoints": True,
+                "longRunning": True,
+                "image": "i",
+                "targetMs": 40,
+                "fills": True,
+                "mayMiss": 1,
+            },
+        ],
+    }
+    spec = decode_job(json.dumps(body).encode()).unwrap()
+    assert (spec.first_due_ms, spec.interval_ms, spec.repeats) == (5, 6, 7)
+    step = spec.steps[1]
+    assert (step.need.cpu_milli, step.need.memory_mb, step.need.gpus) == (500, 256, 1)
+    assert (step.after, step.gang, step.rack_local) == ((0,), True, True)
+    assert (step.required_label, step.preferred_rack) == ("b", "r1-3")
+    assert (step.max_per_minion, step.speculative, step.checkpoints) == (2, True, True)
+    assert (step.long_running, step.image, step.target_tail_ms) == (True, "i", 40)
+    assert (step.fills, step.may_miss) == (True, 1)
+    assert step.charge.cpu_milli == 0
+    assert isinstance(decode_job(b"[]"), Failure)
+    assert isinstance(decode_job(json.dumps(BODY).encode()), Success)
+
+
+async def test_readiness_is_what_the_host_says():
+    sent = []
+
+    async def send(message):
+        sent.append(message)
+
+    for ready in (True, False):
+        scope = {"type": "http", "path": "/-/ready"}
+        await ReadyApp(lambda ready=ready: ready)(scope, None, send)
+    assert [item["status"] for item in sent if "status" in item] == [200, 503]
+
+
+def test_a_beat_of_an_older_owner_is_not_taken_for_the_newest():
+    follower = JobFollower(MemoryLog(), HostCounters())
+    follower.book.apply(OwnerBeat(3, "b", 1))
+    follower.book.apply(OwnerBeat(2, "a", 9))
+    assert follower.book.owner.host == "b"
--- /dev/null
+++ b/tests/platform/test_wire.py
@@ -0,0 +1,346 @@
+"""The platform's bytes, both ways, against small servers of this file."""
+
+import json
+import struct
+
+import anyio
+import pytest
+from returns.result import Failure
+
+from courselead.core.scheduler.events import EndKind, Outcome, StartRun
+from courselead.core.scheduler.models import (
+    MaintenanceWave,
+    MinionInfo,
+    Resources,
+    WorkerPhase,
+)
+from courselead.core.scheduler.records import KeyedRecord
+from courselead.daemon.scheduling.ports import (
+    AppendFenced,
+    AppendUnknown,
+    EndMoved,
+    HistoryGone,
+    NotAppended,
+    ProducerMark,
+)
+from courselead.platform.cloud import HttpAdvice, HttpCloud
+from courselead.platform.decode import RecordDecoder
+from courselead.platform.minions import HttpMinionLink
+from courselead.platform.settings import NodeSettings
+from courselead.platform.store import StoreTopic, store_pool
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+class Server:
+    """Answers each request with the next of its answers; none closes instead."""
+
+    def __init__(self, *answers) -> None:
+        self.answers = list(answers)
+        self.requests = []
+        self.opened = 0
+
+    async def serve(self, stream) -> None:
+        self.opened += 1
+        data = b""
+        async with stream:
+            while True:
+                while b"\r\n\r\n" not in data:
+                    try:
+                        data += await stream.receive()
+                    except (anyio.EndOfStream, anyio.BrokenResourceError):
+                        return
+                head, _, data = data.partition(b"\r\n\r\n")
+                length = 0
+                for line in head.split(b"\r\n"):
+                    if line.lower().startswith(b"content-length:"):
+                        length = int(line.split(b":")[1])
+                while len(data) < length:
+                    data += await stream.receive()
+                self.requests.append((head.decode(), data[:length]))
+                data = data[length:]
+                answer = self.answers.pop(0)
+                if answer is None:
+                    return
+                status, body = answer
+                if not isinstance(body, bytes):
+                    body = json.dumps(body).encode()
+                size = len(body)
+                text = f"HTTP/1.1 {status} X\r\nContent-Length: {size}\r\n\r\n"
+                await stream.send(text.encode() + body)
+
+
+class Running:
+    """Runs a server on loopback for the time of a test."""
+
+    def __init__(self, server: Server) -> None:
+        self.server = server
+
+    async def __aenter__(self) -> str:
+        self.listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = self.listener.extra(anyio.abc.SocketAttribute.local_port)
+        self.tasks = anyio.create_task_group()
+        await self.tasks.__aenter__()
+        self.tasks.start_soon(self.listener.serve, self.server.serve)
+        return f"127.0.0.1:{port}"
+
+    async def __aexit__(self, *exc) -> None:
+        self.tasks.cancel_scope.cancel()
+        await self.tasks.__aexit__(None, None, None)
+        await self.listener.aclose()
+
+
+@pytest.mark.parametrize(
+    ("answer", "error"),
+    [
+        ((503, b""), NotAppended),
+        ((429, b""), NotAppended),
+        ((507, b""), NotAppended),
+        ((412, {"end": 9}), EndMoved),
+        ((409, {"reason": "fenced"}), AppendFenced),
+        ((409, {"reason": "seq", "expected": 4}), AppendUnknown),
+        ((200, b"not json"), AppendUnknown),
+        (None, AppendUnknown),
+    ],
+)
+async def test_an_append_fails_as_its_answer_says(answer, error):
+    async with Running(Server(answer)) as address:
+        topic = StoreTopic(store_pool(address), "keyed.jobs")
+        result = await topic.append([KeyedRecord(b"k", b"v")], 1_000)
+    assert isinstance(result.failure(), error)
+
+
+async def test_an_append_is_framed_and_marked():
+    server = Server((200, {"offset": 4, "end": 6}))
+    async with Running(server) as address:
+        topic = StoreTopic(store_pool(address), "keyed.jobs")
+        records = [KeyedRecord(b"k1", b"value"), KeyedRecord(b"k2", b"")]
+        mark = ProducerMark("owner", 7, 3)
+        appended = (await topic.append(records, 1_000, 4, mark)).unwrap()
+    assert (appended.offset, appended.end) == (4, 6)
+    head, body = server.requests[0]
+    line = head.split("\r\n")[0]
+    for part in ("topic=keyed.jobs", "part=0", "expectedEnd=4", "epoch=7", "seq=3"):
+        assert part in line
+    first = struct.pack(">I", 8) + b"\x02k1value"
+    assert body == first + struct.pack(">I", 3) + b"\x02k2"
+
+
+async def test_a_connection_that_is_refused_was_never_used():
+    topic = StoreTopic(store_pool("127.0.0.1:1"), "keyed.jobs")
+    result = await topic.append([KeyedRecord(b"k", b"v")], 500)
+    assert isinstance(result.failure(), NotAppended)
+
+
+async def test_records_are_read_with_the_end_and_after_a_gap_it_is_said():
+    record = struct.pack(">I", 4) + b"\x01kvv"
+    whole = struct.pack(">QQ", 6, 2) + record + record
+    server = Server((200, whole), (410, {"first": 5}), (200, whole[:-1]))
+    async with Running(server) as address:
+        topic = StoreTopic(store_pool(address), "keyed.jobs")
+        batch = (await topic.read(4, 0)).unwrap()
+        assert batch.records == (KeyedRecord(b"k", b"vv"),) * 2
+        assert batch.end == 6
+        assert (await topic.read(4, 0)).failure() == HistoryGone()
+        assert isinstance(await topic.read(4, 0), Failure)
+    assert server.opened == 1
+
+
+async def test_pages_of_the_newest_end_where_the_first_one_did():
+    pages = (
+        {
+            "items": [{"key": "a", "value": "eA==", "offset": 1}],
+            "morePages": True,
+            "end": 5,
+        },
+        {
+            "items": [{"key": "b", "value": "eQ==", "offset": 7}],
+            "morePages": False,
+            "end": 8,
+        },
+    )
+    server = Server(*[(200, page) for page in pages])
+    async with Running(server) as address:
+        newest = (await StoreTopic(store_pool(address), "t").newest()).unwrap()
+    assert newest.end == 5
+    assert [item.record.value for item in newest.records] == [b"x", b"y"]
+    assert "after=a" in server.requests[1][0]
+
+
+ORDER = StartRun("i-1", "t.0.0.0", 2, "text", 9_000, "cp", "")
+
+
+def link(address: str) -> HttpMinionLink:
+    return HttpMinionLink(MinionInfo("i-1", address, "p", "z", Resources()))
+
+
+@pytest.mark.parametrize(
+    ("answer", "outcome"),
+    [
+        ((200, {"clockMs": 1}), Outcome.OK),
+        ((409, {"clockMs": 1, "reason": "fence"}), Outcome.FENCED),
+        ((409, {"clockMs": 1, "reason": "old"}), Outcome.SUPERSEDED),
+        ((409, {"clockMs": 1, "reason": "late"}), Outcome.LEASE_OVER),
+        ((409, {"clockMs": 1, "reason": "room"}), Outcome.NO_ROOM),
+        ((409, {"clockMs": 1, "reason": "ticket"}), Outcome.NO_TICKET),
+        ((421, b""), Outcome.OTHER_LIFE),
+        ((429, b""), Outcome.SHED),
+        ((503, b""), Outcome.SHED),
+        ((400, b""), Outcome.REFUSED),
+    ],
+)
+async def test_a_start_is_answered(answer, outcome):
+    server = Server(answer)
+    async with Running(server) as address:
+        assert (await link(address).start(ORDER, 7)).outcome is outcome
+    head, body = server.requests[0]
+    assert "X-Courselead-Expect-Instance: i-1" in head
+    assert json.loads(body) == {
+        "task": "t.0.0.0",
+        "run": 2,
+        "spec": "text",
+        "deadlineMs": 9_000,
+        "fence": 7,
+        "lastCheckpoint": "cp",
+    }
+
+
+async def test_a_refusal_of_a_repeated_start_leaves_the_first_one_open():
+    async with Running(Server(None, (409, {"reason": "room"}))) as address:
+        answer = await link(address).start(ORDER, 7)
+    assert answer.outcome is Outcome.UNKNOWN
+
+
+async def test_a_repeated_start_that_is_answered_is_certain():
+    async with Running(Server(None, (200, {"clockMs": 5}))) as address:
+        answer = await link(address).start(ORDER, 7)
+    assert answer.outcome is Outcome.OK
+
+
+async def test_a_report_is_decoded_with_ends_in_their_order():
+    report = {
+        "clockMs": 482_113,
+        "running": [["t.0.0.1", 2, "cp", 41, 12], ["t.0.0.2", 1, "", 100]],
+        "finished": [[9, "b", 1, "failed", ""], [8, "a", 1, "done", "x"]],
+    }
+    server = Server((200, report))
+    async with Running(server) as address:
+        hold = (await link(address).hold(7, 6, 9_000, 1_000)).unwrap()
+    assert [run.figure for run in hold.running] == [12, 0]
+    assert [end.kind for end in hold.ended] == [EndKind.DONE, EndKind.FAILED]
+    assert json.loads(server.requests[0][1]) == {
+        "fence": 7,
+        "ackCursor": 6,
+        "deadlineMs": 9_000,
+        "waitMs": 1_000,
+    }
+
+
+async def test_the_cloud_is_read_page_by_page():
+    machine = {
+        "machine": "m-1",
+        "pool": "s",
+        "state": "upkeep",
+        "zone": "z",
+        "labels": ["a", "r1"],
+        "capacity": {"cpu": 16000, "memMb": 32768, "gpu": 0},
+        "id": None,
+    }
+    pages = (
+        {"machines": [machine], "nextToken": "x"},
+        {"machines": [{**machine, "id": "i-2", "state": "?"}], "nextToken": None},
+    )
+    server = Server(*[(200, page) for page in pages])
+    async with Running(server) as address:
+        workers = (await HttpCloud(address, "host").workers()).unwrap()
+    assert [worker.phase for worker in workers] == [
+        WorkerPhase.MAINTENANCE,
+        WorkerPhase.UNKNOWN,
+    ]
+    assert [worker.minion_id for worker in workers] == ["", "i-2"]
+    assert "pageToken=x" in server.requests[1][0]
+
+
+@pytest.mark.parametrize(
+    ("answer", "outcome"),
+    [
+        ((200, {}), Outcome.OK),
+        ((409, {"reason": "fence"}), Outcome.FENCED),
+        ((409, {"reason": "busy"}), Outcome.NO_ROOM),
+        ((409, {"reason": "wave"}), Outcome.REFUSED),
+        ((400, {}), Outcome.REFUSED),
+        ((429, {}), Outcome.SHED),
+        (None, Outcome.UNKNOWN),
+    ],
+)
+async def test_orders_to_the_cloud_are_answered(answer, outcome):
+    server = Server(answer)
+    async with Running(server) as address:
+        cloud = HttpCloud(address, "host")
+        assert (await cloud.maintain("m-1", 4, 12)).outcome is outcome
+    head, body = server.requests[0]
+    assert "X-Courselead-Lease-Holder: host" in head
+    assert "X-Courselead-Fencing-Token: 12" in head
+    assert json.loads(body) == {"machine": "m-1", "wave": 4}
+
+
+async def test_advice_is_asked_for_by_step():
+    server = Server((200, {"good": [["i-1", "tick"]], "validMs": 2_500}), (429, b""))
+    async with Running(server) as address:
+        advice = HttpAdvice(address)
+        given = (await advice.ask("j.0.1", ["i-1", "i-2"], 500)).unwrap()
+        assert (given.tickets, given.valid_ms) == ({"i-1": "tick"}, 2_500)
+        assert isinstance(await advice.ask("j.0.1", ["i-1"], 500), Failure)
+    assert isinstance(await HttpAdvice("").ask("j.0.1", [], 500), Failure)
+
+
+def test_records_of_the_operator_and_of_minions_are_decoded():
+    decoder = RecordDecoder()
+    wave = {"wave": 2, "machines": ["m-1"], "deadlineS": 20, "cap": 3}
+    record = KeyedRecord(b"wave/2", json.dumps(wave).encode())
+    assert decoder.directions(record) == MaintenanceWave(2, ("m-1",), 20, 3)
+    assert decoder.directions(KeyedRecord(b"config", b"{")) is None
+    assert decoder.directions(KeyedRecord(b"other", b"{}")) is None
+    server = {
+        "service": "s",
+        "address": "10.0.0.1:80",
+        "zone": "z",
+        "state": "draining",
+        "capacity": {"cpu": 16000, "memMb": 32768, "gpu": 1},
+        "labels": ["a", "r1-3"],
+        "remainingMs": 1500,
+        "seq": 4,
+    }
+    info = decoder.minion(KeyedRecord(b"i-1", json.dumps(server).encode()))
+    assert (info.pool, info.rack, info.draining) == ("s", "r1-3", True)
+    assert info.room == Resources(16000, 32768, 1)
+    assert decoder.minion(KeyedRecord(b"i-1", b"")) == "i-1"
+    status = decoder.wave_status(2, True)
+    assert (status.key, json.loads(status.value)) == (
+        b"wave/2",
+        {"state": "completed"},
+    )
+
+
+def test_settings_are_checked_and_unknown_fields_are_left(tmp_path):
+    path = tmp_path / "node.toml"
+    path.write_text(
+        'node = "n"\nip = "10.1.0.9"\nportRange = [7060, 7075]\nnew = 1\n'
+        '[listen]\nfront = "10.1.0.9:1"\nready = "10.1.0.9:2"\n'
+        '[platform]\naddress = "10.2.0.1:3"\n'
+        "[bounds]\nholdMaxMs = 8000\nmoveS = 1.5\nstatus_s = 90\n"
+    )
+    settings = NodeSettings.from_file(path).unwrap()
+    assert settings.peer_address == "10.1.0.9:7060"
+    bounds = settings.bounds.bounds()
+    assert (bounds.lease_max_ms, bounds.move_ms, bounds.status_s) == (8000, 1500, 90)
+    path.write_text('node = "n"\n')
+    assert "platform.address" in NodeSettings.from_file(path).failure()
+    path.write_text("node = 3\n")
+    assert "mend" in NodeSettings.from_file(path).failure()
+    assert isinstance(NodeSettings.from_file(tmp_path / "none"), Failure)
