Bound the log, tell of starts and ends of runs, and explain a job from it

Cause: on-call engineers have only logs and metrics; starts, losses and adoptions of runs were not told, a slow reader of standard output held the process up, and a debugging line had got into the scheduler.

Change: log_budget bounds lines of a kind to 200 a second (beyond that one job in sixteen, with all its lines of the kind) and writes from a thread that drops what a stalled reader leaves; `courselead explain` merges the logs of all hosts to a job's life and its cause. The debugging line is gone.

--- a/courselead/cli/app.py
+++ b/courselead/cli/app.py
@@ -9,7 +9,7 @@
 from cyclopts import App, CycloptsError, Parameter
 
 from courselead import __version__
-from courselead.cli import call, fleet, jobs, local, table
+from courselead.cli import call, explain, fleet, jobs, local, table
 from courselead.cli.errors import CliError, ExitCode, Faults
 from courselead.cli.output import emit_json, warn
 from courselead.table_files.grid import fault_text
@@ -31,6 +31,7 @@
 APP.command(call.call)
 APP.command(local.CONFIG)
 APP.command(local.CREDENTIAL)
+APP.command(explain.explain)
 
 
 @APP.command
--- a/courselead/core/scheduler/jobs.py
+++ b/courselead/core/scheduler/jobs.py
@@ -26,6 +26,13 @@
     queue = schedule.queue(entry.queue)
     job.pool = queue.pool if queue is not None else ""
     schedule.jobs[job.job_id] = job
+    schedule.note(
+        "job_scheduled",
+        job_id=job.job_id,
+        queue=job.queue,
+        from_before=from_before,
+        state=str(entry.state),
+    )
     job.state = entry.state
     progress = entry.progress
     saved: dict[int, OccurrenceProgress] = {}
@@ -237,6 +244,12 @@
 
 
 def _step_done(schedule: Schedule, step: StepRun) -> None:
+    schedule.note(
+        "step_done",
+        job_id=step.job.job_id,
+        step=step.name,
+        age_ms=schedule.now_ms - step.job.accepted_ms,
+    )
     schedule.advice.pop(step.name, None)
     if step.occurrence in step.job.occurrences:
         _release(schedule, step.job, step.occurrence)
--- a/courselead/core/scheduler/minions.py
+++ b/courselead/core/scheduler/minions.py
@@ -149,6 +149,15 @@
     unit = run.unit
     if run.checkpoint:
         unit.checkpoint = run.checkpoint
+    schedule.note(
+        "run_lost",
+        job_id=unit.job.job_id,
+        task=run.task,
+        run=run.number,
+        minion=run.minion_id,
+        reason=run.stop_reason,
+        age_ms=schedule.now_ms - run.started_ms,
+    )
     schedule.drop_run(run)
     _gang_broken(schedule, unit)
     jobs.requeue(schedule, unit)
@@ -252,6 +261,13 @@
     if unit in line:
         line.remove(unit)
     jobs.begin(schedule, unit.job)
+    schedule.note(
+        "run_adopted",
+        job_id=unit.job.job_id,
+        task=report.task,
+        run=report.number,
+        minion=minion.minion_id,
+    )
     if unit.done or unit.job.state.final:
         schedule.stop_run(run, "its job or task has ended")
     elif rival and not unit.spec.speculative:
@@ -280,6 +296,15 @@
         minion.failures_in_row.clear()
         jobs.unit_done(schedule, unit)
         return
+    schedule.note(
+        "run_ended",
+        job_id=unit.job.job_id,
+        task=end.task,
+        run=end.number,
+        minion=minion.minion_id,
+        how=str(end.kind),
+        reason=run.stop_reason if run is not None else "",
+    )
     if end.kind is EndKind.FAILED:
         _failed(schedule, minion, unit, end.number)
     else:
@@ -360,6 +385,7 @@
         case Outcome.UNKNOWN | Outcome.SUPERSEDED:
             schedule.note(
                 "start_unknown",
+                job_id=unit.job.job_id,
                 task=run.task,
                 run=run.number,
                 minion=minion.minion_id,
@@ -375,6 +401,7 @@
             minion.rest_until_ms = schedule.now_ms + const.SHED_MS
     schedule.note(
         "start_refused",
+        job_id=unit.job.job_id,
         task=run.task,
         run=run.number,
         minion=minion.minion_id,
--- a/courselead/core/scheduler/placement.py
+++ b/courselead/core/scheduler/placement.py
@@ -124,6 +124,18 @@
         return False
     number = max(schedule.first_run_number, unit.next_number)
     unit.next_number = number + 1
+    schedule.note(
+        "unit_started",
+        job_id=unit.job.job_id,
+        task=unit.task_name(unit.indexes[0]),
+        run=number,
+        minion=places[0][1].minion_id,
+        tasks=len(places),
+        waited_ms=schedule.now_ms - unit.ready_ms,
+        report_age_ms=schedule.now_ms - places[0][1].seen_ms,
+        version=schedule.config.version,
+        resumed=bool(unit.checkpoint),
+    )
     for index, minion in places:
         ticket = tickets[minion.minion_id] if tickets is not None else ""
         _start(schedule, unit, index, minion, number, ticket)
--- a/courselead/core/scheduler/scheduler.py
+++ b/courselead/core/scheduler/scheduler.py
@@ -244,42 +244,6 @@
         minions.tick(schedule)
         waves.tick(schedule)
         pools.tick(schedule)
-        pools.tick(schedule)
-        if schedule.now_ms // 500 != getattr(self, "_st", 0):
-            self._st = schedule.now_ms // 500
-            out = {}
-            for m in schedule.minions.values():
-                o = out.setdefault(m.info.pool, [0, 0, 0, 0, 0, 0, 0])
-                o[0] += 1
-                o[1] += m.info.room.cpu_milli // 1000
-                for r in m.runs.values():
-                    c = r.unit.spec.need.cpu_milli
-                    if r.unit.spec.fills:
-                        o[2] += c
-                    elif r.unit.spec.long_running:
-                        o[3] += c
-                    else:
-                        o[4] += c
-                if not m.runs:
-                    o[5] += 1
-            for p, line in schedule.ready.items():
-                if p in out:
-                    out[p][6] = (
-                        len(line),
-                        sum(u.spec.need.cpu_milli for u in line) // 1000,
-                    )
-            for p, o in out.items():
-                schedule.note(
-                    "pool",
-                    pool=p,
-                    n=o[0],
-                    cap=o[1],
-                    fill=o[2] // 1000,
-                    last=o[3] // 1000,
-                    fin=o[4] // 1000,
-                    idle=o[5],
-                    ready=o[6],
-                )
         schedule.dirty_pools.update(schedule.ready)
         if schedule.now_ms - self._forgot_ms >= FORGET_PERIOD_MS:
             self._forgot_ms = schedule.now_ms
--- a/courselead/daemon/scheduling/host.py
+++ b/courselead/daemon/scheduling/host.py
@@ -134,7 +134,7 @@
     async def _report(self) -> None:
         while True:
             await anyio.sleep(REPORT_S)
-            _LOGGER.info("counters", owns=self.owns, **self.counters.counts)
+            _LOGGER.info("counters", owns=self.owns, **self.counters.all())
 
     async def _elect(self) -> None:
         while True:
--- a/courselead/daemon/scheduling/main.py
+++ b/courselead/daemon/scheduling/main.py
@@ -12,6 +12,7 @@
 from courselead import logs
 from courselead.daemon.scheduling.host import SchedulingHost
 from courselead.integrations.http_api.server import HttpServer
+from courselead.log_budget import BoundedWriter, LineBudget
 from courselead.platform.ingress import JobsApp, ReadyApp
 from courselead.platform.settings import NodeSettings
 from courselead.platform.wiring import load_settings, make_platform
@@ -22,6 +23,9 @@
 EXIT_OK = 0
 EXIT_SETTINGS = 2
 
+LAST_LINES_S = 0.3
+"""Longest wait for a reader to take the last lines."""
+
 LINGER_S = 2.6
 """Time for which a leaving host still serves: the platform asks for readiness once a
 second and sends new connections until two answers were missed."""
@@ -32,16 +36,22 @@
 
 def run() -> int:
     """Run the daemon until it is told to end; return its exit code."""
-    logs.configure("info", sys.stdout)
+    writer = BoundedWriter(sys.stdout)
+    budget = LineBudget()
+    logs.configure("info", writer, budget)  # type: ignore[arg-type]
     loaded = load_settings()
     if isinstance(loaded, Failure):
         _LOGGER.error("settings_refused", reason=loaded.failure())
+        writer.drain(LAST_LINES_S)
         return EXIT_SETTINGS
-    anyio.run(_serve, loaded.unwrap())
+    anyio.run(_serve, loaded.unwrap(), budget, writer)
+    writer.drain(LAST_LINES_S)
     return EXIT_OK
 
 
-async def _serve(settings: NodeSettings) -> None:
+async def _serve(
+    settings: NodeSettings, budget: LineBudget, writer: BoundedWriter
+) -> None:
     host = SchedulingHost(
         settings.node,
         make_platform(settings),
@@ -66,6 +76,7 @@
         LimitSettings(),
         DRAIN_MS,
     )
+    host.counters.watch("lines_dropped", lambda: budget.dropped + writer.dropped)
     _LOGGER.info("started", host=settings.node, front=settings.listen.front)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(host.run)
--- a/courselead/daemon/scheduling/ports.py
+++ b/courselead/daemon/scheduling/ports.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -274,7 +274,19 @@
     """Counts since the start, shown by the metrics address."""
 
     counts: dict[str, int] = field(default_factory=dict)
+    watched: dict[str, Callable[[], int]] = field(default_factory=dict)
 
     def add(self, name: str, by: int = 1) -> None:
         """Count something."""
         self.counts[name] = self.counts.get(name, 0) + by
+
+    def watch(self, name: str, read: Callable[[], int]) -> None:
+        """Show a count that is kept elsewhere."""
+        self.watched[name] = read
+
+    def all(self) -> dict[str, int]:
+        """Return all counts."""
+        found = dict(self.counts)
+        for name, read in self.watched.items():
+            found[name] = read()
+        return found
--- a/courselead/logs.py
+++ b/courselead/logs.py
@@ -10,6 +10,7 @@
 from typing import Any, TextIO
 
 import structlog
+from structlog.typing import Processor
 
 ATTR_REQUEST_ID = "request_id"
 ATTR_CLIENT_ACCOUNT = "client_account"
@@ -25,14 +26,18 @@
 EventDict = MutableMapping[str, Any]
 
 
-def configure(level: str, stream: TextIO | None = None) -> None:
+def configure(
+    level: str, stream: TextIO | None = None, budget: Processor | None = None
+) -> None:
     """Send all logs, also those of libraries, to a stream as JSON lines.
 
     Args:
         level: One of `debug`, `info`, `warning` and `error`.
         stream: Standard error by default.
+        budget: A processor that drops lines of which there are too many.
     """
     shared = [
+        *([budget] if budget is not None else []),
         structlog.contextvars.merge_contextvars,
         structlog.stdlib.add_log_level,
         structlog.processors.TimeStamper(fmt="iso", utc=True),
--- /dev/null
+++ b/tests/cli/test_explain.py
@@ -0,0 +1,96 @@
+"""A job's life and its cause, from the logs of several hosts."""
+
+import json
+
+import pytest
+
+from courselead.cli import explain
+from courselead.cli.app import run
+
+JOB = "5c0e7a21d94b36f8"
+
+
+def line(second: float, host: str, event: str, **fields) -> str:
+    at = f"2026-12-02T10:00:{second:06.3f}Z"
+    document = json.dumps({**fields, "event": event, "timestamp": at})
+    return f"{second} {host} {document}"
+
+
+def story(*lines: str) -> str:
+    read, _ = explain.read_lines(lines)
+    return explain.cause(explain.life(read, JOB), JOB)
+
+
+def test_a_refused_job_names_its_host_and_reason():
+    said = story(
+        line(1, "a", "own_way_lost"),
+        line(2, "a", "job_submitted", job_id=JOB, verdict="not_run", reason="busy"),
+    )
+    assert said == "not accepted at a: busy"
+
+
+def test_a_job_that_was_late_names_the_takeover_and_the_lost_run():
+    task = f"{JOB}.0.0.1"
+    said = story(
+        line(1, "a", "job_submitted", job_id=JOB, verdict="accepted"),
+        line(2, "b", "unit_started", job_id=JOB, task=task, waited_ms=5),
+        line(4, "c", "schedule_claimed", fence=2, before="b"),
+        line(6, "c", "run_lost", job_id=JOB, task=task, reason="", minion="i-1"),
+        line(9, "c", "job_ended", job_id=JOB, state="completed"),
+    )
+    assert "held up by" in said
+    assert "run_lost (i-1)" in said
+    assert "schedule_claimed at c" in said
+
+
+def test_a_failed_job_names_why():
+    said = story(
+        line(2, "b", "run_failed", job_id=JOB, minion="i-1"),
+        line(3, "b", "job_ended", job_id=JOB, state="failed", reason="too often"),
+    )
+    assert said == "failed: too often"
+
+
+def test_lines_are_merged_by_time_and_bad_ones_are_counted():
+    texts = [
+        line(3, "b", "step_done", step=f"{JOB}.0.0"),
+        "garbage",
+        line(1, "a", "job_submitted", job_id=JOB, verdict="accepted")[:-3],
+        line(2, "a", "job_submitted", job_id=JOB, verdict="accepted"),
+        "",
+        '{"no": "event"}',
+    ]
+    lines, bad = explain.read_lines(texts)
+    assert [item.event for item in lines] == ["job_submitted", "step_done"]
+    assert bad == 3
+
+
+def test_what_a_host_believed_is_the_newest_of_each_kind():
+    texts = [
+        line(1, "a", "config_applied", version=3),
+        line(2, "a", "config_applied", version=5),
+        line(3, "b", "config_applied", version=6),
+        line(9, "a", "config_applied", version=9),
+    ]
+    lines, _ = explain.read_lines(texts)
+    shown = explain.beliefs(lines, "a", "10:00:05")
+    assert [item.fields["version"] for item in shown] == [5]
+
+
+@pytest.mark.parametrize(
+    ("args", "code", "says"),
+    [
+        ([JOB], 0, "cause: not accepted at a: busy"),
+        (["0" * 16], 1, ""),
+        ([], 2, ""),
+    ],
+)
+def test_the_command_reads_files(tmp_path, capsys, args, code, says):
+    path = tmp_path / "a.log"
+    path.write_text(
+        line(2, "a", "job_submitted", job_id=JOB, verdict="not_run", reason="busy")
+    )
+    files = [str(path)] if args else []
+    got = run(["explain", *args, *files])
+    assert says in capsys.readouterr().out
+    assert (got == 0) is (code == 0)
