Leave only workers with recent orders alone at a handover, and keep waves' caps

Change: the leaving owner's last record names its recent orders; a wave's workers are stored before they are ordered, and a next owner counts them as down until the cloud's list shows them up.

Tests first: test_the_cap_holds_across_a_change_of_owner failed.

--- a/courselead/core/scheduler/book.py
+++ b/courselead/core/scheduler/book.py
@@ -52,8 +52,9 @@
         """Start empty."""
         self.jobs: dict[str, JobEntry] = {}
         self.owner: OwnerBeat | None = None
+        self.owner_before: OwnerBeat | None = None
         self.hosts: dict[str, str] = {}
-        self.waves: dict[int, set[str]] = {}
+        self.waves: dict[int, WaveProgress] = {}
         self.turns: dict[str, TurnMemory] = {}
         self._early_progress: dict[str, JobProgress] = {}
         self._early_cancels: set[str] = set()
@@ -74,9 +75,11 @@
             case HostSeen():
                 self.hosts[record.host] = record.address
             case WaveProgress():
-                self.waves[record.wave] = set(record.begun)
+                self.waves[record.wave] = record
             case OwnerBeat():
                 if self.owner is None or record.fence >= self.owner.fence:
+                    if self.owner is None or record.fence > self.owner.fence:
+                        self.owner_before = self.owner
                     self.owner = record
                     self.turns.update(record.turns)
 
--- a/courselead/core/scheduler/const.py
+++ b/courselead/core/scheduler/const.py
@@ -60,6 +60,9 @@
 """Added to the time in which orders to the cloud must not change hands: an owner
 writes a sign of life at least every 400 ms and may order until the next one."""
 
+HANDOVER_SLACK_MS = 500
+"""Added to that time at a handover: the way of an order to the cloud and its answer."""
+
 STOP_RETRY_MS = 700
 """Time until an unanswered stop is sent again."""
 
--- a/courselead/core/scheduler/jobs.py
+++ b/courselead/core/scheduler/jobs.py
@@ -164,8 +164,9 @@
             schedule.emit(SaveProgress(_progress(job)))
     schedule.dirty_jobs.clear()
     for number in sorted(schedule.dirty_waves):
-        begun = sorted(schedule.waves[number].begun)
-        schedule.emit(SaveProgress(WaveProgress(number, begun)))
+        wave = schedule.waves[number]
+        progress = WaveProgress(number, sorted(wave.begun), sorted(wave.sent))
+        schedule.emit(SaveProgress(progress))
     schedule.dirty_waves.clear()
 
 
--- a/courselead/core/scheduler/pools.py
+++ b/courselead/core/scheduler/pools.py
@@ -236,6 +236,8 @@
 def _movable(schedule: Schedule, worker: Worker) -> bool:
     if worker.phase is not WorkerPhase.UP or worker.worker_id in schedule.moves:
         return False
+    if not schedule.may_order(worker.worker_id):
+        return False
     moved_ms = schedule.moved_ms.get(worker.worker_id, -MOVE_AGAIN_MS)
     if schedule.now_ms - moved_ms < MOVE_AGAIN_MS:
         return False
@@ -343,7 +345,7 @@
     schedule.moved_ms[worker.worker_id] = schedule.now_ms
     schedule.workers[worker.worker_id] = replace(worker, phase=WorkerPhase.MOVING)
     schedule.note("move", worker=worker.worker_id, before=worker.pool, pool=pool)
-    schedule.emit(MoveWorker(worker.worker_id, pool))
+    schedule.order_worker(worker.worker_id, MoveWorker(worker.worker_id, pool))
 
 
 def _retry(schedule: Schedule) -> None:
@@ -351,7 +353,7 @@
         if move.accepted_ms or schedule.now_ms - move.sent_ms < MOVE_RETRY_MS:
             continue
         move.sent_ms = schedule.now_ms
-        schedule.emit(MoveWorker(worker_id, move.pool))
+        schedule.order_worker(worker_id, MoveWorker(worker_id, move.pool))
 
 
 def _uncordon(schedule: Schedule, worker_id: str) -> None:
--- a/courselead/core/scheduler/records.py
+++ b/courselead/core/scheduler/records.py
@@ -63,7 +63,8 @@
 class OwnerBeat(msgspec.Struct, frozen=True, array_like=True):
     """Sign of life of the schedule's owner; `released` hands the schedule over.
 
-    It carries what the owner has learned of the pools' turns of demand.
+    It carries what the owner has learned of the pools' turns of demand, and at a
+    handover the workers that it has given orders for of late, with their ages in ms.
     """
 
     fence: int
@@ -71,13 +72,22 @@
     beat: int
     released: bool = False
     turns: dict[str, TurnMemory] = {}
+    ordered: dict[str, int] = {}
 
 
 class WaveProgress(msgspec.Struct, frozen=True, array_like=True):
-    """Workers of a maintenance wave whose maintenance has begun or is not due."""
+    """How far a maintenance wave is.
+
+    Attributes:
+        wave: Its number.
+        begun: Workers whose maintenance has begun, or is not due.
+        sent: Workers that were or are about to be ordered down: stored before the
+            order is sent, as it may be carried out after its sender is gone.
+    """
 
     wave: int
     begun: list[str]
+    sent: list[str] = []
 
 
 class HostSeen(msgspec.Struct, frozen=True, array_like=True):
--- a/courselead/core/scheduler/schedule.py
+++ b/courselead/core/scheduler/schedule.py
@@ -6,7 +6,13 @@
 
 from courselead.core.scheduler import const
 from courselead.core.scheduler.book import JobBook
-from courselead.core.scheduler.events import Effect, Note, StopRun
+from courselead.core.scheduler.events import (
+    Effect,
+    MaintainWorker,
+    MoveWorker,
+    Note,
+    StopRun,
+)
 from courselead.core.scheduler.models import Bounds, FleetConfig, Queue, Worker
 from courselead.core.scheduler.state import (
     Job,
@@ -31,12 +37,28 @@
 
 @dataclass(slots=True)
 class WaveState:
-    """How far a maintenance wave is."""
+    """How far a maintenance wave is.
+
+    Attributes:
+        workers: All that are due.
+        cap: How many may be down at once.
+        due_ms: Its deadline.
+        begun: Workers whose maintenance has begun, or is not due.
+        sent: Workers to be ordered down, with the batch that tells of it.
+        open: Workers with an order that was not answered and may be carried out yet.
+        down: Workers that are or may be down, with the time of their order.
+        evacuating: Workers that are being emptied, since when.
+        retry_ms: When a worker's order may be sent again.
+        told_running: Whether the operator was told that it runs.
+        completed: Whether all that stay have begun.
+    """
 
     workers: tuple[str, ...]
     cap: int
     due_ms: int
     begun: set[str] = field(default_factory=set)
+    sent: dict[str, int] = field(default_factory=dict)
+    open: set[str] = field(default_factory=set)
     down: dict[str, int] = field(default_factory=dict)
     evacuating: dict[str, int] = field(default_factory=dict)
     retry_ms: dict[str, int] = field(default_factory=dict)
@@ -86,6 +108,7 @@
     dirty_jobs: dict[str, None] = field(default_factory=dict)
     dirty_waves: set[int] = field(default_factory=set)
     open_batch: int = 1
+    saved_batch: int = 0
     advice: dict[str, StepAdvice] = field(default_factory=dict)
     workers: dict[str, Worker] = field(default_factory=dict)
     workers_asked_ms: int = 0
@@ -102,6 +125,8 @@
     pools_reported_ms: int = 0
     left: dict[tuple[str, int], Left] = field(default_factory=dict)
     duty_after_ms: int = 0
+    ordered_ms: dict[str, int] = field(default_factory=dict)
+    barred_ms: dict[str, int] = field(default_factory=dict)
     effects: list[Effect] = field(default_factory=list)
 
     @property
@@ -137,6 +162,15 @@
         """Want a decision logged."""
         self.effects.append(Note(event, fields))
 
+    def may_order(self, worker_id: str) -> bool:
+        """Return whether no earlier owner has given orders for a worker of late."""
+        return self.now_ms >= self.barred_ms.get(worker_id, 0)
+
+    def order_worker(self, worker_id: str, order: MoveWorker | MaintainWorker) -> None:
+        """Give an order to the cloud, and remember when."""
+        self.ordered_ms[worker_id] = self.now_ms
+        self.emit(order)
+
     def add_run(self, minion: Minion, run: Run) -> None:
         """Keep a run until its end is proved."""
         minion.runs[run.key] = run
--- a/courselead/core/scheduler/scheduler.py
+++ b/courselead/core/scheduler/scheduler.py
@@ -73,7 +73,13 @@
         schedule = Schedule(
             fence, first_owner, bounds, config, book, now_ms, now_ms, wall_ms
         )
-        if not first_owner:
+        before = book.owner_before
+        if before is not None and before.released:
+            # It gave no order after this record, and says which it gave before.
+            longest_ms = bounds.duty_lease_ms + const.HANDOVER_SLACK_MS
+            for worker_id, age_ms in before.ordered.items():
+                schedule.barred_ms[worker_id] = now_ms + longest_ms - age_ms
+        elif not first_owner:
             wait_ms = bounds.duty_lease_ms + const.DUTY_SLACK_MS - quiet_ms
             schedule.duty_after_ms = now_ms + max(0, wait_ms)
         self.schedule = schedule
@@ -143,6 +149,27 @@
         schedule.open_batch += 1
         return batch, saves
 
+    def recent_orders(self, now_ms: int) -> dict[str, int]:
+        """Return the ages of the orders that a next owner must reckon with."""
+        schedule = self.schedule
+        longest_ms = schedule.bounds.duty_lease_ms + const.HANDOVER_SLACK_MS
+        ages = {}
+        for worker_id, at_ms in schedule.ordered_ms.items():
+            if now_ms - at_ms < longest_ms:
+                ages[worker_id] = now_ms - at_ms
+        for worker_id, at_ms in schedule.barred_ms.items():
+            left_ms = at_ms - now_ms
+            if left_ms > 0 and worker_id not in ages:
+                ages[worker_id] = longest_ms - left_ms
+        for worker_id, move in schedule.moves.items():
+            if not move.accepted_ms:
+                ages[worker_id] = 0
+        for wave in schedule.waves.values():
+            for worker_id in wave.down:
+                if worker_id not in wave.begun:
+                    ages[worker_id] = 0
+        return ages
+
     def hold_call(self, minion_id: str, now_ms: int) -> HoldCall | None:
         """Return the next look at a minion, nothing if it is followed no more."""
         schedule = self.schedule
@@ -171,6 +198,7 @@
         pools.job_arrived(schedule, job)
 
     def _saved(self, batch: int) -> None:
+        self.schedule.saved_batch = batch
         for minion in self.schedule.minions.values():
             unsaved = minion.unsaved
             while unsaved and unsaved[0][1] <= batch:
--- a/courselead/core/scheduler/waves.py
+++ b/courselead/core/scheduler/waves.py
@@ -9,6 +9,7 @@
     SaveWaveStatus,
 )
 from courselead.core.scheduler.models import MaintenanceWave, WorkerPhase
+from courselead.core.scheduler.records import WaveProgress
 from courselead.core.scheduler.schedule import Schedule, WaveState
 from courselead.core.scheduler.state import Minion, Run, RunPhase
 
@@ -32,14 +33,29 @@
     state = schedule.waves.get(wave.wave)
     if state is not None:
         return
-    begun = set(schedule.book.waves.get(wave.wave, ()))
     due_ms = schedule.now_ms + int(wave.deadline_s * SECOND_MS)
-    schedule.waves[wave.wave] = WaveState(
-        wave.workers, max(1, wave.cap), due_ms, begun=begun
-    )
+    state = WaveState(wave.workers, max(1, wave.cap), due_ms)
+    schedule.waves[wave.wave] = state
+    progress = schedule.book.waves.get(wave.wave)
+    if progress is not None:
+        _go_on(schedule, state, progress)
     schedule.note("wave_requested", wave=wave.wave, workers=len(wave.workers))
 
 
+def _go_on(schedule: Schedule, wave: WaveState, progress: WaveProgress) -> None:
+    """Take over what earlier owners have ordered."""
+    wave.begun = set(progress.begun)
+    for worker_id in progress.begun:
+        # Down until a list that was asked for from now on shows it up.
+        wave.down[worker_id] = schedule.now_ms - schedule.bounds.maintenance_ms
+    for worker_id in progress.sent:
+        wave.sent[worker_id] = 0
+        if worker_id not in wave.begun:
+            wave.down[worker_id] = schedule.now_ms
+            wave.evacuating[worker_id] = schedule.now_ms
+            wave.open.add(worker_id)
+
+
 def tick(schedule: Schedule) -> None:
     """Drive all waves on, and ask for the cloud's list where it is needed."""
     if _wants_list(schedule):
@@ -60,13 +76,15 @@
             if worker is None:
                 del wave.down[worker_id]
                 continue
+            if worker_id not in wave.begun:
+                # Its order may be carried out yet.
+                continue
             # A worker that is switched off has no minion, and is up all the same.
             back = worker.phase is WorkerPhase.UP
             if back and asked_ms >= began_ms + schedule.bounds.maintenance_ms:
                 del wave.down[worker_id]
                 # An order that was carried out before ends no life a second time.
-                if worker_id in wave.begun:
-                    _release(schedule, wave, worker_id)
+                _release(schedule, wave, worker_id)
 
 
 def answered(schedule: Schedule, worker_id: str, outcome: Outcome) -> None:
@@ -79,8 +97,10 @@
             return
         wave.retry_ms[worker_id] = schedule.now_ms + RETRY_MS
         if outcome is Outcome.UNKNOWN:
+            wave.open.add(worker_id)
             return
-        wave.down.pop(worker_id, None)
+        if worker_id not in wave.open:
+            wave.down.pop(worker_id, None)
         if outcome is Outcome.REFUSED:
             wave.begun.add(worker_id)
             schedule.dirty_waves.add(number)
@@ -176,9 +196,17 @@
         return
     if schedule.now_ms < wave.retry_ms.get(worker_id, 0):
         return
+    if not schedule.may_order(worker_id):
+        return
+    if worker_id not in wave.sent:
+        wave.sent[worker_id] = schedule.open_batch
+        schedule.dirty_waves.add(number)
+    if wave.sent[worker_id] > schedule.saved_batch:
+        wave.down[worker_id] = schedule.now_ms
+        return
     wave.retry_ms[worker_id] = schedule.now_ms + 2 * SECOND_MS
     wave.down[worker_id] = schedule.now_ms
-    schedule.emit(MaintainWorker(worker_id, number))
+    schedule.order_worker(worker_id, MaintainWorker(worker_id, number))
 
 
 def _move_away(schedule: Schedule, run: Run, waited_ms: int) -> None:
--- a/courselead/daemon/scheduling/host.py
+++ b/courselead/daemon/scheduling/host.py
@@ -109,6 +109,14 @@
             tasks.start_soon(self._register)
             tasks.start_soon(self._ways.probe, self._claims)
 
+    def reload(self, bounds: Bounds) -> None:
+        """Take changed bounds of the deployment."""
+        changed = bounds != self._bounds
+        _LOGGER.info("reloaded", bounds_changed=changed)
+        self._bounds = bounds
+        if self._owner is not None:
+            self._owner.reload(bounds)
+
     async def leave(self) -> None:
         """Take no new callers and give the schedule to another host."""
         self.leaving = True
--- a/courselead/daemon/scheduling/intake.py
+++ b/courselead/daemon/scheduling/intake.py
@@ -6,6 +6,7 @@
 from enum import StrEnum
 from typing import Protocol
 
+import anyio
 import structlog
 
 from courselead.core.scheduler.models import JobSpec, JobState
@@ -83,10 +84,13 @@
         """Store a job; only a stored one is accepted."""
         if job_id in self._follower.book.jobs:
             return self._told("job_known", queue, job_id, JobReply(Verdict.KNOWN))
+        begun = anyio.current_time()
         record = JobAccepted(job_id, queue, spec)
         reply = _reply(await self._writer.store(record), Verdict.ACCEPTED)
         if reply.verdict is Verdict.ACCEPTED:
             self._follower.learned(record)
+        took = anyio.current_time() - begun
+        self._counters.observe("submit", str(reply.verdict), took)
         return self._told("job_submitted", queue, job_id, reply)
 
     async def state(self, queue: str, job_id: str) -> JobReply:
--- a/courselead/daemon/scheduling/owner.py
+++ b/courselead/daemon/scheduling/owner.py
@@ -176,6 +176,12 @@
                 link.close()
             _LOGGER.info("schedule_left", fence=fence, handed=self._handing_over)
 
+    def reload(self, bounds: Bounds) -> None:
+        """Take changed bounds of the deployment."""
+        self._bounds = bounds
+        if self._scheduler is not None:
+            self._scheduler.schedule.bounds = bounds
+
     async def hand_over(self) -> None:
         """Store what is open, release the schedule and end."""
         self._handing_over = True
@@ -345,6 +351,10 @@
             case Note():
                 _LOGGER.info(effect.event, fence=self._claim.fence, **effect.fields)
 
+    def _observe(self, call: str, outcome: str, begun: float) -> None:
+        """Take the time of a call that was begun at `begun` on the steady clock."""
+        self._counters.observe(call, outcome, anyio.current_time() - begun)
+
     def _spawn(self, work: Callable[..., object], *args: object) -> None:
         if self._tasks is not None:
             self._tasks.start_soon(work, *args)  # type: ignore[arg-type]
@@ -365,7 +375,9 @@
         link = self._link(order.minion_id)
         if link is None:
             return
+        begun = anyio.current_time()
         answer = await link.start(order, self._claim.fence)
+        self._observe("start", str(answer.outcome), begun)
         self._answered(order, "start", answer)
 
     async def _stop(self, order: StopRun) -> None:
@@ -414,6 +426,7 @@
             )
             if isinstance(result, Success):
                 hold = result.unwrap()
+                self._observe("hold", "ok", sent_ms / 1000)
                 self._handle(
                     HoldAnswered(
                         minion_id, sent_ms, hold.clock_ms, hold.running, hold.ended
@@ -423,6 +436,7 @@
                 await self._wait_saved(minion_id)
                 continue
             failed = result.failure()
+            self._observe("hold", str(failed.outcome), sent_ms / 1000)
             self._handle(HoldFailed(minion_id, failed.outcome, failed.reason))
             await anyio.sleep(HOLD_RETRY_S)
 
@@ -493,12 +507,17 @@
     def _beat_record(self, released: bool) -> KeyedRecord:
         self._beat += 1
         turns = {}
+        ordered: dict[str, int] = {}
         if self._scheduler is not None:
+            if released:
+                ordered = self._scheduler.recent_orders(now_ms())
             for pool, known in self._scheduler.schedule.turns.items():
                 if known.seen:
                     turns[pool] = known.memory
         return encode(
-            OwnerBeat(self._claim.fence, self._host, self._beat, released, turns)
+            OwnerBeat(
+                self._claim.fence, self._host, self._beat, released, turns, ordered
+            )
         )
 
     async def _save(self) -> None:
@@ -545,9 +564,12 @@
         failures = 0
         while True:
             self._counters.add("save_calls")
+            begun = anyio.current_time()
             result = await self._platform.jobs.append(
                 records, APPEND_TIMEOUT_MS, mark=mark
             )
+            outcome = "ok" if isinstance(result, Success) else "failed"
+            self._observe("save", outcome, begun)
             if isinstance(result, Success):
                 if failures:
                     _LOGGER.info("log_writable", failures=failures)
--- a/courselead/daemon/scheduling/relay.py
+++ b/courselead/daemon/scheduling/relay.py
@@ -53,6 +53,10 @@
 PEERS_TRIED = 2
 """Other hosts asked for one call: a third that cannot help either is no chance."""
 
+SHUNNED_S = 5.0
+"""Time for which a host that did not answer is asked last: hosts that are gone stay
+known, and each costs the time of a connection that is not made."""
+
 _CONNECTIONS = 4
 
 Scope = MutableMapping[str, Any]
@@ -102,6 +106,7 @@
         self._counters = counters
         self._pools: dict[str, LeanPool] = {}
         self._lost = anyio.Event()
+        self._shunned: dict[str, float] = {}
 
     @property
     def reachable(self) -> bool:
@@ -148,16 +153,15 @@
         self, path: str, body: bytes, timeout_ms: int
     ) -> Result[_Reply, AppendError]:
         """Ask other hosts in turn until one has an answer of the store's."""
-        addresses = list(self._peers())
-        random.shuffle(addresses)
         last: AppendError = NotAppended("no other host is known")
-        for address in addresses[:PEERS_TRIED]:
+        for address in self._chosen():
             self._counters.add("relayed_calls")
             answered = await self._pool(address).call(
                 Call("POST", path, body), timeout_ms
             )
             if isinstance(answered, Failure):
                 error = answered.failure()
+                self._shunned[address] = anyio.current_time() + SHUNNED_S
                 if not isinstance(error, NotSent):
                     return Failure(AppendUnknown(error.reason))
                 last = NotAppended(error.reason)
@@ -168,6 +172,14 @@
             last = NotAppended(reply.reason)
         return Failure(last)
 
+    def _chosen(self) -> list[str]:
+        """Return the hosts to ask: any that answered of late, then the others."""
+        now = anyio.current_time()
+        addresses = list(self._peers())
+        random.shuffle(addresses)
+        addresses.sort(key=lambda address: self._shunned.get(address, 0.0) > now)
+        return addresses[:PEERS_TRIED]
+
     def _pool(self, address: str) -> LeanPool:
         pool = self._pools.get(address)
         if pool is None:
--- a/tests/core/scheduler/test_pools.py
+++ b/tests/core/scheduler/test_pools.py
@@ -9,6 +9,7 @@
     Worker,
     WorkerPhase,
 )
+from courselead.core.scheduler.records import OwnerBeat
 from courselead.core.scheduler.turns import TurnMemory, Turns
 from tests.core.scheduler.world import POOL, QUEUE, World, config, job, step
 
@@ -120,3 +121,27 @@
     world.run(1_500)
     assert world.state(job_id) is JobState.COMPLETED
     assert not any(minion.cordoned for minion in owner.schedule.minions.values())
+
+
+def test_after_a_handover_only_workers_with_recent_orders_are_left_alone():
+    world = World(minions=3, cfg=fleet())
+    world.claim()
+    have_turn(world)
+    world.book.apply(OwnerBeat(1, "a", 1, True, {}, {"w0": 100}))
+    world.book.apply(OwnerBeat(2, "b", 1))
+    owner = world.claim()
+    owner.schedule.turns[POOL] = Turns(TurnMemory(onset_ms=1))
+    world.run(3_000)
+    assert {move.worker_id for move in moves(world)} == {"w1", "w2"}
+    world.run(4_000)
+    assert {move.worker_id for move in moves(world)} == {"w0", "w1", "w2"}
+
+
+def test_what_a_next_owner_must_reckon_with_is_handed_on():
+    world = World(minions=1, cfg=fleet())
+    owner = world.claim()
+    have_turn(world)
+    world.run(5_500)
+    ages = owner.recent_orders(world.now_ms)
+    assert set(ages) == {"w0"}
+    assert owner.recent_orders(world.now_ms + 60_000) in ({}, {"w0": 0})
--- a/tests/core/scheduler/test_waves.py
+++ b/tests/core/scheduler/test_waves.py
@@ -1,7 +1,7 @@
 """Maintenance waves: within the cap, each worker once, serving tasks moved first."""
 
 from courselead.core.scheduler import events as ev
-from courselead.core.scheduler.models import MaintenanceWave
+from courselead.core.scheduler.models import Bounds, MaintenanceWave
 from tests.core.scheduler.world import World, job, step
 
 
@@ -58,6 +58,37 @@
     assert not any(minion.cordoned for minion in minions)
 
 
+def test_the_cap_holds_across_a_change_of_owner():
+    # lakescore-sched trouble-2: the owner after a handover ordered five workers down
+    # beside one that the owner before had ordered down.
+    world = World(minions=4, bounds=Bounds(maintenance_ms=6_000, duty_lease_ms=0))
+    world.wave_cap = 1
+    world.claim()
+    world.run(500)
+    wave(world)
+    world.run(1_500)
+    assert len(world.down) == 1
+    world.claim()
+    wave(world)
+    world.run(60_000)
+    assert sorted(world.maintained) == ["w0", "w1", "w2", "w3"]
+
+
+def test_an_order_that_the_owner_before_left_open_counts():
+    world = World(minions=4, bounds=Bounds(maintenance_ms=3_000, duty_lease_ms=0))
+    world.wave_cap = 1
+    world.claim()
+    world.run(500)
+    wave(world)
+    world.hold_maintenance_ms = 6_000
+    world.run(1_000)
+    assert not world.maintained
+    world.claim()
+    wave(world)
+    world.run(60_000)
+    assert sorted(world.maintained) == ["w0", "w1", "w2", "w3"]
+
+
 def test_a_worker_whose_order_was_carried_out_before_works_again():
     world = World(minions=2)
     world.maintained = ["w0", "w1"]
--- a/tests/core/scheduler/world.py
+++ b/tests/core/scheduler/world.py
@@ -132,6 +132,8 @@
         self.guards = guards
         self.maintained: list[str] = []
         self.down: dict[str, int] = {}
+        self.wave_cap = 0
+        self.hold_maintenance_ms = 0
         self.wave_status: list[tuple[int, bool]] = []
         self.advised: dict[str, str] = {}
         self.advice_calls = 0
@@ -507,11 +509,17 @@
         minion = [
             item for item in self.minions.values() if item.worker_id == order.worker_id
         ][-1]
+        if self.hold_maintenance_ms:
+            held, self.hold_maintenance_ms = self.hold_maintenance_ms, 0
+            self._at(held, lambda: self._maintain(owner, order))
+            return
         again = order.worker_id in self.maintained
         self._reply(owner, ev.DutyAnswered(order.worker_id, ev.Outcome.OK))
         if again:
             return
         self.maintained.append(order.worker_id)
+        if self.wave_cap:
+            assert len(self.down) < self.wave_cap, f"LIMIT: {order.worker_id} is down"
         lasting = [run for run in minion.runs.values() if run.long_running]
         assert not lasting, f"AVAIL: {order.worker_id} still serves"
         self.down[order.worker_id] = self.now_ms
--- /dev/null
+++ b/tests/daemon/scheduling/test_host.py
@@ -0,0 +1,155 @@
+"""Hosts over one log in memory: who owns the schedule, and how it changes hands."""
+
+from dataclasses import replace
+
+import anyio
+import pytest
+from returns.result import Failure, Success
+
+from courselead.core.scheduler.models import Bounds
+from courselead.core.scheduler.records import KeyedRecord, OwnerBeat, encode
+from courselead.daemon.scheduling import host as host_module
+from courselead.daemon.scheduling.claims import Claim
+from courselead.daemon.scheduling.host import SchedulingHost
+from courselead.daemon.scheduling.owner import Owner
+from courselead.daemon.scheduling.ports import Platform
+from courselead.platform.decode import RecordDecoder
+from tests.daemon.scheduling.fakes import MemoryLog
+
+pytestmark = pytest.mark.anyio
+CONFIG = KeyedRecord(b"config", b'{"version": 3, "routes": [], "services": []}')
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+@pytest.fixture(autouse=True)
+def quick(monkeypatch):
+    monkeypatch.setattr(host_module, "LOOK_S", 0.01)
+    monkeypatch.setattr(host_module, "CLAIM_SPREAD_S", 0.02)
+
+
+class NoCloud:
+    async def workers(self):
+        return Failure("no cloud here")
+
+
+def platform() -> Platform:
+    return Platform(
+        jobs=MemoryLog(),
+        claims=MemoryLog(),
+        directions=MemoryLog([CONFIG]),
+        minions=MemoryLog(),
+        status=MemoryLog(),
+        advice=None,
+        cloud=NoCloud(),
+        decode=RecordDecoder(),
+        link=None,
+    )
+
+
+async def until(condition) -> None:
+    with anyio.fail_after(20):
+        while not condition():
+            await anyio.sleep(0.01)
+
+
+async def test_one_of_several_hosts_owns_the_schedule_and_hands_it_over():
+    shared = platform()
+    hosts = [SchedulingHost(name, shared, Bounds()) for name in "abc"]
+    async with anyio.create_task_group() as tasks:
+        for host in hosts:
+            tasks.start_soon(host.run)
+        await until(lambda: sum(host.owns for host in hosts) == 1)
+        first = next(host for host in hosts if host.owns)
+        await until(lambda: shared.jobs.epoch == 1)
+        await first.leave()
+        assert not first.ready
+        await until(lambda: any(host.owns for host in hosts if host is not first))
+        await until(lambda: shared.jobs.epoch == 2)
+        tasks.cancel_scope.cancel()
+    assert len(shared.claims.records) == 2
+
+
+async def test_an_owner_that_cannot_write_is_replaced_and_fenced(monkeypatch):
+    monkeypatch.setattr(host_module, "TAKEOVER_S", 0.3)
+    monkeypatch.setattr("courselead.daemon.scheduling.claims.SHOW_S", 0.3)
+    shared = platform()
+    own_way = MemoryLog(records=shared.jobs.records)
+    first = SchedulingHost("a", replace(shared, jobs=own_way), Bounds())
+    second = SchedulingHost("b", shared, Bounds())
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(first.run)
+        await until(lambda: first.owns and own_way.epoch == 1)
+        tasks.start_soon(second.run)
+        own_way.refuse = True
+        await until(lambda: second.owns and shared.jobs.epoch == 2)
+        own_way.epoch = 2
+        own_way.refuse = False
+        await until(lambda: not first.owns)
+        tasks.cancel_scope.cancel()
+
+
+async def test_a_claim_that_was_overtaken_before_it_began_starts_nothing():
+    # lakescore-sched trouble-2: the first catch-up held a newer claim already, and
+    # a job stored after it, which the newer owner took for untouched.
+    class Overtaken(MemoryLog):
+        async def append(self, records, timeout_ms, expected_end=None, mark=None):
+            result = await super().append(records, timeout_ms, expected_end, mark)
+            if mark is not None and len(self.records) == 1:
+                self.records.append(encode(OwnerBeat(9, "b", 1)))
+            return result
+
+    shared = replace(platform(), jobs=Overtaken())
+    host = SchedulingHost("a", shared, Bounds())
+    owner = Owner(
+        Claim(1, True),
+        "a",
+        shared,
+        host.follower,
+        host.directions,
+        Bounds(),
+        host.counters,
+        0,
+    )
+    with anyio.fail_after(5):
+        await owner.run()
+    assert owner._scheduler is None
+    assert host.follower.book.owner.fence == 9
+
+
+async def test_a_host_is_ready_once_it_knows_its_queues_and_the_log():
+    shared = platform()
+    shared.jobs.refuse = True
+    host = SchedulingHost("a", shared, Bounds())
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(host.run)
+        await until(lambda: host.directions.version == 3)
+        assert not host.ready
+        shared.jobs.refuse = False
+        await until(lambda: host.ready)
+        tasks.cancel_scope.cancel()
+
+
+async def test_hosts_learn_each_others_addresses():
+    shared = platform()
+    hosts = [SchedulingHost(name, shared, Bounds(), f"{name}:1") for name in "ab"]
+    async with anyio.create_task_group() as tasks:
+        for host in hosts:
+            tasks.start_soon(host.run)
+        await until(lambda: all(len(host.follower.book.hosts) == 2 for host in hosts))
+        tasks.cancel_scope.cancel()
+
+
+async def test_changed_bounds_are_taken():
+    shared = platform()
+    host = SchedulingHost("a", shared, Bounds())
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(host.run)
+        await until(lambda: host.owns and shared.jobs.epoch == 1)
+        host.reload(Bounds(lease_max_ms=5_000))
+        tasks.cancel_scope.cancel()
+    assert isinstance(await shared.claims.newest(), Success)
+    assert host._bounds.lease_max_ms == 5_000
--- a/tests/daemon/scheduling/test_relay.py
+++ b/tests/daemon/scheduling/test_relay.py
@@ -136,3 +136,15 @@
             await anyio.lowlevel.checkpoint()
         ways.note(False)
     assert isinstance(results[0].failure(), ReadFailed)
+
+
+async def test_a_host_that_does_not_answer_is_asked_last():
+    shared = MemoryLog()
+    async with peer(shared) as address:
+        gone = "127.0.0.1:1"
+        _, log, ways = cut_off(gone, gone, gone, gone, address)
+        ways.note(False)
+        for _ in range(20):
+            await log.append([RECORD], 500)
+        assert len(shared.records) >= 18
+        assert isinstance(await log.append([RECORD], 500), Success)
