--- a/courselead/daemon/scheduling/main.py
+++ b/courselead/daemon/scheduling/main.py
@@ -11,6 +11,8 @@
 
 from courselead import logs
 from courselead.daemon.scheduling.host import SchedulingHost
+from courselead.daemon.scheduling.metrics import PORT, MetricsApp, SchedulingMetrics
+from courselead.integrations.http_api.errors import ListenFailed
 from courselead.integrations.http_api.server import HttpServer
 from courselead.log_budget import BoundedWriter, LineBudget
 from courselead.platform.ingress import JobsApp, ReadyApp
@@ -76,6 +78,7 @@
         LimitSettings(),
         DRAIN_MS,
     )
+    metrics = SchedulingMetrics(host.counters)
     host.counters.watch("lines_dropped", lambda: budget.dropped + writer.dropped)
     _LOGGER.info("started", host=settings.node, front=settings.listen.front)
     async with anyio.create_task_group() as tasks:
@@ -83,7 +86,8 @@
         tasks.start_soon(front.run)
         tasks.start_soon(ready.run)
         tasks.start_soon(relay.run)
-        await _wait_for_end()
+        tasks.start_soon(_serve_metrics, metrics, host, settings.ip)
+        await _wait_for_end(host)
         _LOGGER.info("leaving", host=settings.node)
         tasks.start_soon(host.leave)
         await anyio.sleep(LINGER_S)
@@ -93,14 +97,37 @@
     _LOGGER.info("stopped", host=settings.node)
 
 
-async def _wait_for_end() -> None:
-    """Return at SIGTERM or SIGINT; SIGHUP is noted, its settings need a new start."""
+async def _serve_metrics(
+    metrics: SchedulingMetrics, host: SchedulingHost, ip: str
+) -> None:
+    """Serve the metrics; a host whose port is taken goes on without them."""
+    server = HttpServer(
+        MetricsApp(metrics, lambda: host.owns),  # type: ignore[arg-type]
+        Address(ip, PORT),
+        LimitSettings(),
+        DRAIN_MS,
+    )
+    try:
+        await server.run()
+    except ListenFailed as exc:
+        _LOGGER.error("metrics_not_served", reason=str(exc))
+
+
+async def _wait_for_end(host: SchedulingHost) -> None:
+    """Return at SIGTERM or SIGINT; take changed settings at SIGHUP.
+
+    Addresses are read at the start only: the platform starts a process anew for them.
+    """
     with anyio.open_signal_receiver(
         signal.SIGTERM, signal.SIGINT, signal.SIGHUP
     ) as received:
         async for number in received:
             if number == signal.SIGHUP:
-                _LOGGER.info("reload_asked", changed="nothing that is read at run time")
+                loaded = load_settings()
+                if isinstance(loaded, Failure):
+                    _LOGGER.error("settings_refused", reason=loaded.failure())
+                    continue
+                host.reload(loaded.unwrap().bounds.bounds())
                 continue
             return
 
--- /dev/null
+++ b/courselead/daemon/scheduling/metrics.py
@@ -0,0 +1,77 @@
+"""Counters and latencies of a scheduling host, in the Prometheus text format."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable, MutableMapping
+from typing import Any
+
+from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
+from aioprometheus.formats import text
+
+from courselead.daemon.scheduling.ports import HostCounters
+
+PORT = 9464
+"""Port of the metrics on every machine, as `deploy/system.toml` names it: the one
+that Prometheus exporters of this kind commonly use."""
+
+PATH = "/metrics"
+
+BUCKETS_S = (0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0)
+
+Scope = MutableMapping[str, Any]
+Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
+
+
+class SchedulingMetrics:
+    """Keeps the histograms, and renders them with the counters."""
+
+    def __init__(self, counters: HostCounters) -> None:
+        """Make the collectors."""
+        self._counters = counters
+        self._registry = Registry()
+        self._counts = Counter("courselead_host_total", "Counts by name")
+        self._owns = Gauge("courselead_owns_schedule", "Whether this host owns it")
+        self._seconds = Histogram(
+            "courselead_call_seconds",
+            "Time to the answer, by kind of call and outcome",
+            buckets=list(BUCKETS_S),
+        )
+        for collector in (self._counts, self._owns, self._seconds):
+            self._registry.register(collector)
+        counters.observe = self.observe
+
+    def observe(self, call: str, outcome: str, seconds: float) -> None:
+        """Take the time of a call; both names are short words of the program."""
+        self._seconds.observe({"call": call, "outcome": outcome}, seconds)
+
+    def render(self, owns: bool) -> bytes:
+        """Return the text."""
+        for name, value in self._counters.all().items():
+            self._counts.set({"name": name}, value)
+        self._owns.set({}, int(owns))
+        return text.TextFormatter().marshall(self._registry)
+
+
+class MetricsApp:
+    """The ASGI application of the metrics address."""
+
+    def __init__(self, metrics: SchedulingMetrics, owns: Callable[[], bool]) -> None:
+        """Keep what is shown."""
+        self._metrics = metrics
+        self._owns = owns
+
+    async def __call__(self, scope: Scope, receive: object, send: Send) -> None:
+        """Serve one HTTP exchange."""
+        if scope["type"] != "http":
+            return
+        found = scope["path"] == PATH
+        body = self._metrics.render(self._owns()) if found else b""
+        headers = [
+            (b"content-type", b"text/plain; version=0.0.4"),
+            (b"content-length", str(len(body)).encode()),
+        ]
+        status = 200 if found else 404
+        await send(
+            {"type": "http.response.start", "status": status, "headers": headers}
+        )
+        await send({"type": "http.response.body", "body": body})
--- /dev/null
+++ b/tests/daemon/scheduling/test_metrics.py
@@ -0,0 +1,40 @@
+"""What the metrics address shows."""
+
+import pytest
+
+from courselead.daemon.scheduling.metrics import MetricsApp, SchedulingMetrics
+from courselead.daemon.scheduling.ports import HostCounters
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+async def ask(app: MetricsApp, path: str):
+    sent = []
+
+    async def send(message):
+        sent.append(message)
+
+    await app({"type": "http", "path": path}, None, send)
+    return sent[0]["status"], sent[1]["body"].decode()
+
+
+async def test_counts_and_latencies_are_shown():
+    counters = HostCounters()
+    metrics = SchedulingMetrics(counters)
+    counters.add("starts", 3)
+    counters.watch("lines_dropped", lambda: 7)
+    counters.observe("start", "ok", 0.004)
+    app = MetricsApp(metrics, lambda: True)
+    status, body = await ask(app, "/metrics")
+    assert status == 200
+    assert 'courselead_host_total{name="starts"} 3' in body
+    assert 'courselead_host_total{name="lines_dropped"} 7' in body
+    assert "courselead_owns_schedule 1" in body
+    assert 'courselead_call_seconds_count{call="start",outcome="ok"} 1' in body
+    assert 'call="start",le="0.005",outcome="ok"} 1' in body
+    assert (await ask(app, "/other"))[0] == 404
