Learn run times from the moment that a run is known to run

Change: the time counts from the answer, or from the first look that shows the run. A job that has ended stays so when the owner reads its own older record again. Test first: test_run_times_are_learned_without_the_wait_for_an_answer failed.

--- a/courselead/core/scheduler/book.py
+++ b/courselead/core/scheduler/book.py
@@ -105,6 +105,10 @@
         if entry is None:
             self._early_progress[record.job_id] = record
             return
+        known = entry.progress
+        if known is not None and known.state.final and not record.state.final:
+            # The owner applies its records when they are stored, and reads them again.
+            return
         entry.progress = record
 
     def _cancelled(self, record: JobCancelled) -> None:
--- a/courselead/core/scheduler/minions.py
+++ b/courselead/core/scheduler/minions.py
@@ -82,11 +82,7 @@
     minion = schedule.minions.get(event.minion_id)
     if minion is None:
         return
-    if event.outcome is Outcome.FENCED:
-        schedule.emit(StepDown("a minion has seen a newer fence"))
-        return
-    if event.outcome is Outcome.OTHER_LIFE:
-        dead(schedule, minion, "another life answers at its address")
+    if _ends_it(schedule, minion, event.outcome):
         return
     minion.failures += 1
     if minion.failures == const.UNREACHABLE_FAILURES:
@@ -97,6 +93,17 @@
         dead(schedule, minion, "left the list and does not answer")
 
 
+def _ends_it(schedule: Schedule, minion: Minion, outcome: Outcome) -> bool:
+    """Return whether an answer ends this ownership or the minion's life."""
+    if outcome is Outcome.FENCED:
+        schedule.emit(StepDown("a minion has seen a newer fence"))
+        return True
+    if outcome is Outcome.OTHER_LIFE:
+        dead(schedule, minion, "another life answers at its address")
+        return True
+    return False
+
+
 def _known_empty(schedule: Schedule, minion: Minion) -> bool:
     """Return whether nothing can run on a minion that does not answer.
 
@@ -112,11 +119,7 @@
     minion = schedule.minions.get(event.minion_id)
     if minion is None:
         return
-    if event.outcome is Outcome.FENCED:
-        schedule.emit(StepDown("a minion has seen a newer fence"))
-        return
-    if event.outcome is Outcome.OTHER_LIFE:
-        dead(schedule, minion, "another life answers at its address")
+    if _ends_it(schedule, minion, event.outcome):
         return
     run = minion.runs.get((event.task, event.number))
     if run is None:
@@ -232,6 +235,7 @@
             return
     if run.phase is RunPhase.SENT:
         run.phase = RunPhase.RUNNING
+        run.running_ms = schedule.now_ms
         jobs.begin(schedule, run.unit.job)
     if report.checkpoint:
         run.checkpoint = report.checkpoint
@@ -313,10 +317,10 @@
 
 
 def _learn(schedule: Schedule, run: Run, kind: EndKind) -> None:
-    if kind is not EndKind.DONE or run.unit.checkpoint:
+    if kind is not EndKind.DONE or run.unit.checkpoint or not run.running_ms:
         return
     queue = run.unit.job.queue
-    took_ms = schedule.now_ms - run.started_ms
+    took_ms = schedule.now_ms - run.running_ms
     known = schedule.run_ms.get(queue, took_ms)
     schedule.run_ms[queue] = known + const.LEARN_WEIGHT * (took_ms - known)
 
@@ -379,6 +383,7 @@
         case Outcome.OK:
             if run.phase is RunPhase.SENT:
                 run.phase = RunPhase.RUNNING
+                run.running_ms = schedule.now_ms
                 run.percent_ms = schedule.now_ms
             jobs.begin(schedule, unit.job)
             return
--- a/courselead/core/scheduler/state.py
+++ b/courselead/core/scheduler/state.py
@@ -36,6 +36,7 @@
     minion_id: str
     started_ms: int
     phase: RunPhase = RunPhase.SENT
+    running_ms: int = 0
     checkpoint: str = ""
     percent: int = 0
     percent_ms: int = 0
--- a/tests/core/scheduler/test_jobs.py
+++ b/tests/core/scheduler/test_jobs.py
@@ -4,7 +4,14 @@
 
 from courselead.core.scheduler import events as ev
 from courselead.core.scheduler.models import JobState, Resources
-from tests.core.scheduler.world import WALL_START_MS, World, config, job, step
+from tests.core.scheduler.world import (
+    QUEUE,
+    WALL_START_MS,
+    World,
+    config,
+    job,
+    step,
+)
 
 
 def tasks_started(world: World) -> list[str]:
@@ -165,3 +172,16 @@
     starts = [item for item in world.orders if isinstance(item, ev.StartRun)]
     assert starts[0].task == f"{job_id}.0.0.0"
     assert starts[0].payload == "payload"
+
+
+def test_run_times_are_learned_without_the_wait_for_an_answer():
+    world = World(minions=1)
+    owner = world.claim()
+    world.submit(job(step(1)), length_ms=500)
+    world.run(300)
+    (minion,) = owner.schedule.minions.values()
+    (run,) = minion.runs.values()
+    # As if its start had been answered only now, five seconds after it was sent.
+    run.started_ms -= 5_000
+    world.run(2_000)
+    assert 400 <= owner.schedule.run_ms[QUEUE] <= 800
