--- /dev/null
+++ b/courselead/daemon/scheduling/cloud_tasks.py
@@ -0,0 +1,94 @@
+"""Calls to the cloud, to the advice service, and the operator's status records."""
+
+from __future__ import annotations
+
+import anyio
+import structlog
+from returns.result import Failure, Success
+
+from courselead.core.scheduler.events import (
+    AdviceFailed,
+    AdviceGiven,
+    AskAdvice,
+    DutyAnswered,
+    MaintainWorker,
+    MoveWorker,
+    SaveWaveStatus,
+    WorkersListed,
+)
+from courselead.daemon.scheduling.clocks import now_ms
+from courselead.daemon.scheduling.ports import HostCounters, Platform, ScheduleOwner
+
+_LOGGER = structlog.get_logger(__name__)
+
+ADVICE_SLACK_MS = 2_000
+"""Longest wait for an answer of the advice service, which takes one call at a time."""
+
+STATUS_TIMEOUT_MS = 500
+STATUS_RETRY_S = 0.2
+"""Time-out and pause of a status record: as for the owner's other records."""
+
+
+class CloudTasks:
+    """Talks to the platform's other services for the owner."""
+
+    def __init__(
+        self, owner: ScheduleOwner, platform: Platform, counters: HostCounters
+    ) -> None:
+        """Keep the parts."""
+        self._owner = owner
+        self._platform = platform
+        self._counters = counters
+        self._advice_turn = anyio.Lock()
+        self._status_turn = anyio.Lock()
+
+    async def ask_advice(self, ask: AskAdvice) -> None:
+        """Ask which minions may run a step; one question at a time."""
+        wait_ms = ADVICE_SLACK_MS
+        async with self._advice_turn:
+            self._counters.add("advice_calls")
+            result = await self._platform.advice.ask(ask.step, ask.minion_ids, wait_ms)
+        if isinstance(result, Failure):
+            _LOGGER.info("advice_failed", step=ask.step, reason=result.failure())
+            self._owner.handle(AdviceFailed(ask.step, result.failure()))
+            return
+        given = result.unwrap()
+        self._owner.handle(AdviceGiven(ask.step, given.tickets, given.valid_ms))
+
+    async def list_workers(self) -> None:
+        """Ask the cloud for its list."""
+        asked_ms = now_ms()
+        self._counters.add("cloud_lists")
+        result = await self._platform.cloud.workers()
+        if isinstance(result, Failure):
+            _LOGGER.warning("cloud_list_failed", reason=result.failure())
+            return
+        self._owner.handle(WorkersListed(asked_ms, result.unwrap()))
+
+    async def maintain(self, order: MaintainWorker) -> None:
+        """Take a worker down for its maintenance."""
+        answer = await self._platform.cloud.maintain(
+            order.worker_id, order.wave, self._owner.fence
+        )
+        self._owner.handle(DutyAnswered(order.worker_id, answer.outcome, answer.reason))
+
+    async def move(self, order: MoveWorker) -> None:
+        """Move a worker to another pool."""
+        answer = await self._platform.cloud.move(
+            order.worker_id, order.pool, self._owner.fence
+        )
+        self._owner.handle(DutyAnswered(order.worker_id, answer.outcome, answer.reason))
+
+    async def save_wave(self, order: SaveWaveStatus) -> None:
+        """Tell the operator how far a wave is."""
+        record = self._platform.decode.wave_status(order.wave, order.completed)
+        # One at a time, so that `running` never comes after `completed`.
+        async with self._status_turn:
+            while True:
+                result = await self._platform.status.append([record], STATUS_TIMEOUT_MS)
+                if isinstance(result, Success):
+                    return
+                _LOGGER.warning(
+                    "wave_status_failed", wave=order.wave, reason=str(result.failure())
+                )
+                await anyio.sleep(STATUS_RETRY_S)
--- a/courselead/daemon/scheduling/intake.py
+++ b/courselead/daemon/scheduling/intake.py
@@ -89,8 +89,7 @@
         reply = _reply(await self._writer.store(record), Verdict.ACCEPTED)
         if reply.verdict is Verdict.ACCEPTED:
             self._follower.learned(record)
-        took = anyio.current_time() - begun
-        self._counters.observe("submit", str(reply.verdict), took)
+        self._counters.took("submit", str(reply.verdict), begun)
         return self._told("job_submitted", queue, job_id, reply)
 
     async def state(self, queue: str, job_id: str) -> JobReply:
--- /dev/null
+++ b/courselead/daemon/scheduling/minion_tasks.py
@@ -0,0 +1,152 @@
+"""Orders to minions, and the looks that keep their runs alive."""
+
+from __future__ import annotations
+
+import anyio
+from returns.result import Success
+
+from courselead.core.scheduler.events import (
+    HoldAnswered,
+    HoldFailed,
+    OrderAnswered,
+    PaceRun,
+    StartRun,
+    StopRun,
+)
+from courselead.daemon.scheduling.clocks import now_ms
+from courselead.daemon.scheduling.ports import (
+    HostCounters,
+    LinkFactory,
+    MinionLink,
+    OrderAnswer,
+    ScheduleOwner,
+)
+
+HOLD_PAUSE_S = 0.004
+"""Pause between two looks at a minion: ends come in bunches and share a look."""
+
+HOLD_RETRY_S = 0.25
+"""Pause after a look that failed: two of them, and a minion gets no new work."""
+
+SAVED_WAIT_S = 0.2
+"""Longest wait for the ends of a look to be stored before the next one, which would
+be answered at once with the same ends; for the time of the log's outages."""
+
+
+class MinionTasks:
+    """Talks to minions for the owner."""
+
+    def __init__(
+        self, owner: ScheduleOwner, factory: LinkFactory, counters: HostCounters
+    ) -> None:
+        """Keep the parts; connections are made on need."""
+        self._owner = owner
+        self._factory = factory
+        self._counters = counters
+        self._links: dict[str, MinionLink] = {}
+
+    def leave(self, minion_id: str) -> None:
+        """Close the way to a minion whose life is over."""
+        link = self._links.pop(minion_id, None)
+        if link is not None:
+            link.close()
+
+    def close(self) -> None:
+        """Close all ways."""
+        for link in self._links.values():
+            link.close()
+
+    def _link(self, minion_id: str) -> MinionLink | None:
+        scheduler = self._owner.scheduler
+        if scheduler is None:
+            return None
+        minion = scheduler.schedule.minions.get(minion_id)
+        if minion is None:
+            return None
+        link = self._links.get(minion_id)
+        if link is None:
+            link = self._links[minion_id] = self._factory(minion.info)
+        return link
+
+    async def start(self, order: StartRun) -> None:
+        """Start a run."""
+        self._counters.add("starts")
+        link = self._link(order.minion_id)
+        if link is None:
+            return
+        begun = anyio.current_time()
+        answer = await link.start(order, self._owner.fence)
+        self._counters.took("start", str(answer.outcome), begun)
+        self._answered(order, "start", answer)
+
+    async def stop(self, order: StopRun) -> None:
+        """Stop a run."""
+        self._counters.add("stops")
+        link = self._link(order.minion_id)
+        if link is None:
+            return
+        answer = await link.stop(order.task, order.number, self._owner.fence)
+        self._answered(order, "stop", answer)
+
+    async def set_pace(self, order: PaceRun) -> None:
+        """Set the pace of a run."""
+        self._counters.add("paces")
+        link = self._link(order.minion_id)
+        if link is None:
+            return
+        answer = await link.pace(
+            order.task, order.number, order.percent, self._owner.fence
+        )
+        self._answered(order, "pace", answer)
+
+    def _answered(
+        self, order: StartRun | StopRun | PaceRun, verb: str, answer: OrderAnswer
+    ) -> None:
+        self._owner.handle(
+            OrderAnswered(
+                order.minion_id,
+                order.task,
+                order.number,
+                verb,
+                answer.outcome,
+                answer.clock_ms,
+                answer.reason,
+            )
+        )
+
+    async def follow(self, minion_id: str) -> None:
+        """Look at a minion until its life is over or the schedule lost."""
+        while self._owner.scheduler is not None:
+            call = self._owner.scheduler.hold_call(minion_id, now_ms())
+            link = self._link(minion_id)
+            if call is None or link is None:
+                return
+            sent_ms = now_ms()
+            self._counters.add("holds")
+            result = await link.hold(
+                self._owner.fence, call.cursor, call.lease_ms, call.wait_ms
+            )
+            if isinstance(result, Success):
+                hold = result.unwrap()
+                self._counters.took("hold", "ok", sent_ms / 1000)
+                self._owner.handle(
+                    HoldAnswered(
+                        minion_id, sent_ms, hold.clock_ms, hold.running, hold.ended
+                    )
+                )
+                await anyio.sleep(HOLD_PAUSE_S)
+                await self._wait_saved(minion_id)
+                continue
+            failed = result.failure()
+            self._counters.took("hold", str(failed.outcome), sent_ms / 1000)
+            self._owner.handle(HoldFailed(minion_id, failed.outcome, failed.reason))
+            await anyio.sleep(HOLD_RETRY_S)
+
+    async def _wait_saved(self, minion_id: str) -> None:
+        """Wait until the minion may forget the ends that it has just reported."""
+        with anyio.move_on_after(SAVED_WAIT_S):
+            while self._owner.scheduler is not None:
+                minion = self._owner.scheduler.schedule.minions.get(minion_id)
+                if minion is None or not minion.unsaved:
+                    return
+                await self._owner.saved.wait()
--- a/courselead/daemon/scheduling/ports.py
+++ b/courselead/daemon/scheduling/ports.py
@@ -6,10 +6,12 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
+import anyio
 from returns.result import Result
 
 from courselead.core.scheduler.events import (
     EndReport,
+    Event,
     Outcome,
     RunReport,
     StartRun,
@@ -21,6 +23,7 @@
     Worker,
 )
 from courselead.core.scheduler.records import KeyedRecord
+from courselead.core.scheduler.scheduler import Scheduler
 
 
 @dataclass(frozen=True, slots=True)
@@ -269,6 +272,18 @@
         ...
 
 
+class ScheduleOwner(Protocol):
+    """What the owner's tasks need of it."""
+
+    fence: int
+    scheduler: Scheduler | None
+    saved: anyio.Event
+
+    def handle(self, event: Event) -> None:
+        """Apply an event and act on what it leads to."""
+        ...
+
+
 @dataclass(slots=True)
 class HostCounters:
     """Counts since the start, shown by the metrics address."""
@@ -281,6 +296,10 @@
         """Count something."""
         self.counts[name] = self.counts.get(name, 0) + by
 
+    def took(self, call: str, outcome: str, begun: float) -> None:
+        """Take the time of a call that was begun at `begun` on the steady clock."""
+        self.observe(call, outcome, anyio.current_time() - begun)
+
     def watch(self, name: str, read: Callable[[], int]) -> None:
         """Show a count that is kept elsewhere."""
         self.watched[name] = read
--- a/tests/daemon/scheduling/test_host.py
+++ b/tests/daemon/scheduling/test_host.py
@@ -116,7 +116,7 @@
     )
     with anyio.fail_after(5):
         await owner.run()
-    assert owner._scheduler is None
+    assert owner.scheduler is None
     assert host.follower.book.owner.fence == 9
 
 
