--- /dev/null
+++ b/benchmarks/schedule/__init__.py
@@ -0,0 +1,1 @@
+"""Processor time of the scheduler's decisions."""
--- /dev/null
+++ b/benchmarks/schedule/fleet.py
@@ -0,0 +1,144 @@
+"""A scheduler whose minions do all they are told at once, without any I/O."""
+
+from __future__ import annotations
+
+import time
+from collections import defaultdict
+
+from courselead.core.scheduler import events as ev
+from courselead.core.scheduler.book import JobBook
+from courselead.core.scheduler.models import (
+    Bounds,
+    FleetConfig,
+    JobSpec,
+    MinionInfo,
+    Pool,
+    Queue,
+    Resources,
+    StepSpec,
+)
+from courselead.core.scheduler.records import JobAccepted
+from courselead.core.scheduler.scheduler import Scheduler
+
+ROOM = Resources(32_000, 131_072)
+TASKS = 6
+STEPS = 2
+RUN_MS = 700
+NS_PER_US = 1_000
+
+
+class Meter:
+    """Processor time by kind of work, in nanoseconds, and how often."""
+
+    def __init__(self) -> None:
+        """Start at nothing."""
+        self.spent: dict[str, int] = defaultdict(int)
+        self.times: dict[str, int] = defaultdict(int)
+
+    def add(self, kind: str, begun_ns: int, times: int = 1) -> None:
+        """Take what was spent since `begun_ns`."""
+        self.spent[kind] += time.process_time_ns() - begun_ns
+        self.times[kind] += times
+
+    def each_us(self, kind: str) -> float:
+        """Return microseconds for each time."""
+        return self.spent[kind] / max(1, self.times[kind]) / NS_PER_US
+
+
+class Fleet:
+    """Pools of minions under one scheduler."""
+
+    def __init__(self, pools: int, minions: int) -> None:
+        """Make `minions` of them in each of `pools`."""
+        names = [f"pool-{number}" for number in range(pools)]
+        queues = {name: Queue(name, name, 0, 3, 1.6, 600) for name in names}
+        config = FleetConfig(1, queues, {name: Pool(name) for name in names})
+        self.now_ms = 1_000
+        self.meter = Meter()
+        self.book = JobBook()
+        self.scheduler = Scheduler(
+            1, True, config, Bounds(), self.book, self.now_ms, self.now_ms
+        )
+        self._running: dict[str, dict[tuple[str, int], int]] = {}
+        self._sequence: dict[str, int] = defaultdict(int)
+        self._jobs = 0
+        self.starts = 0
+        for name in names:
+            for number in range(minions):
+                minion_id = f"{name}-{number}"
+                self._running[minion_id] = {}
+                info = MinionInfo(minion_id, "", name, "z", ROOM, ("a", f"r{number}"))
+                self._handle("list", ev.MinionListed(info))
+                self._look(minion_id)
+
+    def submit(self, pool: str) -> None:
+        """Hand a job in."""
+        self._jobs += 1
+        job_id = f"{self._jobs:016x}"
+        need = Resources(1_800, 5_100)
+        steps = [
+            StepSpec(TASKS, need, RUN_MS, tuple(range(number)))
+            for number in range(STEPS)
+        ]
+        self.book.apply(JobAccepted(job_id, pool, JobSpec("x" * 150, tuple(steps))))
+        self._handle("intake", ev.JobArrived(job_id))
+
+    def pass_time(self, for_ms: int) -> None:
+        """Let tasks run on and end, in steps of ten milliseconds."""
+        for _ in range(for_ms // 10):
+            self.now_ms += 10
+            if self.now_ms % 100 == 0:
+                self._handle("tick", ev.Tick(self.now_ms))
+            self._place()
+            for minion_id, running in self._running.items():
+                if any(end <= self.now_ms for end in running.values()):
+                    self._look(minion_id)
+            self._save()
+
+    def _place(self) -> None:
+        begun = time.process_time_ns()
+        self.scheduler.place(self.now_ms)
+        effects = self.scheduler.take_effects()
+        starts = [item for item in effects if isinstance(item, ev.StartRun)]
+        self.meter.add("place", begun, len(starts))
+        for order in starts:
+            self.starts += 1
+            running = self._running[order.minion_id]
+            running[(order.task, order.number)] = self.now_ms + RUN_MS
+            self._handle(
+                "answer",
+                ev.OrderAnswered(
+                    order.minion_id, order.task, order.number, "start", ev.Outcome.OK
+                ),
+            )
+
+    def _look(self, minion_id: str) -> None:
+        running = self._running[minion_id]
+        ended = []
+        for key, end_ms in list(running.items()):
+            if end_ms > self.now_ms:
+                continue
+            del running[key]
+            self._sequence[minion_id] += 1
+            sequence = self._sequence[minion_id]
+            ended.append(ev.EndReport(sequence, *key, ev.EndKind.DONE, ""))
+        reports = tuple(ev.RunReport(*key, "", 50, 0) for key in running)
+        self._handle(
+            "look",
+            ev.HoldAnswered(minion_id, self.now_ms, self.now_ms, reports, tuple(ended)),
+        )
+
+    def _save(self) -> None:
+        begun = time.process_time_ns()
+        batch, saves = self.scheduler.take_saves()
+        self.meter.add("save", begun, len(saves))
+        for effect in saves:
+            if isinstance(effect, ev.SaveProgress):
+                self.book.apply(effect.progress)
+        if saves:
+            self._handle("saved", ev.ProgressSaved(batch))
+
+    def _handle(self, kind: str, event: ev.Event) -> None:
+        begun = time.process_time_ns()
+        self.scheduler.handle(event, self.now_ms)
+        self.meter.add(kind, begun)
--- /dev/null
+++ b/tests/core/scheduler/test_benchmark.py
@@ -0,0 +1,10 @@
+from benchmarks.schedule.fleet import STEPS, TASKS, Fleet
+from courselead.core.scheduler.models import JobState
+
+
+def test_the_bench_runs_whole_jobs():
+    fleet = Fleet(1, 2)
+    fleet.submit("pool-0")
+    fleet.pass_time(2_500)
+    assert fleet.starts == STEPS * TASKS
+    assert [entry.state for entry in fleet.book.jobs.values()] == [JobState.COMPLETED]
