Do not let what fits nowhere hold up what does

Cause: a round of placement ended after forty units in a row that did not fit.

Change: a need that found no room stands for all that need as much; gangs, spread units and those with tickets are tried by turns; a pool fetches workers with the labels that its units wait for.

Tests first: test_what_fits_nowhere_does_not_hold_up_what_does failed.

--- a/courselead/core/scheduler/const.py
+++ b/courselead/core/scheduler/const.py
@@ -37,7 +37,8 @@
 """Rest of a minion that answered 429 or 503: nothing was done there."""
 
 MISFIT_LIMIT = 40
-"""Units that do not fit in a row until a round of placement ends: bounds its time."""
+"""Gangs and other units with conditions of their own that are tried in a round of
+placement, by turns: bounds its time."""
 
 HOLD_WAIT_MS = 1_000
 """Time a look waits for an end: percent and tails are at most this old."""
--- a/courselead/core/scheduler/jobs.py
+++ b/courselead/core/scheduler/jobs.py
@@ -25,6 +25,7 @@
     job = Job(entry.job_id, entry.queue, entry.spec, schedule.now_ms, from_before)
     queue = schedule.queue(entry.queue)
     job.pool = queue.pool if queue is not None else ""
+    job.advised = queue is not None and queue.advice is not None
     schedule.jobs[job.job_id] = job
     schedule.note(
         "job_scheduled",
--- a/courselead/core/scheduler/placement.py
+++ b/courselead/core/scheduler/placement.py
@@ -39,21 +39,66 @@
         return
     line.sort(key=lambda unit: _order(schedule, unit))
     waiting: list[Unit] = []
-    misfits = 0
+    misfits = _Misfits(_passed_over(schedule, pool, line))
     doubted = _in_doubt(schedule, pool)
-    for position, unit in enumerate(line):
-        if misfits >= const.MISFIT_LIMIT:
-            waiting.extend(line[position:])
-            break
+    for unit in line:
         if unit.not_before_ms > schedule.now_ms or (doubted and _held(unit)):
             waiting.append(unit)
             continue
-        if not _try_start(schedule, unit, minions):
+        if misfits.known(unit) or not _try_start(schedule, unit, minions):
             waiting.append(unit)
-            misfits += 1
+            misfits.add(unit)
     schedule.ready[pool] = waiting
 
 
+class _Misfits:
+    """Needs that found no room in this round: what needs as much finds none either.
+
+    Units with conditions of their own (gangs, a spread, tickets) say nothing of
+    others; of these only so many are tried in a round, by turns.
+    """
+
+    def __init__(self, passed_over: set[int]) -> None:
+        """Start with none; `passed_over` are the special units of other rounds."""
+        self._needs: dict[str, list[Resources]] = defaultdict(list)
+        self._passed_over = passed_over
+
+    def known(self, unit: Unit) -> bool:
+        """Return whether a unit need not be tried."""
+        if id(unit) in self._passed_over:
+            return True
+        charge = unit.spec.charge
+        for label in {"", unit.spec.required_label}:
+            if any(need.fits(charge) for need in self._needs[label]):
+                return True
+        return False
+
+    def add(self, unit: Unit) -> None:
+        """Take a unit that was not started."""
+        if _is_special(unit):
+            return
+        needs = self._needs[unit.spec.required_label]
+        charge = unit.spec.charge
+        if not any(need.fits(charge) for need in needs):
+            needs.append(charge)
+
+
+def _passed_over(schedule: Schedule, pool: str, line: list[Unit]) -> set[int]:
+    """Return the special units that are not tried in this round."""
+    special = [unit for unit in line if _is_special(unit)]
+    if len(special) <= const.MISFIT_LIMIT:
+        return set()
+    first = schedule.special_from.get(pool, 0) % len(special)
+    schedule.special_from[pool] = first + const.MISFIT_LIMIT
+    ordered = special[first:] + special[:first]
+    return {id(unit) for unit in ordered[const.MISFIT_LIMIT :]}
+
+
+def _is_special(unit: Unit) -> bool:
+    spec = unit.spec
+    return spec.gang or spec.max_per_minion > 0 or bool(unit.job.advised)
+
+
 def _cleaned(schedule: Schedule, pool: str) -> list[Unit]:
     """Return the line without units that need no start any more."""
     line: list[Unit] = []
--- a/courselead/core/scheduler/pools.py
+++ b/courselead/core/scheduler/pools.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 
 import msgspec
 
@@ -48,6 +48,7 @@
     arriving: int = 0
     waiting: int = 0
     lasting_waits: bool = False
+    labels_wait: set[str] = field(default_factory=set)
     untried: bool = False
     idle: list[Minion] | None = None
 
@@ -152,6 +153,10 @@
         demand.arriving = max(demand.arriving, due)
         demand.untried = not turns.seen
         _count_waiting(schedule, pool, demand)
+    for worker_id, move in schedule.moves.items():
+        worker = schedule.workers.get(worker_id)
+        if worker is not None and move.pool in demands:
+            demands[move.pool].labels_wait.difference_update(worker.labels)
     return demands
 
 
@@ -186,8 +191,10 @@
         if unit.done or unit.job.state.final:
             continue
         spec = unit.spec
+        waited = schedule.now_ms - unit.ready_ms
+        if spec.required_label and waited > LASTING_WAIT_MS:
+            demand.labels_wait.add(spec.required_label)
         if spec.long_running:
-            waited = schedule.now_ms - unit.ready_ms
             if waited > LASTING_WAIT_MS and schedule.now_ms > unit.not_before_ms:
                 demand.lasting_waits = True
             continue
@@ -197,7 +204,9 @@
 
 
 def _lacks(demand: PoolDemand) -> bool:
-    return demand.lasting_waits or demand.wanted > demand.capacity
+    if demand.lasting_waits or demand.labels_wait:
+        return True
+    return demand.wanted > demand.capacity
 
 
 def _calm(
@@ -277,13 +286,15 @@
     while short:
         pool = max(short, key=lambda name: short[name].pressure)
         demand = short[pool]
-        worker = _take(schedule, pool, kinds, donors, spare)
-        if worker is None:
+        label = demand.labels_wait.pop() if demand.labels_wait else ""
+        worker = _take(schedule, pool, kinds, donors, spare, label)
+        if worker is None and not label:
             del short[pool]
             continue
-        demand.lasting_waits = False
-        demand.capacity += worker.room.cpu_milli
-        _move(schedule, worker, pool)
+        if worker is not None:
+            demand.lasting_waits = False
+            demand.capacity += worker.room.cpu_milli
+            _move(schedule, worker, pool)
         if not _lacks(demand):
             del short[pool]
 
@@ -294,12 +305,18 @@
     kinds: dict[str, set[str]],
     donors: list[tuple[Minion, Worker]],
     spare: list[Worker],
+    label: str,
 ) -> Worker | None:
+    """Return a worker for a pool, one with the label if any is asked for."""
     for position, (_, worker) in enumerate(donors):
-        if worker.pool != pool and _fits(schedule, worker, pool, kinds):
+        if worker.pool == pool or (label and label not in worker.labels):
+            continue
+        if _fits(schedule, worker, pool, kinds):
             del donors[position]
             return worker
     for position, worker in enumerate(spare):
+        if label and label not in worker.labels:
+            continue
         if _fits(schedule, worker, pool, kinds):
             del spare[position]
             return worker
--- a/courselead/core/scheduler/schedule.py
+++ b/courselead/core/scheduler/schedule.py
@@ -104,6 +104,7 @@
     minions: dict[str, Minion] = field(default_factory=dict)
     dead: set[str] = field(default_factory=set)
     ready: dict[str, list[Unit]] = field(default_factory=dict)
+    special_from: dict[str, int] = field(default_factory=dict)
     dirty_pools: set[str] = field(default_factory=set)
     dirty_jobs: dict[str, None] = field(default_factory=dict)
     dirty_waves: set[int] = field(default_factory=set)
--- a/courselead/core/scheduler/state.py
+++ b/courselead/core/scheduler/state.py
@@ -140,6 +140,7 @@
     occurrences: dict[int, list[StepRun]] = field(default_factory=dict)
     next_occurrence: int = 0
     live_runs: int = 0
+    advised: bool = False
     chain_ms: int = 0
     ended_ms: int = 0
 
--- a/tests/core/scheduler/test_jobs.py
+++ b/tests/core/scheduler/test_jobs.py
@@ -185,3 +185,29 @@
     run.started_ms -= 5_000
     world.run(2_000)
     assert 400 <= owner.schedule.run_ms[QUEUE] <= 800
+
+
+def test_what_fits_nowhere_does_not_hold_up_what_does():
+    # A trial deployment with labels: forty units for a label that no worker had
+    # kept a thousand others from idle minions.
+    world = World(minions=2)
+    world.claim()
+    for number in range(12):
+        world.submit(job(step(8, required_label="rare")), f"{number:016x}")
+        world.submit(job(step(8, cpu=90_000)), f"{100 + number:016x}")
+        world.submit(job(step(2, gang=True, cpu=90_000)), f"{200 + number:016x}")
+    world.run(500)
+    job_id = world.submit(job(step(16)))
+    world.run(3_000)
+    assert world.state(job_id) is JobState.COMPLETED
+
+
+def test_gangs_that_fit_nowhere_do_not_hold_up_gangs_that_do():
+    world = World(minions=2)
+    world.claim()
+    for number in range(60):
+        world.submit(job(step(2, gang=True, cpu=90_000)), f"{number:016x}", 1)
+    world.run(300)
+    job_id = world.submit(job(step(2, gang=True, estimate_ms=90_000)))
+    world.run(4_000)
+    assert world.state(job_id) is JobState.COMPLETED
--- a/tests/core/scheduler/test_pools.py
+++ b/tests/core/scheduler/test_pools.py
@@ -145,3 +145,24 @@
     ages = owner.recent_orders(world.now_ms)
     assert set(ages) == {"w0"}
     assert owner.recent_orders(world.now_ms + 60_000) in ({}, {"w0": 0})
+
+
+def test_a_worker_with_the_label_is_fetched():
+    world = World(minions=2, cfg=fleet())
+    add_spare(world, 3)
+    listed = world._workers
+
+    def with_label(owner, asked_ms):
+        listed(owner, asked_ms)
+        workers = list(owner.schedule.workers.values())
+        labels = ("a", "rare", "r9")
+        room = world.all_minions[0].room
+        workers.append(Worker("l1", OFF, WorkerPhase.UP, "z", room, labels, ""))
+        owner.handle(ev.WorkersListed(asked_ms, tuple(workers)), world.now_ms)
+
+    world._workers = with_label
+    world.claim()
+    world.run(300)
+    world.submit(job(step(1, required_label="rare")))
+    world.run(1_000)
+    assert {move.worker_id for move in moves(world)} == {"l1"}
