Give up moves that never arrive, and remove what nothing reads

A worker whose accepted move the cloud does not show would never have been used again; a next owner told the operator that a completed wave runs; the configured limit of bodies was not kept. Names that nothing read are gone. Tests for each.

--- a/courselead/core/scheduler/const.py
+++ b/courselead/core/scheduler/const.py
@@ -66,7 +66,3 @@
 
 STOP_RETRY_MS = 700
 """Time until an unanswered stop is sent again."""
-
-STARTUP_MS = 1_000
-"""Time in which a lasting task that was started is at work, for its quota of away
-tasks; a short start-up by the protocol."""
--- a/courselead/core/scheduler/models.py
+++ b/courselead/core/scheduler/models.py
@@ -202,12 +202,7 @@
 
     lease_max_ms: int = 10_000
     stop_ms: int = 900
-    gang_wait_ms: int = 3_000
-    remote_factor: float = 2.0
-    restore_ms: int = 250
-    notice_ms: int = 4_500
     move_ms: int = 1_500
     maintenance_ms: int = 2_000
     duty_lease_ms: int = 3_000
-    harm_ms: int = 4_000
     status_s: int = 120
--- a/courselead/core/scheduler/placement.py
+++ b/courselead/core/scheduler/placement.py
@@ -6,7 +6,7 @@
 
 from courselead.core.scheduler import const, urgency
 from courselead.core.scheduler.events import AskAdvice, StartRun
-from courselead.core.scheduler.models import Queue, Resources
+from courselead.core.scheduler.models import Resources
 from courselead.core.scheduler.schedule import Schedule, StepAdvice
 from courselead.core.scheduler.state import Minion, Run, Unit
 
@@ -330,8 +330,3 @@
     if advice is not None:
         advice.asked = False
         advice.retry_ms = schedule.now_ms + LATE_RETRY_MS
-
-
-def queue_of(schedule: Schedule, unit: Unit) -> Queue | None:
-    """Return the queue of a unit's job."""
-    return schedule.queue(unit.job.queue)
--- a/courselead/core/scheduler/pools.py
+++ b/courselead/core/scheduler/pools.py
@@ -29,6 +29,10 @@
 MOVE_RETRY_MS = 500
 """Time until a move without an answer is ordered again; it is idempotent."""
 
+LOST_MOVE_MS = 3_000
+"""Time beyond a move's own after which a worker that is up in another pool is not
+waited for: twice what a move takes."""
+
 REPORT_MS = 2_000
 """Time between two lines on each pool: half a turn of demand, whatever the load."""
 
@@ -116,9 +120,15 @@
             continue
         if asked_ms <= move.sent_ms:
             continue
-        arrived = worker.pool == move.pool and worker.phase is WorkerPhase.UP
-        if arrived:
+        if worker.phase is not WorkerPhase.UP:
+            continue
+        late_ms = move.accepted_ms + schedule.bounds.move_ms + LOST_MOVE_MS
+        if worker.pool == move.pool:
+            del schedule.moves[worker_id]
+        elif move.accepted_ms and asked_ms > late_ms:
+            schedule.note("move_lost", worker=worker_id, pool=move.pool)
             del schedule.moves[worker_id]
+            _uncordon(schedule, worker_id)
 
 
 def _demands(schedule: Schedule) -> dict[str, PoolDemand]:
--- a/courselead/core/scheduler/schedule.py
+++ b/courselead/core/scheduler/schedule.py
@@ -42,7 +42,6 @@
     Attributes:
         workers: All that are due.
         cap: How many may be down at once.
-        due_ms: Its deadline.
         begun: Workers whose maintenance has begun, or is not due.
         sent: Workers to be ordered down, with the batch that tells of it.
         open: Workers with an order that was not answered and may be carried out yet.
@@ -55,7 +54,6 @@
 
     workers: tuple[str, ...]
     cap: int
-    due_ms: int
     begun: set[str] = field(default_factory=set)
     sent: dict[str, int] = field(default_factory=dict)
     open: set[str] = field(default_factory=set)
--- a/courselead/core/scheduler/state.py
+++ b/courselead/core/scheduler/state.py
@@ -44,7 +44,6 @@
     stop_sent_ms: int = 0
     stop_answered_ms: int | None = None
     stop_reason: str = ""
-    counts_as_away: bool = False
     pace: int = 100
     pace_ms: int = 0
 
--- a/courselead/core/scheduler/waves.py
+++ b/courselead/core/scheduler/waves.py
@@ -25,7 +25,8 @@
 RETRY_MS = 400
 """Wait before a refused or unanswered order is sent again."""
 
-SECOND_MS = 1_000
+UNANSWERED_MS = 2_000
+"""Time until an order without any answer is sent again; it is idempotent."""
 
 
 def requested(schedule: Schedule, wave: MaintenanceWave) -> None:
@@ -33,8 +34,7 @@
     state = schedule.waves.get(wave.wave)
     if state is not None:
         return
-    due_ms = schedule.now_ms + int(wave.deadline_s * SECOND_MS)
-    state = WaveState(wave.workers, max(1, wave.cap), due_ms)
+    state = WaveState(wave.workers, max(1, wave.cap))
     schedule.waves[wave.wave] = state
     progress = schedule.book.waves.get(wave.wave)
     if progress is not None:
@@ -144,9 +144,6 @@
 
 
 def _drive(schedule: Schedule, number: int, wave: WaveState) -> None:
-    if not wave.told_running:
-        wave.told_running = True
-        schedule.emit(SaveWaveStatus(number, False))
     left = [item for item in wave.workers if item not in wave.begun]
     staying = [item for item in left if item in schedule.workers]
     if not staying:
@@ -154,6 +151,9 @@
         schedule.emit(SaveWaveStatus(number, True))
         schedule.note("wave_completed", wave=number)
         return
+    if not wave.told_running:
+        wave.told_running = True
+        schedule.emit(SaveWaveStatus(number, False))
     for worker_id in staying:
         if worker_id in wave.evacuating:
             _evacuate(schedule, number, wave, worker_id)
@@ -204,7 +204,7 @@
     if wave.sent[worker_id] > schedule.saved_batch:
         wave.down[worker_id] = schedule.now_ms
         return
-    wave.retry_ms[worker_id] = schedule.now_ms + 2 * SECOND_MS
+    wave.retry_ms[worker_id] = schedule.now_ms + UNANSWERED_MS
     wave.down[worker_id] = schedule.now_ms
     schedule.order_worker(worker_id, MaintainWorker(worker_id, number))
 
--- a/courselead/daemon/scheduling/intake.py
+++ b/courselead/daemon/scheduling/intake.py
@@ -22,6 +22,10 @@
 """When a caller may come back: the log's outages last seconds, its slowness less."""
 
 
+DEFAULT_BODY_BYTES = 262_144
+"""Longest body before the first configuration: the platform's own limit."""
+
+
 class Verdict(StrEnum):
     """What a caller is told."""
 
@@ -76,6 +80,12 @@
         """Return whether there is a configuration yet."""
         return self._directions.current is not None
 
+    @property
+    def body_bytes(self) -> int:
+        """Return the longest body that the configuration allows."""
+        current = self._directions.current
+        return DEFAULT_BODY_BYTES if current is None else current.body_bytes
+
     def queue_for(self, host: str, path: str) -> tuple[str, str] | None:
         """Return the queue of a request and the rest of its path."""
         return self._directions.route(host, path)
--- a/courselead/daemon/scheduling/ports.py
+++ b/courselead/daemon/scheduling/ports.py
@@ -230,7 +230,7 @@
     version: int
     routes: tuple[RouteRule, ...]
     fleet: FleetConfig
-    body_bytes: int = 0
+    body_bytes: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/courselead/platform/const.py
+++ b/courselead/platform/const.py
@@ -15,7 +15,6 @@
 PATH_MOVE = "/-/machine-move"
 PATH_UPKEEP = "/-/machine-upkeep"
 
-HEADER_DEADLINE = b"x-courselead-deadline-ms"
 HEADER_EXPECT_INSTANCE = "X-Courselead-Expect-Instance"
 HEADER_HOLDER = "X-Courselead-Lease-Holder"
 HEADER_FENCE = "X-Courselead-Fencing-Token"
--- a/courselead/platform/ingress.py
+++ b/courselead/platform/ingress.py
@@ -25,7 +25,6 @@
 _JOB_ID = re.compile(r"[0-9a-f]{16}")
 _MOST_PAYLOAD = 4_000
 _MOST_TASKS = 10_000
-_DEFAULT_BODY_BYTES = 262_144
 
 _STATUS = {
     Verdict.ACCEPTED: 200,
@@ -84,7 +83,7 @@
         """Serve one HTTP exchange."""
         if scope["type"] != "http":
             return
-        body = await _body(receive)
+        body = await _body(receive, self._intake.body_bytes)
         status, document = await self._serve(scope, body)
         await _answer(send, status, document, self._leaving())
 
@@ -192,14 +191,14 @@
     return status, {}
 
 
-async def _body(receive: Receive) -> bytes | None:
+async def _body(receive: Receive, most_bytes: int) -> bytes | None:
     chunks = bytearray()
     while True:
         message = await receive()
         if message["type"] != "http.request":
             return bytes(chunks)
         chunks += message.get("body", b"")
-        if len(chunks) > _DEFAULT_BODY_BYTES:
+        if len(chunks) > most_bytes:
             return None
         if not message.get("more_body"):
             return bytes(chunks)
--- a/courselead/platform/settings.py
+++ b/courselead/platform/settings.py
@@ -28,15 +28,9 @@
 class _Bounds(msgspec.Struct, rename="camel"):
     hold_max_ms: int = 10_000
     stop_ms: int = 900
-    gang_wait_ms: int = 3_000
-    remote_factor: float = 2.0
-    restore_ms: int = 250
-    notice_ms: int = 4_500
     move_s: float = 1.5
     upkeep_s: float = 2.0
     lease_ms: int = 3_000
-    harm_ms: int = 4_000
-    grace_s: float = 6.0
     # Spelled with an underscore on the wire, unlike the fields around it.
     status_s: int = msgspec.field(default=120, name="status_s")
 
@@ -45,15 +39,10 @@
         return Bounds(
             lease_max_ms=self.hold_max_ms,
             stop_ms=self.stop_ms,
-            gang_wait_ms=self.gang_wait_ms,
-            remote_factor=self.remote_factor,
-            restore_ms=self.restore_ms,
-            notice_ms=self.notice_ms,
             move_ms=int(self.move_s * 1000),
             maintenance_ms=int(self.upkeep_s * 1000),
             # Not a minion's lease: the time within which duties must not change hands.
             duty_lease_ms=self.lease_ms,
-            harm_ms=self.harm_ms,
             status_s=self.status_s,
         )
 
--- a/tests/core/scheduler/test_pools.py
+++ b/tests/core/scheduler/test_pools.py
@@ -166,3 +166,15 @@
     world.submit(job(step(1, required_label="rare")))
     world.run(1_000)
     assert {move.worker_id for move in moves(world)} == {"l1"}
+
+
+def test_a_move_that_never_arrives_is_given_up():
+    world = World(minions=1, cfg=fleet())
+    owner = world.claim()
+    have_turn(world)
+    world.run(5_500)
+    assert moves(world)
+    owner.handle(ev.DutyAnswered("w0", ev.Outcome.OK), world.now_ms)
+    world.run(6_000)
+    notes = [item.event for item in world.orders if isinstance(item, ev.Note)]
+    assert "move_lost" in notes
--- a/tests/core/scheduler/test_waves.py
+++ b/tests/core/scheduler/test_waves.py
@@ -99,3 +99,15 @@
     assert world.owner is not None
     minions = world.owner.schedule.minions.values()
     assert not any(minion.cordoned for minion in minions)
+
+
+def test_a_completed_wave_is_not_said_to_run_again():
+    world = World(minions=2)
+    world.claim()
+    world.run(500)
+    wave(world)
+    world.run(15_000)
+    world.claim()
+    wave(world)
+    world.run(8_000)
+    assert world.wave_status == [(1, False), (1, True), (1, True)]
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -261,3 +261,11 @@
     follower.book.apply(OwnerBeat(3, "b", 1))
     follower.book.apply(OwnerBeat(2, "a", 9))
     assert follower.book.owner.host == "b"
+
+
+async def test_a_body_over_the_configured_limit_is_refused():
+    door = Door(MemoryLog())
+    door.configure({**CONFIG, "limits": {"maxBodyBytes": 20}})
+    status, _, _ = await door.post()
+    assert status == 413
+    assert not door.log.records
