Tell answers to moves from answers to maintenance

Cause: an answer named its worker only. Ruled out: the cap, the handover (the owner was the same from 14 s on).

Change: an answer says which order it is to. Test first: test_a_late_answer_to_a_move_is_none_to_maintenance.

--- a/courselead/core/scheduler/events.py
+++ b/courselead/core/scheduler/events.py
@@ -168,11 +168,17 @@
 
 @dataclass(frozen=True, slots=True)
 class DutyAnswered:
-    """The cloud answered a move or a maintenance order, or did not."""
+    """The cloud answered a move or a maintenance order, or did not.
+
+    A slow cloud answers a repeated order when another one is under way, so the
+    answer says which it is to: to a move into `pool`, or to maintenance in `wave`.
+    """
 
     worker_id: str
     outcome: Outcome
     reason: str = ""
+    pool: str = ""
+    wave: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/courselead/core/scheduler/pools.py
+++ b/courselead/core/scheduler/pools.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from courselead.core.scheduler.events import MoveWorker, Outcome
+from courselead.core.scheduler.events import DutyAnswered, MoveWorker, Outcome
 from courselead.core.scheduler.models import Worker, WorkerPhase
 from courselead.core.scheduler.schedule import MoveState, Schedule
 from courselead.core.scheduler.state import Job, Minion
@@ -94,10 +94,11 @@
         _switch_off(schedule, _calm(schedule, demands))
 
 
-def answered(schedule: Schedule, worker_id: str, outcome: Outcome, reason: str) -> None:
+def answered(schedule: Schedule, event: DutyAnswered) -> None:
     """Take the answer to a move."""
+    worker_id, outcome = event.worker_id, event.outcome
     move = schedule.moves.get(worker_id)
-    if move is None:
+    if move is None or move.pool != event.pool:
         return
     if outcome is Outcome.OK:
         move.accepted_ms = schedule.now_ms
@@ -106,7 +107,7 @@
         return
     if outcome is Outcome.REFUSED:
         schedule.barred_moves.add((worker_id, move.pool))
-    schedule.note("move_refused", worker=worker_id, pool=move.pool, reason=reason)
+    schedule.note("move_refused", worker=worker_id, pool=move.pool, reason=event.reason)
     del schedule.moves[worker_id]
     _uncordon(schedule, worker_id)
 
--- a/courselead/core/scheduler/scheduler.py
+++ b/courselead/core/scheduler/scheduler.py
@@ -253,15 +253,17 @@
         schedule.note(
             "duty_answered",
             worker=event.worker_id,
+            pool=event.pool,
+            wave=event.wave,
             outcome=str(event.outcome),
             reason=event.reason,
         )
         if event.outcome is Outcome.FENCED:
             return
-        if event.worker_id in schedule.moves:
-            pools.answered(schedule, event.worker_id, event.outcome, event.reason)
+        if event.pool:
+            pools.answered(schedule, event)
             return
-        waves.answered(schedule, event.worker_id, event.outcome)
+        waves.answered(schedule, event)
 
     def _tick(self, wall_ms: int) -> None:
         schedule = self.schedule
--- a/courselead/core/scheduler/waves.py
+++ b/courselead/core/scheduler/waves.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from courselead.core.scheduler.events import (
+    DutyAnswered,
     ListWorkers,
     MaintainWorker,
     Outcome,
@@ -87,24 +88,25 @@
                 _release(schedule, wave, worker_id)
 
 
-def answered(schedule: Schedule, worker_id: str, outcome: Outcome) -> None:
+def answered(schedule: Schedule, event: DutyAnswered) -> None:
     """Take the answer to a maintenance order."""
-    for number, wave in schedule.waves.items():
-        if worker_id not in wave.evacuating:
-            continue
-        if outcome is Outcome.OK:
-            _begun(schedule, number, wave, worker_id)
-            return
-        wave.retry_ms[worker_id] = schedule.now_ms + RETRY_MS
-        if outcome is Outcome.UNKNOWN:
-            wave.open.add(worker_id)
-            return
-        if worker_id not in wave.open:
-            wave.down.pop(worker_id, None)
-        if outcome is Outcome.REFUSED:
-            wave.begun.add(worker_id)
-            schedule.dirty_waves.add(number)
-            _release(schedule, wave, worker_id)
+    worker_id, outcome = event.worker_id, event.outcome
+    wave = schedule.waves.get(event.wave)
+    if wave is None or worker_id not in wave.evacuating:
+        return
+    if outcome is Outcome.OK:
+        _begun(schedule, event.wave, wave, worker_id)
+        return
+    wave.retry_ms[worker_id] = schedule.now_ms + RETRY_MS
+    if outcome is Outcome.UNKNOWN:
+        wave.open.add(worker_id)
+        return
+    if worker_id not in wave.open:
+        wave.down.pop(worker_id, None)
+    if outcome is Outcome.REFUSED:
+        wave.begun.add(worker_id)
+        schedule.dirty_waves.add(event.wave)
+        _release(schedule, wave, worker_id)
 
 
 def _release(schedule: Schedule, wave: WaveState, worker_id: str) -> None:
--- a/courselead/daemon/scheduling/cloud_tasks.py
+++ b/courselead/daemon/scheduling/cloud_tasks.py
@@ -70,14 +70,22 @@
         answer = await self._platform.cloud.maintain(
             order.worker_id, order.wave, self._owner.fence
         )
-        self._owner.handle(DutyAnswered(order.worker_id, answer.outcome, answer.reason))
+        self._owner.handle(
+            DutyAnswered(
+                order.worker_id, answer.outcome, answer.reason, wave=order.wave
+            )
+        )
 
     async def move(self, order: MoveWorker) -> None:
         """Move a worker to another pool."""
         answer = await self._platform.cloud.move(
             order.worker_id, order.pool, self._owner.fence
         )
-        self._owner.handle(DutyAnswered(order.worker_id, answer.outcome, answer.reason))
+        self._owner.handle(
+            DutyAnswered(
+                order.worker_id, answer.outcome, answer.reason, pool=order.pool
+            )
+        )
 
     async def save_wave(self, order: SaveWaveStatus) -> None:
         """Tell the operator how far a wave is."""
--- a/tests/core/scheduler/test_pools.py
+++ b/tests/core/scheduler/test_pools.py
@@ -115,7 +115,7 @@
     have_turn(world)
     world.run(5_500)
     assert moves(world)
-    refused = ev.DutyAnswered("w0", ev.Outcome.REFUSED, "no such pool")
+    refused = ev.DutyAnswered("w0", ev.Outcome.REFUSED, "no such pool", OFF)
     owner.handle(refused, world.now_ms)
     job_id = world.submit(job(step(1)))
     world.run(1_500)
@@ -174,7 +174,7 @@
     have_turn(world)
     world.run(5_500)
     assert moves(world)
-    owner.handle(ev.DutyAnswered("w0", ev.Outcome.OK), world.now_ms)
+    owner.handle(ev.DutyAnswered("w0", ev.Outcome.OK, pool=OFF), world.now_ms)
     world.run(6_000)
     notes = [item.event for item in world.orders if isinstance(item, ev.Note)]
     assert "move_lost" in notes
--- a/tests/core/scheduler/test_waves.py
+++ b/tests/core/scheduler/test_waves.py
@@ -111,3 +111,22 @@
     wave(world)
     world.run(8_000)
     assert world.wave_status == [(1, False), (1, True), (1, True)]
+
+
+def test_a_late_answer_to_a_move_is_none_to_maintenance():
+    # Own day cloud on aloisi-sched: a slow cloud answered a repeated move while the
+    # worker was to be maintained, and the wave was said to be done (MIXED).
+    world = World(minions=1)
+    owner = world.claim()
+    world.run(500)
+    world.hold_maintenance_ms = 6_000
+    wave(world)
+    world.run(1_000)
+    late = ev.DutyAnswered("w0", ev.Outcome.OK, pool="p")
+    owner.handle(late, world.now_ms)
+    world.run(1_000)
+    assert not world.maintained
+    assert (1, True) not in world.wave_status
+    world.run(20_000)
+    assert world.maintained == ["w0"]
+    assert (1, True) in world.wave_status
--- a/tests/core/scheduler/world.py
+++ b/tests/core/scheduler/world.py
@@ -514,7 +514,9 @@
             self._at(held, lambda: self._maintain(owner, order))
             return
         again = order.worker_id in self.maintained
-        self._reply(owner, ev.DutyAnswered(order.worker_id, ev.Outcome.OK))
+        self._reply(
+            owner, ev.DutyAnswered(order.worker_id, ev.Outcome.OK, wave=order.wave)
+        )
         if again:
             return
         self.maintained.append(order.worker_id)
