Make one piece of what the change had written twice, and drop what nothing reads

Read again as a whole: the longest chain of steps was reckoned by two loops and the expected run time looked up in five places (now Schedule.expected_ms and one _chain_ms); three small ASGI applications read bodies and wrote answers each in its own way, with types that http_api.exchange has (now http_api.plain); cloud and minions told a lost answer and a 429 alike in two copies (now platform.answers); four servers were made by the same lines. The store's number of connections had no name. Read by nothing: Run.pace_ms, Schedule.first_owner, Bounds.stop_ms, LeanConnection.opened, Verdict.NO_QUEUE. What was reckoned of a closed occurrence stayed in memory until its owner ended; it goes with the occurrence.

--- a/courselead/core/scheduler/jobs.py
+++ b/courselead/core/scheduler/jobs.py
@@ -264,6 +264,7 @@
     if not any(unit.runs for step in steps for unit in step.units):
         _drop_units(schedule, steps)
         del job.occurrences[number]
+        schedule.left.pop((job.job_id, number), None)
     if job.state.final:
         return
     if len(job.closed) >= max(1, job.spec.repeats):
--- a/courselead/core/scheduler/minions.py
+++ b/courselead/core/scheduler/minions.py
@@ -222,7 +222,7 @@
         return False
     if unit.spec.long_running:
         return run.percent < 100 and not unit.spec.fills
-    expected = schedule.run_ms.get(unit.job.queue, unit.spec.estimate_ms)
+    expected = schedule.expected_ms(unit.job.queue, unit.spec)
     age_ms = schedule.now_ms - run.started_ms
     return age_ms > const.STALL_FACTOR * expected
 
--- a/courselead/core/scheduler/models.py
+++ b/courselead/core/scheduler/models.py
@@ -201,7 +201,6 @@
     """Bounds of the deployment, from the settings of the process."""
 
     lease_max_ms: int = 10_000
-    stop_ms: int = 900
     move_ms: int = 1_500
     maintenance_ms: int = 2_000
     duty_lease_ms: int = 3_000
--- a/courselead/core/scheduler/pace.py
+++ b/courselead/core/scheduler/pace.py
@@ -39,7 +39,6 @@
         if percent == run.pace:
             continue
         run.pace = percent
-        run.pace_ms = schedule.now_ms
         schedule.emit(PaceRun(run.minion_id, run.task, run.number, percent))
 
 
--- a/courselead/core/scheduler/placement.py
+++ b/courselead/core/scheduler/placement.py
@@ -96,7 +96,7 @@
 
 def _is_special(unit: Unit) -> bool:
     spec = unit.spec
-    return spec.gang or spec.max_per_minion > 0 or bool(unit.job.advised)
+    return spec.gang or spec.max_per_minion > 0 or unit.job.advised
 
 
 def _cleaned(schedule: Schedule, pool: str) -> list[Unit]:
--- a/courselead/core/scheduler/pools.py
+++ b/courselead/core/scheduler/pools.py
@@ -73,7 +73,7 @@
     for step in job.spec.steps:
         if step.long_running or step.fills:
             continue
-        run_ms = schedule.run_ms.get(job.queue, step.estimate_ms)
+        run_ms = schedule.expected_ms(job.queue, step)
         work += int(step.count * step.need.cpu_milli * run_ms)
     pool = schedule.pool_of(job)
     schedule.arrivals.setdefault(pool, []).append((schedule.now_ms, work))
@@ -209,7 +209,7 @@
             if waited > LASTING_WAIT_MS and schedule.now_ms > unit.not_before_ms:
                 demand.lasting_waits = True
             continue
-        run_ms = schedule.run_ms.get(unit.job.queue, spec.estimate_ms)
+        run_ms = schedule.expected_ms(unit.job.queue, spec)
         work += int(len(unit.indexes) * spec.need.cpu_milli * run_ms)
     demand.waiting = work // DRAIN_MS
 
--- a/courselead/core/scheduler/schedule.py
+++ b/courselead/core/scheduler/schedule.py
@@ -13,7 +13,13 @@
     Note,
     StopRun,
 )
-from courselead.core.scheduler.models import Bounds, FleetConfig, Queue, Worker
+from courselead.core.scheduler.models import (
+    Bounds,
+    FleetConfig,
+    Queue,
+    StepSpec,
+    Worker,
+)
 from courselead.core.scheduler.state import (
     Job,
     Minion,
@@ -90,7 +96,6 @@
     """
 
     fence: int
-    first_owner: bool
     bounds: Bounds
     config: FleetConfig
     book: JobBook
@@ -153,6 +158,10 @@
         """Return a queue of the newest configuration."""
         return self.config.queues.get(name)
 
+    def expected_ms(self, queue: str, spec: StepSpec) -> float:
+        """Return the time that a task is expected to run: learned, else declared."""
+        return self.run_ms.get(queue, spec.estimate_ms)
+
     def emit(self, effect: Effect) -> None:
         """Want something done."""
         self.effects.append(effect)
--- a/courselead/core/scheduler/scheduler.py
+++ b/courselead/core/scheduler/scheduler.py
@@ -70,9 +70,7 @@
             wall_ms: Time since 1970.
             quiet_ms: Time since the last sign of life of the owner before.
         """
-        schedule = Schedule(
-            fence, first_owner, bounds, config, book, now_ms, now_ms, wall_ms
-        )
+        schedule = Schedule(fence, bounds, config, book, now_ms, now_ms, wall_ms)
         before = book.owner_before
         if before is not None and before.released:
             # It gave no order after this record, and says which it gave before.
--- a/courselead/core/scheduler/state.py
+++ b/courselead/core/scheduler/state.py
@@ -45,7 +45,6 @@
     stop_answered_ms: int | None = None
     stop_reason: str = ""
     pace: int = 100
-    pace_ms: int = 0
 
     @property
     def task(self) -> str:
--- a/courselead/core/scheduler/urgency.py
+++ b/courselead/core/scheduler/urgency.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
+
+from courselead.core.scheduler.models import StepSpec
 from courselead.core.scheduler.schedule import Left, Schedule
 from courselead.core.scheduler.state import Job, StepRun
 
@@ -9,11 +12,6 @@
 """Time for which what is left of a job is not reckoned anew: one tick."""
 
 
-def run_ms(schedule: Schedule, step: StepRun) -> float:
-    """Return the time that a task of a step is expected to run."""
-    return schedule.run_ms.get(step.job.queue, step.spec.estimate_ms)
-
-
 def left(schedule: Schedule, step: StepRun) -> Left:
     """Return what is left of a step's occurrence."""
     key = (step.job.job_id, step.occurrence)
@@ -21,14 +19,14 @@
     if known is not None and schedule.now_ms - known.at_ms < LEFT_MS:
         return known
     steps = step.job.occurrences.get(step.occurrence, [step])
-    ends: list[float] = []
+    takes: list[float] = []
     work = 0.0
     for item in steps:
-        begins = max((ends[before] for before in item.spec.after), default=0.0)
-        takes = run_ms(schedule, item) if item.open_units else 0.0
-        ends.append(begins + takes)
-        work += item.open_units * item.spec.need.cpu_milli * takes
-    found = Left(schedule.now_ms, int(work), int(max(ends)))
+        expected = schedule.expected_ms(step.job.queue, item.spec)
+        takes.append(expected if item.open_units else 0.0)
+        work += item.open_units * item.spec.need.cpu_milli * takes[-1]
+    chain_ms = _chain_ms([item.spec for item in steps], takes)
+    found = Left(schedule.now_ms, int(work), chain_ms)
     schedule.left[key] = found
     return found
 
@@ -39,10 +37,16 @@
     if queue is None:
         return job.accepted_ms
     if job.chain_ms == 0:
-        ends: list[float] = []
-        for spec in job.spec.steps:
-            begins = max((ends[before] for before in spec.after), default=0.0)
-            takes = schedule.run_ms.get(job.queue, spec.estimate_ms)
-            ends.append(begins + takes)
-        job.chain_ms = int(max(ends))
+        specs = job.spec.steps
+        takes = [schedule.expected_ms(job.queue, spec) for spec in specs]
+        job.chain_ms = _chain_ms(specs, takes)
     return job.accepted_ms + int(queue.stretch * job.chain_ms) + queue.slo_ms
+
+
+def _chain_ms(specs: Sequence[StepSpec], takes: Sequence[float]) -> int:
+    """Return the longest chain of steps that wait for each other."""
+    ends: list[float] = []
+    for spec, time_ms in zip(specs, takes, strict=True):
+        begins = max((ends[before] for before in spec.after), default=0.0)
+        ends.append(begins + time_ms)
+    return int(max(ends))
--- a/courselead/daemon/scheduling/intake.py
+++ b/courselead/daemon/scheduling/intake.py
@@ -33,7 +33,6 @@
     KNOWN = "known"
     NOT_RUN = "not_run"
     IN_DOUBT = "in_doubt"
-    NO_QUEUE = "no_queue"
     NO_JOB = "no_job"
     CANCELLED = "cancelled"
 
--- a/courselead/daemon/scheduling/main.py
+++ b/courselead/daemon/scheduling/main.py
@@ -60,24 +60,10 @@
         settings.bounds.bounds(),
         settings.peer_address,
     )
-    front = HttpServer(
-        JobsApp(host.intake, lambda: host.leaving),  # type: ignore[arg-type]
-        _address(settings.listen.front),
-        LimitSettings(),
-        DRAIN_MS,
-    )
-    ready = HttpServer(
-        ReadyApp(lambda: host.ready),  # type: ignore[arg-type]
-        _address(settings.listen.ready),
-        LimitSettings(),
-        DRAIN_MS,
-    )
-    relay = HttpServer(
-        host.relay,  # type: ignore[arg-type]
-        _address(settings.peer_address),
-        LimitSettings(),
-        DRAIN_MS,
-    )
+    jobs_app = JobsApp(host.intake, lambda: host.leaving)
+    front = _server(jobs_app, _address(settings.listen.front))
+    ready = _server(ReadyApp(lambda: host.ready), _address(settings.listen.ready))
+    relay = _server(host.relay, _address(settings.peer_address))
     metrics = SchedulingMetrics(host.counters)
     host.counters.watch("lines_dropped", lambda: budget.dropped + writer.dropped)
     _LOGGER.info("started", host=settings.node, front=settings.listen.front)
@@ -101,12 +87,7 @@
     metrics: SchedulingMetrics, host: SchedulingHost, ip: str
 ) -> None:
     """Serve the metrics; a host whose port is taken goes on without them."""
-    server = HttpServer(
-        MetricsApp(metrics, lambda: host.owns),  # type: ignore[arg-type]
-        Address(ip, PORT),
-        LimitSettings(),
-        DRAIN_MS,
-    )
+    server = _server(MetricsApp(metrics, lambda: host.owns), Address(ip, PORT))
     try:
         await server.run()
     except ListenFailed as exc:
@@ -132,6 +113,10 @@
             return
 
 
+def _server(app: object, address: Address) -> HttpServer:
+    return HttpServer(app, address, LimitSettings(), DRAIN_MS)  # type: ignore[arg-type]
+
+
 def _address(text: str) -> Address:
     ip, _, port = text.rpartition(":")
     return Address(ip, int(port))
--- a/courselead/daemon/scheduling/metrics.py
+++ b/courselead/daemon/scheduling/metrics.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable, MutableMapping
-from typing import Any
+from collections.abc import Callable
 
 from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
 from aioprometheus.formats import text
 
 from courselead.daemon.scheduling.ports import HostCounters
+from courselead.integrations.http_api.exchange import Scope, Send
+from courselead.integrations.http_api.plain import answer
 
 PORT = 9464
 """Port of the metrics on every machine, as `deploy/system.toml` names it: the one
@@ -18,9 +19,6 @@
 
 BUCKETS_S = (0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0)
 
-Scope = MutableMapping[str, Any]
-Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
-
 
 class SchedulingMetrics:
     """Keeps the histograms, and renders them with the counters."""
@@ -66,12 +64,5 @@
             return
         found = scope["path"] == PATH
         body = self._metrics.render(self._owns()) if found else b""
-        headers = [
-            (b"content-type", b"text/plain; version=0.0.4"),
-            (b"content-length", str(len(body)).encode()),
-        ]
-        status = 200 if found else 404
-        await send(
-            {"type": "http.response.start", "status": status, "headers": headers}
-        )
-        await send({"type": "http.response.body", "body": body})
+        headers = [(b"content-type", b"text/plain; version=0.0.4")]
+        await answer(send, 200 if found else 404, body, headers)
--- a/courselead/daemon/scheduling/ports.py
+++ b/courselead/daemon/scheduling/ports.py
@@ -145,7 +145,7 @@
 
 @dataclass(frozen=True, slots=True)
 class OrderAnswer:
-    """What a minion said to an order; `tries` counts sendings."""
+    """What a minion or the cloud said to an order."""
 
     outcome: Outcome
     clock_ms: int = 0
--- a/courselead/daemon/scheduling/relay.py
+++ b/courselead/daemon/scheduling/relay.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Awaitable, Callable, MutableMapping, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Any
 
 import anyio
@@ -35,6 +35,8 @@
     ReadFailed,
 )
 from courselead.integrations.http.errors import NotSent
+from courselead.integrations.http_api.exchange import Receive, Scope, Send
+from courselead.integrations.http_api.plain import answer, whole_body
 from courselead.integrations.lean_http import Call, LeanPool
 
 _LOGGER = structlog.get_logger(__name__)
@@ -59,10 +61,6 @@
 
 _CONNECTIONS = 4
 
-Scope = MutableMapping[str, Any]
-Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
-Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
-
 
 class _Append(msgspec.Struct, array_like=True):
     log: str
@@ -295,17 +293,9 @@
         """Serve one HTTP exchange."""
         if scope["type"] != "http":
             return
-        body = bytearray()
-        while True:
-            message = await receive()
-            body += message.get("body", b"")
-            if not message.get("more_body"):
-                break
-        reply = await self._serve(scope["path"], bytes(body))
-        content = msgspec.msgpack.encode(reply)
-        headers = [(b"content-length", str(len(content)).encode())]
-        await send({"type": "http.response.start", "status": 200, "headers": headers})
-        await send({"type": "http.response.body", "body": content})
+        body = await whole_body(receive)
+        reply = await self._serve(scope["path"], body or b"")
+        await answer(send, 200, msgspec.msgpack.encode(reply))
 
     async def _serve(self, path: str, body: bytes) -> _Reply:
         if not self._ways.reachable:
--- /dev/null
+++ b/courselead/integrations/http_api/plain.py
@@ -0,0 +1,37 @@
+"""A whole request body and a whole answer, for small applications over ASGI."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from courselead.integrations.http_api.exchange import Receive, Send
+
+CONTENT_LENGTH = b"content-length"
+
+
+async def whole_body(receive: Receive, most_bytes: int | None = None) -> bytes | None:
+    """Return a request's body, nothing if it is longer than allowed.
+
+    Of a caller that left, what had come is returned.
+    """
+    chunks = bytearray()
+    while True:
+        message = await receive()
+        chunks += message.get("body", b"")
+        if most_bytes is not None and len(chunks) > most_bytes:
+            return None
+        if not message.get("more_body"):
+            return bytes(chunks)
+
+
+async def answer(
+    send: Send,
+    status: int,
+    body: bytes,
+    headers: Sequence[tuple[bytes, bytes]] = (),
+) -> None:
+    """Send an answer with its length."""
+    length = (CONTENT_LENGTH, str(len(body)).encode())
+    start = {"status": status, "headers": [*headers, length]}
+    await send({"type": "http.response.start", **start})
+    await send({"type": "http.response.body", "body": body})
--- a/courselead/integrations/lean_http/connection.py
+++ b/courselead/integrations/lean_http/connection.py
@@ -119,7 +119,6 @@
         self._host = host
         self._port = int(port)
         self._protocol: _Protocol | None = None
-        self.opened = 0
 
     async def call(self, call: Call, timeout_ms: int) -> Result[Answer, ExchangeError]:
         """Send a request and return the whole answer.
@@ -157,7 +156,6 @@
     async def _open(self, timeout_ms: int) -> _Protocol | NotSent:
         loop = asyncio.get_running_loop()
         self.close()
-        self.opened += 1
         try:
             async with asyncio.timeout(timeout_ms / 1000):
                 transport, protocol = await loop.create_connection(
--- a/courselead/platform/cloud.py
+++ b/courselead/platform/cloud.py
@@ -11,9 +11,9 @@
 from courselead.core.scheduler.events import Outcome
 from courselead.core.scheduler.models import Worker, WorkerPhase
 from courselead.daemon.scheduling.ports import OrderAnswer, Tickets
-from courselead.integrations.http.errors import NotSent
 from courselead.integrations.lean_http import Call, LeanPool
 from courselead.platform import const
+from courselead.platform.answers import failed, shed
 from courselead.platform.decode import WireCapacity
 
 _PHASES = {
@@ -107,15 +107,13 @@
         call = Call("POST", path, msgspec.json.encode(body), headers)
         answered = await self._pool.call(call, const.CLOUD_TIMEOUT_MS)
         if isinstance(answered, Failure):
-            error = answered.failure()
-            sent = not isinstance(error, NotSent)
-            outcome = Outcome.UNKNOWN if sent else Outcome.NOT_SENT
-            return OrderAnswer(outcome, 0, error.reason)
+            return failed(answered.failure())
         answer = answered.unwrap()
         if answer.status == 200:
             return OrderAnswer(Outcome.OK)
-        if answer.status in (429, 503):
-            return OrderAnswer(Outcome.SHED, 0, f"status {answer.status}")
+        nothing_done = shed(answer)
+        if nothing_done is not None:
+            return nothing_done
         if answer.status == 400:
             return OrderAnswer(Outcome.REFUSED, 0, "no such worker or pool")
         if answer.status == 409:
--- a/courselead/platform/const.py
+++ b/courselead/platform/const.py
@@ -54,5 +54,9 @@
 CLOUD_TIMEOUT_MS = 1_500
 """Time-out of a call to the cloud, which may be slow."""
 
+STORE_CONNECTIONS = 10
+"""Most connections to the store: three reads that wait, callers' and the owner's
+appends, and room for questions and relayed calls; made on need."""
+
 ORDER_CONNECTIONS = 4
 """Most connections for orders to one minion, of the 64 that it takes."""
--- a/courselead/platform/ingress.py
+++ b/courselead/platform/ingress.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Awaitable, Callable, MutableMapping
-from typing import Any
+from collections.abc import Callable
 
 import msgspec
 from returns.result import Failure, Result, Success
@@ -16,12 +15,10 @@
     JobReply,
     Verdict,
 )
+from courselead.integrations.http_api.exchange import Receive, Scope, Send
+from courselead.integrations.http_api.plain import answer, whole_body
 from courselead.platform import const
 
-Scope = MutableMapping[str, Any]
-Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
-Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
-
 _JOB_ID = re.compile(r"[0-9a-f]{16}")
 _MOST_PAYLOAD = 4_000
 _MOST_TASKS = 10_000
@@ -32,7 +29,6 @@
     Verdict.CANCELLED: 200,
     Verdict.NOT_RUN: 503,
     Verdict.IN_DOUBT: 504,
-    Verdict.NO_QUEUE: 404,
     Verdict.NO_JOB: 410,
 }
 
@@ -83,7 +79,7 @@
         """Serve one HTTP exchange."""
         if scope["type"] != "http":
             return
-        body = await _body(receive, self._intake.body_bytes)
+        body = await whole_body(receive, self._intake.body_bytes)
         status, document = await self._serve(scope, body)
         await _answer(send, status, document, self._leaving())
 
@@ -191,28 +187,10 @@
     return status, {}
 
 
-async def _body(receive: Receive, most_bytes: int) -> bytes | None:
-    chunks = bytearray()
-    while True:
-        message = await receive()
-        if message["type"] != "http.request":
-            return bytes(chunks)
-        chunks += message.get("body", b"")
-        if len(chunks) > most_bytes:
-            return None
-        if not message.get("more_body"):
-            return bytes(chunks)
-
-
 async def _answer(send: Send, status: int, document: object, leaving: bool) -> None:
-    body = msgspec.json.encode(document)
-    headers = [
-        (b"content-type", b"application/json"),
-        (b"content-length", str(len(body)).encode()),
-    ]
+    headers = [(b"content-type", b"application/json")]
     if status in (429, 503, 504):
         headers.append((b"retry-after", str(RETRY_AFTER_S).encode()))
     if leaving:
         headers.append((b"connection", b"close"))
-    await send({"type": "http.response.start", "status": status, "headers": headers})
-    await send({"type": "http.response.body", "body": body})
+    await answer(send, status, msgspec.json.encode(document), headers)
--- a/courselead/platform/minions.py
+++ b/courselead/platform/minions.py
@@ -16,9 +16,9 @@
 )
 from courselead.core.scheduler.models import MinionInfo
 from courselead.daemon.scheduling.ports import MinionHold, OrderAnswer
-from courselead.integrations.http.errors import ExchangeError, NotSent
 from courselead.integrations.lean_http import Answer, Call, LeanConnection, LeanPool
 from courselead.platform import const
+from courselead.platform.answers import failed, shed
 
 _REASONS = {
     "fence": Outcome.FENCED,
@@ -68,7 +68,7 @@
             self._call(const.PATH_HOLD, body), wait_ms + const.HOLD_SLACK_MS
         )
         if isinstance(answered, Failure):
-            return Failure(_failed(answered.failure()))
+            return Failure(failed(answered.failure()))
         answer = answered.unwrap()
         if answer.status != 200:
             return Failure(_order_answer(answer))
@@ -129,20 +129,16 @@
     async def _order(self, call: Call, timeout_ms: int) -> OrderAnswer:
         answered = await self._orders.call(call, timeout_ms)
         if isinstance(answered, Failure):
-            return _failed(answered.failure())
+            return failed(answered.failure())
         return _order_answer(answered.unwrap())
 
 
-def _failed(error: ExchangeError) -> OrderAnswer:
-    outcome = Outcome.NOT_SENT if isinstance(error, NotSent) else Outcome.UNKNOWN
-    return OrderAnswer(outcome, 0, error.reason)
-
-
 def _order_answer(answer: Answer) -> OrderAnswer:
     if answer.status == 421:
         return OrderAnswer(Outcome.OTHER_LIFE, 0, "another incarnation answered")
-    if answer.status in (429, 503):
-        return OrderAnswer(Outcome.SHED, 0, f"status {answer.status}")
+    nothing_done = shed(answer)
+    if nothing_done is not None:
+        return nothing_done
     try:
         said = msgspec.json.decode(answer.body or b"{}", type=_OrderAnswer)
     except msgspec.MsgspecError as exc:
--- a/courselead/platform/settings.py
+++ b/courselead/platform/settings.py
@@ -27,7 +27,6 @@
 
 class _Bounds(msgspec.Struct, rename="camel"):
     hold_max_ms: int = 10_000
-    stop_ms: int = 900
     move_s: float = 1.5
     upkeep_s: float = 2.0
     lease_ms: int = 3_000
@@ -38,7 +37,6 @@
         """Return the bounds that the scheduler keeps to."""
         return Bounds(
             lease_max_ms=self.hold_max_ms,
-            stop_ms=self.stop_ms,
             move_ms=int(self.move_s * 1000),
             maintenance_ms=int(self.upkeep_s * 1000),
             # Not a minion's lease: the time within which duties must not change hands.
--- a/courselead/platform/store.py
+++ b/courselead/platform/store.py
@@ -32,7 +32,6 @@
 
 _LENGTH = struct.Struct(">I")
 _READ_HEAD = struct.Struct(">QQ")
-_CONNECTIONS = 6
 
 
 class _AppendAnswer(msgspec.Struct):
@@ -140,7 +139,7 @@
 
 def store_pool(address: str) -> LeanPool:
     """Return the connections to the store: reads that wait hold one each."""
-    return LeanPool(address, _CONNECTIONS + 4)
+    return LeanPool(address, const.STORE_CONNECTIONS)
 
 
 def _framed(record: KeyedRecord) -> bytes:
