Hand out ports that nobody takes before their process listens

Trial of the old function, 3,000 starts as in that test: the same port was handed out twice in 24, taken by a connection or listener in 3; the host that comes second cannot listen and ends. Shown: with a host's port taken on purpose the old wait fails with the very same message. Ruled out: a start that is merely slow (24 runs of the test beside busy processes, 11 to 15 s each, none failed).

Change: one free_ports for demo, tests and benchmarks (there were two), below the range that the kernel uses, no port twice; a fleet whose process has ended says which one and shows its last lines, instead of waiting for it.

--- a/benchmarks/path/lab.py
+++ b/benchmarks/path/lab.py
@@ -1,8 +1,6 @@
 """Stand-ins and entry hosts as real processes, all of one run."""
 
 import json
-import os
-import socket
 import sys
 import time
 from collections.abc import Awaitable, Callable, Sequence
@@ -18,6 +16,7 @@
 
 from courselead.integrations.http import HttpClient, HttpRequest
 from demo.plan import HostPlan, digest
+from demo.ports import free_ports
 from demo.processes import READY_TIMEOUT_S, Processes
 
 OPERATOR = "operator-bench-credential"
@@ -25,9 +24,6 @@
 POLL_S = 0.02
 WAIT_S = 120.0
 TIMEOUT_MS = 15_000
-FIRST_PORT = 21_000
-PORTS_PER_RUN = 100
-PORT_RANGE = 10_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -278,22 +274,6 @@
     return hosts
 
 
-def free_ports(count: int) -> list[int]:
-    """Return loopback ports that are free now.
-
-    They are below those that the kernel gives to clients, so that no
-    connection takes one between now and the start of its host.
-    """
-    found: list[int] = []
-    port = FIRST_PORT + os.getpid() * PORTS_PER_RUN % PORT_RANGE
-    while len(found) < count:
-        port += 1
-        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as sock:
-            if sock.connect_ex(("127.0.0.1", port)) != 0:
-                found.append(port)
-    return found
-
-
 @asynccontextmanager
 async def running(shape: Shape):
     """Start a lab, and end all of it whatever happens."""
--- a/demo/plan.py
+++ b/demo/plan.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from demo.processes import free_ports
+from demo.ports import free_ports
 
 ZONES = ("zone-0", "zone-1")
 HOSTS_PER_ZONE = 2
--- a/demo/processes.py
+++ b/demo/processes.py
@@ -2,7 +2,6 @@
 
 import os
 import signal
-import socket
 import sys
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
@@ -17,6 +16,9 @@
 KILL_TIMEOUT_S = 5.0
 READY_TIMEOUT_S = 30.0
 
+LAST_LINES = 5
+"""Log lines shown of a process that has ended: its error and what led to it."""
+
 
 class CommandFailed(Exception):
     """A command of the demo ended with another exit code than 0."""
@@ -70,11 +72,19 @@
         """Notice a process that has ended by itself.
 
         Raises:
-            CommandFailed: One has.
+            CommandFailed: One has; with the last lines that it wrote.
         """
         for name, process in self._running.items():
             if process.returncode is not None:
-                raise CommandFailed(f"{name} ended with exit {process.returncode}")
+                last = self._last_lines(name)
+                code = process.returncode
+                raise CommandFailed(f"{name} ended with exit {code}: {last}")
+
+    def _last_lines(self, name: str) -> str:
+        log = self.folder / f"{name}.log"
+        if not log.exists():
+            return ""
+        return "".join(log.read_text().splitlines(keepends=True)[-LAST_LINES:])
 
     async def end(self, name: str) -> int:
         """End one process in order and return its exit code."""
@@ -136,16 +146,3 @@
             shown = " ".join(args)
             raise CommandFailed(f"{shown}: exit {result.returncode}: {out}{err}")
         return out
-
-
-def free_ports(count: int) -> list[int]:
-    """Return loopback ports that are free now."""
-    socks = []
-    for _ in range(count):
-        sock = socket.socket()
-        sock.bind(("127.0.0.1", 0))
-        socks.append(sock)
-    ports = [sock.getsockname()[1] for sock in socks]
-    for sock in socks:
-        sock.close()
-    return ports
--- a/tests/processes/relay.py
+++ b/tests/processes/relay.py
@@ -14,7 +14,7 @@
 from anyio.abc import SocketStream, TaskGroup, TaskStatus
 
 from demo.plan import HostPlan
-from demo.processes import free_ports
+from demo.ports import free_ports
 from tests.processes.system import Routes
 
 LOOPBACK = "127.0.0.1"
--- a/tests/processes/system.py
+++ b/tests/processes/system.py
@@ -18,7 +18,8 @@
 
 from courselead.integrations.http import HttpClient, HttpRequest, NotSent
 from demo.plan import OPERATOR, HostPlan, credential, digest
-from demo.processes import Processes, free_ports
+from demo.ports import free_ports
+from demo.processes import Processes
 
 ACCOUNT = "acme"
 SERVICE = "web"
@@ -281,6 +282,7 @@
         """Wait until hosts (default: all) are members and read the log."""
 
         async def all_ready() -> bool:
+            self.processes.check_running()
             reports = [await self.status(host) for host in hosts or self.hosts]
             return all(rep.get("member") and rep["log_up"] for rep in reports)
 
