Close kept connections once one of them went silent

Change: a failed call closes the pool's idle connections, a failed look at a minion those for its orders. Calls under way go on.

Cloud lists that are under way at the same time still fail together.

--- a/courselead/integrations/lean_http/pool.py
+++ b/courselead/integrations/lean_http/pool.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import anyio
-from returns.result import Result
+from returns.result import Failure, Result
 
 from courselead.integrations.http.errors import ExchangeError
 from courselead.integrations.lean_http.connection import Answer, Call, LeanConnection
@@ -25,9 +25,21 @@
         async with self._slots:
             conn = self._take()
             try:
-                return await conn.call(call, timeout_ms)
+                result = await conn.call(call, timeout_ms)
             finally:
                 self._idle.append(conn)
+        if isinstance(result, Failure):
+            self.close_idle()
+        return result
+
+    def close_idle(self) -> None:
+        """Close the connections without a call; they are opened anew on need.
+
+        Where one was silent or reset the others of its time are likely to be, too,
+        and each would cost another time-out.
+        """
+        for conn in self._idle:
+            conn.close()
 
     def close(self) -> None:
         """Close all connections."""
--- a/courselead/platform/minions.py
+++ b/courselead/platform/minions.py
@@ -68,6 +68,7 @@
             self._call(const.PATH_HOLD, body), wait_ms + const.HOLD_SLACK_MS
         )
         if isinstance(answered, Failure):
+            self._orders.close_idle()
             return Failure(failed(answered.failure()))
         answer = answered.unwrap()
         if answer.status != 200:
