--- a/courselead/core/scheduler/pools.py
+++ b/courselead/core/scheduler/pools.py
@@ -3,21 +3,13 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from dataclasses import dataclass, field, replace
-
-import msgspec
+from dataclasses import replace
 
+from courselead.core.scheduler.demand import PoolDemand, demands_of, report
 from courselead.core.scheduler.events import DutyAnswered, MoveWorker, Outcome
 from courselead.core.scheduler.models import Worker, WorkerPhase
 from courselead.core.scheduler.schedule import MoveState, Schedule
-from courselead.core.scheduler.state import Job, Minion
-from courselead.core.scheduler.turns import TurnMemory, Turns
-
-RATE_WINDOW_MS = 1_000
-"""Time over which the work that arrives is counted: a quarter of a turn of demand."""
-
-DRAIN_MS = 1_000
-"""Time within which waiting work should be done: jobs have about as much slack."""
+from courselead.core.scheduler.state import Minion
 
 IDLE_OFF_MS = 2_500
 """Idle time after which a worker is switched off: a move there and back costs as much
@@ -33,61 +25,16 @@
 """Time beyond a move's own after which a worker that is up in another pool is not
 waited for: twice what a move takes."""
 
-REPORT_MS = 2_000
-"""Time between two lines on each pool: half a turn of demand, whatever the load."""
-
-JOIN_MS = 700
-"""Time from the end of a move until the minion is listed and has answered a look."""
-
-LASTING_WAIT_MS = 300
-"""Time a lasting task may wait for room before a worker is fetched for it."""
-
-
-@dataclass(slots=True)
-class PoolDemand:
-    """What a pool has and wants, in thousandths of a core."""
-
-    capacity: int = 0
-    lasting: int = 0
-    arriving: int = 0
-    waiting: int = 0
-    lasting_waits: bool = False
-    labels_wait: set[str] = field(default_factory=set)
-    untried: bool = False
-    idle: list[Minion] | None = None
-
-    @property
-    def wanted(self) -> int:
-        """Return the capacity that would serve it in time."""
-        return self.lasting + self.arriving + self.waiting
-
-    @property
-    def pressure(self) -> float:
-        """Return how many times its capacity it wants."""
-        return self.wanted / max(1, self.capacity)
-
-
-def job_arrived(schedule: Schedule, job: Job) -> None:
-    """Count a new job's work into its pool's rate."""
-    work = 0
-    for step in job.spec.steps:
-        if step.long_running or step.fills:
-            continue
-        run_ms = schedule.expected_ms(job.queue, step)
-        work += int(step.count * step.need.cpu_milli * run_ms)
-    pool = schedule.pool_of(job)
-    schedule.arrivals.setdefault(pool, []).append((schedule.now_ms, work))
-
 
 def tick(schedule: Schedule) -> None:
     """Order the moves that serve demand."""
     if schedule.workers_ms < 0 or schedule.now_ms < schedule.duty_after_ms:
         return
     _retry(schedule)
-    demands = _demands(schedule)
-    _report(schedule, demands)
+    demands = demands_of(schedule)
+    report(schedule, demands)
     spare = _spare_workers(schedule)
-    short = {pool: demand for pool, demand in demands.items() if _lacks(demand)}
+    short = {pool: item for pool, item in demands.items() if item.lacks}
     if short:
         _fetch(schedule, short, _donors(schedule, demands), spare)
     else:
@@ -132,94 +79,6 @@
             _uncordon(schedule, worker_id)
 
 
-def _demands(schedule: Schedule) -> dict[str, PoolDemand]:
-    demands: dict[str, PoolDemand] = {}
-    for name, pool in schedule.config.pools.items():
-        if not pool.spare:
-            demands[name] = PoolDemand(idle=[])
-    for minion in schedule.minions.values():
-        demand = demands.get(minion.info.pool)
-        if demand is None or minion.info.draining or minion.failures:
-            continue
-        if not minion.listed or minion.cordoned:
-            continue
-        demand.capacity += minion.info.room.cpu_milli
-        if not minion.runs and minion.synced:
-            assert demand.idle is not None
-            demand.idle.append(minion)
-        for run in minion.runs.values():
-            if run.unit.spec.long_running:
-                demand.lasting += run.unit.spec.charge.cpu_milli
-    for worker_id, move in schedule.moves.items():
-        worker = schedule.workers.get(worker_id)
-        if worker is not None and move.pool in demands:
-            demands[move.pool].capacity += worker.room.cpu_milli
-    for pool, demand in demands.items():
-        demand.arriving = _rate(schedule, pool)
-        turns = turns_of(schedule, pool)
-        jobs = len(schedule.arrivals.get(pool, ()))
-        turns.follow(schedule.wall_ms, demand.arriving, jobs)
-        lead_ms = schedule.bounds.move_ms + JOIN_MS
-        due = turns.due_milli(schedule.wall_ms, lead_ms)
-        demand.arriving = max(demand.arriving, due)
-        demand.untried = not turns.seen
-        _count_waiting(schedule, pool, demand)
-    for worker_id, move in schedule.moves.items():
-        worker = schedule.workers.get(worker_id)
-        if worker is not None and move.pool in demands:
-            demands[move.pool].labels_wait.difference_update(worker.labels)
-    return demands
-
-
-def _report(schedule: Schedule, demands: dict[str, PoolDemand]) -> None:
-    if schedule.now_ms - schedule.pools_reported_ms < REPORT_MS:
-        return
-    schedule.pools_reported_ms = schedule.now_ms
-    for pool, demand in sorted(demands.items()):
-        schedule.note(
-            "pool_state",
-            pool=pool,
-            capacity_milli=demand.capacity,
-            lasting_milli=demand.lasting,
-            arriving_milli=demand.arriving,
-            waiting_milli=demand.waiting,
-            idle=len(demand.idle or ()),
-            ready=len(schedule.ready.get(pool, ())),
-        )
-
-
-def _rate(schedule: Schedule, pool: str) -> int:
-    recent = schedule.arrivals.get(pool, [])
-    since = schedule.now_ms - RATE_WINDOW_MS
-    while recent and recent[0][0] < since:
-        recent.pop(0)
-    return sum(work for _, work in recent) // RATE_WINDOW_MS
-
-
-def _count_waiting(schedule: Schedule, pool: str, demand: PoolDemand) -> None:
-    work = 0
-    for unit in schedule.ready.get(pool, ()):
-        if unit.done or unit.job.state.final:
-            continue
-        spec = unit.spec
-        waited = schedule.now_ms - unit.ready_ms
-        if spec.required_label and waited > LASTING_WAIT_MS:
-            demand.labels_wait.add(spec.required_label)
-        if spec.long_running:
-            if waited > LASTING_WAIT_MS and schedule.now_ms > unit.not_before_ms:
-                demand.lasting_waits = True
-            continue
-        run_ms = schedule.expected_ms(unit.job.queue, spec)
-        work += int(len(unit.indexes) * spec.need.cpu_milli * run_ms)
-    demand.waiting = work // DRAIN_MS
-
-
-def _lacks(demand: PoolDemand) -> bool:
-    if demand.lasting_waits or demand.labels_wait:
-        return True
-    return demand.wanted > demand.capacity
-
-
 def _calm(
     schedule: Schedule, demands: dict[str, PoolDemand]
 ) -> list[tuple[Minion, Worker]]:
@@ -234,15 +93,6 @@
     return _donors(schedule, tried)
 
 
-def turns_of(schedule: Schedule, pool: str) -> Turns:
-    """Return what is known of a pool's turns."""
-    turns = schedule.turns.get(pool)
-    if turns is None:
-        memory = schedule.book.turns.get(pool, TurnMemory())
-        turns = schedule.turns[pool] = Turns(msgspec.structs.replace(memory))
-    return turns
-
-
 def _spare_workers(schedule: Schedule) -> list[Worker]:
     workers = []
     for worker in schedule.workers.values():
@@ -306,7 +156,7 @@
             demand.lasting_waits = False
             demand.capacity += worker.room.cpu_milli
             _move(schedule, worker, pool)
-        if not _lacks(demand):
+        if not demand.lacks:
             del short[pool]
 
 
--- a/courselead/core/scheduler/scheduler.py
+++ b/courselead/core/scheduler/scheduler.py
@@ -4,7 +4,15 @@
 
 from dataclasses import dataclass, replace
 
-from courselead.core.scheduler import const, jobs, minions, placement, pools, waves
+from courselead.core.scheduler import (
+    const,
+    demand,
+    jobs,
+    minions,
+    placement,
+    pools,
+    waves,
+)
 from courselead.core.scheduler.book import JobBook
 from courselead.core.scheduler.events import (
     AdviceFailed,
@@ -193,7 +201,7 @@
         if entry is None or job_id in schedule.jobs:
             return
         job = jobs.open_job(schedule, entry, from_before=False)
-        pools.job_arrived(schedule, job)
+        demand.job_arrived(schedule, job)
 
     def _saved(self, batch: int) -> None:
         self.schedule.saved_batch = batch
