--- a/tests/daemon/scheduling/test_host.py
+++ b/tests/daemon/scheduling/test_host.py
@@ -74,7 +74,7 @@
 
 
 async def test_an_owner_that_cannot_write_is_replaced_and_fenced(monkeypatch):
-    monkeypatch.setattr(host_module, "TAKEOVER_S", 0.3)
+    monkeypatch.setattr(host_module, "SILENT_OWNER_S", 0.3)
     monkeypatch.setattr("courselead.daemon.scheduling.claims.SHOW_S", 0.3)
     shared = platform()
     own_way = MemoryLog(records=shared.jobs.records)
