--- /dev/null
+++ b/benchmarks/drawn/__init__.py
@@ -0,0 +1,1 @@
+"""Drawn days for the users' bench: any trouble, at any moment, more than once."""
--- /dev/null
+++ b/tests/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the benchmarks."""
