Let a host that owned the schedule before its restart order moves at once

Where it is the same host that process is gone, and the holder is the same. Found on the way: an owner that handed over while it was itself still waiting for the orders of the one before it did not pass that on.

Change: no wait after one's own predecessor; the owner's record says how long it has yet to wait, and the next one waits for it.

--- a/courselead/core/scheduler/records.py
+++ b/courselead/core/scheduler/records.py
@@ -65,6 +65,7 @@
 
     It carries what the owner has learned of the pools' turns of demand, and at a
     handover the workers that it has given orders for of late, with their ages in ms.
+    `duty_wait_ms` is how long it has yet to wait for the orders of owners before it.
     """
 
     fence: int
@@ -73,6 +74,7 @@
     released: bool = False
     turns: dict[str, TurnMemory] = {}
     ordered: dict[str, int] = {}
+    duty_wait_ms: int = 0
 
 
 class WaveProgress(msgspec.Struct, frozen=True, array_like=True):
--- a/courselead/core/scheduler/scheduler.py
+++ b/courselead/core/scheduler/scheduler.py
@@ -88,6 +88,10 @@
             longest_ms = bounds.duty_lease_ms + const.HANDOVER_SLACK_MS
             for worker_id, age_ms in before.ordered.items():
                 schedule.barred_ms[worker_id] = now_ms + longest_ms - age_ms
+            schedule.duty_after_ms = now_ms + before.duty_wait_ms
+        elif before is not None and book.owner and before.host == book.owner.host:
+            # The same holder: its process before this one is gone, and orders no more.
+            schedule.duty_after_ms = now_ms + before.duty_wait_ms
         elif not first_owner:
             wait_ms = bounds.duty_lease_ms + const.DUTY_SLACK_MS - quiet_ms
             schedule.duty_after_ms = now_ms + max(0, wait_ms)
--- a/courselead/daemon/scheduling/owner.py
+++ b/courselead/daemon/scheduling/owner.py
@@ -334,14 +334,24 @@
         self._beat += 1
         turns = {}
         ordered: dict[str, int] = {}
+        duty_wait_ms = 0
         if self.scheduler is not None:
+            duty_wait_ms = max(0, self.scheduler.schedule.duty_after_ms - now_ms())
             if released:
                 ordered = self.scheduler.recent_orders(now_ms())
             for pool, known in self.scheduler.schedule.turns.items():
                 if known.seen:
                     turns[pool] = known.memory
         return encode(
-            OwnerBeat(self.fence, self._host, self._beat, released, turns, ordered)
+            OwnerBeat(
+                self.fence,
+                self._host,
+                self._beat,
+                released,
+                turns,
+                ordered,
+                duty_wait_ms,
+            )
         )
 
     async def _save(self) -> None:
--- a/tests/core/scheduler/test_pools.py
+++ b/tests/core/scheduler/test_pools.py
@@ -109,6 +109,46 @@
     assert moves(world)
 
 
+def next_owner(world: World, before: OwnerBeat, host: str) -> None:
+    """Let a host take over after a record of the owner before."""
+    world.book.apply(before)
+    world.book.apply(OwnerBeat(2, host, 1))
+    owner = world.claim()
+    owner.schedule.turns[POOL] = Turns(TurnMemory(onset_ms=1))
+
+
+def test_a_new_owner_on_the_same_host_orders_moves_at_once():
+    # aloisi-sched trouble-2: after a loss of power of all hosts 26 idle workers stayed
+    # for four seconds in a pool whose turn was over, beside one with 311 waiting tasks.
+    world = World(minions=2, cfg=fleet())
+    world.claim()
+    have_turn(world)
+    next_owner(world, OwnerBeat(1, "a", 1), "a")
+    world.run(3_000)
+    assert moves(world)
+
+
+def test_what_the_owner_before_had_yet_to_wait_for_is_waited_for():
+    for before in (OwnerBeat(1, "a", 1, duty_wait_ms=3_500), OwnerBeat(1, "b", 1)):
+        world = World(minions=2, cfg=fleet())
+        world.claim()
+        have_turn(world)
+        next_owner(world, before, "a")
+        world.run(3_400)
+        assert not moves(world)
+        world.run(3_000)
+        assert moves(world)
+
+
+def test_a_handover_passes_on_what_is_to_be_waited_for():
+    world = World(minions=2, cfg=fleet())
+    world.claim()
+    have_turn(world)
+    next_owner(world, OwnerBeat(1, "b", 1, released=True, duty_wait_ms=3_500), "a")
+    world.run(3_400)
+    assert not moves(world)
+
+
 def test_a_refused_move_gives_the_worker_back():
     world = World(minions=1, cfg=fleet())
     owner = world.claim()
