Test the platform's path with real processes against stand-ins of its own

Change: standins/job_platform speaks the store (fenced and conditional appends, long reads, newest of each key), minions (start, stop, hold, leases, lives) and the cloud; its ledger checks from outside that no task runs twice at a time or after its noted end, and that fences do not go back. Nine process tests: plain work, the owner killed, frozen and told to end, all hosts killed at once, minions that crash, a store that is down or loses answers, a cancel.

--- a/demo/processes.py
+++ b/demo/processes.py
@@ -52,11 +52,23 @@
 
     async def start_daemon(self, name: str, settings: Path) -> None:
         """Start an entry host."""
-        log = (self.folder / f"{name}.log").open("wb")
-        command = [*self.courselead, "serve", "--config", str(settings)]
-        with log:
+        await self._start(name, ["serve", "--config", str(settings)], {})
+
+    async def start_on_platform(self, name: str, env: Mapping[str, str]) -> None:
+        """Start an entry host whose settings file the environment names."""
+        await self._start(name, ["serve", "--platform"], env)
+
+    async def _start(
+        self, name: str, args: Sequence[str], env: Mapping[str, str]
+    ) -> None:
+        """Start a daemon; its lines go to a file, after those of its predecessor."""
+        with (self.folder / f"{name}.log").open("ab") as log:
             process = await anyio.open_process(
-                command, stdin=DEVNULL, stdout=log, stderr=log
+                [*self.courselead, *args],
+                stdin=DEVNULL,
+                stdout=log,
+                stderr=log,
+                env={**os.environ, **env},
             )
         self._running[name] = process
 
--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -1,4 +1,4 @@
-"""Runs stand-ins: `python -m standins log|membership|worker|fleet`.
+"""Runs stand-ins: `python -m standins log|membership|worker|fleet|site`.
 
 Each command prints one JSON line with its addresses when it is ready, and serves until
 SIGINT or SIGTERM.
@@ -17,6 +17,7 @@
 
 from standins.faults import Endpoint
 from standins.fleet import Fleet, FleetSpec
+from standins.job_platform.site import Site, SiteSpec
 from standins.log import LogStandin
 from standins.membership import MembershipStandin
 from standins.serving import Listener
@@ -83,6 +84,17 @@
     anyio.run(_serve_fleet, spec)
 
 
+@app.command
+def site(machines: int = 4, cpu: int = 4_000, pool: str = "web") -> None:
+    """Serve the users' platform for jobs: store, cloud and machines with minions."""
+    anyio.run(_serve_site, SiteSpec(machines=machines, cpu=cpu, pool=pool))
+
+
+async def _serve_site(spec: SiteSpec) -> None:
+    one = Site(spec)
+    await _serve(one.addresses(), one.run)
+
+
 async def _serve_log(port: int, keep: int) -> None:
     listener = Listener(Endpoint(LogStandin(keep).handle), port)
     await _serve({"log": listener.address}, listener.run)
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -1,4 +1,4 @@
-"""The fault switch that every stand-in carries at `/-/fault`.
+"""The fault switch that every stand-in carries at `/-/fault`, or at `/+/fault`.
 
 `POST /-/fault` replaces all faults by the JSON object sent; `{}` resets. `only` keeps
 the faults to paths that begin with it. Paths under `/-/` never meet a fault.
@@ -38,7 +38,7 @@
 )
 
 CONTROL_PREFIX = "/-/"
-FAULT_PATH = "/-/fault"
+"""Where a stand-in's own paths begin, unless its interface uses them itself."""
 
 _EXTRA_ANSWER = (
     b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n"
@@ -61,9 +61,9 @@
     fail_all: bool = False
     only: str = ""
 
-    def applies_to(self, path: str) -> bool:
+    def applies_to(self, path: str, control_prefix: str) -> bool:
         """Return whether calls to a path meet these faults."""
-        return not path.startswith(CONTROL_PREFIX) and path.startswith(self.only)
+        return not path.startswith(control_prefix) and path.startswith(self.only)
 
 
 NO_FAULTS = Faults()
@@ -72,10 +72,11 @@
 class Endpoint:
     """An ASGI app: reads calls, applies the faults and sends the handler's replies."""
 
-    def __init__(self, handler: Handler) -> None:
+    def __init__(self, handler: Handler, control_prefix: str = CONTROL_PREFIX) -> None:
         """Serve one handler, without any fault at first."""
         self.faults = NO_FAULTS
         self._handler = handler
+        self._control_prefix = control_prefix
         self._scopes: set[anyio.CancelScope] = set()
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
@@ -104,7 +105,7 @@
             scope.cancel()
 
     async def _reply(self, call: Call, receive: Receive) -> Reply | None:
-        if call.path == FAULT_PATH:
+        if call.path == f"{self._control_prefix}fault":
             return self._set_faults(call)
         reply = None
         with anyio.CancelScope() as scope:
@@ -116,7 +117,7 @@
         return reply
 
     async def _with_faults(self, call: Call, receive: Receive) -> Reply | None:
-        if not self.faults.applies_to(call.path):
+        if not self.faults.applies_to(call.path, self._control_prefix):
             return await self._handle(call)
         if self.faults.dead:
             return None
@@ -146,7 +147,7 @@
     def _spend(self, call: Call, name: str) -> bool:
         """Return whether a counted fault strikes this call, and count it down."""
         left = getattr(self.faults, name)
-        if left <= 0 or not self.faults.applies_to(call.path):
+        if left <= 0 or not self.faults.applies_to(call.path, self._control_prefix):
             return False
         self.faults = replace(self.faults, **{name: left - 1})
         return True
--- /dev/null
+++ b/standins/job_platform/ledger.py
@@ -0,0 +1,61 @@
+"""What the minions of a site saw, and what of it must never be seen."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+
+@dataclass(slots=True)
+class Ledger:
+    """Starts and ends of all minions of a site, checked as they come.
+
+    Attributes:
+        starts: How often each task was started.
+        done: How often each task ended as done.
+        broken: Promises that were broken, in words.
+    """
+
+    starts: Counter[str] = field(default_factory=Counter)
+    done: Counter[str] = field(default_factory=Counter)
+    broken: list[str] = field(default_factory=list)
+    _running: dict[str, set[str]] = field(default_factory=dict)
+    _noted: set[str] = field(default_factory=set)
+    _fences: dict[str, int] = field(default_factory=dict)
+
+    def started(self, task: str, minion: str) -> None:
+        """Take a start."""
+        self.starts[task] += 1
+        elsewhere = self._running.setdefault(task, set())
+        if elsewhere:
+            self._break(f"{task} starts on {minion} and runs on {min(elsewhere)}")
+        if task in self._noted:
+            self._break(f"{task} starts on {minion} after its end was noted")
+        elsewhere.add(minion)
+
+    def ended(self, task: str, minion: str, done: bool) -> None:
+        """Take an end of any kind."""
+        self._running.get(task, set()).discard(minion)
+        if done:
+            self.done[task] += 1
+
+    def noted(self, task: str) -> None:
+        """Take note that a minion was told to forget a task's end as done."""
+        self._noted.add(task)
+
+    def ordered(self, machine: str, fence: int) -> None:
+        """Take an order to the cloud that was carried out."""
+        if fence < self._fences.get(machine, 0):
+            self._break(f"{machine} was ordered with {fence} after a higher fence")
+        self._fences[machine] = fence
+
+    def document(self) -> dict[str, object]:
+        """Return all of it, for JSON."""
+        return {
+            "starts": dict(self.starts),
+            "done": dict(self.done),
+            "broken": list(self.broken),
+        }
+
+    def _break(self, what: str) -> None:
+        self.broken.append(what)
--- /dev/null
+++ b/tests/processes/job_site.py
@@ -0,0 +1,260 @@
+"""Entry hosts on the users' platform: real processes against the site's stand-in."""
+
+from __future__ import annotations
+
+import json
+import time
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import anyio
+from returns.result import Failure
+
+from courselead.integrations.http import HttpClient, HttpRequest
+from demo.ports import free_ports
+from demo.processes import Processes
+from tests.processes.system import COURSELEAD, wait
+
+POOL = "web"
+PREFIX = "/q/"
+CALL_MS = 4_000
+ATTEMPTS = 40
+RETRY_S = 0.25
+"""Tries of a caller, and the pause between them: longer than any fault here."""
+
+STATUS_OK = 200
+FINAL = ("completed", "failed", "cancelled")
+
+SETTINGS = """node = "{name}"
+ip = "{ip}"
+zone = "z"
+portRange = [{peer}, {peer}]
+[listen]
+front = "{ip}:{front}"
+ready = "{ip}:{ready}"
+[platform]
+address = "{store}"
+[cloudApi]
+address = "{cloud}"
+[bounds]
+moveS = 0.3
+upkeepS = 0.3
+"""
+
+
+@dataclass(frozen=True, slots=True)
+class HostPorts:
+    """One entry host: an address of its own, as on machines of their own."""
+
+    name: str
+    ip: str
+    front: int
+    ready: int
+    peer: int
+
+    @property
+    def address(self) -> str:
+        """Return where callers reach it."""
+        return f"{self.ip}:{self.front}"
+
+
+@dataclass(slots=True)
+class JobSite:
+    """A running site with its entry hosts, ended by id."""
+
+    processes: Processes
+    hosts: tuple[HostPorts, ...]
+    site: dict = field(default_factory=dict)
+    accepted: dict[str, int] = field(default_factory=dict)
+    _clients: dict[str, HttpClient] = field(default_factory=dict)
+
+    # Entry hosts
+
+    async def start(self, *hosts: HostPorts) -> None:
+        """Start entry hosts; does not wait."""
+        for host in hosts:
+            path = self.processes.folder / f"{host.name}.toml"
+            text = SETTINGS.format(
+                name=host.name,
+                ip=host.ip,
+                front=host.front,
+                ready=host.ready,
+                peer=host.peer,
+                store=self.site["store"],
+                cloud=self.site["cloud"],
+            )
+            path.write_text(text)
+            env = {"COURSELEAD_NODE_FILE": str(path)}
+            await self.processes.start_on_platform(host.name, env)
+
+    async def ready(self, *hosts: HostPorts) -> None:
+        """Wait until hosts (default: all) take callers, and the schedule is owned."""
+
+        async def all_ready() -> bool:
+            self.processes.check_running()
+            for host in hosts or self.hosts:
+                at = f"{host.ip}:{host.ready}"
+                if (await self.call(at, "GET", "/-/ready"))[0] != STATUS_OK:
+                    return False
+            return self.owner() is not None
+
+        await wait("entry hosts are ready", all_ready)
+
+    def owner(self) -> HostPorts | None:
+        """Return the host that has owned the schedule last, by the hosts' lines."""
+        newest: tuple[int, HostPorts] | None = None
+        for host in self.hosts:
+            for line in self.lines(host, "schedule_owned"):
+                if newest is None or line["fence"] > newest[0]:
+                    newest = (line["fence"], host)
+        return None if newest is None else newest[1]
+
+    def lines(self, host: HostPorts, event: str) -> list[dict]:
+        """Return the lines of an event that a host's processes wrote."""
+        path = self.processes.folder / f"{host.name}.log"
+        if not path.exists():
+            return []
+        lines = [line for line in path.read_text().splitlines() if event in line]
+        return [json.loads(line) for line in lines if line.endswith("}")]
+
+    # Callers
+
+    async def call(
+        self, address: str, method: str, path: str, body: object = None
+    ) -> tuple[int, dict]:
+        """Send one request; status 0 if no whole answer came."""
+        client = self._clients.setdefault(address, HttpClient(address))
+        data = b"" if body is None else json.dumps(body).encode()
+        req = HttpRequest(method.encode(), path.encode(), (), data)
+        fetched = await client.fetch(req, CALL_MS)
+        if isinstance(fetched, Failure):
+            return 0, {}
+        got = fetched.unwrap()
+        return got.status, json.loads(got.body) if got.body[:1] == b"{" else {}
+
+    async def try_all(self, method: str, path: str, body: object = None) -> dict:
+        """Call host after host until one answers with success, as callers do."""
+        for attempt in range(ATTEMPTS):
+            host = self.hosts[attempt % len(self.hosts)]
+            status, document = await self.call(host.address, method, path, body)
+            if status == STATUS_OK:
+                return document
+            await anyio.sleep(RETRY_S)
+        raise AssertionError(f"no success for {method} {path}")
+
+    async def submit(self, number: int, *steps: dict, **payload: object) -> str:
+        """Hand a job in, however often it takes, and return its id."""
+        job_id = f"{number:016x}"
+        job = {"spec": json.dumps(payload), "steps": list(steps)}
+        await self.try_all("POST", PREFIX + job_id, job)
+        self.accepted[job_id] = sum(step.get("count", 1) for step in steps)
+        return job_id
+
+    async def state(self, job_id: str) -> str:
+        """Return a job's state."""
+        return (await self.try_all("GET", PREFIX + job_id))["state"]
+
+    async def all_ended(self, state: str = "completed") -> None:
+        """Wait until all accepted jobs have ended, and check how."""
+        states: dict[str, str] = {}
+
+        async def ended() -> bool:
+            for job_id in self.accepted:
+                if states.get(job_id) not in FINAL:
+                    states[job_id] = await self.state(job_id)
+            return all(value in FINAL for value in states.values())
+
+        await wait("all jobs have ended", ended)
+        assert set(states.values()) == {state}, states
+
+    # The site
+
+    async def ledger(self) -> dict:
+        """Return what the minions saw."""
+        return (await self.call(self.site["store"], "GET", "/+/ledger"))[1]
+
+    async def fault(self, address: str, **faults: object) -> None:
+        """Set a stand-in's faults; none at all resets them."""
+        status, _ = await self.call(address, "POST", "/+/fault", faults)
+        assert status == STATUS_OK
+
+    async def crash(self, machine: str) -> None:
+        """End the minion on a machine; another life comes."""
+        path = f"/+/crash?machine={machine}"
+        assert (await self.call(self.site["store"], "POST", path))[0] == STATUS_OK
+
+    async def configure(self) -> None:
+        """Write a configuration with one queue, as the operator does.
+
+        The client of these tests names a host by its address, so each has a route.
+        """
+        routes = [
+            {
+                "name": "q",
+                "host": host.ip,
+                "pathPrefix": PREFIX,
+                "service": POOL,
+                "maxAttempts": 3,
+                "stretch": 2.0,
+                "sloMs": 1000,
+            }
+            for host in self.hosts
+        ]
+        config = {"version": 1, "routes": routes, "services": [{"name": POOL}]}
+        path = "/+/operator?key=config"
+        status, _ = await self.call(self.site["store"], "POST", path, config)
+        assert status == STATUS_OK
+
+    async def assert_kept(self) -> None:
+        """Check what the minions saw, and that each task of a job was done once."""
+        ledger = await self.ledger()
+        assert ledger["broken"] == []
+        done = ledger["done"]
+        for job_id, tasks in self.accepted.items():
+            own = [count for task, count in done.items() if task.startswith(job_id)]
+            assert len(own) == tasks, (job_id, own)
+
+
+@asynccontextmanager
+async def running_site(
+    folder: Path, hosts: int = 3, machines: int = 4
+) -> AsyncIterator[JobSite]:
+    """Run a site whose entry hosts are ready; end all its processes after."""
+    processes = Processes(COURSELEAD, folder)
+    plans = []
+    for number in range(hosts):
+        front, ready, peer = free_ports(3)
+        ip = f"127.0.0.{10 + number}"
+        plans.append(HostPorts(f"front-{number}", ip, front, ready, peer))
+    site = JobSite(processes, tuple(plans))
+    try:
+        args = ["site", f"--machines={machines}", f"--pool={POOL}"]
+        site.site = json.loads(await processes.start_standins(args))
+        await site.configure()
+        await site.start(*site.hosts)
+        await site.ready()
+        yield site
+    finally:
+        with anyio.CancelScope(shield=True):
+            processes.kill_all()
+            await processes.end_all()
+            for client in site._clients.values():
+                client.close()
+
+
+Work = Callable[[], Awaitable[None]]
+
+
+async def under_load(site: JobSite, first: int, seconds: float, fault: Work) -> None:
+    """Hand jobs in while a fault strikes, and go on a while after it."""
+    end = time.monotonic() + seconds
+    number = first
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(fault)
+        while time.monotonic() < end:
+            steps = ({"count": 3, "cpu": 500}, {"count": 2, "cpu": 500, "after": [0]})
+            await site.submit(number, *steps, run_ms=200, cpu=500)
+            number += 1
+            await anyio.sleep(0.1)
--- /dev/null
+++ b/tests/processes/test_job_site.py
@@ -0,0 +1,142 @@
+"""Jobs on the users' platform, with real processes, while things fail."""
+
+import signal
+
+import anyio
+import pytest
+
+from tests.processes.job_site import STATUS_OK, JobSite, running_site, under_load
+from tests.processes.system import wait
+
+pytestmark = [pytest.mark.anyio, pytest.mark.processes]
+
+STATUS_UNAVAILABLE = 503
+LOAD_S = 3.0
+FROZEN_S = 3.0
+"""Longer than the silence after which another host takes the schedule over."""
+
+RETRY_PATH = "/q/00000000000000ff"
+JOB = {"spec": '{"run_ms": 100}', "steps": [{"count": 1, "cpu": 500}]}
+
+
+@pytest.fixture
+async def site(tmp_path) -> JobSite:
+    """Return a site of its own: the tests kill its hosts."""
+    async with running_site(tmp_path) as site:
+        yield site
+
+
+async def test_jobs_of_steps_are_done_once_and_states_are_told(site: JobSite) -> None:
+    async def nothing() -> None:
+        """Let no fault strike."""
+
+    await under_load(site, 1, LOAD_S, nothing)
+    await site.all_ended()
+    await site.assert_kept()
+
+
+async def test_the_owner_is_killed(site: JobSite) -> None:
+    async def kill() -> None:
+        await anyio.sleep(1)
+        owner = site.owner()
+        await site.processes.kill(owner.name)
+        await wait("another owner", lambda: _owned_by_another(site, owner))
+        await site.start(owner)
+
+    await under_load(site, 1, LOAD_S, kill)
+    await site.all_ended()
+    await site.assert_kept()
+
+
+async def test_the_owner_stands_still_and_wakes(site: JobSite) -> None:
+    async def freeze() -> None:
+        await anyio.sleep(1)
+        owner = site.owner()
+        site.processes.signal(owner.name, signal.SIGSTOP)
+        await anyio.sleep(FROZEN_S)
+        site.processes.signal(owner.name, signal.SIGCONT)
+
+    await under_load(site, 1, 2 + FROZEN_S, freeze)
+    await site.all_ended()
+    await site.assert_kept()
+
+
+async def test_the_owner_is_told_to_end(site: JobSite) -> None:
+    async def end() -> None:
+        await anyio.sleep(1)
+        owner = site.owner()
+        assert await site.processes.end(owner.name) == 0
+        await site.start(owner)
+
+    await under_load(site, 1, LOAD_S, end)
+    await site.all_ended()
+    await site.assert_kept()
+
+
+async def test_all_hosts_are_killed_and_start_from_the_store_alone(
+    site: JobSite,
+) -> None:
+    async def kill_all() -> None:
+        await anyio.sleep(1)
+        await site.processes.kill(*(host.name for host in site.hosts))
+        await site.start(*site.hosts)
+
+    await under_load(site, 1, LOAD_S, kill_all)
+    await site.all_ended()
+    await site.assert_kept()
+
+
+async def test_a_minion_crashes(site: JobSite) -> None:
+    async def crash() -> None:
+        for machine in list(site.site["machines"])[:2]:
+            await anyio.sleep(0.7)
+            await site.crash(machine)
+
+    await under_load(site, 1, LOAD_S, crash)
+    await site.all_ended()
+    ledger = await site.ledger()
+    assert ledger["broken"] == []
+
+
+async def test_without_the_store_jobs_are_refused_at_once_and_told_to_come_back(
+    site: JobSite,
+) -> None:
+    await site.fault(site.site["store"], down=True)
+    status, document = await site.call(site.hosts[0].address, "POST", RETRY_PATH, JOB)
+    assert status == STATUS_UNAVAILABLE
+    assert document["error"]
+    await site.fault(site.site["store"])
+    await site.try_all("POST", RETRY_PATH, JOB)
+    site.accepted[RETRY_PATH.rpartition("/")[2]] = 1
+    await site.all_ended()
+    await site.assert_kept()
+
+
+async def test_answers_of_the_store_are_lost(site: JobSite) -> None:
+    async def lose() -> None:
+        for _ in range(4):
+            await anyio.sleep(0.4)
+            await site.fault(site.site["store"], lose_answers=3, only="/-/log-append")
+
+    await under_load(site, 1, LOAD_S, lose)
+    await site.all_ended()
+    await site.assert_kept()
+
+
+async def test_a_cancelled_job_stops(site: JobSite) -> None:
+    job_id = await site.submit(5, {"count": 2, "cpu": 500, "longRunning": True})
+    await wait("it runs", lambda: _is(site, job_id, "running"))
+    await site.try_all("DELETE", f"/q/{job_id}")
+    await wait("it is cancelled", lambda: _is(site, job_id, "cancelled"))
+    host = site.hosts[-1]
+    status, _ = await site.call(host.address, "GET", f"/q/{job_id}")
+    assert status == STATUS_OK
+    assert (await site.ledger())["broken"] == []
+
+
+async def _owned_by_another(site: JobSite, host: object) -> bool:
+    return site.owner() is not host
+
+
+async def _is(site: JobSite, job_id: str, state: str) -> bool:
+    return await site.state(job_id) == state
