Put relays on the ways of the platform's process tests

Moved out of the tests, for the demo and a soak to use: the site with its entry hosts (demo/job_site.py), the relay (demo/relay.py), which can silence open connections for good, and the wait.

--- a/tests/processes/job_site.py
+++ b/demo/job_site.py
@@ -3,19 +3,20 @@
 from __future__ import annotations
 
 import json
-import time
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
 
 import anyio
+from anyio.abc import TaskGroup
 from returns.result import Failure
 
 from courselead.integrations.http import HttpClient, HttpRequest
 from demo.ports import free_ports
 from demo.processes import Processes
-from tests.processes.system import COURSELEAD, wait
+from demo.relay import Relay
+from demo.waiting import wait
 
 POOL = "web"
 PREFIX = "/q/"
@@ -67,6 +68,8 @@
     processes: Processes
     hosts: tuple[HostPorts, ...]
     site: dict = field(default_factory=dict)
+    store_ways: dict[str, Relay] = field(default_factory=dict)
+    minion_ways: dict[str, Relay] = field(default_factory=dict)
     accepted: dict[str, int] = field(default_factory=dict)
     _clients: dict[str, HttpClient] = field(default_factory=dict)
 
@@ -82,7 +85,7 @@
                 front=host.front,
                 ready=host.ready,
                 peer=host.peer,
-                store=self.site["store"],
+                store=self.store_ways[host.name].address,
                 cloud=self.site["cloud"],
             )
             path.write_text(text)
@@ -185,6 +188,18 @@
         path = f"/+/crash?machine={machine}"
         assert (await self.call(self.site["store"], "POST", path))[0] == STATUS_OK
 
+    async def lay_ways(self, tasks: TaskGroup) -> None:
+        """Put a relay between each host and the store, and before each minion."""
+        for host in self.hosts:
+            self.store_ways[host.name] = _relay(self.site["store"])
+        for machine, address in self.site["machines"].items():
+            relay = self.minion_ways[machine] = _relay(address)
+            path = f"/+/address?machine={machine}&address={relay.address}"
+            status, _ = await self.call(self.site["store"], "POST", path)
+            assert status == STATUS_OK
+        for relay in (*self.store_ways.values(), *self.minion_ways.values()):
+            await tasks.start(relay.serve)
+
     async def configure(self) -> None:
         """Write a configuration with one queue, as the operator does.
 
@@ -217,12 +232,27 @@
             assert len(own) == tasks, (job_id, own)
 
 
+def _relay(target: str) -> Relay:
+    [port] = free_ports(1)
+    return Relay(port, target)
+
+
 @asynccontextmanager
 async def running_site(
-    folder: Path, hosts: int = 3, machines: int = 4
+    courselead: tuple[str, ...], folder: Path, hosts: int = 3, machines: int = 4
 ) -> AsyncIterator[JobSite]:
     """Run a site whose entry hosts are ready; end all its processes after."""
-    processes = Processes(COURSELEAD, folder)
+    async with anyio.create_task_group() as tasks:
+        processes = Processes(courselead, folder)
+        async with _running(processes, tasks, hosts, machines) as site:
+            yield site
+        tasks.cancel_scope.cancel()
+
+
+@asynccontextmanager
+async def _running(
+    processes: Processes, tasks: TaskGroup, hosts: int, machines: int
+) -> AsyncIterator[JobSite]:
     plans = []
     for number in range(hosts):
         front, ready, peer = free_ports(3)
@@ -232,6 +262,7 @@
     try:
         args = ["site", f"--machines={machines}", f"--pool={POOL}"]
         site.site = json.loads(await processes.start_standins(args))
+        await site.lay_ways(tasks)
         await site.configure()
         await site.start(*site.hosts)
         await site.ready()
@@ -242,19 +273,3 @@
             await processes.end_all()
             for client in site._clients.values():
                 client.close()
-
-
-Work = Callable[[], Awaitable[None]]
-
-
-async def under_load(site: JobSite, first: int, seconds: float, fault: Work) -> None:
-    """Hand jobs in while a fault strikes, and go on a while after it."""
-    end = time.monotonic() + seconds
-    number = first
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(fault)
-        while time.monotonic() < end:
-            steps = ({"count": 3, "cpu": 500}, {"count": 2, "cpu": 500, "after": [0]})
-            await site.submit(number, *steps, run_ms=200, cpu=500)
-            number += 1
-            await anyio.sleep(0.1)
--- a/standins/job_platform/site.py
+++ b/standins/job_platform/site.py
@@ -7,6 +7,7 @@
 | `GET /+/ledger` | what the minions saw, and promises that were broken |
 | `POST /+/operator?key=K` | the operator writes a record |
 | `POST /+/crash?machine=M` | the minion on a machine ends, a new one comes |
+| `POST /+/address?machine=M&address=A` | the machine's minions tell that address |
 | `POST /+/forget` | the store drops its history |
 """
 
@@ -63,6 +64,7 @@
         self.fence = 0
         self.minion: MinionStandin | None = None
         self.listener = Listener(Endpoint(self._handle, CONTROL_PREFIX))
+        self.address = self.listener.address
 
     async def _handle(self, call: Call) -> Reply | None:
         return None if self.minion is None else await self.minion.handle(call)
@@ -132,7 +134,7 @@
             return
         entry = {
             "service": machine.pool,
-            "address": machine.listener.address,
+            "address": machine.address,
             "zone": "z",
             "state": "ready",
             "capacity": self._capacity(),
@@ -172,6 +174,11 @@
             case "crash":
                 self._restart(self.machines[call.query["machine"]], "down")
                 return json_reply(200, {})
+            case "address":
+                machine = self.machines[call.query["machine"]]
+                machine.address = call.query["address"]
+                self._register(machine)
+                return json_reply(200, {})
             case "forget":
                 self.store.topic(TOPIC_SERVERS).forget()
                 self.store.topic(TOPIC_OPERATOR).forget()
--- a/tests/processes/system.py
+++ b/tests/processes/system.py
@@ -6,9 +6,8 @@
 import os
 import signal
 import sys
-import time
 from collections import Counter
-from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
+from collections.abc import AsyncIterator, Iterable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -20,13 +19,12 @@
 from demo.plan import OPERATOR, HostPlan, credential, digest
 from demo.ports import free_ports
 from demo.processes import Processes
+from demo.waiting import wait
 
 ACCOUNT = "acme"
 SERVICE = "web"
 MANY = "always"
 NEVER = "never"
-BOUND_S = 30.0
-POLL_S = 0.05
 CALL_MS = 4_000
 STATUS_OK = 200
 # The file that `script/build` makes can be tested instead of the sources.
@@ -35,8 +33,6 @@
 if ATTR_BINARY in os.environ:
     COURSELEAD = (sys.executable, os.environ[ATTR_BINARY])
 
-Condition = Callable[[], Awaitable[bool]]
-
 
 @dataclass(frozen=True, slots=True)
 class Shape:
@@ -405,15 +401,6 @@
                 client.close()
 
 
-async def wait(what: str, condition: Condition, bound_s: float = BOUND_S) -> None:
-    """Wait for a condition, and fail if it has not come about in time."""
-    end = time.monotonic() + bound_s
-    while not await condition():
-        if time.monotonic() > end:
-            raise AssertionError(f"not within {bound_s} s: {what}")
-        await anyio.sleep(POLL_S)
-
-
 def address_of(host: HostPlan) -> str:
     """Return where callers reach an entry host."""
     return f"127.0.0.1:{host.port}"
--- a/tests/processes/test_job_site.py
+++ b/tests/processes/test_job_site.py
@@ -1,12 +1,15 @@
 """Jobs on the users' platform, with real processes, while things fail."""
 
 import signal
+import time
+from collections.abc import Awaitable, Callable
 
 import anyio
 import pytest
 
-from tests.processes.job_site import STATUS_OK, JobSite, running_site, under_load
-from tests.processes.system import wait
+from demo.job_site import STATUS_OK, JobSite, running_site
+from demo.waiting import wait
+from tests.processes.system import COURSELEAD
 
 pytestmark = [pytest.mark.anyio, pytest.mark.processes]
 
@@ -22,7 +25,7 @@
 @pytest.fixture
 async def site(tmp_path) -> JobSite:
     """Return a site of its own: the tests kill its hosts."""
-    async with running_site(tmp_path) as site:
+    async with running_site(COURSELEAD, tmp_path) as site:
         yield site
 
 
@@ -140,3 +143,19 @@
 
 async def _is(site: JobSite, job_id: str, state: str) -> bool:
     return await site.state(job_id) == state
+
+
+Work = Callable[[], Awaitable[None]]
+
+
+async def under_load(site: JobSite, first: int, seconds: float, fault: Work) -> None:
+    """Hand jobs in while a fault strikes, and go on a while after it."""
+    end = time.monotonic() + seconds
+    number = first
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(fault)
+        while time.monotonic() < end:
+            steps = ({"count": 3, "cpu": 500}, {"count": 2, "cpu": 500, "after": [0]})
+            await site.submit(number, *steps, run_ms=200, cpu=500)
+            number += 1
+            await anyio.sleep(0.1)
