--- a/courselead/core/scheduler/const.py
+++ b/courselead/core/scheduler/const.py
@@ -53,7 +53,7 @@
 LEARN_WEIGHT = 0.2
 """Weight of a new run time in the moving average of a queue's step."""
 
-SILENT_OWNER_MS = 1_600
+SILENT_OWNER_MS = 1_200
 """Silence of the owner in a log that answers until another host claims the schedule:
 four missed beats."""
 
@@ -71,13 +71,13 @@
 LEAST_LEASE_MS = 2_000
 """A run is not started with less of a lease: most would not end in it."""
 
-UNCONFIRMED_MS = 1_200
+UNCONFIRMED_MS = 900
 """Silence of the log from which another owner may exist, a margin below the time that
 it needs: from then on no run counts as gone by what that owner may have caused."""
 
 DUTY_SLACK_MS = 1_000
 """Added to the time in which orders to the cloud must not change hands: an owner
-writes a sign of life at least every 400 ms and may order until the next one."""
+writes a sign of life at least every 300 ms and may order until the next one."""
 
 HANDOVER_SLACK_MS = 500
 """Added to that time at a handover: the way of an order to the cloud and its answer."""
--- a/courselead/daemon/scheduling/claims.py
+++ b/courselead/daemon/scheduling/claims.py
@@ -15,7 +15,7 @@
 _LOGGER = structlog.get_logger(__name__)
 
 CLAIM_KEY = b"schedule"
-SHOW_S = 1.6
+SHOW_S = 1.2
 """Time in which a host that has claimed must show in the log: as for a missed owner."""
 
 CLAIM_TIMEOUT_MS = 1_500
--- a/courselead/daemon/scheduling/owner.py
+++ b/courselead/daemon/scheduling/owner.py
@@ -61,7 +61,7 @@
 TICK_S = 0.1
 """Period of the scheduler's own clock: leases and waves need no finer one."""
 
-BEAT_S = 0.4
+BEAT_S = 0.3
 """Longest time between two of the owner's records: a quarter of the time after which
 another host takes over."""
 
