--- /dev/null
+++ b/harness/real.py
@@ -0,0 +1,192 @@
+"""`script/soak --real`: real entry hosts under faults that come from outside.
+
+Each seed is one run: a site of its own, callers that hand in jobs and ask for them,
+faults that come in series and overlap, and at the end the check that all that was
+accepted ended as it should, each task once. Callers and the minions' ledger are the
+only witnesses.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import sys
+import time
+from collections.abc import Callable
+from dataclasses import asdict, dataclass, field
+from pathlib import Path
+from random import Random
+
+import anyio
+
+from demo.job_site import PREFIX, JobSite, running_site
+from demo.waiting import wait
+from harness.real_faults import STRIKES, Fault, Striker, draw_faults
+
+COURSELEAD = (sys.executable, "-m", "courselead")
+
+LOAD_S = 10.0
+"""Time for which callers hand jobs in, and faults strike."""
+
+FAULTS = 6
+HOSTS = 4
+MACHINES = 6
+CALLERS = 3
+
+CANCEL_SHARE = 0.1
+FAIL_SHARE = 0.1
+"""Parts of the jobs that their callers cancel, and whose tasks fail."""
+
+PAUSE_S = 0.15
+"""Pause of a caller between two jobs."""
+
+END_S = 90.0
+"""Longest time until all jobs have ended once nothing strikes any more: leases of
+10 s, twice, on a busy machine."""
+
+STATUS_GONE = 410
+STATUS_OK = 200
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+
+
+@dataclass(slots=True)
+class Report:
+    """What a seed's run has shown."""
+
+    seed: int
+    faults: list[Fault]
+    jobs: int = 0
+    starts: int = 0
+    broken: list[str] = field(default_factory=list)
+    took_s: float = 0.0
+
+
+@dataclass(slots=True)
+class Callers:
+    """Hand jobs in, cancel some, ask for states, and note what must not be."""
+
+    site: JobSite
+    rng: Random
+    broken: list[str] = field(default_factory=list)
+    expected: dict[str, str] = field(default_factory=dict)
+    stopped: bool = False
+    _number: int = 0
+
+    async def run(self) -> None:
+        """Hand in one job after the other until stopped."""
+        while not self.stopped:
+            self._number += 1
+            await self._job(self._number)
+            await self._look()
+            await anyio.sleep(PAUSE_S)
+
+    async def _job(self, number: int) -> None:
+        fails = self.rng.random() < FAIL_SHARE
+        cancels = self.rng.random() < CANCEL_SHARE
+        first = {"count": self.rng.randint(1, 4), "cpu": 500}
+        second = {"count": self.rng.randint(1, 3), "cpu": 500, "after": [0]}
+        run_ms = self.rng.randint(50, 800)
+        payload = {"run_ms": run_ms, "cpu": 500, "fails": fails}
+        job_id = await self.site.submit(number, first, second, **payload)
+        self.expected[job_id] = "failed" if fails else "completed"
+        if cancels:
+            self.expected[job_id] = "any"
+            await self.site.try_all("DELETE", PREFIX + job_id)
+
+    async def _look(self) -> None:
+        """Ask any host for any accepted job: it must be known."""
+        job_id = self.rng.choice(sorted(self.expected))
+        host = self.rng.choice(self.site.hosts)
+        status, _ = await self.site.call(host.address, "GET", PREFIX + job_id)
+        if status == STATUS_GONE:
+            self.broken.append(
+                f"{host.name} does not know {job_id}, which was accepted"
+            )
+
+    async def finish(self) -> None:
+        """Wait until all accepted jobs have ended, and check how."""
+        states: dict[str, str] = {}
+
+        async def ended() -> bool:
+            for job_id in self.expected:
+                if states.get(job_id) not in ("completed", "failed", "cancelled"):
+                    states[job_id] = await self.site.state(job_id)
+            return all(
+                state in ("completed", "failed", "cancelled")
+                for state in states.values()
+            )
+
+        try:
+            await wait("all jobs have ended", ended, END_S)
+        except AssertionError as exc:
+            left = [job for job, state in states.items() if state in "queued running"]
+            self.broken.append(f"{exc}: {left[:5]}")
+            return
+        for job_id, want in self.expected.items():
+            if want not in ("any", states[job_id]):
+                self.broken.append(f"{job_id} is {states[job_id]}, not {want}")
+
+
+async def run_seed(seed: int, folder: Path) -> Report:
+    """Run one seed."""
+    rng = Random(seed)
+    faults = draw_faults(rng, FAULTS, LOAD_S)
+    report = Report(seed, list(faults))
+    begun = time.monotonic()
+    async with running_site(COURSELEAD, folder, HOSTS, MACHINES) as site:
+        callers = Callers(site, rng)
+        striker = Striker(site, rng)
+        async with anyio.create_task_group() as tasks:
+            for _ in range(CALLERS):
+                tasks.start_soon(callers.run)
+            async with anyio.create_task_group() as strikes:
+                for fault in faults:
+                    strikes.start_soon(_strike, striker, fault)
+                strikes.start_soon(anyio.sleep, LOAD_S)
+            callers.stopped = True
+        await site.ready()
+        await callers.finish()
+        ledger = await site.ledger()
+    report.jobs = len(callers.expected)
+    report.starts = sum(ledger["starts"].values())
+    report.broken = callers.broken + ledger["broken"]
+    report.took_s = round(time.monotonic() - begun, 1)
+    return report
+
+
+async def _strike(striker: Striker, fault: Fault) -> None:
+    await anyio.sleep(fault.at_s)
+    await STRIKES[fault.name][0](striker, fault.lasts_s)
+
+
+def soak_real(argv: list[str], say: Callable[[str], object] = sys.stdout.write) -> int:
+    """Run seed after seed for some minutes; return the exit code."""
+    parser = argparse.ArgumentParser(prog="script/soak --real")
+    parser.add_argument("--seed", type=int, default=1, help="first seed")
+    parser.add_argument("--minutes", type=float, default=1.0)
+    parser.add_argument("--seeds", type=int, help="seeds to run, in place of minutes")
+    parser.add_argument("--folder", type=Path, default=Path("build/soak"))
+    args = parser.parse_args(argv)
+    end = time.monotonic() + args.minutes * 60
+    seed = args.seed
+    failed = 0
+    while _goes_on(args, seed, end):
+        folder = args.folder / f"seed-{seed}"
+        folder.mkdir(parents=True, exist_ok=True)
+        report = anyio.run(run_seed, seed, folder)
+        (folder / "report.json").write_text(json.dumps(asdict(report), indent=2))
+        failed += bool(report.broken)
+        line = {**asdict(report), "faults": len(report.faults)}
+        say(f"{json.dumps(line)}\n")
+        sys.stdout.flush()
+        seed += 1
+    say(f"{seed - args.seed} seeds, {failed} with a broken promise\n")
+    return EXIT_FAILED if failed else EXIT_OK
+
+
+def _goes_on(args: argparse.Namespace, seed: int, end: float) -> bool:
+    if args.seeds is not None:
+        return seed < args.seed + args.seeds
+    return time.monotonic() < end
--- /dev/null
+++ b/harness/real_faults.py
@@ -0,0 +1,154 @@
+"""Faults that a soak of real processes injects from outside of them."""
+
+from __future__ import annotations
+
+import signal
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from random import Random
+
+import anyio
+
+from demo.job_site import HostPorts, JobSite
+
+Strike = Callable[["Striker", float], Awaitable[None]]
+
+SLOW_MS = 250
+"""Delay of the store's answers when it is slow: sixty times a calm one."""
+
+LOST_ANSWERS = 4
+"""Answers that are lost in one strike: an append and its repetitions."""
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """One fault: what strikes when, and for how long, in seconds."""
+
+    at_s: float
+    name: str
+    lasts_s: float
+
+
+@dataclass(slots=True)
+class Striker:
+    """Carries faults out on a site; never takes all hosts down for good."""
+
+    site: JobSite
+    rng: Random
+    down: set[str] = field(default_factory=set)
+    frozen: set[str] = field(default_factory=set)
+
+    def any_host(self) -> HostPorts | None:
+        """Return a host that runs and does not stand still."""
+        struck = self.down | self.frozen
+        hosts = [host for host in self.site.hosts if host.name not in struck]
+        return self.rng.choice(hosts) if hosts else None
+
+    def owner(self) -> HostPorts | None:
+        """Return the owner of the schedule, if nothing strikes it yet."""
+        owner = self.site.owner()
+        struck = self.down | self.frozen
+        return owner if owner is not None and owner.name not in struck else None
+
+    async def kill(self, host: HostPorts | None, lasts_s: float) -> None:
+        """Kill a host, and start it again."""
+        if host is None:
+            return
+        self.down.add(host.name)
+        await self.site.processes.kill(host.name)
+        await anyio.sleep(lasts_s)
+        await self.site.start(host)
+        self.down.discard(host.name)
+
+    async def freeze(self, host: HostPorts | None, lasts_s: float) -> None:
+        """Let a host stand still."""
+        if host is None:
+            return
+        self.frozen.add(host.name)
+        self.site.processes.signal(host.name, signal.SIGSTOP)
+        await anyio.sleep(lasts_s)
+        self.site.processes.signal(host.name, signal.SIGCONT)
+        self.frozen.discard(host.name)
+
+    async def end(self, host: HostPorts | None, lasts_s: float) -> None:
+        """Tell a host to end, and start it again."""
+        if host is None:
+            return
+        self.down.add(host.name)
+        await self.site.processes.end(host.name)
+        await anyio.sleep(lasts_s)
+        await self.site.start(host)
+        self.down.discard(host.name)
+
+    async def store(self, lasts_s: float, **faults: object) -> None:
+        """Set faults of the store for a time."""
+        await self.site.fault(self.site.site["store"], **faults)
+        await anyio.sleep(lasts_s)
+        await self.site.fault(self.site.site["store"])
+
+
+async def _kill_all(striker: Striker, lasts_s: float) -> None:
+    async with anyio.create_task_group() as tasks:
+        for host in striker.site.hosts:
+            if host.name not in striker.down | striker.frozen:
+                tasks.start_soon(striker.kill, host, lasts_s)
+
+
+async def _crash_minion(striker: Striker, lasts_s: float) -> None:
+    await striker.site.crash(striker.rng.choice(sorted(striker.site.site["machines"])))
+
+
+async def _cut_store_way(striker: Striker, lasts_s: float) -> None:
+    host = striker.owner() or striker.any_host()
+    if host is None:
+        return
+    way = striker.site.store_ways[host.name]
+    way.cut()
+    await anyio.sleep(lasts_s)
+    way.mend()
+
+
+async def _cut_minion_way(striker: Striker, lasts_s: float) -> None:
+    way = striker.rng.choice(list(striker.site.minion_ways.values()))
+    way.cut()
+    await anyio.sleep(lasts_s)
+    way.mend()
+
+
+async def _silence(striker: Striker, lasts_s: float) -> None:
+    site = striker.site
+    for way in (*site.store_ways.values(), *site.minion_ways.values()):
+        way.silence()
+
+
+STRIKES: dict[str, tuple[Strike, float]] = {
+    "kill the owner": (lambda striker, s: striker.kill(striker.owner(), s), 2),
+    "kill a host": (lambda striker, s: striker.kill(striker.any_host(), s), 3),
+    "kill all hosts": (_kill_all, 2),
+    "freeze the owner": (lambda striker, s: striker.freeze(striker.owner(), s), 6),
+    "freeze a host": (lambda striker, s: striker.freeze(striker.any_host(), s), 4),
+    "end the owner": (lambda striker, s: striker.end(striker.owner(), s), 1),
+    "end a host": (lambda striker, s: striker.end(striker.any_host(), s), 1),
+    "crash a minion": (_crash_minion, 0),
+    "store down": (lambda striker, s: striker.store(s, down=True), 4),
+    "store silent": (lambda striker, s: striker.store(s, freeze=True), 4),
+    "store slow": (lambda striker, s: striker.store(s, slow_ms=SLOW_MS), 4),
+    "store loses answers": (
+        lambda striker, s: striker.store(s, lose_answers=LOST_ANSWERS),
+        2,
+    ),
+    "cut a host from the store": (_cut_store_way, 8),
+    "cut a minion": (_cut_minion_way, 13),
+    "silence connections": (_silence, 0),
+}
+"""Each with the longest time that it lasts, in seconds."""
+
+
+def draw_faults(rng: Random, count: int, until_s: float) -> tuple[Fault, ...]:
+    """Return faults in the order of their time; they may overlap."""
+    faults = []
+    for _ in range(count):
+        name = rng.choice(sorted(STRIKES))
+        at_s = round(rng.uniform(0.5, until_s), 2)
+        faults.append(Fault(at_s, name, round(rng.uniform(0, STRIKES[name][1]), 2)))
+    return tuple(sorted(faults, key=lambda fault: fault.at_s))
--- /dev/null
+++ b/tests/processes/test_real_soak.py
@@ -0,0 +1,33 @@
+"""A short seeded run of the soak of real processes."""
+
+import json
+from random import Random
+
+import pytest
+
+from harness.real import run_seed
+from harness.real_faults import STRIKES, draw_faults
+
+pytestmark = pytest.mark.processes
+
+REGRESSIONS = (1,)
+"""Seeds that have failed, each with its cause, after one that stands for all."""
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize("seed", REGRESSIONS)
+async def test_a_seed_keeps_all_promises(seed: int, tmp_path) -> None:
+    report = await run_seed(seed, tmp_path)
+    assert report.jobs > 0
+    assert report.broken == [], json.dumps(report.broken)
+
+
+def test_a_seed_is_a_run() -> None:
+    assert draw_faults(Random(3), 6, 10) == draw_faults(Random(3), 6, 10)
+
+
+def test_every_fault_is_drawn() -> None:
+    seen = set()
+    for seed in range(60):
+        seen.update(fault.name for fault in draw_faults(Random(seed), 6, 10))
+    assert seen == set(STRIKES)
