Wait for an earlier owner's stops before a lasting task is stopped

At 9.02 s the owner handed over at SIGTERM with a stop of one task of the step under way; the next owner adopted that run as one at work, since a minion reports it so until its end, and stopped another one. Ruled out: drains (the minion did not drain), moves (only idle workers).

Change: a lasting task that runs beside runs of an earlier owner is not interrupted until stopMs and 200 ms after their minion's first report to this owner. A test shows it and fails without the guard.

--- a/courselead/core/scheduler/const.py
+++ b/courselead/core/scheduler/const.py
@@ -82,5 +82,9 @@
 HANDOVER_SLACK_MS = 500
 """Added to that time at a handover: the way of an order to the cloud and its answer."""
 
+STOP_SETTLE_MS = 200
+"""Added to the time that a stop takes, until a run that an earlier owner may have
+stopped counts as at work: the way of a report."""
+
 STOP_RETRY_MS = 700
 """Time until an unanswered stop is sent again."""
--- a/courselead/core/scheduler/minions.py
+++ b/courselead/core/scheduler/minions.py
@@ -72,6 +72,7 @@
     _vanished(schedule, minion, event.sent_ms, reported)
     if not minion.synced:
         minion.synced = True
+        minion.synced_ms = schedule.now_ms
         schedule.dirty_pools.add(minion.info.pool)
         schedule.note("minion_synced", minion=minion.minion_id, runs=len(event.running))
     pace.adjust(schedule, minion)
--- a/courselead/core/scheduler/models.py
+++ b/courselead/core/scheduler/models.py
@@ -204,4 +204,5 @@
     move_ms: int = 1_500
     maintenance_ms: int = 2_000
     duty_lease_ms: int = 3_000
+    stop_ms: int = 1_000
     status_s: int = 120
--- a/courselead/core/scheduler/schedule.py
+++ b/courselead/core/scheduler/schedule.py
@@ -247,5 +247,22 @@
         spec = run.unit.spec
         if not spec.long_running:
             return True
+        if not self._is_settled(run.unit.step):
+            return False
         allowed = max(1, spec.may_miss)
         return self.away_in_step(run.unit.step, run) < allowed
+
+    def _is_settled(self, step: StepRun) -> bool:
+        """Return whether no stop of an earlier owner can be under way in a step.
+
+        A run that is being stopped is reported like one that is at work.
+        """
+        settle_ms = self.bounds.stop_ms + const.STOP_SETTLE_MS
+        for unit in step.units:
+            for run in unit.runs:
+                minion = self.minions.get(run.minion_id)
+                if run.number >= self.first_run_number or minion is None:
+                    continue
+                if self.now_ms - minion.synced_ms < settle_ms:
+                    return False
+        return True
--- a/courselead/core/scheduler/state.py
+++ b/courselead/core/scheduler/state.py
@@ -153,6 +153,7 @@
         clock_at_ms: When that answer came, on the owner's clock.
         lease_ms: Newest lease's end sent to it, on its clock.
         synced: Whether it answered a look with this owner's fence.
+        synced_ms: When it did so first: no earlier owner's order comes after.
         ended_seen: Number of the newest end that was processed.
         unsaved: Ends as (number, batch of records that must be stored first).
         cursor: Ends up to this number may be forgotten by the minion.
@@ -165,6 +166,7 @@
     clock_at_ms: int = 0
     lease_ms: int = 0
     synced: bool = False
+    synced_ms: int = 0
     failures: int = 0
     failures_in_row: list[str] = field(default_factory=list)
     rest_until_ms: int = 0
--- a/courselead/platform/settings.py
+++ b/courselead/platform/settings.py
@@ -30,6 +30,7 @@
     move_s: float = 1.5
     upkeep_s: float = 2.0
     lease_ms: int = 3_000
+    stop_ms: int = 1_000
     # Spelled with an underscore on the wire, unlike the fields around it.
     status_s: int = msgspec.field(default=120, name="status_s")
 
@@ -41,6 +42,7 @@
             maintenance_ms=int(self.upkeep_s * 1000),
             # Not a minion's lease: the time within which duties must not change hands.
             duty_lease_ms=self.lease_ms,
+            stop_ms=self.stop_ms,
             status_s=self.status_s,
         )
 
--- a/tests/core/scheduler/test_waves.py
+++ b/tests/core/scheduler/test_waves.py
@@ -1,7 +1,7 @@
 """Maintenance waves: within the cap, each worker once, serving tasks moved first."""
 
 from courselead.core.scheduler import events as ev
-from courselead.core.scheduler.models import Bounds, MaintenanceWave
+from courselead.core.scheduler.models import Bounds, JobState, MaintenanceWave
 from tests.core.scheduler.world import World, job, step
 
 
@@ -130,3 +130,25 @@
     world.run(20_000)
     assert world.maintained == ["w0"]
     assert (1, True) in world.wave_status
+
+
+def test_a_new_owner_reckons_with_stops_of_the_owner_before():
+    # lakescore-sched hunt-1438-19: handed over while a stop was under way, the next
+    # owner took that task for one at work and stopped another one of its step (AVAIL).
+    world = World(minions=1)
+    before = world.claim()
+    lasting = step(2, cpu=500, long_running=True, may_miss=1)
+    job_id = world.submit(job(lasting))
+    world.run(500)
+    first, second = before.schedule.minions["i1"].runs.values()
+    before.schedule.stop_run(first, "its worker is due for maintenance")
+    world._pump(before)
+    world.run(5)
+    owner = world.claim()
+    world.run(20)
+    assert len(owner.schedule.minions["i1"].runs) == 2
+    run = owner.schedule.minions["i1"].runs[second.key]
+    assert not owner.schedule.may_interrupt(run)
+    world.run(1_500)
+    assert owner.schedule.may_interrupt(run)
+    assert world.state(job_id) is JobState.RUNNING
