Store orders to the cloud before they are sent

After a loss of its owner the schedule moved no worker for 2 to 4 s, since the next owner did not know which workers the one before had ordered, and orders for one worker must not change hands within leaseMs.

Change: the owner's record, which goes out at least each 0.3 s, names the workers that were ordered of late with their ages, and an order is sent once a record with it is stored. The next owner leaves these alone and orders all others at once. While the log is silent no worker is ordered. The rule for a host's own predecessor is not needed any more and goes, with the time that an owner had yet to wait.

--- a/courselead/core/scheduler/const.py
+++ b/courselead/core/scheduler/const.py
@@ -75,12 +75,9 @@
 """Silence of the log from which another owner may exist, a margin below the time that
 it needs: from then on no run counts as gone by what that owner may have caused."""
 
-DUTY_SLACK_MS = 1_000
-"""Added to the time in which orders to the cloud must not change hands: an owner
-writes a sign of life at least every 300 ms and may order until the next one."""
-
 HANDOVER_SLACK_MS = 500
-"""Added to that time at a handover: the way of an order to the cloud and its answer."""
+"""Added to the time in which orders to the cloud must not change hands: the way of an
+order that was stored last."""
 
 STOP_SETTLE_MS = 200
 """Added to the time that a stop takes, until a run that an earlier owner may have
--- a/courselead/core/scheduler/records.py
+++ b/courselead/core/scheduler/records.py
@@ -63,9 +63,9 @@
 class OwnerBeat(msgspec.Struct, frozen=True, array_like=True):
     """Sign of life of the schedule's owner; `released` hands the schedule over.
 
-    It carries what the owner has learned of the pools' turns of demand, and at a
-    handover the workers that it has given orders for of late, with their ages in ms.
-    `duty_wait_ms` is how long it has yet to wait for the orders of owners before it.
+    It carries what the owner has learned of the pools' turns of demand, and the workers
+    that it or owners before it have given orders for of late, with their ages in ms:
+    an order is stored with it before it is sent.
     """
 
     fence: int
@@ -74,7 +74,6 @@
     released: bool = False
     turns: dict[str, TurnMemory] = {}
     ordered: dict[str, int] = {}
-    duty_wait_ms: int = 0
 
 
 class WaveProgress(msgspec.Struct, frozen=True, array_like=True):
--- a/courselead/core/scheduler/schedule.py
+++ b/courselead/core/scheduler/schedule.py
@@ -190,7 +190,13 @@
         self.effects.append(Note(event, fields))
 
     def may_order(self, worker_id: str) -> bool:
-        """Return whether no earlier owner has given orders for a worker of late."""
+        """Return whether the cloud may get an order for a worker.
+
+        Not while an earlier owner's order may be under way, nor while the log, which
+        takes each order before it is sent, is silent.
+        """
+        if self.now_ms - self.confirmed_ms >= const.UNCONFIRMED_MS:
+            return False
         return self.now_ms >= self.barred_ms.get(worker_id, 0)
 
     def order_worker(self, worker_id: str, order: MoveWorker | MaintainWorker) -> None:
--- a/courselead/core/scheduler/scheduler.py
+++ b/courselead/core/scheduler/scheduler.py
@@ -65,7 +65,6 @@
         book: JobBook,
         now_ms: int,
         wall_ms: int,
-        quiet_ms: int = 0,
     ) -> None:
         """Take over what the log says.
 
@@ -77,24 +76,18 @@
             book: The fold of the log, kept up by the host.
             now_ms: Steady clock.
             wall_ms: Time since 1970.
-            quiet_ms: Time since the last sign of life of the owner before.
         """
         schedule = Schedule(
             fence, bounds, config, book, now_ms, now_ms, now_ms, wall_ms
         )
         before = book.owner_before
-        if before is not None and before.released:
-            # It gave no order after this record, and says which it gave before.
+        if before is not None:
+            # It gave no order that is not in this record.
             longest_ms = bounds.duty_lease_ms + const.HANDOVER_SLACK_MS
             for worker_id, age_ms in before.ordered.items():
                 schedule.barred_ms[worker_id] = now_ms + longest_ms - age_ms
-            schedule.duty_after_ms = now_ms + before.duty_wait_ms
-        elif before is not None and book.owner and before.host == book.owner.host:
-            # The same holder: its process before this one is gone, and orders no more.
-            schedule.duty_after_ms = now_ms + before.duty_wait_ms
         elif not first_owner:
-            wait_ms = bounds.duty_lease_ms + const.DUTY_SLACK_MS - quiet_ms
-            schedule.duty_after_ms = now_ms + max(0, wait_ms)
+            schedule.duty_after_ms = now_ms + bounds.duty_lease_ms
         self.schedule = schedule
         self._forgot_ms = now_ms
         for entry in list(book.jobs.values()):
--- a/courselead/daemon/scheduling/cloud_tasks.py
+++ b/courselead/daemon/scheduling/cloud_tasks.py
@@ -65,6 +65,13 @@
             return
         self._owner.handle(WorkersListed(asked_ms, result.unwrap()))
 
+    async def order(self, order: MoveWorker | MaintainWorker) -> None:
+        """Give an order that the log has taken."""
+        if isinstance(order, MoveWorker):
+            await self.move(order)
+        else:
+            await self.maintain(order)
+
     async def maintain(self, order: MaintainWorker) -> None:
         """Take a worker down for its maintenance."""
         answer = await self._platform.cloud.maintain(
--- a/courselead/daemon/scheduling/host.py
+++ b/courselead/daemon/scheduling/host.py
@@ -171,7 +171,6 @@
     async def _claim(self) -> None:
         before = self.follower.book.owner
         fence = 0 if before is None else before.fence
-        quiet_ms = int((anyio.current_time() - self.follower.beat_at) * 1000)
         result = await self._claimant.claim(fence)
         if isinstance(result, Failure):
             _LOGGER.info("claim_lost", reason=result.failure())
@@ -190,7 +189,6 @@
             self.directions,
             self._bounds,
             self.counters,
-            quiet_ms,
         )
         try:
             await self._owner.run()
--- a/courselead/daemon/scheduling/owner.py
+++ b/courselead/daemon/scheduling/owner.py
@@ -92,10 +92,8 @@
         directions: DirectionsView,
         bounds: Bounds,
         counters: HostCounters,
-        quiet_ms: int,
     ) -> None:
         """Keep the parts; `run` takes over."""
-        self._quiet_ms = quiet_ms
         self._claim = claim
         self.fence = claim.fence
         self._host = host
@@ -105,6 +103,8 @@
         self._bounds = bounds
         self._counters = counters
         self._listed: set[str] = set()
+        # Orders to the cloud that are to be stored first, by worker.
+        self._duties: dict[str, MoveWorker | MaintainWorker] = {}
         self._beat = 0
         self._saved_at = 0.0
         self._alive_ms = now_ms()
@@ -182,7 +182,6 @@
             self._follower.book,
             now_ms(),
             wall_ms(),
-            self._quiet_ms,
         )
         self._alive_ms = now_ms()
         self._follower.on_change = self._log_changed
@@ -304,10 +303,9 @@
                 self._spawn(self._cloud.ask_advice, effect)
             case ListWorkers():
                 self._spawn(self._cloud.list_workers)
-            case MaintainWorker():
-                self._spawn(self._cloud.maintain, effect)
-            case MoveWorker():
-                self._spawn(self._cloud.move, effect)
+            case MaintainWorker() | MoveWorker():
+                self._duties[effect.worker_id] = effect
+                self._save_wake.set()
             case SaveWaveStatus():
                 self._spawn(self._cloud.save_wave, effect)
             case ForgetJob():
@@ -334,24 +332,13 @@
         self._beat += 1
         turns = {}
         ordered: dict[str, int] = {}
-        duty_wait_ms = 0
         if self.scheduler is not None:
-            duty_wait_ms = max(0, self.scheduler.schedule.duty_after_ms - now_ms())
-            if released:
-                ordered = self.scheduler.recent_orders(now_ms())
+            ordered = self.scheduler.recent_orders(now_ms())
             for pool, known in self.scheduler.schedule.turns.items():
                 if known.seen:
                     turns[pool] = known.memory
         return encode(
-            OwnerBeat(
-                self.fence,
-                self._host,
-                self._beat,
-                released,
-                turns,
-                ordered,
-                duty_wait_ms,
-            )
+            OwnerBeat(self.fence, self._host, self._beat, released, turns, ordered)
         )
 
     async def _save(self) -> None:
@@ -366,7 +353,8 @@
                 for item in saves
                 if isinstance(item, SaveProgress)
             ]
-            if self._handing_over or not records:
+            duties, self._duties = self._duties, {}
+            if self._handing_over or duties or not records:
                 records.append(self._beat_record(self._handing_over))
             # Of the first attempt: the answer to a repetition may be that of then.
             sent_ms = now_ms()
@@ -379,6 +367,8 @@
                 self.scheduler = None
                 self._ended.set()
                 return
+            for duty in duties.values():
+                self._spawn(self._cloud.order, duty)
 
     def _stored(self, batch: int, saves: list[Effect]) -> None:
         self._saved_at = anyio.current_time()
--- a/tests/daemon/scheduling/test_host.py
+++ b/tests/daemon/scheduling/test_host.py
@@ -6,13 +6,14 @@
 import pytest
 from returns.result import Failure, Success
 
+from courselead.core.scheduler.events import MoveWorker, Outcome, Tick
 from courselead.core.scheduler.models import Bounds
-from courselead.core.scheduler.records import KeyedRecord, OwnerBeat, encode
+from courselead.core.scheduler.records import KeyedRecord, OwnerBeat, decode, encode
 from courselead.daemon.scheduling import host as host_module
 from courselead.daemon.scheduling.claims import Claim
 from courselead.daemon.scheduling.host import SchedulingHost
 from courselead.daemon.scheduling.owner import Owner
-from courselead.daemon.scheduling.ports import Platform
+from courselead.daemon.scheduling.ports import OrderAnswer, Platform
 from courselead.platform.decode import RecordDecoder
 from tests.daemon.scheduling.fakes import MemoryLog
 
@@ -112,7 +113,6 @@
         host.directions,
         Bounds(),
         host.counters,
-        0,
     )
     with anyio.fail_after(5):
         await owner.run()
@@ -120,6 +120,41 @@
     assert host.follower.book.owner.fence == 9
 
 
+class CloudOfMoves(NoCloud):
+    """Notes the moves that it is asked for."""
+
+    def __init__(self) -> None:
+        self.moved = []
+
+    async def move(self, worker_id, pool, fence):
+        self.moved.append((worker_id, pool, fence))
+        return OrderAnswer(Outcome.OK)
+
+
+async def test_an_order_to_the_cloud_is_sent_once_the_log_has_it():
+    # The next owner takes it that no other worker was ordered.
+    cloud = CloudOfMoves()
+    shared = replace(platform(), cloud=cloud)
+    host = SchedulingHost("a", shared, Bounds())
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(host.run)
+        await until(lambda: host.owns and host._owner.scheduler is not None)
+        owner = host._owner
+        shared.jobs.refuse = True
+        owner.scheduler.schedule.order_worker("w1", MoveWorker("w1", "p"))
+        owner.handle(Tick(0))
+        tries = shared.jobs.appends
+        await until(lambda: shared.jobs.appends > tries)
+        assert not cloud.moved
+        shared.jobs.refuse = False
+        await until(lambda: cloud.moved)
+        tasks.cancel_scope.cancel()
+    assert cloud.moved == [("w1", "p", 1)]
+    beats = [decode(record) for record in shared.jobs.records]
+    ordered = [beat.ordered for beat in beats if isinstance(beat, OwnerBeat)]
+    assert any("w1" in workers for workers in ordered)
+
+
 async def test_a_host_is_ready_once_it_knows_its_queues_and_the_log():
     shared = platform()
     shared.jobs.refuse = True
