Take no worker down before its minion has reported to the new owner

The next owner goes on at once with an order for maintenance that the one before had stored; a minion that has not reported yet has no known runs, and counted as empty. A wait of four seconds had hidden it; a handover has none, so that it could have come there before.

Change: a worker counts as empty once its minion has reported, is known to be dead, or the longest lease of an earlier owner is over. The test fails without the change.

--- a/courselead/core/scheduler/waves.py
+++ b/courselead/core/scheduler/waves.py
@@ -192,8 +192,8 @@
         waited_ms = schedule.now_ms - wave.evacuating[worker_id]
         for run in list(minion.runs.values()):
             _move_away(schedule, run, waited_ms)
-        if minion.runs:
-            return
+    if _may_run(schedule, worker_id):
+        return
     if len(wave.down) >= wave.cap and worker_id not in wave.down:
         return
     if schedule.now_ms < wave.retry_ms.get(worker_id, 0):
@@ -211,6 +211,20 @@
     schedule.order_worker(worker_id, MaintainWorker(worker_id, number))
 
 
+def _may_run(schedule: Schedule, worker_id: str) -> bool:
+    """Return whether anything may run on a worker.
+
+    Before its minion has reported to this owner it may have runs of an earlier one.
+    """
+    life = schedule.workers[worker_id].minion_id
+    if not life or life in schedule.dead:
+        return False
+    minion = schedule.minions.get(life)
+    if minion is None or not minion.synced:
+        return schedule.now_ms < schedule.doubt_until_ms
+    return bool(minion.runs)
+
+
 def _move_away(schedule: Schedule, run: Run, waited_ms: int) -> None:
     if run.phase is not RunPhase.RUNNING:
         return
--- a/tests/core/scheduler/test_waves.py
+++ b/tests/core/scheduler/test_waves.py
@@ -2,6 +2,7 @@
 
 from courselead.core.scheduler import events as ev
 from courselead.core.scheduler.models import Bounds, JobState, MaintenanceWave
+from courselead.core.scheduler.records import OwnerBeat, WaveProgress
 from tests.core.scheduler.world import World, job, step
 
 
@@ -152,3 +153,26 @@
     world.run(1_500)
     assert owner.schedule.may_interrupt(run)
     assert world.state(job_id) is JobState.RUNNING
+
+
+def test_a_worker_is_not_taken_down_before_its_minion_has_reported():
+    # Own day late_takeover: the next owner went on with an order that the one before
+    # had stored, before it knew what ran on the worker (AVAIL).
+    world = World(minions=2)
+    owner = world.claim()
+    owner.schedule.minions["i2"].cordoned = True
+    job_id = world.submit(job(step(2, cpu=500, long_running=True, may_miss=1)))
+    world.run(500)
+    assert {start[3] for start in world.starts} == {"i1"}
+    world.book.apply(WaveProgress(1, [], ["w0"]))
+    world.book.apply(OwnerBeat(1, "a", 1))
+    world.book.apply(OwnerBeat(2, "b", 1))
+    world.cut_ways = {(2, "i1")}
+    world.claim()
+    wave(world, cap=2)
+    world.run(1_000)
+    world.cut_ways.clear()
+    world.run(30_000)
+    # Taking a worker down checks that nothing lasting runs on it.
+    assert sorted(world.maintained) == ["w0", "w1"]
+    assert world.state(job_id) is JobState.RUNNING
