Count jobs by queue: acknowledgement, first start and end

The users ask for histograms by class; a queue is the class that the platform knows. The owner's lines job_begun (new) and job_ended carry queue and age, and both are counted.

--- a/courselead/core/scheduler/jobs.py
+++ b/courselead/core/scheduler/jobs.py
@@ -127,6 +127,7 @@
     job.begun = True
     if not job.state.final:
         job.state = JobState.RUNNING
+    _note_job(schedule, job, "job_begun", "")
     save(schedule, job)
 
 
@@ -143,7 +144,7 @@
     job.state = state
     job.ended_ms = schedule.wall_ms
     save(schedule, job)
-    schedule.note("job_ended", job_id=job.job_id, state=str(state), reason=reason)
+    _note_job(schedule, job, "job_ended", reason)
     for steps in job.occurrences.values():
         for step in steps:
             schedule.advice.pop(step.name, None)
@@ -152,6 +153,19 @@
                     schedule.stop_run(run, reason)
 
 
+def _note_job(schedule: Schedule, job: Job, event: str, reason: str) -> None:
+    """Tell of a job's start or end, with its age since this owner knows of it."""
+    schedule.note(
+        event,
+        job_id=job.job_id,
+        queue=job.queue,
+        state=str(job.state),
+        reason=reason,
+        age_ms=schedule.now_ms - job.accepted_ms,
+        from_before=job.from_before,
+    )
+
+
 def save(schedule: Schedule, job: Job) -> None:
     """Store the job's progress with the batch that is open."""
     schedule.dirty_jobs[job.job_id] = None
@@ -270,7 +284,7 @@
     if len(job.closed) >= max(1, job.spec.repeats):
         job.state = JobState.COMPLETED
         job.ended_ms = schedule.wall_ms
-        schedule.note("job_ended", job_id=job.job_id, state="completed", reason="")
+        _note_job(schedule, job, "job_ended", "")
 
 
 def _drop_units(schedule: Schedule, steps: list[StepRun]) -> None:
--- a/courselead/daemon/scheduling/intake.py
+++ b/courselead/daemon/scheduling/intake.py
@@ -99,6 +99,8 @@
         if reply.verdict is Verdict.ACCEPTED:
             self._follower.learned(record)
         self._counters.took("submit", str(reply.verdict), begun)
+        taken_s = anyio.current_time() - begun
+        self._counters.observe_job(queue, f"submit_{reply.verdict}", taken_s)
         return self._told("job_submitted", queue, job_id, reply)
 
     async def state(self, queue: str, job_id: str) -> JobReply:
--- a/courselead/daemon/scheduling/metrics.py
+++ b/courselead/daemon/scheduling/metrics.py
@@ -19,6 +19,9 @@
 
 BUCKETS_S = (0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0)
 
+JOB_BUCKETS_S = (0.01, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0)
+"""From an acknowledgement of the store to jobs of several steps."""
+
 
 class SchedulingMetrics:
     """Keeps the histograms, and renders them with the counters."""
@@ -34,14 +37,24 @@
             "Time to the answer, by kind of call and outcome",
             buckets=list(BUCKETS_S),
         )
-        for collector in (self._counts, self._owns, self._seconds):
+        self._jobs = Histogram(
+            "courselead_job_seconds",
+            "Age of jobs at their events, by queue",
+            buckets=list(JOB_BUCKETS_S),
+        )
+        for collector in (self._counts, self._owns, self._seconds, self._jobs):
             self._registry.register(collector)
         counters.observe = self.observe
+        counters.observe_job = self.observe_job
 
     def observe(self, call: str, outcome: str, seconds: float) -> None:
         """Take the time of a call; both names are short words of the program."""
         self._seconds.observe({"call": call, "outcome": outcome}, seconds)
 
+    def observe_job(self, queue: str, event: str, seconds: float) -> None:
+        """Take a job's age at an event; there are as many queues as are configured."""
+        self._jobs.observe({"queue": queue, "event": event}, seconds)
+
     def render(self, owns: bool) -> bytes:
         """Return the text."""
         for name, value in self._counters.all().items():
--- a/courselead/daemon/scheduling/owner.py
+++ b/courselead/daemon/scheduling/owner.py
@@ -76,6 +76,9 @@
 LIST_GAP_S = 0.1
 """Pause between two reads of the minions' list, in which each beat is a record."""
 
+JOB_EVENTS = ("job_begun", "job_ended")
+"""Notes that are counted by queue, with the job's age."""
+
 FORGET_TIMEOUT_MS = 500
 """Time-out of the records that drop an old job; the next sweep tries again."""
 
@@ -314,6 +317,14 @@
                 self._lose(effect.reason)
             case Note():
                 _LOGGER.info(effect.event, fence=self.fence, **effect.fields)
+                self._count_job(effect)
+
+    def _count_job(self, note: Note) -> None:
+        """Take a job's age at its start or end, if this owner has seen it whole."""
+        if note.event not in JOB_EVENTS or note.fields["from_before"]:
+            return
+        age_s = note.fields["age_ms"] / 1000
+        self._counters.observe_job(note.fields["queue"], note.event, age_s)
 
     def _spawn(self, work: Callable[..., object], *args: object) -> None:
         if self._tasks is not None:
--- a/courselead/daemon/scheduling/ports.py
+++ b/courselead/daemon/scheduling/ports.py
@@ -291,6 +291,7 @@
     counts: dict[str, int] = field(default_factory=dict)
     watched: dict[str, Callable[[], int]] = field(default_factory=dict)
     observe: Callable[[str, str, float], None] = lambda call, outcome, seconds: None
+    observe_job: Callable[[str, str, float], None] = lambda queue, event, seconds: None
 
     def add(self, name: str, by: int = 1) -> None:
         """Count something."""
--- a/demo/job_site.py
+++ b/demo/job_site.py
@@ -25,6 +25,9 @@
 RETRY_S = 0.25
 """Tries of a caller, and the pause between them: longer than any fault here."""
 
+METRICS_PORT = 9464
+"""As deploy/system.toml names it."""
+
 STATUS_OK = 200
 FINAL = ("completed", "failed", "cancelled")
 
@@ -122,6 +125,14 @@
         lines = [line for line in path.read_text().splitlines() if event in line]
         return [json.loads(line) for line in lines if line.endswith("}")]
 
+    async def metrics(self, host: HostPorts) -> str:
+        """Return the text of a host's metrics."""
+        req = HttpRequest(b"GET", b"/metrics", (), b"")
+        address = f"{host.ip}:{METRICS_PORT}"
+        client = self._clients.setdefault(address, HttpClient(address))
+        fetched = await client.fetch(req, CALL_MS)
+        return fetched.unwrap().body.decode()
+
     # Callers
 
     async def call(
--- a/tests/daemon/scheduling/test_metrics.py
+++ b/tests/daemon/scheduling/test_metrics.py
@@ -29,6 +29,7 @@
     counters.add("starts", 3)
     counters.watch("lines_dropped", lambda: 7)
     counters.observe("start", "ok", 0.004)
+    counters.observe_job("court", "job_ended", 2.0)
     app = MetricsApp(metrics, lambda: True)
     status, body = await ask(app, "/metrics")
     assert status == 200
@@ -37,4 +38,7 @@
     assert "courselead_owns_schedule 1" in body
     assert 'courselead_call_seconds_count{call="start",outcome="ok"} 1' in body
     assert 'call="start",le="0.005",outcome="ok"} 1' in body
+    shown = 'courselead_job_seconds_count{event="job_ended",queue="court"} 1'
+    assert shown in body
+    assert 'event="job_ended",le="2.5",queue="court"} 1' in body
     assert (await ask(app, "/other"))[0] == 404
--- a/tests/processes/test_job_site.py
+++ b/tests/processes/test_job_site.py
@@ -36,6 +36,8 @@
     await under_load(site, 1, LOAD_S, nothing)
     await site.all_ended()
     await site.assert_kept()
+    ended = f'event="job_ended",queue="q"}} {len(site.accepted)}'
+    assert ended in await site.metrics(site.owner())
 
 
 async def test_the_owner_is_killed(site: JobSite) -> None:
