--- a/tests/processes/test_drain.py
+++ b/tests/processes/test_drain.py
@@ -5,15 +5,14 @@
 
 from courselead.core.fleet.records import StopPlanned, WorkerRebooted
 from demo.plan import HostPlan
+from demo.waiting import BOUND_S, wait
 from tests.processes.callers import Load, check_tickets
 from tests.processes.records import LogTail, Proposed
 from tests.processes.system import (
-    BOUND_S,
     MANY,
     STATUS_OK,
     Executions,
     System,
-    wait,
 )
 
 pytestmark = [pytest.mark.anyio, pytest.mark.processes]
--- a/tests/processes/test_no_process.py
+++ b/tests/processes/test_no_process.py
@@ -16,15 +16,13 @@
 import pytest
 
 from demo.plan import HostPlan, credential
+from demo.waiting import BOUND_S, POLL_S, wait
 from tests.processes.callers import Load, check_tickets
 from tests.processes.system import (
     ACCOUNT,
-    BOUND_S,
-    POLL_S,
     SERVICE,
     STATUS_OK,
     System,
-    wait,
 )
 
 ROOT = Path(__file__).resolve().parents[2]
