Give the owner time to write when the log is back

Change: a host that has reached the log again counts silence from then on. The test fails without the change.

--- a/courselead/daemon/scheduling/follower.py
+++ b/courselead/daemon/scheduling/follower.py
@@ -66,6 +66,7 @@
         self._on_newest = on_newest
         self.gap_s = gap_s
         self._counters = counters
+        self.on_back: Callable[[], None] = lambda: None
         self.offset = -1
         self.reached_at = 0.0
         self._floors: dict[bytes, int] = {}
@@ -138,6 +139,7 @@
     def _reached(self, asked_at: float) -> None:
         if self._failures:
             _LOGGER.info("log_reached", log=self._name, failures=self._failures)
+            self.on_back()
         self._failures = 0
         self.reached_at = max(self.reached_at, asked_at)
 
@@ -160,6 +162,7 @@
         self._follower = KeyedFollower(
             "jobs", log, self._apply, gap_s=GAP_S, counters=counters
         )
+        self._follower.on_back = self._log_is_back
         self._reading: anyio.Event | None = None
         self._queued: anyio.Event | None = None
         self._outcome = False
@@ -201,6 +204,10 @@
         """Apply a record that this host has just stored, before it is read."""
         self.book.apply(record)
 
+    def _log_is_back(self) -> None:
+        """Give the owner time to write: it may have been cut off like this host."""
+        self.beat_at = anyio.current_time()
+
     async def _read_next(self, under_way: anyio.Event) -> bool:
         queued = self._queued = anyio.Event()
         try:
--- a/tests/daemon/scheduling/test_host.py
+++ b/tests/daemon/scheduling/test_host.py
@@ -93,6 +93,27 @@
         tasks.cancel_scope.cancel()
 
 
+async def test_the_owner_gets_time_to_write_when_the_log_is_back():
+    # lakescore-sched inc-f66f: another host claimed as soon as the store was back.
+    shared = platform()
+    own_way = MemoryLog(records=shared.jobs.records)
+    first = SchedulingHost("a", replace(shared, jobs=own_way), Bounds())
+    second = SchedulingHost("b", shared, Bounds())
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(first.run)
+        await until(lambda: first.owns and own_way.epoch == 1)
+        tasks.start_soon(second.run)
+        await until(lambda: second.ready)
+        own_way.refuse = shared.jobs.refuse = True
+        follower = second.follower._follower
+        await until(lambda: follower._failures > 0)
+        back_at = anyio.current_time()
+        shared.jobs.refuse = False
+        await until(lambda: follower._failures == 0)
+        assert second.follower.beat_at >= back_at
+        tasks.cancel_scope.cancel()
+
+
 async def test_a_claim_that_was_overtaken_before_it_began_starts_nothing():
     # lakescore-sched trouble-2: the first catch-up held a newer claim already, and
     # a job stored after it, which the newer owner took for untouched.
