--- a/harness/real_faults.py
+++ b/harness/real_faults.py
@@ -52,13 +52,11 @@
 
     async def kill(self, host: HostPorts | None, lasts_s: float) -> None:
         """Kill a host, and start it again."""
-        if host is None:
-            return
-        self.down.add(host.name)
-        await self.site.processes.kill(host.name)
-        await anyio.sleep(lasts_s)
-        await self.site.start(host)
-        self.down.discard(host.name)
+        await self._restart(host, lasts_s, self.site.processes.kill)
+
+    async def end(self, host: HostPorts | None, lasts_s: float) -> None:
+        """Tell a host to end, and start it again."""
+        await self._restart(host, lasts_s, self.site.processes.end)
 
     async def freeze(self, host: HostPorts | None, lasts_s: float) -> None:
         """Let a host stand still."""
@@ -70,12 +68,16 @@
         self.site.processes.signal(host.name, signal.SIGCONT)
         self.frozen.discard(host.name)
 
-    async def end(self, host: HostPorts | None, lasts_s: float) -> None:
-        """Tell a host to end, and start it again."""
+    async def _restart(
+        self,
+        host: HostPorts | None,
+        lasts_s: float,
+        stop: Callable[[str], Awaitable[object]],
+    ) -> None:
         if host is None:
             return
         self.down.add(host.name)
-        await self.site.processes.end(host.name)
+        await stop(host.name)
         await anyio.sleep(lasts_s)
         await self.site.start(host)
         self.down.discard(host.name)
