Give up at once what a cut-off host cannot store

The own way took 0.7 s; then two other hosts were asked one after the other, each to its time-out of 1 s, and all of it was repeated. Eighteen callers waited in line behind it, and the host stayed ready, so that new ones came. Ruled out: the store (it served all other hosts), the intake (it does not hold anything itself).

Change: other hosts are asked beside one that is silent, and none for a second after silent ones could not help; what waits behind an append without an answer is refused as not run, which it is; a host that reaches the store on no way is not ready and lets its connections go with their answers, so that callers come to another zone. A try of the own way ends after 0.5 s: one begun in a cut gets no answer after it.

--- a/courselead/daemon/scheduling/host.py
+++ b/courselead/daemon/scheduling/host.py
@@ -87,8 +87,16 @@
     @property
     def ready(self) -> bool:
         """Return whether new callers may come."""
-        known = self.directions.current is not None and self.follower.started
-        return known and not self.leaving
+        return self._informed and self.can_store and not self.leaving
+
+    @property
+    def can_store(self) -> bool:
+        """Return whether the store was reached when last tried, on whatever way."""
+        return self._ways.usable
+
+    @property
+    def _informed(self) -> bool:
+        return self.directions.current is not None and self.follower.started
 
     async def run(self) -> None:
         """Run until cancelled."""
@@ -146,7 +154,7 @@
     async def _elect(self) -> None:
         while True:
             await anyio.sleep(LOOK_S)
-            if self.leaving or not self.ready:
+            if self.leaving or not self._informed:
                 continue
             if not await self._may_claim():
                 continue
--- a/courselead/daemon/scheduling/main.py
+++ b/courselead/daemon/scheduling/main.py
@@ -60,7 +60,7 @@
         settings.bounds.bounds(),
         settings.peer_address,
     )
-    jobs_app = JobsApp(host.intake, lambda: host.leaving)
+    jobs_app = JobsApp(host.intake, lambda: host.leaving or not host.can_store)
     front = _server(jobs_app, _address(settings.listen.front))
     ready = _server(ReadyApp(lambda: host.ready), _address(settings.listen.ready))
     relay = _server(host.relay, _address(settings.peer_address))
--- a/courselead/daemon/scheduling/relay.py
+++ b/courselead/daemon/scheduling/relay.py
@@ -7,8 +7,10 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import dataclass
 from typing import Any
 
 import anyio
@@ -49,11 +51,27 @@
 """Mean pause between two tries of the own way while it does not work: a store that is
 back is used again well within the 2 s in which a configuration must be in force."""
 
+PROBE_TIMEOUT_S = 0.5
+"""Time of one try: twice what a slow store takes. A try that began during a cut gets
+no answer after it either."""
+
 HOP_MS = 300
 """Time beyond that of the call itself until a relayed one counts as lost."""
 
-PEERS_TRIED = 2
-"""Other hosts asked for one call: a third that cannot help either is no chance."""
+RELAYED_APPEND_MS = 400
+"""Time that another host is given for an append: the store takes 4 ms, up to 250 ms
+where it is slow, and callers wait behind it."""
+
+PEERS_TRIED = 3
+"""Other hosts asked for one call, of which one may be gone and one be cut off too."""
+
+STAGGER_S = 0.1
+"""Time until the next host is asked beside one that is silent: several times what a
+relayed call takes."""
+
+NO_WAY_S = 1.0
+"""Time for which no other host is asked after none has helped and some were silent: a
+zone that is cut off stays so for seconds, and each question holds up callers."""
 
 SHUNNED_S = 5.0
 """Time for which a host that did not answer is asked last: hosts that are gone stay
@@ -93,6 +111,14 @@
 _DECODE_REPLY = msgspec.msgpack.Decoder(_Reply)
 
 
+@dataclass(frozen=True, slots=True)
+class _Asked:
+    """What came of a question to another host; `silent` if that took long."""
+
+    silent: bool
+    result: Result[_Reply, AppendError]
+
+
 class Ways:
     """This host's own way to the store, and those through other hosts."""
 
@@ -105,20 +131,29 @@
         self._pools: dict[str, LeanPool] = {}
         self._lost = anyio.Event()
         self._shunned: dict[str, float] = {}
+        self._helped = True
+        self._no_way_until = 0.0
 
     @property
     def reachable(self) -> bool:
         """Return whether the own way worked when it was last tried."""
         return not self._lost.is_set()
 
+    @property
+    def usable(self) -> bool:
+        """Return whether the store was reached on some way when last tried."""
+        return self.reachable or self._helped
+
     def note(self, reached: bool) -> None:
         """Take how an attempt on the own way went."""
         if reached and self._lost.is_set():
             _LOGGER.info("own_way_regained")
             self._lost = anyio.Event()
+            self._no_way_until = 0.0
         elif not reached and not self._lost.is_set():
             _LOGGER.warning("own_way_lost", peers=len(self._peers()))
             self._lost.set()
+            self._helped = True
 
     async def watched(
         self, read: Callable[[], Awaitable[Result[Any, ReadError]]]
@@ -143,31 +178,85 @@
             await anyio.sleep(random.uniform(0.5, 1.5) * PROBE_S)
             if self.reachable:
                 continue
-            result = await direct.newest()
+            result: Result[Any, ReadError] | None = None
+            with anyio.move_on_after(PROBE_TIMEOUT_S):
+                result = await direct.newest()
             if isinstance(result, Success):
                 self.note(True)
 
     async def ask(
         self, path: str, body: bytes, timeout_ms: int
     ) -> Result[_Reply, AppendError]:
-        """Ask other hosts in turn until one has an answer of the store's."""
+        """Ask other hosts until one has an answer of the store's.
+
+        The next host is asked beside one that is silent: all calls may be repeated.
+        """
+        if anyio.current_time() < self._no_way_until:
+            return Failure(NotAppended("no other host could help a moment ago"))
+        addresses = self._chosen()
+        send, receive = anyio.create_memory_object_stream[_Asked](PEERS_TRIED)
+        failures: list[_Asked] = []
+        found: _Reply | None = None
+
+        async def ask_one(address: str) -> None:
+            send.send_nowait(await self._ask_one(address, path, body, timeout_ms))
+
+        async with send, receive, anyio.create_task_group() as tasks:
+            open_calls = 0
+            while found is None and (addresses or open_calls):
+                wait_s = math.inf
+                if addresses:
+                    tasks.start_soon(ask_one, addresses.pop(0))
+                    open_calls += 1
+                    wait_s = STAGGER_S
+                asked = None
+                with anyio.move_on_after(wait_s):
+                    asked = await receive.receive()
+                if asked is None:
+                    continue
+                open_calls -= 1
+                if isinstance(asked.result, Success):
+                    found = asked.result.unwrap()
+                else:
+                    failures.append(asked)
+            tasks.cancel_scope.cancel()
+        self._helped = found is not None
+        if found is not None:
+            return Success(found)
+        return self._none_helped(failures)
+
+    async def _ask_one(
+        self, address: str, path: str, body: bytes, timeout_ms: int
+    ) -> _Asked:
+        self._counters.add("relayed_calls")
+        begun = anyio.current_time()
+        call = Call("POST", path, body)
+        answered = await self._pool(address).call(call, timeout_ms)
+        if isinstance(answered, Failure):
+            error = answered.failure()
+            self._shunned[address] = anyio.current_time() + SHUNNED_S
+            silent = anyio.current_time() - begun >= HOP_MS / 1000
+            if isinstance(error, NotSent):
+                return _Asked(silent, Failure(NotAppended(error.reason)))
+            return _Asked(silent, Failure(AppendUnknown(error.reason)))
+        reply = _decoded(answered.unwrap().body)
+        if reply.kind == "not_done":
+            self._shunned[address] = anyio.current_time() + NO_WAY_S
+            return _Asked(False, Failure(NotAppended(reply.reason)))
+        if reply.kind == "unknown":
+            return _Asked(False, Failure(AppendUnknown(reply.reason)))
+        return _Asked(False, Success(reply))
+
+    def _none_helped(self, failures: Sequence[_Asked]) -> Result[_Reply, AppendError]:
+        """Return why no host had an answer; one open call leaves all open."""
+        if any(asked.silent for asked in failures):
+            _LOGGER.warning("no_way_to_the_store", asked=len(failures))
+            self._no_way_until = anyio.current_time() + NO_WAY_S
         last: AppendError = NotAppended("no other host is known")
-        for address in self._chosen():
-            self._counters.add("relayed_calls")
-            answered = await self._pool(address).call(
-                Call("POST", path, body), timeout_ms
-            )
-            if isinstance(answered, Failure):
-                error = answered.failure()
-                self._shunned[address] = anyio.current_time() + SHUNNED_S
-                if not isinstance(error, NotSent):
-                    return Failure(AppendUnknown(error.reason))
-                last = NotAppended(error.reason)
-                continue
-            reply = _decoded(answered.unwrap().body)
-            if reply.kind != "not_done":
-                return Success(reply)
-            last = NotAppended(reply.reason)
+        for asked in failures:
+            last = asked.result.failure()
+            if isinstance(last, AppendUnknown):
+                break
         return Failure(last)
 
     def _chosen(self) -> list[str]:
@@ -267,9 +356,10 @@
         mark: ProducerMark | None,
     ) -> Result[Appended, AppendError]:
         marked = None if mark is None else (mark.name, mark.epoch, mark.sequence)
-        append = _Append(self._name, list(records), timeout_ms, marked)
+        least_ms = min(timeout_ms, RELAYED_APPEND_MS)
+        append = _Append(self._name, list(records), least_ms, marked)
         asked = await self._ways.ask(
-            PATH_APPEND, msgspec.msgpack.encode(append), timeout_ms + HOP_MS
+            PATH_APPEND, msgspec.msgpack.encode(append), least_ms + HOP_MS
         )
         if isinstance(asked, Failure):
             return Failure(asked.failure())
@@ -278,7 +368,7 @@
             return Success(Appended(reply.start, reply.end))
         if reply.kind == "fenced":
             return Failure(AppendFenced())
-        return Failure(AppendUnknown(reply.reason))
+        return Failure(AppendUnknown(f"a reply of kind {reply.kind}"))
 
 
 class RelayApp:
--- a/courselead/daemon/scheduling/writer.py
+++ b/courselead/daemon/scheduling/writer.py
@@ -109,4 +109,12 @@
         _LOGGER.warning("append_failed", reason=reason, in_doubt=doubt)
         if doubt:
             self._away_until = anyio.current_time() + AWAY_MS / 1000
+            self._refuse_line()
         return Stored(False, doubt, reason)
+
+    def _refuse_line(self) -> None:
+        """Give up what waits behind an append without an answer: it was never sent."""
+        line, self._line = self._line, []
+        for item in line:
+            item.stored = Stored(False, False, "the log does not answer")
+            item.done.set()
--- a/courselead/platform/ingress.py
+++ b/courselead/platform/ingress.py
@@ -69,11 +69,17 @@
     """The ASGI application on the address for callers."""
 
     def __init__(
-        self, intake: Intake, leaving: Callable[[], bool] = lambda: False
+        self, intake: Intake, unhelpful: Callable[[], bool] = lambda: False
     ) -> None:
-        """Keep the parts; `leaving` says that connections are to be let go."""
+        """Keep the parts.
+
+        Args:
+            intake: Answers callers.
+            unhelpful: Whether callers are better served by another host, so that
+                their connections are let go with the next answer.
+        """
         self._intake = intake
-        self._leaving = leaving
+        self._unhelpful = unhelpful
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one HTTP exchange."""
@@ -81,7 +87,7 @@
             return
         body = await whole_body(receive, self._intake.body_bytes)
         status, document = await self._serve(scope, body)
-        await _answer(send, status, document, self._leaving())
+        await _answer(send, status, document, self._unhelpful())
 
     async def _serve(self, scope: Scope, body: bytes | None) -> tuple[int, object]:
         if body is None:
@@ -187,10 +193,10 @@
     return status, {}
 
 
-async def _answer(send: Send, status: int, document: object, leaving: bool) -> None:
+async def _answer(send: Send, status: int, document: object, let_go: bool) -> None:
     headers = [(b"content-type", b"application/json")]
     if status in (429, 503, 504):
         headers.append((b"retry-after", str(RETRY_AFTER_S).encode()))
-    if leaving:
+    if let_go:
         headers.append((b"connection", b"close"))
     await answer(send, status, msgspec.json.encode(document), headers)
--- a/tests/daemon/scheduling/test_host.py
+++ b/tests/daemon/scheduling/test_host.py
@@ -189,6 +189,21 @@
         tasks.cancel_scope.cancel()
 
 
+async def test_a_host_that_reaches_the_store_on_no_way_is_not_ready():
+    shared = platform()
+    host = SchedulingHost("a", shared, Bounds())
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(host.run)
+        await until(lambda: host.ready)
+        for log in (shared.jobs, shared.directions, shared.claims):
+            log.refuse = True
+        await until(lambda: not host.ready)
+        for log in (shared.jobs, shared.directions, shared.claims):
+            log.refuse = False
+        await until(lambda: host.ready)
+        tasks.cancel_scope.cancel()
+
+
 async def test_hosts_learn_each_others_addresses():
     shared = platform()
     hosts = [SchedulingHost(name, shared, Bounds(), f"{name}:1") for name in "ab"]
--- a/tests/daemon/scheduling/test_log.py
+++ b/tests/daemon/scheduling/test_log.py
@@ -112,6 +112,30 @@
     assert (stored.ok, stored.in_doubt) == (False, True)
 
 
+async def test_records_behind_an_append_without_an_answer_are_refused():
+    log = MemoryLog(silent=True)
+    writer = JobWriter(log, HostCounters())
+    told = {}
+
+    async def submit(job_id: str) -> None:
+        told[job_id] = await writer.store(JobAccepted(job_id, "q", SPEC))
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(writer.run)
+        tasks.start_soon(submit, JOB)
+        while not log.appends:
+            await anyio.lowlevel.checkpoint()
+        late = [f"{number:016x}" for number in range(1, 4)]
+        for job_id in late:
+            tasks.start_soon(submit, job_id)
+        while len(told) < 4:
+            await anyio.sleep(0.01)
+        tasks.cancel_scope.cancel()
+    assert told[JOB].in_doubt
+    for job_id in late:
+        assert (told[job_id].ok, told[job_id].in_doubt) == (False, False)
+
+
 async def test_records_that_wait_share_an_append():
     log = MemoryLog()
     writer = JobWriter(log, HostCounters())
--- a/tests/daemon/scheduling/test_relay.py
+++ b/tests/daemon/scheduling/test_relay.py
@@ -7,6 +7,7 @@
 from returns.result import Failure, Success
 
 from courselead.core.scheduler.records import KeyedRecord
+from courselead.daemon.scheduling import relay
 from courselead.daemon.scheduling.ports import (
     AppendFenced,
     AppendUnknown,
@@ -148,3 +149,55 @@
             await log.append([RECORD], 500)
         assert len(shared.records) >= 18
         assert isinstance(await log.append([RECORD], 500), Success)
+
+
+@asynccontextmanager
+async def silent_peer():
+    """Take connections on loopback and never answer."""
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+
+    async def hold(stream) -> None:
+        await anyio.sleep_forever()
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(listener.serve, hold)
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        yield f"127.0.0.1:{port}"
+        tasks.cancel_scope.cancel()
+
+
+async def test_another_host_is_asked_beside_one_that_is_silent(monkeypatch):
+    monkeypatch.setattr(relay.random, "shuffle", lambda addresses: None)
+    shared = MemoryLog()
+    # A silent host has longer than the test may take.
+    monkeypatch.setattr(relay, "HOP_MS", 600_000)
+    async with silent_peer() as silent, peer(shared) as address:
+        _, log, _ = cut_off(silent, address)
+        with anyio.fail_after(60):
+            assert isinstance(await log.append([RECORD], 500), Success)
+
+
+async def test_a_host_without_any_way_says_so_and_asks_again_later(monkeypatch):
+    monkeypatch.setattr(relay, "HOP_MS", 20)
+    monkeypatch.setattr(relay, "NO_WAY_S", 600.0)
+    async with silent_peer() as silent:
+        own, log, ways = cut_off(silent)
+        assert ways.usable
+        error = (await log.append([RECORD], 30)).failure()
+        assert isinstance(error, AppendUnknown)
+        assert not ways.usable
+        asked = ways._counters.counts["relayed_calls"]
+        error = (await log.append([RECORD], 30)).failure()
+        assert isinstance(error, NotAppended)
+        assert ways._counters.counts["relayed_calls"] == asked
+        own.refuse = False
+        ways.note(True)
+        assert ways.usable
+        assert isinstance(await log.append([RECORD], 30), Success)
+
+
+async def test_a_host_that_was_helped_is_usable():
+    async with peer(MemoryLog()) as address:
+        _, log, ways = cut_off(address)
+        await log.append([RECORD], 500)
+        assert ways.usable and not ways.reachable
