Let the soak of real processes cut one way, delay and reset connections

Change: a relay cuts either way, delays what it passes on, and breaks its connections; three strikes of the soak use them.

--- a/demo/relay.py
+++ b/demo/relay.py
@@ -2,11 +2,14 @@
 
 A cut path loses nothing for good: what is under way, and what is sent while it
 is cut, arrives when it is mended, as over a network that drops packets for a
-while. Nobody gets a reset. Connections that are silenced stay so for good.
+while. Nobody gets a reset, unless `reset` is called. A path may be cut one way only,
+or be slow. Connections that are silenced stay so for good.
 """
 
 from __future__ import annotations
 
+from enum import Enum
+
 import anyio
 from anyio.abc import SocketStream, TaskGroup, TaskStatus
 
@@ -15,29 +18,45 @@
 CHUNK_BYTES = 65_536
 
 
+class Way(Enum):
+    """A direction of a path."""
+
+    OUT = "out"
+    BACK = "back"
+
+
 class Relay:
     """One path to one address."""
 
     def __init__(self, port: int, target: str) -> None:
         """Keep where to listen and where to forward to; nothing is opened."""
         self.address = f"{LOOPBACK}:{port}"
+        self.delay_s = 0.0
         self._port = port
         self._target = target
-        self._open = anyio.Event()
-        self._open.set()
+        self._open = {way: anyio.Event() for way in Way}
         self._silence = 0
+        self._scopes: set[anyio.CancelScope] = set()
+        self.mend()
 
     def silence(self) -> None:
         """Let nothing more through on the connections that are open now."""
         self._silence += 1
 
-    def cut(self) -> None:
-        """Hold back everything from now on."""
-        self._open = anyio.Event()
+    def cut(self, *ways: Way) -> None:
+        """Hold back everything from now on, both ways unless some are named."""
+        for way in ways or Way:
+            self._open[way] = anyio.Event()
 
     def mend(self) -> None:
         """Let everything through again."""
-        self._open.set()
+        for opened in self._open.values():
+            opened.set()
+
+    def reset(self) -> None:
+        """Break all connections that are open now."""
+        for scope in list(self._scopes):
+            scope.cancel()
 
     async def serve(
         self, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED
@@ -52,7 +71,9 @@
 
     async def _forward(self, near: SocketStream) -> None:
         """Forward one connection, in both directions, until both have ended."""
-        await self._open.wait()
+        # A connection needs both ways to open.
+        for way in Way:
+            await self._open[way].wait()
         age = self._silence
         ip, _, port = self._target.rpartition(":")
         try:
@@ -61,21 +82,29 @@
             await near.aclose()
             return
         async with near, far, anyio.create_task_group() as tasks:
-            tasks.start_soon(self._pump, near, far, tasks, age)
-            tasks.start_soon(self._pump, far, near, tasks, age)
+            self._scopes.add(tasks.cancel_scope)
+            tasks.start_soon(self._pump, Way.OUT, near, far, tasks, age)
+            tasks.start_soon(self._pump, Way.BACK, far, near, tasks, age)
+        self._scopes.discard(tasks.cancel_scope)
 
     async def _pump(
-        self, source: SocketStream, sink: SocketStream, tasks: TaskGroup, age: int
+        self,
+        way: Way,
+        source: SocketStream,
+        sink: SocketStream,
+        tasks: TaskGroup,
+        age: int,
     ) -> None:
         """Forward one direction; a broken connection ends both."""
         try:
             while True:
                 data = await source.receive(CHUNK_BYTES)
-                await self._open.wait()
+                await anyio.sleep(self.delay_s)
+                await self._open[way].wait()
                 if age == self._silence:
                     await sink.send(data)
         except anyio.EndOfStream:
-            await self._open.wait()
+            await self._open[way].wait()
         except (anyio.BrokenResourceError, anyio.ClosedResourceError):
-            await self._open.wait()
+            await self._open[way].wait()
         tasks.cancel_scope.cancel()
--- a/harness/real_faults.py
+++ b/harness/real_faults.py
@@ -10,6 +10,7 @@
 import anyio
 
 from demo.job_site import HostPorts, JobSite
+from demo.relay import Way
 
 Strike = Callable[["Striker", float], Awaitable[None]]
 
@@ -117,6 +118,30 @@
     way.mend()
 
 
+async def _cut_one_way(striker: Striker, lasts_s: float) -> None:
+    site = striker.site
+    ways = [*site.store_ways.values(), *site.minion_ways.values()]
+    way = striker.rng.choice(ways)
+    way.cut(striker.rng.choice(list(Way)))
+    await anyio.sleep(lasts_s)
+    way.mend()
+
+
+async def _reset(striker: Striker, lasts_s: float) -> None:
+    site = striker.site
+    for way in (*site.store_ways.values(), *site.minion_ways.values()):
+        way.reset()
+
+
+async def _delay(striker: Striker, lasts_s: float) -> None:
+    ways = list(striker.site.minion_ways.values())
+    for way in ways:
+        way.delay_s = SLOW_MS / 1000
+    await anyio.sleep(lasts_s)
+    for way in ways:
+        way.delay_s = 0.0
+
+
 async def _silence(striker: Striker, lasts_s: float) -> None:
     site = striker.site
     for way in (*site.store_ways.values(), *site.minion_ways.values()):
@@ -141,6 +166,9 @@
     ),
     "cut a host from the store": (_cut_store_way, 8),
     "cut a minion": (_cut_minion_way, 13),
+    "cut one way": (_cut_one_way, 8),
+    "delay answers of minions": (_delay, 4),
+    "reset connections": (_reset, 0),
     "silence connections": (_silence, 0),
 }
 """Each with the longest time that it lasts, in seconds."""
