Store a handover that is asked for during a save

The next owner waited out 1.2 s of silence. Ruled out: the claim itself (0.1 to 0.2 s once tried), reads of the log.

Change: a save ends the ownership only if its own record told of the handover.

--- a/courselead/daemon/scheduling/owner.py
+++ b/courselead/daemon/scheduling/owner.py
@@ -365,8 +365,10 @@
                 if isinstance(item, SaveProgress)
             ]
             duties, self._duties = self._duties, {}
-            if self._handing_over or duties or not records:
-                records.append(self._beat_record(self._handing_over))
+            # A handover that is asked for during the append has a record of its own.
+            released = self._handing_over
+            if released or duties or not records:
+                records.append(self._beat_record(released))
             # Of the first attempt: the answer to a repetition may be that of then.
             sent_ms = now_ms()
             if await self._log.append(records) is None:
@@ -374,7 +376,7 @@
                 return
             self.handle(LogAnswered(sent_ms))
             self._stored(batch, saves)
-            if self._handing_over:
+            if released:
                 self.scheduler = None
                 self._ended.set()
                 return
--- a/tests/daemon/scheduling/test_host.py
+++ b/tests/daemon/scheduling/test_host.py
@@ -74,6 +74,41 @@
     assert len(shared.claims.records) == 2
 
 
+class SlowOnce(MemoryLog):
+    """Holds the append that is under way when it is told to, until it is let go."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.hold = False
+        self.held = anyio.Event()
+        self.let_go = anyio.Event()
+
+    async def append(self, records, timeout_ms, expected_end=None, mark=None):
+        if self.hold and mark is not None and not self.held.is_set():
+            self.held.set()
+            await self.let_go.wait()
+        return await super().append(records, timeout_ms, expected_end, mark)
+
+
+async def test_a_handover_that_is_asked_for_during_a_save_is_stored():
+    # aloisi-sched trouble-2 at 9.0 s: the save under way ended the ownership without
+    # a record of the handover, and the next owner waited out the silence.
+    shared = replace(platform(), jobs=SlowOnce())
+    host = SchedulingHost("a", shared, Bounds())
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(host.run)
+        await until(lambda: host.owns and shared.jobs.epoch == 1)
+        shared.jobs.hold = True
+        await shared.jobs.held.wait()
+        tasks.start_soon(host.leave)
+        await until(lambda: host._owner._handing_over)
+        shared.jobs.let_go.set()
+        await until(lambda: not host.owns)
+        tasks.cancel_scope.cancel()
+    last = decode(shared.jobs.records[-1])
+    assert isinstance(last, OwnerBeat) and last.released
+
+
 async def test_an_owner_that_cannot_write_is_replaced_and_fenced(monkeypatch):
     monkeypatch.setattr(host_module, "SILENT_OWNER_S", 0.3)
     monkeypatch.setattr("courselead.daemon.scheduling.claims.SHOW_S", 0.3)
