--- a/courselead/core/scheduler/demand.py
+++ b/courselead/core/scheduler/demand.py
@@ -6,12 +6,14 @@
 
 import msgspec
 
-from courselead.core.scheduler.schedule import Schedule
+from courselead.core.scheduler import urgency
+from courselead.core.scheduler.schedule import Arrival, Schedule
 from courselead.core.scheduler.state import Job, Minion
 from courselead.core.scheduler.turns import TurnMemory, Turns
 
 RATE_WINDOW_MS = 1_000
-"""Time over which the work that arrives is counted: a quarter of a turn of demand."""
+"""Least time over which the work that arrives is counted: a quarter of a turn.
+A job of longer steps keeps fewer cores busy for longer."""
 
 DRAIN_MS = 1_000
 """Time within which waiting work should be done: jobs have about as much slack."""
@@ -65,8 +67,9 @@
             continue
         run_ms = schedule.expected_ms(job.queue, step)
         work += int(step.count * step.need.cpu_milli * run_ms)
-    pool = schedule.pool_of(job)
-    schedule.arrivals.setdefault(pool, []).append((schedule.now_ms, work))
+    spread_ms = max(RATE_WINDOW_MS, urgency.chain_ms(schedule, job))
+    arrival = Arrival(schedule.now_ms, work, spread_ms)
+    schedule.arrivals.setdefault(schedule.pool_of(job), []).append(arrival)
 
 
 def demands_of(schedule: Schedule) -> dict[str, PoolDemand]:
@@ -93,9 +96,8 @@
         if worker is not None and move.pool in demands:
             demands[move.pool].capacity += worker.room.cpu_milli
     for pool, demand in demands.items():
-        demand.arriving = _rate(schedule, pool)
+        demand.arriving, jobs = _rate(schedule, pool)
         turns = turns_of(schedule, pool)
-        jobs = len(schedule.arrivals.get(pool, ()))
         turns.follow(schedule.wall_ms, demand.arriving, jobs)
         lead_ms = schedule.bounds.move_ms + JOIN_MS
         due = turns.due_milli(schedule.wall_ms, lead_ms)
@@ -127,12 +129,19 @@
         )
 
 
-def _rate(schedule: Schedule, pool: str) -> int:
-    recent = schedule.arrivals.get(pool, [])
-    since = schedule.now_ms - RATE_WINDOW_MS
-    while recent and recent[0][0] < since:
-        recent.pop(0)
-    return sum(work for _, work in recent) // RATE_WINDOW_MS
+def _rate(schedule: Schedule, pool: str) -> tuple[int, int]:
+    """Return the cores that recent jobs keep busy, and how many came of late."""
+    recent = []
+    milli = jobs = 0
+    for arrival in schedule.arrivals.get(pool, ()):
+        age_ms = schedule.now_ms - arrival.at_ms
+        jobs += age_ms <= RATE_WINDOW_MS
+        if age_ms > arrival.spread_ms:
+            continue
+        recent.append(arrival)
+        milli += arrival.work // arrival.spread_ms
+    schedule.arrivals[pool] = recent
+    return milli, jobs
 
 
 def _count_waiting(schedule: Schedule, pool: str, demand: PoolDemand) -> None:
--- a/courselead/core/scheduler/schedule.py
+++ b/courselead/core/scheduler/schedule.py
@@ -79,6 +79,15 @@
     accepted_ms: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """A job that came: its core-milliseconds and the time they are spread over."""
+
+    at_ms: int
+    work: int
+    spread_ms: int
+
+
 @dataclass(slots=True)
 class Left:
     """What is left of an occurrence: core-milliseconds, and its longest chain."""
@@ -124,7 +133,7 @@
     moves: dict[str, MoveState] = field(default_factory=dict)
     moved_ms: dict[str, int] = field(default_factory=dict)
     barred_moves: set[tuple[str, str]] = field(default_factory=set)
-    arrivals: dict[str, list[tuple[int, int]]] = field(default_factory=dict)
+    arrivals: dict[str, list[Arrival]] = field(default_factory=dict)
     demand_peaks: dict[str, list[tuple[int, int]]] = field(default_factory=dict)
     turns: dict[str, Turns] = field(default_factory=dict)
     pools_reported_ms: int = 0
--- a/courselead/core/scheduler/urgency.py
+++ b/courselead/core/scheduler/urgency.py
@@ -36,11 +36,17 @@
     queue = schedule.queue(job.queue)
     if queue is None:
         return job.accepted_ms
+    longest_ms = chain_ms(schedule, job)
+    return job.accepted_ms + int(queue.stretch * longest_ms) + queue.slo_ms
+
+
+def chain_ms(schedule: Schedule, job: Job) -> int:
+    """Return how long a job takes without any wait, as expected when first asked."""
     if job.chain_ms == 0:
         specs = job.spec.steps
         takes = [schedule.expected_ms(job.queue, spec) for spec in specs]
         job.chain_ms = _chain_ms(specs, takes)
-    return job.accepted_ms + int(queue.stretch * job.chain_ms) + queue.slo_ms
+    return job.chain_ms
 
 
 def _chain_ms(specs: Sequence[StepSpec], takes: Sequence[float]) -> int:
