Switch workers off at once when a pool's turn is over

Cause: idle workers stayed on for 2.5 s after the highest demand of the last 2.5 s, also where the end of the turn had been waited for already (1.5 s of a quarter of its peak).

Change: after a turn that bound is 0.3 s.

--- a/courselead/core/scheduler/pools.py
+++ b/courselead/core/scheduler/pools.py
@@ -15,6 +15,10 @@
 """Idle time after which a worker is switched off: a move there and back costs as much
 as two and a half seconds of a worker in a pool, and pauses of demand last longer."""
 
+LULL_OFF_MS = 300
+"""The same for a pool whose turn is over: its next one is far, and the lull has been
+waited for already."""
+
 MOVE_AGAIN_MS = 2_500
 """Least time between two moves of a worker: the same figure."""
 
@@ -86,13 +90,20 @@
     for pool, demand in demands.items():
         held = schedule.demand_peaks.setdefault(pool, [])
         held.append((schedule.now_ms, demand.wanted))
-        while held[0][0] < schedule.now_ms - IDLE_OFF_MS:
+        while held[0][0] < schedule.now_ms - _idle_off_ms(schedule, pool):
             held.pop(0)
         demand.waiting += max(wanted for _, wanted in held) - demand.wanted
     tried = {pool: item for pool, item in demands.items() if not item.untried}
     return _donors(schedule, tried)
 
 
+def _idle_off_ms(schedule: Schedule, pool: str) -> int:
+    """Return for how long an idle worker of a pool stays on."""
+    turns = schedule.turns.get(pool)
+    over = turns is not None and turns.seen and not turns.in_turn
+    return LULL_OFF_MS if over else IDLE_OFF_MS
+
+
 def _spare_workers(schedule: Schedule) -> list[Worker]:
     workers = []
     for worker in schedule.workers.values():
@@ -207,7 +218,8 @@
         return
     kinds = _kinds(schedule)
     for minion, worker in donors:
-        if schedule.now_ms - minion.idle_ms < IDLE_OFF_MS:
+        idle_ms = schedule.now_ms - minion.idle_ms
+        if idle_ms < _idle_off_ms(schedule, minion.info.pool):
             continue
         for pool in off:
             if _fits(schedule, worker, pool, kinds):
