Fetch workers for waiting work to be done within 0.6 s

Cause: with demand spread, a turn's onset was met later (worst windows).

Change: waiting work wants the cores that do it in 0.6 s, not in 1 s.

--- a/courselead/core/scheduler/demand.py
+++ b/courselead/core/scheduler/demand.py
@@ -15,8 +15,9 @@
 """Least time over which the work that arrives is counted: a quarter of a turn.
 A job of longer steps keeps fewer cores busy for longer."""
 
-DRAIN_MS = 1_000
-"""Time within which waiting work should be done: jobs have about as much slack."""
+DRAIN_MS = 600
+"""Time within which waiting work should be done: most of the slack of short jobs, as a
+worker that is fetched comes 2.2 s later."""
 
 REPORT_MS = 2_000
 """Time between two lines on each pool: half a turn of demand, whatever the load."""
