Count workers that have arrived until their minions are listed

Cause: a worker whose move was over counted in no pool until the platform's list had its new minion, some tenths of a second later, and another one was fetched in its place.

Change: it counts where it went, for 3 s at most.

--- a/courselead/core/scheduler/demand.py
+++ b/courselead/core/scheduler/demand.py
@@ -25,6 +25,10 @@
 JOIN_MS = 700
 """Time from the end of a move until the minion is listed and has answered a look."""
 
+JOIN_MOST_MS = 3_000
+"""Time after which a worker that has arrived is no longer expected to join: four times
+the usual."""
+
 LASTING_WAIT_MS = 300
 """Time a lasting task may wait for room before a worker is fetched for it."""
 
@@ -96,6 +100,7 @@
         worker = schedule.workers.get(worker_id)
         if worker is not None and move.pool in demands:
             demands[move.pool].capacity += worker.room.cpu_milli
+    _count_joining(schedule, demands)
     for pool, demand in demands.items():
         demand.arriving, jobs = _rate(schedule, pool)
         turns = turns_of(schedule, pool)
@@ -112,6 +117,17 @@
     return demands
 
 
+def _count_joining(schedule: Schedule, demands: dict[str, PoolDemand]) -> None:
+    """Count workers that have arrived in their pool before their minions are listed."""
+    for worker_id, since_ms in list(schedule.joining.items()):
+        worker = schedule.workers.get(worker_id)
+        late = schedule.now_ms - since_ms > JOIN_MOST_MS
+        if worker is None or late or worker.minion_id in schedule.minions:
+            del schedule.joining[worker_id]
+        elif worker.pool in demands:
+            demands[worker.pool].capacity += worker.room.cpu_milli
+
+
 def report(schedule: Schedule, demands: dict[str, PoolDemand]) -> None:
     """Tell of each pool, every `REPORT_MS`."""
     if schedule.now_ms - schedule.pools_reported_ms < REPORT_MS:
--- a/courselead/core/scheduler/pools.py
+++ b/courselead/core/scheduler/pools.py
@@ -77,6 +77,7 @@
         late_ms = move.accepted_ms + schedule.bounds.move_ms + LOST_MOVE_MS
         if worker.pool == move.pool:
             del schedule.moves[worker_id]
+            schedule.joining[worker_id] = schedule.now_ms
         elif move.accepted_ms and asked_ms > late_ms:
             schedule.note("move_lost", worker=worker_id, pool=move.pool)
             del schedule.moves[worker_id]
--- a/courselead/core/scheduler/schedule.py
+++ b/courselead/core/scheduler/schedule.py
@@ -132,6 +132,7 @@
     run_ms: dict[str, float] = field(default_factory=dict)
     moves: dict[str, MoveState] = field(default_factory=dict)
     moved_ms: dict[str, int] = field(default_factory=dict)
+    joining: dict[str, int] = field(default_factory=dict)
     barred_moves: set[tuple[str, str]] = field(default_factory=set)
     arrivals: dict[str, list[Arrival]] = field(default_factory=dict)
     demand_peaks: dict[str, list[tuple[int, int]]] = field(default_factory=dict)
--- a/tests/core/scheduler/test_pools.py
+++ b/tests/core/scheduler/test_pools.py
@@ -1,6 +1,8 @@
 """Workers follow demand."""
 
-from courselead.core.scheduler import events as ev
+from dataclasses import replace
+
+from courselead.core.scheduler import demand, events as ev
 from courselead.core.scheduler.models import (
     FleetConfig,
     JobState,
@@ -10,6 +12,7 @@
     WorkerPhase,
 )
 from courselead.core.scheduler.records import OwnerBeat
+from courselead.core.scheduler.schedule import MoveState
 from courselead.core.scheduler.turns import TurnMemory, Turns
 from tests.core.scheduler.world import POOL, QUEUE, World, config, job, step
 
@@ -220,3 +223,40 @@
     world.run(6_000)
     notes = [item.event for item in world.orders if isinstance(item, ev.Note)]
     assert "move_lost" in notes
+
+
+def test_a_worker_that_has_arrived_counts_until_its_minion_is_listed():
+    # aloisi-sched quiet-1 at 31 s: 40 workers fetched where 10 were wanted, as those
+    # that had arrived counted nowhere until the platform's list had their minions.
+    world = World(minions=1, cfg=fleet())
+    owner = world.claim()
+    world.run(300)
+    schedule = owner.schedule
+    room = world.all_minions[0].room
+    before = demand.demands_of(schedule)[POOL].capacity
+    schedule.moves["s0"] = MoveState(POOL, world.now_ms, world.now_ms)
+    arrived = Worker("s0", POOL, WorkerPhase.UP, "z", room, ("a", "r9"), "i-new")
+    workers = (*schedule.workers.values(), arrived)
+    world.run(100)
+    owner.handle(ev.WorkersListed(world.now_ms, workers), world.now_ms)
+    assert not schedule.moves
+    want = before + room.cpu_milli
+    assert demand.demands_of(schedule)[POOL].capacity == want
+    info = replace(world.all_minions[0].info(), minion_id="i-new")
+    owner.handle(ev.MinionListed(info), world.now_ms)
+    assert demand.demands_of(schedule)[POOL].capacity == want
+
+
+def test_a_worker_that_never_joins_counts_no_more():
+    world = World(minions=1, cfg=fleet())
+    owner = world.claim()
+    world.run(300)
+    schedule = owner.schedule
+    before = demand.demands_of(schedule)[POOL].capacity
+    room = world.all_minions[0].room
+    schedule.workers["s0"] = Worker(
+        "s0", POOL, WorkerPhase.UP, "z", room, ("a", "r9"), "i-new"
+    )
+    schedule.joining["s0"] = world.now_ms - demand.JOIN_MOST_MS - 1
+    assert demand.demands_of(schedule)[POOL].capacity == before
+    assert not schedule.joining
