--- a/benchmarks/drawn/troubles.py
+++ b/benchmarks/drawn/troubles.py
@@ -38,10 +38,12 @@
 
 TROUBLES = (
     Trouble("burst", lasts_s=(2, 8), strength=(1.5, 4)),
-    Trouble("give_up", lasts_s=(3, 8), share=(0.1, 0.6)),
+    Trouble("give_up", ("", "once", "prompt"), (3, 8), (0.1, 0.6)),
+    Trouble("shift", lasts_s=(3, 10), share=(0.2, 0.8)),
+    Trouble("hot_key", lasts_s=(3, 10), share=(0.2, 0.8)),
     Trouble(
         "srv_crash",
-        ("", "dark", "gone", "rack", "rack dark", "domain", "all"),
+        ("", "dark", "gone", "rack", "rack dark", "domain", "joined", "all"),
         (2, 12),
         (0.05, 0.4),
     ),
@@ -53,8 +55,15 @@
         (0.05, 0.3),
         strength=(0.3, 1.0),
     ),
+    Trouble(
+        "srv_lying_health",
+        ("errors", "hang", "reset", "bad"),
+        (3, 12),
+        (0.03, 0.3),
+    ),
+    Trouble("srv_flap", lasts_s=(3, 12), share=(0.05, 0.3), gap_s=(0.4, 3)),
     Trouble("replace_with_reuse", ("", "drain", "dark"), share=(0.05, 0.3)),
-    Trouble("scale_in", ("", "spot"), share=(0.03, 0.2), planned=True),
+    Trouble("scale_in", ("", "spot", "reclaim"), share=(0.03, 0.2), planned=True),
     Trouble("scale_out", share=(0.03, 0.2), planned=True),
     Trouble("release", lasts_s=(5, 20), planned=True),
     Trouble(
@@ -68,15 +77,42 @@
         "node_freeze", ("", "leader", "renewed"), (1, 12), count=2, fields=_ON_CORE
     ),
     Trouble("node_slow", ("", "leader"), (3, 12), count=2, strength=(3, 8)),
-    Trouble("roll_term", ("", "busy"), share=(0.2, 1.0), gap_s=(0.5, 3), planned=True),
-    Trouble("herd_kill", ("", "power", "off"), (1, 6), (0.4, 1.0), fields=_ON_CORE),
+    Trouble(
+        "roll_term",
+        ("", "busy", "leader", "starter"),
+        share=(0.2, 1.0),
+        gap_s=(0.5, 3),
+        planned=True,
+    ),
+    Trouble(
+        "herd_kill",
+        ("", "power", "off", "taken", "taken all"),
+        (1, 6),
+        (0.4, 1.0),
+        fields=_ON_CORE,
+    ),
     Trouble("add_nodes", share=(0.3, 1.0), planned=True),
-    Trouble("replace_core", ("", "seed", "leader"), strength=(0.5, 4)),
-    Trouble("after_ack_kill", ("", "kill", "timed", "taken"), (1, 4)),
+    Trouble(
+        "replace_core",
+        ("", "seed", "leader", "oldest", "planned"),
+        strength=(0.5, 4),
+    ),
+    Trouble("after_ack_kill", ("", "kill", "timed", "taken", "taken gone"), (1, 4)),
     Trouble("zone_cut", ("", "drop", "reset", "refuse", "drop meet"), (3, 18)),
     Trouble(
         "core_cut",
-        ("leader", "leader all", "leader one_way", "leader race", "all", "split"),
+        (
+            "leader",
+            "leader all",
+            "leader one_way",
+            "leader race",
+            "all",
+            "split",
+            "near",
+            "both",
+            "lure",
+            "relieve",
+        ),
         (3, 16),
         count=1,
     ),
@@ -102,6 +138,7 @@
         strength=(2, 6),
     ),
     Trouble("config_change", ("timeout", "idle", "route"), planned=True),
+    Trouble("big_config", count=1_000, planned=True),
     Trouble("config_storm", lasts_s=(2, 6), gap_s=(0.2, 0.8), planned=True),
     Trouble("wave", ("", "rack"), (15, 30), (0.2, 0.6), planned=True),
     Trouble("poison", lasts_s=(2, 6), share=(0.02, 0.2)),
@@ -112,7 +149,10 @@
         strength=(0.03, 0.5),
     ),
     Trouble(
-        "srv_cut", ("", "fronts", "one_way", "reset", "reborn"), (3, 14), (0.1, 0.5)
+        "srv_cut",
+        ("", "fronts", "some", "some lossy", "one_way", "reset", "reborn"),
+        (3, 14),
+        (0.1, 0.5),
     ),
     Trouble(
         "clock_step", ("back", "ahead"), (3, 12), (0.2, 1.0), strength=(500, 6_000)
