Leave the claim of the schedule to larger hosts

Its first owner is large by chance of starting sooner; after a loss any host may win, and 35 of 43 are small.

Change: hosts tell their share of a core with their address, and one that knows of a host of 1.5 times its own waits 0.2 s before it claims. The owner that is gone counts for none. A refusal names what both the own way and other hosts said, for courselead explain.

--- a/courselead/core/scheduler/book.py
+++ b/courselead/core/scheduler/book.py
@@ -53,7 +53,7 @@
         self.jobs: dict[str, JobEntry] = {}
         self.owner: OwnerBeat | None = None
         self.owner_before: OwnerBeat | None = None
-        self.hosts: dict[str, str] = {}
+        self.hosts: dict[str, HostSeen] = {}
         self.waves: dict[int, WaveProgress] = {}
         self.turns: dict[str, TurnMemory] = {}
         self._early_progress: dict[str, JobProgress] = {}
@@ -73,7 +73,7 @@
                 self._early_progress.pop(record.job_id, None)
                 self._early_cancels.discard(record.job_id)
             case HostSeen():
-                self.hosts[record.host] = record.address
+                self.hosts[record.host] = record
             case WaveProgress():
                 self.waves[record.wave] = record
             case OwnerBeat():
--- a/courselead/core/scheduler/records.py
+++ b/courselead/core/scheduler/records.py
@@ -92,10 +92,18 @@
 
 
 class HostSeen(msgspec.Struct, frozen=True, array_like=True):
-    """Where a host lends its way to the log to the others."""
+    """Where a host lends its way to the log to the others, and how large it is.
+
+    Attributes:
+        host: Its name.
+        address: Where the other hosts reach it.
+        cores_milli: What it may use, in thousandths of a core of usual speed; 0 if
+            it does not know.
+    """
 
     host: str
     address: str
+    cores_milli: int = 0
 
 
 Record = (
--- a/courselead/daemon/scheduling/host.py
+++ b/courselead/daemon/scheduling/host.py
@@ -42,12 +42,24 @@
 CLAIM_SPREAD_S = 0.15
 """Claims are spread over this time, so that mostly one host tries."""
 
+LARGER_FACTOR = 1.5
+"""A host with this many times the processor is larger: the owner does the work of all
+starts, and runs late on a small host where larger ones idle."""
+
+SMALL_HOST_WAIT_S = 0.2
+"""Time by which a host leaves the claim to larger ones: the spread and two calls."""
+
 
 class SchedulingHost:
     """All tasks of one process but the servers."""
 
     def __init__(
-        self, host: str, platform: Platform, bounds: Bounds, relay_address: str = ""
+        self,
+        host: str,
+        platform: Platform,
+        bounds: Bounds,
+        relay_address: str = "",
+        cores_milli: int = 0,
     ) -> None:
         """Wire the parts.
 
@@ -56,10 +68,11 @@
             platform: Everything of the platform that is used.
             bounds: Of the deployment.
             relay_address: Where the other hosts reach this one.
+            cores_milli: What it may use, in thousandths of a core of usual speed.
         """
         self.counters = HostCounters()
         self._host = host
-        self._relay_address = relay_address
+        self._seen = HostSeen(host, relay_address, cores_milli)
         ways = self._ways = Ways(self._peers, self.counters)
         # The log of claims holds one short record: the cheapest to ask for.
         self._claims = platform.claims
@@ -134,12 +147,12 @@
     def _peers(self) -> list[str]:
         """Return the addresses of the other hosts."""
         hosts = self.follower.book.hosts
-        return [address for host, address in hosts.items() if host != self._host]
+        return [seen.address for seen in hosts.values() if seen.host != self._host]
 
     async def _register(self) -> None:
         """Tell the other hosts where this one is."""
-        record = encode(HostSeen(self._host, self._relay_address))
-        while self._relay_address:
+        record = encode(self._seen)
+        while self._seen.address:
             result = await self._platform.jobs.append([record], REGISTER_TIMEOUT_MS)
             if isinstance(result, Success):
                 return
@@ -151,6 +164,21 @@
             await anyio.sleep(REPORT_S)
             _LOGGER.info("counters", owns=self.owns, **self.counters.all())
 
+    @property
+    def knows_larger_host(self) -> bool:
+        """Return whether a host is known that is better off as the owner.
+
+        The owner that is gone is none.
+        """
+        owner = self.follower.book.owner
+        gone = "" if owner is None else owner.host
+        for seen in self.follower.book.hosts.values():
+            if seen.host in (gone, self._host):
+                continue
+            if seen.cores_milli > LARGER_FACTOR * self._seen.cores_milli:
+                return True
+        return False
+
     async def _elect(self) -> None:
         while True:
             await anyio.sleep(LOOK_S)
@@ -158,7 +186,10 @@
                 continue
             if not await self._may_claim():
                 continue
-            await anyio.sleep(random.uniform(0, CLAIM_SPREAD_S))
+            wait_s = random.uniform(0, CLAIM_SPREAD_S)
+            if self.knows_larger_host:
+                wait_s += SMALL_HOST_WAIT_S
+            await anyio.sleep(wait_s)
             if not await self._may_claim() or self.leaving:
                 continue
             await self._claim()
--- a/courselead/daemon/scheduling/main.py
+++ b/courselead/daemon/scheduling/main.py
@@ -59,6 +59,7 @@
         make_platform(settings),
         settings.bounds.bounds(),
         settings.peer_address,
+        settings.cores_milli,
     )
     jobs_app = JobsApp(host.intake, lambda: host.leaving or not host.can_store)
     front = _server(jobs_app, _address(settings.listen.front))
--- a/courselead/daemon/scheduling/relay.py
+++ b/courselead/daemon/scheduling/relay.py
@@ -293,7 +293,7 @@
         """Store records; a conditional append is made on the own way only."""
         if expected_end is not None:
             return await self._direct.append(records, timeout_ms, expected_end, mark)
-        first: AppendError = NotAppended("the own way does not work")
+        first: AppendError | None = None
         if self._ways.reachable:
             result = await self._direct.append(records, timeout_ms, mark=mark)
             if isinstance(result, Success) or isinstance(
@@ -309,7 +309,11 @@
         ):
             return relayed
         # What the own way left open stays open, whatever the others say.
-        return Failure(first)
+        if isinstance(first, AppendUnknown):
+            return Failure(first)
+        said = _reason(relayed.failure())
+        own = "lost before" if first is None else _reason(first)
+        return Failure(NotAppended(f"own way: {own}; other hosts: {said}"))
 
     async def read(self, start: int, wait_ms: int) -> Result[LogBatch, ReadError]:
         """Return records from an offset on."""
@@ -436,6 +440,10 @@
         return _Reply("newest", 0, newest.end, "", records, offsets)
 
 
+def _reason(error: AppendError) -> str:
+    return error.reason if isinstance(error, NotAppended) else type(error).__name__
+
+
 def _decoded(body: bytes) -> _Reply:
     try:
         return _DECODE_REPLY.decode(body)
--- a/courselead/platform/settings.py
+++ b/courselead/platform/settings.py
@@ -25,6 +25,13 @@
     address: str = ""
 
 
+class _Limits(msgspec.Struct, rename="camel"):
+    # Part of a core that the process may use.
+    cpu_share: float = 0.0
+    # Not a number of cores: how many times as fast as a usual one that core is.
+    cores: float = 1.0
+
+
 class _Bounds(msgspec.Struct, rename="camel"):
     hold_max_ms: int = 10_000
     move_s: float = 1.5
@@ -59,6 +66,7 @@
     platform: _Store = msgspec.field(default_factory=_Store)
     cloud_api: _Cloud = msgspec.field(default_factory=_Cloud)
     advice: str = ""
+    limits: _Limits = msgspec.field(default_factory=_Limits)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
 
     @property
@@ -66,6 +74,11 @@
         """Return where the other hosts reach this one."""
         return f"{self.ip}:{self.port_range[0]}"
 
+    @property
+    def cores_milli(self) -> int:
+        """Return what the process may use, in thousandths of a core of usual speed."""
+        return int(self.limits.cpu_share * self.limits.cores * 1000)
+
     @classmethod
     def from_file(cls, path: Path) -> Result[NodeSettings, str]:
         """Read and check the file; a failure says what to mend."""
--- a/tests/daemon/scheduling/test_host.py
+++ b/tests/daemon/scheduling/test_host.py
@@ -8,7 +8,13 @@
 
 from courselead.core.scheduler.events import MoveWorker, Outcome, Tick
 from courselead.core.scheduler.models import Bounds
-from courselead.core.scheduler.records import KeyedRecord, OwnerBeat, decode, encode
+from courselead.core.scheduler.records import (
+    HostSeen,
+    KeyedRecord,
+    OwnerBeat,
+    decode,
+    encode,
+)
 from courselead.daemon.scheduling import host as host_module
 from courselead.daemon.scheduling.claims import Claim
 from courselead.daemon.scheduling.host import SchedulingHost
@@ -249,6 +255,34 @@
         tasks.cancel_scope.cancel()
 
 
+def sized_host(cores_milli: int, *others: HostSeen) -> SchedulingHost:
+    host = SchedulingHost("a", platform(), Bounds(), "a:1", cores_milli)
+    for seen in others:
+        host.follower.book.apply(seen)
+    return host
+
+
+def test_a_small_host_leaves_the_claim_to_larger_ones():
+    # The grown sites have hosts of 0.516 and of 2.15 cores.
+    assert sized_host(516, HostSeen("b", "b:1", 2_150)).knows_larger_host
+    assert not sized_host(2_150, HostSeen("b", "b:1", 516)).knows_larger_host
+    assert not sized_host(1_000, HostSeen("b", "b:1", 1_400)).knows_larger_host
+
+
+def test_the_owner_that_is_gone_is_no_larger_host():
+    host = sized_host(516, HostSeen("b", "b:1", 2_150))
+    host.follower.book.apply(OwnerBeat(3, "b", 1))
+    assert not host.knows_larger_host
+
+
+async def test_a_small_host_claims_if_no_larger_one_does():
+    host = sized_host(516, HostSeen("b", "b:1", 2_150))
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(host.run)
+        await until(lambda: host.owns)
+        tasks.cancel_scope.cancel()
+
+
 async def test_changed_bounds_are_taken():
     shared = platform()
     host = SchedulingHost("a", shared, Bounds())
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -334,9 +334,12 @@
         '[listen]\nfront = "10.1.0.9:1"\nready = "10.1.0.9:2"\n'
         '[platform]\naddress = "10.2.0.1:3"\n'
         "[bounds]\nholdMaxMs = 8000\nmoveS = 1.5\nstatus_s = 90\n"
+        "[limits]\ncpuShare = 0.537\ncores = 2\n"
     )
     settings = NodeSettings.from_file(path).unwrap()
     assert settings.peer_address == "10.1.0.9:7060"
+    # The cores of the wire are the speed of the one that a share is given of.
+    assert settings.cores_milli == 1_074
     bounds = settings.bounds.bounds()
     assert (bounds.lease_max_ms, bounds.move_ms, bounds.status_s) == (8000, 1500, 90)
     path.write_text('node = "n"\n')
