--- a/benchmarks/drawn/troubles.py
+++ b/benchmarks/drawn/troubles.py
@@ -20,6 +20,7 @@
         strength: Bounds of `x`, if it has one.
         gap_s: Bounds of the pause between its steps, if it has one.
         planned: Whether it is planned work.
+        contract: What a site must have in force for it, if not all sites have it.
         fields: Further fields.
     """
 
@@ -32,10 +33,14 @@
     gap_s: tuple[float, float] | None = None
     planned: bool = False
     fields: tuple[tuple[str, str], ...] = ()
+    contract: str = ""
 
 
 _ON_CORE = (("on", "core"),)
 
+HEALTH = "health"
+"""The contract of sites whose minions are asked for their health."""
+
 TROUBLES = (
     Trouble("burst", lasts_s=(2, 8), strength=(1.5, 4)),
     Trouble("give_up", ("", "once", "prompt"), (3, 8), (0.1, 0.6)),
@@ -60,8 +65,15 @@
         ("errors", "hang", "reset", "bad"),
         (3, 12),
         (0.03, 0.3),
+        contract=HEALTH,
+    ),
+    Trouble(
+        "srv_flap",
+        lasts_s=(3, 12),
+        share=(0.05, 0.3),
+        gap_s=(0.4, 3),
+        contract=HEALTH,
     ),
-    Trouble("srv_flap", lasts_s=(3, 12), share=(0.05, 0.3), gap_s=(0.4, 3)),
     Trouble("replace_with_reuse", ("", "drain", "dark"), share=(0.05, 0.3)),
     Trouble("scale_in", ("", "spot", "reclaim"), share=(0.03, 0.2), planned=True),
     Trouble("scale_out", share=(0.03, 0.2), planned=True),
