Go through a long line at bounded intervals

Each end of a run led to a round over the whole line of up to 3,400 units; 2,388 units took 12 to 18 ms here, several times that there, so the loop stood still for hundreds of ms and 1,551 starts found no connection within 200 ms, each of which closed its minion's other connections. Ruled out: the bandwidth of 10 Mbit/s (starts, looks and lists come to 0.3 MB/s), minions (out of reach for no one else).

Change: a line of over 200 units is gone through at most once in a millisecond for each 20 of them, and its order is worked out by step, not by unit.

--- a/courselead/core/scheduler/placement.py
+++ b/courselead/core/scheduler/placement.py
@@ -8,7 +8,7 @@
 from courselead.core.scheduler.events import AskAdvice, StartRun
 from courselead.core.scheduler.models import Resources
 from courselead.core.scheduler.schedule import Schedule, StepAdvice
-from courselead.core.scheduler.state import Minion, Run, Unit
+from courselead.core.scheduler.state import Minion, Run, StepRun, Unit
 
 MAX_ADVICE_MINIONS = 100
 """Most workers that one question to the advice service may name (the protocol)."""
@@ -19,6 +19,14 @@
 LATE_RETRY_MS = 500
 """Wait before the advice service is asked again after a failure."""
 
+UNITS_A_MS = 20
+"""Units of a line that a round of placement may go through for each millisecond until
+the next: without a bound a long line takes the whole processor, as every end of a run
+leads to a round."""
+
+LONG_LINE = 200
+"""Units from which a line is bounded so: 10 ms, as long as the answer to a start."""
+
 CLOUD_WAIT_MS = 1_000
 """Time after a takeover in which the cloud's list is waited for."""
 
@@ -29,8 +37,16 @@
         return
     pools, schedule.dirty_pools = schedule.dirty_pools, set()
     for pool in sorted(pools):
-        if schedule.ready.get(pool):
-            _place_pool(schedule, pool)
+        line = schedule.ready.get(pool)
+        if not line:
+            continue
+        if schedule.now_ms < schedule.place_after_ms.get(pool, 0):
+            schedule.dirty_pools.add(pool)
+            continue
+        if len(line) > LONG_LINE:
+            gap_ms = len(line) // UNITS_A_MS
+            schedule.place_after_ms[pool] = schedule.now_ms + gap_ms
+        _place_pool(schedule, pool)
 
 
 def _place_pool(schedule: Schedule, pool: str) -> None:
@@ -39,7 +55,7 @@
     if not minions:
         schedule.ready[pool] = line
         return
-    line.sort(key=lambda unit: _order(schedule, unit))
+    line = _sorted(schedule, line)
     waiting: list[Unit] = []
     misfits = _Misfits(_passed_over(schedule, pool, line))
     doubted = _in_doubt(schedule, pool)
@@ -148,15 +164,25 @@
     return not (doubted and unit.job.from_before)
 
 
-def _order(schedule: Schedule, unit: Unit) -> tuple[int, int, int, int]:
-    """Return the order of start: lowest first."""
-    job = unit.job
-    queue = schedule.queue(job.queue)
+def _sorted(schedule: Schedule, line: list[Unit]) -> list[Unit]:
+    """Return a line in the order of start; units of a step are alike in it."""
+    orders: dict[int, tuple[int, int, int, int]] = {}
+    for unit in line:
+        if id(unit.step) not in orders:
+            orders[id(unit.step)] = _order(schedule, unit.step)
+    # Lasting tasks of a step begin to wait at different times.
+    return sorted(line, key=lambda unit: (*orders[id(unit.step)], unit.ready_ms))
+
+
+def _order(schedule: Schedule, step: StepRun) -> tuple[int, int, int, int]:
+    """Return the order of start of a step's units: lowest first."""
+    queue = schedule.queue(step.job.queue)
     priority = queue.priority if queue is not None else 0
-    if unit.spec.long_running:
-        return (priority, 0, 0, unit.ready_ms)
-    left = urgency.left(schedule, unit.step)
-    hopeless = schedule.now_ms + left.chain_ms > urgency.objective_ms(schedule, job)
+    if step.spec.long_running:
+        return (priority, 0, 0, 0)
+    left = urgency.left(schedule, step)
+    late_ms = schedule.now_ms + left.chain_ms
+    hopeless = late_ms > urgency.objective_ms(schedule, step.job)
     return (priority, 1, int(hopeless), left.work)
 
 
--- a/courselead/core/scheduler/schedule.py
+++ b/courselead/core/scheduler/schedule.py
@@ -118,6 +118,7 @@
     dead: set[str] = field(default_factory=set)
     ready: dict[str, list[Unit]] = field(default_factory=dict)
     special_from: dict[str, int] = field(default_factory=dict)
+    place_after_ms: dict[str, int] = field(default_factory=dict)
     dirty_pools: set[str] = field(default_factory=set)
     dirty_jobs: dict[str, None] = field(default_factory=dict)
     dirty_waves: set[int] = field(default_factory=set)
--- a/tests/core/scheduler/test_jobs.py
+++ b/tests/core/scheduler/test_jobs.py
@@ -2,9 +2,10 @@
 
 import pytest
 
-from courselead.core.scheduler import events as ev
+from courselead.core.scheduler import events as ev, placement
 from courselead.core.scheduler.models import JobState, Resources
 from tests.core.scheduler.world import (
+    POOL,
     QUEUE,
     WALL_START_MS,
     World,
@@ -211,3 +212,42 @@
     job_id = world.submit(job(step(2, gang=True, estimate_ms=90_000)))
     world.run(4_000)
     assert world.state(job_id) is JobState.COMPLETED
+
+
+def test_a_long_line_is_gone_through_at_bounded_intervals(monkeypatch):
+    # aloisi-sched-grown trouble-3 with an owner on 0.516 cores: each end of a run led
+    # to a round over 3,400 units, and no start got its connection in time.
+    world = World(minions=1)
+    owner = world.claim()
+    world.run(300)
+    count = placement.LONG_LINE + 100
+    world.submit(job(step(count)))
+    rounds = []
+    round_of = placement._place_pool
+    monkeypatch.setattr(
+        placement,
+        "_place_pool",
+        lambda schedule, pool: (
+            rounds.append(schedule.now_ms) or round_of(schedule, pool)
+        ),
+    )
+    waiting = len(owner.schedule.ready[POOL])
+    assert waiting > placement.LONG_LINE
+    begin_ms = world.now_ms
+    for after_ms in range(40):
+        owner.schedule.dirty_pools.add(POOL)
+        owner.place(begin_ms + after_ms)
+    gap_ms = waiting // placement.UNITS_A_MS
+    assert len(rounds) >= 2
+    for before_ms, next_ms in zip(rounds, rounds[1:], strict=False):
+        assert next_ms - before_ms >= gap_ms - 1
+
+
+def test_a_short_line_is_gone_through_at_each_change():
+    world = World(minions=1)
+    owner = world.claim()
+    world.run(300)
+    world.submit(job(step(40)))
+    owner.schedule.dirty_pools.add(POOL)
+    owner.place(world.now_ms)
+    assert POOL not in owner.schedule.place_after_ms
