--- a/courselead/daemon/scheduling/relay.py
+++ b/courselead/daemon/scheduling/relay.py
@@ -360,10 +360,10 @@
         mark: ProducerMark | None,
     ) -> Result[Appended, AppendError]:
         marked = None if mark is None else (mark.name, mark.epoch, mark.sequence)
-        least_ms = min(timeout_ms, RELAYED_APPEND_MS)
-        append = _Append(self._name, list(records), least_ms, marked)
+        given_ms = min(timeout_ms, RELAYED_APPEND_MS)
+        append = _Append(self._name, list(records), given_ms, marked)
         asked = await self._ways.ask(
-            PATH_APPEND, msgspec.msgpack.encode(append), least_ms + HOP_MS
+            PATH_APPEND, msgspec.msgpack.encode(append), given_ms + HOP_MS
         )
         if isinstance(asked, Failure):
             return Failure(asked.failure())
