--- a/courselead/cli/explain.py
+++ b/courselead/cli/explain.py
@@ -161,12 +161,14 @@
     """Return in a sentence what decided the job's fate."""
     about = [line for line in shown if line.touches(job_id)]
     last = {line.event: line for line in about}
-    refused = last.get("job_submitted")
-    if refused is not None and refused.fields.get("verdict") == "not_run":
-        reason = refused.fields.get("reason")
-        return f"not accepted at {refused.host}: {reason}"
-    if refused is not None and refused.fields.get("verdict") == "in_doubt":
-        return f"its storing was not answered at {refused.host}; a repeat tells"
+    submitted = last.get("job_submitted")
+    # A caller that was refused comes back, also to another host.
+    if submitted is not None and "job_scheduled" not in last:
+        if submitted.fields.get("verdict") == "not_run":
+            reason = submitted.fields.get("reason")
+            return f"not accepted at {submitted.host}: {reason}"
+        if submitted.fields.get("verdict") == "in_doubt":
+            return f"its storing was not answered at {submitted.host}; a repeat tells"
     ended = last.get("job_ended")
     if ended is not None and ended.fields.get("state") != "completed":
         state, reason = ended.fields.get("state"), ended.fields.get("reason")
@@ -182,6 +184,10 @@
 def _troubles(about: list[Line], shown: list[Line]) -> list[str]:
     counts: dict[str, int] = {}
     for line in about:
+        if line.fields.get("verdict") in ("not_run", "in_doubt"):
+            why = line.fields.get("reason")
+            key = f"refused at {line.host} ({why})"
+            counts[key] = counts.get(key, 0) + 1
         if line.event in ("run_lost", "run_failed", "start_unknown", "start_refused"):
             why = line.fields.get("reason") or line.fields.get("minion")
             key = f"{line.event} ({why})"
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -29,6 +29,17 @@
     assert said == "not accepted at a: busy"
 
 
+def test_a_job_that_was_refused_first_and_served_elsewhere_is_told_as_such():
+    said = story(
+        line(1, "a", "job_submitted", job_id=JOB, verdict="not_run", reason="busy"),
+        line(2, "b", "job_submitted", job_id=JOB, verdict="accepted", reason=""),
+        line(2, "b", "job_scheduled", job_id=JOB, state="queued"),
+        line(3, "a", "job_submitted", job_id=JOB, verdict="not_run", reason="busy"),
+        line(4, "b", "job_ended", job_id=JOB, state="completed"),
+    )
+    assert said == "completed, held up by: 2 x refused at a (busy)"
+
+
 def test_a_job_that_was_late_names_the_takeover_and_the_lost_run():
     task = f"{JOB}.0.0.1"
     said = story(
