Take a life as over only by the cloud's own words

The cloud was slow, so a move without an answer was ordered again after it had been carried out; a list asked for before that repetition had its worker noted as moving by the owner itself; the worker's new life, listed at 17.19 s, answered a look with 429 at 18.44 s, and was taken as over at 18.49 s with three runs, two of which were started again elsewhere.

Change: a minion that does not answer is over only if the cloud's list itself says so, and only a list that was asked for after the minion was known counts.

--- a/courselead/core/scheduler/scheduler.py
+++ b/courselead/core/scheduler/scheduler.py
@@ -239,17 +239,22 @@
         pools.workers_listed(schedule, event.asked_ms)
 
     def _end_replaced_lives(self, event: WorkersListed, lives: set[str]) -> None:
-        """Take the lives as over that the cloud says are."""
+        """Take the lives as over that the cloud says are.
+
+        Only its own words count, not that a move was ordered, and only if they were
+        asked for after a life was known: a worker that has moved has a new one.
+        """
         schedule = self.schedule
+        said = {worker.worker_id: worker for worker in event.workers}
         for minion in list(schedule.minions.values()):
-            if not minion.failures:
+            if not minion.failures or event.asked_ms <= minion.listed_ms:
                 continue
             if not minion.worker_id:
                 known_ms = event.asked_ms - minion.listed_ms
                 if minion.minion_id not in lives and known_ms > const.UNKNOWN_LIFE_MS:
                     minions.dead(schedule, minion, "cloud: no worker has it")
                 continue
-            worker = schedule.workers.get(minion.worker_id)
+            worker = said.get(minion.worker_id)
             if worker is None:
                 continue
             replaced = worker.minion_id and worker.minion_id != minion.minion_id
--- a/tests/core/scheduler/test_pools.py
+++ b/tests/core/scheduler/test_pools.py
@@ -260,3 +260,32 @@
     schedule.joining["s0"] = world.now_ms - demand.JOIN_MOST_MS - 1
     assert demand.demands_of(schedule)[POOL].capacity == before
     assert not schedule.joining
+
+
+def unreachable_minion(world: World):
+    """Return the owner, its one minion, which does not answer, and its worker."""
+    owner = world.claim()
+    world.run(300)
+    minion = next(iter(owner.schedule.minions.values()))
+    minion.failures = 1
+    return owner, minion, owner.schedule.workers[minion.worker_id]
+
+
+def test_a_move_that_is_ordered_again_ends_no_life_that_the_cloud_shows():
+    # lakescore-sched drawn-604: the new life of a worker that had moved was taken as
+    # over while its move, unanswered by a slow cloud, was ordered again (TWICE).
+    world = World(minions=1, cfg=fleet())
+    owner, minion, worker = unreachable_minion(world)
+    owner.schedule.moves[worker.worker_id] = MoveState(POOL, world.now_ms)
+    owner.handle(ev.WorkersListed(world.now_ms - 10, (worker,)), world.now_ms)
+    assert minion.minion_id in owner.schedule.minions
+
+
+def test_a_list_from_before_a_life_was_known_does_not_end_it():
+    world = World(minions=1, cfg=fleet())
+    owner, minion, worker = unreachable_minion(world)
+    before = replace(worker, minion_id="i-before", phase=WorkerPhase.MOVING)
+    owner.handle(ev.WorkersListed(minion.listed_ms, (before,)), world.now_ms)
+    assert minion.minion_id in owner.schedule.minions
+    owner.handle(ev.WorkersListed(minion.listed_ms + 1, (before,)), world.now_ms)
+    assert minion.minion_id not in owner.schedule.minions
