--- a/harness/real_faults.py
+++ b/harness/real_faults.py
@@ -10,7 +10,7 @@
 import anyio
 
 from demo.job_site import HostPorts, JobSite
-from demo.relay import Way
+from demo.relay import Relay, Way
 
 Strike = Callable[["Striker", float], Awaitable[None]]
 
@@ -83,6 +83,11 @@
         await self.site.start(host)
         self.down.discard(host.name)
 
+    def ways(self) -> list[Relay]:
+        """Return the paths of all hosts to the store, and to the minions."""
+        site = self.site
+        return [*site.store_ways.values(), *site.minion_ways.values()]
+
     async def store(self, lasts_s: float, **faults: object) -> None:
         """Set faults of the store for a time."""
         await self.site.fault(self.site.site["store"], **faults)
@@ -119,17 +124,14 @@
 
 
 async def _cut_one_way(striker: Striker, lasts_s: float) -> None:
-    site = striker.site
-    ways = [*site.store_ways.values(), *site.minion_ways.values()]
-    way = striker.rng.choice(ways)
+    way = striker.rng.choice(striker.ways())
     way.cut(striker.rng.choice(list(Way)))
     await anyio.sleep(lasts_s)
     way.mend()
 
 
 async def _reset(striker: Striker, lasts_s: float) -> None:
-    site = striker.site
-    for way in (*site.store_ways.values(), *site.minion_ways.values()):
+    for way in striker.ways():
         way.reset()
 
 
@@ -143,8 +145,7 @@
 
 
 async def _silence(striker: Striker, lasts_s: float) -> None:
-    site = striker.site
-    for way in (*site.store_ways.values(), *site.minion_ways.values()):
+    for way in striker.ways():
         way.silence()
 
 
--- a/tests/daemon/scheduling/test_host.py
+++ b/tests/daemon/scheduling/test_host.py
@@ -115,13 +115,18 @@
     assert isinstance(last, OwnerBeat) and last.released
 
 
-async def test_an_owner_that_cannot_write_is_replaced_and_fenced(monkeypatch):
-    monkeypatch.setattr(host_module, "SILENT_OWNER_S", 0.3)
-    monkeypatch.setattr("courselead.daemon.scheduling.claims.SHOW_S", 0.3)
+def two_hosts() -> tuple[Platform, MemoryLog, SchedulingHost, SchedulingHost]:
+    """Return a platform and two hosts on it, the first with its own way to the log."""
     shared = platform()
     own_way = MemoryLog(records=shared.jobs.records)
     first = SchedulingHost("a", replace(shared, jobs=own_way), Bounds())
-    second = SchedulingHost("b", shared, Bounds())
+    return shared, own_way, first, SchedulingHost("b", shared, Bounds())
+
+
+async def test_an_owner_that_cannot_write_is_replaced_and_fenced(monkeypatch):
+    monkeypatch.setattr(host_module, "SILENT_OWNER_S", 0.3)
+    monkeypatch.setattr("courselead.daemon.scheduling.claims.SHOW_S", 0.3)
+    shared, own_way, first, second = two_hosts()
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(first.run)
         await until(lambda: first.owns and own_way.epoch == 1)
@@ -136,10 +141,7 @@
 
 async def test_the_owner_gets_time_to_write_when_the_log_is_back():
     # lakescore-sched inc-f66f: another host claimed as soon as the store was back.
-    shared = platform()
-    own_way = MemoryLog(records=shared.jobs.records)
-    first = SchedulingHost("a", replace(shared, jobs=own_way), Bounds())
-    second = SchedulingHost("b", shared, Bounds())
+    shared, own_way, first, second = two_hosts()
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(first.run)
         await until(lambda: first.owns and own_way.epoch == 1)
