--- /dev/null
+++ b/benchmarks/compare/report.py
@@ -0,0 +1,148 @@
+"""The table, the JSON and the plot of a comparison."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from dataclasses import dataclass
+from pathlib import Path
+
+import matplotlib
+import msgspec
+
+from benchmarks.compare.outcome import Outcome
+from benchmarks.compare.paired import Estimate, paired, sums_by_seed
+from benchmarks.compare.play import Play
+
+matplotlib.use("Agg")
+
+from matplotlib import pyplot as plt  # noqa: E402
+
+ALL_DAYS = "mean of all days"
+PARTS = ("worth", "whole_day", "windows", "worst_class", "worst_zone", "priced")
+
+
+@dataclass(frozen=True, slots=True)
+class Row:
+    """A day's mean parts on both trees and the difference in worth."""
+
+    day: str
+    base: dict[str, float]
+    change: dict[str, float]
+    difference: Estimate
+    broken: int
+
+
+class Comparison:
+    """Outcomes of two trees, by day and seed."""
+
+    def __init__(self, outcomes: dict[Play, Outcome], base: str, change: str) -> None:
+        """Sort the outcomes; `base` and `change` are names of trees."""
+        self._base, self._change = base, change
+        self._found: dict[tuple[str, str], dict[int, Outcome]] = defaultdict(dict)
+        self._days: list[str] = []
+        for play, outcome in outcomes.items():
+            if play.day.label not in self._days:
+                self._days.append(play.day.label)
+            self._found[play.tree.name, play.day.label][play.seed] = outcome
+
+    def rows(self) -> list[Row]:
+        """Return a row for each day and one for their mean."""
+        rows = [self._row(day) for day in self._days]
+        rows = [row for row in rows if row is not None]
+        if len(rows) > 1:
+            rows.append(self._mean_row(rows))
+        return rows
+
+    def _worths(self, tree: str, day: str) -> dict[int, float]:
+        found = self._found[tree, day]
+        return {seed: outcome.worth for seed, outcome in found.items()}
+
+    def _row(self, day: str) -> Row | None:
+        differences = paired(
+            self._worths(self._base, day), self._worths(self._change, day)
+        )
+        if not differences:
+            return None
+        return Row(
+            day,
+            self._means(self._base, day),
+            self._means(self._change, day),
+            Estimate.from_values(differences),
+            sum(item.broken for item in self._found[self._change, day].values()),
+        )
+
+    def _means(self, tree: str, day: str) -> dict[str, float]:
+        found = list(self._found[tree, day].values())
+        return {
+            part: sum(getattr(item, part) for item in found) / len(found)
+            for part in PARTS
+        }
+
+    def _mean_row(self, rows: list[Row]) -> Row:
+        days = [row.day for row in rows]
+        base = sums_by_seed([self._worths(self._base, day) for day in days])
+        change = sums_by_seed([self._worths(self._change, day) for day in days])
+        differences = [item / len(days) for item in paired(base, change)]
+        return Row(
+            ALL_DAYS,
+            _mean_of([row.base for row in rows]),
+            _mean_of([row.change for row in rows]),
+            Estimate.from_values(differences),
+            sum(row.broken for row in rows),
+        )
+
+
+def _mean_of(parts: list[dict[str, float]]) -> dict[str, float]:
+    return {part: sum(item[part] for item in parts) / len(parts) for part in PARTS}
+
+
+def table(rows: list[Row]) -> str:
+    """Return the rows as a table of Markdown."""
+    lines = [
+        "| day | seeds | base | change | difference | windows | whole day | prices |"
+        " broken |",
+        "|---|---|---|---|---|---|---|---|---|",
+    ]
+    for row in rows:
+        cells = [row.day, str(row.difference.count)]
+        cells += [f"{row.base['worth']:.3f}", f"{row.change['worth']:.3f}"]
+        cells.append(str(row.difference))
+        for part in ("windows", "whole_day", "priced"):
+            cells.append(f"{row.base[part]:.3f} -> {row.change[part]:.3f}")
+        cells.append(str(row.broken))
+        lines.append("| " + " | ".join(cells) + " |")
+    return "\n".join(lines) + "\n"
+
+
+def write_json(outcomes: dict[Play, Outcome], path: Path) -> None:
+    """Write each play's outcome."""
+    items = []
+    for play, outcome in outcomes.items():
+        items.append(
+            {
+                "tree": play.tree.name,
+                "day": play.day.label,
+                "seed": play.seed,
+                "outcome": outcome,
+            }
+        )
+    encoded = msgspec.json.encode(items)
+    path.write_bytes(msgspec.json.format(encoded, indent=1) + b"\n")
+
+
+def plot(rows: list[Row], path: Path) -> None:
+    """Draw the differences with their intervals."""
+    figure, axes = plt.subplots(figsize=(7, 1 + 0.4 * len(rows)))
+    places = range(len(rows), 0, -1)
+    means = [row.difference.mean for row in rows]
+    errors = [
+        [row.difference.mean - row.difference.low for row in rows],
+        [row.difference.high - row.difference.mean for row in rows],
+    ]
+    axes.errorbar(means, places, xerr=errors, fmt="o", capsize=3)
+    axes.axvline(0.0, color="grey", linewidth=0.8)
+    axes.set_yticks(list(places), [row.day for row in rows])
+    axes.set_xlabel("difference in worth (mean, 95% interval)")
+    figure.tight_layout()
+    figure.savefig(path)
+    plt.close(figure)
