--- a/courselead/daemon/scheduling/host.py
+++ b/courselead/daemon/scheduling/host.py
@@ -18,7 +18,8 @@
 from courselead.daemon.scheduling.intake import Intake
 from courselead.daemon.scheduling.owner import Owner
 from courselead.daemon.scheduling.ports import HostCounters, Platform
-from courselead.daemon.scheduling.relay import RelayApp, RelayedLog, Ways
+from courselead.daemon.scheduling.relay import RelayedLog, Ways
+from courselead.daemon.scheduling.relay_app import RelayApp
 from courselead.daemon.scheduling.writer import JobWriter
 
 _LOGGER = structlog.get_logger(__name__)
--- a/courselead/daemon/scheduling/relay.py
+++ b/courselead/daemon/scheduling/relay.py
@@ -36,17 +36,20 @@
     ReadError,
     ReadFailed,
 )
+from courselead.daemon.scheduling.relay_messages import (
+    PATH_APPEND,
+    PATH_NEWEST,
+    PATH_READ,
+    AppendAsked,
+    NewestAsked,
+    ReadAsked,
+    RelayReply,
+)
 from courselead.integrations.http.errors import NotSent
-from courselead.integrations.http_api.exchange import Receive, Scope, Send
-from courselead.integrations.http_api.plain import answer, whole_body
 from courselead.integrations.lean_http import Call, LeanPool
 
 _LOGGER = structlog.get_logger(__name__)
 
-PATH_APPEND = "/relay/append"
-PATH_READ = "/relay/read"
-PATH_NEWEST = "/relay/newest"
-
 PROBE_S = 0.3
 """Mean pause between two tries of the own way while it does not work: a store that is
 back is used again well within the 2 s in which a configuration must be in force."""
@@ -80,35 +83,7 @@
 _CONNECTIONS = 4
 
 
-class _Append(msgspec.Struct, array_like=True):
-    log: str
-    records: list[KeyedRecord]
-    timeout_ms: int
-    mark: tuple[str, int, int] | None = None
-
-
-class _Read(msgspec.Struct, array_like=True):
-    log: str
-    start: int
-    wait_ms: int
-
-
-class _Newest(msgspec.Struct, array_like=True):
-    log: str
-
-
-class _Reply(msgspec.Struct, array_like=True):
-    """`kind` names the result's type; the rest is what that type holds."""
-
-    kind: str
-    start: int = 0
-    end: int = 0
-    reason: str = ""
-    records: list[KeyedRecord] = []
-    offsets: list[int] = []
-
-
-_DECODE_REPLY = msgspec.msgpack.Decoder(_Reply)
+_DECODE_REPLY = msgspec.msgpack.Decoder(RelayReply)
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,7 +91,7 @@
     """What came of a question to another host; `silent` if that took long."""
 
     silent: bool
-    result: Result[_Reply, AppendError]
+    result: Result[RelayReply, AppendError]
 
 
 class Ways:
@@ -186,7 +161,7 @@
 
     async def ask(
         self, path: str, body: bytes, timeout_ms: int
-    ) -> Result[_Reply, AppendError]:
+    ) -> Result[RelayReply, AppendError]:
         """Ask other hosts until one has an answer of the store's.
 
         The next host is asked beside one that is silent: all calls may be repeated.
@@ -196,7 +171,7 @@
         addresses = self._chosen()
         send, receive = anyio.create_memory_object_stream[_Asked](PEERS_TRIED)
         failures: list[_Asked] = []
-        found: _Reply | None = None
+        found: RelayReply | None = None
 
         async def ask_one(address: str) -> None:
             send.send_nowait(await self._ask_one(address, path, body, timeout_ms))
@@ -247,7 +222,9 @@
             return _Asked(False, Failure(AppendUnknown(reply.reason)))
         return _Asked(False, Success(reply))
 
-    def _none_helped(self, failures: Sequence[_Asked]) -> Result[_Reply, AppendError]:
+    def _none_helped(
+        self, failures: Sequence[_Asked]
+    ) -> Result[RelayReply, AppendError]:
         """Return why no host had an answer; one open call leaves all open."""
         if any(asked.silent for asked in failures):
             _LOGGER.warning("no_way_to_the_store", asked=len(failures))
@@ -318,7 +295,7 @@
     async def read(self, start: int, wait_ms: int) -> Result[LogBatch, ReadError]:
         """Return records from an offset on."""
         if not self._ways.reachable:
-            body = msgspec.msgpack.encode(_Read(self._name, start, wait_ms))
+            body = msgspec.msgpack.encode(ReadAsked(self._name, start, wait_ms))
             asked = await self._ways.ask(PATH_READ, body, wait_ms + 4 * HOP_MS)
             if isinstance(asked, Success):
                 reply = asked.unwrap()
@@ -335,7 +312,7 @@
     async def newest(self) -> Result[Newest, ReadError]:
         """Return the newest record of each key."""
         if not self._ways.reachable:
-            body = msgspec.msgpack.encode(_Newest(self._name))
+            body = msgspec.msgpack.encode(NewestAsked(self._name))
             asked = await self._ways.ask(PATH_NEWEST, body, 4 * HOP_MS)
             if isinstance(asked, Success) and asked.unwrap().kind == "newest":
                 reply = asked.unwrap()
@@ -361,7 +338,7 @@
     ) -> Result[Appended, AppendError]:
         marked = None if mark is None else (mark.name, mark.epoch, mark.sequence)
         given_ms = min(timeout_ms, RELAYED_APPEND_MS)
-        append = _Append(self._name, list(records), given_ms, marked)
+        append = AppendAsked(self._name, list(records), given_ms, marked)
         asked = await self._ways.ask(
             PATH_APPEND, msgspec.msgpack.encode(append), given_ms + HOP_MS
         )
@@ -375,77 +352,12 @@
         return Failure(AppendUnknown(f"a reply of kind {reply.kind}"))
 
 
-class RelayApp:
-    """The ASGI application that lends this host's way to the store to the others."""
-
-    def __init__(self, logs: dict[str, KeyedLog], ways: Ways) -> None:
-        """Keep the logs by their names among the hosts, on the own way."""
-        self._logs = logs
-        self._ways = ways
-
-    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
-        """Serve one HTTP exchange."""
-        if scope["type"] != "http":
-            return
-        body = await whole_body(receive)
-        reply = await self._serve(scope["path"], body or b"")
-        await answer(send, 200, msgspec.msgpack.encode(reply))
-
-    async def _serve(self, path: str, body: bytes) -> _Reply:
-        if not self._ways.reachable:
-            return _Reply("not_done", reason="this host does not reach it either")
-        decode = msgspec.msgpack.decode
-        try:
-            if path == PATH_APPEND:
-                return await self._append(decode(body, type=_Append))
-            if path == PATH_READ:
-                return await self._read(decode(body, type=_Read))
-            if path == PATH_NEWEST:
-                return await self._newest(decode(body, type=_Newest))
-        except (msgspec.MsgspecError, KeyError) as exc:
-            _LOGGER.warning("relay_malformed", reason=repr(exc))
-        return _Reply("not_done", reason="the request is not understood")
-
-    async def _append(self, asked: _Append) -> _Reply:
-        mark = None if asked.mark is None else ProducerMark(*asked.mark)
-        result = await self._logs[asked.log].append(
-            asked.records, asked.timeout_ms, mark=mark
-        )
-        if isinstance(result, Success):
-            appended = result.unwrap()
-            return _Reply("appended", appended.offset, appended.end)
-        error = result.failure()
-        if isinstance(error, AppendFenced):
-            return _Reply("fenced")
-        if isinstance(error, NotAppended):
-            return _Reply("not_done", reason=error.reason)
-        return _Reply("unknown", reason=str(error))
-
-    async def _read(self, asked: _Read) -> _Reply:
-        result = await self._logs[asked.log].read(asked.start, asked.wait_ms)
-        if isinstance(result, Success):
-            batch = result.unwrap()
-            return _Reply("batch", asked.start, batch.end, "", list(batch.records))
-        if isinstance(result.failure(), HistoryGone):
-            return _Reply("history_gone")
-        return _Reply("not_done", reason="the read failed")
-
-    async def _newest(self, asked: _Newest) -> _Reply:
-        result = await self._logs[asked.log].newest()
-        if isinstance(result, Failure):
-            return _Reply("not_done", reason="the read failed")
-        newest = result.unwrap()
-        records = [item.record for item in newest.records]
-        offsets = [item.offset for item in newest.records]
-        return _Reply("newest", 0, newest.end, "", records, offsets)
-
-
 def _reason(error: AppendError) -> str:
     return error.reason if isinstance(error, NotAppended) else type(error).__name__
 
 
-def _decoded(body: bytes) -> _Reply:
+def _decoded(body: bytes) -> RelayReply:
     try:
         return _DECODE_REPLY.decode(body)
     except msgspec.MsgspecError as exc:
-        return _Reply("unknown", reason=f"malformed reply: {exc}")
+        return RelayReply("unknown", reason=f"malformed reply: {exc}")
--- /dev/null
+++ b/courselead/daemon/scheduling/relay_app.py
@@ -0,0 +1,94 @@
+"""The side of a host that lends its way to the store to the others."""
+
+from __future__ import annotations
+
+import msgspec
+import structlog
+from returns.result import Failure, Success
+
+from courselead.daemon.scheduling.ports import (
+    AppendFenced,
+    HistoryGone,
+    KeyedLog,
+    NotAppended,
+    ProducerMark,
+)
+from courselead.daemon.scheduling.relay import Ways
+from courselead.daemon.scheduling.relay_messages import (
+    PATH_APPEND,
+    PATH_NEWEST,
+    PATH_READ,
+    AppendAsked,
+    NewestAsked,
+    ReadAsked,
+    RelayReply,
+)
+from courselead.integrations.http_api.exchange import Receive, Scope, Send
+from courselead.integrations.http_api.plain import answer, whole_body
+
+_LOGGER = structlog.get_logger(__name__)
+
+
+class RelayApp:
+    """The ASGI application that lends this host's way to the store to the others."""
+
+    def __init__(self, logs: dict[str, KeyedLog], ways: Ways) -> None:
+        """Keep the logs by their names among the hosts, on the own way."""
+        self._logs = logs
+        self._ways = ways
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one HTTP exchange."""
+        if scope["type"] != "http":
+            return
+        body = await whole_body(receive)
+        reply = await self._serve(scope["path"], body or b"")
+        await answer(send, 200, msgspec.msgpack.encode(reply))
+
+    async def _serve(self, path: str, body: bytes) -> RelayReply:
+        if not self._ways.reachable:
+            return RelayReply("not_done", reason="this host does not reach it either")
+        decode = msgspec.msgpack.decode
+        try:
+            if path == PATH_APPEND:
+                return await self._append(decode(body, type=AppendAsked))
+            if path == PATH_READ:
+                return await self._read(decode(body, type=ReadAsked))
+            if path == PATH_NEWEST:
+                return await self._newest(decode(body, type=NewestAsked))
+        except (msgspec.MsgspecError, KeyError) as exc:
+            _LOGGER.warning("relay_malformed", reason=repr(exc))
+        return RelayReply("not_done", reason="the request is not understood")
+
+    async def _append(self, asked: AppendAsked) -> RelayReply:
+        mark = None if asked.mark is None else ProducerMark(*asked.mark)
+        result = await self._logs[asked.log].append(
+            asked.records, asked.timeout_ms, mark=mark
+        )
+        if isinstance(result, Success):
+            appended = result.unwrap()
+            return RelayReply("appended", appended.offset, appended.end)
+        error = result.failure()
+        if isinstance(error, AppendFenced):
+            return RelayReply("fenced")
+        if isinstance(error, NotAppended):
+            return RelayReply("not_done", reason=error.reason)
+        return RelayReply("unknown", reason=str(error))
+
+    async def _read(self, asked: ReadAsked) -> RelayReply:
+        result = await self._logs[asked.log].read(asked.start, asked.wait_ms)
+        if isinstance(result, Success):
+            batch = result.unwrap()
+            return RelayReply("batch", asked.start, batch.end, "", list(batch.records))
+        if isinstance(result.failure(), HistoryGone):
+            return RelayReply("history_gone")
+        return RelayReply("not_done", reason="the read failed")
+
+    async def _newest(self, asked: NewestAsked) -> RelayReply:
+        result = await self._logs[asked.log].newest()
+        if isinstance(result, Failure):
+            return RelayReply("not_done", reason="the read failed")
+        newest = result.unwrap()
+        records = [item.record for item in newest.records]
+        offsets = [item.offset for item in newest.records]
+        return RelayReply("newest", 0, newest.end, "", records, offsets)
--- a/tests/daemon/scheduling/test_relay.py
+++ b/tests/daemon/scheduling/test_relay.py
@@ -17,7 +17,8 @@
     ProducerMark,
     ReadFailed,
 )
-from courselead.daemon.scheduling.relay import RelayApp, RelayedLog, Ways
+from courselead.daemon.scheduling.relay import RelayedLog, Ways
+from courselead.daemon.scheduling.relay_app import RelayApp
 from courselead.integrations.http_api.server import HttpServer
 from courselead.settings import Address, LimitSettings
 from tests.daemon.scheduling.fakes import MemoryLog
