Store callers' records by way of the owner, and take no slow store for a lost one

Cause: the log makes one append after the other. Ten hosts that append by themselves filled a line of 2 s; time-outs of 0.4 to 0.7 s, repeats and detours through up to three other hosts doubled it; the store refused what came beyond (503), reads were cancelled with the own way, owners that wrote all the while were replaced. From 12 to 17 s nothing was stored or started, two seconds longer than the store was slow.

Change: a host hands callers' records to the owner's host, whose group commit carries those of all; an owner's host that does not even answer that it lives is left after 0.1 + 0.25 s. An append is made through another host only once nothing is answered on the own way for 0.5 s. An owner may show later by four times what a read takes.

What an owner in a cut zone costs is the next thing to mend.

--- a/benchmarks/compare/__main__.py
+++ b/benchmarks/compare/__main__.py
@@ -34,6 +34,7 @@
     without_each_fault_of: str = "",
     no_cpu: bool = False,
     jobs: int = DEFAULT_JOBS,
+    base_plays: Path | None = None,
     why: str = "paired comparison",
     out: Path = Path("build/compare"),
 ) -> None:
@@ -54,13 +55,17 @@
             its faults left out in turn, in place of a comparison.
         no_cpu: Charge no processor time, so that plays mostly repeat.
         jobs: Days played at once.
+        base_plays: The `plays.json` of an earlier comparison, whose plays of `base`
+            with these days and seeds are taken in place of new ones.
         why: A line for the bench's journal.
         out: Folder of the logs, the JSON and the plot.
     """
     runner = Bench(bench.resolve(), site.resolve(), out.resolve(), why, no_cpu)
     numbers = range(first_seed, first_seed + seeds)
     before = Tree("base", base.resolve())
-    build(runner.program, before)
+    known = {} if base_plays is None else report.read_json(base_plays, before)
+    if not known:
+        build(runner.program, before)
     if without_each_fault_of:
         chosen = without_each_fault(site, without_each_fault_of, runner.logs)
         plays = [Play(before, day, seed) for day in chosen for seed in numbers]
@@ -77,7 +82,9 @@
     for seed in numbers:
         for day in chosen:
             plays += [Play(tree, day, seed) for tree in (before, after)]
-    outcomes = play_all(runner, plays, jobs)
+    outcomes = {play: known[play] for play in plays if play in known}
+    missing = [play for play in plays if play not in known]
+    outcomes |= play_all(runner, missing, jobs)
     report.write_json(outcomes, runner.logs / "plays.json")
     rows = report.Comparison(outcomes, before.name, after.name).rows()
     if not rows:
--- a/benchmarks/compare/report.py
+++ b/benchmarks/compare/report.py
@@ -9,9 +9,10 @@
 import matplotlib
 import msgspec
 
+from benchmarks.compare.days import Day
 from benchmarks.compare.outcome import Outcome
 from benchmarks.compare.paired import Estimate, paired, sums_by_seed
-from benchmarks.compare.play import Play
+from benchmarks.compare.play import Play, Tree
 
 matplotlib.use("Agg")
 
@@ -121,7 +122,7 @@
         items.append(
             {
                 "tree": play.tree.name,
-                "day": play.day.label,
+                "day": {"label": play.day.label, "source": play.day.source},
                 "seed": play.seed,
                 "outcome": outcome,
             }
@@ -130,6 +131,17 @@
     path.write_bytes(msgspec.json.format(encoded, indent=1) + b"\n")
 
 
+def read_json(path: Path, tree: Tree) -> dict[Play, Outcome]:
+    """Return the plays of a tree that `write_json` wrote."""
+    found = {}
+    for item in msgspec.json.decode(path.read_bytes()):
+        if item["tree"] != tree.name:
+            continue
+        play = Play(tree, Day(**item["day"]), item["seed"])
+        found[play] = msgspec.convert(item["outcome"], Outcome)
+    return found
+
+
 def plot(rows: list[Row], path: Path) -> None:
     """Draw the differences with their intervals."""
     figure, axes = plt.subplots(figsize=(7, 1 + 0.4 * len(rows)))
--- a/courselead/daemon/scheduling/claims.py
+++ b/courselead/daemon/scheduling/claims.py
@@ -19,10 +19,29 @@
 SHOW_S = const.SILENT_OWNER_MS / 1000
 """Time in which a host that has claimed must show in the log: as for a missed owner."""
 
+SLOW_LOG_READS = 4
+"""Times of a read of the log by which its owner may show later: a save before the beat,
+the beat's own, a read under way and the one that finds it."""
+
+SLOW_LOG_MOST_S = 2.0
+"""Longest such time: callers wait for an owner that is gone."""
+
 CLAIM_TIMEOUT_MS = 1_500
 """Time-out of a claim: it is not repeated, so it gets longer than other appends."""
 
 
+def slow_log_s(read_s: float) -> float:
+    """Return how much longer than usual an owner may not show, in seconds.
+
+    A beat takes a write to come into the log, and a read to be seen there: where the
+    log is slow, an owner that works shows less often.
+
+    Args:
+        read_s: Time that a read of the log has just taken.
+    """
+    return min(SLOW_LOG_MOST_S, SLOW_LOG_READS * read_s)
+
+
 @dataclass(frozen=True, slots=True)
 class Claim:
     """A won claim: its fence is higher than that of all claims before."""
--- a/courselead/daemon/scheduling/fenced_log.py
+++ b/courselead/daemon/scheduling/fenced_log.py
@@ -16,8 +16,9 @@
 
 _LOGGER = structlog.get_logger(__name__)
 
-APPEND_TIMEOUT_MS = 500
-"""Time until the same append is sent again: repeats are told apart by their number."""
+APPEND_TIMEOUT_MS = 1_500
+"""Time until the same append is sent again: that of callers' appends. Repeats are told
+apart by their number."""
 
 APPEND_RETRY_S = 0.1
 """Pause before that."""
--- a/courselead/daemon/scheduling/host.py
+++ b/courselead/daemon/scheduling/host.py
@@ -12,7 +12,8 @@
 from courselead.core.scheduler import const
 from courselead.core.scheduler.models import Bounds
 from courselead.core.scheduler.records import HostSeen, encode
-from courselead.daemon.scheduling.claims import Claimant
+from courselead.daemon.scheduling.claims import Claimant, slow_log_s
+from courselead.daemon.scheduling.collector import Collector
 from courselead.daemon.scheduling.directions import DirectionsView
 from courselead.daemon.scheduling.follower import JobFollower, KeyedFollower
 from courselead.daemon.scheduling.intake import Intake
@@ -33,7 +34,7 @@
 """Logs that hosts reach for each other: all but that of claims, whose appends are
 conditional and are not repeated."""
 
-REGISTER_TIMEOUT_MS = 1_000
+REGISTER_TIMEOUT_MS = 1_500
 REGISTER_RETRY_S = 0.5
 """Time-out and pause of the record that names this host's address: at start only."""
 
@@ -78,14 +79,15 @@
         # The log of claims holds one short record: the cheapest to ask for.
         self._claims = platform.claims
         logs = {name: getattr(platform, name) for name in RELAYED_LOGS}
-        self.relay = RelayApp(logs, ways)
         relayed = {name: RelayedLog(name, log, ways) for name, log in logs.items()}
         platform = replace(platform, **relayed)
         self._platform = platform
         self._bounds = bounds
         self.directions = DirectionsView(platform.decode)
         self.follower = JobFollower(platform.jobs, self.counters)
-        self._writer = JobWriter(platform.jobs, self.counters)
+        collector = Collector(self._owner_address, self.counters)
+        self._writer = JobWriter(platform.jobs, self.counters, collector)
+        self.relay = RelayApp(logs, ways, self._writer)
         self._claimant = Claimant(platform.claims, host)
         self._owner: Owner | None = None
         self.leaving = False
@@ -150,6 +152,15 @@
         hosts = self.follower.book.hosts
         return [seen.address for seen in hosts.values() if seen.host != self._host]
 
+    def _owner_address(self) -> str:
+        """Return the address of the owner's host, "" if it is this one or unknown."""
+        book = self.follower.book
+        owner = book.owner
+        if owner is None or owner.released or owner.host == self._host:
+            return ""
+        seen = book.hosts.get(owner.host)
+        return "" if seen is None else seen.address
+
     async def _register(self) -> None:
         """Tell the other hosts where this one is."""
         record = encode(self._seen)
@@ -205,8 +216,16 @@
             )
         if anyio.current_time() - self.follower.beat_at < SILENT_OWNER_S:
             return False
+        return await self._is_silent()
+
+    async def _is_silent(self) -> bool:
+        """Return whether the log has had no sign of the owner for too long."""
         beat_at = self.follower.beat_at
-        return await self.follower.catch_up() and self.follower.beat_at == beat_at
+        asked_at = anyio.current_time()
+        if not await self.follower.catch_up() or self.follower.beat_at != beat_at:
+            return False
+        now = anyio.current_time()
+        return now - beat_at >= SILENT_OWNER_S + slow_log_s(now - asked_at)
 
     async def _claim(self) -> None:
         before = self.follower.book.owner
--- a/courselead/daemon/scheduling/intake.py
+++ b/courselead/daemon/scheduling/intake.py
@@ -11,10 +11,11 @@
 
 from courselead.core.scheduler.models import JobSpec, JobState
 from courselead.core.scheduler.records import JobAccepted, JobCancelled
+from courselead.daemon.scheduling.collector import Stored
 from courselead.daemon.scheduling.directions import DirectionsView
 from courselead.daemon.scheduling.follower import JobFollower
 from courselead.daemon.scheduling.ports import HostCounters
-from courselead.daemon.scheduling.writer import JobWriter, Stored
+from courselead.daemon.scheduling.writer import JobWriter
 
 _LOGGER = structlog.get_logger(__name__)
 
--- a/courselead/daemon/scheduling/relay.py
+++ b/courselead/daemon/scheduling/relay.py
@@ -44,6 +44,7 @@
     NewestAsked,
     ReadAsked,
     RelayReply,
+    decode_reply,
 )
 from courselead.integrations.http.errors import NotSent
 from courselead.integrations.lean_http import Call, LeanPool
@@ -54,9 +55,9 @@
 """Mean pause between two tries of the own way while it does not work: a store that is
 back is used again well within the 2 s in which a configuration must be in force."""
 
-PROBE_TIMEOUT_S = 0.5
-"""Time of one try: twice what a slow store takes. A try that began during a cut gets
-no answer after it either."""
+PROBE_TIMEOUT_S = 0.8
+"""Time of one try: the longest that a slow store takes. A try that began during a cut
+gets no answer after it either."""
 
 HOP_MS = 300
 """Time beyond that of the call itself until a relayed one counts as lost."""
@@ -65,6 +66,10 @@
 """Time that another host is given for an append: the store takes 4 ms, up to 250 ms
 where it is slow, and callers wait behind it."""
 
+DETOUR_S = 0.5
+"""Time without any answer on the own way until an append is made through another host
+beside it: the calls of a slow store take 0.25 to 0.65 s, and several are under way."""
+
 PEERS_TRIED = 3
 """Other hosts asked for one call, of which one may be gone and one be cut off too."""
 
@@ -83,7 +88,8 @@
 _CONNECTIONS = 4
 
 
-_DECODE_REPLY = msgspec.msgpack.Decoder(RelayReply)
+_AppendResult = Result[Appended, AppendError]
+_AppendCall = Callable[[], Awaitable[_AppendResult]]
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,6 +114,7 @@
         self._shunned: dict[str, float] = {}
         self._helped = True
         self._no_way_until = 0.0
+        self._answered_at = -math.inf
 
     @property
     def reachable(self) -> bool:
@@ -119,8 +126,14 @@
         """Return whether the store was reached on some way when last tried."""
         return self.reachable or self._helped
 
+    def answered_since(self, at: float) -> bool:
+        """Return whether any call on the own way was answered after a moment."""
+        return self._answered_at > at
+
     def note(self, reached: bool) -> None:
         """Take how an attempt on the own way went."""
+        if reached:
+            self._answered_at = anyio.current_time()
         if reached and self._lost.is_set():
             _LOGGER.info("own_way_regained")
             self._lost = anyio.Event()
@@ -214,7 +227,7 @@
             if isinstance(error, NotSent):
                 return _Asked(silent, Failure(NotAppended(error.reason)))
             return _Asked(silent, Failure(AppendUnknown(error.reason)))
-        reply = _decoded(answered.unwrap().body)
+        reply = decode_reply(answered.unwrap().body)
         if reply.kind == "not_done":
             self._shunned[address] = anyio.current_time() + NO_WAY_S
             return _Asked(False, Failure(NotAppended(reply.reason)))
@@ -251,6 +264,76 @@
         return pool
 
 
+class _TwoWays:
+    """One append on the own way and, where that is silent, through another host too.
+
+    Both may store it: records have keys, and an owner's append has a number. While
+    other calls are answered on the own way, the store is slow: a detour would only be
+    one more append in its line.
+    """
+
+    def __init__(self, ways: Ways) -> None:
+        """Begin with neither way tried."""
+        self._ways = ways
+        self._begun = anyio.current_time()
+        self._changed = anyio.Event()
+        self._own: _AppendResult | None = None
+        self._other: _AppendResult | None = None
+
+    async def append(self, own: _AppendCall, other: _AppendCall) -> _AppendResult:
+        """Return the first answer of the store's, or why there is none."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._try_own, own)
+            await self._until_lost()
+            if not _is_answer(self._own):
+                tasks.start_soon(self._try_other, other)
+            while not self._is_over:
+                self._changed = anyio.Event()
+                await self._changed.wait()
+            tasks.cancel_scope.cancel()
+        return self._outcome()
+
+    async def _until_lost(self) -> None:
+        """Wait for the own way's end, or until nothing is answered on it any more."""
+        since = self._begun
+        while self._own is None:
+            with anyio.move_on_after(DETOUR_S):
+                await self._changed.wait()
+            if self._own is None and not self._ways.answered_since(since):
+                return
+            since = anyio.current_time()
+
+    @property
+    def _is_over(self) -> bool:
+        if _is_answer(self._own) or _is_answer(self._other):
+            return True
+        return self._own is not None and self._other is not None
+
+    async def _try_own(self, own: _AppendCall) -> None:
+        self._own = await own()
+        self._ways.note(_is_answer(self._own))
+        self._changed.set()
+
+    async def _try_other(self, other: _AppendCall) -> None:
+        self._other = await other()
+        if _is_answer(self._other) and self._own is None:
+            self._ways.note(False)
+        self._changed.set()
+
+    def _outcome(self) -> _AppendResult:
+        for result in (self._own, self._other):
+            if result is not None and _is_answer(result):
+                return result
+        assert self._own is not None and self._other is not None
+        own, other = self._own.failure(), self._other.failure()
+        # What either way left open stays open, whatever the other says.
+        for error in (own, other):
+            if isinstance(error, AppendUnknown):
+                return Failure(error)
+        said = f"own way: {_reason(own)}; other hosts: {_reason(other)}"
+        return Failure(NotAppended(said))
+
+
 class RelayedLog:
     """A keyed log that is reached directly, or through another host."""
 
@@ -270,27 +353,12 @@
         """Store records; a conditional append is made on the own way only."""
         if expected_end is not None:
             return await self._direct.append(records, timeout_ms, expected_end, mark)
-        first: AppendError | None = None
-        if self._ways.reachable:
-            result = await self._direct.append(records, timeout_ms, mark=mark)
-            if isinstance(result, Success) or isinstance(
-                result.failure(), AppendFenced | EndMoved
-            ):
-                self._ways.note(True)
-                return result
-            self._ways.note(False)
-            first = result.failure()
-        relayed = await self._relay_append(records, timeout_ms, mark)
-        if isinstance(relayed, Success) or isinstance(
-            relayed.failure(), AppendFenced | AppendUnknown
-        ):
-            return relayed
-        # What the own way left open stays open, whatever the others say.
-        if isinstance(first, AppendUnknown):
-            return Failure(first)
-        said = _reason(relayed.failure())
-        own = "lost before" if first is None else _reason(first)
-        return Failure(NotAppended(f"own way: {own}; other hosts: {said}"))
+        if not self._ways.reachable:
+            return await self._relay_append(records, timeout_ms, mark)
+        return await _TwoWays(self._ways).append(
+            lambda: self._direct.append(records, timeout_ms, mark=mark),
+            lambda: self._relay_append(records, timeout_ms, mark),
+        )
 
     async def read(self, start: int, wait_ms: int) -> Result[LogBatch, ReadError]:
         """Return records from an offset on."""
@@ -352,12 +420,14 @@
         return Failure(AppendUnknown(f"a reply of kind {reply.kind}"))
 
 
-def _reason(error: AppendError) -> str:
-    return error.reason if isinstance(error, NotAppended) else type(error).__name__
+def _is_answer(result: _AppendResult | None) -> bool:
+    """Return whether the store itself has answered: stored, or refused for good."""
+    if result is None:
+        return False
+    return isinstance(result, Success) or isinstance(
+        result.failure(), AppendFenced | EndMoved
+    )
 
 
-def _decoded(body: bytes) -> RelayReply:
-    try:
-        return _DECODE_REPLY.decode(body)
-    except msgspec.MsgspecError as exc:
-        return RelayReply("unknown", reason=f"malformed reply: {exc}")
+def _reason(error: AppendError) -> str:
+    return error.reason if isinstance(error, NotAppended) else type(error).__name__
--- a/courselead/daemon/scheduling/relay_app.py
+++ b/courselead/daemon/scheduling/relay_app.py
@@ -6,6 +6,7 @@
 import structlog
 from returns.result import Failure, Success
 
+from courselead.core.scheduler.records import KeyedRecord
 from courselead.daemon.scheduling.ports import (
     AppendFenced,
     HistoryGone,
@@ -15,14 +16,17 @@
 )
 from courselead.daemon.scheduling.relay import Ways
 from courselead.daemon.scheduling.relay_messages import (
+    PATH_ALIVE,
     PATH_APPEND,
     PATH_NEWEST,
     PATH_READ,
+    PATH_STORE,
     AppendAsked,
     NewestAsked,
     ReadAsked,
     RelayReply,
 )
+from courselead.daemon.scheduling.writer import JobWriter
 from courselead.integrations.http_api.exchange import Receive, Scope, Send
 from courselead.integrations.http_api.plain import answer, whole_body
 
@@ -32,10 +36,22 @@
 class RelayApp:
     """The ASGI application that lends this host's way to the store to the others."""
 
-    def __init__(self, logs: dict[str, KeyedLog], ways: Ways) -> None:
-        """Keep the logs by their names among the hosts, on the own way."""
+    def __init__(
+        self,
+        logs: dict[str, KeyedLog],
+        ways: Ways,
+        writer: JobWriter | None = None,
+    ) -> None:
+        """Keep the logs by their names among the hosts, on the own way.
+
+        Args:
+            logs: On the own way.
+            ways: To know whether that works.
+            writer: Stores callers' records that other hosts hand over.
+        """
         self._logs = logs
         self._ways = ways
+        self._writer = writer
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one HTTP exchange."""
@@ -46,10 +62,15 @@
         await answer(send, 200, msgspec.msgpack.encode(reply))
 
     async def _serve(self, path: str, body: bytes) -> RelayReply:
-        if not self._ways.reachable:
-            return RelayReply("not_done", reason="this host does not reach it either")
+        if path == PATH_ALIVE:
+            return RelayReply("alive")
         decode = msgspec.msgpack.decode
         try:
+            if path == PATH_STORE:
+                return await self._store(decode(body, type=KeyedRecord))
+            if not self._ways.reachable:
+                reason = "this host does not reach it either"
+                return RelayReply("not_done", reason=reason)
             if path == PATH_APPEND:
                 return await self._append(decode(body, type=AppendAsked))
             if path == PATH_READ:
@@ -60,6 +81,15 @@
             _LOGGER.warning("relay_malformed", reason=repr(exc))
         return RelayReply("not_done", reason="the request is not understood")
 
+    async def _store(self, record: KeyedRecord) -> RelayReply:
+        if self._writer is None:
+            return RelayReply("not_done", reason="this host stores no callers' records")
+        stored = await self._writer.store_here(record)
+        if stored.ok:
+            return RelayReply("stored")
+        kind = "unknown" if stored.in_doubt else "not_done"
+        return RelayReply(kind, reason=stored.reason)
+
     async def _append(self, asked: AppendAsked) -> RelayReply:
         mark = None if asked.mark is None else ProducerMark(*asked.mark)
         result = await self._logs[asked.log].append(
--- a/courselead/daemon/scheduling/relay_messages.py
+++ b/courselead/daemon/scheduling/relay_messages.py
@@ -9,6 +9,8 @@
 PATH_APPEND = "/relay/append"
 PATH_READ = "/relay/read"
 PATH_NEWEST = "/relay/newest"
+PATH_STORE = "/relay/store"
+PATH_ALIVE = "/relay/alive"
 
 
 class AppendAsked(msgspec.Struct, array_like=True):
@@ -43,3 +45,14 @@
     reason: str = ""
     records: list[KeyedRecord] = []
     offsets: list[int] = []
+
+
+_DECODE_REPLY = msgspec.msgpack.Decoder(RelayReply)
+
+
+def decode_reply(body: bytes) -> RelayReply:
+    """Return what another host said; what is malformed leaves all open."""
+    try:
+        return _DECODE_REPLY.decode(body)
+    except msgspec.MsgspecError as exc:
+        return RelayReply("unknown", reason=f"malformed reply: {exc}")
--- a/tests/daemon/scheduling/fakes.py
+++ b/tests/daemon/scheduling/fakes.py
@@ -37,6 +37,7 @@
     refuse: bool = False
     silent: bool = False
     lose_answers: int = 0
+    answer: anyio.Event | None = None
     appends: int = 0
     reads: int = 0
 
@@ -54,6 +55,9 @@
         if self.silent:
             await anyio.sleep(timeout_ms / 1000)
             return Failure(AppendUnknown("no answer"))
+        if self.answer is not None:
+            # Slow: it answers when the test lets it.
+            await self.answer.wait()
         if mark is not None:
             if mark.epoch < self.epoch:
                 return Failure(AppendFenced())
--- /dev/null
+++ b/tests/daemon/scheduling/test_collector.py
@@ -0,0 +1,156 @@
+"""Callers' records go to the owner's host, and by the own way where that fails."""
+
+from contextlib import asynccontextmanager
+
+import anyio
+import pytest
+
+from courselead.core.scheduler.models import JobSpec, Resources, StepSpec
+from courselead.core.scheduler.records import JobAccepted, encode
+from courselead.daemon.scheduling import collector as collector_module, writer
+from courselead.daemon.scheduling.collector import Collector, Stored
+from courselead.daemon.scheduling.ports import HostCounters
+from courselead.daemon.scheduling.relay import Ways
+from courselead.daemon.scheduling.relay_app import RelayApp
+from courselead.daemon.scheduling.writer import JobWriter
+from courselead.integrations.http_api.server import HttpServer
+from courselead.settings import Address, LimitSettings
+from tests.daemon.scheduling.fakes import MemoryLog
+
+pytestmark = pytest.mark.anyio
+SPEC = JobSpec("text", (StepSpec(2, Resources(500, 64)),))
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+def job(number: int) -> JobAccepted:
+    return JobAccepted(f"{number:016x}", "q", SPEC)
+
+
+@asynccontextmanager
+async def owner_host(log: MemoryLog):
+    """Serve the owner's host over a log and yield its address."""
+    owner = JobWriter(log, HostCounters())
+    app = RelayApp({}, Ways(list, HostCounters()), owner)
+    server = HttpServer(app, Address("127.0.0.1", 0), LimitSettings(), 100)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(owner.run)
+        address = await tasks.start(server.run)
+        yield str(address)
+        server.stop()
+        tasks.cancel_scope.cancel()
+
+
+@asynccontextmanager
+async def caller_host(log: MemoryLog, owner_address: str):
+    """Yield the writer of a host with its own way to a log."""
+    counters = HostCounters()
+    own = JobWriter(log, counters, Collector(lambda: owner_address, counters))
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(own.run)
+        yield own
+        tasks.cancel_scope.cancel()
+
+
+async def store_at_once(hosts: list[JobWriter], first: int) -> list[Stored]:
+    """Store a record at each host at the same time."""
+    results: list[Stored] = []
+
+    async def store(host: JobWriter, number: int) -> None:
+        results.append(await host.store(job(number)))
+
+    async with anyio.create_task_group() as tasks:
+        for number, host in enumerate(hosts, first):
+            tasks.start_soon(store, host, number)
+    return results
+
+
+async def test_records_of_many_hosts_share_the_appends_of_a_slow_store():
+    # A store that takes 178 ms for an append makes 5.6 a second: each of nine hosts
+    # by itself has its jobs wait 1.8 s, and all time out.
+    slow = MemoryLog(answer=anyio.Event())
+    async with owner_host(slow) as address:
+        hosts = []
+        async with (
+            caller_host(MemoryLog(refuse=True), address) as first,
+            caller_host(MemoryLog(refuse=True), address) as second,
+            caller_host(MemoryLog(refuse=True), address) as third,
+        ):
+            hosts = [first, second, third]
+            results: list[Stored] = []
+
+            async def store() -> None:
+                results.extend(await store_at_once(hosts * 3, 0))
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(store)
+                while slow.appends < 1:
+                    await anyio.sleep(0.001)
+                slow.answer.set()
+    assert [stored.ok for stored in results] == [True] * 9
+    assert slow.appends <= 4
+
+
+async def test_a_host_stores_by_itself_where_the_owner_is_gone():
+    own = MemoryLog()
+    async with caller_host(own, "127.0.0.1:1") as host:
+        assert await host.store(job(1)) == Stored(True)
+    assert own.records == [encode(job(1))]
+
+
+async def test_a_silent_owner_is_left_after_a_question(monkeypatch):
+    # Longer than the test may take, but for the question whether it lives.
+    monkeypatch.setattr(collector_module, "STORE_TIMEOUT_MS", 600_000)
+    monkeypatch.setattr(collector_module, "SHUNNED_S", 600.0)
+    monkeypatch.setattr(writer, "HELD_MOST_S", 600.0)
+    own = MemoryLog()
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+
+    async def hold(stream) -> None:
+        await anyio.sleep_forever()
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(listener.serve, hold)
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        async with caller_host(own, f"127.0.0.1:{port}") as host:
+            with anyio.fail_after(60):
+                assert (await host.store(job(1))).ok
+                assert (await host.store(job(2))).ok
+            assert host._counters.counts["handed_records"] == 1
+        tasks.cancel_scope.cancel()
+
+
+async def test_what_the_owner_may_have_stored_is_not_said_to_be_refused(monkeypatch):
+    monkeypatch.setattr(writer, "HELD_MOST_S", 600.0)
+    lost = MemoryLog(lose_answers=9)
+    async with (
+        owner_host(lost) as address,
+        caller_host(MemoryLog(refuse=True), address) as host,
+    ):
+        stored = await host.store(job(1))
+    assert not stored.ok
+    assert stored.in_doubt
+    assert encode(job(1)) in lost.records
+
+
+async def test_what_the_owner_refused_is_tried_on_the_own_way():
+    own = MemoryLog()
+    async with (
+        owner_host(MemoryLog(refuse=True)) as address,
+        caller_host(own, address) as host,
+    ):
+        assert await host.store(job(1)) == Stored(True)
+    assert own.records == [encode(job(1))]
+
+
+async def test_what_nobody_stored_is_said_to_be_refused():
+    async with (
+        owner_host(MemoryLog(refuse=True)) as address,
+        caller_host(MemoryLog(refuse=True), address) as host,
+    ):
+        stored = await host.store(job(1))
+    assert not stored.ok
+    assert not stored.in_doubt
--- a/tests/daemon/scheduling/test_relay.py
+++ b/tests/daemon/scheduling/test_relay.py
@@ -202,3 +202,53 @@
         _, log, ways = cut_off(address)
         await log.append([RECORD], 500)
         assert ways.usable and not ways.reachable
+
+
+async def test_a_store_that_is_slow_for_all_is_not_taken_for_lost(monkeypatch):
+    # The store answers after 280 to 670 ms for 4 s (menus, trouble-2 at 11 s): each
+    # append was given up and repeated, on the own way and through other hosts, and
+    # nothing was stored or started for 5 s.
+    monkeypatch.setattr(relay, "DETOUR_S", 0.02)
+    shared = MemoryLog(answer=anyio.Event())
+    async with peer(shared) as address:
+        ways = Ways(lambda: [address], HostCounters())
+        log = RelayedLog("jobs", shared, ways)
+        async with anyio.create_task_group() as tasks:
+            results = []
+
+            async def append() -> None:
+                results.append(await log.append([RECORD], 60_000))
+
+            tasks.start_soon(append)
+            # Reads are answered all the while, so the append is late, not lost.
+            for _ in range(10):
+                assert isinstance(await log.read(0, 0), Success)
+                await anyio.sleep(0.01)
+            assert not results
+            assert shared.appends == 1
+            shared.answer.set()
+        assert isinstance(results[0], Success)
+        assert ways.reachable
+
+
+async def test_an_append_on_a_silent_way_is_made_through_another_host(monkeypatch):
+    monkeypatch.setattr(relay, "DETOUR_S", 0.2)
+    shared = MemoryLog()
+    async with peer(shared) as address:
+        own = MemoryLog(silent=True)
+        ways = Ways(lambda: [address], HostCounters())
+        log = RelayedLog("jobs", own, ways)
+        with anyio.fail_after(60):
+            assert isinstance(await log.append([RECORD], 600_000), Success)
+        assert shared.records == [RECORD]
+        assert not ways.reachable
+
+
+async def test_an_append_that_the_own_way_left_open_is_not_said_to_be_refused():
+    # The own way is silent, the other host says that it did nothing.
+    async with peer(MemoryLog(), reaches=False) as address:
+        own = MemoryLog(silent=True)
+        ways = Ways(lambda: [address], HostCounters())
+        log = RelayedLog("jobs", own, ways)
+        error = (await log.append([RECORD], 300)).failure()
+        assert isinstance(error, AppendUnknown)
