Take minions that came up behind a cut as empty of the last owner's runs

Change: the owner's sign of life names its zone and for how long it has owned the schedule. It starts nothing in its zone without a record, and after the longest lease nothing of owners before it can run: where it has no record, nothing runs.

--- a/courselead/core/scheduler/placement.py
+++ b/courselead/core/scheduler/placement.py
@@ -9,7 +9,7 @@
 from courselead.core.scheduler import const, urgency
 from courselead.core.scheduler.events import AskAdvice, StartRun
 from courselead.core.scheduler.models import Resources
-from courselead.core.scheduler.schedule import Schedule, StepAdvice
+from courselead.core.scheduler.schedule import DoubtedLife, Schedule, StepAdvice
 from courselead.core.scheduler.state import Minion, Run, StepRun, Unit
 
 MAX_ADVICE_MINIONS = 100
@@ -180,20 +180,22 @@
     if schedule.workers_ms < 0 and not waited:
         return _Doubt(whole_pool=True)
     tasks: set[str] = set()
-    for minion_id, its_pool in _unseen(schedule):
-        known = schedule.runs_before.get(minion_id)
+    for minion_id, life in _unseen(schedule):
+        known = None
+        if schedule.left_runs is not None:
+            known = schedule.left_runs.tasks_on(minion_id, life.zone)
         if known is not None:
             tasks |= known
-        elif its_pool == pool:
+        elif life.pool == pool:
             return _Doubt(whole_pool=True)
     return _Doubt(tasks=frozenset(tasks))
 
 
-def _unseen(schedule: Schedule) -> Iterator[tuple[str, str]]:
-    """Return the minions that have not reported to this owner, with their pools."""
+def _unseen(schedule: Schedule) -> Iterator[tuple[str, DoubtedLife]]:
+    """Return the minions that have not reported to this owner."""
     for minion in schedule.minions.values():
         if not minion.synced:
-            yield minion.minion_id, minion.info.pool
+            yield minion.minion_id, DoubtedLife(minion.info.pool, minion.info.zone)
     yield from schedule.doubted_lives.items()
 
 
--- a/courselead/core/scheduler/records.py
+++ b/courselead/core/scheduler/records.py
@@ -66,6 +66,16 @@
     It carries what the owner has learned of the pools' turns of demand, and the workers
     that it or owners before it have given orders for of late, with their ages in ms:
     an order is stored with it before it is sent.
+
+    Attributes:
+        fence: Of its claim.
+        host: Its name.
+        beat: Number of the record.
+        released: Whether it hands the schedule over.
+        turns: By pool.
+        ordered: By worker.
+        zone: In which it stores what it starts before it sends it, "" if nowhere.
+        owned_ms: For how long it has owned the schedule.
     """
 
     fence: int
@@ -74,6 +84,8 @@
     released: bool = False
     turns: dict[str, TurnMemory] = {}
     ordered: dict[str, int] = {}
+    zone: str = ""
+    owned_ms: int = 0
 
 
 class WaveProgress(msgspec.Struct, frozen=True, array_like=True):
--- a/courselead/core/scheduler/run_records.py
+++ b/courselead/core/scheduler/run_records.py
@@ -8,11 +8,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
 
 import msgspec
 
-from courselead.core.scheduler.records import KeyedRecord
+from courselead.core.scheduler.records import KeyedRecord, OwnerBeat
 
 OWNER_KEY = b"o"
 """Key of the record that an owner writes first: it fences the owners before."""
@@ -32,6 +33,44 @@
     tasks: list[str]
 
 
+@dataclass(frozen=True, slots=True)
+class LeftRuns:
+    """What the last owner may have left running in its zone.
+
+    Attributes:
+        zone: Its availability zone.
+        settled: Whether it owned the schedule for so long that no lease of owners
+            before it can still run.
+        by_minion: Tasks that may run on the minions that it has stored.
+    """
+
+    zone: str
+    settled: bool
+    by_minion: Mapping[str, frozenset[str]]
+
+    @classmethod
+    def from_owner(
+        cls,
+        beat: OwnerBeat,
+        by_minion: Mapping[str, frozenset[str]],
+        longest_lease_ms: int,
+    ) -> LeftRuns:
+        """Return what an owner left, by its last sign of life and its records."""
+        return cls(beat.zone, beat.owned_ms >= longest_lease_ms, by_minion)
+
+    def tasks_on(self, minion_id: str, zone: str) -> frozenset[str] | None:
+        """Return the tasks that may run on a minion, nothing if that is not known.
+
+        On a minion of its zone that it has not stored it has started nothing: it may
+        have come up behind the cut. Runs of owners before may be there until their
+        leases are over.
+        """
+        tasks = self.by_minion.get(minion_id)
+        if tasks is None and self.settled and self.zone and zone == self.zone:
+            return frozenset()
+        return tasks
+
+
 def encode_owner(fence: int) -> KeyedRecord:
     """Return an owner's first record."""
     return KeyedRecord(OWNER_KEY, msgspec.msgpack.encode(fence))
--- a/courselead/core/scheduler/schedule.py
+++ b/courselead/core/scheduler/schedule.py
@@ -20,6 +20,7 @@
     StepSpec,
     Worker,
 )
+from courselead.core.scheduler.run_records import LeftRuns
 from courselead.core.scheduler.state import (
     Job,
     Minion,
@@ -79,6 +80,14 @@
     accepted_ms: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class DoubtedLife:
+    """A minion that only the cloud knows: it may have left the list while it runs."""
+
+    pool: str
+    zone: str
+
+
 @dataclass(frozen=True, slots=True)
 class Arrival:
     """A job that came: its core-milliseconds and the time they are spread over."""
@@ -97,13 +106,21 @@
     chain_ms: int
 
 
+def doubt_ms(bounds: Bounds) -> int:
+    """Return for how long after a claim leases of earlier owners may run."""
+    longest_ms = int(bounds.lease_max_ms / const.CLOCK_SLOWNESS)
+    return longest_ms + const.DOUBT_SLACK_MS
+
+
 @dataclass(slots=True)
 class Schedule:
     """State of the owner; changed in place by the functions of this package.
 
-    Times are milliseconds of the owner's steady clock, but for `wall_ms`. `own_zone` is
-    the availability zone of the owner's host; `runs_before` names what the owner before
-    may have left running on minions for which it answers.
+    Times are milliseconds of the owner's steady clock, but for `wall_ms`.
+
+    Attributes:
+        own_zone: The availability zone of the owner's host, "" if it is not known.
+        left_runs: What the owner before may have left running in its own.
     """
 
     fence: int
@@ -130,7 +147,7 @@
     workers: dict[str, Worker] = field(default_factory=dict)
     workers_asked_ms: int = 0
     workers_ms: int = -1
-    doubted_lives: dict[str, str] = field(default_factory=dict)
+    doubted_lives: dict[str, DoubtedLife] = field(default_factory=dict)
     waves: dict[int, WaveState] = field(default_factory=dict)
     run_ms: dict[str, float] = field(default_factory=dict)
     moves: dict[str, MoveState] = field(default_factory=dict)
@@ -144,7 +161,7 @@
     left: dict[tuple[str, int], Left] = field(default_factory=dict)
     duty_after_ms: int = 0
     own_zone: str = ""
-    runs_before: dict[str, frozenset[str]] = field(default_factory=dict)
+    left_runs: LeftRuns | None = None
     ordered_ms: dict[str, int] = field(default_factory=dict)
     barred_ms: dict[str, int] = field(default_factory=dict)
     effects: list[Effect] = field(default_factory=list)
@@ -167,8 +184,7 @@
     @property
     def doubt_until_ms(self) -> int:
         """Return when no lease given by an earlier owner can still run."""
-        longest_ms = int(self.bounds.lease_max_ms / const.CLOCK_SLOWNESS)
-        return self.claimed_ms + longest_ms + const.DOUBT_SLACK_MS
+        return self.claimed_ms + doubt_ms(self.bounds)
 
     @property
     def lease_left_ms(self) -> int:
--- a/courselead/core/scheduler/scheduler.py
+++ b/courselead/core/scheduler/scheduler.py
@@ -36,7 +36,8 @@
     WorkersListed,
 )
 from courselead.core.scheduler.models import Bounds, FleetConfig, WorkerPhase
-from courselead.core.scheduler.schedule import Schedule
+from courselead.core.scheduler.run_records import LeftRuns
+from courselead.core.scheduler.schedule import DoubtedLife, Schedule
 
 FORGET_PERIOD_MS = 10_000
 """Time between sweeps for jobs that ended long ago: bounds their cost."""
@@ -66,7 +67,7 @@
         now_ms: int,
         wall_ms: int,
         own_zone: str = "",
-        runs_before: dict[str, frozenset[str]] | None = None,
+        left_runs: LeftRuns | None = None,
     ) -> None:
         """Take over what the log says.
 
@@ -79,13 +80,13 @@
             now_ms: Steady clock.
             wall_ms: Time since 1970.
             own_zone: Of this host, "" if it stores no starts.
-            runs_before: Tasks that the owner before may have left on its minions.
+            left_runs: What the owner before may have left running, if that is known.
         """
         schedule = Schedule(
             fence, bounds, config, book, now_ms, now_ms, now_ms, wall_ms
         )
         schedule.own_zone = own_zone
-        schedule.runs_before = dict(runs_before or {})
+        schedule.left_runs = left_runs
         before = book.owner_before
         if before is not None:
             # It gave no order that is not in this record.
@@ -236,7 +237,8 @@
             if minion is not None:
                 minion.worker_id = worker.worker_id
             elif first and worker.phase is WorkerPhase.UP and worker.minion_id:
-                schedule.doubted_lives[worker.minion_id] = worker.pool
+                life = DoubtedLife(worker.pool, worker.zone)
+                schedule.doubted_lives[worker.minion_id] = life
         for minion_id in list(schedule.doubted_lives):
             if minion_id not in lives:
                 del schedule.doubted_lives[minion_id]
--- a/courselead/daemon/scheduling/owner.py
+++ b/courselead/daemon/scheduling/owner.py
@@ -47,6 +47,8 @@
     encode,
     forget,
 )
+from courselead.core.scheduler.run_records import LeftRuns
+from courselead.core.scheduler.schedule import doubt_ms
 from courselead.core.scheduler.scheduler import Scheduler
 from courselead.daemon.scheduling.claims import Claim
 from courselead.daemon.scheduling.clocks import now_ms, wall_ms
@@ -117,6 +119,7 @@
         # Orders to the cloud that are to be stored first, by worker.
         self._duties: dict[str, MoveWorker | MaintainWorker] = {}
         self._beat = 0
+        self._begun_ms = 0
         self._saved_at = 0.0
         self._alive_ms = now_ms()
         self._unsure = False
@@ -203,16 +206,15 @@
         return newest is not None and newest.fence == self.fence
 
     def _begin(self) -> None:
-        before = self._follower.book.owner_before
-        runs_before = {}
-        if before is not None:
-            runs_before = self._starts.runs_before(before.fence)
+        left = self._left_runs()
         _LOGGER.info(
             "schedule_begun",
             fence=self.fence,
-            before=None if before is None else before.fence,
-            minions_known=len(runs_before),
+            zone_before="" if left is None else left.zone,
+            settled_before=left is not None and left.settled,
+            minions_known=0 if left is None else len(left.by_minion),
         )
+        self._begun_ms = now_ms()
         self.scheduler = Scheduler(
             self.fence,
             self._claim.first,
@@ -222,7 +224,7 @@
             now_ms(),
             wall_ms(),
             self._zone,
-            runs_before,
+            left,
         )
         self._alive_ms = now_ms()
         self._follower.on_change = self._log_changed
@@ -231,6 +233,16 @@
         for wave in self._directions.waves.values():
             self._wave_requested(wave)
 
+    def _left_runs(self) -> LeftRuns | None:
+        """Return what the owner before may have left running in its zone."""
+        before = self._follower.book.owner_before
+        if before is None:
+            return None
+        runs = self._starts.runs_of(before.fence)
+        if runs is None:
+            return None
+        return LeftRuns.from_owner(before, runs, doubt_ms(self._bounds))
+
     # Events
 
     def handle(self, event: Event) -> None:
@@ -396,13 +408,24 @@
         self._beat += 1
         turns = {}
         ordered: dict[str, int] = {}
+        owned_ms = 0
         if self.scheduler is not None:
+            owned_ms = now_ms() - self._begun_ms
             ordered = self.scheduler.recent_orders(now_ms())
             for pool, known in self.scheduler.schedule.turns.items():
                 if known.seen:
                     turns[pool] = known.memory
         return encode(
-            OwnerBeat(self.fence, self._host, self._beat, released, turns, ordered)
+            OwnerBeat(
+                self.fence,
+                self._host,
+                self._beat,
+                released,
+                turns,
+                ordered,
+                self._zone,
+                owned_ms,
+            )
         )
 
     async def _save(self) -> None:
--- a/courselead/daemon/scheduling/start_log.py
+++ b/courselead/daemon/scheduling/start_log.py
@@ -75,16 +75,18 @@
         self._kept: set[str] = set()
         self.fenced = anyio.Event()
 
-    def runs_before(self, fence: int) -> dict[str, frozenset[str]]:
-        """Return what the last owner may have left running, by minion.
+    def runs_of(self, fence: int) -> dict[str, frozenset[str]] | None:
+        """Return what an owner may have left running in its zone, by minion.
 
         Nothing is known of it before this owner's fence is in the log.
         """
+        if not self.fenced.is_set():
+            return None
         try:
             return runs_of_owner(self._newest, fence)
         except ValueError as exc:
             _LOGGER.error("run_records_malformed", reason=str(exc))
-            return {}
+            return None
 
     def note(self, minion_id: str) -> None:
         """Store what may run on a minion."""
--- a/tests/core/scheduler/test_own_zone.py
+++ b/tests/core/scheduler/test_own_zone.py
@@ -109,6 +109,38 @@
     assert doubt.whole_pool
 
 
+def test_a_minion_that_came_up_behind_the_cut_holds_up_nothing():
+    # menus trouble-1: five workers arrived in their pool as the zone was cut; 13 idle
+    # workers and 47 waiting tasks of it stood still for 5 s.
+    world = world_of_zones()
+    world.claim("z0")
+    world.run(15_000)
+    world.submit(job(step(24)), FIRST, length_ms=1_000)
+    world.submit(job(step(8)), SECOND, length_ms=1_000)
+    world.run(100)
+    cut_zone(world, "z0")
+    world.add_minion("new", zone="z0")
+    world.run(1_300)
+    take_over(world, "z1", "z0")
+    world.run(1_500)
+    assert len(world.starts) == 32
+
+
+def test_an_owner_of_a_moment_does_not_answer_for_what_others_left():
+    world = world_of_zones()
+    world.claim("z1")
+    world.run(15_000)
+    world.submit(job(step(24)), FIRST, length_ms=60_000)
+    world.run(200)
+    cut_zone(world, "z0")
+    # It never heard of what the first owner left in its zone.
+    take_over(world, "z0", "z0")
+    world.run(200)
+    take_over(world, "z2", "z0")
+    world.run(9_000)
+    assert len(world.starts) == 24
+
+
 def test_nothing_starts_in_the_own_zone_while_the_log_is_silent():
     world = world_of_zones()
     world.claim("z0")
--- a/tests/core/scheduler/world.py
+++ b/tests/core/scheduler/world.py
@@ -25,9 +25,12 @@
 from courselead.core.scheduler.records import (
     JobAccepted,
     JobCancelled,
+    OwnerBeat,
     decode,
     encode,
 )
+from courselead.core.scheduler.run_records import LeftRuns
+from courselead.core.scheduler.schedule import doubt_ms
 from courselead.core.scheduler.scheduler import Scheduler
 
 LATENCY_MS = 2
@@ -165,7 +168,7 @@
 
     def claim(self, zone: str = "") -> Scheduler:
         """A new owner takes over; the one before is not told."""
-        before = self.fence
+        before = self.owner
         self.fence += 1
         owner = Scheduler(
             self.fence,
@@ -176,11 +179,7 @@
             self.now_ms,
             WALL_START_MS + self.now_ms,
             zone,
-            {
-                minion_id: tasks
-                for minion_id, (fence, tasks) in self.noted_runs.items()
-                if fence == before
-            },
+            self._left_by(before),
         )
         self.owner = owner
         self.owners.append(owner)
@@ -190,6 +189,22 @@
         self._pump(owner)
         return owner
 
+    def _left_by(self, owner: Scheduler | None) -> LeftRuns | None:
+        """What the records of an owner tell the next one."""
+        if owner is None:
+            return None
+        schedule = owner.schedule
+        by_minion = {}
+        for minion_id, (fence, tasks) in self.noted_runs.items():
+            if fence == schedule.fence:
+                by_minion[minion_id] = tasks
+        # Its last sign of life may be older.
+        owned_ms = schedule.confirmed_ms - schedule.claimed_ms
+        beat = OwnerBeat(
+            schedule.fence, "", 0, zone=schedule.own_zone, owned_ms=owned_ms
+        )
+        return LeftRuns.from_owner(beat, by_minion, doubt_ms(self.bounds))
+
     def submit(self, spec: JobSpec, job_id="00000000000000aa", length_ms=500) -> str:
         self.lengths[job_id] = length_ms
         self.book.apply(decode(encode(JobAccepted(job_id, QUEUE, spec))))
--- a/tests/daemon/scheduling/test_start_log.py
+++ b/tests/daemon/scheduling/test_start_log.py
@@ -85,9 +85,9 @@
         starts.note("m2")
         await until(lambda: sent)
     async with keeping(log, FakeOwner(4, {})) as (after, _, _):
-        assert after.runs_before(3) == {"m1": frozenset({"a"}), "m2": frozenset()}
+        assert after.runs_of(3) == {"m1": frozenset({"a"}), "m2": frozenset()}
         # A record of an owner before the last one says too little.
-        assert after.runs_before(2) == {}
+        assert after.runs_of(2) == {}
 
 
 async def test_an_owner_that_was_replaced_sends_nothing_more():
