Send no more starts to a minion that answers none

Cause: a cut shows by looks at minions after 1.8 s (a wait of 1 s and its slack). Until then starts went on into the zone that is cut off; each of them waits for its lease, since it may run there, and its job with it.

Change: a minion that has answered nothing for 100 ms after a start was sent gets no more of them until it answers anything, be it the next look.

--- a/courselead/core/scheduler/const.py
+++ b/courselead/core/scheduler/const.py
@@ -12,6 +12,11 @@
 UNREACHABLE_FAILURES = 2
 """Failed looks in a row until a minion gets no new work: one may be a lost answer."""
 
+UNHEARD_MS = 100
+"""Time without any word from a minion after a start was sent to it, until it gets no
+more of them: ten times a calm answer. A look shows a cut after 1.8 s, and what was
+sent into it waits for its lease."""
+
 QUARANTINE_FAILURES = 3
 """Failed runs in a row, of different jobs, until a minion gets no finite work."""
 
--- a/courselead/core/scheduler/minions.py
+++ b/courselead/core/scheduler/minions.py
@@ -56,6 +56,7 @@
     minion = schedule.minions.get(event.minion_id)
     if minion is None:
         return
+    _heard(schedule, minion)
     if minion.failures:
         schedule.note("minion_reached", minion=minion.minion_id)
         schedule.dirty_pools.add(minion.info.pool)
@@ -97,6 +98,13 @@
         dead(schedule, minion, "left the list and does not answer")
 
 
+def _heard(schedule: Schedule, minion: Minion) -> None:
+    """Note that a minion has answered something."""
+    if minion.is_unheard(schedule.now_ms):
+        schedule.dirty_pools.add(minion.info.pool)
+    minion.unheard_ms = 0
+
+
 def _ends_it(schedule: Schedule, minion: Minion, outcome: Outcome) -> bool:
     """Return whether an answer ends this ownership or the minion's life."""
     if outcome is Outcome.FENCED:
@@ -125,6 +133,8 @@
         return
     if _ends_it(schedule, minion, event.outcome):
         return
+    if event.outcome is not Outcome.UNKNOWN:
+        _heard(schedule, minion)
     run = minion.runs.get((event.task, event.number))
     if run is None:
         return
--- a/courselead/core/scheduler/placement.py
+++ b/courselead/core/scheduler/placement.py
@@ -143,6 +143,8 @@
             continue
         if schedule.is_noted(minion) and not schedule.may_note:
             continue
+        if minion.is_unheard(schedule.now_ms):
+            continue
         if schedule.now_ms < minion.rest_until_ms:
             continue
         minions.append(minion)
@@ -264,6 +266,7 @@
     run = Run(unit, index, number, minion.minion_id, schedule.now_ms)
     run.percent_ms = schedule.now_ms
     schedule.add_run(minion, run)
+    minion.unheard_ms = minion.unheard_ms or schedule.now_ms
     lease_ms = schedule.grant_lease(minion)
     schedule.emit(
         StartRun(
--- a/courselead/core/scheduler/state.py
+++ b/courselead/core/scheduler/state.py
@@ -155,6 +155,7 @@
         synced: Whether it answered a look with this owner's fence.
         synced_ms: When it did so first: no earlier owner's order comes after.
         ended_seen: Number of the newest end that was processed.
+        unheard_ms: When the first start was sent since it last answered anything.
         unsaved: Ends as (number, batch of records that must be stored first).
         cursor: Ends up to this number may be forgotten by the minion.
     """
@@ -178,6 +179,7 @@
     used: Resources = field(default_factory=Resources)
     runs: dict[tuple[str, int], Run] = field(default_factory=dict)
     seen_ms: int = 0
+    unheard_ms: int = 0
     listed_ms: int = 0
     idle_ms: int = 0
     _known_room: tuple[Resources, Resources, Resources] | None = None
@@ -196,6 +198,10 @@
             known = self._known_room = (whole, used, whole.minus(used))
         return known[2]
 
+    def is_unheard(self, now_ms: int) -> bool:
+        """Return whether it has not answered a start for too long."""
+        return bool(self.unheard_ms) and now_ms - self.unheard_ms > const.UNHEARD_MS
+
     def clock_now_ms(self, now_ms: int) -> int:
         """Return an estimate of its clock."""
         return self.clock_ms + now_ms - self.clock_at_ms
