Place the tasks of a job in one zone where there is room

Change: the first task of a job chooses the zone with the least free room that holds the step, else the most; the others prefer that zone. Room elsewhere is used as before.

--- a/courselead/core/scheduler/minions.py
+++ b/courselead/core/scheduler/minions.py
@@ -281,6 +281,7 @@
     rival = [other for other in unit.runs if other.index == index]
     schedule.add_run(minion, run)
     unit.next_number = max(unit.next_number, report.number + 1)
+    unit.job.zone = unit.job.zone or minion.info.zone
     line = schedule.ready.get(schedule.pool_of(unit.job), [])
     if unit in line:
         line.remove(unit)
--- a/courselead/core/scheduler/placement.py
+++ b/courselead/core/scheduler/placement.py
@@ -237,6 +237,8 @@
         if tickets is None:
             return False
         minions = [item for item in minions if item.minion_id in tickets]
+    if not unit.job.zone:
+        unit.job.zone = _zone_for(unit, minions)
     places = _places(schedule, unit, minions)
     if places is None:
         return False
@@ -281,6 +283,22 @@
     )
 
 
+def _zone_for(unit: Unit, minions: list[Minion]) -> str:
+    """Return the zone with the least free room that holds a step, else the most.
+
+    The load: jobs of six to sixteen tasks. Spread over three zones nearly all of them
+    lose a task where one zone is cut off, in one zone a third of them.
+    """
+    free: dict[str, int] = defaultdict(int)
+    for minion in minions:
+        free[minion.info.zone] += minion.room.cpu_milli
+    need = unit.step.open_units * unit.spec.charge.cpu_milli
+    fitting = [zone for zone in sorted(free) if free[zone] >= need]
+    if fitting:
+        return min(fitting, key=free.__getitem__)
+    return max(sorted(free), key=free.__getitem__, default="")
+
+
 def _places(
     schedule: Schedule, unit: Unit, minions: list[Minion]
 ) -> list[tuple[int, Minion]] | None:
@@ -358,7 +376,8 @@
     shunned = shunned or schedule.now_ms < minion.quarantine_until_ms
     far = bool(spec.preferred_rack) and minion.info.rack != spec.preferred_rack
     if not spec.long_running:
-        return (shunned, far, 0, 0, room.cpu_milli)
+        outside = minion.info.zone != unit.job.zone
+        return (shunned, far, outside, 0, room.cpu_milli)
     # A worker with a lasting task stays where it is: the fewer, the better. Tasks
     # that serve and tasks that fill disturb each other.
     lasting = disturbed = 0
--- a/courselead/core/scheduler/state.py
+++ b/courselead/core/scheduler/state.py
@@ -125,7 +125,10 @@
 
 @dataclass(slots=True, eq=False)
 class Job:
-    """A job that has not ended, or whose runs have not."""
+    """A job that has not ended, or whose runs have not.
+
+    `zone` is the availability zone in which its tasks are placed if there is room.
+    """
 
     job_id: str
     queue: str
@@ -140,6 +143,7 @@
     next_occurrence: int = 0
     live_runs: int = 0
     advised: bool = False
+    zone: str = ""
     chain_ms: int = 0
     ended_ms: int = 0
 
--- /dev/null
+++ b/tests/core/scheduler/test_job_zone.py
@@ -0,0 +1,67 @@
+"""Tasks of a job stay in one zone, so that a cut zone takes few jobs with it."""
+
+from collections import defaultdict
+
+from courselead.core.scheduler.models import JobState, Resources
+from tests.core.scheduler.world import World, job, step
+
+ZONES = ("z0", "z1", "z2")
+
+
+def world_of_zones(minions=6, cores=16) -> World:
+    world = World(minions=0)
+    room = Resources(1_000 * cores, 100_000)
+    for number in range(minions):
+        world.add_minion(f"w{number}", zone=ZONES[number % len(ZONES)], room=room)
+    return world
+
+
+def zones_of(world: World) -> dict[str, set[str]]:
+    """Return the zones in which each job has started tasks."""
+    zones = defaultdict(set)
+    for _, task, _, minion_id in world.starts:
+        zones[task.partition(".")[0]].add(world.minions[minion_id].zone)
+    return zones
+
+
+def done_with_cut(zone: str) -> int:
+    """Return how many of nine jobs end where a zone is cut off as they run."""
+    world = world_of_zones(minions=24, cores=4)
+    world.claim()
+    world.run(300)
+    for number in range(9):
+        spec = job(step(6), step(3, after=(0,)))
+        world.submit(spec, f"{number:016x}", length_ms=500)
+        world.run(20)
+    for minion in world.all_minions:
+        minion.cut = minion.zone == zone
+    world.run(2_500)
+    states = [entry.state for entry in world.book.jobs.values()]
+    return states.count(JobState.COMPLETED)
+
+
+def test_a_cut_zone_takes_a_third_of_the_jobs_with_it():
+    # menus from 32 to 34 s: jobs sent within two seconds before a zone is cut off
+    # earned 0.19 to 0.49 of their worth, as nearly each had a task in that zone.
+    assert sum(done_with_cut(zone) for zone in ZONES) >= 2 * 9 - 2
+
+
+def test_a_job_that_fits_no_zone_takes_what_there_is():
+    world = world_of_zones(minions=3, cores=4)
+    world.claim()
+    world.run(300)
+    job_id = world.submit(job(step(12)), length_ms=500)
+    world.run(1_000)
+    assert world.state(job_id) is JobState.COMPLETED
+    assert zones_of(world)[job_id] == set(ZONES)
+    assert len({at for at, *_ in world.starts}) == 1
+
+
+def test_small_jobs_share_a_zone_so_that_others_can_be_switched_off():
+    world = world_of_zones()
+    world.claim()
+    world.run(300)
+    for number in range(4):
+        world.submit(job(step(2)), f"{number:016x}", length_ms=500)
+        world.run(10)
+    assert len({minion for *_, minion in world.starts}) == 1
