--- a/courselead/daemon/scheduling/relay.py
+++ b/courselead/daemon/scheduling/relay.py
@@ -24,7 +24,6 @@
     AppendError,
     AppendFenced,
     AppendUnknown,
-    EndMoved,
     HistoryGone,
     HostCounters,
     KeyedLog,
@@ -46,6 +45,7 @@
     RelayReply,
     decode_reply,
 )
+from courselead.daemon.scheduling.two_ways import TwoWays
 from courselead.integrations.http.errors import NotSent
 from courselead.integrations.lean_http import Call, LeanPool
 
@@ -63,12 +63,8 @@
 """Time beyond that of the call itself until a relayed one counts as lost."""
 
 RELAYED_APPEND_MS = 400
-"""Time that another host is given for an append: the store takes 4 ms, up to 250 ms
-where it is slow, and callers wait behind it."""
-
-DETOUR_S = 0.5
-"""Time without any answer on the own way until an append is made through another host
-beside it: the calls of a slow store take 0.25 to 0.65 s, and several are under way."""
+"""Time that another host is given for an append: it is asked where the own way is
+silent, not where the store is slow, and callers wait behind it."""
 
 PEERS_TRIED = 3
 """Other hosts asked for one call, of which one may be gone and one be cut off too."""
@@ -88,10 +84,6 @@
 _CONNECTIONS = 4
 
 
-_AppendResult = Result[Appended, AppendError]
-_AppendCall = Callable[[], Awaitable[_AppendResult]]
-
-
 @dataclass(frozen=True, slots=True)
 class _Asked:
     """What came of a question to another host; `silent` if that took long."""
@@ -264,76 +256,6 @@
         return pool
 
 
-class _TwoWays:
-    """One append on the own way and, where that is silent, through another host too.
-
-    Both may store it: records have keys, and an owner's append has a number. While
-    other calls are answered on the own way, the store is slow: a detour would only be
-    one more append in its line.
-    """
-
-    def __init__(self, ways: Ways) -> None:
-        """Begin with neither way tried."""
-        self._ways = ways
-        self._begun = anyio.current_time()
-        self._changed = anyio.Event()
-        self._own: _AppendResult | None = None
-        self._other: _AppendResult | None = None
-
-    async def append(self, own: _AppendCall, other: _AppendCall) -> _AppendResult:
-        """Return the first answer of the store's, or why there is none."""
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._try_own, own)
-            await self._until_lost()
-            if not _is_answer(self._own):
-                tasks.start_soon(self._try_other, other)
-            while not self._is_over:
-                self._changed = anyio.Event()
-                await self._changed.wait()
-            tasks.cancel_scope.cancel()
-        return self._outcome()
-
-    async def _until_lost(self) -> None:
-        """Wait for the own way's end, or until nothing is answered on it any more."""
-        since = self._begun
-        while self._own is None:
-            with anyio.move_on_after(DETOUR_S):
-                await self._changed.wait()
-            if self._own is None and not self._ways.answered_since(since):
-                return
-            since = anyio.current_time()
-
-    @property
-    def _is_over(self) -> bool:
-        if _is_answer(self._own) or _is_answer(self._other):
-            return True
-        return self._own is not None and self._other is not None
-
-    async def _try_own(self, own: _AppendCall) -> None:
-        self._own = await own()
-        self._ways.note(_is_answer(self._own))
-        self._changed.set()
-
-    async def _try_other(self, other: _AppendCall) -> None:
-        self._other = await other()
-        if _is_answer(self._other) and self._own is None:
-            self._ways.note(False)
-        self._changed.set()
-
-    def _outcome(self) -> _AppendResult:
-        for result in (self._own, self._other):
-            if result is not None and _is_answer(result):
-                return result
-        assert self._own is not None and self._other is not None
-        own, other = self._own.failure(), self._other.failure()
-        # What either way left open stays open, whatever the other says.
-        for error in (own, other):
-            if isinstance(error, AppendUnknown):
-                return Failure(error)
-        said = f"own way: {_reason(own)}; other hosts: {_reason(other)}"
-        return Failure(NotAppended(said))
-
-
 class RelayedLog:
     """A keyed log that is reached directly, or through another host."""
 
@@ -355,7 +277,7 @@
             return await self._direct.append(records, timeout_ms, expected_end, mark)
         if not self._ways.reachable:
             return await self._relay_append(records, timeout_ms, mark)
-        return await _TwoWays(self._ways).append(
+        return await TwoWays(self._ways).append(
             lambda: self._direct.append(records, timeout_ms, mark=mark),
             lambda: self._relay_append(records, timeout_ms, mark),
         )
@@ -418,16 +340,3 @@
         if reply.kind == "fenced":
             return Failure(AppendFenced())
         return Failure(AppendUnknown(f"a reply of kind {reply.kind}"))
-
-
-def _is_answer(result: _AppendResult | None) -> bool:
-    """Return whether the store itself has answered: stored, or refused for good."""
-    if result is None:
-        return False
-    return isinstance(result, Success) or isinstance(
-        result.failure(), AppendFenced | EndMoved
-    )
-
-
-def _reason(error: AppendError) -> str:
-    return error.reason if isinstance(error, NotAppended) else type(error).__name__
--- a/tests/daemon/scheduling/test_relay.py
+++ b/tests/daemon/scheduling/test_relay.py
@@ -7,7 +7,7 @@
 from returns.result import Failure, Success
 
 from courselead.core.scheduler.records import KeyedRecord
-from courselead.daemon.scheduling import relay
+from courselead.daemon.scheduling import relay, two_ways
 from courselead.daemon.scheduling.ports import (
     AppendFenced,
     AppendUnknown,
@@ -208,7 +208,7 @@
     # The store answers after 280 to 670 ms for 4 s (menus, trouble-2 at 11 s): each
     # append was given up and repeated, on the own way and through other hosts, and
     # nothing was stored or started for 5 s.
-    monkeypatch.setattr(relay, "DETOUR_S", 0.02)
+    monkeypatch.setattr(two_ways, "DETOUR_S", 0.02)
     shared = MemoryLog(answer=anyio.Event())
     async with peer(shared) as address:
         ways = Ways(lambda: [address], HostCounters())
@@ -232,7 +232,7 @@
 
 
 async def test_an_append_on_a_silent_way_is_made_through_another_host(monkeypatch):
-    monkeypatch.setattr(relay, "DETOUR_S", 0.2)
+    monkeypatch.setattr(two_ways, "DETOUR_S", 0.2)
     shared = MemoryLog()
     async with peer(shared) as address:
         own = MemoryLog(silent=True)
