Count a task on a silent minion as away

At 12.5 s maintenance stopped another task of the step, one too many.

Change: a lasting task is at work only as far as its minion answers looks.

Test: the case in virtual time, which failed first.

--- a/courselead/core/scheduler/schedule.py
+++ b/courselead/core/scheduler/schedule.py
@@ -294,11 +294,20 @@
         for unit in step.units:
             if but is not None and but.unit is unit:
                 continue
-            if any(run.at_work for run in unit.runs):
+            if any(self._is_at_work(run) for run in unit.runs):
                 continue
             away += 1
         return away
 
+    def _is_at_work(self, run: Run) -> bool:
+        """Return whether a lasting task is at work, as far as its minion answers.
+
+        What a silent minion reported last is no longer known: another task that is
+        stopped meanwhile may be one too many of the step.
+        """
+        minion = self.minions.get(run.minion_id)
+        return run.at_work and minion is not None and not minion.failures
+
     def may_interrupt(self, run: Run) -> bool:
         """Return whether a lasting task may be stopped within its step's budget."""
         spec = run.unit.spec
--- a/tests/core/scheduler/test_waves.py
+++ b/tests/core/scheduler/test_waves.py
@@ -176,3 +176,28 @@
     # Taking a worker down checks that nothing lasting runs on it.
     assert sorted(world.maintained) == ["w0", "w1"]
     assert world.state(job_id) is JobState.RUNNING
+
+
+def test_a_task_on_a_silent_minion_counts_as_away():
+    # menus scale-1 with seed 3 at 12.5 s: a minion was gone for 5.2 s, its task counted
+    # as at work until its lease was over, and another task of the step was stopped.
+    world = World(minions=5)
+    world.claim()
+    world.submit(job(step(3, long_running=True, max_per_minion=1, may_miss=1)))
+    world.run(2_500)
+    silent = next(minion for minion in world.all_minions if minion.runs)
+
+    def stopped_beside_it() -> list[ev.StopRun]:
+        stops = [item for item in world.orders if isinstance(item, ev.StopRun)]
+        return [item for item in stops if item.minion_id != silent.minion_id]
+
+    silent.cut = True
+    world.run(1_000)
+    due = {minion.worker_id for minion in world.all_minions} - {silent.worker_id}
+    request = ev.WaveRequested(MaintenanceWave(1, tuple(sorted(due)), 60, 5))
+    world.owner.handle(request, world.now_ms)
+    world.run(5_000)
+    assert not stopped_beside_it()
+    silent.cut = False
+    world.run(9_000)
+    assert stopped_beside_it()
