--- a/courselead/core/scheduler/placement.py
+++ b/courselead/core/scheduler/placement.py
@@ -156,7 +156,7 @@
     """Which tasks of jobs from before may run unseen: all of a pool, or some by name.
 
     The load: a third of the minions in a zone that is cut off with the owner. Held back
-    as whole pools, 86 tasks waited beside 8 to 12 idle workers for 4 s.
+    as whole pools, 86 tasks waited beside 8 to 12 idle workers for 2 s.
     """
 
     whole_pool: bool = False
@@ -166,8 +166,8 @@
         """Return whether a unit has to wait."""
         if not unit.job.from_before:
             return False
-        if self.whole_pool or not self.tasks:
-            return self.whole_pool
+        if self.whole_pool:
+            return True
         return any(unit.task_name(index) in self.tasks for index in unit.indexes)
 
 
--- a/courselead/daemon/scheduling/collector.py
+++ b/courselead/daemon/scheduling/collector.py
@@ -24,7 +24,7 @@
     decode_reply,
 )
 from courselead.integrations.http.errors import NotSent
-from courselead.integrations.lean_http import Call, LeanPool
+from courselead.integrations.lean_http import Call, LeanPools
 
 _LOGGER = structlog.get_logger(__name__)
 
@@ -63,7 +63,7 @@
         """Keep who knows the address of the owner's host, "" if none is to be asked."""
         self._address = address
         self._counters = counters
-        self._pools: dict[str, LeanPool] = {}
+        self._pools = LeanPools(CONNECTIONS)
         self._shunned: dict[str, float] = {}
 
     async def store(self, record: KeyedRecord) -> Stored:
@@ -94,7 +94,7 @@
 
     async def _hand_over(self, address: str, record: KeyedRecord) -> Stored:
         call = Call("POST", PATH_STORE, msgspec.msgpack.encode(record))
-        answered = await self._pool(address).call(call, STORE_TIMEOUT_MS)
+        answered = await self._pools.to(address).call(call, STORE_TIMEOUT_MS)
         if isinstance(answered, Failure):
             error = answered.failure()
             self._shun(address)
@@ -106,7 +106,7 @@
         while True:
             await anyio.sleep(ALIVE_PERIOD_S)
             call = Call("POST", PATH_ALIVE)
-            answered = await self._pool(address).call(call, ALIVE_TIMEOUT_MS)
+            answered = await self._pools.to(address).call(call, ALIVE_TIMEOUT_MS)
             if isinstance(answered, Failure):
                 self._shun(address)
                 return
@@ -114,12 +114,6 @@
     def _shun(self, address: str) -> None:
         self._shunned[address] = anyio.current_time() + SHUNNED_S
 
-    def _pool(self, address: str) -> LeanPool:
-        pool = self._pools.get(address)
-        if pool is None:
-            pool = self._pools[address] = LeanPool(address, CONNECTIONS)
-        return pool
-
 
 def _stored(reply: RelayReply) -> Stored:
     if reply.kind == "stored":
--- a/courselead/daemon/scheduling/relay.py
+++ b/courselead/daemon/scheduling/relay.py
@@ -47,7 +47,7 @@
 )
 from courselead.daemon.scheduling.two_ways import TwoWays
 from courselead.integrations.http.errors import NotSent
-from courselead.integrations.lean_http import Call, LeanPool
+from courselead.integrations.lean_http import Call, LeanPools
 
 _LOGGER = structlog.get_logger(__name__)
 
@@ -101,7 +101,7 @@
         """Keep who knows the addresses of the other hosts."""
         self._peers = peers
         self._counters = counters
-        self._pools: dict[str, LeanPool] = {}
+        self._pools = LeanPools(_CONNECTIONS)
         self._lost = anyio.Event()
         self._shunned: dict[str, float] = {}
         self._helped = True
@@ -211,7 +211,7 @@
         self._counters.add("relayed_calls")
         begun = anyio.current_time()
         call = Call("POST", path, body)
-        answered = await self._pool(address).call(call, timeout_ms)
+        answered = await self._pools.to(address).call(call, timeout_ms)
         if isinstance(answered, Failure):
             error = answered.failure()
             self._shunned[address] = anyio.current_time() + SHUNNED_S
@@ -249,12 +249,6 @@
         addresses.sort(key=lambda address: self._shunned.get(address, 0.0) > now)
         return addresses[:PEERS_TRIED]
 
-    def _pool(self, address: str) -> LeanPool:
-        pool = self._pools.get(address)
-        if pool is None:
-            pool = self._pools[address] = LeanPool(address, _CONNECTIONS)
-        return pool
-
 
 class RelayedLog:
     """A keyed log that is reached directly, or through another host."""
--- a/courselead/integrations/lean_http/pool.py
+++ b/courselead/integrations/lean_http/pool.py
@@ -57,3 +57,19 @@
         conn = LeanConnection(self.address)
         self._all.append(conn)
         return conn
+
+
+class LeanPools:
+    """A pool of connections to each address, made on need."""
+
+    def __init__(self, size: int) -> None:
+        """Keep the most connections to one address."""
+        self._size = size
+        self._pools: dict[str, LeanPool] = {}
+
+    def to(self, address: str) -> LeanPool:
+        """Return the pool of an address."""
+        pool = self._pools.get(address)
+        if pool is None:
+            pool = self._pools[address] = LeanPool(address, self._size)
+        return pool
--- a/tests/core/scheduler/test_job_zone.py
+++ b/tests/core/scheduler/test_job_zone.py
@@ -3,17 +3,7 @@
 from collections import defaultdict
 
 from courselead.core.scheduler.models import JobState, Resources
-from tests.core.scheduler.world import World, job, step
-
-ZONES = ("z0", "z1", "z2")
-
-
-def world_of_zones(minions=6, cores=16) -> World:
-    world = World(minions=0)
-    room = Resources(1_000 * cores, 100_000)
-    for number in range(minions):
-        world.add_minion(f"w{number}", zone=ZONES[number % len(ZONES)], room=room)
-    return world
+from tests.core.scheduler.world import ZONES, World, job, step, world_of_zones
 
 
 def zones_of(world: World) -> dict[str, set[str]]:
@@ -26,7 +16,7 @@
 
 def done_with_cut(zone: str) -> int:
     """Return how many of nine jobs end where a zone is cut off as they run."""
-    world = world_of_zones(minions=24, cores=4)
+    world = world_of_zones(24)
     world.claim()
     world.run(300)
     for number in range(9):
@@ -47,7 +37,7 @@
 
 
 def test_a_job_that_fits_no_zone_takes_what_there_is():
-    world = world_of_zones(minions=3, cores=4)
+    world = world_of_zones(3)
     world.claim()
     world.run(300)
     job_id = world.submit(job(step(12)), length_ms=500)
@@ -58,7 +48,7 @@
 
 
 def test_small_jobs_share_a_zone_so_that_others_can_be_switched_off():
-    world = world_of_zones()
+    world = world_of_zones(room=Resources(16_000, 100_000))
     world.claim()
     world.run(300)
     for number in range(4):
--- a/tests/core/scheduler/test_own_zone.py
+++ b/tests/core/scheduler/test_own_zone.py
@@ -13,19 +13,11 @@
     encode_runs,
     runs_of_owner,
 )
-from tests.core.scheduler.world import World, job, step
+from tests.core.scheduler.world import ZONES, World, job, step, world_of_zones
 
-ZONES = ("z0", "z1", "z2")
 FIRST, SECOND = "00000000000000aa", "00000000000000bb"
 
 
-def world_of_zones(minions=6, seed=0) -> World:
-    world = World(minions=0, seed=seed)
-    for number in range(minions):
-        world.add_minion(f"w{number}", zone=ZONES[number % len(ZONES)])
-    return world
-
-
 def cut_zone(world: World, zone: str) -> None:
     """Cut a zone off: the owner in it from the log, its minions from all others."""
     owner = world.owner
--- a/tests/core/scheduler/world.py
+++ b/tests/core/scheduler/world.py
@@ -40,6 +40,8 @@
 
 QUEUE = "q"
 POOL = "p"
+ZONES = ("z0", "z1", "z2")
+ROOM = Resources(4_000, 4_000)
 
 
 def step(count=1, cpu=1000, memory=100, **fields) -> StepSpec:
@@ -611,3 +613,11 @@
             self.add_minion(order.worker_id, room=minion.room)
 
         self._at(self.bounds.maintenance_ms, back)
+
+
+def world_of_zones(minions=6, seed=0, room: Resources = ROOM) -> World:
+    """Return a world whose minions are in three availability zones, in turn."""
+    world = World(minions=0, seed=seed)
+    for number in range(minions):
+        world.add_minion(f"w{number}", zone=ZONES[number % len(ZONES)], room=room)
+    return world
--- a/tests/daemon/scheduling/fakes.py
+++ b/tests/daemon/scheduling/fakes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
 import anyio
@@ -105,3 +106,18 @@
 
     def forget_history(self) -> None:
         self.first = len(self.records)
+
+
+@asynccontextmanager
+async def silent_peer():
+    """Take connections on loopback and never answer."""
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+
+    async def hold(stream) -> None:
+        await anyio.sleep_forever()
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(listener.serve, hold)
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        yield f"127.0.0.1:{port}"
+        tasks.cancel_scope.cancel()
--- a/tests/daemon/scheduling/test_collector.py
+++ b/tests/daemon/scheduling/test_collector.py
@@ -15,7 +15,7 @@
 from courselead.daemon.scheduling.writer import JobWriter
 from courselead.integrations.http_api.server import HttpServer
 from courselead.settings import Address, LimitSettings
-from tests.daemon.scheduling.fakes import MemoryLog
+from tests.daemon.scheduling.fakes import MemoryLog, silent_peer
 
 pytestmark = pytest.mark.anyio
 SPEC = JobSpec("text", (StepSpec(2, Resources(500, 64)),))
@@ -107,20 +107,11 @@
     monkeypatch.setattr(collector_module, "SHUNNED_S", 600.0)
     monkeypatch.setattr(writer, "HELD_MOST_S", 600.0)
     own = MemoryLog()
-    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
-
-    async def hold(stream) -> None:
-        await anyio.sleep_forever()
-
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(listener.serve, hold)
-        port = listener.extra(anyio.abc.SocketAttribute.local_port)
-        async with caller_host(own, f"127.0.0.1:{port}") as host:
-            with anyio.fail_after(60):
-                assert (await host.store(job(1))).ok
-                assert (await host.store(job(2))).ok
-            assert host._counters.counts["handed_records"] == 1
-        tasks.cancel_scope.cancel()
+    async with silent_peer() as address, caller_host(own, address) as host:
+        with anyio.fail_after(60):
+            assert (await host.store(job(1))).ok
+            assert (await host.store(job(2))).ok
+        assert host._counters.counts["handed_records"] == 1
 
 
 async def test_what_the_owner_may_have_stored_is_not_said_to_be_refused(monkeypatch):
--- a/tests/daemon/scheduling/test_relay.py
+++ b/tests/daemon/scheduling/test_relay.py
@@ -21,7 +21,7 @@
 from courselead.daemon.scheduling.relay_app import RelayApp
 from courselead.integrations.http_api.server import HttpServer
 from courselead.settings import Address, LimitSettings
-from tests.daemon.scheduling.fakes import MemoryLog
+from tests.daemon.scheduling.fakes import MemoryLog, silent_peer
 
 pytestmark = pytest.mark.anyio
 RECORD = KeyedRecord(b"k", b"v")
@@ -152,21 +152,6 @@
         assert isinstance(await log.append([RECORD], 500), Success)
 
 
-@asynccontextmanager
-async def silent_peer():
-    """Take connections on loopback and never answer."""
-    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
-
-    async def hold(stream) -> None:
-        await anyio.sleep_forever()
-
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(listener.serve, hold)
-        port = listener.extra(anyio.abc.SocketAttribute.local_port)
-        yield f"127.0.0.1:{port}"
-        tasks.cancel_scope.cancel()
-
-
 async def test_another_host_is_asked_beside_one_that_is_silent(monkeypatch):
     monkeypatch.setattr(relay.random, "shuffle", lambda addresses: None)
     shared = MemoryLog()
