Log how large a configuration is, and how much of a lost answer had come

A read that was given up could not be told from one that was never answered, nor a slow link from slow decoding or from versions read one after the other. No change of behaviour.

--- a/courselead/daemon/scheduling/directions.py
+++ b/courselead/daemon/scheduling/directions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Callable
 
 import structlog
@@ -37,6 +38,7 @@
 
     def apply(self, record: KeyedRecord) -> None:
         """Take a record of the operator."""
+        begun = time.monotonic()
         decoded = self._decoder.directions(record)
         if isinstance(decoded, MaintenanceWave):
             if decoded.wave not in self.waves:
@@ -45,10 +47,18 @@
             return
         if decoded is None or decoded.version <= self.version:
             return
-        _LOGGER.info("config_applied", version=decoded.version, before=self.version)
+        before = self.version
         self.current = decoded
         self._rules = _by_host(decoded.routes)
         self.on_config(decoded.fleet)
+        _LOGGER.info(
+            "config_applied",
+            version=decoded.version,
+            before=before,
+            routes=len(decoded.routes),
+            bytes=len(record.value),
+            took_ms=round((time.monotonic() - begun) * 1000, 1),
+        )
 
     def route(self, host: str, path: str) -> tuple[str, str] | None:
         """Return the queue of the longest prefix that fits, and the path's rest."""
--- a/courselead/daemon/scheduling/follower.py
+++ b/courselead/daemon/scheduling/follower.py
@@ -37,6 +37,9 @@
 """Bounds of the wait after a failed read, with jitter: a store that is back is
 followed again well within the 2 s in which a configuration must be in force."""
 
+LARGE_READ_BYTES = 262_144
+"""Size from which a read is logged: no record of this program's own is larger."""
+
 
 class KeyedFollower:
     """Follows one log; records are applied in order, each once."""
@@ -101,10 +104,27 @@
                 self.offset = -1
                 return True
             return self._failed(error.reason)
-        self._take(result.unwrap())
+        batch = result.unwrap()
+        self._log_large(batch, asked_at)
+        self._take(batch)
         self._reached(asked_at)
         return True
 
+    def _log_large(self, batch: LogBatch, asked_at: float) -> None:
+        """Log a read that may have kept a slow link busy."""
+        size = sum(len(record.value) for record in batch.records)
+        if size < LARGE_READ_BYTES:
+            return
+        _LOGGER.info(
+            "large_read",
+            log=self._name,
+            offset=batch.start,
+            records=len(batch.records),
+            end=batch.end,
+            bytes=size,
+            took_ms=int((anyio.current_time() - asked_at) * 1000),
+        )
+
     async def _restart(self) -> bool:
         asked_at = anyio.current_time()
         async with self._lock:
--- a/courselead/integrations/lean_http/connection.py
+++ b/courselead/integrations/lean_http/connection.py
@@ -99,6 +99,11 @@
         if not exchange.done.done():
             exchange.done.set_result(Success(answer))
 
+    def expire(self, timeout_ms: int) -> None:
+        """Give up the exchange under way; the reason tells how much of it came."""
+        came = 0 if self.exchange is None else self.exchange.size
+        self.close(f"no answer within {timeout_ms} ms, {came} bytes had come")
+
     def close(self, reason: str) -> None:
         """Close the connection and fail the exchange under way."""
         self.usable = False
@@ -136,9 +141,7 @@
         protocol.exchange = exchange
         assert protocol.transport is not None
         protocol.transport.write(call.encode(self.address))
-        timer = loop.call_later(
-            timeout_ms / 1000, protocol.close, f"no answer within {timeout_ms} ms"
-        )
+        timer = loop.call_later(timeout_ms / 1000, protocol.expire, timeout_ms)
         try:
             return await exchange.done
         except BaseException:
