--- a/courselead/core/scheduler/records.py
+++ b/courselead/core/scheduler/records.py
@@ -111,11 +111,13 @@
         address: Where the other hosts reach it.
         cores_milli: What it may use, in thousandths of a core of usual speed; 0 if
             it does not know.
+        link_mbps: Speed of its link; 0 if it does not know.
     """
 
     host: str
     address: str
     cores_milli: int = 0
+    link_mbps: float = 0.0
 
 
 Record = (
--- a/courselead/daemon/scheduling/host.py
+++ b/courselead/daemon/scheduling/host.py
@@ -63,6 +63,7 @@
         relay_address: str = "",
         cores_milli: int = 0,
         zone: str = "",
+        link_mbps: float = 0.0,
     ) -> None:
         """Wire the parts.
 
@@ -73,11 +74,12 @@
             relay_address: Where the other hosts reach this one.
             cores_milli: What it may use, in thousandths of a core of usual speed.
             zone: Its availability zone, "" if it is not known.
+            link_mbps: Speed of its link, 0 if it is not known.
         """
         self.counters = HostCounters()
         self._host = host
         self._zone = zone
-        self._seen = HostSeen(host, relay_address, cores_milli)
+        self._seen = HostSeen(host, relay_address, cores_milli, link_mbps)
         ways = self._ways = Ways(self._peers, self.counters)
         # The log of claims holds one short record: the cheapest to ask for.
         self._claims = platform.claims
--- a/courselead/daemon/scheduling/main.py
+++ b/courselead/daemon/scheduling/main.py
@@ -61,6 +61,7 @@
         settings.peer_address,
         settings.cores_milli,
         settings.zone,
+        settings.limits.link_mbps,
     )
     jobs_app = JobsApp(host.intake, lambda: host.leaving or not host.can_store)
     front = _server(jobs_app, _address(settings.listen.front))
--- a/courselead/platform/settings.py
+++ b/courselead/platform/settings.py
@@ -30,6 +30,7 @@
     cpu_share: float = 0.0
     # Not a number of cores: how many times as fast as a usual one that core is.
     cores: float = 1.0
+    link_mbps: float = 0.0
 
 
 class _Bounds(msgspec.Struct, rename="camel"):
