Give up an answer of the store when it stops, not when it takes long

Cause: a read had 1.8 s for its wait and its whole answer. Ruled out: decoding (86 ms at most), versions read one after the other as the only cause (40 to 60 of 229 to 507 large reads were behind).

Change: the time-out of a read ends once its answer has begun to come; after that a pause of 0.8 s, or 20 s in all, gives it up. Orders and appends keep their time-outs.

--- a/courselead/integrations/lean_http/connection.py
+++ b/courselead/integrations/lean_http/connection.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import httptools
@@ -11,6 +12,7 @@
 
 from courselead.integrations.http.errors import ExchangeError, MaybeSent, NotSent
 from courselead.integrations.lean_http.const import (
+    ANSWER_MOST_MS,
     CONNECT_TIMEOUT_MS,
     MAX_ANSWER_BYTES,
     USER_TIMEOUT_MS,
@@ -53,6 +55,8 @@
     done: asyncio.Future[Result[Answer, ExchangeError]]
     chunks: list[bytes] = field(default_factory=list)
     size: int = 0
+    heard_at: float | None = None
+    on_body: Callable[[bytes], None] | None = None
 
 
 class _Protocol(asyncio.Protocol):
@@ -72,6 +76,7 @@
             # A byte beyond an answer would be read as the answer to the next request.
             self.close("bytes without a request")
             return
+        self.exchange.heard_at = asyncio.get_running_loop().time()
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as exc:
@@ -88,6 +93,8 @@
             self.close("answer over the size limit")
             return
         self.exchange.chunks.append(body)
+        if self.exchange.on_body is not None:
+            self.exchange.on_body(body)
 
     def on_message_complete(self) -> None:
         exchange, self.exchange = self.exchange, None
@@ -99,11 +106,6 @@
         if not exchange.done.done():
             exchange.done.set_result(Success(answer))
 
-    def expire(self, timeout_ms: int) -> None:
-        """Give up the exchange under way; the reason tells how much of it came."""
-        came = 0 if self.exchange is None else self.exchange.size
-        self.close(f"no answer within {timeout_ms} ms, {came} bytes had come")
-
     def close(self, reason: str) -> None:
         """Close the connection and fail the exchange under way."""
         self.usable = False
@@ -114,6 +116,40 @@
             exchange.done.set_result(Failure(MaybeSent(reason)))
 
 
+class _Watch:
+    """Gives an exchange up when its time is over, or when its answer has stopped."""
+
+    def __init__(
+        self, protocol: _Protocol, exchange: _Exchange, timeout_ms: int, silence_ms: int
+    ) -> None:
+        self._protocol = protocol
+        self._exchange = exchange
+        self._timeout_ms = timeout_ms
+        self._silence_s = silence_ms / 1000
+        self._loop = asyncio.get_running_loop()
+        self._give_up_at = self._loop.time() + ANSWER_MOST_MS / 1000
+        self._timer = self._loop.call_later(timeout_ms / 1000, self._expire)
+
+    def stop(self) -> None:
+        """Watch no longer."""
+        self._timer.cancel()
+
+    def _expire(self) -> None:
+        heard_at = self._exchange.heard_at
+        if self._silence_s and heard_at is not None:
+            # A large answer on a slow link takes longer than any calm one, and asked
+            # for anew it begins with its first byte: only a pause says it is lost.
+            due = min(heard_at + self._silence_s, self._give_up_at)
+            if due > self._loop.time():
+                self._timer = self._loop.call_at(due, self._expire)
+                return
+        came = self._exchange.size
+        said = f"no answer within {self._timeout_ms} ms"
+        if came:
+            said = f"the answer stopped, {came} bytes had come"
+        self._protocol.close(said)
+
+
 class LeanConnection:
     """A connection to one `ip:port`, opened on need and kept while it is clean."""
 
@@ -125,10 +161,24 @@
         self._port = int(port)
         self._protocol: _Protocol | None = None
 
-    async def call(self, call: Call, timeout_ms: int) -> Result[Answer, ExchangeError]:
+    async def call(
+        self,
+        call: Call,
+        timeout_ms: int,
+        silence_ms: int = 0,
+        on_body: Callable[[bytes], None] | None = None,
+    ) -> Result[Answer, ExchangeError]:
         """Send a request and return the whole answer.
 
         A call that fails, times out or is cancelled closes the connection.
+
+        Args:
+            call: What is sent.
+            timeout_ms: Time for the whole answer or, with `silence_ms`, until it
+                begins to come.
+            silence_ms: Longest pause in an answer that has begun to come; 0 if the
+                time-out is for the whole of it.
+            on_body: Told each part of the answer's body as it comes.
         """
         protocol = self._protocol
         if protocol is None or not protocol.usable:
@@ -137,18 +187,18 @@
                 return Failure(opened)
             protocol = opened
         loop = asyncio.get_running_loop()
-        exchange = _Exchange(loop.create_future())
+        exchange = _Exchange(loop.create_future(), on_body=on_body)
         protocol.exchange = exchange
         assert protocol.transport is not None
         protocol.transport.write(call.encode(self.address))
-        timer = loop.call_later(timeout_ms / 1000, protocol.expire, timeout_ms)
+        watch = _Watch(protocol, exchange, timeout_ms, silence_ms)
         try:
             return await exchange.done
         except BaseException:
             protocol.close("cancelled")
             raise
         finally:
-            timer.cancel()
+            watch.stop()
 
     def close(self) -> None:
         """Close the connection, whatever it is doing."""
--- a/courselead/platform/const.py
+++ b/courselead/platform/const.py
@@ -34,8 +34,9 @@
 STATE_COMPLETED = "completed"
 
 READ_SLACK_MS = 800
-"""Time beyond the wait of a read until it counts as lost: store answers take 4 ms,
-up to some hundred where it is slow."""
+"""Time beyond the wait of a read until it counts as lost if nothing of it has come, and
+the longest pause in it after that: store answers begin after 4 ms, after some hundred
+where the store is slow, while a whole configuration takes seconds on a slow link."""
 
 READ_LEAST_MS = 1_500
 """Least time of a read without a wait, for the same reason."""
--- a/courselead/platform/store.py
+++ b/courselead/platform/store.py
@@ -96,7 +96,9 @@
         }
         target = f"{const.PATH_READ}?{urlencode(query)}"
         timeout_ms = max(const.READ_LEAST_MS, wait_ms + const.READ_SLACK_MS)
-        answered = await self._pool.call(Call("GET", target), timeout_ms)
+        answered = await self._pool.call(
+            Call("GET", target), timeout_ms, const.READ_SLACK_MS
+        )
         if isinstance(answered, Failure):
             return Failure(ReadFailed(answered.failure().reason))
         answer = answered.unwrap()
@@ -116,7 +118,9 @@
             if after:
                 query["after"] = after
             target = f"{const.PATH_NEWEST}?{urlencode(query)}"
-            answered = await self._pool.call(Call("GET", target), const.READ_LEAST_MS)
+            answered = await self._pool.call(
+                Call("GET", target), const.READ_LEAST_MS, const.READ_SLACK_MS
+            )
             if isinstance(answered, Failure):
                 return Failure(ReadFailed(answered.failure().reason))
             answer = answered.unwrap()
