Let an entry of another writer name no minion, and hide no other entry

Cause: a minion's entry was taken with defaults for what it lacked, and with any state, address or id; one page item that was not base64, a record without a key or an address without a port ended the process, as nothing caught it.

Change: an entry names a minion only if all fields that each entry has are there, of their kind, with a state that is known, an address that can be called and an id that a header can hold. Page items are decoded one by one. A minion of a pool that no configuration names is kept aside and not called until one does.

--- a/courselead/core/scheduler/minions.py
+++ b/courselead/core/scheduler/minions.py
@@ -26,6 +26,14 @@
     """Take a minion of the platform's list."""
     if info.minion_id in schedule.dead:
         return
+    if info.pool not in schedule.config.pools:
+        # Perhaps of another writer: nothing is sent there before a configuration
+        # names its pool.
+        schedule.strangers[info.minion_id] = info
+        schedule.note("minion_of_no_pool", minion=info.minion_id, pool=info.pool)
+        unlisted(schedule, info.minion_id)
+        return
+    schedule.strangers.pop(info.minion_id, None)
     minion = schedule.minions.get(info.minion_id)
     if minion is None:
         minion = Minion(info, idle_ms=schedule.now_ms, listed_ms=schedule.now_ms)
@@ -40,6 +48,19 @@
     schedule.dirty_pools.add(info.pool)
 
 
+def pools_changed(schedule: Schedule) -> None:
+    """Take the minions whose pools a new configuration names."""
+    for info in list(schedule.strangers.values()):
+        if info.pool in schedule.config.pools:
+            listed(schedule, info)
+
+
+def left(schedule: Schedule, minion_id: str) -> None:
+    """Note that an entry is gone from the platform's list."""
+    schedule.strangers.pop(minion_id, None)
+    unlisted(schedule, minion_id)
+
+
 def unlisted(schedule: Schedule, minion_id: str) -> None:
     """Note that the platform's list has a minion no more; it may still run."""
     minion = schedule.minions.get(minion_id)
--- a/courselead/core/scheduler/schedule.py
+++ b/courselead/core/scheduler/schedule.py
@@ -16,6 +16,7 @@
 from courselead.core.scheduler.models import (
     Bounds,
     FleetConfig,
+    MinionInfo,
     Queue,
     StepSpec,
     Worker,
@@ -148,6 +149,8 @@
     workers_asked_ms: int = 0
     workers_ms: int = -1
     doubted_lives: dict[str, DoubtedLife] = field(default_factory=dict)
+    # Listed with a pool that the configuration does not name, by id.
+    strangers: dict[str, MinionInfo] = field(default_factory=dict)
     waves: dict[int, WaveState] = field(default_factory=dict)
     run_ms: dict[str, float] = field(default_factory=dict)
     moves: dict[str, MoveState] = field(default_factory=dict)
--- a/courselead/core/scheduler/scheduler.py
+++ b/courselead/core/scheduler/scheduler.py
@@ -121,9 +121,10 @@
             case MinionListed():
                 minions.listed(schedule, event.info)
             case MinionUnlisted():
-                minions.unlisted(schedule, event.minion_id)
+                minions.left(schedule, event.minion_id)
             case ConfigChanged():
                 schedule.config = event.config
+                minions.pools_changed(schedule)
                 schedule.dirty_pools.update(schedule.ready)
             case LogAnswered():
                 schedule.confirmed_ms = max(schedule.confirmed_ms, event.sent_ms)
--- a/courselead/daemon/scheduling/ports.py
+++ b/courselead/daemon/scheduling/ports.py
@@ -125,8 +125,33 @@
         """Store records, all or none."""
         ...
 
-    async def read(self, start: int, wait_ms: int) -> Result[LogBatch, ReadError]:
-        """Return records from an offset on, waiting for the first of them."""
+    async def read(
+        self,
+        start: int,
+        wait_ms: int,
+        on_arrival: Callable[[int], None] | None = None,
+    ) -> Result[LogBatch, ReadError]:
+        """Return records from an offset on, waiting for the first of them.
+
+        Args:
+            start: Offset of the first record.
+            wait_ms: Longest wait for it.
+            on_arrival: Told the log's end once records have begun to come.
+        """
+        ...
+
+    async def newest(self) -> Result[Newest, ReadError]:
+        """Return the newest record of each key."""
+        ...
+
+
+class FollowedLog(Protocol):
+    """A log as its followers need it."""
+
+    async def read(
+        self, start: int, wait_ms: int
+    ) -> Result[LogBatch | Newest, ReadError]:
+        """Return records from an offset on, or the newest of each key beyond it."""
         ...
 
     async def newest(self) -> Result[Newest, ReadError]:
--- a/courselead/integrations/lean_http/connection.py
+++ b/courselead/integrations/lean_http/connection.py
@@ -156,9 +156,7 @@
     def __init__(self, address: str) -> None:
         """Keep the address; nothing is opened yet."""
         self.address = address
-        host, _, port = address.rpartition(":")
-        self._host = host
-        self._port = int(port)
+        self._host, _, self._port = address.rpartition(":")
         self._protocol: _Protocol | None = None
 
     async def call(
@@ -209,6 +207,8 @@
     async def _open(self, timeout_ms: int) -> _Protocol | NotSent:
         loop = asyncio.get_running_loop()
         self.close()
+        if not self._port.isdecimal():
+            return NotSent("the address has no port; it must be ip:port")
         try:
             async with asyncio.timeout(timeout_ms / 1000):
                 transport, protocol = await loop.create_connection(
--- a/courselead/platform/const.py
+++ b/courselead/platform/const.py
@@ -29,6 +29,15 @@
 KEY_CONFIG = "config"
 KEY_WAVE = "wave/"
 
+ADDRESS_PATTERN = (
+    r"^[^\s:]+:([1-9]\d{0,3}|[1-5]\d{4}|6[0-4]\d{3}|65[0-4]\d\d|655[0-2]\d|6553[0-5])$"
+)
+"""A host and a port from 1 to 65,535: anything else cannot be called."""
+
+MINION_ID_PATTERN = r"[!-~]+"
+"""Visible ASCII: what a header can hold, in which each order names the minion."""
+
+STATE_READY = "ready"
 STATE_DRAINING = "draining"
 STATE_RUNNING = "running"
 STATE_COMPLETED = "completed"
@@ -41,6 +50,10 @@
 READ_LEAST_MS = 1_500
 """Least time of a read without a wait, for the same reason."""
 
+MOST_BEHIND = 1_000_000
+"""Records that a reader may be behind: far more than are stored in the time for which
+the store keeps them, and far less than the text of an error reads as."""
+
 READ_KB = 1_024
 """Most that one read returns (the protocol's default)."""
 
--- a/courselead/platform/decode.py
+++ b/courselead/platform/decode.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import re
+from typing import Annotated, Literal
+
 import msgspec
 import structlog
 
@@ -21,12 +24,15 @@
 _LOGGER = structlog.get_logger(__name__)
 
 
+_Amount = Annotated[int, msgspec.Meta(ge=0)]
+
+
 class WireCapacity(msgspec.Struct, rename="camel"):
     """Room of a minion; `cpu` is thousandths of a core."""
 
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: _Amount = 0
+    mem_mb: _Amount = 0
+    gpu: _Amount = 0
 
     def resources(self) -> Resources:
         """Return the room."""
@@ -77,13 +83,19 @@
     cap: int = 1
 
 
+_Address = Annotated[str, msgspec.Meta(pattern=const.ADDRESS_PATTERN)]
+_MINION_ID = re.compile(const.MINION_ID_PATTERN)
+
+
 class _WireServer(msgspec.Struct, rename="camel"):
-    service: str
-    address: str
-    zone: str = ""
-    state: str = "ready"
-    capacity: WireCapacity = msgspec.field(default_factory=WireCapacity)
-    labels: list[str] = []
+    # All of these are in each entry of a minion's own; an entry of another writer may
+    # lack any of them.
+    service: Annotated[str, msgspec.Meta(min_length=1)]
+    address: _Address
+    zone: str
+    state: Literal[const.STATE_READY, const.STATE_DRAINING]
+    capacity: WireCapacity
+    labels: list[str]
     # While the minion drains: the least time that is left.
     remaining_ms: int = 0
 
@@ -110,6 +122,9 @@
         minion_id = record.key.decode("utf-8", "replace")
         if not record.value:
             return minion_id
+        if not _MINION_ID.fullmatch(minion_id):
+            _LOGGER.warning("minion_record_malformed", minion=minion_id, reason="id")
+            return minion_id
         try:
             server = msgspec.json.decode(record.value, type=_WireServer)
         except msgspec.MsgspecError as exc:
--- a/courselead/platform/store.py
+++ b/courselead/platform/store.py
@@ -4,10 +4,11 @@
 
 import base64
 import struct
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from urllib.parse import urlencode
 
 import msgspec
+import structlog
 from returns.result import Failure, Result, Success
 
 from courselead.core.scheduler.records import KeyedRecord
@@ -30,6 +31,8 @@
 from courselead.integrations.lean_http import Answer, Call, LeanPool
 from courselead.platform import const
 
+_LOGGER = structlog.get_logger(__name__)
+
 _LENGTH = struct.Struct(">I")
 _READ_HEAD = struct.Struct(">QQ")
 
@@ -45,13 +48,27 @@
     value: str
     offset: int
 
+    def newest(self) -> NewestRecord:
+        """Return the record.
+
+        Raises:
+            ValueError: The value is not in base64.
+        """
+        value = base64.b64decode(self.value, validate=True)
+        return NewestRecord(self.offset, KeyedRecord(self.key.encode(), value))
+
 
 class _Page(msgspec.Struct, rename="camel"):
-    items: list[_Item]
+    # Each item by itself: one of another writer must not hide the others.
+    items: list[msgspec.Raw]
     end: int
     more_pages: bool = False
 
 
+class _ItemKey(msgspec.Struct):
+    key: str
+
+
 class StoreTopic:
     """One topic of one partition, in which records have keys."""
 
@@ -85,7 +102,12 @@
             return Failure(AppendUnknown(error.reason))
         return _appended(answered.unwrap())
 
-    async def read(self, start: int, wait_ms: int) -> Result[LogBatch, ReadError]:
+    async def read(
+        self,
+        start: int,
+        wait_ms: int,
+        on_arrival: Callable[[int], None] | None = None,
+    ) -> Result[LogBatch, ReadError]:
         """Return records from an offset on, waiting for the first of them."""
         query = {
             "topic": self._topic,
@@ -97,7 +119,10 @@
         target = f"{const.PATH_READ}?{urlencode(query)}"
         timeout_ms = max(const.READ_LEAST_MS, wait_ms + const.READ_SLACK_MS)
         answered = await self._pool.call(
-            Call("GET", target), timeout_ms, const.READ_SLACK_MS
+            Call("GET", target),
+            timeout_ms,
+            const.READ_SLACK_MS,
+            None if on_arrival is None else _HeadWatch(start, on_arrival),
         )
         if isinstance(answered, Failure):
             return Failure(ReadFailed(answered.failure().reason))
@@ -127,18 +152,16 @@
             if answer.status != 200:
                 return Failure(ReadFailed(_said(answer)))
             try:
-                page = msgspec.json.decode(answer.body, type=_Page)
+                page = msgspec.json.decode(_readable(answer.body), type=_Page)
+                last = _last_key(page)
             except msgspec.MsgspecError as exc:
                 return Failure(ReadFailed(f"malformed page: {exc}"))
             # Pages are no snapshot: reading goes on from the first page's end.
             end = page.end if end is None else end
-            for item in page.items:
-                value = base64.b64decode(item.value)
-                record = KeyedRecord(item.key.encode(), value)
-                records.append(NewestRecord(item.offset, record))
+            records.extend(_page_records(page, self._topic))
             if not page.more_pages or not page.items:
                 return Success(Newest(end, tuple(records)))
-            after = page.items[-1].key
+            after = last
 
 
 def store_pool(address: str) -> LeanPool:
@@ -146,6 +169,54 @@
     return LeanPool(address, const.STORE_CONNECTIONS)
 
 
+def _readable(body: bytes) -> bytes:
+    """Return a page as text; bytes of a key that are none are replaced."""
+    try:
+        body.decode()
+    except UnicodeDecodeError:
+        return body.decode("utf-8", "replace").encode()
+    return body
+
+
+def _last_key(page: _Page) -> str:
+    """Return the key after which the next page begins."""
+    if not page.items:
+        return ""
+    return msgspec.json.decode(page.items[-1], type=_ItemKey).key
+
+
+def _page_records(page: _Page, topic: str) -> list[NewestRecord]:
+    """Return a page's records but those that cannot be read."""
+    records = []
+    for item in page.items:
+        try:
+            records.append(msgspec.json.decode(item, type=_Item).newest())
+        except ValueError as exc:
+            _LOGGER.warning("record_unreadable", topic=topic, reason=str(exc))
+    return records
+
+
+class _HeadWatch:
+    """Tells the end of a topic once records beyond an offset begin to come."""
+
+    def __init__(self, start: int, on_arrival: Callable[[int], None]) -> None:
+        self._start = start
+        self._on_arrival = on_arrival
+        self._head = b""
+
+    def __call__(self, part: bytes) -> None:
+        """Take the next part of the answer's body."""
+        if len(self._head) >= _READ_HEAD.size:
+            return
+        self._head += part[: _READ_HEAD.size]
+        if len(self._head) < _READ_HEAD.size:
+            return
+        end, _ = _READ_HEAD.unpack_from(self._head)
+        # Anything else, an error's text above all, tells no end that is close by.
+        if self._start < end < self._start + const.MOST_BEHIND:
+            self._on_arrival(end)
+
+
 def _framed(record: KeyedRecord) -> bytes:
     content = bytes((len(record.key),)) + record.key + record.value
     return _LENGTH.pack(len(content)) + content
@@ -184,11 +255,19 @@
         if len(content) < size:
             return Failure(ReadFailed("record cut short"))
         position += size
-        key_end = 1 + content[0]
-        records.append(KeyedRecord(content[1:key_end], content[key_end:]))
+        records.append(_keyed(content))
     return Success(LogBatch(start, end, tuple(records)))
 
 
+def _keyed(content: bytes) -> KeyedRecord:
+    """Return a record; one without a whole key stands as one that names nothing."""
+    key_end = 1 + content[0] if content else 1
+    if len(content) < key_end:
+        _LOGGER.warning("record_unreadable", reason="no whole key", bytes=len(content))
+        return KeyedRecord(b"", b"")
+    return KeyedRecord(content[1:key_end], content[key_end:])
+
+
 def _said(answer: Answer) -> str:
     text = answer.body[:200].decode("utf-8", "replace")
     return f"status {answer.status} {text}".strip()
--- a/tests/daemon/scheduling/fakes.py
+++ b/tests/daemon/scheduling/fakes.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
@@ -78,7 +78,12 @@
             return Failure(AppendUnknown("connection closed"))
         return Success(answer)
 
-    async def read(self, start: int, wait_ms: int) -> Result[LogBatch, ReadError]:
+    async def read(
+        self,
+        start: int,
+        wait_ms: int,
+        on_arrival: Callable[[int], None] | None = None,
+    ) -> Result[LogBatch, ReadError]:
         self.reads += 1
         if self.refuse or self.silent:
             await anyio.sleep(0.01)
