--- a/tests/platform/test_slow_links.py
+++ b/tests/platform/test_slow_links.py
@@ -19,6 +19,7 @@
 from returns.result import Failure
 
 from courselead.platform import const
+from courselead.platform.cloud import HttpCloud
 from courselead.platform.store import StoreTopic, store_pool
 
 pytestmark = pytest.mark.anyio
@@ -38,6 +39,7 @@
 def short_patience(monkeypatch):
     monkeypatch.setattr(const, "READ_SLACK_MS", PATIENCE_MS)
     monkeypatch.setattr(const, "READ_LEAST_MS", PATIENCE_MS)
+    monkeypatch.setattr(const, "CLOUD_TIMEOUT_MS", PATIENCE_MS)
 
 
 class SlowServer:
@@ -73,13 +75,13 @@
     def __init__(self, server: SlowServer) -> None:
         self.server = server
 
-    async def __aenter__(self) -> StoreTopic:
+    async def __aenter__(self) -> str:
         self.listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
         port = self.listener.extra(anyio.abc.SocketAttribute.local_port)
         self.tasks = anyio.create_task_group()
         await self.tasks.__aenter__()
         self.tasks.start_soon(self.listener.serve, self.server.serve)
-        return StoreTopic(store_pool(f"127.0.0.1:{port}"), "keyed.op")
+        return f"127.0.0.1:{port}"
 
     async def __aexit__(self, *exc) -> None:
         self.tasks.cancel_scope.cancel()
@@ -94,7 +96,8 @@
 
 async def test_a_record_that_keeps_coming_is_read_whole():
     server = SlowServer(batch_of(50_000))
-    async with Serving(server) as topic:
+    async with Serving(server) as address:
+        topic = StoreTopic(store_pool(address), "keyed.op")
         batch = (await topic.read(4, 0)).unwrap()
     assert len(batch.records[0].value) == 50_000
     assert server.asked == 1
@@ -104,7 +107,8 @@
     items = [{"key": "config", "value": "eA==" * 10_000, "offset": 1}]
     page = json.dumps({"items": items, "morePages": False, "end": 2}).encode()
     server = SlowServer(page)
-    async with Serving(server) as topic:
+    async with Serving(server) as address:
+        topic = StoreTopic(store_pool(address), "keyed.op")
         newest = (await topic.newest()).unwrap()
     assert newest.end == 2
     assert server.asked == 1
@@ -112,7 +116,16 @@
 
 async def test_an_answer_that_stops_half_way_is_given_up():
     server = SlowServer(batch_of(50_000), stops_after=2)
-    async with Serving(server) as topic:
+    async with Serving(server) as address:
+        topic = StoreTopic(store_pool(address), "keyed.op")
         result = await topic.read(4, 0)
     assert isinstance(result, Failure)
     assert "bytes had come" in result.failure().reason
+
+
+async def test_a_page_of_the_cloud_s_workers_that_keeps_coming_is_read_whole():
+    worker = {"machine": "m-1", "pool": "p", "state": "up", "zone": "z", "id": "i-1"}
+    server = SlowServer(json.dumps({"machines": [worker] * 500}).encode())
+    async with Serving(server) as address:
+        workers = (await HttpCloud(address, "host").workers()).unwrap()
+    assert len(workers) == 500
