Give up a page of the cloud's workers when it stops, not when it takes long

The same cause as with the store's large answers: the list of some hundred workers on a slow link may take longer than the 1.5 s for an answer.

--- a/courselead/platform/cloud.py
+++ b/courselead/platform/cloud.py
@@ -70,7 +70,7 @@
                 query = urlencode({"pageToken": token})
                 target = f"{target}?{query}"
             answered = await self._pool.call(
-                Call("GET", target), const.CLOUD_TIMEOUT_MS
+                Call("GET", target), const.CLOUD_TIMEOUT_MS, const.READ_SLACK_MS
             )
             if isinstance(answered, Failure):
                 return Failure(answered.failure().reason)
