Lend copies of large configurations to hosts on slower links

Cause: a host on a slow link reads each large version in full, one after the other (0.8 MB take 1.3 s on 5 Mbit/s), and the store sends it to each host.

Change: each host keeps the newest record of each key of the operators' log and lends it, packed, to hosts on slower links. These go on reading the store; 0.15 s after a new record has begun to come they ask up to three hosts with links at least twice as fast, and take what is there first, skipping the versions between. A host that starts asks too; the lender then reads the log first. Replies between hosts from 16 KB on are packed, and are given up when they stop, not when they take long.

--- a/courselead/daemon/scheduling/follower.py
+++ b/courselead/daemon/scheduling/follower.py
@@ -19,7 +19,9 @@
     Record,
     decode,
 )
+from courselead.daemon.scheduling.copies import KeptCopy
 from courselead.daemon.scheduling.ports import (
+    FollowedLog,
     HistoryGone,
     HostCounters,
     KeyedLog,
@@ -47,11 +49,12 @@
     def __init__(
         self,
         name: str,
-        log: KeyedLog,
+        log: FollowedLog,
         on_record: Callable[[KeyedRecord], None],
         on_newest: Callable[[set[bytes]], None] = lambda keys: None,
         gap_s: float = 0.0,
         counters: HostCounters | None = None,
+        kept: KeptCopy | None = None,
     ) -> None:
         """Keep the parts.
 
@@ -62,6 +65,7 @@
             on_newest: Told the keys that exist, after a start from the newest.
             gap_s: Pause between two reads: several records share a call.
             counters: Where reads are counted, if anywhere.
+            kept: Where the newest records are kept for other hosts, if anywhere.
         """
         self._name = name
         self._log = log
@@ -69,6 +73,9 @@
         self._on_newest = on_newest
         self.gap_s = gap_s
         self._counters = counters
+        self._kept = kept
+        if kept is not None:
+            kept.confirm = self.read_now
         self.on_back: Callable[[], None] = lambda: None
         self.offset = -1
         self.reached_at = 0.0
@@ -104,9 +111,13 @@
                 self.offset = -1
                 return True
             return self._failed(error.reason)
-        batch = result.unwrap()
-        self._log_large(batch, asked_at)
-        self._take(batch)
+        found = result.unwrap()
+        if isinstance(found, Newest):
+            if found.end > self.offset:
+                self._take_newest(found)
+        else:
+            self._log_large(found, asked_at)
+            self._take(found)
         self._reached(asked_at)
         return True
 
@@ -146,6 +157,8 @@
             self._on_record(item.record)
         self._on_newest(set(self._floors))
         self.offset = newest.end
+        if self._kept is not None:
+            self._kept.replace(newest)
 
     def _take(self, batch: LogBatch) -> None:
         for position, record in enumerate(batch.records):
@@ -153,8 +166,11 @@
             if offset < self.offset:
                 continue
             self.offset = offset + 1
-            if offset > self._floors.get(record.key, -1):
-                self._on_record(record)
+            if offset <= self._floors.get(record.key, -1):
+                continue
+            self._on_record(record)
+            if self._kept is not None:
+                self._kept.put(offset, record)
 
     def _reached(self, asked_at: float) -> None:
         if self._failures:
--- a/courselead/daemon/scheduling/host.py
+++ b/courselead/daemon/scheduling/host.py
@@ -14,6 +14,7 @@
 from courselead.core.scheduler.records import HostSeen, encode
 from courselead.daemon.scheduling.claims import Claimant, slow_log_s
 from courselead.daemon.scheduling.collector import Collector
+from courselead.daemon.scheduling.copies import CopiedLog, KeptCopy
 from courselead.daemon.scheduling.directions import DirectionsView
 from courselead.daemon.scheduling.follower import JobFollower, KeyedFollower
 from courselead.daemon.scheduling.intake import Intake
@@ -30,7 +31,13 @@
 LOOK_S = 0.1
 """Period of the look at the owner's silence."""
 
-RELAYED_LOGS = ("jobs", "starts", "directions", "minions", "status")
+DIRECTIONS = "directions"
+"""Name among the hosts of the log with the operators' configuration."""
+
+FASTER_FACTOR = 2.0
+"""A host whose link is this many times as fast has large records well before."""
+
+RELAYED_LOGS = ("jobs", "starts", DIRECTIONS, "minions", "status")
 """Logs that hosts reach for each other: all but that of claims, whose appends are
 conditional and are not repeated."""
 
@@ -80,7 +87,7 @@
         self._host = host
         self._zone = zone
         self._seen = HostSeen(host, relay_address, cores_milli, link_mbps)
-        ways = self._ways = Ways(self._peers, self.counters)
+        ways = self._ways = Ways(self._peers, self.counters, self._faster_peers)
         # The log of claims holds one short record: the cheapest to ask for.
         self._claims = platform.claims
         logs = {name: getattr(platform, name) for name in RELAYED_LOGS}
@@ -92,7 +99,8 @@
         self.follower = JobFollower(platform.jobs, self.counters)
         collector = Collector(self._owner_address, self.counters)
         self._writer = JobWriter(platform.jobs, self.counters, collector)
-        self.relay = RelayApp(logs, ways, self._writer)
+        self._kept = KeptCopy()
+        self.relay = RelayApp(logs, ways, self._writer, {DIRECTIONS: self._kept})
         self._claimant = Claimant(platform.claims, host)
         self._owner: Owner | None = None
         self.leaving = False
@@ -126,10 +134,16 @@
             tasks.start_soon(self._writer.run)
             tasks.start_soon(
                 KeyedFollower(
-                    "directions",
-                    self._platform.directions,
+                    DIRECTIONS,
+                    CopiedLog(
+                        DIRECTIONS,
+                        self._platform.directions,
+                        self._ways,
+                        self.counters,
+                    ),
                     self.directions.apply,
                     counters=self.counters,
+                    kept=self._kept,
                 ).run
             )
             tasks.start_soon(self._elect)
@@ -157,6 +171,15 @@
         hosts = self.follower.book.hosts
         return [seen.address for seen in hosts.values() if seen.host != self._host]
 
+    def _faster_peers(self) -> list[str]:
+        """Return the addresses of the other hosts whose links are faster."""
+        found = []
+        least = FASTER_FACTOR * self._seen.link_mbps
+        for seen in self.follower.book.hosts.values():
+            if self._seen.link_mbps and seen.link_mbps >= least:
+                found.append(seen.address)
+        return found
+
     def _owner_address(self) -> str:
         """Return the address of the owner's host, "" if it is this one or unknown."""
         book = self.follower.book
--- a/courselead/daemon/scheduling/relay.py
+++ b/courselead/daemon/scheduling/relay.py
@@ -29,7 +29,6 @@
     KeyedLog,
     LogBatch,
     Newest,
-    NewestRecord,
     NotAppended,
     ProducerMark,
     ReadError,
@@ -37,13 +36,16 @@
 )
 from courselead.daemon.scheduling.relay_messages import (
     PATH_APPEND,
+    PATH_COPY,
     PATH_NEWEST,
     PATH_READ,
     AppendAsked,
+    CopyAsked,
     NewestAsked,
     ReadAsked,
     RelayReply,
     decode_reply,
+    newest_of,
 )
 from courselead.daemon.scheduling.two_ways import TwoWays
 from courselead.integrations.http.errors import NotSent
@@ -62,6 +64,12 @@
 HOP_MS = 300
 """Time beyond that of the call itself until a relayed one counts as lost."""
 
+PAUSE_MS = 800
+"""Longest pause in a reply that has begun to come: as with the store's own answers."""
+
+COPY_TIMEOUT_MS = 900
+"""Time until a copy begins to come: the lender's wait and that of a hop."""
+
 RELAYED_APPEND_MS = 400
 """Time that another host is given for an append: it is asked where the own way is
 silent, not where the store is slow, and callers wait behind it."""
@@ -96,10 +104,16 @@
     """This host's own way to the store, and those through other hosts."""
 
     def __init__(
-        self, peers: Callable[[], Sequence[str]], counters: HostCounters
+        self,
+        peers: Callable[[], Sequence[str]],
+        counters: HostCounters,
+        faster_peers: Callable[[], Sequence[str]] = tuple,
     ) -> None:
-        """Keep who knows the addresses of the other hosts."""
+        """Keep who knows the addresses of the other hosts, and of those among them
+        whose links are faster.
+        """
         self._peers = peers
+        self._faster_peers = faster_peers
         self._counters = counters
         self._pools = LeanPools(_CONNECTIONS)
         self._lost = anyio.Event()
@@ -173,7 +187,25 @@
         """
         if anyio.current_time() < self._no_way_until:
             return Failure(NotAppended("no other host could help a moment ago"))
-        addresses = self._chosen()
+        addresses = self._chosen(self._peers())
+        found, failures = await self._first_answer(addresses, path, body, timeout_ms)
+        self._helped = found is not None
+        if found is not None:
+            return Success(found)
+        return self._none_helped(failures)
+
+    async def ask_for_copy(self, asked: CopyAsked) -> RelayReply | None:
+        """Ask hosts on faster links for a copy of a log's newest records."""
+        addresses = self._chosen(self._faster_peers())
+        found, _ = await self._first_answer(
+            addresses, PATH_COPY, msgspec.msgpack.encode(asked), COPY_TIMEOUT_MS
+        )
+        return found if found is not None and found.kind == "newest" else None
+
+    async def _first_answer(
+        self, addresses: list[str], path: str, body: bytes, timeout_ms: int
+    ) -> tuple[RelayReply | None, list[_Asked]]:
+        """Ask hosts, one beside the other; return an answer and what failed before."""
         send, receive = anyio.create_memory_object_stream[_Asked](PEERS_TRIED)
         failures: list[_Asked] = []
         found: RelayReply | None = None
@@ -200,10 +232,7 @@
                 else:
                     failures.append(asked)
             tasks.cancel_scope.cancel()
-        self._helped = found is not None
-        if found is not None:
-            return Success(found)
-        return self._none_helped(failures)
+        return found, failures
 
     async def _ask_one(
         self, address: str, path: str, body: bytes, timeout_ms: int
@@ -211,7 +240,8 @@
         self._counters.add("relayed_calls")
         begun = anyio.current_time()
         call = Call("POST", path, body)
-        answered = await self._pools.to(address).call(call, timeout_ms)
+        pool = self._pools.to(address)
+        answered = await pool.call(call, timeout_ms, PAUSE_MS)
         if isinstance(answered, Failure):
             error = answered.failure()
             self._shunned[address] = anyio.current_time() + SHUNNED_S
@@ -241,10 +271,10 @@
                 break
         return Failure(last)
 
-    def _chosen(self) -> list[str]:
+    def _chosen(self, peers: Sequence[str]) -> list[str]:
         """Return the hosts to ask: any that answered of late, then the others."""
         now = anyio.current_time()
-        addresses = list(self._peers())
+        addresses = list(peers)
         random.shuffle(addresses)
         addresses.sort(key=lambda address: self._shunned.get(address, 0.0) > now)
         return addresses[:PEERS_TRIED]
@@ -276,7 +306,12 @@
             lambda: self._relay_append(records, timeout_ms, mark),
         )
 
-    async def read(self, start: int, wait_ms: int) -> Result[LogBatch, ReadError]:
+    async def read(
+        self,
+        start: int,
+        wait_ms: int,
+        on_arrival: Callable[[int], None] | None = None,
+    ) -> Result[LogBatch, ReadError]:
         """Return records from an offset on."""
         if not self._ways.reachable:
             body = msgspec.msgpack.encode(ReadAsked(self._name, start, wait_ms))
@@ -289,7 +324,9 @@
                 if reply.kind == "history_gone":
                     return Failure(HistoryGone())
             return Failure(ReadFailed("neither the own way nor others work"))
-        result = await self._ways.watched(lambda: self._direct.read(start, wait_ms))
+        result = await self._ways.watched(
+            lambda: self._direct.read(start, wait_ms, on_arrival)
+        )
         self._note_read(result)
         return result
 
@@ -299,10 +336,7 @@
             body = msgspec.msgpack.encode(NewestAsked(self._name))
             asked = await self._ways.ask(PATH_NEWEST, body, 4 * HOP_MS)
             if isinstance(asked, Success) and asked.unwrap().kind == "newest":
-                reply = asked.unwrap()
-                pairs = zip(reply.offsets, reply.records, strict=True)
-                records = tuple(NewestRecord(*pair) for pair in pairs)
-                return Success(Newest(reply.end, records))
+                return Success(newest_of(asked.unwrap()))
             return Failure(ReadFailed("neither the own way nor others work"))
         result = await self._ways.watched(self._direct.newest)
         self._note_read(result)
--- a/courselead/daemon/scheduling/relay_app.py
+++ b/courselead/daemon/scheduling/relay_app.py
@@ -7,6 +7,7 @@
 from returns.result import Failure, Success
 
 from courselead.core.scheduler.records import KeyedRecord
+from courselead.daemon.scheduling.copies import KeptCopy
 from courselead.daemon.scheduling.ports import (
     AppendFenced,
     HistoryGone,
@@ -18,13 +19,17 @@
 from courselead.daemon.scheduling.relay_messages import (
     PATH_ALIVE,
     PATH_APPEND,
+    PATH_COPY,
     PATH_NEWEST,
     PATH_READ,
     PATH_STORE,
     AppendAsked,
+    CopyAsked,
     NewestAsked,
     ReadAsked,
     RelayReply,
+    encode_reply,
+    newest_reply,
 )
 from courselead.daemon.scheduling.writer import JobWriter
 from courselead.integrations.http_api.exchange import Receive, Scope, Send
@@ -41,6 +46,7 @@
         logs: dict[str, KeyedLog],
         ways: Ways,
         writer: JobWriter | None = None,
+        copies: dict[str, KeptCopy] | None = None,
     ) -> None:
         """Keep the logs by their names among the hosts, on the own way.
 
@@ -48,18 +54,23 @@
             logs: On the own way.
             ways: To know whether that works.
             writer: Stores callers' records that other hosts hand over.
+            copies: Of logs, by their names, for hosts on slower links.
         """
         self._logs = logs
         self._ways = ways
         self._writer = writer
+        self._copies = copies or {}
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one HTTP exchange."""
         if scope["type"] != "http":
             return
         body = await whole_body(receive)
-        reply = await self._serve(scope["path"], body or b"")
-        await answer(send, 200, msgspec.msgpack.encode(reply))
+        if scope["path"] == PATH_COPY:
+            encoded = await self._lend(body or b"")
+        else:
+            encoded = encode_reply(await self._serve(scope["path"], body or b""))
+        await answer(send, 200, encoded)
 
     async def _serve(self, path: str, body: bytes) -> RelayReply:
         if path == PATH_ALIVE:
@@ -81,6 +92,15 @@
             _LOGGER.warning("relay_malformed", reason=repr(exc))
         return RelayReply("not_done", reason="the request is not understood")
 
+    async def _lend(self, body: bytes) -> bytes:
+        try:
+            asked = msgspec.msgpack.decode(body, type=CopyAsked)
+            kept = self._copies[asked.log]
+        except (msgspec.MsgspecError, KeyError) as exc:
+            _LOGGER.warning("relay_malformed", reason=repr(exc))
+            return encode_reply(RelayReply("not_done", reason="no such copy"))
+        return await kept.lend(asked.at_least, asked.confirmed)
+
     async def _store(self, record: KeyedRecord) -> RelayReply:
         if self._writer is None:
             return RelayReply("not_done", reason="this host stores no callers' records")
@@ -118,7 +138,4 @@
         result = await self._logs[asked.log].newest()
         if isinstance(result, Failure):
             return RelayReply("not_done", reason="the read failed")
-        newest = result.unwrap()
-        records = [item.record for item in newest.records]
-        offsets = [item.offset for item in newest.records]
-        return RelayReply("newest", 0, newest.end, "", records, offsets)
+        return newest_reply(result.unwrap())
--- a/tests/daemon/scheduling/test_large_configs.py
+++ b/tests/daemon/scheduling/test_large_configs.py
@@ -72,9 +72,7 @@
     def __init__(self) -> None:
         shared = self.shared = platform()
         self.link = SlowLink(shared.directions)
-        self.fast = SchedulingHost(
-            "fast", shared, Bounds(), link_mbps=FAST_MBPS, relay_address="set later"
-        )
+        self.fast = SchedulingHost("fast", shared, Bounds(), link_mbps=FAST_MBPS)
         self.slow = SchedulingHost(
             "slow", replace(shared, directions=self.link), Bounds(), link_mbps=SLOW_MBPS
         )
