--- a/courselead/daemon/scheduling/relay.py
+++ b/courselead/daemon/scheduling/relay.py
@@ -239,9 +239,8 @@
     ) -> _Asked:
         self._counters.add("relayed_calls")
         begun = anyio.current_time()
-        call = Call("POST", path, body)
-        pool = self._pools.to(address)
-        answered = await pool.call(call, timeout_ms, PAUSE_MS)
+        call = Call("POST", path, body, silence_ms=PAUSE_MS)
+        answered = await self._pools.to(address).call(call, timeout_ms)
         if isinstance(answered, Failure):
             error = answered.failure()
             self._shunned[address] = anyio.current_time() + SHUNNED_S
--- a/courselead/integrations/lean_http/connection.py
+++ b/courselead/integrations/lean_http/connection.py
@@ -21,12 +21,24 @@
 
 @dataclass(frozen=True, slots=True)
 class Call:
-    """A request; `target` is the path with its query."""
+    """A request, and how its answer may come.
+
+    Attributes:
+        method: Of HTTP.
+        target: The path with its query.
+        body: Sent with it.
+        headers: Names and values.
+        silence_ms: Longest pause in an answer that has begun to come, where the call's
+            time-out is until it begins; 0 if that is for the whole answer.
+        on_body: Told each part of the answer's body as it comes.
+    """
 
     method: str
     target: str
     body: bytes = b""
     headers: tuple[tuple[str, str], ...] = ()
+    silence_ms: int = 0
+    on_body: Callable[[bytes], None] | None = None
 
     def encode(self, host: str) -> bytes:
         """Return the bytes to send."""
@@ -53,10 +65,10 @@
     """What the parser collects for the request under way."""
 
     done: asyncio.Future[Result[Answer, ExchangeError]]
+    on_body: Callable[[bytes], None] | None = None
     chunks: list[bytes] = field(default_factory=list)
     size: int = 0
     heard_at: float | None = None
-    on_body: Callable[[bytes], None] | None = None
 
 
 class _Protocol(asyncio.Protocol):
@@ -159,24 +171,10 @@
         self._host, _, self._port = address.rpartition(":")
         self._protocol: _Protocol | None = None
 
-    async def call(
-        self,
-        call: Call,
-        timeout_ms: int,
-        silence_ms: int = 0,
-        on_body: Callable[[bytes], None] | None = None,
-    ) -> Result[Answer, ExchangeError]:
+    async def call(self, call: Call, timeout_ms: int) -> Result[Answer, ExchangeError]:
         """Send a request and return the whole answer.
 
         A call that fails, times out or is cancelled closes the connection.
-
-        Args:
-            call: What is sent.
-            timeout_ms: Time for the whole answer or, with `silence_ms`, until it
-                begins to come.
-            silence_ms: Longest pause in an answer that has begun to come; 0 if the
-                time-out is for the whole of it.
-            on_body: Told each part of the answer's body as it comes.
         """
         protocol = self._protocol
         if protocol is None or not protocol.usable:
@@ -185,11 +183,11 @@
                 return Failure(opened)
             protocol = opened
         loop = asyncio.get_running_loop()
-        exchange = _Exchange(loop.create_future(), on_body=on_body)
+        exchange = _Exchange(loop.create_future(), call.on_body)
         protocol.exchange = exchange
         assert protocol.transport is not None
         protocol.transport.write(call.encode(self.address))
-        watch = _Watch(protocol, exchange, timeout_ms, silence_ms)
+        watch = _Watch(protocol, exchange, timeout_ms, call.silence_ms)
         try:
             return await exchange.done
         except BaseException:
--- a/courselead/integrations/lean_http/pool.py
+++ b/courselead/integrations/lean_http/pool.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-
 import anyio
 from returns.result import Failure, Result
 
@@ -22,17 +20,8 @@
         self._size = size
         self._slots = anyio.Semaphore(size)
 
-    async def call(
-        self,
-        call: Call,
-        timeout_ms: int,
-        silence_ms: int = 0,
-        on_body: Callable[[bytes], None] | None = None,
-    ) -> Result[Answer, ExchangeError]:
-        """Send a request on a free connection and return the whole answer.
-
-        The arguments are those of `LeanConnection.call`.
-        """
+    async def call(self, call: Call, timeout_ms: int) -> Result[Answer, ExchangeError]:
+        """Send a request on a free connection and return the whole answer."""
         try:
             # Without a wait, which costs as much as the rest of this method.
             self._slots.acquire_nowait()
@@ -40,7 +29,7 @@
             await self._slots.acquire()
         conn = self._take()
         try:
-            result = await conn.call(call, timeout_ms, silence_ms, on_body)
+            result = await conn.call(call, timeout_ms)
         finally:
             self._idle.append(conn)
             self._slots.release()
--- a/courselead/platform/cloud.py
+++ b/courselead/platform/cloud.py
@@ -69,9 +69,8 @@
             if token is not None:
                 query = urlencode({"pageToken": token})
                 target = f"{target}?{query}"
-            answered = await self._pool.call(
-                Call("GET", target), const.CLOUD_TIMEOUT_MS, const.READ_SLACK_MS
-            )
+            call = Call("GET", target, silence_ms=const.READ_SLACK_MS)
+            answered = await self._pool.call(call, const.CLOUD_TIMEOUT_MS)
             if isinstance(answered, Failure):
                 return Failure(answered.failure().reason)
             answer = answered.unwrap()
--- a/courselead/platform/store.py
+++ b/courselead/platform/store.py
@@ -118,12 +118,8 @@
         }
         target = f"{const.PATH_READ}?{urlencode(query)}"
         timeout_ms = max(const.READ_LEAST_MS, wait_ms + const.READ_SLACK_MS)
-        answered = await self._pool.call(
-            Call("GET", target),
-            timeout_ms,
-            const.READ_SLACK_MS,
-            None if on_arrival is None else _HeadWatch(start, on_arrival),
-        )
+        on_body = None if on_arrival is None else _HeadWatch(start, on_arrival)
+        answered = await self._pool.call(_read_call(target, on_body), timeout_ms)
         if isinstance(answered, Failure):
             return Failure(ReadFailed(answered.failure().reason))
         answer = answered.unwrap()
@@ -143,9 +139,7 @@
             if after:
                 query["after"] = after
             target = f"{const.PATH_NEWEST}?{urlencode(query)}"
-            answered = await self._pool.call(
-                Call("GET", target), const.READ_LEAST_MS, const.READ_SLACK_MS
-            )
+            answered = await self._pool.call(_read_call(target), const.READ_LEAST_MS)
             if isinstance(answered, Failure):
                 return Failure(ReadFailed(answered.failure().reason))
             answer = answered.unwrap()
@@ -217,6 +211,10 @@
             self._on_arrival(end)
 
 
+def _read_call(target: str, on_body: Callable[[bytes], None] | None = None) -> Call:
+    return Call("GET", target, silence_ms=const.READ_SLACK_MS, on_body=on_body)
+
+
 def _framed(record: KeyedRecord) -> bytes:
     content = bytes((len(record.key),)) + record.key + record.value
     return _LENGTH.pack(len(content)) + content
--- a/tests/platform/test_other_writers.py
+++ b/tests/platform/test_other_writers.py
@@ -20,7 +20,8 @@
 from courselead.integrations.lean_http import Call, LeanPool
 from courselead.platform.decode import RecordDecoder
 from courselead.platform.store import StoreTopic, store_pool
-from tests.platform.test_wire import Running, Server
+from tests.platform.serving import Running
+from tests.platform.test_wire import Server
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/platform/test_slow_links.py
+++ b/tests/platform/test_slow_links.py
@@ -21,6 +21,7 @@
 from courselead.platform import const
 from courselead.platform.cloud import HttpCloud
 from courselead.platform.store import StoreTopic, store_pool
+from tests.platform.serving import Running
 
 pytestmark = pytest.mark.anyio
 
@@ -69,26 +70,6 @@
                     await anyio.sleep_forever()
 
 
-class Serving:
-    """Runs a server on loopback for the time of a test."""
-
-    def __init__(self, server: SlowServer) -> None:
-        self.server = server
-
-    async def __aenter__(self) -> str:
-        self.listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
-        port = self.listener.extra(anyio.abc.SocketAttribute.local_port)
-        self.tasks = anyio.create_task_group()
-        await self.tasks.__aenter__()
-        self.tasks.start_soon(self.listener.serve, self.server.serve)
-        return f"127.0.0.1:{port}"
-
-    async def __aexit__(self, *exc) -> None:
-        self.tasks.cancel_scope.cancel()
-        await self.tasks.__aexit__(None, None, None)
-        await self.listener.aclose()
-
-
 def batch_of(size: int) -> bytes:
     content = b"\x06config" + b"x" * size
     return struct.pack(">QQ", 5, 0) + struct.pack(">I", len(content)) + content
@@ -96,7 +77,7 @@
 
 async def test_a_record_that_keeps_coming_is_read_whole():
     server = SlowServer(batch_of(50_000))
-    async with Serving(server) as address:
+    async with Running(server) as address:
         topic = StoreTopic(store_pool(address), "keyed.op")
         batch = (await topic.read(4, 0)).unwrap()
     assert len(batch.records[0].value) == 50_000
@@ -107,7 +88,7 @@
     items = [{"key": "config", "value": "eA==" * 10_000, "offset": 1}]
     page = json.dumps({"items": items, "morePages": False, "end": 2}).encode()
     server = SlowServer(page)
-    async with Serving(server) as address:
+    async with Running(server) as address:
         topic = StoreTopic(store_pool(address), "keyed.op")
         newest = (await topic.newest()).unwrap()
     assert newest.end == 2
@@ -116,7 +97,7 @@
 
 async def test_an_answer_that_stops_half_way_is_given_up():
     server = SlowServer(batch_of(50_000), stops_after=2)
-    async with Serving(server) as address:
+    async with Running(server) as address:
         topic = StoreTopic(store_pool(address), "keyed.op")
         result = await topic.read(4, 0)
     assert isinstance(result, Failure)
@@ -126,6 +107,6 @@
 async def test_a_page_of_the_cloud_s_workers_that_keeps_coming_is_read_whole():
     worker = {"machine": "m-1", "pool": "p", "state": "up", "zone": "z", "id": "i-1"}
     server = SlowServer(json.dumps({"machines": [worker] * 500}).encode())
-    async with Serving(server) as address:
+    async with Running(server) as address:
         workers = (await HttpCloud(address, "host").workers()).unwrap()
     assert len(workers) == 500
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -28,6 +28,7 @@
 from courselead.platform.minions import HttpMinionLink
 from courselead.platform.settings import NodeSettings
 from courselead.platform.store import StoreTopic, store_pool
+from tests.platform.serving import Running
 
 pytestmark = pytest.mark.anyio
 
@@ -75,26 +76,6 @@
                 await stream.send(text.encode() + body)
 
 
-class Running:
-    """Runs a server on loopback for the time of a test."""
-
-    def __init__(self, server: Server) -> None:
-        self.server = server
-
-    async def __aenter__(self) -> str:
-        self.listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
-        port = self.listener.extra(anyio.abc.SocketAttribute.local_port)
-        self.tasks = anyio.create_task_group()
-        await self.tasks.__aenter__()
-        self.tasks.start_soon(self.listener.serve, self.server.serve)
-        return f"127.0.0.1:{port}"
-
-    async def __aexit__(self, *exc) -> None:
-        self.tasks.cancel_scope.cancel()
-        await self.tasks.__aexit__(None, None, None)
-        await self.listener.aclose()
-
-
 @pytest.mark.parametrize(
     ("answer", "error"),
     [
