Take an append whose records are read back as stored

Hypothesis: where the store only loses answers, each lost one costs the owner 1.5 s in which nothing is stored, though it reads its own records meanwhile. Ruled out: earlier repeats for all (measured before: they fill the line of a store that is only slow).

Change: the jobs' log is wrapped; an append counts as stored once all its records were read back one after the other, beyond the last end that an answer told, and 50 ms more have brought no answer.

--- a/courselead/daemon/scheduling/follower.py
+++ b/courselead/daemon/scheduling/follower.py
@@ -77,6 +77,7 @@
         if kept is not None:
             kept.confirm = self.read_now
         self.on_back: Callable[[], None] = lambda: None
+        self.on_read: Callable[[int, KeyedRecord], None] = lambda offset, record: None
         self.offset = -1
         self.reached_at = 0.0
         self._floors: dict[bytes, int] = {}
@@ -166,6 +167,7 @@
             if offset < self.offset:
                 continue
             self.offset = offset + 1
+            self.on_read(offset, record)
             if offset <= self._floors.get(record.key, -1):
                 continue
             self._on_record(record)
@@ -189,8 +191,19 @@
 class JobFollower:
     """The fold of the job log, kept by every host."""
 
-    def __init__(self, log: KeyedLog, counters: HostCounters) -> None:
-        """Start with nothing read."""
+    def __init__(
+        self,
+        log: KeyedLog,
+        counters: HostCounters,
+        on_read: Callable[[int, KeyedRecord], None] = lambda offset, record: None,
+    ) -> None:
+        """Start with nothing read.
+
+        Args:
+            log: What is followed.
+            counters: Of this host.
+            on_read: Told each record that is read, with its offset.
+        """
         self.book = JobBook()
         self.on_change: Callable[[Record], None] = lambda record: None
         self.beat_at = 0.0
@@ -199,6 +212,7 @@
             "jobs", log, self._apply, gap_s=GAP_S, counters=counters
         )
         self._follower.on_back = self._log_is_back
+        self._follower.on_read = on_read
         self._reading: anyio.Event | None = None
         self._queued: anyio.Event | None = None
         self._outcome = False
--- a/courselead/daemon/scheduling/host.py
+++ b/courselead/daemon/scheduling/host.py
@@ -20,6 +20,7 @@
 from courselead.daemon.scheduling.intake import Intake
 from courselead.daemon.scheduling.owner import Owner
 from courselead.daemon.scheduling.ports import HostCounters, Platform
+from courselead.daemon.scheduling.read_back import ReadBack, ReadBackLog
 from courselead.daemon.scheduling.relay import RelayedLog, Ways
 from courselead.daemon.scheduling.relay_app import RelayApp
 from courselead.daemon.scheduling.writer import JobWriter
@@ -92,11 +93,13 @@
         self._claims = platform.claims
         logs = {name: getattr(platform, name) for name in RELAYED_LOGS}
         relayed = {name: RelayedLog(name, log, ways) for name, log in logs.items()}
+        read_back = ReadBack()
+        relayed["jobs"] = ReadBackLog(relayed["jobs"], read_back, self.counters)
         platform = replace(platform, **relayed)
         self._platform = platform
         self._bounds = bounds
         self.directions = DirectionsView(platform.decode)
-        self.follower = JobFollower(platform.jobs, self.counters)
+        self.follower = JobFollower(platform.jobs, self.counters, read_back.read)
         collector = Collector(self._owner_address, self.counters)
         self._writer = JobWriter(platform.jobs, self.counters, collector)
         self._kept = KeptCopy()
--- /dev/null
+++ b/courselead/daemon/scheduling/read_back.py
@@ -0,0 +1,142 @@
+"""Appends whose answers are lost, told from the log itself.
+
+A store may do what it is asked and not answer, while reads are served. To repeat each
+append early would fill the line of a store that is only slow; reading costs nothing
+more, as each host follows the log anyway.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+
+import anyio
+import structlog
+from returns.result import Failure, Result, Success
+
+from courselead.core.scheduler.records import KeyedRecord
+from courselead.daemon.scheduling.ports import (
+    Appended,
+    AppendError,
+    HostCounters,
+    KeyedLog,
+    LogBatch,
+    Newest,
+    ProducerMark,
+    ReadError,
+)
+
+_LOGGER = structlog.get_logger(__name__)
+
+ANSWER_GRACE_S = 0.05
+"""Time for the answer to come after its records were read: it is sent at the same
+moment, and an append that is broken off costs a new connection."""
+
+
+class _Awaited:
+    """Records that are being appended, looked for in the log as it is read."""
+
+    def __init__(self, records: Sequence[KeyedRecord], least: int) -> None:
+        self._records = tuple(records)
+        # Records like these may lie in the log from before.
+        self._least = least
+        self._matched = 0
+        self.end = 0
+        self.seen = anyio.Event()
+
+    def read(self, offset: int, record: KeyedRecord) -> None:
+        """Take the next record of the log: an append's lie one after the other."""
+        if offset < self._least or self.seen.is_set():
+            return
+        if record != self._records[self._matched]:
+            self._matched = 0
+        if record != self._records[self._matched]:
+            return
+        self._matched += 1
+        if self._matched == len(self._records):
+            self.end = offset + 1
+            self.seen.set()
+
+
+class ReadBack:
+    """What this host appends, and the records that it reads."""
+
+    def __init__(self) -> None:
+        """Start with nothing under way."""
+        self._end = 0
+        self._awaited: list[_Awaited] = []
+
+    def read(self, offset: int, record: KeyedRecord) -> None:
+        """Take a record that was read."""
+        for awaited in self._awaited:
+            awaited.read(offset, record)
+
+    def stored_up_to(self, end: int) -> None:
+        """Note an end of the log that an answer told."""
+        self._end = max(self._end, end)
+
+    def expect(self, records: Sequence[KeyedRecord]) -> _Awaited:
+        """Look for records from now on, until they are forgotten."""
+        awaited = _Awaited(records, self._end)
+        self._awaited.append(awaited)
+        return awaited
+
+    def forget(self, awaited: _Awaited) -> None:
+        """Look for records no more."""
+        self._awaited.remove(awaited)
+
+
+class ReadBackLog:
+    """A log that this host follows: what is read back counts as stored."""
+
+    def __init__(
+        self, log: KeyedLog, read_back: ReadBack, counters: HostCounters
+    ) -> None:
+        """Keep the log, and what is read of it."""
+        self._log = log
+        self._read_back = read_back
+        self._counters = counters
+
+    async def append(
+        self,
+        records: Sequence[KeyedRecord],
+        timeout_ms: int,
+        expected_end: int | None = None,
+        mark: ProducerMark | None = None,
+    ) -> Result[Appended, AppendError]:
+        """Store records; answered, or seen in the log."""
+        awaited = self._read_back.expect(records)
+        result: Result[Appended, AppendError] | None = None
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(_until_seen, awaited, tasks.cancel_scope)
+                result = await self._log.append(records, timeout_ms, expected_end, mark)
+                tasks.cancel_scope.cancel()
+        finally:
+            self._read_back.forget(awaited)
+        if result is None or (isinstance(result, Failure) and awaited.seen.is_set()):
+            self._counters.add("read_back")
+            _LOGGER.info("append_read_back", records=len(records), end=awaited.end)
+            result = Success(Appended(awaited.end - len(records), awaited.end))
+        if isinstance(result, Success):
+            self._read_back.stored_up_to(result.unwrap().end)
+        return result
+
+    async def read(
+        self,
+        start: int,
+        wait_ms: int,
+        on_arrival: Callable[[int], None] | None = None,
+    ) -> Result[LogBatch, ReadError]:
+        """Return records from an offset on."""
+        return await self._log.read(start, wait_ms, on_arrival)
+
+    async def newest(self) -> Result[Newest, ReadError]:
+        """Return the newest record of each key."""
+        return await self._log.newest()
+
+
+async def _until_seen(awaited: _Awaited, append: anyio.CancelScope) -> None:
+    """End the wait for an answer to what the log shows as stored."""
+    await awaited.seen.wait()
+    await anyio.sleep(ANSWER_GRACE_S)
+    append.cancel()
--- a/tests/daemon/scheduling/test_read_back.py
+++ b/tests/daemon/scheduling/test_read_back.py
@@ -17,9 +17,16 @@
 import pytest
 
 from courselead.core.scheduler.models import Bounds, JobSpec, Resources, StepSpec
+from courselead.core.scheduler.records import KeyedRecord
 from courselead.daemon.scheduling.host import SchedulingHost
 from courselead.daemon.scheduling.intake import Verdict
-from courselead.daemon.scheduling.ports import Platform
+from courselead.daemon.scheduling.ports import (
+    AppendUnknown,
+    HostCounters,
+    NotAppended,
+    Platform,
+)
+from courselead.daemon.scheduling.read_back import ReadBack, ReadBackLog
 from tests.daemon.scheduling.fakes import MemoryLog
 from tests.daemon.scheduling.test_host import platform, until
 
@@ -95,3 +102,50 @@
             assert await submit(host, f"{number:016x}") is Verdict.ACCEPTED
         assert host.counters.all().get("read_back", 0) == 0
         tasks.cancel_scope.cancel()
+
+
+A, B, C = (KeyedRecord(name, b"v") for name in (b"a", b"b", b"c"))
+
+
+@pytest.mark.parametrize(
+    ("read", "end"),
+    [
+        ([A, B], 2),
+        ([C, A, B, C], 3),
+        ([A, A, B], 3),
+        ([A, C, B], 0),
+        ([B, A], 0),
+        ([A], 0),
+        ([A, KeyedRecord(b"b", b"w")], 0),
+    ],
+)
+def test_an_append_is_seen_only_as_a_whole(read, end):
+    read_back = ReadBack()
+    awaited = read_back.expect([A, B])
+    for offset, record in enumerate(read):
+        read_back.read(offset, record)
+    assert awaited.end == end
+    assert awaited.seen.is_set() == bool(end)
+
+
+def test_the_same_records_from_before_the_append_are_not_taken_for_it():
+    read_back = ReadBack()
+    read_back.stored_up_to(5)
+    awaited = read_back.expect([A])
+    read_back.read(4, A)
+    assert not awaited.seen.is_set()
+    read_back.read(5, A)
+    assert awaited.seen.is_set()
+
+
+async def test_what_is_neither_answered_nor_read_stays_in_doubt():
+    log = AnswersLost(silent=True)
+    read_back = ReadBack()
+    result = await ReadBackLog(log, read_back, HostCounters()).append([A], 20)
+    assert isinstance(result.failure(), AppendUnknown)
+
+
+async def test_an_append_that_is_refused_is_refused():
+    log = AnswersLost(refuse=True)
+    result = await ReadBackLog(log, ReadBack(), HostCounters()).append([A], 20)
+    assert isinstance(result.failure(), NotAppended)
