Repeat an append without an answer while the store answers other calls

Change: appends to the logs of jobs and starts are repeated after 0.15 s, or ten times what answers take of late if that is longer, then after twice that, three times at most, and only while another call on the host's own way was answered meanwhile. They are numbered or keyed, so a repeat is the same append.

--- a/courselead/daemon/scheduling/host.py
+++ b/courselead/daemon/scheduling/host.py
@@ -23,6 +23,7 @@
 from courselead.daemon.scheduling.read_back import ReadBack, ReadBackLog
 from courselead.daemon.scheduling.relay import RelayedLog, Ways
 from courselead.daemon.scheduling.relay_app import RelayApp
+from courselead.daemon.scheduling.repeats import AnswerTimes, RepeatedLog
 from courselead.daemon.scheduling.writer import JobWriter
 
 _LOGGER = structlog.get_logger(__name__)
@@ -42,6 +43,10 @@
 """Logs that hosts reach for each other: all but that of claims, whose appends are
 conditional and are not repeated."""
 
+REPEATED_LOGS = ("jobs", "starts")
+"""Logs whose appends may be made twice: the owner's are numbered, callers' are keyed by
+job."""
+
 REGISTER_TIMEOUT_MS = 1_500
 REGISTER_RETRY_S = 0.5
 """Time-out and pause of the record that names this host's address: at start only."""
@@ -93,6 +98,9 @@
         self._claims = platform.claims
         logs = {name: getattr(platform, name) for name in RELAYED_LOGS}
         relayed = {name: RelayedLog(name, log, ways) for name, log in logs.items()}
+        times = AnswerTimes()
+        for name in REPEATED_LOGS:
+            relayed[name] = RepeatedLog(relayed[name], ways, times, self.counters)
         read_back = ReadBack()
         relayed["jobs"] = ReadBackLog(relayed["jobs"], read_back, self.counters)
         platform = replace(platform, **relayed)
