--- a/tests/daemon/scheduling/test_copies.py
+++ b/tests/daemon/scheduling/test_copies.py
@@ -1,12 +1,16 @@
 """Copies of a log's newest records: kept, lent, packed, and asked for."""
 
+from dataclasses import replace
+
 import anyio
 import msgspec
 import pytest
+from returns.result import Success
 
 from courselead.core.scheduler.records import KeyedRecord
 from courselead.daemon.scheduling import copies
 from courselead.daemon.scheduling.copies import CopiedLog, KeptCopy
+from courselead.daemon.scheduling.follower import KeyedFollower
 from courselead.daemon.scheduling.ports import HostCounters, Newest, NewestRecord
 from courselead.daemon.scheduling.relay_messages import (
     PACK_FROM_BYTES,
@@ -135,3 +139,26 @@
     assert (await log.read(1, 200)).unwrap().records == ()
     assert (await log.read(0, 200)).unwrap().records == (SMALL,)
     assert not lenders.asked
+
+
+async def test_a_copy_counts_records_that_were_known_before_they_are_read():
+    # The newest of each key may be newer than the end from which reading goes on.
+    class PageBehind(MemoryLog):
+        async def newest(self):
+            found = (await super().newest()).unwrap()
+            return Success(replace(found, end=0))
+
+    log = PageBehind([SMALL, LARGE])
+    kept = KeptCopy()
+    follower = KeyedFollower("directions", log, lambda record: None, kept=kept)
+    assert await follower.read_now()
+    assert kept.end == 0
+    assert await follower.read_now()
+    assert kept.end == 2
+    newest = newest_of(await lent(kept, 2))
+    assert {item.record for item in newest.records} == {SMALL, LARGE}
+
+
+def test_a_reply_whose_offsets_do_not_fit_leaves_all_open():
+    reply = RelayReply("newest", 0, 2, "", [SMALL], [0, 1])
+    assert decode_reply(encode_reply(reply)).kind == "unknown"
