Let a kept copy's end follow all that is read

Cause: records that were known from the newest pages were skipped, so a lender refused a copy that it had until the next record came, and the asking host waited for its own slow link. A reply whose offsets do not fit is now malformed in place of raising.

--- a/courselead/daemon/scheduling/copies.py
+++ b/courselead/daemon/scheduling/copies.py
@@ -47,6 +47,9 @@
 """Longest wait of a question until this host has the records itself: on a fast link
 they come within 0.25 s."""
 
+NO_END = 0
+"""In place of the end that a copy must have: all that is stored at the question."""
+
 
 class KeptCopy:
     """The newest record of each key of a log that this host follows."""
@@ -70,10 +73,9 @@
 
     def put(self, offset: int, record: KeyedRecord) -> None:
         """Take the next record of the log; one without a value drops its key."""
-        if record.value:
+        known = self._records.get(record.key)
+        if known is None or offset > known.offset:
             self._records[record.key] = NewestRecord(offset, record)
-        else:
-            self._records.pop(record.key, None)
         self._advance(offset + 1)
 
     async def lend(self, at_least: int, confirmed: bool) -> bytes:
@@ -105,7 +107,8 @@
     def _reply(self) -> bytes:
         """Return the reply, packed once for all hosts that ask for it."""
         if self._packed_end != self.end:
-            newest = Newest(self.end, tuple(self._records.values()))
+            kept = [item for item in self._records.values() if item.record.value]
+            newest = Newest(self.end, tuple(kept))
             self._packed = encode_reply(newest_reply(newest))
             self._packed_end = self.end
         return self._packed
@@ -154,13 +157,12 @@
     async def newest(self) -> Result[Newest, ReadError]:
         """Return the newest record of each key."""
         race = _Race()
-        race.arrives(0)
+        race.arrives(NO_END)
         return await race.run(self._log.newest, self._copy)
 
     async def _copy(self, at_least: int) -> Newest | None:
-        """Ask for a copy that ends at an offset or, without one, has all there is."""
         begun = anyio.current_time()
-        asked = CopyAsked(self._name, at_least, at_least == 0)
+        asked = CopyAsked(self._name, at_least, confirmed=at_least == NO_END)
         reply = await self._lenders.ask_for_copy(asked)
         if reply is None:
             return None
@@ -175,7 +177,7 @@
     """One answer of the store that is under way, and copies asked for beside it."""
 
     def __init__(self) -> None:
-        self._end = 0
+        self._end = NO_END
         self._begun = anyio.Event()
         self._done = anyio.Event()
         self._result: Result[LogBatch | Newest, ReadError] = Failure(
--- a/courselead/daemon/scheduling/follower.py
+++ b/courselead/daemon/scheduling/follower.py
@@ -168,9 +168,9 @@
                 continue
             self.offset = offset + 1
             self.on_read(offset, record)
-            if offset <= self._floors.get(record.key, -1):
-                continue
-            self._on_record(record)
+            known = offset <= self._floors.get(record.key, -1)
+            if not known:
+                self._on_record(record)
             if self._kept is not None:
                 self._kept.put(offset, record)
 
--- a/courselead/daemon/scheduling/relay_messages.py
+++ b/courselead/daemon/scheduling/relay_messages.py
@@ -96,10 +96,12 @@
     """Return what another host said; what is malformed leaves all open."""
     try:
         reply = _DECODE_REPLY.decode(body)
-        if reply.kind != "packed":
-            return reply
-        unpacked = zlib.decompressobj().decompress(reply.packed, UNPACKED_MOST_BYTES)
-        return _DECODE_REPLY.decode(unpacked)
+        if reply.kind == "packed":
+            unpack = zlib.decompressobj().decompress
+            reply = _DECODE_REPLY.decode(unpack(reply.packed, UNPACKED_MOST_BYTES))
+        if reply.kind == "newest" and len(reply.offsets) != len(reply.records):
+            return RelayReply("unknown", reason="malformed reply: offsets do not fit")
+        return reply
     except (msgspec.MsgspecError, zlib.error) as exc:
         return RelayReply("unknown", reason=f"malformed reply: {exc}")
 
