--- a/courselead/cli/explain.py
+++ b/courselead/cli/explain.py
@@ -19,6 +19,7 @@
     "leaving",
     "stopped",
     "config_applied",
+    "copy_taken",
     "schedule_claimed",
     "schedule_owned",
     "schedule_lost",
--- a/tests/daemon/scheduling/test_host.py
+++ b/tests/daemon/scheduling/test_host.py
@@ -6,7 +6,13 @@
 import pytest
 from returns.result import Failure, Success
 
-from courselead.core.scheduler.events import MoveWorker, Outcome, Tick
+from courselead.core.scheduler.events import (
+    MoveWorker,
+    Outcome,
+    StartRun,
+    StepDown,
+    Tick,
+)
 from courselead.core.scheduler.models import Bounds
 from courselead.core.scheduler.records import (
     HostSeen,
@@ -220,6 +226,28 @@
     assert any("w1" in workers for workers in ordered)
 
 
+async def test_an_owner_that_steps_down_sends_nothing_that_was_decided_before():
+    # An owner that had stood still was told by a minion that there is a newer one.
+    # Starts that were decided in the same round came after that word, and ended the
+    # process: `_start`, `assert self.scheduler is not None`, `AssertionError`.
+    shared = platform()
+    host = SchedulingHost("a", shared, Bounds())
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(host.run)
+        await until(lambda: host.owns and host._owner.scheduler is not None)
+        owner = host._owner
+        sent = []
+        owner._send_start = sent.append
+        schedule = owner.scheduler.schedule
+        schedule.emit(StepDown("a minion was given a higher fence"))
+        schedule.emit(StartRun("i-1", "t.0.0.0", 1, "text", 9_000, "", ""))
+        owner.handle(Tick(0))
+        await until(lambda: owner.scheduler is None)
+        await anyio.wait_all_tasks_blocked()
+        assert not sent
+        tasks.cancel_scope.cancel()
+
+
 async def test_a_host_is_ready_once_it_knows_its_queues_and_the_log():
     shared = platform()
     shared.jobs.refuse = True
