Send nothing more once an owner has stepped down

Cause: a minion's word of a newer owner and starts decided in the same round lay in one list of effects; the first ended the ownership, the second met no scheduler and ended the process. Change: the rest of the list is dropped.

--- a/courselead/daemon/scheduling/owner.py
+++ b/courselead/daemon/scheduling/owner.py
@@ -330,6 +330,10 @@
             self.scheduler.place(now_ms())
             for effect in self.scheduler.take_effects():
                 self._carry_out(effect)
+                if self.scheduler is None:
+                    # It stepped down: what was decided beside that is the next
+                    # owner's to decide.
+                    return
             self._save_soon()
 
     def _save_soon(self) -> None:
