Look at minions more often while their answers are lost

Change: once a minion answers a look again after one was lost, looks wait 0.2 s at most for the next 3 s, longer where there are many minions. Minions that are gone do not count, as they do not answer again.

--- a/courselead/core/scheduler/const.py
+++ b/courselead/core/scheduler/const.py
@@ -52,6 +52,18 @@
 HOLD_WAIT_IDLE_MS = 2_000
 """The same where nothing runs: the protocol's longest, as looks are priced."""
 
+LOSSY_MS = 3_000
+"""Time for which looks stay short after a minion has answered again that had not
+answered one: at a share of a tenth, some minion does so in each second."""
+
+LOSSY_WAIT_MS = 200
+"""Wait of a look meanwhile: one that is lost costs its wait and 0.8 s, in which ends
+are not seen."""
+
+LOSSY_LOOKS_PER_S = 400
+"""Most looks a second meanwhile at minions without ends, which lengthens the wait where
+there are many: about as many as the owner of 349 minions makes in calm."""
+
 UNKNOWN_LIFE_MS = 500
 """Time that a silent minion has been in the list until the cloud's list, which is
 newer, is believed that no worker has it."""
--- a/courselead/core/scheduler/minions.py
+++ b/courselead/core/scheduler/minions.py
@@ -80,6 +80,7 @@
     _heard(schedule, minion)
     if minion.failures:
         schedule.note("minion_reached", minion=minion.minion_id)
+        schedule.lossy_until_ms = schedule.now_ms + const.LOSSY_MS
         schedule.dirty_pools.add(minion.info.pool)
     minion.failures = 0
     minion.clock_ms = event.clock_ms
--- a/courselead/core/scheduler/schedule.py
+++ b/courselead/core/scheduler/schedule.py
@@ -149,6 +149,8 @@
     workers_asked_ms: int = 0
     workers_ms: int = -1
     doubted_lives: dict[str, DoubtedLife] = field(default_factory=dict)
+    # Answers of minions are lost now and then until this time.
+    lossy_until_ms: int = 0
     # Listed with a pool that the configuration does not name, by id.
     strangers: dict[str, MinionInfo] = field(default_factory=dict)
     waves: dict[int, WaveState] = field(default_factory=dict)
--- a/courselead/core/scheduler/scheduler.py
+++ b/courselead/core/scheduler/scheduler.py
@@ -203,7 +203,15 @@
             wait_ms = 0
         elif not minion.runs:
             wait_ms = const.HOLD_WAIT_IDLE_MS
-        return HoldCall(lease_ms, minion.cursor, wait_ms)
+        return HoldCall(lease_ms, minion.cursor, min(wait_ms, self._longest_wait_ms()))
+
+    def _longest_wait_ms(self) -> int:
+        """Return the longest wait of a look: short while answers are lost."""
+        schedule = self.schedule
+        if schedule.now_ms >= schedule.lossy_until_ms:
+            return const.HOLD_WAIT_IDLE_MS
+        fair_ms = len(schedule.minions) * 1_000 // const.LOSSY_LOOKS_PER_S
+        return max(const.LOSSY_WAIT_MS, fair_ms)
 
     def _job_arrived(self, job_id: str) -> None:
         schedule = self.schedule
