--- a/tests/daemon/scheduling/test_repeats.py
+++ b/tests/daemon/scheduling/test_repeats.py
@@ -54,6 +54,10 @@
         await anyio.sleep(self.slow_s)
         return await super().append(records, timeout_ms, expected_end, mark)
 
+    async def read(self, start, wait_ms, on_arrival=None):
+        await anyio.sleep(self.slow_s)
+        return await super().read(start, wait_ms, on_arrival)
+
 
 class Site:
     """A repeating log over one that swallows appends; reads are answered or not."""
@@ -128,3 +132,27 @@
     site = Site(epoch=9)
     with anyio.fail_after(SOON_S):
         assert isinstance((await site.append()).failure(), AppendFenced)
+
+
+async def test_what_a_slow_read_or_claim_takes_is_known_before_the_first_append():
+    # A new owner took a slow store for a calm one: it repeated each of its first
+    # appends three times, which filled the line, and was replaced after 1.3 s.
+    for slow in ("read", "claim"):
+        site = Site()
+        site.store.swallowed = 0
+        site.store.slow_s = 0.3
+        if slow == "read":
+            await site.log.read(0, 0)
+        else:
+            await site.append(mark=None, expected_end=0)
+        before = site.store.appends
+        assert isinstance(await site.append(), Success)
+        assert site.store.appends == before + 1
+
+
+async def test_what_a_read_waits_for_is_not_what_its_answer_takes():
+    site = Site()
+    await site.log.read(0, 300)
+    with anyio.fail_after(SOON_S):
+        assert isinstance(await site.append(), Success)
+    assert site.store.appends == 2
