Let slow reads and claims tell that a store is slow before appends are repeated

Cause: what answers take was learned from a host's own appends alone, slowly. A new owner took a slow store for a calm one and repeated each of its first appends into the line of the log.

Change: reads that wait for nothing, and claims, are timed too; a slower answer counts in full at once, quicker ones by a fifth.

--- a/courselead/daemon/scheduling/host.py
+++ b/courselead/daemon/scheduling/host.py
@@ -101,9 +101,11 @@
         times = AnswerTimes()
         for name in REPEATED_LOGS:
             relayed[name] = RepeatedLog(relayed[name], ways, times, self.counters)
+        # Its appends are conditional and made once, but tell what answers take.
+        claims = RepeatedLog(platform.claims, ways, times, self.counters)
         read_back = ReadBack()
         relayed["jobs"] = ReadBackLog(relayed["jobs"], read_back, self.counters)
-        platform = replace(platform, **relayed)
+        platform = replace(platform, claims=claims, **relayed)
         self._platform = platform
         self._bounds = bounds
         self.directions = DirectionsView(platform.decode)
--- a/courselead/daemon/scheduling/repeats.py
+++ b/courselead/daemon/scheduling/repeats.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable, Sequence
+from typing import TypeVar
 
 import anyio
 import structlog
@@ -21,12 +22,17 @@
     AppendUnknown,
     HostCounters,
     KeyedLog,
+    LogBatch,
     NotAppended,
     ProducerMark,
+    ReadError,
 )
 from courselead.daemon.scheduling.reads_through import ReadsThrough
 from courselead.daemon.scheduling.two_ways import OwnWay
 
+_Found = TypeVar("_Found")
+_Error = TypeVar("_Error")
+
 _LOGGER = structlog.get_logger(__name__)
 
 LEAST_PATIENCE_S = 0.15
@@ -44,11 +50,12 @@
 """What answers take, before any has come."""
 
 _WEIGHT = 0.2
-"""Weight of the newest answer in that: about the last five count."""
+"""Weight of a quicker answer in that: about the last five count. A slower one counts
+in full: into the line of a slow store not even a new owner may repeat."""
 
 
 class AnswerTimes:
-    """What answers to appends take of late, whatever log they are for."""
+    """What the store's answers take of late, whatever log they are for."""
 
     def __init__(self) -> None:
         """Start with a calm store."""
@@ -61,7 +68,8 @@
 
     def took(self, seconds: float) -> None:
         """Take the time of an answer."""
-        self._typical_s += _WEIGHT * (seconds - self._typical_s)
+        weight = _WEIGHT if seconds < self._typical_s else 1.0
+        self._typical_s += weight * (seconds - self._typical_s)
 
 
 class _Attempts:
@@ -140,7 +148,9 @@
     ) -> Result[Appended, AppendError]:
         """Store records; a conditional append is made once."""
         if expected_end is not None:
-            return await self._log.append(records, timeout_ms, expected_end, mark)
+            return await self._timed(
+                lambda: self._log.append(records, timeout_ms, expected_end, mark)
+            )
         attempts = _Attempts(
             lambda left_ms: self._log.append(records, left_ms, mark=mark),
             timeout_ms,
@@ -153,6 +163,26 @@
             tasks.cancel_scope.cancel()
         return attempts.outcome()
 
+    async def read(
+        self,
+        start: int,
+        wait_ms: int,
+        on_arrival: Callable[[int], None] | None = None,
+    ) -> Result[LogBatch, ReadError]:
+        """Return records from an offset on."""
+        if wait_ms:
+            return await self._log.read(start, wait_ms, on_arrival)
+        return await self._timed(lambda: self._log.read(start, 0, on_arrival))
+
+    async def _timed(
+        self, call: Callable[[], Awaitable[Result[_Found, _Error]]]
+    ) -> Result[_Found, _Error]:
+        begun = anyio.current_time()
+        result = await call()
+        if isinstance(result, Success):
+            self._times.took(anyio.current_time() - begun)
+        return result
+
     async def _repeat(self, attempts: _Attempts, tasks: TaskGroup) -> None:
         patience_s = self._times.patience_s
         for number in range(MOST_REPEATS):
