Show an append that never ends once its time is over

Found by reading: an attempt without time left returned and told nobody, so that an owner that stood still at that moment would have waited for good. The test fails.

--- a/tests/daemon/scheduling/test_repeats.py
+++ b/tests/daemon/scheduling/test_repeats.py
@@ -157,3 +157,12 @@
     with anyio.fail_after(SOON_S):
         assert isinstance(await site.append(), Success)
     assert site.store.asked == 2
+
+
+async def test_an_append_whose_time_was_over_before_it_began_ends():
+    # A process that stands still between the two must not wait for good.
+    site = Site()
+    with anyio.fail_after(SOON_S):
+        result = await site.log.append([RECORD], 0, mark=MARK)
+    assert isinstance(result.failure(), NotAppended)
+    assert site.store.asked == 0
