--- a/courselead/daemon/scheduling/repeats.py
+++ b/courselead/daemon/scheduling/repeats.py
@@ -94,6 +94,7 @@
         begun = anyio.current_time()
         left_ms = int((self._deadline - begun) * 1000)
         if left_ms <= 0:
+            self._failed(NotAppended("no time was left for it"))
             return
         self._open += 1
         result = await self._call(left_ms)
@@ -103,13 +104,16 @@
         if isinstance(result, Failure):
             error = result.failure()
             if isinstance(error, AppendUnknown | NotAppended):
-                self._failures.append(error)
-                if not self._open:
-                    self.over.set()
+                self._failed(error)
                 return
         self._answer = result
         self.over.set()
 
+    def _failed(self, error: AppendUnknown | NotAppended) -> None:
+        self._failures.append(error)
+        if not self._open:
+            self.over.set()
+
     def outcome(self) -> Result[Appended, AppendError]:
         """Return the store's answer, or why there is none.
 
