Give each test run loopback addresses of its own

Two runs of the tests side by side failed once each. One is traced: the hosts of both had the same addresses, and the port of the metrics is fixed ("cannot listen on 127.0.0.10:9464: Address already in use" in the logs of the run).

--- a/demo/job_site.py
+++ b/demo/job_site.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import os
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -28,6 +29,10 @@
 METRICS_PORT = 9464
 """As deploy/system.toml names it."""
 
+NETWORKS = 250
+"""Loopback networks that runs side by side share: the metrics' port is one for all
+hosts, so two runs with the same addresses would take it from each other."""
+
 STATUS_OK = 200
 FINAL = ("completed", "failed", "cancelled")
 SHOWN = 5
@@ -281,7 +286,7 @@
     plans = []
     for number in range(hosts):
         front, ready, peer = free_ports(3)
-        ip = f"127.0.0.{10 + number}"
+        ip = f"{_network()}.{10 + number}"
         plans.append(HostPorts(f"front-{number}", ip, front, ready, peer))
     site = JobSite(processes, tuple(plans))
     try:
@@ -298,3 +303,8 @@
             await processes.end_all()
             for client in site._clients.values():
                 client.close()
+
+
+def _network() -> str:
+    """Return the first three numbers of this process's own loopback addresses."""
+    return f"127.0.{1 + os.getpid() % NETWORKS}"
