Show that a stopping host resets callers that the kernel has let in

Both tests fail on this code: one with that very error for connections in the listener's queue, one with a request that lies unread on a kept connection as it is closed.

--- a/tests/integrations/http_api/test_wire.py
+++ b/tests/integrations/http_api/test_wire.py
@@ -292,6 +292,70 @@
                 assert b"connection: close" in data.lower()
 
 
+async def test_stop_serves_callers_that_the_kernel_has_let_in():
+    """Callers that connected while the loop was busy are answered, not reset.
+
+    A caller of a host that got SIGTERM read "Connection reset by peer", once of four
+    runs, beside a second test run and three busy processes: the kernel completes
+    connections by itself, and those that were not accepted yet when the listener was
+    closed were reset with the requests on them.
+    """
+    count = 5
+    host = FakeHost(lambda req: whole(b"hi"))
+    chosen = settings()
+    server = HttpServer(HttpApi(host, chosen), chosen.listen, chosen.limits)
+    with anyio.fail_after(10), contextlib.ExitStack() as stack:
+        async with anyio.create_task_group() as tasks:
+            address = await tasks.start(server.run)
+            callers = []
+
+            async def late_tick(_counter):
+                # Nothing is accepted between this and the listener's close.
+                for _ in range(count):
+                    sock = socket.create_connection((address.ip, address.port))
+                    callers.append(stack.enter_context(sock))
+                    sock.sendall(head())
+                return True
+
+            server._server.on_tick = late_tick
+            await server.wait_closed()
+        for sock in callers:
+            sock.settimeout(1)
+            data = b"".join(iter(lambda sock=sock: sock.recv(4096), b""))
+            assert data.startswith(b"HTTP/1.1 200")
+            assert b"connection: close" in data.lower()
+    assert len(host.requests) == count
+
+
+async def test_stop_serves_a_request_that_has_come_on_a_kept_connection(monkeypatch):
+    """A request that lies unread as its connection is closed is answered first.
+
+    Closing a socket with unread bytes resets it: the second way to the reset of
+    the test above, found while it was traced.
+    """
+    monkeypatch.setattr(server_module, "_LINGER_S", 0)
+    host = FakeHost(lambda req: whole(b"hi"))
+    chosen = settings()
+    server = HttpServer(HttpApi(host, chosen), chosen.listen, chosen.limits)
+    with anyio.fail_after(10):
+        async with anyio.create_task_group() as tasks:
+            address = await tasks.start(server.run)
+            async with Caller.to(address) as kept:
+                await kept.send(head())
+                await kept.until(b"0\r\n\r\n")
+                raw = kept._stream.extra(anyio.abc.SocketAttribute.raw_socket)
+
+                async def late_tick(_counter):
+                    with socket.fromfd(raw.fileno(), raw.family, raw.type) as sock:
+                        sock.sendall(head())
+                    return True
+
+                server._server.on_tick = late_tick
+                data = await kept.to_end()
+                assert data.startswith(b"HTTP/1.1 200")
+    assert len(host.requests) == 2
+
+
 async def test_stop_cuts_off_what_takes_too_long():
     host = FakeHost(lambda req: None)
     chosen = settings()
