Serve the callers whom the kernel has let in before a host stops listening

Cause: the kernel completes connections by itself; those in the listener's queue were reset when it was closed, and a kept connection that was closed with unread bytes, too. Ruled out: an answer cut off by the drain's time (the test's requests take 20 ms of 30 s), a reset by a minion (the caller's own socket read it).

Change: what waits in the queue is accepted in the same step in which the listener is closed, and any connection without an exchange under way gets 0.2 s for one more request, not only new ones.

--- a/courselead/integrations/http_api/protocol.py
+++ b/courselead/integrations/http_api/protocol.py
@@ -13,8 +13,9 @@
 from courselead.integrations.http_api.problems import ApiProblem, EdgeKind, bad_request
 from courselead.settings import LimitSettings
 
-# Time for the first request of a connection that is new when the server stops.
-_FIRST_REQUEST_S = 0.2
+# Time for one more request of a connection on which none is under way when the server
+# stops: a round trip, and the loop of a busy host.
+_LAST_REQUEST_S = 0.2
 # Beyond this part over the limit a connection is dropped without an answer.
 _SURPLUS_SHARE = 4
 _SURPLUS_LEAST = 16
@@ -50,11 +51,12 @@
 
     def shutdown(self) -> None:
         """Close the connection once nothing is under way on it."""
-        if self.cycle is not None:
+        if self.cycle is not None and not self.cycle.response_complete:
             super().shutdown()
             return
-        # Its first request may be on its way, and closing now would lose it.
-        self.loop.call_later(_FIRST_REQUEST_S, self._shut_down_late)
+        # A request may have come or be on its way, and closing now would lose it: a
+        # socket that is closed with unread bytes is reset.
+        self.loop.call_later(_LAST_REQUEST_S, self._shut_down_late)
 
     def abort(self) -> None:
         """Drop the connection with whatever is unsent."""
--- a/courselead/integrations/http_api/server.py
+++ b/courselead/integrations/http_api/server.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import logging
 import socket
 from collections.abc import Iterator
 
 import anyio
+import structlog
 import uvicorn
 from anyio.abc import TaskStatus
 
@@ -16,6 +18,8 @@
 from courselead.integrations.http_api.protocol import GuardedProtocol
 from courselead.settings import Address, LimitSettings
 
+_LOGGER = structlog.get_logger(__name__)
+
 _BACKLOG = 512
 _SWEEP_S = 0.25
 _SETTLE_S = 1.0
@@ -126,8 +130,31 @@
         with anyio.move_on_after(_LINGER_S):
             while self.server_state.connections:
                 await anyio.sleep(_LINGER_S / 50)
+        await self._close_listeners(sockets or [])
         await super().shutdown(sockets)
 
+    async def _close_listeners(self, sockets: list[socket.socket]) -> None:
+        """Stop listening, and take the callers whom the kernel has let in already.
+
+        Closed with its listener, a connection that was not accepted yet is reset, and
+        the request on it is lost without an answer.
+        """
+        accepted = []
+        for sock in sockets:
+            accepted += accept_all(sock)
+        for server in self.servers:
+            server.close()
+        loop = asyncio.get_running_loop()
+        for conn in accepted:
+            await loop.connect_accepted_socket(self._make_protocol, conn)
+
+    def _make_protocol(self) -> asyncio.Protocol:
+        return self.config.http_protocol_class(  # type: ignore[call-arg]
+            config=self.config,
+            server_state=self.server_state,
+            app_state=self.lifespan.state,
+        )
+
     async def settle(self) -> None:
         """Give the exchanges that were cut off a moment to say so."""
         with anyio.move_on_after(_SETTLE_S):
@@ -164,6 +191,28 @@
     )
 
 
+def accept_all(listener: socket.socket) -> list[socket.socket]:
+    """Return the connections that wait in a listener's queue.
+
+    Args:
+        listener: A listening socket that does not block.
+    """
+    accepted = []
+    while True:
+        try:
+            conn, _ = listener.accept()
+        except BlockingIOError:
+            return accepted
+        except ConnectionAbortedError:
+            # Its caller has reset it already.
+            continue
+        except OSError as exc:
+            _LOGGER.info("accept_failed", reason=exc.strerror or type(exc).__name__)
+            return accepted
+        conn.setblocking(False)
+        accepted.append(conn)
+
+
 def _bind(listen: Address) -> socket.socket:
     family = socket.AF_INET6 if ":" in listen.ip else socket.AF_INET
     # Named, so that asyncio turns the delay of small segments off.
