--- a/tests/core/scheduler/test_pools.py
+++ b/tests/core/scheduler/test_pools.py
@@ -289,3 +289,17 @@
     assert minion.minion_id in owner.schedule.minions
     owner.handle(ev.WorkersListed(minion.listed_ms + 1, (before,)), world.now_ms)
     assert minion.minion_id not in owner.schedule.minions
+
+
+def test_a_turn_that_begins_takes_no_worker_from_its_pool():
+    # The large deployment, scale-2 at 0.5 s: 33 of 54 workers of the pool whose turn
+    # had just begun were switched off, as they had been idle before it; 61 others were
+    # fetched for the pool from 2.5 s on, and the turn's first 4 s had 21 workers for 53
+    # that it wanted (`pool_state` and `move` lines of the owner).
+    world = World(minions=12, cfg=fleet())
+    world.claim()
+    world.run(8_000)
+    for number in range(30):
+        world.submit(job(step(1)), f"{number:016x}", 500)
+        world.run(80)
+    assert not moves(world)
