Count a worker's idle time from the begin of its pool's turn

Cause: a pool keeps its idle workers until its first turn. Ruled out: the wave (from 1.8 s on) and donors for other pools (none was short then).

Change: within a turn idle time counts from its begin.

--- a/courselead/core/scheduler/pools.py
+++ b/courselead/core/scheduler/pools.py
@@ -105,6 +105,20 @@
     return LULL_OFF_MS if over else IDLE_OFF_MS
 
 
+def _idle_ms(schedule: Schedule, minion: Minion) -> int:
+    """Return for how long a worker has been idle, of a turn only since its begin.
+
+    The load: pools that have waited for their first turn. In its first second the rate
+    is not known yet, and 33 of 54 idle workers were switched off as it began, 61
+    fetched from 2 s on.
+    """
+    idle_ms = schedule.now_ms - minion.idle_ms
+    turns = schedule.turns.get(minion.info.pool)
+    if turns is None or not turns.in_turn:
+        return idle_ms
+    return min(idle_ms, schedule.wall_ms - turns.memory.onset_ms)
+
+
 def _spare_workers(schedule: Schedule) -> list[Worker]:
     workers = []
     for worker in schedule.workers.values():
@@ -219,7 +233,7 @@
         return
     kinds = _kinds(schedule)
     for minion, worker in donors:
-        idle_ms = schedule.now_ms - minion.idle_ms
+        idle_ms = _idle_ms(schedule, minion)
         if idle_ms < _idle_off_ms(schedule, minion.info.pool):
             continue
         for pool in off:
