Take jobs that last for no turn of demand

Cause: any three jobs within a second were a turn's begin, also lasting ones, whose work is not counted.

Change: jobs without finite work are not counted as arrivals.

--- a/courselead/core/scheduler/demand.py
+++ b/courselead/core/scheduler/demand.py
@@ -72,6 +72,9 @@
             continue
         run_ms = schedule.expected_ms(job.queue, step)
         work += int(step.count * step.need.cpu_milli * run_ms)
+    if not work:
+        # Jobs that last are no turn, however many come at once.
+        return
     spread_ms = max(RATE_WINDOW_MS, urgency.chain_ms(schedule, job))
     arrival = Arrival(schedule.now_ms, work, spread_ms)
     schedule.arrivals.setdefault(schedule.pool_of(job), []).append(arrival)
