Reckon demand ahead by the time that a worker takes to come

Cause: a pool wanted what its recent jobs kept busy at the time. Ruled out: a slow cloud (orders are answered within 10 ms), the list of minions (0.1 to 0.3 s from a move's end).

Change: what recent jobs still keep busy by then, and what comes at the newest rate, taken over 0.4 s as a turn begins; the larger of that and of what is busy now.

--- a/courselead/core/scheduler/demand.py
+++ b/courselead/core/scheduler/demand.py
@@ -15,6 +15,10 @@
 """Least time over which the work that arrives is counted: a quarter of a turn.
 A job of longer steps keeps fewer cores busy for longer."""
 
+ONSET_WINDOW_MS = 400
+"""The same for the first moments of a turn, in which a second is mostly lull: six jobs
+at the rate of the least busy queue of the largest fleet."""
+
 DRAIN_MS = 600
 """Time within which waiting work should be done: most of the slack of short jobs, as a
 worker that is fetched comes 2.2 s later."""
@@ -64,6 +68,25 @@
         return self.wanted / max(1, self.capacity)
 
 
+@dataclass(frozen=True, slots=True)
+class _Rate:
+    """What jobs that come keep busy, in thousandths of a core.
+
+    The load: a turn that begins. What its jobs keep busy grows for as long as a job
+    takes, and a worker comes 2.2 s after it was asked for: reckoned ahead, the two
+    worst windows of 2 s are served 0.457 in time, not 0.436 (mean of three replays).
+
+    Attributes:
+        busy: Now.
+        ahead: When a worker that is ordered now has come.
+        jobs: How many came within `RATE_WINDOW_MS`.
+    """
+
+    busy: int
+    ahead: int
+    jobs: int
+
+
 def job_arrived(schedule: Schedule, job: Job) -> None:
     """Count a new job's work into its pool's rate."""
     work = 0
@@ -105,12 +128,12 @@
             demands[move.pool].capacity += worker.room.cpu_milli
     _count_joining(schedule, demands)
     for pool, demand in demands.items():
-        demand.arriving, jobs = _rate(schedule, pool)
+        rate = _rate(schedule, pool)
         turns = turns_of(schedule, pool)
-        turns.follow(schedule.wall_ms, demand.arriving, jobs)
+        turns.follow(schedule.wall_ms, rate.busy, rate.jobs)
         lead_ms = schedule.bounds.move_ms + JOIN_MS
         due = turns.due_milli(schedule.wall_ms, lead_ms)
-        demand.arriving = max(demand.arriving, due)
+        demand.arriving = max(rate.busy, rate.ahead, due)
         demand.untried = not turns.seen
         _count_waiting(schedule, pool, demand)
     for worker_id, move in schedule.moves.items():
@@ -149,19 +172,41 @@
         )
 
 
-def _rate(schedule: Schedule, pool: str) -> tuple[int, int]:
-    """Return the cores that recent jobs keep busy, and how many came of late."""
+def _rate(schedule: Schedule, pool: str) -> _Rate:
+    """Return what a pool's recent jobs keep busy, now and when a worker could come."""
+    lead_ms = schedule.bounds.move_ms + JOIN_MS
+    window_ms = _window_ms(schedule, pool)
     recent = []
-    milli = jobs = 0
+    jobs = busy = staying = work = lately = 0
+    work_ms = 0.0
     for arrival in schedule.arrivals.get(pool, ()):
         age_ms = schedule.now_ms - arrival.at_ms
         jobs += age_ms <= RATE_WINDOW_MS
         if age_ms > arrival.spread_ms:
             continue
         recent.append(arrival)
-        milli += arrival.work // arrival.spread_ms
+        busy += arrival.work // arrival.spread_ms
+        if age_ms + lead_ms <= arrival.spread_ms:
+            staying += arrival.work // arrival.spread_ms
+        if age_ms <= window_ms:
+            lately += arrival.work
+        work += arrival.work
+        work_ms += arrival.work * arrival.spread_ms
     schedule.arrivals[pool] = recent
-    return milli, jobs
+    if not work:
+        return _Rate(0, 0, jobs)
+    spread_ms = work_ms / work
+    coming = int(lately / window_ms * min(1.0, lead_ms / spread_ms))
+    return _Rate(busy, staying + coming, jobs)
+
+
+def _window_ms(schedule: Schedule, pool: str) -> int:
+    """Return the time over which the newest rate is taken: less as a turn begins."""
+    turns = schedule.turns.get(pool)
+    if turns is None or not turns.in_turn:
+        return RATE_WINDOW_MS
+    since_ms = schedule.wall_ms - turns.memory.onset_ms
+    return min(RATE_WINDOW_MS, ONSET_WINDOW_MS + max(0, since_ms))
 
 
 def _count_waiting(schedule: Schedule, pool: str, demand: PoolDemand) -> None:
