Fetch few workers for work that is late already

Cause: waiting work was to be done within 0.6 s, also work that misses its objective even if it starts at once.

Change: late work counts as if it had 3 s.

--- a/courselead/core/scheduler/demand.py
+++ b/courselead/core/scheduler/demand.py
@@ -23,6 +23,11 @@
 """Time within which waiting work should be done: most of the slack of short jobs, as a
 worker that is fetched comes 2.2 s later."""
 
+LATE_DRAIN_MS = 3_000
+"""The same for work that can't meet its objective any more: it is worth something until
+three times that. Fetched for like the rest it cost 350 of 10,480 worker seconds and 110
+of 1,270 moves, and nothing came sooner for it (mean of three replays of four turns)."""
+
 REPORT_MS = 2_000
 """Time between two lines on each pool: half a turn of demand, whatever the load."""
 
@@ -210,7 +215,9 @@
 
 
 def _count_waiting(schedule: Schedule, pool: str, demand: PoolDemand) -> None:
-    work = 0
+    work = late = 0
+    # A line may have thousands of units; those of a step are late together.
+    late_steps: dict[int, bool] = {}
     for unit in schedule.ready.get(pool, ()):
         if unit.done or unit.job.state.final:
             continue
@@ -223,8 +230,16 @@
                 demand.lasting_waits = True
             continue
         run_ms = schedule.expected_ms(unit.job.queue, spec)
-        work += int(len(unit.indexes) * spec.need.cpu_milli * run_ms)
-    demand.waiting = work // DRAIN_MS
+        needs = int(len(unit.indexes) * spec.need.cpu_milli * run_ms)
+        is_late = late_steps.get(id(unit.step))
+        if is_late is None:
+            is_late = urgency.is_late(schedule, unit.step)
+            late_steps[id(unit.step)] = is_late
+        if is_late:
+            late += needs
+        else:
+            work += needs
+    demand.waiting = work // DRAIN_MS + late // LATE_DRAIN_MS
 
 
 def turns_of(schedule: Schedule, pool: str) -> Turns:
--- a/courselead/core/scheduler/placement.py
+++ b/courselead/core/scheduler/placement.py
@@ -223,10 +223,8 @@
     priority = queue.priority if queue is not None else 0
     if step.spec.long_running:
         return (priority, 0, 0, 0)
-    left = urgency.left(schedule, step)
-    late_ms = schedule.now_ms + left.chain_ms
-    hopeless = late_ms > urgency.objective_ms(schedule, step.job)
-    return (priority, 1, int(hopeless), left.work)
+    late = urgency.is_late(schedule, step)
+    return (priority, 1, int(late), urgency.left(schedule, step).work)
 
 
 def _try_start(schedule: Schedule, unit: Unit, minions: list[Minion]) -> bool:
--- a/courselead/core/scheduler/urgency.py
+++ b/courselead/core/scheduler/urgency.py
@@ -40,6 +40,12 @@
     return job.accepted_ms + int(queue.stretch * longest_ms) + queue.slo_ms
 
 
+def is_late(schedule: Schedule, step: StepRun) -> bool:
+    """Return whether a step's job misses its objective even if nothing waits."""
+    ends_ms = schedule.now_ms + left(schedule, step).chain_ms
+    return ends_ms > objective_ms(schedule, step.job)
+
+
 def chain_ms(schedule: Schedule, job: Job) -> int:
     """Return how long a job takes without any wait, as expected when first asked."""
     if job.chain_ms == 0:
