--- a/demo/job_site.py
+++ b/demo/job_site.py
@@ -87,6 +87,7 @@
     async def start(self, *hosts: HostPorts) -> None:
         """Start entry hosts; does not wait."""
         for host in hosts:
+            way = self.store_ways.get(host.name)
             path = self.processes.folder / f"{host.name}.toml"
             text = SETTINGS.format(
                 name=host.name,
@@ -94,7 +95,7 @@
                 front=host.front,
                 ready=host.ready,
                 peer=host.peer,
-                store=self.store_ways[host.name].address,
+                store=self.site["store"] if way is None else way.address,
                 cloud=self.site["cloud"],
             )
             path.write_text(text)
