Take idle workers of a pool in its turn down last

Cause: a wave took idle workers alike wherever they were.

Change: workers go down in the order idle, idle in a pool in its turn, busy. Nothing waits for it, so that waves end as early as before.

--- a/courselead/core/scheduler/waves.py
+++ b/courselead/core/scheduler/waves.py
@@ -159,7 +159,7 @@
     for worker_id in staying:
         if worker_id in wave.evacuating:
             _evacuate(schedule, number, wave, worker_id)
-    for worker_id in sorted(staying, key=lambda item: _load(schedule, item)):
+    for worker_id in sorted(staying, key=lambda item: _order(schedule, item)):
         busy = len(wave.evacuating) + len(wave.down)
         if busy >= wave.cap + EVACUATE_AHEAD:
             return
@@ -173,9 +173,18 @@
         _evacuate(schedule, number, wave, worker_id)
 
 
-def _load(schedule: Schedule, worker_id: str) -> int:
+def _order(schedule: Schedule, worker_id: str) -> tuple[bool, bool, int]:
+    """Return in which order workers go down: lowest first.
+
+    The load: a wave that comes as a pool's turn begins, with idle workers in all pools.
+    Taken alike, those of the pool that is about to need them went with the others.
+    """
     minion = _minion(schedule, worker_id)
-    return 0 if minion is None else len(minion.runs)
+    if minion is None:
+        return (False, False, 0)
+    turns = schedule.turns.get(minion.info.pool)
+    in_turn = turns is not None and turns.in_turn
+    return (bool(minion.runs), in_turn, len(minion.runs))
 
 
 def _minion(schedule: Schedule, worker_id: str) -> Minion | None:
