--- a/tests/core/scheduler/test_demand.py
+++ b/tests/core/scheduler/test_demand.py
@@ -40,6 +40,21 @@
     assert 0.5 * steady < wants.arriving < 1.2 * steady
 
 
+def test_a_rate_that_rises_is_carried_on():
+    # The large deployment, trouble-1: the first turn's rate rose from 14 to 75 jobs a
+    # second within 4 s. Workers were ordered from 3.0 s on, as its 48 own were all
+    # busy, and those of 5 s were wanted then: 0.56 and 0.65 of the jobs that came at 2
+    # and at 4 s were served in time.
+    world = World(minions=100, cfg=fleet())
+    owner = world.claim()
+    world.run(500)
+    hand_in(world, 1_000, 100)
+    hand_in(world, 1_000, 40, first=100)
+    reached = 25 * 4 * 2 * CPU * RUN_MS // 1_000
+    wants = demand.demands_of(owner.schedule)[POOL]
+    assert wants.arriving > 1.2 * reached
+
+
 def test_what_a_steady_queue_wants_is_what_it_keeps_busy():
     world = World(minions=100, cfg=fleet())
     owner = world.claim()
