--- a/benchmarks/turns/__main__.py
+++ b/benchmarks/turns/__main__.py
@@ -25,12 +25,12 @@
 app = App(name="turns", help="Measure what demand by turns is served, and its price.")
 
 
-def row(seed: int, turn_ms: int = 10_000) -> list[float]:
+def row(seed: int, turns: Turns) -> list[float]:
     """Return what one seed has shown."""
     fleet = TurnFleet(LARGE)
     fleet.run((), CALM_MS)
     begun_ms, moves = fleet.worker_ms, fleet.moves
-    fleet.run(draw_jobs(LARGE, Turns(turn_ms), LENGTH_MS, seed), LENGTH_MS + TAIL_MS)
+    fleet.run(draw_jobs(LARGE, turns, LENGTH_MS, seed), LENGTH_MS + TAIL_MS)
     fleet.close()
     served = fleet.served
     queues = sorted({job.queue for job in served})
@@ -49,19 +49,20 @@
 
 
 @app.default
-def main(seeds: int = 3, turn_ms: int = 10_000, replace: tuple[str, ...] = ()) -> None:
+def main(seeds: int = 3, steep: bool = False, replace: tuple[str, ...] = ()) -> None:
     """Print shares served in time, seconds of workers in pools, and moves.
 
     Args:
         seeds: How many are run.
-        turn_ms: How long a queue's turn lasts.
+        steep: Whether a turn's highest rate is reached at once.
         replace: Constants to change, as `module:NAME=VALUE`.
     """
     for text in replace:
         place, _, value = text.partition("=")
         module, _, name = place.partition(":")
         setattr(importlib.import_module(module), name, float(value))
-    rows = [row(seed, turn_ms) for seed in range(1, seeds + 1)]
+    turns = Turns(steep=steep)
+    rows = [row(seed, turns) for seed in range(1, seeds + 1)]
     means = ["mean"]
     for column in range(1, len(rows[0])):
         means.append(sum(one[column] for one in rows) / len(rows))
--- a/benchmarks/turns/load.py
+++ b/benchmarks/turns/load.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Iterator
 from dataclasses import dataclass
@@ -45,16 +46,22 @@
 
     Attributes:
         turn_ms: How long a turn lasts.
-        factor: Rate in a turn, as a multiple of the mean.
+        factor: Highest rate of a turn, as a multiple of the mean.
+        steep: Whether it is reached at once, and kept.
     """
 
     turn_ms: int = 10_000
-    factor: float = 4.0
+    factor: float = 8.0
+    steep: bool = False
 
-    def rate(self, at_ms: int, place: int, queues: int) -> float:
+    def rate(self, at_ms: float, place: int, queues: int) -> float:
         """Return a queue's rate at a moment, as a multiple of its mean."""
-        now = at_ms // self.turn_ms % queues
-        return self.factor if now == place else LULL_SHARE
+        number, part = divmod(at_ms / self.turn_ms, 1.0)
+        if number % queues != place:
+            return LULL_SHARE
+        if self.steep:
+            return self.factor / 2
+        return max(LULL_SHARE, self.factor * math.sin(math.pi * part) ** 2)
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,16 +99,13 @@
     jobs = []
     for place, queue in enumerate(queues):
         at_ms = 0.0
-        while at_ms < length_ms:
-            rate = queue.jobs_per_s * turns.rate(int(at_ms), place, len(queues))
-            step_ms = rng.expovariate(rate) * 1_000
-            boundary = (int(at_ms) // turns.turn_ms + 1) * turns.turn_ms
-            if at_ms + step_ms >= boundary:
-                # The rate changes there: draw anew from the change on.
-                at_ms = float(boundary)
-                continue
-            at_ms += step_ms
-            jobs.append(_job(queue, int(at_ms), rng))
+        most = queue.jobs_per_s * turns.factor
+        while True:
+            at_ms += rng.expovariate(most) * 1_000
+            if at_ms >= length_ms:
+                break
+            if rng.random() * turns.factor < turns.rate(at_ms, place, len(queues)):
+                jobs.append(_job(queue, int(at_ms), rng))
     return iter(sorted(jobs, key=lambda item: item.at_ms))
 
 
