--- a/courselead/core/scheduler/scheduler.py
+++ b/courselead/core/scheduler/scheduler.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass, replace
 
 from courselead.core.scheduler import (
+    arrivals,
     const,
-    demand,
     jobs,
     minions,
     placement,
@@ -219,7 +219,7 @@
         if entry is None or job_id in schedule.jobs:
             return
         job = jobs.open_job(schedule, entry, from_before=False)
-        demand.job_arrived(schedule, job)
+        arrivals.job_arrived(schedule, job)
 
     def _saved(self, batch: int) -> None:
         self.schedule.saved_batch = batch
--- a/tests/core/scheduler/test_demand.py
+++ b/tests/core/scheduler/test_demand.py
@@ -1,6 +1,6 @@
 """What pools want, from the jobs that come and wait."""
 
-from courselead.core.scheduler import demand
+from courselead.core.scheduler import arrivals, demand
 from courselead.core.scheduler.models import FleetConfig, Pool, Queue
 from tests.core.scheduler.world import POOL, QUEUE, World, job, step
 
@@ -89,4 +89,4 @@
     for number in range(4):
         world.submit(job(step(1, long_running=True)), f"{number:016x}", 0)
     world.run(500)
-    assert not demand.turns_of(owner.schedule, POOL).seen
+    assert not arrivals.turns_of(owner.schedule, POOL).seen
