--- /dev/null
+++ b/courselead/core/scheduler/doubt.py
@@ -0,0 +1,62 @@
+"""What an earlier owner may have left running where this one can't see it."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from courselead.core.scheduler.schedule import DoubtedLife, Schedule
+from courselead.core.scheduler.state import Unit
+
+CLOUD_WAIT_MS = 1_000
+"""Time after a takeover in which the cloud's list is waited for."""
+
+
+@dataclass(frozen=True, slots=True)
+class Doubt:
+    """Which tasks of jobs from before may run unseen: all of a pool, or some by name.
+
+    The load: a third of the minions in a zone that is cut off with the owner. Held back
+    as whole pools, 86 tasks waited beside 8 to 12 idle workers for 2 s.
+    """
+
+    whole_pool: bool = False
+    tasks: frozenset[str] = frozenset()
+
+    def holds_back(self, unit: Unit) -> bool:
+        """Return whether a unit has to wait."""
+        if not unit.job.from_before:
+            return False
+        if self.whole_pool:
+            return True
+        return any(unit.task_name(index) in self.tasks for index in unit.indexes)
+
+
+NO_DOUBT = Doubt()
+
+
+def doubt_of(schedule: Schedule, pool: str) -> Doubt:
+    """Return what an earlier owner may have left in a pool unseen."""
+    if schedule.now_ms >= schedule.doubt_until_ms:
+        return NO_DOUBT
+    waited = schedule.now_ms - schedule.claimed_ms >= CLOUD_WAIT_MS
+    if schedule.workers_ms < 0 and not waited:
+        return Doubt(whole_pool=True)
+    tasks: set[str] = set()
+    for minion_id, life in _unseen(schedule):
+        known = None
+        if schedule.left_runs is not None:
+            known = schedule.left_runs.tasks_on(minion_id, life.zone)
+        if known is not None:
+            tasks |= known
+        elif life.pool == pool:
+            return Doubt(whole_pool=True)
+    return Doubt(tasks=frozenset(tasks))
+
+
+def _unseen(schedule: Schedule) -> Iterator[tuple[str, DoubtedLife]]:
+    """Return the minions that have not reported to this owner."""
+    for minion in schedule.minions.values():
+        if not minion.synced:
+            yield minion.minion_id, DoubtedLife(minion.info.pool, minion.info.zone)
+    yield from schedule.doubted_lives.items()
--- a/courselead/core/scheduler/placement.py
+++ b/courselead/core/scheduler/placement.py
@@ -3,13 +3,12 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from collections.abc import Iterator
-from dataclasses import dataclass
 
 from courselead.core.scheduler import const, urgency
+from courselead.core.scheduler.doubt import Doubt, doubt_of
 from courselead.core.scheduler.events import AskAdvice, StartRun
 from courselead.core.scheduler.models import Resources
-from courselead.core.scheduler.schedule import DoubtedLife, Schedule, StepAdvice
+from courselead.core.scheduler.schedule import Schedule, StepAdvice
 from courselead.core.scheduler.state import Minion, Run, StepRun, Unit
 
 MAX_ADVICE_MINIONS = 100
@@ -29,9 +28,6 @@
 LONG_LINE = 200
 """Units from which a line is bounded so: 10 ms, as long as the answer to a start."""
 
-CLOUD_WAIT_MS = 1_000
-"""Time after a takeover in which the cloud's list is waited for."""
-
 
 def place_all(schedule: Schedule) -> None:
     """Start what fits in all pools in which something has changed."""
@@ -60,7 +56,7 @@
     line = _sorted(schedule, line)
     waiting: list[Unit] = []
     misfits = _Misfits(_passed_over(schedule, pool, line))
-    doubt = _doubt(schedule, pool)
+    doubt = doubt_of(schedule, pool)
     for unit in line:
         if not _may_start(schedule, unit, doubt):
             waiting.append(unit)
@@ -151,57 +147,7 @@
     return minions
 
 
-@dataclass(frozen=True, slots=True)
-class _Doubt:
-    """Which tasks of jobs from before may run unseen: all of a pool, or some by name.
-
-    The load: a third of the minions in a zone that is cut off with the owner. Held back
-    as whole pools, 86 tasks waited beside 8 to 12 idle workers for 2 s.
-    """
-
-    whole_pool: bool = False
-    tasks: frozenset[str] = frozenset()
-
-    def holds_back(self, unit: Unit) -> bool:
-        """Return whether a unit has to wait."""
-        if not unit.job.from_before:
-            return False
-        if self.whole_pool:
-            return True
-        return any(unit.task_name(index) in self.tasks for index in unit.indexes)
-
-
-_NO_DOUBT = _Doubt()
-
-
-def _doubt(schedule: Schedule, pool: str) -> _Doubt:
-    """Return what an earlier owner may have left in a pool unseen."""
-    if schedule.now_ms >= schedule.doubt_until_ms:
-        return _NO_DOUBT
-    waited = schedule.now_ms - schedule.claimed_ms >= CLOUD_WAIT_MS
-    if schedule.workers_ms < 0 and not waited:
-        return _Doubt(whole_pool=True)
-    tasks: set[str] = set()
-    for minion_id, life in _unseen(schedule):
-        known = None
-        if schedule.left_runs is not None:
-            known = schedule.left_runs.tasks_on(minion_id, life.zone)
-        if known is not None:
-            tasks |= known
-        elif life.pool == pool:
-            return _Doubt(whole_pool=True)
-    return _Doubt(tasks=frozenset(tasks))
-
-
-def _unseen(schedule: Schedule) -> Iterator[tuple[str, DoubtedLife]]:
-    """Return the minions that have not reported to this owner."""
-    for minion in schedule.minions.values():
-        if not minion.synced:
-            yield minion.minion_id, DoubtedLife(minion.info.pool, minion.info.zone)
-    yield from schedule.doubted_lives.items()
-
-
-def _may_start(schedule: Schedule, unit: Unit, doubt: _Doubt) -> bool:
+def _may_start(schedule: Schedule, unit: Unit, doubt: Doubt) -> bool:
     if unit.not_before_ms > schedule.now_ms or not schedule.may_restart(unit):
         return False
     return not doubt.holds_back(unit)
--- a/tests/core/scheduler/test_machine.py
+++ b/tests/core/scheduler/test_machine.py
@@ -6,6 +6,7 @@
 from hypothesis import HealthCheck, given, settings, strategies as st
 
 from courselead.core.scheduler import jobs, minions, placement
+from courselead.core.scheduler.doubt import NO_DOUBT
 from courselead.core.scheduler.models import JobState
 from tests.core.scheduler.world import World, job, step
 
@@ -119,7 +120,7 @@
 ]
 
 NO_GUARDS = {
-    "doubt": (placement, "_doubt", lambda schedule, pool: placement._NO_DOUBT),
+    "doubt": (placement, "doubt_of", lambda schedule, pool: NO_DOUBT),
     "lease": (
         minions,
         "_lapse",
--- a/tests/core/scheduler/test_own_zone.py
+++ b/tests/core/scheduler/test_own_zone.py
@@ -3,7 +3,8 @@
 import pytest
 from hypothesis import HealthCheck, given, settings, strategies as st
 
-from courselead.core.scheduler import const, placement
+from courselead.core.scheduler import const
+from courselead.core.scheduler.doubt import doubt_of
 from courselead.core.scheduler.models import JobState
 from courselead.core.scheduler.records import KeyedRecord
 from courselead.core.scheduler.run_records import (
@@ -97,7 +98,7 @@
     take_over(world, "z2", "z0")
     world.submit(job(step(1)), SECOND)
     world.run(100)
-    doubt = placement._doubt(world.owner.schedule, "p")
+    doubt = doubt_of(world.owner.schedule, "p")
     assert doubt.whole_pool
 
 
