--- a/courselead/cli/explain.py
+++ b/courselead/cli/explain.py
@@ -2,17 +2,15 @@
 
 from __future__ import annotations
 
-import json
-import sys
-from collections.abc import Iterable, Iterator
-from dataclasses import dataclass
 from pathlib import Path
 from typing import Annotated
 
 from cyclopts import Parameter
 
 from courselead.cli.errors import ExitCode
-from courselead.cli.output import emit, warn
+from courselead.cli.log_lines import Line, read_lines, texts_of
+from courselead.cli.lost import WINDOW_S, LostRow, lost_rows
+from courselead.cli.output import emit, emit_json, warn
 
 BELIEFS = (
     "started",
@@ -42,49 +40,31 @@
 BEARING_MS = 4_000
 """Time before a job's events within which such a change may bear on it."""
 
-_SKIPPED = ("event", "level", "timestamp", "job_id")
-
-
-@dataclass(frozen=True, slots=True)
-class Line:
-    """One line of a log; `at` is the host's time of day in ISO form."""
-
-    at: str
-    host: str
-    event: str
-    fields: dict[str, object]
-
-    def touches(self, job_id: str) -> bool:
-        """Return whether the line is about a job."""
-        for name in ("job_id", "task", "step"):
-            value = self.fields.get(name)
-            if isinstance(value, str) and value.partition(".")[0] == job_id:
-                return True
-        return False
-
-    def text(self) -> str:
-        """Return the line to read."""
-        shown = []
-        for name, value in self.fields.items():
-            if name not in _SKIPPED and value not in ("", None):
-                shown.append(f"{name}={value}")
-        details = " ".join(shown)
-        return f"{self.at[11:23]} {self.host:<24} {self.event:<18} {details}".rstrip()
-
 
 def explain(
     job_id: Annotated[str, Parameter(help="The job's id.")] = "",
     *files: Annotated[Path, Parameter(help="Logs; standard input if there is none.")],
     node: Annotated[str, Parameter(help="Show what this host believed.")] = "",
     at: Annotated[str, Parameter(help="Until this time of day, hh:mm:ss.")] = "",
+    lost: Annotated[
+        bool, Parameter(help="Show where late and failed jobs lost their time.")
+    ] = False,
+    window: Annotated[
+        float, Parameter(help="Seconds of each row of --lost.")
+    ] = WINDOW_S,
+    as_json: Annotated[
+        bool, Parameter(name="--json", help="Print the rows of --lost as JSON.")
+    ] = False,
 ) -> int:
     """Show a job's life from the logs of all hosts, or what a host believed."""
+    if lost:
+        # No job is asked for, so the first word is a log, too.
+        names = (Path(job_id), *files) if job_id else files
+        return _explain_lost(names, window, as_json)
     if not node and not job_id:
         warn("give a job's id, or --node")
         return ExitCode.USAGE
-    lines, bad = read_lines(_texts(files))
-    if bad:
-        warn(f"{bad} lines are cut or no log lines; they were skipped")
+    lines = _read(files)
     shown = beliefs(lines, node, at) if node else life(lines, job_id)
     for line in shown:
         emit(line.text())
@@ -96,33 +76,37 @@
     return ExitCode.OK
 
 
-def read_lines(texts: Iterable[str]) -> tuple[list[Line], int]:
-    """Return the lines in the order of time, and how many were no log lines.
+def _explain_lost(files: tuple[Path, ...], window_s: float, as_json: bool) -> int:
+    if window_s <= 0:
+        warn("--window must be over 0")
+        return ExitCode.USAGE
+    rows = lost_rows(_read(files), window_s)
+    if not rows:
+        warn("no line is about a job: give the logs of all hosts")
+        return ExitCode.REFUSED
+    if as_json:
+        emit_json([row.document() for row in rows])
+        return ExitCode.OK
+    for row in rows:
+        if row.causes:
+            emit(_row_text(row))
+    lost = sum(sum(row.causes.values()) for row in rows)
+    jobs = sum(row.jobs for row in rows)
+    emit(f"{lost} of {jobs} jobs were late, failed or have not ended")
+    return ExitCode.OK
+
+
+def _row_text(row: LostRow) -> str:
+    lost = sum(row.causes.values())
+    causes = "; ".join(f"{count} {name}" for name, count in row.causes.most_common())
+    return f"{row.begin_s:8.1f} s  {row.queue:<20} {lost:>4} of {row.jobs:<4} {causes}"
 
-    A line may have a prefix, such as a collector's time and the host's name.
-    """
-    lines: list[Line] = []
-    bad = 0
-    for text in texts:
-        prefix, brace, rest = text.partition("{")
-        if not brace:
-            bad += bool(text.strip())
-            continue
-        try:
-            fields = json.loads(brace + rest)
-        except ValueError:
-            bad += 1
-            continue
-        if "event" not in fields:
-            bad += 1
-            continue
-        words = prefix.split()
-        host = words[-1] if words else str(fields.get("host", ""))
-        lines.append(
-            Line(str(fields.get("timestamp", "")), host, str(fields["event"]), fields)
-        )
-    lines.sort(key=lambda line: line.at)
-    return lines, bad
+
+def _read(files: tuple[Path, ...]) -> list[Line]:
+    lines, bad = read_lines(texts_of(files))
+    if bad:
+        warn(f"{bad} lines are cut or no log lines; they were skipped")
+    return lines
 
 
 def life(lines: list[Line], job_id: str) -> list[Line]:
@@ -202,12 +186,3 @@
             key = f"{line.event} at {line.host}"
             counts[key] = counts.get(key, 0) + 1
     return [f"{count} x {text}" for text, count in counts.items()]
-
-
-def _texts(files: tuple[Path, ...]) -> Iterator[str]:
-    if not files:
-        yield from sys.stdin
-        return
-    for path in files:
-        with path.open(encoding="utf-8", errors="replace") as stream:
-            yield from stream
