--- a/benchmarks/turns/fleet.py
+++ b/benchmarks/turns/fleet.py
@@ -59,6 +59,8 @@
 
 @dataclass(slots=True)
 class _Machine:
+    """A worker with what runs on it: when each run began, by task and number."""
+
     worker: Worker
     running: dict[tuple[str, int], int] = field(default_factory=dict)
     sequence: int = 0
@@ -66,7 +68,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Served:
-    """A job that has ended, or was left."""
+    """A job that has ended, or was left.
+
+    Attributes:
+        at_ms: When it came, since the load began.
+        work: Its core-milliseconds.
+        late_ms: Time beyond its objective, below 0 if it was met, infinite if it never
+            ended.
+    """
 
     queue: str
     at_ms: int
--- a/courselead/cli/lost.py
+++ b/courselead/cli/lost.py
@@ -48,7 +48,16 @@
 
 @dataclass(slots=True)
 class JobTimes:
-    """What the lines say of one job; times are seconds since 1970, 0 if unknown."""
+    """What the lines say of one job; times are seconds since 1970, 0 if unknown.
+
+    Attributes:
+        asked_at: When it was handed in first, with whatever answer.
+        stored_at: When a caller was first told that it is stored.
+        waited_ms: Longest wait of a task for a place, which ended at `longest_wait_at`
+            on `minion`.
+        placed: Whether any start of a task is told of.
+        troubles: Runs that failed or were lost, and starts that were not answered.
+    """
 
     job_id: str
     queue: str = ""
--- a/courselead/core/scheduler/arrivals.py
+++ b/courselead/core/scheduler/arrivals.py
@@ -36,8 +36,9 @@
     """What jobs that come keep busy, in thousandths of a core.
 
     The load: a turn that begins. What its jobs keep busy grows for as long as a job
-    takes, and a worker comes 2.2 s after it was asked for: reckoned ahead, the two
-    worst windows of 2 s are served 0.457 in time, not 0.436 (mean of three replays).
+    takes, and a worker comes 2.2 s after it was asked for. With a forecast over that
+    time the two worst windows of 2 s are served 0.457 in time, not 0.436 (mean of three
+    replays).
 
     Attributes:
         busy: Now.
@@ -130,12 +131,12 @@
 
     The load: a turn whose rate rises for five seconds. Workers that come 2.2 s after
     their order were always too few: 0.815 of four turns was served in time, 0.893 since
-    the rise is carried on (mean of four replays).
+    the rise is extrapolated (mean of four replays).
 
     Args:
         jobs: How many have come within the newest window.
         before: And in the one before it.
-        ahead_ms: From now to the middle of the time that is reckoned.
+        ahead_ms: From now to the middle of the time that is forecast.
     """
     rise = jobs - before
     if rise <= GROWTH_SPREADS * math.sqrt(jobs + before):
