Ask in one place how long a pool's turn has lasted, and how long a worker takes to come

The check whether a pool is in its turn stood in four places, its age and the lead time in two each.

--- a/courselead/core/scheduler/arrivals.py
+++ b/courselead/core/scheduler/arrivals.py
@@ -67,6 +67,11 @@
     schedule.arrivals.setdefault(schedule.pool_of(job), []).append(arrival)
 
 
+def lead_time_ms(schedule: Schedule) -> int:
+    """Return how long a worker takes from its order until it can be used."""
+    return schedule.bounds.move_ms + JOIN_MS
+
+
 def rate_of(schedule: Schedule, pool: str) -> ArrivalRate:
     """Return what a pool's recent jobs keep busy; forgets older ones."""
     recent = _recent(schedule, pool)
@@ -77,7 +82,7 @@
             at_work.append(arrival)
     if not at_work:
         return ArrivalRate(0, 0, jobs)
-    lead_ms = schedule.bounds.move_ms + JOIN_MS
+    lead_ms = lead_time_ms(schedule)
     busy = staying = 0
     for arrival in at_work:
         busy += arrival.work // arrival.spread_ms
@@ -85,7 +90,7 @@
             staying += arrival.work // arrival.spread_ms
     spread_ms = _mean_spread_ms(at_work)
     coming = _newest_rate(schedule, pool, at_work) * min(1.0, lead_ms / spread_ms)
-    if turns_of(schedule, pool).in_turn:
+    if schedule.turn_age_ms(pool) is not None:
         before = _jobs_within(schedule, recent, 2 * RATE_WINDOW_MS) - jobs
         coming *= _growth(jobs, before, lead_ms - spread_ms / 2)
     return ArrivalRate(busy, staying + int(coming), jobs)
@@ -147,11 +152,10 @@
 
 def _window_ms(schedule: Schedule, pool: str) -> int:
     """Return the time over which the newest rate is taken: less as a turn begins."""
-    turns = schedule.turns.get(pool)
-    if turns is None or not turns.in_turn:
+    turn_ms = schedule.turn_age_ms(pool)
+    if turn_ms is None:
         return RATE_WINDOW_MS
-    since_ms = schedule.wall_ms - turns.memory.onset_ms
-    return min(RATE_WINDOW_MS, ONSET_WINDOW_MS + max(0, since_ms))
+    return min(RATE_WINDOW_MS, ONSET_WINDOW_MS + turn_ms)
 
 
 def turns_of(schedule: Schedule, pool: str) -> Turns:
--- a/courselead/core/scheduler/demand.py
+++ b/courselead/core/scheduler/demand.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 from courselead.core.scheduler import urgency
-from courselead.core.scheduler.arrivals import JOIN_MS, rate_of, turns_of
+from courselead.core.scheduler.arrivals import lead_time_ms, rate_of, turns_of
 from courselead.core.scheduler.schedule import Schedule
 from courselead.core.scheduler.state import Minion
 
@@ -88,8 +88,7 @@
         rate = rate_of(schedule, pool)
         turns = turns_of(schedule, pool)
         turns.follow(schedule.wall_ms, rate.busy, rate.jobs)
-        lead_ms = schedule.bounds.move_ms + JOIN_MS
-        due = turns.due_milli(schedule.wall_ms, lead_ms)
+        due = turns.due_milli(schedule.wall_ms, lead_time_ms(schedule))
         demand.arriving = max(rate.busy, rate.ahead, due)
         demand.untried = not turns.seen
         _count_waiting(schedule, pool, demand)
--- a/courselead/core/scheduler/pools.py
+++ b/courselead/core/scheduler/pools.py
@@ -115,10 +115,8 @@
     fetched from 2 s on.
     """
     idle_ms = schedule.now_ms - minion.idle_ms
-    turns = schedule.turns.get(minion.info.pool)
-    if turns is None or not turns.in_turn:
-        return idle_ms
-    return min(idle_ms, schedule.wall_ms - turns.memory.onset_ms)
+    turn_ms = schedule.turn_age_ms(minion.info.pool)
+    return idle_ms if turn_ms is None else min(idle_ms, turn_ms)
 
 
 def _spare_workers(schedule: Schedule) -> list[Worker]:
--- a/courselead/core/scheduler/schedule.py
+++ b/courselead/core/scheduler/schedule.py
@@ -288,6 +288,13 @@
         run.stop_sent_ms = self.now_ms
         self.emit(StopRun(run.minion_id, run.task, run.number, reason))
 
+    def turn_age_ms(self, pool: str) -> int | None:
+        """Return how long a pool's turn has lasted, nothing outside of one."""
+        turns = self.turns.get(pool)
+        if turns is None or not turns.in_turn:
+            return None
+        return max(0, self.wall_ms - turns.memory.onset_ms)
+
     def pool_of(self, job: Job) -> str:
         """Return the pool that a job's tasks run in, "" if no queue names one."""
         queue = self.queue(job.queue)
--- a/courselead/core/scheduler/waves.py
+++ b/courselead/core/scheduler/waves.py
@@ -182,8 +182,7 @@
     minion = _minion(schedule, worker_id)
     if minion is None:
         return (False, False, 0)
-    turns = schedule.turns.get(minion.info.pool)
-    in_turn = turns is not None and turns.in_turn
+    in_turn = schedule.turn_age_ms(minion.info.pool) is not None
     return (bool(minion.runs), in_turn, len(minion.runs))
 
 
