--- a/courselead/cli/explain.py
+++ b/courselead/cli/explain.py
@@ -8,7 +8,7 @@
 from cyclopts import Parameter
 
 from courselead.cli.errors import ExitCode
-from courselead.cli.log_lines import Line, read_lines, texts_of
+from courselead.cli.log_lines import RUN_TROUBLES, Line, read_lines, texts_of
 from courselead.cli.lost import WINDOW_S, LostRow, lost_rows
 from courselead.cli.output import emit, emit_json, warn
 
@@ -111,14 +111,14 @@
 
 def life(lines: list[Line], job_id: str) -> list[Line]:
     """Return what is about a job, with the changes of belief that may bear on it."""
-    about = [line for line in lines if line.touches(job_id)]
+    about = [line for line in lines if line.about_job == job_id]
     if not about:
         return []
     minions = {line.fields.get("minion") for line in about}
     first, last = about[0].at, about[-1].at
     shown = []
     for line in lines:
-        if line.touches(job_id):
+        if line.about_job == job_id:
             shown.append(line)
             continue
         if line.event not in BELIEFS or not first <= line.at <= last:
@@ -144,7 +144,7 @@
 
 def cause(shown: list[Line], job_id: str) -> str:
     """Return in a sentence what decided the job's fate."""
-    about = [line for line in shown if line.touches(job_id)]
+    about = [line for line in shown if line.about_job == job_id]
     last = {line.event: line for line in about}
     submitted = last.get("job_submitted")
     # A caller that was refused comes back, also to another host.
@@ -173,7 +173,7 @@
             why = line.fields.get("reason")
             key = f"refused at {line.host} ({why})"
             counts[key] = counts.get(key, 0) + 1
-        if line.event in ("run_lost", "run_failed", "start_unknown", "start_refused"):
+        if line.event in RUN_TROUBLES:
             why = line.fields.get("reason") or line.fields.get("minion")
             key = f"{line.event} ({why})"
             counts[key] = counts.get(key, 0) + 1
--- a/courselead/cli/log_lines.py
+++ b/courselead/cli/log_lines.py
@@ -8,6 +8,9 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+RUN_TROUBLES = frozenset({"run_failed", "run_lost", "start_unknown", "start_refused"})
+"""Events of a task that has to be started again."""
+
 _SKIPPED = ("event", "level", "timestamp", "job_id")
 
 
@@ -20,13 +23,14 @@
     event: str
     fields: dict[str, object]
 
-    def touches(self, job_id: str) -> bool:
-        """Return whether the line is about a job."""
+    @property
+    def about_job(self) -> str:
+        """Return the job that the line is about, "" if it is about none."""
         for name in ("job_id", "task", "step"):
             value = self.fields.get(name)
-            if isinstance(value, str) and value.partition(".")[0] == job_id:
-                return True
-        return False
+            if isinstance(value, str) and value:
+                return value.partition(".")[0]
+        return ""
 
     def text(self) -> str:
         """Return the line to read."""
--- a/courselead/cli/lost.py
+++ b/courselead/cli/lost.py
@@ -5,12 +5,11 @@
 import bisect
 import statistics
 from collections import Counter, defaultdict
-from collections.abc import Iterable
 from dataclasses import dataclass, field
 from datetime import datetime
 from enum import StrEnum
 
-from courselead.cli.log_lines import Line
+from courselead.cli.log_lines import RUN_TROUBLES, Line
 
 LATE_FACTOR = 2.0
 """A job is late if it took this many times its queue's median: clients' objectives
@@ -19,8 +18,6 @@
 WINDOW_S = 2.0
 """Length of a row's window: about as long as a short job."""
 
-RUN_TROUBLES = frozenset({"run_failed", "run_lost", "start_unknown", "start_refused"})
-
 OWNER_GAP_S = 1.0
 """Time without a job that is scheduled from which nobody owned the schedule: a job that
 is not told of beside others that are had its lines dropped."""
@@ -59,7 +56,6 @@
         troubles: Runs that failed or were lost, and starts that were not answered.
     """
 
-    job_id: str
     queue: str = ""
     asked_at: float = 0.0
     stored_at: float = 0.0
@@ -110,9 +106,8 @@
         }
 
 
-def lost_rows(lines: Iterable[Line], window_s: float = WINDOW_S) -> list[LostRow]:
+def lost_rows(lines: list[Line], window_s: float = WINDOW_S) -> list[LostRow]:
     """Return the rows in the order of time, those without a lost job as well."""
-    lines = list(lines)
     if not lines:
         return []
     jobs = _jobs(lines)
@@ -136,13 +131,8 @@
 def _jobs(lines: list[Line]) -> list[JobTimes]:
     jobs: dict[str, JobTimes] = {}
     for line in lines:
-        job_id = _job_of(line)
-        if not job_id:
-            continue
-        job = jobs.get(job_id)
-        if job is None:
-            job = jobs[job_id] = JobTimes(job_id)
-        _take(job, line)
+        if line.about_job:
+            _take(jobs.setdefault(line.about_job, JobTimes()), line)
     return [job for job in jobs.values() if job.begun_at]
 
 
@@ -262,14 +252,6 @@
     return {queue: statistics.median(found) for queue, found in times.items()}
 
 
-def _job_of(line: Line) -> str:
-    for name in ("job_id", "task", "step"):
-        value = line.fields.get(name)
-        if isinstance(value, str):
-            return value.partition(".")[0]
-    return ""
-
-
 def _seconds(line: Line) -> float:
     """Return a line's time of day as seconds since 1970, 0 if it has none."""
     try:
