--- a/benchmarks/owner/__main__.py
+++ b/benchmarks/owner/__main__.py
@@ -6,9 +6,8 @@
 import sys
 import tempfile
 import time
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
 from dataclasses import dataclass
+from functools import partial
 from pathlib import Path
 
 import anyio
@@ -18,9 +17,7 @@
 from benchmarks.owner.account import each_start_us, merged
 from benchmarks.owner.sampled import SUFFIX
 from benchmarks.path.proc import cpu_s
-from demo.job_site import POOL, HostPorts, JobSite
-from demo.ports import free_ports
-from demo.processes import Processes
+from demo.job_site import JobSite, running_site
 
 SAMPLED = (sys.executable, "-m", "benchmarks.owner.sampled")
 
@@ -67,27 +64,10 @@
         return self.spent_s * 1_000_000 / max(1, self.starts)
 
 
-@asynccontextmanager
-async def _running(folder: Path, machines: int) -> AsyncIterator[JobSite]:
-    """Run one sampled entry host before the stand-ins, without relays between."""
-    processes = Processes(SAMPLED, folder)
-    front, ready, peer = free_ports(3)
-    site = JobSite(processes, (HostPorts("front-0", "127.0.0.1", front, ready, peer),))
-    try:
-        args = ["site", f"--machines={machines}", f"--pool={POOL}"]
-        site.site = json.loads(await processes.start_standins(args))
-        await site.configure()
-        await site.start(*site.hosts)
-        await site.ready()
-        yield site
-    finally:
-        with anyio.CancelScope(shield=True):
-            await processes.end_all()
-
-
 async def _load(site: JobSite, rate: int, seconds: float) -> None:
     """Hand jobs in at an even rate; those that come late come all the same."""
     jobs = int(rate * seconds / (WIDTH * STEPS))
+    first = len(site.accepted)
     begun = anyio.current_time()
     async with anyio.create_task_group() as tasks:
         for number in range(jobs):
@@ -95,12 +75,8 @@
             await anyio.sleep(max(0.0, due - anyio.current_time()))
             second = {**TASK, "after": [0]}
             payload = {"run_ms": RUN_MS, "cpu": TASK["cpu"]}
-            count = len(site.accepted) + number
-            tasks.start_soon(_submit, site, count, second, payload)
-
-
-async def _submit(site: JobSite, number: int, second: dict, payload: dict) -> None:
-    await site.submit(number, TASK, second, **payload)
+            submit = partial(site.submit, first + number, TASK, second, **payload)
+            tasks.start_soon(submit)
 
 
 async def _starts(site: JobSite) -> int:
@@ -108,10 +84,10 @@
     return sum(ledger["starts"].values())
 
 
-async def _measure(rate: int) -> Measured:
+async def _measure(rate: int, machines: int) -> Measured:
     with tempfile.TemporaryDirectory() as name:
         folder = Path(name)
-        async with _running(folder, MACHINES) as site:
+        async with running_site(SAMPLED, folder, 1, machines, relays=False) as site:
             host = site.hosts[0]
             pid = site.processes.pid(host.name)
             await _load(site, rate, WARM_S)
@@ -130,10 +106,15 @@
 
 
 @app.default
-def main(rates: tuple[int, ...] = RATES) -> None:
-    """Print microseconds of the owner's processor time for each start, by part."""
+def main(rates: tuple[int, ...] = RATES, machines: int = MACHINES) -> None:
+    """Print microseconds of the owner's processor time for each start, by part.
+
+    Args:
+        rates: Starts asked for in a second.
+        machines: Minions, all in one pool.
+    """
     recorder = Recorder("script/bench owner")
-    found = [anyio.run(_measure, rate) for rate in rates]
+    found = [anyio.run(_measure, rate, machines) for rate in rates]
     parts = sorted({part for item in found for part in item.parts})
     rows = []
     for item in found:
--- a/benchmarks/turns/load.py
+++ b/benchmarks/turns/load.py
@@ -4,7 +4,6 @@
 
 import math
 import random
-from collections.abc import Iterator
 from dataclasses import dataclass
 
 from courselead.core.scheduler.models import JobSpec, Resources, StepSpec
@@ -93,7 +92,7 @@
 
 def draw_jobs(
     queues: tuple[QueueLoad, ...], turns: Turns, length_ms: int, seed: int
-) -> Iterator[Arriving]:
+) -> list[Arriving]:
     """Return jobs in the order in which they come."""
     rng = random.Random(seed)
     jobs = []
@@ -106,7 +105,7 @@
                 break
             if rng.random() * turns.factor < turns.rate(at_ms, place, len(queues)):
                 jobs.append(_job(queue, int(at_ms), rng))
-    return iter(sorted(jobs, key=lambda item: item.at_ms))
+    return sorted(jobs, key=lambda item: item.at_ms)
 
 
 def _job(queue: QueueLoad, at_ms: int, rng: random.Random) -> Arriving:
--- a/demo/job_site.py
+++ b/demo/job_site.py
@@ -270,19 +270,32 @@
 
 @asynccontextmanager
 async def running_site(
-    courselead: tuple[str, ...], folder: Path, hosts: int = 3, machines: int = 4
+    courselead: tuple[str, ...],
+    folder: Path,
+    hosts: int = 3,
+    machines: int = 4,
+    relays: bool = True,
 ) -> AsyncIterator[JobSite]:
-    """Run a site whose entry hosts are ready; end all its processes after."""
+    """Run a site whose entry hosts are ready; end all its processes after.
+
+    Args:
+        courselead: The command that runs courselead, without arguments.
+        folder: Where the hosts' settings and lines go.
+        hosts: How many entry hosts.
+        machines: How many machines with a minion each.
+        relays: Whether relays stand between hosts, store and minions, which faults
+            need and which cost each call its time.
+    """
     async with anyio.create_task_group() as tasks:
         processes = Processes(courselead, folder)
-        async with _running(processes, tasks, hosts, machines) as site:
+        async with _running(processes, tasks, hosts, machines, relays) as site:
             yield site
         tasks.cancel_scope.cancel()
 
 
 @asynccontextmanager
 async def _running(
-    processes: Processes, tasks: TaskGroup, hosts: int, machines: int
+    processes: Processes, tasks: TaskGroup, hosts: int, machines: int, relays: bool
 ) -> AsyncIterator[JobSite]:
     plans = []
     for number in range(hosts):
@@ -293,7 +306,8 @@
     try:
         args = ["site", f"--machines={machines}", f"--pool={POOL}"]
         site.site = json.loads(await processes.start_standins(args))
-        await site.lay_ways(tasks)
+        if relays:
+            await site.lay_ways(tasks)
         await site.configure()
         await site.start(*site.hosts)
         await site.ready()
