--- a/benchmarks/turns/fleet.py
+++ b/benchmarks/turns/fleet.py
@@ -8,7 +8,7 @@
 import heapq
 import itertools
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from benchmarks.turns.load import Arriving, QueueLoad
 from courselead.core.scheduler import events as ev
@@ -251,7 +251,9 @@
     def _move(self, order: ev.MoveWorker) -> None:
         machine = self._machines[order.worker_id]
         self.moves += 1
-        self._set(machine, order.pool, WorkerPhase.MOVING, "")
+        machine.worker = replace(
+            machine.worker, pool=order.pool, phase=WorkerPhase.MOVING, minion_id=""
+        )
         machine.running.clear()
         answer = ev.DutyAnswered(order.worker_id, ev.Outcome.OK, "", order.pool)
         self._handle(answer)
@@ -259,7 +261,7 @@
 
     def _arrive(self, machine: _Machine) -> None:
         life = f"i-{next(self._lives)}"
-        self._set(machine, machine.worker.pool, WorkerPhase.UP, life)
+        machine.worker = replace(machine.worker, phase=WorkerPhase.UP, minion_id=life)
         machine.sequence = 0
         if machine.worker.pool != SPARE:
             self._at(JOIN_MS, lambda: self._join(machine))
@@ -308,14 +310,6 @@
                 return machine
         return None
 
-    def _set(
-        self, machine: _Machine, pool: str, phase: WorkerPhase, minion_id: str
-    ) -> None:
-        old = machine.worker
-        machine.worker = Worker(
-            old.worker_id, pool, phase, old.zone, old.room, old.labels, minion_id
-        )
-
 
 def _work(job: Arriving) -> int:
     """Return a job's core-milliseconds."""
--- a/courselead/integrations/http_api/server.py
+++ b/courselead/integrations/http_api/server.py
@@ -141,7 +141,7 @@
         """
         accepted = []
         for sock in sockets:
-            accepted += accept_all(sock)
+            accepted += _accept_all(sock)
         for server in self.servers:
             server.close()
         loop = asyncio.get_running_loop()
@@ -191,7 +191,7 @@
     )
 
 
-def accept_all(listener: socket.socket) -> list[socket.socket]:
+def _accept_all(listener: socket.socket) -> list[socket.socket]:
     """Return the connections that wait in a listener's queue.
 
     Args:
