--- a/tests/daemon/scheduling/test_read_back.py
+++ b/tests/daemon/scheduling/test_read_back.py
@@ -11,6 +11,8 @@
 The log itself tells: records that are read back are stored.
 """
 
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from dataclasses import replace
 
 import anyio
@@ -24,7 +26,6 @@
     AppendUnknown,
     HostCounters,
     NotAppended,
-    Platform,
 )
 from courselead.daemon.scheduling.read_back import ReadBack, ReadBackLog
 from tests.daemon.scheduling.fakes import MemoryLog
@@ -54,8 +55,15 @@
         return answer
 
 
-def _with(shared: Platform, log: MemoryLog) -> Platform:
-    return replace(shared, jobs=log)
+@asynccontextmanager
+async def owning(log: MemoryLog) -> AsyncIterator[SchedulingHost]:
+    """Run a host that owns the schedule in a log of jobs."""
+    host = SchedulingHost("a", replace(platform(), jobs=log), Bounds())
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(host.run)
+        await until(lambda: host.owns and log.epoch == 1)
+        yield host
+        tasks.cancel_scope.cancel()
 
 
 async def submit(host: SchedulingHost, job_id: str) -> Verdict:
@@ -63,45 +71,30 @@
 
 
 async def test_a_job_that_the_log_shows_is_accepted_without_the_answer():
-    shared = platform()
     log = AnswersLost()
-    host = SchedulingHost("a", _with(shared, log), Bounds())
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(host.run)
-        await until(lambda: host.owns and log.epoch == 1)
+    async with owning(log) as host:
         log.mute = True
         with anyio.fail_after(SOON_S):
             assert await submit(host, f"{1:016x}") is Verdict.ACCEPTED
-        tasks.cancel_scope.cancel()
 
 
 async def test_the_owner_goes_on_storing_while_answers_are_lost():
-    shared = platform()
     log = AnswersLost()
-    host = SchedulingHost("a", _with(shared, log), Bounds())
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(host.run)
-        await until(lambda: host.owns and log.epoch == 1)
+    async with owning(log):
         log.mute = True
         stored = len(log.records)
         await anyio.sleep(2 * SOON_S)
-        tasks.cancel_scope.cancel()
     # One sign of life in each 0.3 s, and no record twice.
     assert len(log.records) - stored >= 4
     assert len(set(log.records)) == len(log.records)
 
 
 async def test_an_answer_that_comes_is_not_cut_off():
-    shared = platform()
     log = MemoryLog()
-    host = SchedulingHost("a", _with(shared, log), Bounds())
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(host.run)
-        await until(lambda: host.owns and log.epoch == 1)
+    async with owning(log) as host:
         for number in range(5):
             assert await submit(host, f"{number:016x}") is Verdict.ACCEPTED
         assert host.counters.all().get("read_back", 0) == 0
-        tasks.cancel_scope.cancel()
 
 
 A, B, C = (KeyedRecord(name, b"v") for name in (b"a", b"b", b"c"))
--- a/tests/integrations/http_api/fakes.py
+++ b/tests/integrations/http_api/fakes.py
@@ -194,6 +194,16 @@
             tasks.cancel_scope.cancel()
 
 
+@contextlib.asynccontextmanager
+async def stoppable(host, *drain_ms):
+    """Run a real server that the test stops; gives the server and its address."""
+    chosen = settings()
+    server = HttpServer(HttpApi(host, chosen), chosen.listen, chosen.limits, *drain_ms)
+    with anyio.fail_after(BOUND_S):
+        async with anyio.create_task_group() as tasks:
+            yield server, await tasks.start(server.run)
+
+
 class Caller:
     """A raw TCP client."""
 
--- a/tests/integrations/http_api/test_wire.py
+++ b/tests/integrations/http_api/test_wire.py
@@ -9,7 +9,6 @@
 from uvicorn.server import ServerState
 
 from courselead.integrations.http_api import server as server_module
-from courselead.integrations.http_api.app import HttpApi
 from courselead.integrations.http_api.errors import ListenFailed
 from courselead.integrations.http_api.host import Answer
 from courselead.integrations.http_api.protocol import GuardedProtocol
@@ -21,7 +20,7 @@
     FakeHost,
     head,
     serving,
-    settings,
+    stoppable,
     streamed,
     until_true,
     whole,
@@ -231,17 +230,15 @@
         yield b"late"
 
     host = FakeHost(lambda req: Answer(200, (), late()))
-    chosen = settings()
-    server = HttpServer(HttpApi(host, chosen), chosen.listen, chosen.limits)
-    with anyio.fail_after(10):
-        async with anyio.create_task_group() as tasks:
-            address = await tasks.start(server.run)
-            async with Caller.to(address) as caller:
-                await caller.send(head())
-                await until_true(lambda: host.requests)
-                server.stop()
-                gate.set()
-                data = await caller.to_end()
+    async with (
+        stoppable(host) as (server, address),
+        Caller.to(address) as caller,
+    ):
+        await caller.send(head())
+        await until_true(lambda: host.requests)
+        server.stop()
+        gate.set()
+        data = await caller.to_end()
     assert data.endswith(b"4\r\nlate\r\n0\r\n\r\n")
 
 
@@ -254,42 +251,39 @@
 
 async def test_stop_answers_requests_that_come_meanwhile():
     host = FakeHost(lambda req: whole(b"hi"))
-    chosen = settings()
-    server = HttpServer(HttpApi(host, chosen), chosen.listen, chosen.limits)
-    with anyio.fail_after(10):
-        async with anyio.create_task_group() as tasks:
-            address = await tasks.start(server.run)
-            async with Caller.to(address) as kept, Caller.to(address) as new:
-                await kept.send(head())
-                got = await kept.until(b"0\r\n\r\n")
-                assert b"connection: close" not in got.lower()
-                server.stop()
-                await until_true(lambda: server.stopping)
-                for caller in (kept, new):
-                    await caller.send(head())
-                    data = await caller.to_end()
-                    assert data.startswith(b"HTTP/1.1 200")
-                    assert b"connection: close" in data.lower()
-                await server.wait_closed()
+    async with (
+        stoppable(host) as (server, address),
+        Caller.to(address) as kept,
+        Caller.to(address) as new,
+    ):
+        await kept.send(head())
+        got = await kept.until(b"0\r\n\r\n")
+        assert b"connection: close" not in got.lower()
+        server.stop()
+        await until_true(lambda: server.stopping)
+        for caller in (kept, new):
+            await caller.send(head())
+            data = await caller.to_end()
+            assert data.startswith(b"HTTP/1.1 200")
+            assert b"connection: close" in data.lower()
+        await server.wait_closed()
     assert len(host.requests) == 3
 
 
 async def test_stop_waits_for_the_first_request_of_a_new_connection(monkeypatch):
     monkeypatch.setattr(server_module, "_LINGER_S", 0)
     host = FakeHost(lambda req: whole(b"hi"))
-    chosen = settings()
-    server = HttpServer(HttpApi(host, chosen), chosen.listen, chosen.limits)
-    with anyio.fail_after(10):
-        async with anyio.create_task_group() as tasks:
-            address = await tasks.start(server.run)
-            async with Caller.to(address) as caller:
-                await until_true(lambda: server.connections)
-                server.stop()
-                await until_true(lambda: server.stopping)
-                await caller.send(head())
-                data = await caller.to_end()
-                assert data.startswith(b"HTTP/1.1 200")
-                assert b"connection: close" in data.lower()
+    async with (
+        stoppable(host) as (server, address),
+        Caller.to(address) as caller,
+    ):
+        await until_true(lambda: server.connections)
+        server.stop()
+        await until_true(lambda: server.stopping)
+        await caller.send(head())
+        data = await caller.to_end()
+        assert data.startswith(b"HTTP/1.1 200")
+        assert b"connection: close" in data.lower()
 
 
 async def test_stop_serves_callers_that_the_kernel_has_let_in():
@@ -302,11 +296,8 @@
     """
     count = 5
     host = FakeHost(lambda req: whole(b"hi"))
-    chosen = settings()
-    server = HttpServer(HttpApi(host, chosen), chosen.listen, chosen.limits)
-    with anyio.fail_after(10), contextlib.ExitStack() as stack:
-        async with anyio.create_task_group() as tasks:
-            address = await tasks.start(server.run)
+    with contextlib.ExitStack() as stack:
+        async with stoppable(host) as (server, address):
             callers = []
 
             async def late_tick(_counter):
@@ -335,40 +326,36 @@
     """
     monkeypatch.setattr(server_module, "_LINGER_S", 0)
     host = FakeHost(lambda req: whole(b"hi"))
-    chosen = settings()
-    server = HttpServer(HttpApi(host, chosen), chosen.listen, chosen.limits)
-    with anyio.fail_after(10):
-        async with anyio.create_task_group() as tasks:
-            address = await tasks.start(server.run)
-            async with Caller.to(address) as kept:
-                await kept.send(head())
-                await kept.until(b"0\r\n\r\n")
-                raw = kept._stream.extra(anyio.abc.SocketAttribute.raw_socket)
-
-                async def late_tick(_counter):
-                    with socket.fromfd(raw.fileno(), raw.family, raw.type) as sock:
-                        sock.sendall(head())
-                    return True
-
-                server._server.on_tick = late_tick
-                data = await kept.to_end()
-                assert data.startswith(b"HTTP/1.1 200")
+    async with (
+        stoppable(host) as (server, address),
+        Caller.to(address) as kept,
+    ):
+        await kept.send(head())
+        await kept.until(b"0\r\n\r\n")
+        raw = kept._stream.extra(anyio.abc.SocketAttribute.raw_socket)
+
+        async def late_tick(_counter):
+            with socket.fromfd(raw.fileno(), raw.family, raw.type) as sock:
+                sock.sendall(head())
+            return True
+
+        server._server.on_tick = late_tick
+        data = await kept.to_end()
+        assert data.startswith(b"HTTP/1.1 200")
     assert len(host.requests) == 2
 
 
 async def test_stop_cuts_off_what_takes_too_long():
     host = FakeHost(lambda req: None)
-    chosen = settings()
-    server = HttpServer(HttpApi(host, chosen), chosen.listen, chosen.limits, 20)
-    with anyio.fail_after(10):
-        async with anyio.create_task_group() as tasks:
-            address = await tasks.start(server.run)
-            async with Caller.to(address) as caller:
-                await caller.send(head())
-                await until_true(lambda: host.requests)
-                server.stop()
-                data = await caller.to_end()
-                await server.wait_closed()
+    async with (
+        stoppable(host, 20) as (server, address),
+        Caller.to(address) as caller,
+    ):
+        await caller.send(head())
+        await until_true(lambda: host.requests)
+        server.stop()
+        data = await caller.to_end()
+        await server.wait_closed()
     assert data.startswith(b"HTTP/1.1 503")
     assert problem_of(data)["run"] == "unknown"
     assert host.gone == [host.requests[0].request_id]
