Hand over accepted connections in tasks that a stop waits for

Callers of a host that got SIGTERM read "Connection reset by peer" after a whole request on a new connection, up to 27 at once.

Cause: asyncio accepts in one turn of the loop and makes the transports in tasks of the next. A server that is closed between the two fails the assertion in its _attach for each of them, and the failure is swallowed outside of debug mode.

Change: a listener of our own accepts, and keeps a task for each connection until it has its protocol; close() waits for these tasks. It rests on add_reader and connect_accepted_socket, which are public and promise just that, so no count of turns and no version of the loop matters. uvicorn has no listener of its own, and that of anyio loses a connection that a cancelled accept has taken.

--- /dev/null
+++ b/courselead/integrations/http_api/listener.py
@@ -0,0 +1,126 @@
+"""A listening socket that loses none of the connections it has taken in."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+from enum import Enum, auto
+
+import structlog
+
+_LOGGER = structlog.get_logger(__name__)
+
+BACKLOG = 512
+"""Connections that the kernel keeps for a busy loop, and most taken in one turn."""
+
+RETRY_S = 0.1
+"""Pause after a failed accept: files come free as exchanges end, within a moment."""
+
+
+class _Outcome(Enum):
+    """What came of one accept."""
+
+    TAKEN = auto()
+    EMPTY = auto()
+    FAILED = auto()
+
+
+class Listener:
+    """Accepts connections and makes a protocol for each.
+
+    asyncio's own server accepts in one turn of the loop and makes the transports in a
+    later one; closed between the two, it drops these connections without a word, and
+    the requests on them are reset. Here each connection that was accepted is a task
+    that `close` waits for, however many turns it takes.
+    """
+
+    def __init__(
+        self, sock: socket.socket, make_protocol: Callable[[], asyncio.Protocol]
+    ) -> None:
+        """Keep a bound socket, which is closed with the listener.
+
+        Args:
+            sock: A bound stream socket.
+            make_protocol: Makes the protocol of a new connection.
+        """
+        self._sock = sock
+        self._make_protocol = make_protocol
+        self._loop = asyncio.get_running_loop()
+        self._handovers: set[asyncio.Task[None]] = set()
+        self._resume: asyncio.TimerHandle | None = None
+
+    def open(self) -> None:
+        """Begin to listen.
+
+        Raises:
+            OSError: The port has been taken meanwhile.
+        """
+        self._sock.setblocking(False)
+        self._sock.listen(BACKLOG)
+        self._read()
+
+    async def close(self) -> None:
+        """Take in who has come, stop listening, and wait until all have a protocol."""
+        while self._take_in() is _Outcome.TAKEN:
+            pass
+        # No turn of the loop lies between the last accept and this.
+        self._stop_listening()
+        while self._handovers:
+            await asyncio.wait(self._handovers)
+
+    def abort(self) -> None:
+        """Stop listening and drop who has no protocol yet."""
+        self._stop_listening()
+        for task in tuple(self._handovers):
+            task.cancel()
+
+    def _stop_listening(self) -> None:
+        if self._resume is not None:
+            self._resume.cancel()
+        if self._sock.fileno() >= 0:
+            self._loop.remove_reader(self._sock)
+        self._sock.close()
+
+    def _read(self) -> None:
+        self._loop.add_reader(self._sock, self._on_readable)
+
+    def _on_readable(self) -> None:
+        if self._take_in() is not _Outcome.FAILED:
+            return
+        # The kernel would report the queue in every turn of the loop.
+        self._loop.remove_reader(self._sock)
+        self._resume = self._loop.call_later(RETRY_S, self._read)
+
+    def _take_in(self) -> _Outcome:
+        """Accept until the queue is empty or an accept fails."""
+        for _ in range(BACKLOG):
+            outcome = self._accept()
+            if outcome is not _Outcome.TAKEN:
+                return outcome
+        return _Outcome.TAKEN
+
+    def _accept(self) -> _Outcome:
+        try:
+            conn, _ = self._sock.accept()
+        except BlockingIOError:
+            return _Outcome.EMPTY
+        except ConnectionAbortedError:
+            # Its caller has reset it already.
+            return _Outcome.TAKEN
+        except OSError as exc:
+            _LOGGER.warning("accept_failed", reason=exc.strerror or type(exc).__name__)
+            return _Outcome.FAILED
+        task = self._loop.create_task(self._hand_over(conn))
+        self._handovers.add(task)
+        task.add_done_callback(self._handovers.discard)
+        return _Outcome.TAKEN
+
+    async def _hand_over(self, conn: socket.socket) -> None:
+        conn.setblocking(False)
+        try:
+            await self._loop.connect_accepted_socket(self._make_protocol, conn)
+        except OSError as exc:
+            reason = exc.strerror or type(exc).__name__
+            _LOGGER.info("connection_dropped", reason=reason)
+            conn.close()
--- a/courselead/integrations/http_api/server.py
+++ b/courselead/integrations/http_api/server.py
@@ -9,18 +9,15 @@
 from collections.abc import Iterator
 
 import anyio
-import structlog
 import uvicorn
 from anyio.abc import TaskStatus
 
 from courselead.integrations.http_api.app import HttpApi
 from courselead.integrations.http_api.errors import ListenFailed
+from courselead.integrations.http_api.listener import Listener
 from courselead.integrations.http_api.protocol import GuardedProtocol
 from courselead.settings import Address, LimitSettings
 
-_LOGGER = structlog.get_logger(__name__)
-
-_BACKLOG = 512
 _SWEEP_S = 0.25
 _SETTLE_S = 1.0
 _LINGER_S = 0.5
@@ -113,6 +110,8 @@
     def __init__(self, config: uvicorn.Config) -> None:
         super().__init__(config)
         self.listening = anyio.Event()
+        self.listener: Listener | None = None
+        # Of asyncio, which uvicorn would close: there are none.
         self.servers = []
 
     @contextlib.contextmanager
@@ -120,7 +119,12 @@
         yield
 
     async def startup(self, sockets: list[socket.socket] | None = None) -> None:
-        await super().startup(sockets)
+        """Listen on a socket of its own, in place of asyncio's servers."""
+        await self.lifespan.startup()
+        (sock,) = sockets or []
+        self.listener = Listener(sock, self._make_protocol)
+        self.listener.open()
+        self.started = True
         self.listening.set()
 
     async def shutdown(self, sockets: list[socket.socket] | None = None) -> None:
@@ -130,24 +134,10 @@
         with anyio.move_on_after(_LINGER_S):
             while self.server_state.connections:
                 await anyio.sleep(_LINGER_S / 50)
-        await self._close_listeners(sockets or [])
+        if self.listener is not None:
+            await self.listener.close()
         await super().shutdown(sockets)
 
-    async def _close_listeners(self, sockets: list[socket.socket]) -> None:
-        """Stop listening, and take the callers whom the kernel has let in already.
-
-        Closed with its listener, a connection that was not accepted yet is reset, and
-        the request on it is lost without an answer.
-        """
-        accepted = []
-        for sock in sockets:
-            accepted += _accept_all(sock)
-        for server in self.servers:
-            server.close()
-        loop = asyncio.get_running_loop()
-        for conn in accepted:
-            await loop.connect_accepted_socket(self._make_protocol, conn)
-
     def _make_protocol(self) -> asyncio.Protocol:
         return self.config.http_protocol_class(  # type: ignore[call-arg]
             config=self.config,
@@ -163,8 +153,8 @@
 
     def drop_all(self) -> None:
         """Close what a cancelled run leaves open."""
-        for server in self.servers:
-            server.close()
+        if self.listener is not None:
+            self.listener.abort()
         for conn in tuple(self.server_state.connections):
             conn.transport.abort()
         for task in tuple(self.server_state.tasks):
@@ -183,7 +173,6 @@
         access_log=False,
         proxy_headers=False,
         server_header=False,
-        backlog=_BACKLOG,
         timeout_keep_alive=limits.idle_ms / 1000,  # type: ignore[arg-type]
         timeout_graceful_shutdown=drain_ms / 1000,  # type: ignore[arg-type]
         h11_max_incomplete_event_size=limits.header_bytes,
@@ -191,28 +180,6 @@
     )
 
 
-def _accept_all(listener: socket.socket) -> list[socket.socket]:
-    """Return the connections that wait in a listener's queue.
-
-    Args:
-        listener: A listening socket that does not block.
-    """
-    accepted = []
-    while True:
-        try:
-            conn, _ = listener.accept()
-        except BlockingIOError:
-            return accepted
-        except ConnectionAbortedError:
-            # Its caller has reset it already.
-            continue
-        except OSError as exc:
-            _LOGGER.info("accept_failed", reason=exc.strerror or type(exc).__name__)
-            return accepted
-        conn.setblocking(False)
-        accepted.append(conn)
-
-
 def _bind(listen: Address) -> socket.socket:
     family = socket.AF_INET6 if ":" in listen.ip else socket.AF_INET
     # Named, so that asyncio turns the delay of small segments off.
