Wait for free files before a listener is closed

Callers who wait in the queue of a host without a free file that got SIGTERM read "Connection reset by peer": after one accept that failed the listener was closed.

Cause: "accept_failed reason=Too many open files" once, then the close. Files come free as the exchanges under way end, within the time that a stop gives them anyway.

Change: the accept is tried again every 0.1 s until the queue is empty, for at most the drain; what is left then is logged (`queue_left`).

--- a/courselead/integrations/http_api/listener.py
+++ b/courselead/integrations/http_api/listener.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from enum import Enum, auto
 
+import anyio
 import structlog
 
 _LOGGER = structlog.get_logger(__name__)
@@ -60,10 +61,22 @@
         self._sock.listen(BACKLOG)
         self._read()
 
-    async def close(self) -> None:
-        """Take in who has come, stop listening, and wait until all have a protocol."""
-        while self._take_in() is _Outcome.TAKEN:
-            pass
+    async def close(self, timeout_s: float) -> None:
+        """Take in who has come, stop listening, and wait until all have a protocol.
+
+        Args:
+            timeout_s: Longest wait for files that come free as exchanges end. Closed
+                with too few of them, the listener would reset all who wait in its
+                queue.
+        """
+        outcome = self._take_in()
+        with anyio.move_on_after(timeout_s):
+            while outcome is not _Outcome.EMPTY:
+                if outcome is _Outcome.FAILED:
+                    await anyio.sleep(RETRY_S)
+                outcome = self._take_in()
+        if outcome is not _Outcome.EMPTY:
+            _LOGGER.warning("queue_left", waited_s=timeout_s)
         # No turn of the loop lies between the last accept and this.
         self._stop_listening()
         while self._handovers:
--- a/courselead/integrations/http_api/server.py
+++ b/courselead/integrations/http_api/server.py
@@ -111,6 +111,7 @@
         super().__init__(config)
         self.listening = anyio.Event()
         self.listener: Listener | None = None
+        self._drain_s = config.timeout_graceful_shutdown or 0.0
         # Of asyncio, which uvicorn would close: there are none.
         self.servers = []
 
@@ -135,7 +136,7 @@
             while self.server_state.connections:
                 await anyio.sleep(_LINGER_S / 50)
         if self.listener is not None:
-            await self.listener.close()
+            await self.listener.close(self._drain_s)
         await super().shutdown(sockets)
 
     def _make_protocol(self) -> asyncio.Protocol:
