Turn new callers away in the kernel before a listener is closed

Callers who connect in the moment between the last accept and the close of a listener read "Connection reset by peer": the kernel completes connections by itself.

Change: a packet filter on the listening socket drops opening segments (SYN without ACK), then callers whose handshake has begun get 50 ms, then the queue is taken in and the socket closed. A caller who comes in that time repeats its opening segment after 1 s and is refused then, so that it knows that nothing has run. Ruled out: shutdown() of the listener, which resets the queue, and a backlog of 0, which still lets one in and leaves callers in doubt whose last segment of the handshake is dropped.

--- a/courselead/integrations/http_api/listener.py
+++ b/courselead/integrations/http_api/listener.py
@@ -10,6 +10,8 @@
 import anyio
 import structlog
 
+from courselead.integrations.http_api.handshakes import turn_away
+
 _LOGGER = structlog.get_logger(__name__)
 
 BACKLOG = 512
@@ -18,6 +20,9 @@
 RETRY_S = 0.1
 """Pause after a failed accept: files come free as exchanges end, within a moment."""
 
+HANDSHAKE_S = 0.05
+"""Time for handshakes that have begun: several round trips within a region."""
+
 
 class _Outcome(Enum):
     """What came of one accept."""
@@ -69,6 +74,9 @@
                 with too few of them, the listener would reset all who wait in its
                 queue.
         """
+        turn_away(self._sock)
+        # Callers whose handshake has begun would be reset, too, once it is complete.
+        await anyio.sleep(HANDSHAKE_S)
         outcome = self._take_in()
         with anyio.move_on_after(timeout_s):
             while outcome is not _Outcome.EMPTY:
