Add failing tests of kept connections as a server stops

Symptoms: a request that crosses the close of a kept connection reads a reset; one that a busy loop has not read yet is dropped; relay, readiness and metrics do not say that their connections are about to close.

--- a/tests/integrations/http_api/test_wire.py
+++ b/tests/integrations/http_api/test_wire.py
@@ -9,9 +9,13 @@
 import pytest
 from uvicorn.server import ServerState
 
-from courselead.integrations.http_api import server as server_module
+from courselead.integrations.http_api import (
+    protocol as protocol_module,
+    server as server_module,
+)
 from courselead.integrations.http_api.errors import ListenFailed
 from courselead.integrations.http_api.host import Answer
+from courselead.integrations.http_api.plain import answer, whole_body
 from courselead.integrations.http_api.protocol import GuardedProtocol
 from courselead.integrations.http_api.server import HttpServer, _bind
 from courselead.settings import Address, LimitSettings
@@ -21,6 +25,7 @@
     FakeHost,
     head,
     serving,
+    settings,
     stoppable,
     streamed,
     until_true,
@@ -382,6 +387,88 @@
     assert len(host.requests) == 2
 
 
+async def test_a_request_into_the_close_of_a_kept_connection_reads_its_end(
+    monkeypatch,
+):
+    """A caller whose request crosses the close reads an end, not a reset.
+
+    Callers that paused on a kept connection sent into its close, 0.75 to 1.2 s after
+    SIGTERM, and read "Connection reset by peer" (26 in 90 stops): the socket was
+    closed whole, and the kernel answers bytes for a closed socket with a reset. An end
+    of the stream before any byte says that the request was not taken up.
+    """
+    monkeypatch.setattr(server_module, "_LINGER_S", 0)
+    monkeypatch.setattr(protocol_module, "_LAST_REQUEST_S", 0.05)
+    host = FakeHost(lambda req: whole(b"hi"))
+    async with stoppable(host) as (server, address):
+        with socket.create_connection((address.ip, address.port)) as kept:
+            kept.sendall(head())
+            await anyio.wait_readable(kept)
+            assert kept.recv(4096).startswith(b"HTTP/1.1 200")
+            server.stop()
+            await until_true(lambda: has_ended(kept))
+            kept.sendall(head())
+            # A reset would be here by then: it needs no turn of the loop.
+            kept.sendall(b"more")
+            assert read_to_end(kept) == b""
+    assert len(host.requests) == 1
+
+
+def has_ended(sock):
+    """Return whether all that comes on a connection is its end."""
+    with contextlib.suppress(BlockingIOError):
+        return not sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    return False
+
+
+def read_to_end(sock):
+    """Return all that comes until the server closes."""
+    return b"".join(iter(lambda: sock.recv(4096), b""))
+
+
+async def test_a_request_that_a_busy_loop_has_not_read_is_served_before_the_close():
+    """A request that lies in the kernel as its connection would be closed is answered.
+
+    A loop that is held up closes connections late, after requests have come on them:
+    these were dropped unread.
+    """
+    host = FakeHost(lambda req: whole(b"hi"))
+    async with stoppable(host) as (server, address):
+        with socket.create_connection((address.ip, address.port)) as kept:
+            kept.sendall(head())
+            await anyio.wait_readable(kept)
+            assert kept.recv(4096).startswith(b"HTTP/1.1 200")
+            kept.sendall(head())
+            for conn in tuple(server._server.server_state.connections):
+                conn.timeout_keep_alive_handler()
+            await anyio.wait_readable(kept)
+            assert kept.recv(4096).startswith(b"HTTP/1.1 200")
+        server.stop()
+    assert len(host.requests) == 2
+
+
+async def test_every_server_says_that_its_connections_close_as_it_stops():
+    """Answers of any application say so: peers and probes keep connections, too."""
+
+    async def application(scope, receive, send):
+        await whole_body(receive)
+        await answer(send, 200, b"hi")
+
+    chosen = settings()
+    server = HttpServer(application, chosen.listen, chosen.limits)
+    async with anyio.create_task_group() as tasks:
+        address = await tasks.start(server.run)
+        async with Caller.to(address) as caller:
+            await caller.send(head())
+            assert b"connection: close" not in (await caller.until(b"hi")).lower()
+            server.stop()
+            await until_true(lambda: server.stopping)
+            await caller.send(head())
+            data = await caller.to_end()
+    assert data.startswith(b"HTTP/1.1 200")
+    assert data.lower().count(b"connection: close") == 1
+
+
 async def test_stop_cuts_off_what_takes_too_long():
     host = FakeHost(lambda req: None)
     async with (
