Say on every server that connections close as it stops

Peers that had their records stored by way of a host, probes of readiness and of the metrics were not told that their kept connections were about to close: only the callers' own interface said so, and each application had to. A peer then sent its next record into the close.

Change: the server itself adds "connection: close" to every answer that begins once it stops, so that an application needs to know nothing of it; the one that did, does no longer.

Before: no such header from an application of its own; after: one, with every answer.

--- a/courselead/integrations/http_api/exchange.py
+++ b/courselead/integrations/http_api/exchange.py
@@ -37,11 +37,6 @@
         """Return whether there are too many connections for this one."""
         ...
 
-    @property
-    def stopping(self) -> bool:
-        """Return whether the server takes no more connections soon."""
-        ...
-
     def abort(self) -> None:
         """Drop the connection with whatever is unsent."""
         ...
@@ -161,7 +156,7 @@
         """Write the head of the answer."""
         all_headers = [*headers]
         all_headers.append((const.ATTR_REQUEST_ID, self.request_id.encode("ascii")))
-        if self._is_last() and _CLOSE not in all_headers:
+        if not self._is_ready() and _CLOSE not in all_headers:
             all_headers.append(_CLOSE)
         self.started = True
         self.status = status
@@ -195,12 +190,6 @@
             await self._drain()
         await self.finish()
 
-    def _is_last(self) -> bool:
-        # A caller that is told so does not send on a connection about to close.
-        if self.connection is not None and self.connection.stopping:
-            return True
-        return not self._is_ready()
-
     async def _begin(
         self, status: int, body: bytes, content_type: bytes, headers: tuple[Header, ...]
     ) -> None:
--- a/courselead/integrations/http_api/server.py
+++ b/courselead/integrations/http_api/server.py
@@ -6,14 +6,17 @@
 import contextlib
 import logging
 import socket
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 import anyio
 import uvicorn
 from anyio.abc import TaskStatus
 
+from courselead.integrations.http_api import const
 from courselead.integrations.http_api.app import HttpApi
 from courselead.integrations.http_api.errors import ListenFailed
+from courselead.integrations.http_api.exchange import Message, Receive, Scope, Send
+from courselead.integrations.http_api.host import Header
 from courselead.integrations.http_api.listener import Listener
 from courselead.integrations.http_api.protocol import GuardedProtocol
 from courselead.settings import Address, LimitSettings
@@ -104,6 +107,33 @@
                 conn.check(now)  # type: ignore[union-attr]
 
 
+class _ClosingApp:
+    """Says in each answer that its connection closes, once the server stops.
+
+    A caller who is told so does not send on a connection that is about to close. That
+    goes for peers, probes and metrics, too, whose applications know of no stop.
+    """
+
+    def __init__(self, app: HttpApi) -> None:
+        self._app = app
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        conn: GuardedProtocol = scope["state"]["connection"]
+
+        async def send_last(message: Message) -> None:
+            if conn.stopping and message["type"] == "http.response.start":
+                message = {**message, "headers": _closing(message["headers"])}
+            await send(message)
+
+        await self._app(scope, receive, send_last)
+
+
+def _closing(headers: Iterable[Header]) -> list[Header]:
+    """Return an answer's headers with the one that says that its connection closes."""
+    kept = [header for header in headers if header[0].lower() != const.ATTR_CONNECTION]
+    return [*kept, (const.ATTR_CONNECTION, b"close")]
+
+
 class _Server(uvicorn.Server):
     """uvicorn without its signal handlers, which belong to the daemon."""
 
@@ -166,7 +196,7 @@
     # The bounds differ from server to server, and uvicorn makes the protocol.
     protocol = type("BoundProtocol", (GuardedProtocol,), {"limits": limits})
     return uvicorn.Config(
-        app,
+        _ClosingApp(app),
         http=protocol,
         ws="none",
         lifespan="off",
