Add failing tests of second signals to hosts that leave

Symptoms: a second SIGTERM or a SIGHUP ends a host that is leaving at once (exit codes -15 and -1), a SIGHUP ends a host of a fleet that serves, and exchanges that a second signal cuts off end without a word to their callers.

--- a/tests/processes/test_job_site.py
+++ b/tests/processes/test_job_site.py
@@ -78,6 +78,29 @@
     await site.assert_kept()
 
 
+async def test_signals_to_a_host_that_leaves_cut_nothing_off(site: JobSite) -> None:
+    """Further signals do not end a host that is leaving in order.
+
+    The handlers were taken back at the first SIGTERM: a second one, or a SIGHUP for
+    changed settings, ended the process at once (exit codes -15 and -1), with all that
+    callers and peers had under way on it.
+    """
+
+    async def end() -> None:
+        await anyio.sleep(1)
+        for signum in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
+            for host in site.hosts[:2]:
+                site.processes.signal(host.name, signum)
+            await anyio.sleep(0.3)
+        for host in site.hosts[:2]:
+            assert await site.processes.end(host.name) == 0
+        await site.start(*site.hosts[:2])
+
+    await under_load(site, 1, LOAD_S, end)
+    await site.all_ended()
+    await site.assert_kept()
+
+
 async def test_all_hosts_are_killed_and_start_from_the_store_alone(
     site: JobSite,
 ) -> None:
