End kept connections so that a caller reads their end, and late

Callers that pause on a kept connection sent their next request into its close, 0.75 to 1.2 s after SIGTERM, and read "Connection reset by peer".

Cause: an idle connection was closed whole 0.2 s after the listener; the kernel answers what comes later with a reset, and so it does with bytes that a busy loop has not read yet.

Change: three parts of one close. An idle connection stays for one more request for 1 s, the pause of callers who call again and again, in place of 0.2 s. Before it is closed, the kernel is asked whether bytes wait, and these are served. Then only the sending side ends; what still comes is received and dropped until the caller has closed, for 1 s at most (a lingering close, RFC 9112, 9.6). A caller whose request crosses the close so reads the end of the stream before any byte of an answer, on a connection that has answered before; the request has not been taken up unless the host has died. Weighed: an answer 408 or 503 into idle connections, which would tell it for certain, but which a caller that sends without a look takes for the answer to its next request.

--- a/courselead/integrations/http_api/protocol.py
+++ b/courselead/integrations/http_api/protocol.py
@@ -4,18 +4,22 @@
 
 import asyncio
 import secrets
+import select
 from typing import Any, ClassVar
 
 import h11
 from uvicorn.protocols.http.h11_impl import H11Protocol, RequestResponseCycle
 
 from courselead.integrations.http_api import const
+from courselead.integrations.http_api.lingering import LingeringTransport
 from courselead.integrations.http_api.problems import ApiProblem, EdgeKind, bad_request
 from courselead.settings import LimitSettings
 
 # Time for one more request of a connection on which none is under way when the server
-# stops: a round trip, and the loop of a busy host.
-_LAST_REQUEST_S = 0.2
+# stops: the pause of a caller who calls again and again, and the loop of a busy host.
+_LAST_REQUEST_S = 1.0
+# Pause between two looks whether a request has come that the loop has not read yet.
+_UNREAD_S = 0.02
 # Beyond this part over the limit a connection is dropped without an answer.
 _SURPLUS_SHARE = 4
 _SURPLUS_LEAST = 16
@@ -42,7 +46,7 @@
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         """Take the connection, or drop it if there are far too many."""
-        super().connection_made(transport)
+        super().connection_made(LingeringTransport(transport))
         most = self.limits.max_connections
         surplus = max(most // _SURPLUS_SHARE, _SURPLUS_LEAST)
         self.over_limit = len(self.connections) > most
@@ -56,7 +60,20 @@
             return
         # A request may have come or be on its way, and closing now would lose it: a
         # socket that is closed with unread bytes is reset.
-        self.loop.call_later(_LAST_REQUEST_S, self._shut_down_late)
+        self.loop.call_later(_LAST_REQUEST_S, self._close_unused)
+
+    def data_received(self, data: bytes) -> None:
+        """Take in bytes of requests; drop what comes after the connection's end."""
+        if not self.transport.is_closing():
+            super().data_received(data)
+
+    def timeout_keep_alive_handler(self) -> None:
+        """Close the connection if it has been idle for too long.
+
+        A request that a busy loop has not read yet is in time, and served.
+        """
+        if not self._has_unread():
+            super().timeout_keep_alive_handler()
 
     def abort(self) -> None:
         """Drop the connection with whatever is unsent."""
@@ -85,9 +102,20 @@
         """Answer bytes that are no HTTP request with a problem."""
         self._send_problem(bad_request("the request is not valid HTTP/1.1; mend it"))
 
-    def _shut_down_late(self) -> None:
-        if not self.transport.is_closing():
-            super().shutdown()
+    def _close_unused(self) -> None:
+        """Close the connection, or let the request on it end that has come."""
+        if self.transport.is_closing():
+            return
+        if self._has_unread():
+            self.loop.call_later(_UNREAD_S, self._close_unused)
+            return
+        super().shutdown()
+
+    def _has_unread(self) -> bool:
+        """Return whether the kernel holds bytes, or the caller's end, for the loop."""
+        poll = select.poll()
+        poll.register(self.transport.get_extra_info("socket"), select.POLLIN)
+        return bool(poll.poll(0))
 
     def _check_closing(self, now: float) -> None:
         if self._closing_since is None:
