--- a/courselead/daemon/scheduling/main.py
+++ b/courselead/daemon/scheduling/main.py
@@ -4,12 +4,14 @@
 
 import signal
 import sys
+from collections.abc import AsyncIterator
 
 import anyio
 import structlog
 from returns.result import Failure
 
 from courselead import logs
+from courselead.daemon import signals
 from courselead.daemon.scheduling.host import SchedulingHost
 from courselead.daemon.scheduling.metrics import PORT, MetricsApp, SchedulingMetrics
 from courselead.integrations.http_api.errors import ListenFailed
@@ -64,56 +66,63 @@
         settings.limits.link_mbps,
     )
     jobs_app = JobsApp(host.intake, lambda: host.leaving or not host.can_store)
-    front = _server(jobs_app, _address(settings.listen.front))
-    ready = _server(ReadyApp(lambda: host.ready), _address(settings.listen.ready))
-    relay = _server(host.relay, _address(settings.peer_address))
-    metrics = SchedulingMetrics(host.counters)
+    metrics = MetricsApp(SchedulingMetrics(host.counters), lambda: host.owns)
+    servers = (
+        _server(jobs_app, _address(settings.listen.front)),
+        _server(ReadyApp(lambda: host.ready), _address(settings.listen.ready)),
+        _server(host.relay, _address(settings.peer_address)),
+    )
+    metrics_server = _server(metrics, Address(settings.ip, PORT))
     host.counters.watch("lines_dropped", lambda: budget.dropped + writer.dropped)
     _LOGGER.info("started", host=settings.node, front=settings.listen.front)
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(host.run)
-        tasks.start_soon(front.run)
-        tasks.start_soon(ready.run)
-        tasks.start_soon(relay.run)
-        tasks.start_soon(_serve_metrics, metrics, host, settings.ip)
-        await _wait_for_end(host)
-        _LOGGER.info("leaving", host=settings.node)
-        tasks.start_soon(host.leave)
-        await anyio.sleep(LINGER_S)
-        front.stop()
-        await front.wait_closed()
-        tasks.cancel_scope.cancel()
+    with anyio.open_signal_receiver(*signals.SIGNALS) as received:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(host.run)
+            for server in servers:
+                tasks.start_soon(server.run)
+            tasks.start_soon(_serve_metrics, metrics_server)
+            await _wait_for_end(host, received)
+            _LOGGER.info("leaving", host=settings.node)
+            tasks.start_soon(signals.ignore, received)
+            tasks.start_soon(host.leave)
+            await anyio.sleep(LINGER_S)
+            await _stop(*servers, metrics_server)
+            tasks.cancel_scope.cancel()
+    signals.ignore_all()
     _LOGGER.info("stopped", host=settings.node)
 
 
-async def _serve_metrics(
-    metrics: SchedulingMetrics, host: SchedulingHost, ip: str
-) -> None:
+async def _serve_metrics(server: HttpServer) -> None:
     """Serve the metrics; a host whose port is taken goes on without them."""
-    server = _server(MetricsApp(metrics, lambda: host.owns), Address(ip, PORT))
     try:
         await server.run()
     except ListenFailed as exc:
         _LOGGER.error("metrics_not_served", reason=str(exc))
 
 
-async def _wait_for_end(host: SchedulingHost) -> None:
+async def _stop(*servers: HttpServer) -> None:
+    """Let the exchanges of callers, peers and probes end, all at the same time."""
+    for server in servers:
+        server.stop()
+    for server in servers:
+        await server.wait_closed()
+
+
+async def _wait_for_end(
+    host: SchedulingHost, received: AsyncIterator[signal.Signals]
+) -> None:
     """Return at SIGTERM or SIGINT; take changed settings at SIGHUP.
 
     Addresses are read at the start only: the platform starts a process anew for them.
     """
-    with anyio.open_signal_receiver(
-        signal.SIGTERM, signal.SIGINT, signal.SIGHUP
-    ) as received:
-        async for number in received:
-            if number == signal.SIGHUP:
-                loaded = load_settings()
-                if isinstance(loaded, Failure):
-                    _LOGGER.error("settings_refused", reason=loaded.failure())
-                    continue
-                host.reload(loaded.unwrap().bounds.bounds())
-                continue
+    async for number in received:
+        if number != signal.SIGHUP:
             return
+        loaded = load_settings()
+        if isinstance(loaded, Failure):
+            _LOGGER.error("settings_refused", reason=loaded.failure())
+            continue
+        host.reload(loaded.unwrap().bounds.bounds())
 
 
 def _server(app: object, address: Address) -> HttpServer:
--- a/courselead/integrations/http_api/server.py
+++ b/courselead/integrations/http_api/server.py
@@ -59,18 +59,9 @@
         Raises:
             ListenFailed: The socket could not be opened.
         """
-        sock = _bind(self._listen)
-        ip, port = sock.getsockname()[:2]
         try:
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._sweep)
-                tasks.start_soon(self._report, task_status, Address(ip, port))
-                await self._server.serve(sockets=[sock])
-                await self._server.settle()
-                tasks.cancel_scope.cancel()
+            await self._run(task_status)
         finally:
-            self._server.drop_all()
-            sock.close()
             self._closed.set()
 
     def stop(self) -> None:
@@ -95,6 +86,20 @@
         """Return when `run` is over: until then answers may be under way."""
         await self._closed.wait()
 
+    async def _run(self, task_status: TaskStatus[Address]) -> None:
+        sock = _bind(self._listen)
+        ip, port = sock.getsockname()[:2]
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._sweep)
+                tasks.start_soon(self._report, task_status, Address(ip, port))
+                await self._server.serve(sockets=[sock])
+                await self._server.settle()
+                tasks.cancel_scope.cancel()
+        finally:
+            self._server.drop_all()
+            sock.close()
+
     async def _report(self, status: TaskStatus[Address], address: Address) -> None:
         await self._server.listening.wait()
         status.started(address)
