Answer what a second signal cuts off, and serve on at SIGHUP

Callers of a host of a fleet that was told twice to end read a broken connection for what took longer than 5 s; a third signal ended the process in between (exit code -15), and a SIGHUP ended one that served.

Cause: after the second signal the host closes within 5 s, but its server let exchanges go on for 30 s, so that they were cancelled without an answer; the receiver was closed with the second signal; SIGHUP had no handler. Ruled out: the third signal alone, as the caller of the test reads no answer with the longer drain and the handlers mended.

Change: the server's drain is 3 s, which leaves time to write "unknown" to what is cut off; signals are handled until the process is done; SIGHUP is noted (`signal_ignored`).

--- a/courselead/daemon/main.py
+++ b/courselead/daemon/main.py
@@ -28,7 +28,7 @@
 from courselead.core.reducer import CoreState
 from courselead.core.requests.settle import is_drained
 from courselead.core.snapshots import SnapshotsState
-from courselead.daemon import clock
+from courselead.daemon import clock, signals
 from courselead.daemon.appender import Appender
 from courselead.daemon.follower import Follower
 from courselead.daemon.host import DaemonHost
@@ -50,6 +50,9 @@
 EXIT_SETTINGS = 2
 LEAVE_TIMEOUT_S = 40.0
 CLOSE_TIMEOUT_S = 5.0
+DRAIN_MS = 3_000
+"""Time for exchanges under way once the host has left, or is told again to end: what is
+cut off then still gets its answer within `CLOSE_TIMEOUT_S`."""
 # At rest the time is told less often: half the cost of a host that does nothing.
 IDLE_TICKS = 4
 READ_TIMEOUT_MS = 5_000
@@ -75,6 +78,7 @@
     daemon = Daemon(settings)
     with _unwrapped():
         anyio.run(daemon.run)
+        signals.ignore_all()
         return EXIT_OK
     return EXIT_FAULT
 
@@ -152,6 +156,7 @@
                 HttpApi(self._view, settings, self._metrics),
                 settings.listen,
                 settings.limits,
+                DRAIN_MS,
             )
             address = await tasks.start(server.run)
             _LOGGER.info("listening", address=str(address))
@@ -201,18 +206,26 @@
     async def _watch_signals(
         self, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED
     ) -> None:
-        """Leave in order at the first signal, at once at the second."""
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        """Leave in order at the first signal, at once at the second.
+
+        Settings are read at the start only: SIGHUP changes nothing, and without a
+        handler it would end the process.
+        """
+        with anyio.open_signal_receiver(*signals.SIGNALS) as received:
             task_status.started()
             leaving = False
-            async for signum in signals:
+            async for signum in received:
+                if signum == signal.SIGHUP:
+                    _LOGGER.info("signal_ignored", number=int(signum))
+                    continue
                 _LOGGER.info("signal", number=int(signum), leaving=leaving)
                 if leaving:
                     self._ended.set()
-                    return
+                    break
                 leaving = True
                 self._dispatch(LeaveAsked(clock.now_ms()))
                 self._tasks.start_soon(self._end_late)
+            await signals.ignore(received)
 
     async def _end_late(self) -> None:
         """End after a bound even if the log cannot take the leave."""
