--- a/demo/job_site.py
+++ b/demo/job_site.py
@@ -300,7 +300,7 @@
     plans = []
     for number in range(hosts):
         front, ready, peer = free_ports(3)
-        ip = f"{_network()}.{10 + number}"
+        ip = f"{network()}.{10 + number}"
         plans.append(HostPorts(f"front-{number}", ip, front, ready, peer))
     site = JobSite(processes, tuple(plans))
     try:
@@ -320,6 +320,6 @@
                 client.close()
 
 
-def _network() -> str:
+def network() -> str:
     """Return the first three numbers of this process's own loopback addresses."""
     return f"127.0.{1 + os.getpid() % NETWORKS}"
