Claim ports and a loopback network for each test run

The set-up of a process test failed twice of 175 runs in four loops side by side: "entry-3 ended with exit 1: cannot listen on 127.0.0.1:26006" and ":15606", port +6 of the run's block both times.

Cause: runs whose process ids differ by a multiple of 50 began at the same port and passed over what was listened on only. The test ends entry-0, which has +6 and +7, and a run that began then got these as its first free ports; the first two go to entry-3. A replay of that moment with fixed process ids gives +6 and +7 to entry-3 as seen. Loopback networks, for the metrics' port, were drawn from the process id in the same way.

--- a/demo/job_site.py
+++ b/demo/job_site.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-import os
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -14,7 +13,7 @@
 from returns.result import Failure
 
 from courselead.integrations.http import HttpClient, HttpRequest
-from demo.ports import free_ports
+from demo.ports import free_ports, run_number
 from demo.processes import Processes
 from demo.relay import Relay
 from demo.waiting import BOUND_S, wait
@@ -29,10 +28,6 @@
 METRICS_PORT = 9464
 """As deploy/system.toml names it."""
 
-NETWORKS = 250
-"""Loopback networks that runs side by side share: the metrics' port is one for all
-hosts, so two runs with the same addresses would take it from each other."""
-
 STATUS_OK = 200
 FINAL = ("completed", "failed", "cancelled")
 SHOWN = 5
@@ -321,5 +316,9 @@
 
 
 def network() -> str:
-    """Return the first three numbers of this process's own loopback addresses."""
-    return f"127.0.{1 + os.getpid() % NETWORKS}"
+    """Return the first three numbers of loopback addresses that this run has alone.
+
+    The port of the metrics is one for all hosts, so two runs with the same addresses
+    would take it from each other.
+    """
+    return f"127.0.{1 + run_number()}"
