Add a failing test of streams between hosts while no file is free

Symptom: one accept without a free file ends the listener for peers, and with it the whole host: "OSError: [Errno 24] Too many open files" falls out of its task group.

--- a/tests/integrations/http_api/test_listener.py
+++ b/tests/integrations/http_api/test_listener.py
@@ -1,7 +1,6 @@
 """Connections that the kernel has let in, where the process lacks something."""
 
 import contextlib
-import resource
 import socket
 
 import anyio
@@ -9,6 +8,7 @@
 
 from courselead.integrations.http_api import server as server_module
 from tests.integrations.http_api.fakes import FakeHost, head, stoppable, whole
+from tests.integrations.scarce_files import no_free_files
 
 pytestmark = pytest.mark.anyio
 
@@ -16,19 +16,6 @@
 """Time without free files: longer than a stop takes that gives up at once."""
 
 
-@contextlib.contextmanager
-def no_free_files():
-    """Take from this process the right to open any more files."""
-    limits = resource.getrlimit(resource.RLIMIT_NOFILE)
-    with socket.socket() as probe:
-        lowest_free = probe.fileno()
-    resource.setrlimit(resource.RLIMIT_NOFILE, (lowest_free, limits[1]))
-    try:
-        yield
-    finally:
-        resource.setrlimit(resource.RLIMIT_NOFILE, limits)
-
-
 def connect(address, stack):
     """Connect and send a whole request, without a turn of the loop."""
     sock = socket.create_connection((address.ip, address.port))
--- a/tests/integrations/peers/test_streams.py
+++ b/tests/integrations/peers/test_streams.py
@@ -1,6 +1,7 @@
 """Streams between entry hosts, over loopback."""
 
 import contextlib
+import socket
 from dataclasses import replace
 
 import anyio
@@ -14,6 +15,7 @@
 from courselead.integrations.peers.errors import OldIncarnation, PeerListenFailed
 from courselead.integrations.peers.members import Members
 from courselead.settings import Address, PeerSettings, Settings
+from tests.integrations.scarce_files import no_free_files
 
 pytestmark = pytest.mark.anyio
 BOUND_S = 10
@@ -93,6 +95,33 @@
         assert got_1 == []
 
 
+async def test_streams_go_on_while_no_file_is_free():
+    """A host with as many open files as it may have keeps its streams.
+
+    The accept that failed ended the listener, and with it the host: its task group
+    fell with "OSError: [Errno 24] Too many open files", and callers were cut off.
+    """
+    async with running(settings(name="eh-2", zone="az-2")) as (_, at_2, _, _):
+        pass
+    one = settings(peers=[eh_2(at_2)])
+    with contextlib.ExitStack() as stack:
+        async with running(one) as (_, at_1, got_1, _):
+            async with await anyio.connect_tcp(at_1.ip, at_1.port) as raw:
+                await raw.send(encode(HELLO_2) + encode(report(1)))
+                await until(lambda: len(got_1) == 1)
+                waiting = stack.enter_context(socket.socket())
+                with no_free_files():
+                    waiting.connect((at_1.ip, at_1.port))
+                    waiting.sendall(encode(HELLO_2))
+                    await raw.send(encode(report(2)))
+                    await until(lambda: len(got_1) == 2)
+                    await anyio.sleep(0.3)
+                # Its stream is taken in now, in place of the one of before.
+                await anyio.wait_readable(waiting)
+                waiting.sendall(encode(report(3)))
+                await until(lambda: len(got_1) == 3)
+
+
 def test_an_older_incarnation_is_old_on_either_stream():
     members = Members((eh_2(),))
     members.greet(replace(HELLO_2, incarnation=6))
