Go on listening for peers after an accept that failed

A host of a fleet with as many open files as it may have ended: callers and peers read broken connections, and all that it had under way was lost.

Cause: the loop that accepts peers' streams is the listener's own, which ends with the first error: "OSError: [Errno 24] Too many open files" fell through the host's task group.

Change: a failed accept is noted (`peer_accept_failed`) and tried again after 0.1 s; streams that are open go on.

Before: the test ends the host; after: the open stream delivers meanwhile, and the one that waited is taken in once a file is free. Without nested context managers the test is as it was.

--- a/courselead/integrations/peers/const.py
+++ b/courselead/integrations/peers/const.py
@@ -16,6 +16,9 @@
 # Reports come about five times a second; a stream this silent is dead.
 SILENCE_MS = 10_000
 
+# Pause after an accept that failed: files come free within a moment.
+ACCEPT_RETRY_MS = 100
+
 BACKOFF_FIRST_MS = 100
 BACKOFF_MOST_MS = 5_000
 
--- a/courselead/integrations/peers/server.py
+++ b/courselead/integrations/peers/server.py
@@ -6,7 +6,8 @@
 
 import anyio
 import structlog
-from anyio.abc import Listener, SocketStream
+from anyio.abc import Listener, SocketStream, TaskGroup
+from anyio.streams.stapled import MultiListener
 
 from courselead.core.events import PeerReport
 from courselead.integrations.peers import const
@@ -49,7 +50,7 @@
         self._strangers = 0
         self._scopes: dict[str, anyio.CancelScope] = {}
 
-    async def open(self) -> Listener[SocketStream]:
+    async def open(self) -> MultiListener[SocketStream]:
         """Return the open listener.
 
         Raises:
@@ -63,9 +64,28 @@
             detail = f"cannot listen on {self._listen}; set another 'peer_listen'"
             raise PeerListenFailed(detail) from exc
 
-    async def serve(self, listener: Listener[SocketStream]) -> None:
+    async def serve(self, listener: MultiListener[SocketStream]) -> None:
         """Serve an open listener until cancelled."""
-        await listener.serve(self._serve)
+        async with anyio.create_task_group() as tasks:
+            for part in listener.listeners:
+                tasks.start_soon(self._accept_all, part, tasks)
+
+    async def _accept_all(
+        self, listener: Listener[SocketStream], tasks: TaskGroup
+    ) -> None:
+        """Serve each stream that comes in, also after an accept that failed.
+
+        The listener's own loop ends with the first error, and the host with it.
+        """
+        while True:
+            try:
+                raw = await listener.accept()
+            except OSError as exc:
+                reason = exc.strerror or type(exc).__name__
+                _LOGGER.warning("peer_accept_failed", reason=reason)
+                await anyio.sleep(const.ACCEPT_RETRY_MS / 1000)
+                continue
+            tasks.start_soon(self._serve, raw)
 
     async def _serve(self, raw: SocketStream) -> None:
         stream = FrameStream(raw)
--- a/tests/integrations/peers/test_streams.py
+++ b/tests/integrations/peers/test_streams.py
@@ -104,22 +104,27 @@
     async with running(settings(name="eh-2", zone="az-2")) as (_, at_2, _, _):
         pass
     one = settings(peers=[eh_2(at_2)])
-    with contextlib.ExitStack() as stack:
-        async with running(one) as (_, at_1, got_1, _):
-            async with await anyio.connect_tcp(at_1.ip, at_1.port) as raw:
-                await raw.send(encode(HELLO_2) + encode(report(1)))
-                await until(lambda: len(got_1) == 1)
-                waiting = stack.enter_context(socket.socket())
-                with no_free_files():
-                    waiting.connect((at_1.ip, at_1.port))
-                    waiting.sendall(encode(HELLO_2))
-                    await raw.send(encode(report(2)))
-                    await until(lambda: len(got_1) == 2)
-                    await anyio.sleep(0.3)
-                # Its stream is taken in now, in place of the one of before.
-                await anyio.wait_readable(waiting)
-                waiting.sendall(encode(report(3)))
-                await until(lambda: len(got_1) == 3)
+    async with running(one) as (_, at_1, got_1, _), connected(at_1) as raw:
+        await raw.send(encode(HELLO_2) + encode(report(1)))
+        await until(lambda: len(got_1) == 1)
+        with socket.socket() as waiting:
+            with no_free_files():
+                waiting.connect((at_1.ip, at_1.port))
+                waiting.sendall(encode(HELLO_2))
+                await raw.send(encode(report(2)))
+                await until(lambda: len(got_1) == 2)
+                await anyio.sleep(0.3)
+            # Its stream is taken in now, in place of the one of before.
+            await anyio.wait_readable(waiting)
+            waiting.sendall(encode(report(3)))
+            await until(lambda: len(got_1) == 3)
+
+
+@contextlib.asynccontextmanager
+async def connected(address):
+    """Give a raw stream to a host."""
+    async with await anyio.connect_tcp(address.ip, address.port) as raw:
+        yield raw
 
 
 def test_an_older_incarnation_is_old_on_either_stream():
