--- a/harness/real.py
+++ b/harness/real.py
@@ -12,10 +12,11 @@
 import json
 import sys
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import asdict, dataclass, field
 from pathlib import Path
 from random import Random
+from typing import Protocol
 
 import anyio
 
@@ -142,14 +143,33 @@
     return report
 
 
+class SeedReport(Protocol):
+    """A data class with what a seed's run has shown."""
+
+    broken: list[str]
+
+
+RunSeed = Callable[[int, Path], Awaitable[SeedReport]]
+
+
 async def _strike(striker: Striker, fault: Fault) -> None:
     await anyio.sleep(fault.at_s)
     await STRIKES[fault.name][0](striker, fault.lasts_s)
 
 
-def soak_real(argv: list[str], say: Callable[[str], object] = sys.stdout.write) -> int:
-    """Run seed after seed for some minutes; return the exit code."""
-    parser = argparse.ArgumentParser(prog="script/soak --real")
+def soak_real(
+    argv: list[str],
+    run: RunSeed = run_seed,
+    say: Callable[[str], object] = sys.stdout.write,
+) -> int:
+    """Run seed after seed for some minutes; return the exit code.
+
+    Args:
+        argv: The command's arguments.
+        run: Runs one seed, with a folder for its processes.
+        say: Takes what is printed.
+    """
+    parser = argparse.ArgumentParser(prog="script/soak")
     parser.add_argument("--seed", type=int, default=1, help="first seed")
     parser.add_argument("--minutes", type=float, default=1.0)
     parser.add_argument("--seeds", type=int, help="seeds to run, in place of minutes")
@@ -161,10 +181,11 @@
     while _goes_on(args, seed, end):
         folder = args.folder / f"seed-{seed}"
         folder.mkdir(parents=True, exist_ok=True)
-        report = anyio.run(run_seed, seed, folder)
+        report = anyio.run(run, seed, folder)
         (folder / "report.json").write_text(json.dumps(asdict(report), indent=2))
         failed += bool(report.broken)
-        line = {**asdict(report), "faults": len(report.faults)}
+        line = asdict(report)
+        line.pop("faults", None)
         say(f"{json.dumps(line)}\n")
         sys.stdout.flush()
         seed += 1
