Add a failing test of jobs whose storing a stop cuts off

Symptom: callers of a host that is told to end read 500 for a job that is being stored when the time for open exchanges is over, which says neither that it may run nor that it will not.

--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -6,8 +6,9 @@
 import pytest
 from returns.result import Failure, Success
 
-from courselead.core.scheduler.models import JobState
+from courselead.core.scheduler.models import JobSpec, JobState
 from courselead.core.scheduler.records import (
+    JobAccepted,
     JobProgress,
     KeyedRecord,
     OwnerBeat,
@@ -125,6 +126,46 @@
     assert status == 504
 
 
+@pytest.mark.parametrize(
+    ("method", "body_comes", "expected"),
+    [("POST", True, 504), ("DELETE", True, 504), ("POST", False, 503)],
+)
+async def test_what_a_stop_cuts_off_is_answered_truly(method, body_comes, expected):
+    """A job that is being stored as the host's time is over is said to be in doubt.
+
+    Callers read 500 from hosts that had been told to end: the server answers so for an
+    exchange that it cancels. That names neither a job that may run (504: asked again
+    under its id) nor one that never will (503).
+    """
+    door = Door(MemoryLog())
+    door.configure()
+    # Nothing is stored without the writer's task, and so the answer waits.
+    door.follower.learned(JobAccepted(JOB, "r-1", JobSpec("", ())))
+    job_id = JOB if method == "DELETE" else "00000000000000aa"
+    body = json.dumps(BODY).encode()
+    scope = {
+        "type": "http",
+        "method": method,
+        "path": f"/q/{job_id}",
+        "headers": [(b"host", b"a.example")],
+    }
+    sent = []
+
+    async def receive():
+        if not body_comes:
+            await anyio.sleep_forever()
+        return {"type": "http.request", "body": body, "more_body": False}
+
+    async def send(message):
+        sent.append(message)
+
+    with anyio.move_on_after(0.05) as scope_of_stop:
+        await door.app(scope, receive, send)
+    assert scope_of_stop.cancelled_caught
+    assert sent[0]["status"] == expected
+    assert dict(sent[0]["headers"])[b"retry-after"] == b"1"
+
+
 async def test_before_the_first_configuration_nothing_is_known_to_be_missing():
     status, _, _ = await Door(MemoryLog()).post()
     assert status == 503
