Answer jobs whose storing a stop cuts off with what is known of them

Cause: the server cancels these exchanges, and answers 500 for an application that ends without an answer.

Change: the application answers itself: 503 while the request is still coming, 504 once it is being carried out.

Before: the three cases of the test get no answer of the application; after: 504, 504, 503.

--- a/courselead/platform/ingress.py
+++ b/courselead/platform/ingress.py
@@ -5,6 +5,7 @@
 import re
 from collections.abc import Callable
 
+import anyio
 import msgspec
 from returns.result import Failure, Result, Success
 
@@ -32,6 +33,9 @@
     Verdict.NO_JOB: 410,
 }
 
+_NOT_RUN = (503, {"error": "the host ends; nothing was stored, ask another one"})
+_IN_DOUBT = (504, {"error": "the host ends; it may be stored, ask another one"})
+
 
 class _WireStep(msgspec.Struct, rename="camel"):
     count: int = 1
@@ -85,8 +89,17 @@
         """Serve one HTTP exchange."""
         if scope["type"] != "http":
             return
-        body = await whole_body(receive, self._intake.body_bytes)
-        status, document = await self._serve(scope, body)
+        cut_off = _NOT_RUN
+        try:
+            body = await whole_body(receive, self._intake.body_bytes)
+            cut_off = _IN_DOUBT
+            status, document = await self._serve(scope, body)
+        except anyio.get_cancelled_exc_class():
+            # The host ends, and its time for open exchanges is over. Without an answer
+            # of its own the server would say 500, which tells a caller nothing.
+            with anyio.CancelScope(shield=True):
+                await _answer(send, *cut_off, True)
+            raise
         await _answer(send, status, document, self._unhelpful())
 
     async def _serve(self, scope: Scope, body: bytes | None) -> tuple[int, object]:
