Tell the lives of a minion apart by their starts, not by its id alone

A minion may start again under the id that it had. Its tasks were lost to their callers until a lease was over, ends of its new life were forgotten unseen, and tasks ran twice: of three machines whose minions started again twice each, the ledger of the stand-ins noted starts after a noted end (`test_minions_start_again_under_their_ids`).

Cause: a life was its id. Runs of the life before counted as at work; looks that went on over the restart acknowledged ends by its numbers; an id that was over was never used again.

Change: a life is an id and the start that the minion tells of itself. The first word of a later life, in the list or in an answer to a look, ends the one before: what it had reported starts again at once, what it had not may run on the next one, and is stopped there first; so is any start of which a copy may be under way. Leases that the next one may have got are reckoned with. Words of an older life change nothing; a clock that was set back is settled by a look. Orders, looks and their answers carry the life that is meant; nothing is acknowledged on a connection on which that life has not answered. Records keep the id alone: what a life left counts until the next one has reported. Minions that tell no start are as before.

One test changes: the first look on a connection acknowledges nothing, so the one that looked for its number looks twice, and a test of its own says why.

--- a/courselead/core/scheduler/const.py
+++ b/courselead/core/scheduler/const.py
@@ -107,3 +107,7 @@
 
 STOP_RETRY_MS = 700
 """Time until an unanswered stop is sent again."""
+
+STRAY_START_MS = 10_000
+"""Time after which an order without an answer is no longer carried out: minions do so
+some seconds late at most (the platform's protocol), and the longest lease is over."""
--- a/courselead/core/scheduler/events.py
+++ b/courselead/core/scheduler/events.py
@@ -7,6 +7,7 @@
 
 from courselead.core.scheduler.models import (
     FleetConfig,
+    Life,
     MaintenanceWave,
     MinionInfo,
     Worker,
@@ -63,6 +64,25 @@
     checkpoint: str
 
 
+class _OfLife:
+    """What is meant for, or comes from, one life of a minion.
+
+    Attributes:
+        minion_id: Of the minion.
+        born_ms: Of the life, 0 if that is not known.
+    """
+
+    __slots__ = ()
+
+    minion_id: str
+    born_ms: int
+
+    @property
+    def life(self) -> Life:
+        """Return the life."""
+        return Life(self.minion_id, self.born_ms)
+
+
 # Events
 
 
@@ -102,28 +122,41 @@
 
 
 @dataclass(frozen=True, slots=True)
-class HoldAnswered:
-    """A minion answered a look."""
+class HoldAnswered(_OfLife):
+    """A minion answered a look.
+
+    Attributes:
+        born_ms: Of the life that was looked at, 0 if that was not known.
+        answered_by: The life that answered, if it said so.
+    """
 
     minion_id: str
     sent_ms: int
     clock_ms: int
     running: tuple[RunReport, ...]
     ended: tuple[EndReport, ...]
+    born_ms: int = 0
+    answered_by: Life | None = None
 
 
 @dataclass(frozen=True, slots=True)
-class HoldFailed:
+class HoldFailed(_OfLife):
     """A look failed."""
 
     minion_id: str
     outcome: Outcome
     reason: str
+    born_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
-class OrderAnswered:
-    """A start, stop or pace order was answered, or given up."""
+class OrderAnswered(_OfLife):
+    """A start, stop or pace order was answered, or given up.
+
+    Attributes:
+        born_ms: Of the life that was meant, 0 if that was not known.
+        repeated: Whether it was sent more than once: a copy may be carried out yet.
+    """
 
     minion_id: str
     task: str
@@ -132,6 +165,8 @@
     outcome: Outcome
     clock_ms: int = 0
     reason: str = ""
+    born_ms: int = 0
+    repeated: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -225,7 +260,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class StartRun:
+class StartRun(_OfLife):
     """Start a task on a minion; `lease_ms` is on its clock."""
 
     minion_id: str
@@ -235,6 +270,7 @@
     lease_ms: int
     checkpoint: str
     ticket: str
+    born_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -245,23 +281,25 @@
 
 
 @dataclass(frozen=True, slots=True)
-class StopRun:
+class StopRun(_OfLife):
     """Stop a run on a minion."""
 
     minion_id: str
     task: str
     number: int
     reason: str
+    born_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
-class PaceRun:
+class PaceRun(_OfLife):
     """Let a run work at a share."""
 
     minion_id: str
     task: str
     number: int
     percent: int
+    born_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -316,10 +354,11 @@
 
 
 @dataclass(frozen=True, slots=True)
-class FollowMinion:
-    """Keep looking at a minion from now on."""
+class FollowMinion(_OfLife):
+    """Keep looking at a life of a minion from now on."""
 
     minion_id: str
+    born_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/courselead/core/scheduler/minions.py
+++ b/courselead/core/scheduler/minions.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from courselead.core.scheduler import const, jobs, pace
 from courselead.core.scheduler.events import (
     EndKind,
@@ -17,15 +19,25 @@
     StepDown,
     StopRun,
 )
-from courselead.core.scheduler.models import MinionInfo
+from courselead.core.scheduler.models import Life, MinionInfo
 from courselead.core.scheduler.schedule import Schedule
 from courselead.core.scheduler.state import Minion, Run, RunPhase, Unit, UnsavedEnd
 
+STARTED_AGAIN = "its minion started again"
+"""Why a run is over, or stopped, that a life before had or was to have."""
+
 
 def listed(schedule: Schedule, info: MinionInfo) -> None:
     """Take a minion of the platform's list."""
-    if info.minion_id in schedule.dead:
+    present = schedule.minions.get(info.minion_id)
+    if present is None:
+        if schedule.is_over(info.life):
+            return
+    elif not present.info.life.may_be(info.life):
+        _another_life_listed(schedule, present, info)
         return
+    elif not info.born_ms:
+        info = replace(info, born_ms=present.info.born_ms)
     if info.pool not in schedule.config.pools:
         # Perhaps of another writer: nothing is sent there before a configuration
         # names its pool.
@@ -36,10 +48,13 @@
     schedule.strangers.pop(info.minion_id, None)
     minion = schedule.minions.get(info.minion_id)
     if minion is None:
-        minion = Minion(info, idle_ms=schedule.now_ms, listed_ms=schedule.now_ms)
-        schedule.minions[info.minion_id] = minion
-        schedule.emit(FollowMinion(info.minion_id))
-        schedule.note("minion_listed", minion=info.minion_id, pool=info.pool)
+        minion = _follow(schedule, info)
+        schedule.note(
+            "minion_listed",
+            minion=info.minion_id,
+            pool=info.pool,
+            born_ms=info.born_ms,
+        )
     if info.draining and not minion.info.draining:
         schedule.note("minion_draining", minion=info.minion_id)
     minion.info = info
@@ -48,6 +63,122 @@
     schedule.dirty_pools.add(info.pool)
 
 
+def _follow(schedule: Schedule, info: MinionInfo) -> Minion:
+    """Take up a life of a minion that knows nothing of any before."""
+    now_ms = schedule.now_ms
+    minion = Minion(info, idle_ms=now_ms, listed_ms=now_ms)
+    schedule.minions[info.minion_id] = minion
+    schedule.emit(FollowMinion(info.minion_id, info.born_ms))
+    _bar_stray_starts(schedule, info.life)
+    return minion
+
+
+def _bar_stray_starts(schedule: Schedule, life: Life) -> None:
+    """Stop on a new life what may yet begin there though a life before was meant.
+
+    A run that was stopped never begins there later.
+    """
+    strays = schedule.stray_starts.get(life.minion_id, {})
+    for (task, number), until_ms in list(strays.items()):
+        if schedule.now_ms >= until_ms:
+            del strays[(task, number)]
+            continue
+        schedule.emit(
+            StopRun(life.minion_id, task, number, STARTED_AGAIN, life.born_ms)
+        )
+
+
+def _note_stray_start(schedule: Schedule, run: Run) -> None:
+    """Remember a start of which a copy may be carried out yet."""
+    strays = schedule.stray_starts.setdefault(run.minion_id, {})
+    strays[run.key] = schedule.now_ms + const.STRAY_START_MS
+
+
+def _another_life_listed(schedule: Schedule, minion: Minion, info: MinionInfo) -> None:
+    """Take an entry of another life of a minion that is known.
+
+    A later start is the newer life. An earlier one may be an entry that was held up,
+    or the newer life of a minion whose clock was set back: a look tells, if it reaches
+    that life, and otherwise its turn comes once nothing can run on this one.
+    """
+    if schedule.is_over(info.life):
+        return
+    if info.born_ms > minion.info.born_ms:
+        _started_again(schedule, minion, info, listed_now=True)
+        return
+    schedule.note(
+        "minion_entry_older",
+        minion=info.minion_id,
+        born_ms=info.born_ms,
+        known_born_ms=minion.info.born_ms,
+    )
+    minion.rival = info
+    if minion.failures and _known_empty(schedule, minion):
+        dead(schedule, minion, "an older life is listed, and it does not answer")
+
+
+def _may_run_on_next_life(schedule: Schedule, run: Run) -> bool:
+    """Return whether a task may run on the next life of its minion.
+
+    What the life before has reported went with it, but for copies of its start, or of
+    an earlier start of the task there, that are still under way.
+    """
+    if not run.confirmed or run.start_repeated:
+        return True
+    strays = schedule.stray_starts.get(run.minion_id, {})
+    return any(
+        task == run.task and schedule.now_ms < until_ms
+        for (task, _), until_ms in strays.items()
+    )
+
+
+def _started_again(
+    schedule: Schedule, minion: Minion, info: MinionInfo, listed_now: bool
+) -> None:
+    """Take a minion's life as over whose next one has begun under the same id.
+
+    What the life before has reported is gone with it, and starts again at once. What
+    it has not may run on the next one, or begin there later: an order to a minion that
+    has just started again reaches its next life. Such runs are stopped there, and
+    count until that life has answered the stop and a look.
+    """
+    doubtful = [
+        run for run in minion.runs.values() if _may_run_on_next_life(schedule, run)
+    ]
+    for run in doubtful:
+        del minion.runs[run.key]
+        _note_stray_start(schedule, run)
+    schedule.note(
+        "minion_started_again",
+        minion=minion.minion_id,
+        born_ms=info.born_ms,
+        before_born_ms=minion.info.born_ms,
+        runs=len(minion.runs),
+        doubtful=len(doubtful),
+    )
+    minion.rival = None
+    dead(schedule, minion, STARTED_AGAIN)
+    following = _follow(schedule, info)
+    following.listed = listed_now
+    following.worker_id = minion.worker_id
+    # A move or a wave that takes the worker goes on.
+    following.cordoned = minion.cordoned
+    longest_ms = int(schedule.bounds.lease_max_ms / const.CLOCK_SLOWNESS)
+    following.stray_lease_ms = schedule.now_ms + longest_ms + const.LEASE_MARGIN_MS
+    for run in doubtful:
+        following.runs[run.key] = run
+        following.used = following.used.plus(run.unit.spec.charge)
+        run.confirmed = False
+        run.phase = RunPhase.STOPPING
+        run.stop_reason = STARTED_AGAIN
+        run.stop_sent_ms = schedule.now_ms
+        run.stop_answered_ms = None
+    if doubtful and schedule.is_noted(following):
+        schedule.emit(NoteRuns(following.minion_id))
+    if info.pool not in schedule.config.pools:
+        listed(schedule, info)
+
+
 def pools_changed(schedule: Schedule) -> None:
     """Take the minions whose pools a new configuration names."""
     for info in list(schedule.strangers.values()):
@@ -74,9 +205,18 @@
 
 def hold_answered(schedule: Schedule, event: HoldAnswered) -> None:
     """Take a minion's whole report."""
-    minion = schedule.minions.get(event.minion_id)
+    minion = _present(schedule, event.life)
     if minion is None:
         return
+    if event.answered_by is not None and not _is_by(minion, event.answered_by):
+        # Looks are made one after the other, so what this one tells is the present.
+        info = replace(minion.info, born_ms=event.answered_by.born_ms)
+        rival = minion.rival
+        entry_is_there = rival is not None and rival.life == info.life
+        if entry_is_there:
+            info = rival
+        _started_again(schedule, minion, info, listed_now=entry_is_there)
+        return
     _heard(schedule, minion)
     if minion.failures:
         schedule.note("minion_reached", minion=minion.minion_id)
@@ -104,9 +244,26 @@
     pace.adjust(schedule, minion)
 
 
+def _present(schedule: Schedule, life: Life) -> Minion | None:
+    """Return a minion if the life that was asked is still its present one."""
+    minion = schedule.minions.get(life.minion_id)
+    if minion is None or not minion.info.life.may_be(life):
+        return None
+    return minion
+
+
+def _is_by(minion: Minion, life: Life) -> bool:
+    """Return whether a minion's present life has answered; learn its start."""
+    if not minion.info.life.may_be(life):
+        return False
+    if not minion.info.born_ms:
+        minion.info = replace(minion.info, born_ms=life.born_ms)
+    return True
+
+
 def hold_failed(schedule: Schedule, event: HoldFailed) -> None:
     """Take a failed look."""
-    minion = schedule.minions.get(event.minion_id)
+    minion = _present(schedule, event.life)
     if minion is None:
         return
     if _ends_it(schedule, minion, event.outcome):
@@ -116,7 +273,8 @@
         schedule.note(
             "minion_unreachable", minion=minion.minion_id, reason=event.reason
         )
-    if not minion.listed and _known_empty(schedule, minion):
+    left_its_entry = not minion.listed or minion.rival is not None
+    if left_its_entry and _known_empty(schedule, minion):
         dead(schedule, minion, "left the list and does not answer")
 
 
@@ -150,7 +308,7 @@
 
 def order_answered(schedule: Schedule, event: OrderAnswered) -> None:
     """Take the answer to a start, stop or pace order, or its lack."""
-    minion = schedule.minions.get(event.minion_id)
+    minion = _present(schedule, event.life)
     if minion is None:
         return
     if _ends_it(schedule, minion, event.outcome):
@@ -161,6 +319,9 @@
     if run is None:
         return
     if event.verb == "start":
+        run.start_repeated = run.start_repeated or event.repeated
+        if event.repeated or event.outcome is Outcome.UNKNOWN:
+            _note_stray_start(schedule, run)
         _start_answered(schedule, minion, run, event)
     elif event.verb == "stop" and event.outcome is Outcome.OK:
         run.stop_answered_ms = schedule.now_ms
@@ -175,16 +336,25 @@
         runs=len(minion.runs),
     )
     for run in list(minion.runs.values()):
-        _lost_unseen(schedule, run)
+        _lost_unseen(schedule, run, reason)
     schedule.minions.pop(minion.minion_id, None)
-    schedule.dead.add(minion.minion_id)
+    schedule.dead.setdefault(minion.minion_id, set()).add(minion.info.life)
     schedule.doubted_lives.pop(minion.minion_id, None)
     schedule.dirty_pools.add(minion.info.pool)
     schedule.emit(LeaveMinion(minion.minion_id))
+    if minion.rival is not None:
+        # Its clock was set back, or nobody answers there: a look tells.
+        listed(schedule, minion.rival)
+
 
+def lost(schedule: Schedule, run: Run, reason: str = "") -> None:
+    """Take a run as gone for certain without a report of its end.
 
-def lost(schedule: Schedule, run: Run) -> None:
-    """Take a run as gone for certain without a report of its end."""
+    Args:
+        schedule: Changed in place.
+        run: Whose end is proved.
+        reason: What proves it, for a run that was not being stopped.
+    """
     unit = run.unit
     if run.checkpoint:
         unit.checkpoint = run.checkpoint
@@ -194,7 +364,7 @@
         task=run.task,
         run=run.number,
         minion=run.minion_id,
-        reason=run.stop_reason,
+        reason=run.stop_reason or reason,
         age_ms=schedule.now_ms - run.started_ms,
     )
     schedule.drop_run(run)
@@ -202,10 +372,10 @@
     jobs.requeue(schedule, unit)
 
 
-def _lost_unseen(schedule: Schedule, run: Run) -> None:
+def _lost_unseen(schedule: Schedule, run: Run, reason: str) -> None:
     """Take a run as gone that its minion has not reported on."""
     run.unit.lost_ms = schedule.now_ms
-    lost(schedule, run)
+    lost(schedule, run, reason)
 
 
 def tick(schedule: Schedule) -> None:
@@ -238,9 +408,9 @@
         return
     schedule.note("lease_over", minion=minion.minion_id, runs=len(minion.runs))
     for run in list(minion.runs.values()):
-        _lost_unseen(schedule, run)
+        _lost_unseen(schedule, run, "its lease is over")
     minion.synced = False
-    if not minion.listed:
+    if not minion.listed or minion.rival is not None:
         dead(schedule, minion, "left the list and its lease is over")
 
 
@@ -249,8 +419,7 @@
         return
     if schedule.now_ms - run.stop_sent_ms < const.STOP_RETRY_MS:
         return
-    run.stop_sent_ms = schedule.now_ms
-    schedule.emit(StopRun(run.minion_id, run.task, run.number, run.stop_reason))
+    schedule.order_stop(run)
 
 
 def _stalled(schedule: Schedule, run: Run) -> bool:
@@ -275,6 +444,7 @@
         run = _adopt(schedule, minion, report)
         if run is None:
             return
+    run.confirmed = True
     if run.phase is RunPhase.SENT:
         run.phase = RunPhase.RUNNING
         run.running_ms = schedule.now_ms
@@ -292,7 +462,13 @@
     unit = jobs.unit_of(schedule, report.task)
     if unit is None:
         schedule.emit(
-            StopRun(minion.minion_id, report.task, report.number, "unknown job")
+            StopRun(
+                minion.minion_id,
+                report.task,
+                report.number,
+                "unknown job",
+                minion.info.born_ms,
+            )
         )
         return None
     index = int(report.task.rpartition(".")[2])
--- a/courselead/core/scheduler/models.py
+++ b/courselead/core/scheduler/models.py
@@ -144,6 +144,28 @@
     pools: dict[str, Pool] = field(default_factory=dict)
 
 
+@dataclass(frozen=True, slots=True)
+class Life:
+    """One life of a minion, which may start again under the id that it had.
+
+    Attributes:
+        minion_id: Of all its lives.
+        born_ms: Its start, in milliseconds since 1970 on its own clock; 0 if that is
+            not known. It tells lives apart, and no more: a clock may be set back.
+    """
+
+    minion_id: str
+    born_ms: int = 0
+
+    def may_be(self, other: Life) -> bool:
+        """Return whether both may be the same life, as far as is known."""
+        if self.minion_id != other.minion_id:
+            return False
+        if not self.born_ms or not other.born_ms:
+            return True
+        return self.born_ms == other.born_ms
+
+
 @dataclass(frozen=True, slots=True)
 class MinionInfo:
     """What a minion says about itself in the platform's list."""
@@ -156,6 +178,12 @@
     labels: tuple[str, ...] = ()
     draining: bool = False
     remaining_ms: int = 0
+    born_ms: int = 0
+
+    @property
+    def life(self) -> Life:
+        """Return the life that says so."""
+        return Life(self.minion_id, self.born_ms)
 
     @property
     def rack(self) -> str:
--- a/courselead/core/scheduler/pace.py
+++ b/courselead/core/scheduler/pace.py
@@ -39,7 +39,8 @@
         if percent == run.pace:
             continue
         run.pace = percent
-        schedule.emit(PaceRun(run.minion_id, run.task, run.number, percent))
+        born_ms = minion.info.born_ms
+        schedule.emit(PaceRun(run.minion_id, run.task, run.number, percent, born_ms))
 
 
 def _next_percent(percent: int, worst: float) -> int:
--- a/courselead/core/scheduler/placement.py
+++ b/courselead/core/scheduler/placement.py
@@ -223,6 +223,7 @@
             lease_ms,
             unit.checkpoint,
             ticket,
+            minion.info.born_ms,
         )
     )
 
--- a/courselead/core/scheduler/schedule.py
+++ b/courselead/core/scheduler/schedule.py
@@ -16,6 +16,7 @@
 from courselead.core.scheduler.models import (
     Bounds,
     FleetConfig,
+    Life,
     MinionInfo,
     Queue,
     StepSpec,
@@ -135,7 +136,8 @@
     jobs: dict[str, Job] = field(default_factory=dict)
     units: dict[str, Unit] = field(default_factory=dict)
     minions: dict[str, Minion] = field(default_factory=dict)
-    dead: set[str] = field(default_factory=set)
+    # Lives that are over, by minion.
+    dead: dict[str, set[Life]] = field(default_factory=dict)
     ready: dict[str, list[Unit]] = field(default_factory=dict)
     special_from: dict[str, int] = field(default_factory=dict)
     place_after_ms: dict[str, int] = field(default_factory=dict)
@@ -149,6 +151,9 @@
     workers_asked_ms: int = 0
     workers_ms: int = -1
     doubted_lives: dict[str, DoubtedLife] = field(default_factory=dict)
+    # Starts of which a copy may be carried out yet, by minion: task and number, and
+    # until when.
+    stray_starts: dict[str, dict[tuple[str, int], int]] = field(default_factory=dict)
     # Answers of minions are lost now and then until this time.
     lossy_until_ms: int = 0
     # Listed with a pool that the configuration does not name, by id.
@@ -171,6 +176,10 @@
     barred_ms: dict[str, int] = field(default_factory=dict)
     effects: list[Effect] = field(default_factory=list)
 
+    def is_over(self, life: Life) -> bool:
+        """Return whether a life is known to be over."""
+        return any(life.may_be(over) for over in self.dead.get(life.minion_id, ()))
+
     @property
     def unsaved(self) -> bool:
         """Return whether the open batch has anything to store."""
@@ -285,8 +294,17 @@
             return
         run.phase = RunPhase.STOPPING
         run.stop_reason = reason
+        self.order_stop(run)
+
+    def order_stop(self, run: Run) -> None:
+        """Send a run's stop to the present life of its minion."""
         run.stop_sent_ms = self.now_ms
-        self.emit(StopRun(run.minion_id, run.task, run.number, reason))
+        run.stop_answered_ms = None
+        minion = self.minions.get(run.minion_id)
+        born_ms = 0 if minion is None else minion.info.born_ms
+        self.emit(
+            StopRun(run.minion_id, run.task, run.number, run.stop_reason, born_ms)
+        )
 
     def turn_age_ms(self, pool: str) -> int | None:
         """Return how long a pool's turn has lasted, nothing outside of one."""
--- a/courselead/core/scheduler/scheduler.py
+++ b/courselead/core/scheduler/scheduler.py
@@ -35,7 +35,7 @@
     WaveRequested,
     WorkersListed,
 )
-from courselead.core.scheduler.models import Bounds, FleetConfig, WorkerPhase
+from courselead.core.scheduler.models import Bounds, FleetConfig, Life, WorkerPhase
 from courselead.core.scheduler.run_records import LeftRuns
 from courselead.core.scheduler.schedule import DoubtedLife, Schedule
 
@@ -186,12 +186,20 @@
                     ages[worker_id] = 0
         return ages
 
-    def hold_call(self, minion_id: str, now_ms: int) -> HoldCall | None:
-        """Return the next look at a minion, nothing if it is followed no more."""
+    def hold_call(
+        self, minion_id: str, now_ms: int, born_ms: int = 0
+    ) -> HoldCall | None:
+        """Return the next look at a minion, nothing if it is followed no more.
+
+        Args:
+            minion_id: Of the minion.
+            now_ms: On the owner's steady clock.
+            born_ms: Of the life that is followed, 0 if that was not known.
+        """
         schedule = self.schedule
         schedule.now_ms = now_ms
         minion = schedule.minions.get(minion_id)
-        if minion is None:
+        if minion is None or not minion.info.life.may_be(Life(minion_id, born_ms)):
             return None
         lease_ms = 0
         # A look that renews a lease may arrive though its answers do not.
--- a/courselead/core/scheduler/state.py
+++ b/courselead/core/scheduler/state.py
@@ -28,6 +28,10 @@
     """One start of a task on one minion, until its end is proved.
 
     Times are milliseconds on the owner's steady clock.
+
+    Attributes:
+        confirmed: Whether its minion's present life has reported it.
+        start_repeated: Whether its start was sent more than once.
     """
 
     unit: Unit
@@ -45,6 +49,8 @@
     stop_answered_ms: int | None = None
     stop_reason: str = ""
     pace: int = 100
+    confirmed: bool = False
+    start_repeated: bool = False
 
     @property
     def task(self) -> str:
@@ -171,6 +177,9 @@
         unheard_ms: When the first start was sent since it last answered anything.
         unsaved: Ends that the minion may forget once they are stored.
         cursor: Ends up to this number may be forgotten by the minion.
+        stray_lease_ms: When the longest lease is over that an order meant for the life
+            before may have given to this one, on the owner's clock; 0 without one.
+        rival: Newest entry of a life that seems older than this one.
     """
 
     info: MinionInfo
@@ -195,6 +204,8 @@
     unheard_ms: int = 0
     listed_ms: int = 0
     idle_ms: int = 0
+    stray_lease_ms: int = 0
+    rival: MinionInfo | None = None
     _known_room: tuple[Resources, Resources, Resources] | None = None
 
     @property
@@ -234,4 +245,5 @@
         """Return when, on the owner's clock, no lease sent to it can still run."""
         left_ms = max(0, self.lease_ms - self.clock_ms)
         slow_ms = int(left_ms / const.CLOCK_SLOWNESS)
-        return self.clock_at_ms + slow_ms + const.LEASE_MARGIN_MS
+        own_ms = self.clock_at_ms + slow_ms + const.LEASE_MARGIN_MS
+        return max(own_ms, self.stray_lease_ms)
--- a/courselead/core/scheduler/waves.py
+++ b/courselead/core/scheduler/waves.py
@@ -224,10 +224,10 @@
 
     Before its minion has reported to this owner it may have runs of an earlier one.
     """
-    life = schedule.workers[worker_id].minion_id
-    if not life or life in schedule.dead:
+    minion_id = schedule.workers[worker_id].minion_id
+    minion = schedule.minions.get(minion_id)
+    if minion is None and (not minion_id or minion_id in schedule.dead):
         return False
-    minion = schedule.minions.get(life)
     if minion is None or not minion.synced:
         return schedule.now_ms < schedule.doubt_until_ms
     return bool(minion.runs)
--- a/courselead/daemon/scheduling/minion_tasks.py
+++ b/courselead/daemon/scheduling/minion_tasks.py
@@ -13,6 +13,7 @@
     StartRun,
     StopRun,
 )
+from courselead.core.scheduler.models import Life
 from courselead.daemon.scheduling.clocks import now_ms
 from courselead.daemon.scheduling.ports import (
     HostCounters,
@@ -56,22 +57,23 @@
         for link in self._links.values():
             link.close()
 
-    def _link(self, minion_id: str) -> MinionLink | None:
+    def _link(self, life: Life) -> MinionLink | None:
+        """Return the way to a life of a minion, nothing if it is over."""
         scheduler = self._owner.scheduler
         if scheduler is None:
             return None
-        minion = scheduler.schedule.minions.get(minion_id)
-        if minion is None:
+        minion = scheduler.schedule.minions.get(life.minion_id)
+        if minion is None or not minion.info.life.may_be(life):
             return None
-        link = self._links.get(minion_id)
+        link = self._links.get(life.minion_id)
         if link is None:
-            link = self._links[minion_id] = self._factory(minion.info)
+            link = self._links[life.minion_id] = self._factory(minion.info)
         return link
 
     async def start(self, order: StartRun) -> None:
         """Start a run."""
         self._counters.add("starts")
-        link = self._link(order.minion_id)
+        link = self._link(order.life)
         if link is None:
             return
         begun = anyio.current_time()
@@ -82,7 +84,7 @@
     async def stop(self, order: StopRun) -> None:
         """Stop a run."""
         self._counters.add("stops")
-        link = self._link(order.minion_id)
+        link = self._link(order.life)
         if link is None:
             return
         answer = await link.stop(order.task, order.number, self._owner.fence)
@@ -91,7 +93,7 @@
     async def set_pace(self, order: PaceRun) -> None:
         """Set the pace of a run."""
         self._counters.add("paces")
-        link = self._link(order.minion_id)
+        link = self._link(order.life)
         if link is None:
             return
         answer = await link.pace(
@@ -111,14 +113,17 @@
                 answer.outcome,
                 answer.clock_ms,
                 answer.reason,
+                order.born_ms,
+                answer.repeated,
             )
         )
 
-    async def follow(self, minion_id: str) -> None:
-        """Look at a minion until its life is over or the schedule lost."""
+    async def follow(self, life: Life) -> None:
+        """Look at a minion until that life is over or the schedule lost."""
+        minion_id, born_ms = life.minion_id, life.born_ms
         while self._owner.scheduler is not None:
-            call = self._owner.scheduler.hold_call(minion_id, now_ms())
-            link = self._link(minion_id)
+            call = self._owner.scheduler.hold_call(minion_id, now_ms(), born_ms)
+            link = self._link(life)
             if call is None or link is None:
                 return
             sent_ms = now_ms()
@@ -131,7 +136,13 @@
                 self._counters.took("hold", "ok", sent_ms / 1000)
                 self._owner.handle(
                     HoldAnswered(
-                        minion_id, sent_ms, hold.clock_ms, hold.running, hold.ended
+                        minion_id,
+                        sent_ms,
+                        hold.clock_ms,
+                        hold.running,
+                        hold.ended,
+                        born_ms,
+                        Life(minion_id, hold.born_ms) if hold.born_ms else None,
                     )
                 )
                 await anyio.sleep(HOLD_PAUSE_S)
@@ -139,7 +150,9 @@
                 continue
             failed = result.failure()
             self._counters.took("hold", str(failed.outcome), sent_ms / 1000)
-            self._owner.handle(HoldFailed(minion_id, failed.outcome, failed.reason))
+            self._owner.handle(
+                HoldFailed(minion_id, failed.outcome, failed.reason, born_ms)
+            )
             await anyio.sleep(HOLD_RETRY_S)
 
     async def _wait_saved(self, minion_id: str) -> None:
--- a/courselead/daemon/scheduling/owner.py
+++ b/courselead/daemon/scheduling/owner.py
@@ -355,7 +355,7 @@
             case PaceRun():
                 self._spawn(self._minions.set_pace, effect)
             case FollowMinion():
-                self._spawn(self._minions.follow, effect.minion_id)
+                self._spawn(self._minions.follow, effect.life)
             case LeaveMinion():
                 self._minions.leave(effect.minion_id)
                 self._starts.drop(effect.minion_id)
--- a/courselead/daemon/scheduling/ports.py
+++ b/courselead/daemon/scheduling/ports.py
@@ -166,6 +166,7 @@
     clock_ms: int
     running: tuple[RunReport, ...]
     ended: tuple[EndReport, ...]
+    born_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -175,6 +176,7 @@
     outcome: Outcome
     clock_ms: int = 0
     reason: str = ""
+    repeated: bool = False
 
 
 class MinionLink(Protocol):
--- a/courselead/daemon/scheduling/start_log.py
+++ b/courselead/daemon/scheduling/start_log.py
@@ -158,6 +158,7 @@
                 Outcome.NOT_SENT,
                 0,
                 "the log did not take it in time",
+                order.born_ms,
             )
         )
 
--- a/courselead/integrations/lean_http/connection.py
+++ b/courselead/integrations/lean_http/connection.py
@@ -163,13 +163,28 @@
 
 
 class LeanConnection:
-    """A connection to one `ip:port`, opened on need and kept while it is clean."""
+    """A connection to one `ip:port`, opened on need and kept while it is clean.
+
+    Attributes:
+        address: Where to.
+        opened: How often it was opened.
+    """
 
     def __init__(self, address: str) -> None:
         """Keep the address; nothing is opened yet."""
         self.address = address
         self._host, _, self._port = address.rpartition(":")
         self._protocol: _Protocol | None = None
+        self.opened = 0
+
+    def is_open_since(self, opened: int) -> bool:
+        """Return whether the next call goes out on the connection of that number.
+
+        Args:
+            opened: Value of `opened` as a call was answered on it.
+        """
+        protocol = self._protocol
+        return protocol is not None and protocol.usable and self.opened == opened
 
     async def call(self, call: Call, timeout_ms: int) -> Result[Answer, ExchangeError]:
         """Send a request and return the whole answer.
@@ -220,4 +235,5 @@
         sock = transport.get_extra_info("socket")
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
         self._protocol = protocol
+        self.opened += 1
         return protocol
--- a/courselead/platform/const.py
+++ b/courselead/platform/const.py
@@ -76,3 +76,10 @@
 
 ORDER_CONNECTIONS = 4
 """Most connections for orders to one minion, of the 64 that it takes."""
+
+BORN_MOST_MS = 2**53
+"""Latest start of a minion that is taken: the largest whole number that each JSON
+implementation reads exactly (RFC 8259, 6)."""
+
+BORN_AHEAD_MS = 86_400_000
+"""A start this far ahead of this host's clock is noted: no zone or step explains it."""
--- a/courselead/platform/decode.py
+++ b/courselead/platform/decode.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+import time
 from typing import Annotated, Literal
 
 import msgspec
@@ -98,6 +99,8 @@
     labels: list[str]
     # While the minion drains: the least time that is left.
     remaining_ms: int = 0
+    # Start of its life, in milliseconds since 1970; minions of before do not tell it.
+    born: Annotated[int, msgspec.Meta(ge=0, le=const.BORN_MOST_MS)] = 0
 
 
 class RecordDecoder:
@@ -132,6 +135,9 @@
                 "minion_record_malformed", minion=minion_id, reason=str(exc)
             )
             return minion_id
+        if server.born > time.time() * 1000 + const.BORN_AHEAD_MS:
+            # Lives are told apart by it all the same: its clock may be wrong.
+            _LOGGER.warning("minion_born_ahead", minion=minion_id, born_ms=server.born)
         return MinionInfo(
             minion_id,
             server.address,
@@ -141,6 +147,7 @@
             tuple(server.labels),
             server.state == const.STATE_DRAINING,
             server.remaining_ms,
+            server.born,
         )
 
     def wave_status(self, wave: int, completed: bool) -> KeyedRecord:
--- a/courselead/platform/minions.py
+++ b/courselead/platform/minions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import Any
 
 import msgspec
@@ -37,6 +38,7 @@
 
 class _HoldAnswer(msgspec.Struct, rename="camel"):
     clock_ms: int
+    born: int = 0
     # Rows of task, run, newest checkpoint, percent, and the half second's figure.
     running: list[list[Any]] = []
     # Rows of sequence number, task, run, kind of end, checkpoint.
@@ -49,6 +51,7 @@
     def __init__(self, info: MinionInfo) -> None:
         """Keep the address; connections are opened on need."""
         self._looks = LeanConnection(info.address)
+        self._looked_on = 0
         self._orders = LeanPool(info.address, const.ORDER_CONNECTIONS)
         self._headers = (
             ("Content-Type", "application/json"),
@@ -59,7 +62,11 @@
         self, fence: int, cursor: int, lease_ms: int, wait_ms: int
     ) -> Result[MinionHold, OrderAnswer]:
         """Look at the minion and renew its lease; `lease_ms` 0 renews nothing."""
-        body: dict[str, int] = {"fence": fence, "ackCursor": cursor}
+        # The connection ends with the minion's process. On another one a next life
+        # may answer under the same id, which counts its ends anew, and would forget
+        # those up to the number that the life before was at.
+        acknowledged = cursor if self._looks.is_open_since(self._looked_on) else 0
+        body: dict[str, int] = {"fence": fence, "ackCursor": acknowledged}
         if lease_ms:
             body["deadlineMs"] = lease_ms
         if wait_ms:
@@ -71,6 +78,7 @@
             self._orders.close_idle()
             return Failure(failed(answered.failure()))
         answer = answered.unwrap()
+        self._looked_on = self._looks.opened
         if answer.status != 200:
             return Failure(_order_answer(answer))
         try:
@@ -101,11 +109,11 @@
         for timeout_ms in again:
             answer = await self._order(call, timeout_ms)
             if answer.outcome in (Outcome.OK, Outcome.FENCED, Outcome.OTHER_LIFE):
-                return answer
+                return replace(answer, repeated=True)
             if answer.outcome is not Outcome.UNKNOWN:
                 break
         # The first order may still be carried out, whatever this one was told.
-        return OrderAnswer(Outcome.UNKNOWN, answer.clock_ms, answer.reason)
+        return OrderAnswer(Outcome.UNKNOWN, answer.clock_ms, answer.reason, True)
 
     async def stop(self, task: str, number: int, fence: int) -> OrderAnswer:
         """Stop a run."""
@@ -168,4 +176,4 @@
     ended = []
     for sequence, task, number, kind, checkpoint in sorted(held.finished):
         ended.append(EndReport(sequence, task, number, EndKind(kind), checkpoint))
-    return MinionHold(held.clock_ms, tuple(running), tuple(ended))
+    return MinionHold(held.clock_ms, tuple(running), tuple(ended), held.born)
--- a/demo/job_site.py
+++ b/demo/job_site.py
@@ -214,6 +214,11 @@
         path = f"/+/crash?machine={machine}"
         assert (await self.call(self.site["store"], "POST", path))[0] == STATUS_OK
 
+    async def start_again(self, machine: str) -> None:
+        """End the minion on a machine; it starts again under its id."""
+        path = f"/+/start-again?machine={machine}"
+        assert (await self.call(self.site["store"], "POST", path))[0] == STATUS_OK
+
     async def lay_ways(self, tasks: TaskGroup) -> None:
         """Put a relay between each host and the store, and before each minion."""
         for host in self.hosts:
--- a/harness/real_faults.py
+++ b/harness/real_faults.py
@@ -20,6 +20,9 @@
 LOST_ANSWERS = 4
 """Answers that are lost in one strike: an append and its repetitions."""
 
+STARTS_AGAIN = 3
+"""Starts of a minion in one strike."""
+
 
 @dataclass(frozen=True, slots=True)
 class Fault:
@@ -106,6 +109,14 @@
     await striker.site.crash(striker.rng.choice(sorted(striker.site.site["machines"])))
 
 
+async def _start_minion_again(striker: Striker, lasts_s: float) -> None:
+    """Let a minion start again under its id, several times within a lease."""
+    machine = striker.rng.choice(sorted(striker.site.site["machines"]))
+    for _ in range(STARTS_AGAIN):
+        await striker.site.start_again(machine)
+        await anyio.sleep(lasts_s / STARTS_AGAIN)
+
+
 async def _cut_store_way(striker: Striker, lasts_s: float) -> None:
     host = striker.owner() or striker.any_host()
     if host is None:
@@ -158,6 +169,7 @@
     "end the owner": (lambda striker, s: striker.end(striker.owner(), s), 1),
     "end a host": (lambda striker, s: striker.end(striker.any_host(), s), 1),
     "crash a minion": (_crash_minion, 0),
+    "start a minion again": (_start_minion_again, 3),
     "store down": (lambda striker, s: striker.store(s, down=True), 4),
     "store silent": (lambda striker, s: striker.store(s, freeze=True), 4),
     "store slow": (lambda striker, s: striker.store(s, slow_ms=SLOW_MS), 4),
--- a/standins/job_platform/minion.py
+++ b/standins/job_platform/minion.py
@@ -59,6 +59,7 @@
     minion_id: str
     cpu: int
     ledger: Ledger
+    born_ms: int = field(default_factory=lambda: int(time.time() * 1000))
     fence: int = 0
     lease_ms: int = 0
     _runs: dict[str, _Run] = field(default_factory=dict)
@@ -146,7 +147,8 @@
             run_ms = run.payload.run_ms
             percent = min(99, 100 * (now_ms - run.started_ms) // run_ms)
             running.append([run.task, run.number, "", percent if run_ms else 100, 0])
-        return self._told({"running": running, "finished": list(self._ended)})
+        ended = list(self._ended)
+        return self._told({"born": self.born_ms, "running": running, "finished": ended})
 
     def _renew(self, deadline_ms: int) -> None:
         longest_ms = _clock_ms() + LEASE_MAX_MS
--- a/standins/job_platform/site.py
+++ b/standins/job_platform/site.py
@@ -7,6 +7,7 @@
 | `GET /+/ledger` | what the minions saw, and promises that were broken |
 | `POST /+/operator?key=K` | the operator writes a record |
 | `POST /+/crash?machine=M` | the minion on a machine ends, a new one comes |
+| `POST /+/start-again?machine=M` | the minion on a machine starts again under its id |
 | `POST /+/address?machine=M&address=A` | the machine's minions tell that address |
 | `POST /+/forget` | the store drops its history |
 """
@@ -129,6 +130,16 @@
         minion.die()
         self.store.topic(TOPIC_SERVERS).put([(minion.minion_id.encode(), b"")])
 
+    def _start_again(self, machine: Machine) -> None:
+        """End a minion's life and begin the next one under its id."""
+        if machine.minion is None:
+            return
+        before = machine.minion
+        before.die()
+        machine.minion = MinionStandin(before.minion_id, self.spec.cpu, self.ledger)
+        machine.listener.reset_connections()
+        self._register(machine)
+
     def _register(self, machine: Machine) -> None:
         if machine.minion is None:
             return
@@ -139,6 +150,7 @@
             "state": "ready",
             "capacity": self._capacity(),
             "labels": ["a", "r1"],
+            "born": machine.minion.born_ms,
         }
         key = machine.minion.minion_id.encode()
         self.store.topic(TOPIC_SERVERS).put([(key, msgspec.json.encode(entry))])
@@ -174,6 +186,9 @@
             case "crash":
                 self._restart(self.machines[call.query["machine"]], "down")
                 return json_reply(200, {})
+            case "start-again":
+                self._start_again(self.machines[call.query["machine"]])
+                return json_reply(200, {})
             case "address":
                 machine = self.machines[call.query["machine"]]
                 machine.address = call.query["address"]
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -100,6 +100,10 @@
         self._server.should_exit = True
         self._server.force_exit = True
         self.endpoint.cut()
+        self.reset_connections()
+
+    def reset_connections(self) -> None:
+        """Cut every connection, as the end of a process does, and go on listening."""
         for conn in list(self.connections):
             conn.transport.abort()
 
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -54,6 +54,18 @@
     assert "schedule_claimed at c" in said
 
 
+def test_a_run_that_ended_as_its_minion_started_again_is_told_as_such():
+    task = f"{JOB}.0.0.1"
+    why = "its minion started again"
+    said = story(
+        line(1, "a", "job_submitted", job_id=JOB, verdict="accepted"),
+        line(2, "b", "unit_started", job_id=JOB, task=task, waited_ms=5),
+        line(6, "b", "run_lost", job_id=JOB, task=task, reason=why, minion="i-1"),
+        line(9, "b", "job_ended", job_id=JOB, state="completed"),
+    )
+    assert "run_lost (its minion started again)" in said
+
+
 def test_a_failed_job_names_why():
     said = story(
         line(2, "b", "run_failed", job_id=JOB, minion="i-1"),
--- a/tests/core/scheduler/world.py
+++ b/tests/core/scheduler/world.py
@@ -14,6 +14,7 @@
     FleetConfig,
     JobSpec,
     JobState,
+    Life,
     MinionInfo,
     Pool,
     Queue,
@@ -92,13 +93,27 @@
     ended: list[ev.EndReport] = field(default_factory=list)
     highest: dict[str, int] = field(default_factory=dict)
     clock_offset: int = 5_000
+    born_ms: int = 0
+    # Whether it has answered a look.
+    answers: bool = False
+
+    @property
+    def life(self) -> Life:
+        return Life(self.minion_id, self.born_ms)
 
     def clock(self, now_ms: int) -> int:
         return self.clock_offset + int(now_ms * self.slowness)
 
     def info(self) -> MinionInfo:
         return MinionInfo(
-            self.minion_id, "", POOL, self.zone, self.room, self.labels, self.draining
+            self.minion_id,
+            "",
+            POOL,
+            self.zone,
+            self.room,
+            self.labels,
+            self.draining,
+            born_ms=self.born_ms,
         )
 
 
@@ -126,8 +141,8 @@
         self.owner: Scheduler | None = None
         self.owners: list[Scheduler] = []
         self.fence = 0
-        self.done: dict[str, list[tuple[str, int]]] = {}
-        self.noted: set[tuple[str, int]] = set()
+        self.done: dict[str, list[tuple[Life, int]]] = {}
+        self.noted: set[tuple[Life, int]] = set()
         self.failed: dict[str, int] = {}
         self.starts: list[tuple[int, str, int, str]] = []
         self.lengths: dict[str, int] = {}
@@ -235,6 +250,25 @@
         self.listed.discard(minion_id)
         self._tell(ev.MinionUnlisted(minion_id))
 
+    def start_again(self, minion_id: str, born_ms: int, **fields) -> FakeMinion:
+        """End a minion's life and begin the next one under its id; tells nobody."""
+        before = self.minions[minion_id]
+        before.up = False
+        before.runs.clear()
+        before.ended.clear()
+        kept = {"room": before.room, "zone": before.zone, "clock_offset": 0}
+        minion = FakeMinion(
+            minion_id, before.worker_id, born_ms=born_ms, **{**kept, **fields}
+        )
+        self.minions[minion_id] = minion
+        self.all_minions.append(minion)
+        return minion
+
+    def list_entry(self, minion: FakeMinion) -> None:
+        """Let the platform's list tell of a minion's life."""
+        self.listed.add(minion.minion_id)
+        self._tell(ev.MinionListed(minion.info()))
+
     def drain(self, minion_id: str) -> None:
         minion = self.minions[minion_id]
         minion.draining = True
@@ -302,9 +336,7 @@
             ev.EndReport(minion.sequence, run.task, run.number, kind, run.checkpoint)
         )
         if kind is ev.EndKind.DONE:
-            self.done.setdefault(run.task, []).append(
-                (minion.minion_id, minion.sequence)
-            )
+            self.done.setdefault(run.task, []).append((minion.life, minion.sequence))
         if kind is ev.EndKind.FAILED:
             self.failed[run.task] = self.failed.get(run.task, 0) + 1
 
@@ -420,7 +452,7 @@
         fence = owner.schedule.fence
         match effect:
             case ev.FollowMinion():
-                self._at(1, lambda: self._hold(owner, effect.minion_id))
+                self._at(1, lambda: self._hold(owner, effect.life))
             case ev.StartRun():
                 self._note_and_start(owner, effect)
             case ev.NoteRuns():
@@ -480,18 +512,24 @@
         self._pump(owner)
 
     def _order(self, owner: Scheduler, effect, act) -> None:
-        minion = self.minions[effect.minion_id]
         verb = "start" if isinstance(effect, ev.StartRun) else "stop"
 
         def answer(outcome: ev.Outcome) -> None:
             self._reply(
                 owner,
                 ev.OrderAnswered(
-                    effect.minion_id, effect.task, effect.number, verb, outcome
+                    effect.minion_id,
+                    effect.task,
+                    effect.number,
+                    verb,
+                    outcome,
+                    born_ms=effect.born_ms,
                 ),
             )
 
         def arrive() -> None:
+            # The id alone is named: its present life gets the order.
+            minion = self.minions[effect.minion_id]
             if not self._reaches(owner, minion):
                 self._at(1_000, lambda: answer(ev.Outcome.UNKNOWN))
                 return
@@ -506,6 +544,7 @@
             self._at(LATENCY_MS, lambda: answer(outcome))
 
         def late() -> None:
+            minion = self.minions[effect.minion_id]
             if minion.up:
                 act(minion)
 
@@ -522,32 +561,39 @@
             run.stop_at_ms = self.now_ms + 100
         return ev.Outcome.OK
 
-    def _hold(self, owner: Scheduler, minion_id: str) -> None:
+    def _hold(self, owner: Scheduler, life: Life) -> None:
         if owner not in self.owners:
             return
-        call = owner.hold_call(minion_id, self.now_ms)
+        minion_id = life.minion_id
+        call = owner.hold_call(minion_id, self.now_ms, life.born_ms)
         if call is None:
             return
         minion = self.minions[minion_id]
         sent = self.now_ms
         if not self._reaches(owner, minion):
-            failed = ev.HoldFailed(minion_id, ev.Outcome.UNKNOWN, "silent")
+            failed = ev.HoldFailed(
+                minion_id, ev.Outcome.UNKNOWN, "silent", life.born_ms
+            )
             self._at(300, lambda: self._reply(owner, failed))
-            self._at(400, lambda: self._hold(owner, minion_id))
+            self._at(400, lambda: self._hold(owner, life))
             return
         fence = owner.schedule.fence
         if fence < minion.fence:
-            failed = ev.HoldFailed(minion_id, ev.Outcome.FENCED, "")
+            failed = ev.HoldFailed(minion_id, ev.Outcome.FENCED, "", life.born_ms)
             self._at(LATENCY_MS, lambda: self._reply(owner, failed))
             return
         minion.fence = fence
         if call.lease_ms:
             longest = minion.clock(self.now_ms) + self.bounds.lease_max_ms
             minion.lease_ms = max(minion.lease_ms, min(call.lease_ms, longest))
+        # As the way to a minion does: nothing is acknowledged to a life that has not
+        # answered on its connection.
+        cursor = call.cursor if minion.answers else 0
+        minion.answers = True
         for end in minion.ended:
-            if end.sequence <= call.cursor:
-                self.noted.add((minion_id, end.sequence))
-        minion.ended = [end for end in minion.ended if end.sequence > call.cursor]
+            if end.sequence <= cursor:
+                self.noted.add((minion.life, end.sequence))
+        minion.ended = [end for end in minion.ended if end.sequence > cursor]
         running = tuple(
             ev.RunReport(
                 run.task,
@@ -559,10 +605,16 @@
             for run in minion.runs.values()
         )
         report = ev.HoldAnswered(
-            minion_id, sent, minion.clock(self.now_ms), running, tuple(minion.ended)
+            minion_id,
+            sent,
+            minion.clock(self.now_ms),
+            running,
+            tuple(minion.ended),
+            life.born_ms,
+            minion.life if minion.born_ms else None,
         )
         self._at(LATENCY_MS, lambda: self._reply(owner, report))
-        self._at(HOLD_MS, lambda: self._hold(owner, minion_id))
+        self._at(HOLD_MS, lambda: self._hold(owner, life))
 
     def _percent(self, run: FakeRun) -> int:
         if run.long_running:
--- a/tests/platform/test_other_writers.py
+++ b/tests/platform/test_other_writers.py
@@ -54,6 +54,23 @@
     assert isinstance(minion(GOOD | {"state": "draining"}), MinionInfo)
 
 
+def test_the_start_of_a_life_is_read_and_may_be_missing():
+    """Minions of before do not tell it: their id is all that tells lives apart."""
+    assert minion(GOOD | {"born": 1_700_000_000_000}).born_ms == 1_700_000_000_000
+    assert minion(GOOD).born_ms == 0
+
+
+@pytest.mark.parametrize("born", [-1, 1.5, "1700000000000", None, True, 2**53 + 1])
+def test_an_entry_whose_start_is_no_whole_number_of_milliseconds_names_none(born):
+    assert minion(GOOD | {"born": born}) == "i-1"
+
+
+def test_a_start_far_ahead_is_noted_and_taken(capsys):
+    """It tells lives apart as any other does: the minion's clock may be wrong."""
+    assert minion(GOOD | {"born": 2**53}).born_ms == 2**53
+    assert "minion_born_ahead" in capsys.readouterr().out
+
+
 @pytest.mark.parametrize(
     "field", ["service", "address", "zone", "state", "capacity", "labels"]
 )
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -209,12 +209,14 @@
         "running": [["t.0.0.1", 2, "cp", 41, 12], ["t.0.0.2", 1, "", 100]],
         "finished": [[9, "b", 1, "failed", ""], [8, "a", 1, "done", "x"]],
     }
-    server = Server((200, report))
+    server = Server((200, report), (200, report))
     async with Running(server) as address:
-        hold = (await link(address).hold(7, 6, 9_000, 1_000)).unwrap()
+        way = link(address)
+        await way.hold(7, 0, 9_000, 1_000)
+        hold = (await way.hold(7, 6, 9_000, 1_000)).unwrap()
     assert [run.figure for run in hold.running] == [12, 0]
     assert [end.kind for end in hold.ended] == [EndKind.DONE, EndKind.FAILED]
-    assert json.loads(server.requests[0][1]) == {
+    assert json.loads(server.requests[1][1]) == {
         "fence": 7,
         "ackCursor": 6,
         "deadlineMs": 9_000,
@@ -222,6 +224,35 @@
     }
 
 
+async def test_nothing_is_acknowledged_on_a_connection_on_which_nobody_answered():
+    """A life that begins under the same id numbers its ends anew.
+
+    A look that went on over the restart told it to forget ends up to the number that
+    the life before was at: those of its own up to it were lost unseen.
+    """
+    report = {"clockMs": 1, "born": 1_700_000_000_000}
+    server = Server((200, report), None, (200, report), (200, report))
+    async with Running(server) as address:
+        way = link(address)
+        assert (await way.hold(7, 5, 0, 0)).unwrap().born_ms == 1_700_000_000_000
+        assert isinstance(await way.hold(7, 5, 0, 0), Failure)
+        await way.hold(7, 5, 0, 0)
+        await way.hold(7, 5, 0, 0)
+    cursors = [json.loads(body)["ackCursor"] for _, body in server.requests]
+    assert cursors == [0, 5, 0, 5]
+
+
+async def test_a_start_that_was_sent_twice_says_so():
+    """A copy of it may be carried out later, by the next life of the minion, too."""
+    server = Server((200, {"clockMs": 1}), None, (200, {"clockMs": 2}))
+    async with Running(server) as address:
+        way = link(address)
+        assert not (await way.start(ORDER, 7)).repeated
+        again = await way.start(ORDER, 7)
+    assert again.outcome is Outcome.OK
+    assert again.repeated
+
+
 async def test_the_cloud_is_read_page_by_page():
     machine = {
         "machine": "m-1",
--- a/tests/processes/test_job_site.py
+++ b/tests/processes/test_job_site.py
@@ -126,6 +126,24 @@
     assert ledger["broken"] == []
 
 
+async def test_minions_start_again_under_their_ids(site: JobSite) -> None:
+    """Runs of the lives before start again, and none runs or is done twice.
+
+    A life was its id: a minion that came back under the one that it had was never used
+    again, and its runs counted as at work until their leases were over.
+    """
+
+    async def start_again() -> None:
+        for machine in list(site.site["machines"])[:3]:
+            for _ in range(2):
+                await anyio.sleep(0.4)
+                await site.start_again(machine)
+
+    await under_load(site, 1, LOAD_S, start_again)
+    await site.all_ended()
+    assert (await site.ledger())["broken"] == []
+
+
 async def test_without_the_store_jobs_are_refused_at_once_and_told_to_come_back(
     site: JobSite,
 ) -> None:
