Give the lives of minions, and runs that are over unseen, modules of their own

It holds looks, orders and ends now; lives.py holds listing, the next life under an id and the end of one, lost_runs.py the runs that end without a report. Nothing else changes.

--- /dev/null
+++ b/courselead/core/scheduler/lives.py
@@ -0,0 +1,262 @@
+"""Lives of minions: their begin, their end, and the next one under the same id."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from courselead.core.scheduler import const
+from courselead.core.scheduler.events import (
+    FollowMinion,
+    LeaveMinion,
+    NoteRuns,
+    StopRun,
+)
+from courselead.core.scheduler.lost_runs import lost_unseen
+from courselead.core.scheduler.models import Life, MinionInfo
+from courselead.core.scheduler.schedule import Schedule
+from courselead.core.scheduler.state import Minion, Run, RunPhase
+
+STARTED_AGAIN = "its minion started again"
+"""Why a run is over, or stopped, that a life before had or was to have."""
+
+
+def listed(schedule: Schedule, info: MinionInfo) -> None:
+    """Take a minion of the platform's list."""
+    present = schedule.minions.get(info.minion_id)
+    if present is None:
+        if schedule.is_over(info.life):
+            return
+    elif not present.info.life.may_be(info.life):
+        _another_life_listed(schedule, present, info)
+        return
+    elif not info.born_ms:
+        info = replace(info, born_ms=present.info.born_ms)
+    if info.pool not in schedule.config.pools:
+        # Perhaps of another writer: nothing is sent there before a configuration
+        # names its pool.
+        schedule.strangers[info.minion_id] = info
+        schedule.note("minion_of_no_pool", minion=info.minion_id, pool=info.pool)
+        unlisted(schedule, info.minion_id)
+        return
+    schedule.strangers.pop(info.minion_id, None)
+    minion = schedule.minions.get(info.minion_id)
+    if minion is None:
+        minion = _follow(schedule, info)
+        schedule.note(
+            "minion_listed",
+            minion=info.minion_id,
+            pool=info.pool,
+            born_ms=info.born_ms,
+        )
+    if info.draining and not minion.info.draining:
+        schedule.note("minion_draining", minion=info.minion_id)
+    minion.info = info
+    minion.listed = True
+    schedule.doubted_lives.pop(info.minion_id, None)
+    schedule.dirty_pools.add(info.pool)
+
+
+def pools_changed(schedule: Schedule) -> None:
+    """Take the minions whose pools a new configuration names."""
+    for info in list(schedule.strangers.values()):
+        if info.pool in schedule.config.pools:
+            listed(schedule, info)
+
+
+def left(schedule: Schedule, minion_id: str) -> None:
+    """Note that an entry is gone from the platform's list."""
+    schedule.strangers.pop(minion_id, None)
+    unlisted(schedule, minion_id)
+
+
+def unlisted(schedule: Schedule, minion_id: str) -> None:
+    """Note that the platform's list has a minion no more; it may still run."""
+    minion = schedule.minions.get(minion_id)
+    if minion is None:
+        return
+    minion.listed = False
+    schedule.note("minion_unlisted", minion=minion_id, runs=len(minion.runs))
+    if minion.failures and known_empty(schedule, minion):
+        dead(schedule, minion, "left the list")
+
+
+def _follow(schedule: Schedule, info: MinionInfo) -> Minion:
+    """Take up a life of a minion that knows nothing of any before."""
+    now_ms = schedule.now_ms
+    minion = Minion(info, idle_ms=now_ms, listed_ms=now_ms)
+    schedule.minions[info.minion_id] = minion
+    schedule.emit(FollowMinion(info.minion_id, info.born_ms))
+    _bar_stray_starts(schedule, info.life)
+    return minion
+
+
+def _bar_stray_starts(schedule: Schedule, life: Life) -> None:
+    """Stop on a new life what may yet begin there though a life before was meant.
+
+    A run that was stopped never begins there later.
+    """
+    strays = schedule.stray_starts.get(life.minion_id, {})
+    for (task, number), until_ms in list(strays.items()):
+        if schedule.now_ms >= until_ms:
+            del strays[(task, number)]
+            continue
+        schedule.emit(
+            StopRun(life.minion_id, task, number, STARTED_AGAIN, life.born_ms)
+        )
+
+
+def note_stray_start(schedule: Schedule, run: Run) -> None:
+    """Remember a start of which a copy may be carried out yet."""
+    strays = schedule.stray_starts.setdefault(run.minion_id, {})
+    strays[run.key] = schedule.now_ms + const.STRAY_START_MS
+
+
+def _another_life_listed(schedule: Schedule, minion: Minion, info: MinionInfo) -> None:
+    """Take an entry of another life of a minion that is known.
+
+    A later start is the newer life. An earlier one may be an entry that was held up,
+    or the newer life of a minion whose clock was set back: a look tells, if it reaches
+    that life, and otherwise its turn comes once nothing can run on this one.
+    """
+    if schedule.is_over(info.life):
+        return
+    if info.born_ms > minion.info.born_ms:
+        started_again(schedule, minion, info, listed_now=True)
+        return
+    schedule.note(
+        "minion_entry_older",
+        minion=info.minion_id,
+        born_ms=info.born_ms,
+        known_born_ms=minion.info.born_ms,
+    )
+    minion.rival = info
+    if minion.failures and known_empty(schedule, minion):
+        dead(schedule, minion, "an older life is listed, and it does not answer")
+
+
+def another_life_answered(schedule: Schedule, minion: Minion, life: Life) -> None:
+    """Take up the life that answered a look at the one that is known.
+
+    Looks are made one after the other, so what an answer tells is the present.
+    """
+    rival = minion.rival
+    if rival is not None and rival.life == life:
+        started_again(schedule, minion, rival, listed_now=True)
+        return
+    info = replace(minion.info, born_ms=life.born_ms)
+    # Its room and its pool may be others: it gets no work before its entry.
+    started_again(schedule, minion, info, listed_now=False)
+
+
+def _may_run_on_next_life(schedule: Schedule, run: Run) -> bool:
+    """Return whether a task may run on the next life of its minion.
+
+    What the life before has reported went with it, but for copies of its start, or of
+    an earlier start of the task there, that are still under way.
+    """
+    if not run.confirmed or run.start_repeated:
+        return True
+    strays = schedule.stray_starts.get(run.minion_id, {})
+    return any(
+        task == run.task and schedule.now_ms < until_ms
+        for (task, _), until_ms in strays.items()
+    )
+
+
+def started_again(
+    schedule: Schedule, minion: Minion, info: MinionInfo, listed_now: bool
+) -> None:
+    """Take a minion's life as over whose next one has begun under the same id.
+
+    What the life before has reported is gone with it, and starts again at once. What
+    it has not may run on the next one, or begin there later: an order to a minion that
+    has just started again reaches its next life. Such runs are stopped there, and
+    count until that life has answered the stop and a look.
+    """
+    doubtful = [
+        run for run in minion.runs.values() if _may_run_on_next_life(schedule, run)
+    ]
+    for run in doubtful:
+        del minion.runs[run.key]
+        note_stray_start(schedule, run)
+    schedule.note(
+        "minion_started_again",
+        minion=minion.minion_id,
+        born_ms=info.born_ms,
+        before_born_ms=minion.info.born_ms,
+        runs=len(minion.runs),
+        doubtful=len(doubtful),
+    )
+    minion.rival = None
+    dead(schedule, minion, STARTED_AGAIN)
+    following = _follow(schedule, info)
+    following.listed = listed_now
+    following.worker_id = minion.worker_id
+    # A move or a wave that takes the worker goes on.
+    following.cordoned = minion.cordoned
+    longest_ms = int(schedule.bounds.lease_max_ms / const.CLOCK_SLOWNESS)
+    following.stray_lease_ms = schedule.now_ms + longest_ms + const.LEASE_MARGIN_MS
+    for run in doubtful:
+        _count_on(schedule, following, run)
+    if doubtful and schedule.is_noted(following):
+        schedule.emit(NoteRuns(following.minion_id))
+    if info.pool not in schedule.config.pools:
+        listed(schedule, info)
+
+
+def _count_on(schedule: Schedule, following: Minion, run: Run) -> None:
+    """Count a run on its minion's next life, where its stop has just been sent."""
+    following.runs[run.key] = run
+    following.used = following.used.plus(run.unit.spec.charge)
+    run.confirmed = False
+    run.phase = RunPhase.STOPPING
+    run.stop_reason = STARTED_AGAIN
+    run.stop_sent_ms = schedule.now_ms
+    run.stop_answered_ms = None
+
+
+def present(schedule: Schedule, life: Life) -> Minion | None:
+    """Return a minion if the life that was asked is still its present one."""
+    minion = schedule.minions.get(life.minion_id)
+    if minion is None or not minion.info.life.may_be(life):
+        return None
+    return minion
+
+
+def is_by(minion: Minion, life: Life) -> bool:
+    """Return whether a minion's present life has answered; learn its start."""
+    if not minion.info.life.may_be(life):
+        return False
+    if not minion.info.born_ms:
+        minion.info = replace(minion.info, born_ms=life.born_ms)
+    return True
+
+
+def known_empty(schedule: Schedule, minion: Minion) -> bool:
+    """Return whether nothing can run on a minion that does not answer.
+
+    Before its first report to this owner it may have runs of an earlier one.
+    """
+    if minion.runs:
+        return False
+    return minion.synced or schedule.now_ms >= schedule.doubt_until_ms
+
+
+def dead(schedule: Schedule, minion: Minion, reason: str) -> None:
+    """Take a life as over: its runs are gone for certain."""
+    schedule.note(
+        "minion_dead",
+        minion=minion.minion_id,
+        reason=reason,
+        runs=len(minion.runs),
+    )
+    for run in list(minion.runs.values()):
+        lost_unseen(schedule, run, reason)
+    schedule.minions.pop(minion.minion_id, None)
+    schedule.dead.setdefault(minion.minion_id, set()).add(minion.info.life)
+    schedule.doubted_lives.pop(minion.minion_id, None)
+    schedule.dirty_pools.add(minion.info.pool)
+    schedule.emit(LeaveMinion(minion.minion_id))
+    if minion.rival is not None:
+        # Its clock was set back, or nobody answers there: a look tells.
+        listed(schedule, minion.rival)
--- a/courselead/core/scheduler/scheduler.py
+++ b/courselead/core/scheduler/scheduler.py
@@ -8,6 +8,7 @@
     arrivals,
     const,
     jobs,
+    lives,
     minions,
     placement,
     pools,
@@ -119,12 +120,12 @@
             case ProgressSaved():
                 self._saved(event.batch)
             case MinionListed():
-                minions.listed(schedule, event.info)
+                lives.listed(schedule, event.info)
             case MinionUnlisted():
-                minions.left(schedule, event.minion_id)
+                lives.left(schedule, event.minion_id)
             case ConfigChanged():
                 schedule.config = event.config
-                minions.pools_changed(schedule)
+                lives.pools_changed(schedule)
                 schedule.dirty_pools.update(schedule.ready)
             case LogAnswered():
                 schedule.confirmed_ms = max(schedule.confirmed_ms, event.sent_ms)
@@ -247,9 +248,9 @@
             if worker is not None and event.asked_ms <= move.sent_ms:
                 moving = replace(worker, phase=WorkerPhase.MOVING)
                 schedule.workers[worker_id] = moving
-        lives = set()
+        on_workers: set[str] = set()
         for worker in event.workers:
-            lives.add(worker.minion_id)
+            on_workers.add(worker.minion_id)
             minion = schedule.minions.get(worker.minion_id)
             if minion is not None:
                 minion.worker_id = worker.worker_id
@@ -257,13 +258,13 @@
                 life = DoubtedLife(worker.pool, worker.zone)
                 schedule.doubted_lives[worker.minion_id] = life
         for minion_id in list(schedule.doubted_lives):
-            if minion_id not in lives:
+            if minion_id not in on_workers:
                 del schedule.doubted_lives[minion_id]
-        self._end_replaced_lives(event, lives)
+        self._end_replaced_lives(event, on_workers)
         waves.workers_listed(schedule, event.asked_ms)
         pools.workers_listed(schedule, event.asked_ms)
 
-    def _end_replaced_lives(self, event: WorkersListed, lives: set[str]) -> None:
+    def _end_replaced_lives(self, event: WorkersListed, on_workers: set[str]) -> None:
         """Take the lives as over that the cloud says are.
 
         Only its own words count, not that a move was ordered, and only if they were
@@ -276,15 +277,16 @@
                 continue
             if not minion.worker_id:
                 known_ms = event.asked_ms - minion.listed_ms
-                if minion.minion_id not in lives and known_ms > const.UNKNOWN_LIFE_MS:
-                    minions.dead(schedule, minion, "cloud: no worker has it")
+                unknown = minion.minion_id not in on_workers
+                if unknown and known_ms > const.UNKNOWN_LIFE_MS:
+                    lives.dead(schedule, minion, "cloud: no worker has it")
                 continue
             worker = said.get(minion.worker_id)
             if worker is None:
                 continue
             replaced = worker.minion_id and worker.minion_id != minion.minion_id
             if replaced or worker.phase in _LIFE_OVER:
-                minions.dead(schedule, minion, f"cloud: worker is {worker.phase}")
+                lives.dead(schedule, minion, f"cloud: worker is {worker.phase}")
 
     def _duty_answered(self, event: DutyAnswered) -> None:
         schedule = self.schedule
--- a/tests/core/scheduler/test_machine.py
+++ b/tests/core/scheduler/test_machine.py
@@ -5,7 +5,7 @@
 import pytest
 from hypothesis import HealthCheck, given, settings, strategies as st
 
-from courselead.core.scheduler import jobs, minions, placement
+from courselead.core.scheduler import jobs, lost_runs, minions, placement
 from courselead.core.scheduler.doubt import NO_DOUBT
 from courselead.core.scheduler.models import JobState
 from tests.core.scheduler.world import World, job, step
@@ -125,14 +125,14 @@
         minions,
         "_lapse",
         lambda schedule, minion: [
-            minions.lost(schedule, run) for run in list(minion.runs.values())
+            lost_runs.lost(schedule, run) for run in list(minion.runs.values())
         ],
     ),
     "resolved": (
         minions,
         "_start_answered",
         lambda schedule, minion, run, event: (
-            None if event.outcome == "ok" else minions.lost(schedule, run)
+            None if event.outcome == "ok" else lost_runs.lost(schedule, run)
         ),
     ),
     "after": (
