Let a life that began after a move take work at once

A minion that came back under its id after its worker had been moved got no work: the mark that keeps work off a worker that is about to be moved was handed on to the next life, and nothing took it back. It is handed on within a pool only, and goes when a life's entry names another pool than the look that told of it.

Before: `test_a_life_that_began_after_a_move_takes_work_in_its_pool` fails; after: passes.

--- a/courselead/core/scheduler/lives.py
+++ b/courselead/core/scheduler/lives.py
@@ -50,6 +50,9 @@
         )
     if info.draining and not minion.info.draining:
         schedule.note("minion_draining", minion=info.minion_id)
+    if info.pool != minion.info.pool:
+        # A look had told of this life, which began after a move, before its entry.
+        minion.cordoned = False
     minion.info = info
     minion.listed = True
     schedule.doubted_lives.pop(info.minion_id, None)
@@ -192,8 +195,8 @@
     following = _follow(schedule, info)
     following.listed = listed_now
     following.worker_id = minion.worker_id
-    # A move or a wave that takes the worker goes on.
-    following.cordoned = minion.cordoned
+    # A wave or a move that takes the worker goes on, unless this life is moved.
+    following.cordoned = minion.cordoned and info.pool == minion.info.pool
     longest_ms = int(schedule.bounds.lease_max_ms / const.CLOCK_SLOWNESS)
     following.stray_lease_ms = schedule.now_ms + longest_ms + const.LEASE_MARGIN_MS
     for run in doubtful:
--- a/tests/core/scheduler/test_lives.py
+++ b/tests/core/scheduler/test_lives.py
@@ -6,11 +6,12 @@
 """
 
 import random
+from dataclasses import replace
 
 import pytest
 
 from courselead.core.scheduler import events as ev
-from courselead.core.scheduler.models import JobState, Resources
+from courselead.core.scheduler.models import JobState, Pool, Resources
 from tests.core.scheduler.world import World, job, step
 
 BORN_MS = 1_700_000_000_000
@@ -233,6 +234,20 @@
     assert world.owner.schedule.minions["i1"].cordoned
 
 
+def test_a_life_that_began_after_a_move_takes_work_in_its_pool():
+    for look_comes_first in (False, True):
+        world = world_of_lives()
+        schedule = world.owner.schedule
+        schedule.config.pools["p2"] = Pool("p2")
+        schedule.minions["i1"].cordoned = True
+        following = world.start_again("i1", BORN_MS + 5_000)
+        if look_comes_first:
+            world.run(SOON_MS)
+        world._tell(ev.MinionListed(replace(following.info(), pool="p2")))
+        assert schedule.minions["i1"].info.pool == "p2"
+        assert not schedule.minions["i1"].cordoned
+
+
 def test_a_minion_that_starts_again_several_times_within_a_lease():
     world = world_of_lives()
     job_id, minion_id = running_job(world, length_ms=1_500)
