--- a/tests/core/scheduler/test_lives.py
+++ b/tests/core/scheduler/test_lives.py
@@ -324,3 +324,44 @@
     that has been started elsewhere meanwhile, or is done.
     """
     lives_change(seed, late_orders=0.15)
+
+
+STEPS = (
+    (step(2, gang=True), step(1, after=(0,))),
+    (step(2, checkpoints=True),),
+    (step(2, speculative=True),),
+    (step(2), step(1, after=(0,))),
+)
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_nothing_runs_twice_beside_gangs_drains_and_a_silent_store(seed):
+    """Restarts beside owners in and out of the zone, drains, and a store that is down."""
+    rng = random.Random(seed)
+    world = world_of_lives(minions=4, seed=seed)
+    world.lose_answers = rng.choice((0.0, 0.1))
+    born_ms = BORN_MS
+    jobs = []
+    for number in range(10):
+        spec = job(*rng.choice(STEPS))
+        jobs.append(world.submit(spec, f"{number:016x}", rng.randint(50, 1_500)))
+        world.run(rng.randint(0, 600))
+        minion_id = rng.choice(sorted(world.minions))
+        match rng.randrange(7):
+            case 0 | 1 | 2:
+                born_ms += rng.choice((1, 400, 5_000))
+                world.list_entry(world.start_again(minion_id, born_ms))
+            case 3:
+                world.claim(rng.choice(("", "z")))
+            case 4:
+                world.drain(minion_id)
+            case 5:
+                world.store_down = True
+                world.run(rng.randint(0, 1_500))
+                world.store_down = False
+    world.lose_answers = 0.0
+    for minion in world.minions.values():
+        minion.draining = False
+        world.list_entry(minion)
+    world.run(4 * LEASE_MS)
+    assert {world.state(job_id) for job_id in jobs} == {JobState.COMPLETED}
