--- a/tests/core/scheduler/test_lives.py
+++ b/tests/core/scheduler/test_lives.py
@@ -336,7 +336,7 @@
 
 @pytest.mark.parametrize("seed", range(40))
 def test_nothing_runs_twice_beside_gangs_drains_and_a_silent_store(seed):
-    """Restarts beside owners in and out of the zone, drains, and a store that is down."""
+    """Restarts beside drains, owners in the zone and out of it, and a silent store."""
     rng = random.Random(seed)
     world = world_of_lives(minions=4, seed=seed)
     world.lose_answers = rng.choice((0.0, 0.1))
