Ask in one place whether a life is present, and how long a lease can run

The check that a life is still its minion's present one stood three times (looks, the way to a minion, answers), the longest lease on a slow clock twice, and whether the list tells of a life no more twice. Each has one place now; two bare numbers of the soak of stops have names. Nothing else changes.

--- a/courselead/core/scheduler/lives.py
+++ b/courselead/core/scheduler/lives.py
@@ -13,7 +13,7 @@
 )
 from courselead.core.scheduler.lost_runs import lost_unseen
 from courselead.core.scheduler.models import Life, MinionInfo
-from courselead.core.scheduler.schedule import Schedule
+from courselead.core.scheduler.schedule import Schedule, longest_lease_ms
 from courselead.core.scheduler.state import Minion, Run, RunPhase
 
 STARTED_AGAIN = "its minion started again"
@@ -197,7 +197,7 @@
     following.worker_id = minion.worker_id
     # A wave or a move that takes the worker goes on, unless this life is moved.
     following.cordoned = minion.cordoned and info.pool == minion.info.pool
-    longest_ms = int(schedule.bounds.lease_max_ms / const.CLOCK_SLOWNESS)
+    longest_ms = longest_lease_ms(schedule.bounds)
     following.stray_lease_ms = schedule.now_ms + longest_ms + const.LEASE_MARGIN_MS
     for run in doubtful:
         _count_on(schedule, following, run)
--- a/courselead/core/scheduler/minions.py
+++ b/courselead/core/scheduler/minions.py
@@ -66,8 +66,7 @@
         schedule.note(
             "minion_unreachable", minion=minion.minion_id, reason=event.reason
         )
-    left_its_entry = not minion.listed or minion.rival is not None
-    if left_its_entry and lives.known_empty(schedule, minion):
+    if minion.has_no_entry and lives.known_empty(schedule, minion):
         lives.dead(schedule, minion, "left the list and does not answer")
 
 
@@ -142,7 +141,7 @@
     for run in list(minion.runs.values()):
         lost_runs.lost_unseen(schedule, run, "its lease is over")
     minion.synced = False
-    if not minion.listed or minion.rival is not None:
+    if minion.has_no_entry:
         lives.dead(schedule, minion, "left the list and its lease is over")
 
 
--- a/courselead/core/scheduler/schedule.py
+++ b/courselead/core/scheduler/schedule.py
@@ -108,10 +108,14 @@
     chain_ms: int
 
 
+def longest_lease_ms(bounds: Bounds) -> int:
+    """Return how long a lease can run, on a clock as slow as a minion's may be."""
+    return int(bounds.lease_max_ms / const.CLOCK_SLOWNESS)
+
+
 def doubt_ms(bounds: Bounds) -> int:
     """Return for how long after a claim leases of earlier owners may run."""
-    longest_ms = int(bounds.lease_max_ms / const.CLOCK_SLOWNESS)
-    return longest_ms + const.DOUBT_SLACK_MS
+    return longest_lease_ms(bounds) + const.DOUBT_SLACK_MS
 
 
 @dataclass(slots=True)
--- a/courselead/core/scheduler/scheduler.py
+++ b/courselead/core/scheduler/scheduler.py
@@ -199,8 +199,8 @@
         """
         schedule = self.schedule
         schedule.now_ms = now_ms
-        minion = schedule.minions.get(minion_id)
-        if minion is None or not minion.info.life.may_be(Life(minion_id, born_ms)):
+        minion = lives.present(schedule, Life(minion_id, born_ms))
+        if minion is None:
             return None
         lease_ms = 0
         # A look that renews a lease may arrive though its answers do not.
--- a/courselead/core/scheduler/state.py
+++ b/courselead/core/scheduler/state.py
@@ -222,6 +222,11 @@
             known = self._known_room = (whole, used, whole.minus(used))
         return known[2]
 
+    @property
+    def has_no_entry(self) -> bool:
+        """Return whether the list tells of this life no more."""
+        return not self.listed or self.rival is not None
+
     @property
     def tasks_at_risk(self) -> list[str]:
         """Return the tasks that a next owner must not start while it is unheard.
--- a/courselead/daemon/scheduling/minion_tasks.py
+++ b/courselead/daemon/scheduling/minion_tasks.py
@@ -5,6 +5,7 @@
 import anyio
 from returns.result import Success
 
+from courselead.core.scheduler import lives
 from courselead.core.scheduler.events import (
     HoldAnswered,
     HoldFailed,
@@ -62,8 +63,8 @@
         scheduler = self._owner.scheduler
         if scheduler is None:
             return None
-        minion = scheduler.schedule.minions.get(life.minion_id)
-        if minion is None or not minion.info.life.may_be(life):
+        minion = lives.present(scheduler.schedule, life)
+        if minion is None:
             return None
         link = self._links.get(life.minion_id)
         if link is None:
--- a/harness/stops.py
+++ b/harness/stops.py
@@ -32,7 +32,13 @@
 LOAD_S = 12.0
 """Time for which signals come."""
 
+FIRST_S = 0.5
+"""Time before the first signal: callers have begun by then."""
+
 STRIKES = 6
+AGAIN_SHARE = 0.3
+"""Part of the strikes after which a host is told to end again at once."""
+
 STALL_S = 0.2
 STALL_PAUSE_S = 0.4
 """Longest stall of a host's process, and longest pause between two."""
@@ -124,9 +130,9 @@
     """Return a run's strikes in the order of their time."""
     strikes = []
     for _ in range(STRIKES):
-        at_s = round(rng.uniform(0.5, LOAD_S), 2)
+        at_s = round(rng.uniform(FIRST_S, LOAD_S), 2)
         series = rng.choice(SERIES)
-        again = rng.random() < 0.3
+        again = rng.random() < AGAIN_SHARE
         host = rng.randrange(HOSTS)
         strikes.append(Strike(at_s, host, series, rng.choice(GAPS_S), again))
     return tuple(sorted(strikes, key=lambda strike: strike.at_s))
