Send signals to processes by their ids, so that their exit codes stay

A run of the tests, and three of 40 soaks, reported a host that had ended in order with exit code 255 in place of 0, beside asyncio's line "Unknown child process pid, will report returncode 255".

Cause: Process.send_signal and kill of anyio, and of asyncio below it, go to subprocess.Popen.send_signal, which polls first. A child that has ended but is not waited for yet is reaped by that poll in the loop's thread; the thread that waits for it finds no such child and reports 255. Ruled out: a wait of the project's own, there is none.

Signals go to the id of the process, unless its end is already known.

--- a/demo/processes.py
+++ b/demo/processes.py
@@ -4,6 +4,7 @@
 import signal
 import sys
 from collections.abc import Mapping, Sequence
+from contextlib import suppress
 from dataclasses import dataclass, field
 from pathlib import Path
 from subprocess import DEVNULL, PIPE
@@ -74,7 +75,7 @@
 
     def signal(self, name: str, signum: int) -> None:
         """Send a signal to one process."""
-        self._running[name].send_signal(signum)
+        _send(self._running[name], signum)
 
     def pid(self, name: str) -> int:
         """Return the id of one process."""
@@ -101,20 +102,17 @@
     async def end(self, name: str) -> int:
         """End one process in order and return its exit code."""
         process = self._running.pop(name)
-        if process.returncode is None:
-            process.send_signal(signal.SIGTERM)
+        _send(process, signal.SIGTERM)
         with anyio.move_on_after(END_TIMEOUT_S):
             return await process.wait()
-        process.kill()
+        _send(process, signal.SIGKILL)
         return await process.wait()
 
     async def kill(self, *names: str) -> list[int]:
         """Kill processes at once and return their exit codes."""
-        # No second signal: sending one reaps a process that has ended, and its
-        # exit code is lost to whoever waits for it.
         processes = [self._running.pop(name) for name in names]
         for process in processes:
-            process.kill()
+            _send(process, signal.SIGKILL)
         return [await process.wait() for process in processes]
 
     async def end_all(self) -> dict[str, int]:
@@ -135,8 +133,7 @@
     def kill_all(self) -> None:
         """Kill whatever is left, at once: for an interrupted demo."""
         for process in self._running.values():
-            if process.returncode is None:
-                process.kill()
+            _send(process, signal.SIGKILL)
 
     async def command(self, args: Sequence[str], env: Mapping[str, str]) -> str:
         """Run one courselead command and return what it prints.
@@ -158,3 +155,16 @@
             shown = " ".join(args)
             raise CommandFailed(f"{shown}: exit {result.returncode}: {out}{err}")
         return out
+
+
+def _send(process: Process, signum: int) -> None:
+    """Send a signal by the process's id.
+
+    `Process.send_signal` polls first. That reaps a child that has just ended, and
+    whoever waits for it is told 255.
+    """
+    if process.returncode is not None:
+        return
+    # One that has ended and was reaped has its code; its waiter learns it.
+    with suppress(ProcessLookupError):
+        os.kill(process.pid, signum)
