--- a/tests/core/scheduler/crash_plays.py
+++ b/tests/core/scheduler/crash_plays.py
@@ -1,8 +1,9 @@
 """Drawn plays of tasks that crash their minions, beside innocent jobs and other faults.
 
-`python -m tests.core.scheduler.crash_plays FIRST LAST [--losses]` prints what a range
-of seeds adds up to; with `--losses` no task crashes anything, and racks lose power
-instead.
+`python -m tests.core.scheduler.crash_plays FIRST LAST [--losses] [--owners] [--spread]`
+prints what a range of seeds adds up to. With `--losses` no task crashes anything, and
+racks lose power instead; with `--spread` each task crashes at ages of its own that
+change from start to start, beside racks that lose power, too.
 """
 
 from __future__ import annotations
@@ -28,6 +29,13 @@
 CRASHES_MS = (0, 5, 30, 400, 1_500)
 """When in its run a task crashes its minion: at once, or after some work."""
 
+LONGEST_AGE_MS = 30_000
+AGES = 16
+"""Ages that a task with a spread takes by turns: more than it is ever started."""
+
+LAST_OF_SPREAD_MS = 300_000
+"""Time in which a task that crashes so late is given up: it takes six starts."""
+
 
 @dataclass
 class Figures:
@@ -72,7 +80,14 @@
 class CrashPlay:
     """One drawn play."""
 
-    def __init__(self, seed: int, crashers: bool, losses: bool, owners: bool) -> None:
+    def __init__(
+        self,
+        seed: int,
+        crashers: bool,
+        losses: bool,
+        owners: bool,
+        spread: bool = False,
+    ) -> None:
         """Set the world up; `losses` take the power of racks and zones in series."""
         self.rng = random.Random(seed)
         self.world = world = World(minions=0, seed=seed)
@@ -90,6 +105,7 @@
         self.crashers = crashers
         self.losses = losses
         self.owners = owners
+        self.spread = spread
         self.innocent: dict[str, int] = {}
         self.guilty: list[str] = []
         self.ended_ms: dict[str, int] = {}
@@ -107,7 +123,8 @@
             world.run(rng.randint(0, 2 * JOB_GAP_MS))
             self._watch()
         world.store_down = False
-        for _ in range(LAST_MS // 500):
+        last_ms = LAST_OF_SPREAD_MS if self.spread else LAST_MS
+        for _ in range(last_ms // 500):
             world.run(500)
             self._watch()
         return self._figures(lasting)
@@ -117,18 +134,27 @@
         job_id = f"{number:016x}"
         if self.crashers and 20 <= number < 60 and rng.random() < 0.12:
             spec = crasher_spec(rng)
-            crash_ms = rng.choice(CRASHES_MS)
+            crash_ms: int | tuple[int, ...] = rng.choice(CRASHES_MS)
+            if self.spread:
+                crash_ms = self._drawn_ages()
             whole = rng.random() < 0.5
             for index in range(spec.steps[0].count):
                 if index == 0 or whole:
                     world.crashers[f"{job_id}.0.0.{index}"] = crash_ms
-            world.submit(spec, job_id, 2_000)
+            length_ms = 2 * LONGEST_AGE_MS if self.spread else 2_000
+            world.submit(spec, job_id, length_ms)
             self.guilty.append(job_id)
             return
         spec, length_ms = drawn_spec(rng)
         world.submit(spec, job_id, length_ms)
         self.innocent[job_id] = world.now_ms
 
+    def _drawn_ages(self) -> tuple[int, ...]:
+        """Return ages at which a task crashes, within a spread of its own."""
+        rng = self.rng
+        bounds = sorted(rng.randint(0, LONGEST_AGE_MS) for _ in range(2))
+        return tuple(rng.randint(*bounds) for _ in range(AGES))
+
     def _strike(self, number: int) -> None:
         world, rng = self.world, self.rng
         # A claim is a record of the log.
@@ -188,7 +214,14 @@
     sums: Counter[str] = Counter()
     worst = 0
     for seed in range(first, last):
-        play = CrashPlay(seed, not losses, losses, "--owners" in argv)
+        spread = "--spread" in argv
+        play = CrashPlay(
+            seed,
+            crashers=spread or not losses,
+            losses=losses or spread,
+            owners="--owners" in argv,
+            spread=spread,
+        )
         play.world.limits_starts = False
         figures = play.run()
         worst = max(worst, figures.starts_after)
--- a/tests/core/scheduler/test_crash_plays.py
+++ b/tests/core/scheduler/test_crash_plays.py
@@ -30,3 +30,12 @@
     figures = CrashPlay(seed, crashers=True, losses=False, owners=True).run()
     assert figures.open_crashers == 0
     assert figures.failed_innocent == 0
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_the_limit_holds_at_ages_that_change_beside_losses_of_power(seed):
+    play = CrashPlay(seed, crashers=True, losses=True, owners=True, spread=True)
+    figures = play.run()
+    assert figures.open_crashers == 0
+    assert figures.failed_innocent == 0
+    assert figures.open_innocent == 0
--- a/tests/core/scheduler/test_isolation.py
+++ b/tests/core/scheduler/test_isolation.py
@@ -30,16 +30,12 @@
     return world
 
 
-def starts_of(world: World, task: str) -> list[str]:
-    return [minion_id for _, name, _, minion_id in world.starts if name == task]
-
-
 def test_what_runs_beside_a_crashing_task_is_struck_once():
     world = busy_world()
     world.run(30_000)
     assert world.state(CRASHER) is JobState.FAILED
     assert world.state(INNOCENT) is JobState.COMPLETED
-    assert len(starts_of(world, f"{INNOCENT}.0.0.0")) == 2
+    assert len(world.starts_of(f"{INNOCENT}.0.0.0")) == 2
     crashed = noted(world, "task_crashed")
     assert [row["other_jobs"] for row in crashed if row["job_id"] == CRASHER] == [
         1,
--- a/tests/core/scheduler/world.py
+++ b/tests/core/scheduler/world.py
@@ -83,6 +83,8 @@
     gang: tuple[str, int] | None = None
     checkpoint: str = ""
     stop_at_ms: int | None = None
+    # Age at which it ends its minion.
+    crash_ms: int | None = None
 
 
 @dataclass
@@ -162,8 +164,9 @@
         self.starts: list[tuple[int, str, int, str]] = []
         self.lengths: dict[str, int] = {}
         self.poison: set[str] = set()
-        # Tasks that crash the minion that starts them, so long after they began.
-        self.crashers: dict[str, int] = {}
+        # Tasks that crash the minion that starts them, so long after they began; ages
+        # that change are taken by turns, start by start.
+        self.crashers: dict[str, int | tuple[int, ...]] = {}
         self.reborn_in_place = False
         self.crashed_under: dict[str, set[Life]] = {}
         self.started_after: dict[str, int] = {}
@@ -269,6 +272,10 @@
         if not silent:
             self.unlist(minion_id)
 
+    def starts_of(self, task: str) -> list[str]:
+        """Return the minions on which a task began, oldest first."""
+        return [minion_id for _, name, _, minion_id in self.starts if name == task]
+
     def _crash_under(self, minion: FakeMinion, task: str) -> None:
         """Let a task end its minion, which comes back as a new life."""
         self.crashed_under.setdefault(task, set()).add(minion.life)
@@ -378,7 +385,7 @@
         if not minion.up:
             return
         for run in list(minion.runs.values()):
-            crash_ms = self.crashers.get(run.task)
+            crash_ms = run.crash_ms
             if crash_ms is not None and self.now_ms - run.started_ms >= crash_ms:
                 self._crash_under(minion, run.task)
                 return
@@ -454,13 +461,21 @@
             self.now_ms,
             self.lengths[job_id],
             spec.long_running,
+            crash_ms=self._crash_age(order.task),
         )
         if order.task in self.crashers:
             # A turn of the world at that time: its minion is found down then.
-            self._at(self.crashers[order.task], lambda: None)
+            self._at(minion.runs[key].crash_ms, lambda: None)
         self.starts.append((self.now_ms, order.task, order.number, minion.minion_id))
         return ev.Outcome.OK
 
+    def _crash_age(self, task: str) -> int | None:
+        ages = self.crashers.get(task)
+        if not isinstance(ages, tuple):
+            return ages
+        begun = sum(name == task for _, name, _, _ in self.starts)
+        return ages[begun % len(ages)]
+
     def _check_start(
         self, minion: FakeMinion, order: ev.StartRun, spec: StepSpec
     ) -> None:
