Keep the count of crashes when a task is cleared of suspicion

Cause: _clear emptied unit.crashes, on which the limit hangs. What shows that a task need not be kept apart from others says nothing of how often it may be started. Now a crash is marked as cleared, is stored so, and counts on.

A crash in the first second of a first start, its owner lost, twice in a row: from the second owner on each start of such a job is on record before it is sent, so one is unseen at most, and that one is counted in.

The test of a lasting task that is cleared six times demanded that it goes on after six losses that nothing explains; a task that ends its minion 12 s after each start looks the same.

--- a/courselead/core/scheduler/crashes.py
+++ b/courselead/core/scheduler/crashes.py
@@ -88,7 +88,7 @@
     suspect.at_ms = schedule.now_ms
     suspect.tried_ms = 0
     if lost is not None:
-        suspect.unsettled.append((crash, lost))
+        suspect.unsettled.append((crash.key, lost))
     schedule.note(
         "task_crashed",
         job_id=unit.job.job_id,
@@ -97,18 +97,16 @@
         minion=crash.life.minion_id,
         born_ms=crash.life.born_ms,
         age_ms=crash.age_ms,
-        crashes=unit.crash_count,
+        crashes=len(unit.crashes),
         other_jobs=len(lost.job_ids) - 1 if lost is not None else "unknown",
         reason=reason,
     )
-    if unit.crash_count >= _allowed(unit):
-        _give_up(schedule, unit)
 
 
-def _allowed(unit: Unit) -> int:
-    """Return how many lives may crash under a unit, whatever explains them."""
+def _is_at_limit(unit: Unit) -> bool:
+    """Return whether so many lives have crashed under a unit that it starts no more."""
     unseen = const.UNSEEN_CRASHES if unit.job.from_before else 0
-    return const.CRASHES_ALLOWED - unseen
+    return unit.limit_count >= const.CRASHES_ALLOWED - unseen
 
 
 def _must_be_stored(schedule: Schedule, unit: Unit) -> None:
@@ -133,10 +131,10 @@
             if unit.done:
                 _note_cleared(schedule, unit, "it is done")
             continue
+        _explain(schedule, suspect, known)
         if any(_has_outlived(schedule, unit, run) for run in unit.runs):
             _clear(schedule, unit)
             continue
-        _explain(schedule, suspect, known)
         if schedule.now_ms - suspect.at_ms >= const.CRASH_SETTLE_MS:
             _settle(schedule, suspect)
 
@@ -150,15 +148,18 @@
     minion = schedule.minions.get(run.minion_id)
     if not run.confirmed or minion is None or minion.failures:
         return False
-    age_ms = min(crash.age_ms for crash in unit.crashes.values())
+    ages = [crash.age_ms for crash in unit.crashes.values() if not crash.cleared]
+    age_ms = min(ages, default=0)
     needed_ms = const.OUTLIVED_FACTOR * age_ms + const.OUTLIVED_MS
     needed_ms = min(needed_ms, const.OUTLIVED_MOST_MS)
     return schedule.now_ms - run.started_ms >= needed_ms
 
 
 def _clear(schedule: Schedule, unit: Unit) -> None:
+    """Keep a unit apart from others no more; what it lost still counts."""
     _note_cleared(schedule, unit, "it ran on")
-    unit.crashes.clear()
+    for key, crash in unit.crashes.items():
+        unit.crashes[key] = replace(crash, cleared=True)
     jobs.save(schedule, unit.job)
     del schedule.suspects[unit.name]
 
@@ -168,25 +169,22 @@
         "suspect_cleared",
         job_id=unit.job.job_id,
         task=unit.name,
-        crashes=unit.crash_count,
+        crashes=len(unit.crashes),
         reason=reason,
     )
 
 
-def weight(schedule: Schedule, unit: Unit) -> int:
-    """Return how many crashes speak against a unit."""
-    suspect = schedule.suspects.get(unit.name) if unit.crashes else None
-    return 0 if suspect is None else suspect.weight
-
-
 def _explain(schedule: Schedule, suspect: Suspect, known: dict[Life, bool]) -> None:
-    for crash, lost in suspect.unsettled:
-        if crash.key in suspect.explained:
+    unit = suspect.unit
+    for key, lost in suspect.unsettled:
+        crash = unit.crashes[key]
+        if crash.explained:
             continue
         if lost.life not in known:
             known[lost.life] = losses.is_explained(schedule, lost)
         if known[lost.life]:
-            suspect.explained.add(crash.key)
+            unit.crashes[key] = replace(crash, explained=True)
+            jobs.save(schedule, unit.job)
 
 
 def _settle(schedule: Schedule, suspect: Suspect) -> None:
@@ -196,19 +194,21 @@
     """
     unit = suspect.unit
     unsettled, suspect.unsettled = suspect.unsettled, []
-    for crash, lost in unsettled:
-        if crash.key in suspect.explained or lost.job_ids != {unit.job.job_id}:
+    for key, lost in unsettled:
+        crash = unit.crashes[key]
+        if crash.explained or lost.job_ids != {unit.job.job_id}:
             continue
-        unit.crashes[crash.key] = replace(crash, alone=True)
+        unit.crashes[key] = replace(crash, alone=True)
         jobs.save(schedule, unit.job)
-    if unit.crash_count >= _allowed(unit):
-        # An earlier owner has counted them, and did not come to give it up.
-        _give_up(schedule, unit)
+    if _is_at_limit(unit):
+        if not unit.runs:
+            _give_up(schedule, unit)
         return
     if unit.crash_count < const.WITNESSED_CRASHES_ALLOWED:
         return
-    witnesses = [crash.alone for crash in unit.crashes.values()]
-    if witnesses[-1] and sum(witnesses) >= const.WITNESSES:
+    open_crashes = [item for item in unit.crashes.values() if not item.cleared]
+    witnesses = sum(crash.alone for crash in open_crashes)
+    if open_crashes[-1].alone and witnesses >= const.WITNESSES:
         _give_up(schedule, unit)
 
 
@@ -219,7 +219,7 @@
         "task_given_up",
         job_id=unit.job.job_id,
         task=unit.name,
-        crashes=unit.crash_count,
+        crashes=len(crashes),
         minions=[crash.life.minion_id for crash in crashes],
         ages_ms=[crash.age_ms for crash in crashes],
         alone=[crash.alone for crash in crashes],
@@ -232,4 +232,10 @@
     """Return whether all that a unit's next start depends on is known and stored."""
     if unit.left_starts or unit.stored_batch > schedule.saved_batch:
         return False
-    return not unit.crashes or schedule.may_note
+    if not unit.crashes:
+        return True
+    if _is_at_limit(unit):
+        # What the newest crash means is settled, and the task given up, on a tick.
+        schedule.suspects.setdefault(unit.name, Suspect(unit))
+        return False
+    return schedule.may_note
--- a/courselead/core/scheduler/isolation.py
+++ b/courselead/core/scheduler/isolation.py
@@ -9,7 +9,7 @@
 
 from collections import defaultdict
 
-from courselead.core.scheduler import const, crashes, losses
+from courselead.core.scheduler import const, losses
 from courselead.core.scheduler.schedule import Schedule
 from courselead.core.scheduler.state import Minion, Suspect, Unit
 
@@ -53,7 +53,7 @@
             return 0
         weight = self._weights.get(unit.name)
         if weight is None:
-            weight = self._weights[unit.name] = crashes.weight(self._schedule, unit)
+            weight = self._weights[unit.name] = unit.weight
         return weight
 
     def _add(self, unit: Unit, minion_id: str, started_ms: int) -> None:
@@ -119,7 +119,7 @@
             total += 1
             if other.spec.long_running or other.spec.gang:
                 total += const.DEAR_NEIGHBOURS
-            if other.crashes:
+            if other.crash_count:
                 total += const.SUSPECT_NEIGHBOURS
         lost_there = self._lost_there.get(minion.worker_id or minion.info.address, [])
         own = frozenset((unit.job.job_id,))
--- a/courselead/core/scheduler/jobs.py
+++ b/courselead/core/scheduler/jobs.py
@@ -231,7 +231,7 @@
         for indexes in groups:
             unit = Unit(step, indexes, done=indexes[0] in done)
             _restore(unit, saved)
-            if unit.crashes:
+            if unit.crash_count:
                 schedule.suspects[unit.name] = Suspect(unit)
             if unit.left_starts:
                 schedule.left_starts[unit.name] = unit
@@ -252,7 +252,9 @@
     unit.checkpoint = saved.checkpoints.get(unit.checkpoint_key, "")
     for item in saved.crashes.get(unit.checkpoint_key, ()):
         life = Life(item.minion_id, item.born_ms)
-        crash = Crash(item.number, life, item.age_ms, item.alone)
+        crash = Crash(
+            item.number, life, item.age_ms, item.alone, item.explained, item.cleared
+        )
         unit.crashes[crash.key] = crash
     for start in saved.starts.get(unit.checkpoint_key, ()):
         life = Life(start.minion_id, start.born_ms)
@@ -366,6 +368,8 @@
             crash.life.born_ms,
             crash.age_ms,
             crash.alone,
+            crash.explained,
+            crash.cleared,
         )
         for crash in unit.crashes.values()
     ]
--- a/courselead/core/scheduler/records.py
+++ b/courselead/core/scheduler/records.py
@@ -27,6 +27,8 @@
     born_ms: int
     age_ms: int
     alone: bool
+    explained: bool = False
+    cleared: bool = False
 
 
 class SavedStart(msgspec.Struct, frozen=True, array_like=True):
--- a/courselead/core/scheduler/state.py
+++ b/courselead/core/scheduler/state.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -88,12 +88,27 @@
         age_ms: Time from the run's start until the end of the life was learned.
         alone: Whether nothing but the task's own job speaks for that end: no other
             job's task was there, and no rack, zone or worker explains it.
+        explained: Whether something else than the task explains that end.
+        cleared: Whether a later run has gone on for long: it makes no suspect any more,
+            and still counts towards the limit.
     """
 
     number: int
     life: Life
     age_ms: int
     alone: bool = False
+    explained: bool = False
+    cleared: bool = False
+
+    @property
+    def drops_out(self) -> bool:
+        """Return whether it does not count towards the limit of the task's starts.
+
+        What is lost beside it at the same moment may be another task's doing; a task
+        that ran on for long besides is none that ends each minion it is on.
+        """
+        ran_on = self.cleared or self.age_ms >= const.OUTLIVED_MOST_MS
+        return self.explained and ran_on
 
     @property
     def key(self) -> tuple[int, Life]:
@@ -106,7 +121,7 @@
     """What is started as one: a task, or all tasks of a gang.
 
     Attributes:
-        crashes: Lives that ended with it, since it was last cleared of suspicion.
+        crashes: Lives that ended with it, by run number and life.
         stored_batch: Batch of records that must be stored before its next start.
         left_starts: Runs of earlier owners that may have been on a life, by number.
     """
@@ -154,18 +169,34 @@
 
     @property
     def crash_count(self) -> int:
-        """Return under how many starts lives have crashed.
+        """Return under how many starts lives have crashed since it was last cleared.
 
         The members of a gang start as one; a copy of a start may reach a second life.
         """
-        return self.crash_count_but(())
+        return self._starts_of(
+            crash for crash in self.crashes.values() if not crash.cleared
+        )
+
+    @property
+    def weight(self) -> int:
+        """Return how many of these speak against it."""
+        return self._starts_of(
+            crash
+            for crash in self.crashes.values()
+            if not crash.cleared and not crash.explained
+        )
+
+    @property
+    def limit_count(self) -> int:
+        """Return how many crashes count towards the limit of its starts, ever."""
+        return self._starts_of(
+            crash for crash in self.crashes.values() if not crash.drops_out
+        )
 
-    def crash_count_but(self, explained: Collection[tuple[int, Life]]) -> int:
-        """Return the same without the crashes that are explained."""
-        keys = [key for key in self.crashes if key not in explained]
+    def _starts_of(self, crashes: Iterable[Crash]) -> int:
         if self.spec.gang:
-            return len({number for number, _ in keys})
-        return len(keys)
+            return len({crash.number for crash in crashes})
+        return sum(1 for _ in crashes)
 
     @property
     def name(self) -> str:
@@ -211,21 +242,14 @@
         at_ms: When the newest crash was learned; 0 for those of an earlier owner.
         unsettled: Crashes with the lives that were lost: others that are lost at the
             same moment may be learned a little later.
-        explained: Crashes that something else than the task explains.
         tried_ms: Since when nothing but room holds its next start up, 0 before.
     """
 
     unit: Unit
     at_ms: int = 0
-    unsettled: list[tuple[Crash, LostLife]] = field(default_factory=list)
-    explained: set[tuple[int, Life]] = field(default_factory=set)
+    unsettled: list[tuple[tuple[int, Life], LostLife]] = field(default_factory=list)
     tried_ms: int = 0
 
-    @property
-    def weight(self) -> int:
-        """Return how many crashes speak against it."""
-        return self.unit.crash_count_but(self.explained)
-
 
 @dataclass(slots=True, eq=False)
 class StepRun:
--- a/tests/core/scheduler/test_crashing_tasks.py
+++ b/tests/core/scheduler/test_crashing_tasks.py
@@ -93,17 +93,22 @@
 
 
 def test_a_lasting_task_that_runs_on_is_cleared_of_suspicion():
+    """It still counts: a task that ends its minions so late looks the same."""
     world = World()
     world.claim()
     world.run(500)
     job_id = world.submit(job(step(1, long_running=True)))
     world.run(1_000)
-    for _ in range(6):
+    for _ in range(4):
         world.lose_power(world.minions[world.starts[-1][3]])
         world.run(12_000)
     assert world.state(job_id) is JobState.RUNNING
-    assert len(noted(world, "suspect_cleared")) == 6
+    assert len(noted(world, "suspect_cleared")) == 4
     assert crashes_of(world) == {}
+    world.lose_power(world.minions[world.starts[-1][3]])
+    world.run(12_000)
+    assert world.state(job_id) is JobState.FAILED
+    assert len(world.starts) == 5
 
 
 def test_a_crash_is_stored_before_the_next_start():
--- a/tests/core/scheduler/test_isolation.py
+++ b/tests/core/scheduler/test_isolation.py
@@ -102,7 +102,7 @@
     world.run(1_200)
     suspects = world.owner.schedule.suspects.values()
     assert len(suspects) == 3
-    assert [item.weight for item in suspects] == [0, 0, 0]
+    assert [item.unit.weight for item in suspects] == [0, 0, 0]
 
 
 def test_suspects_of_one_crash_start_on_different_minions():
