Know client accounts on the platform path, and let none act for another

Cause: the adapter skipped the accounts of a configuration and read no key; a job did not say whose it is.

The holders of credentials are one model now (core/credentials.py, digests only), which the product's own interface uses, too. A queue that is not public takes calls of one key that the newest known configuration holds; a job belongs to its account, also after the key or the account has gone, and is not there for others, in what is asked of the log, too. Jobs of two accounts that use one id at once have records of their own, so none replaces the other; the later one is refused with 409. Where the deployment says that revocations bind hosts that are cut off, such a host serves no account once its configuration is too old; else it goes on with the newest that it knows. Whether there are accounts is told by the contracts in the settings: a configuration without accounts opens no door.

--- a/courselead/core/scheduler/book.py
+++ b/courselead/core/scheduler/book.py
@@ -25,6 +25,7 @@
     job_id: str
     queue: str
     spec: JobSpec
+    account: str = ""
     progress: JobProgress | None = None
     cancelled: bool = False
 
@@ -56,6 +57,8 @@
         self.hosts: dict[str, HostSeen] = {}
         self.waves: dict[int, WaveProgress] = {}
         self.turns: dict[str, TurnMemory] = {}
+        # Jobs of other accounts whose ids were taken; they never run.
+        self.duplicates: set[tuple[str, str]] = set()
         self._early_progress: dict[str, JobProgress] = {}
         self._early_cancels: set[str] = set()
 
@@ -69,9 +72,7 @@
             case JobCancelled():
                 self._cancelled(record)
             case JobForgotten():
-                self.jobs.pop(record.job_id, None)
-                self._early_progress.pop(record.job_id, None)
-                self._early_cancels.discard(record.job_id)
+                self._forgotten(record)
             case HostSeen():
                 self.hosts[record.host] = record
             case WaveProgress():
@@ -92,14 +93,26 @@
         return count
 
     def _accepted(self, record: JobAccepted) -> None:
-        if record.job_id in self.jobs:
+        known = self.jobs.get(record.job_id)
+        if known is not None:
+            if known.account != record.account:
+                self.duplicates.add((record.job_id, record.account))
             return
-        entry = JobEntry(record.job_id, record.queue, record.spec)
+        entry = JobEntry(record.job_id, record.queue, record.spec, record.account)
         entry.progress = self._early_progress.pop(record.job_id, None)
         entry.cancelled = record.job_id in self._early_cancels
         self._early_cancels.discard(record.job_id)
         self.jobs[record.job_id] = entry
 
+    def _forgotten(self, record: JobForgotten) -> None:
+        entry = self.jobs.get(record.job_id)
+        if record.account is not None:
+            self.duplicates.discard((record.job_id, record.account))
+            if entry is not None and entry.account == record.account:
+                del self.jobs[record.job_id]
+        self._early_progress.pop(record.job_id, None)
+        self._early_cancels.discard(record.job_id)
+
     def _progressed(self, record: JobProgress) -> None:
         entry = self.jobs.get(record.job_id)
         if entry is None:
--- a/courselead/core/scheduler/events.py
+++ b/courselead/core/scheduler/events.py
@@ -331,9 +331,14 @@
 
 @dataclass(frozen=True, slots=True)
 class ForgetJob:
-    """Drop a job that ended long ago."""
+    """Drop a job that ended long ago.
+
+    Or one that never ran, as its id was that of another account's job: a duplicate.
+    """
 
     job_id: str
+    account: str = ""
+    is_duplicate: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/courselead/core/scheduler/jobs.py
+++ b/courselead/core/scheduler/jobs.py
@@ -203,7 +203,9 @@
         if job is not None and job.live_runs:
             continue
         drop_job(schedule, entry.job_id)
-        schedule.emit(ForgetJob(entry.job_id))
+        schedule.emit(ForgetJob(entry.job_id, entry.account))
+    for job_id, account in schedule.book.duplicates:
+        schedule.emit(ForgetJob(job_id, account, is_duplicate=True))
 
 
 def drop_job(schedule: Schedule, job_id: str) -> None:
--- a/courselead/core/scheduler/models.py
+++ b/courselead/core/scheduler/models.py
@@ -115,7 +115,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Queue:
-    """A queue of the configuration: `priority` 0 comes first."""
+    """A queue of the configuration: `priority` 0 comes first.
+
+    A public one takes jobs without a credential; they belong to no account.
+    """
 
     name: str
     pool: str
@@ -124,6 +127,7 @@
     stretch: float = 1.0
     slo_ms: int = 0
     advice: AdvicePolicy | None = None
+    public: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -226,7 +230,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Bounds:
-    """Bounds of the deployment, from the settings of the process."""
+    """Bounds of the deployment, from the settings of the process.
+
+    `revoked_within_ms` is the time after which a host that is cut off from the log
+    serves no account any more; None if it goes on with the credentials that it knows.
+    """
 
     lease_max_ms: int = 10_000
     move_ms: int = 1_500
@@ -234,3 +242,4 @@
     duty_lease_ms: int = 3_000
     stop_ms: int = 1_000
     status_s: int = 120
+    revoked_within_ms: int | None = None
--- a/courselead/core/scheduler/records.py
+++ b/courselead/core/scheduler/records.py
@@ -12,11 +12,19 @@
 
 
 class JobAccepted(msgspec.Struct, frozen=True, array_like=True):
-    """A caller's job; a repeat of it is the same job."""
+    """A caller's job; a repeat of it is the same job.
+
+    Attributes:
+        job_id: Chosen by the caller.
+        queue: That it was handed in to.
+        spec: What is to be done.
+        account: Whose it is, "" if it belongs to none.
+    """
 
     job_id: str
     queue: str
     spec: JobSpec
+    account: str = ""
 
 
 class SavedCrash(msgspec.Struct, frozen=True, array_like=True):
@@ -80,9 +88,15 @@
 
 
 class JobForgotten(msgspec.Struct, frozen=True, array_like=True):
-    """A job that ended long ago; one of its records is dropped."""
+    """A job that ended long ago; one of its records is dropped.
+
+    Attributes:
+        job_id: Of the job.
+        account: Whose it was; None where the record dropped tells of no account.
+    """
 
     job_id: str
+    account: str | None = None
 
 
 class OwnerBeat(msgspec.Struct, frozen=True, array_like=True):
@@ -155,6 +169,9 @@
     | WaveProgress
 )
 
+JOB_ID_LENGTH = 16
+"""Characters of a job's id, as callers choose it."""
+
 _KEY_ACCEPTED = b"j"
 _KEY_PROGRESS = b"p"
 _KEY_CANCELLED = b"x"
@@ -187,7 +204,7 @@
     """Return a record as key and value."""
     match record:
         case JobAccepted():
-            key = _KEY_ACCEPTED + record.job_id.encode()
+            key = _accepted_key(record.job_id, record.account)
         case JobProgress():
             key = _KEY_PROGRESS + record.job_id.encode()
         case JobCancelled():
@@ -203,11 +220,22 @@
     return KeyedRecord(key, _ENCODER.encode(record))
 
 
-def forget(job_id: str) -> list[KeyedRecord]:
+def _accepted_key(job_id: str, account: str) -> bytes:
+    """Return a key that another account which uses the same id does not share."""
+    return _KEY_ACCEPTED + job_id.encode() + account.encode()
+
+
+def forget(job_id: str, account: str = "") -> list[KeyedRecord]:
     """Return the records that drop all that is kept of a job."""
     name = job_id.encode()
-    prefixes = (_KEY_CANCELLED, _KEY_PROGRESS, _KEY_ACCEPTED)
-    return [KeyedRecord(prefix + name, b"") for prefix in prefixes]
+    prefixes = (_KEY_CANCELLED, _KEY_PROGRESS)
+    dropped = [KeyedRecord(prefix + name, b"") for prefix in prefixes]
+    return [*dropped, forget_duplicate(job_id, account)]
+
+
+def forget_duplicate(job_id: str, account: str) -> KeyedRecord:
+    """Return the record that drops a job whose id another account's job has."""
+    return KeyedRecord(_accepted_key(job_id, account), b"")
 
 
 def decode(keyed: KeyedRecord) -> Record:
@@ -219,6 +247,9 @@
     prefix, name = keyed.key[:1], keyed.key[1:]
     if prefix not in _DECODERS:
         raise ValueError("record with an unknown kind of key")
+    if not keyed.value and prefix == _KEY_ACCEPTED:
+        job_id, account = name[:JOB_ID_LENGTH], name[JOB_ID_LENGTH:]
+        return JobForgotten(job_id.decode(), account.decode())
     if not keyed.value:
         return JobForgotten(name.decode())
     try:
--- a/courselead/daemon/scheduling/directions.py
+++ b/courselead/daemon/scheduling/directions.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import structlog
 
+from courselead.core.credentials import digest_of
 from courselead.core.scheduler.models import FleetConfig, MaintenanceWave
 from courselead.core.scheduler.records import KeyedRecord
 from courselead.daemon.scheduling.ports import Decoder, Directions, RouteRule
@@ -14,6 +15,10 @@
 _LOGGER = structlog.get_logger(__name__)
 
 
+NAMED_ACCOUNTS = 20
+"""Accounts that one line names: less than a kilobyte."""
+
+
 class DirectionsView:
     """The newest configuration: never an older one after a newer one."""
 
@@ -24,6 +29,10 @@
         self.waves: dict[int, MaintenanceWave] = {}
         self.on_config: Callable[[FleetConfig], None] = lambda config: None
         self.on_wave: Callable[[MaintenanceWave], None] = lambda wave: None
+        # Time since the log was last known to have nothing newer, in seconds, and how
+        # long what is known of credentials holds without that: None for ever.
+        self.age_s: Callable[[], float] = lambda: 0.0
+        self.longest_age_s: float | None = None
         self._rules: dict[str, list[RouteRule]] = {}
 
     @property
@@ -36,6 +45,24 @@
         """Return what the scheduler needs of the configuration."""
         return FleetConfig() if self.current is None else self.current.fleet
 
+    @property
+    def has_accounts(self) -> bool:
+        """Return whether callers need a credential of a client account."""
+        return self.current is not None and self.current.holders is not None
+
+    def account_of(self, credentials: Sequence[bytes]) -> str | None:
+        """Return the account that holds the one credential of a call, else nothing."""
+        if self.current is None or self.current.holders is None:
+            return None
+        if len(credentials) != 1:
+            return None
+        return self.current.holders.holder(digest_of(credentials[0]))
+
+    def is_public(self, queue: str) -> bool:
+        """Return whether a queue takes calls without a credential."""
+        found = self.fleet.queues.get(queue)
+        return not self.has_accounts or (found is not None and found.public)
+
     def apply(self, record: KeyedRecord) -> None:
         """Take a record of the operator."""
         begun = time.monotonic()
@@ -51,6 +78,7 @@
         self.current = decoded
         self._rules = _by_host(decoded.routes)
         self.on_config(decoded.fleet)
+        self._report_ambiguous(decoded)
         _LOGGER.info(
             "config_applied",
             version=decoded.version,
@@ -60,6 +88,17 @@
             took_ms=round((time.monotonic() - begun) * 1000, 1),
         )
 
+    def _report_ambiguous(self, decoded: Directions) -> None:
+        holders = decoded.holders
+        if holders is None or not holders.ambiguous:
+            return
+        _LOGGER.warning(
+            "credential_of_several_accounts",
+            accounts=sorted(holders.ambiguous)[:NAMED_ACCOUNTS],
+            version=decoded.version,
+            outcome="opens nothing",
+        )
+
     def route(self, host: str, path: str) -> tuple[str, str] | None:
         """Return the queue of the longest prefix that fits, and the path's rest."""
         for rule in self._rules.get(host, ()):
--- a/courselead/daemon/scheduling/host.py
+++ b/courselead/daemon/scheduling/host.py
@@ -107,8 +107,8 @@
         relayed["jobs"] = ReadBackLog(relayed["jobs"], read_back, self.counters)
         platform = replace(platform, claims=claims, **relayed)
         self._platform = platform
-        self._bounds = bounds
         self.directions = DirectionsView(platform.decode)
+        self._take_bounds(bounds)
         self.follower = JobFollower(platform.jobs, self.counters, read_back.read)
         collector = Collector(self._owner_address, self.counters)
         self._writer = JobWriter(platform.jobs, self.counters, collector)
@@ -145,20 +145,17 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.follower.run)
             tasks.start_soon(self._writer.run)
-            tasks.start_soon(
-                KeyedFollower(
-                    DIRECTIONS,
-                    CopiedLog(
-                        DIRECTIONS,
-                        self._platform.directions,
-                        self._ways,
-                        self.counters,
-                    ),
-                    self.directions.apply,
-                    counters=self.counters,
-                    kept=self._kept,
-                ).run
+            directions = KeyedFollower(
+                DIRECTIONS,
+                CopiedLog(
+                    DIRECTIONS, self._platform.directions, self._ways, self.counters
+                ),
+                self.directions.apply,
+                counters=self.counters,
+                kept=self._kept,
             )
+            self.directions.age_s = lambda: anyio.current_time() - directions.reached_at
+            tasks.start_soon(directions.run)
             tasks.start_soon(self._elect)
             tasks.start_soon(self._report)
             tasks.start_soon(self._register)
@@ -167,11 +164,18 @@
     def reload(self, bounds: Bounds) -> None:
         """Take changed bounds of the deployment."""
         changed = bounds != self._bounds
+        self._take_bounds(bounds)
         _LOGGER.info("reloaded", bounds_changed=changed)
-        self._bounds = bounds
         if self._owner is not None:
             self._owner.reload(bounds)
 
+    def _take_bounds(self, bounds: Bounds) -> None:
+        self._bounds = bounds
+        longest_ms = bounds.revoked_within_ms
+        self.directions.longest_age_s = (
+            None if longest_ms is None else longest_ms / 1000
+        )
+
     async def leave(self) -> None:
         """Take no new callers and give the schedule to another host."""
         self.leaving = True
--- a/courselead/daemon/scheduling/intake.py
+++ b/courselead/daemon/scheduling/intake.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import Protocol
@@ -9,6 +10,7 @@
 import anyio
 import structlog
 
+from courselead.core.scheduler.book import JobEntry
 from courselead.core.scheduler.models import JobSpec, JobState
 from courselead.core.scheduler.records import JobAccepted, JobCancelled
 from courselead.daemon.scheduling.collector import Stored
@@ -35,6 +37,7 @@
     NOT_RUN = "not_run"
     IN_DOUBT = "in_doubt"
     NO_JOB = "no_job"
+    ID_TAKEN = "id_taken"
     CANCELLED = "cancelled"
 
 
@@ -48,6 +51,29 @@
     reason: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class Caller:
+    """Who calls about a queue.
+
+    Attributes:
+        queue: That is called.
+        account: Of the call's credential, "" without one: on a public queue.
+    """
+
+    queue: str
+    account: str = ""
+
+    def may_see(self, entry: JobEntry) -> bool:
+        """Return whether a job is there for this caller.
+
+        One of no account is there for all who know its id; ids are not told.
+        """
+        return entry.queue == self.queue and entry.account in ("", self.account)
+
+
+_ID_TAKEN = JobReply(Verdict.ID_TAKEN, reason="this id cannot be used; choose another")
+
+
 class Authority(Protocol):
     """Knows whether this host's fold is the newest there is."""
 
@@ -80,6 +106,16 @@
         """Return whether there is a configuration yet."""
         return self._directions.current is not None
 
+    @property
+    def credentials_checked(self) -> bool:
+        """Return whether credentials that were taken away would be known as such.
+
+        Where the operators want revocations to bind a host that is cut off from the
+        log, it serves no account once what it knows of credentials is too old.
+        """
+        longest_s = self._directions.longest_age_s
+        return longest_s is None or self._directions.age_s() <= longest_s
+
     @property
     def body_bytes(self) -> int:
         """Return the longest body that the configuration allows."""
@@ -90,41 +126,66 @@
         """Return the queue of a request and the rest of its path."""
         return self._directions.route(host, path)
 
-    async def submit(self, queue: str, job_id: str, spec: JobSpec) -> JobReply:
+    def caller_of(self, queue: str, credentials: Sequence[bytes]) -> Caller | None:
+        """Return who calls about a queue, nothing if that needs another credential."""
+        account = self._directions.account_of(credentials)
+        if account is not None:
+            return Caller(queue, account)
+        if self._directions.is_public(queue):
+            return Caller(queue)
+        self._counters.add("credential_refused")
+        _LOGGER.info(
+            "credential_refused",
+            queue=queue,
+            credentials=len(credentials),
+            version=self._directions.version,
+            version_age_ms=int(self._directions.age_s() * 1000),
+        )
+        return None
+
+    async def submit(self, caller: Caller, job_id: str, spec: JobSpec) -> JobReply:
         """Store a job; only a stored one is accepted."""
-        if job_id in self._follower.book.jobs:
-            return self._told("job_known", queue, job_id, JobReply(Verdict.KNOWN))
+        queue = caller.queue
+        known = self._follower.book.jobs.get(job_id)
+        if known is not None:
+            return self._told("job_known", queue, job_id, _of_known(known, caller))
+        owner = "" if self._directions.is_public(queue) else caller.account
         begun = anyio.current_time()
-        record = JobAccepted(job_id, queue, spec)
+        record = JobAccepted(job_id, queue, spec, owner)
         reply = _reply(await self._writer.store(record), Verdict.ACCEPTED)
         if reply.verdict is Verdict.ACCEPTED:
             self._follower.learned(record)
+            # Another account's job of this id may have come first meanwhile.
+            if self._follower.book.jobs[job_id].account != owner:
+                reply = _ID_TAKEN
         self._counters.took("submit", str(reply.verdict), begun)
         taken_s = anyio.current_time() - begun
         self._counters.observe_job(queue, f"submit_{reply.verdict}", taken_s)
         return self._told("job_submitted", queue, job_id, reply)
 
-    async def state(self, queue: str, job_id: str) -> JobReply:
+    async def state(self, caller: Caller, job_id: str) -> JobReply:
         """Return a job's state, read anew from the log if it may have changed."""
-        entry = self._follower.book.jobs.get(job_id)
+        queue = caller.queue
+        entry = self._seen_by(caller, job_id)
         fresh = True
         if entry is None or not (self._authority.owns or entry.state.final):
             fresh = await self._follower.catch_up()
-            entry = self._follower.book.jobs.get(job_id)
-        if entry is not None and entry.queue == queue:
+            entry = self._seen_by(caller, job_id)
+        if entry is not None:
             return JobReply(Verdict.KNOWN, entry.state)
         if not fresh:
             return JobReply(Verdict.NOT_RUN, reason="the log cannot be read")
         return self._told("job_asked", queue, job_id, JobReply(Verdict.NO_JOB))
 
-    async def cancel(self, queue: str, job_id: str) -> JobReply:
+    async def cancel(self, caller: Caller, job_id: str) -> JobReply:
         """Store a job's cancel."""
-        entry = self._follower.book.jobs.get(job_id)
+        queue = caller.queue
+        entry = self._seen_by(caller, job_id)
         if entry is None:
             if not await self._follower.catch_up():
                 return JobReply(Verdict.NOT_RUN, reason="the log cannot be read")
-            entry = self._follower.book.jobs.get(job_id)
-        if entry is None or entry.queue != queue:
+            entry = self._seen_by(caller, job_id)
+        if entry is None:
             return self._told("job_cancel", queue, job_id, JobReply(Verdict.NO_JOB))
         if entry.state.final:
             return self._told("job_cancel", queue, job_id, JobReply(Verdict.CANCELLED))
@@ -138,6 +199,11 @@
         """Return how many jobs of a queue wait for their first task."""
         return JobReply(Verdict.KNOWN, pending=self._follower.book.pending(queue))
 
+    def _seen_by(self, caller: Caller, job_id: str) -> JobEntry | None:
+        """Return a job if it is there for a caller."""
+        entry = self._follower.book.jobs.get(job_id)
+        return entry if entry is not None and caller.may_see(entry) else None
+
     def _told(self, event: str, queue: str, job_id: str, reply: JobReply) -> JobReply:
         self._counters.add(f"{event}_{reply.verdict}")
         _LOGGER.info(
@@ -152,6 +218,13 @@
         return reply
 
 
+def _of_known(entry: JobEntry, caller: Caller) -> JobReply:
+    """Return the reply to a job whose id is known: its own repeat, or another's."""
+    if entry.account in ("", caller.account):
+        return JobReply(Verdict.KNOWN)
+    return _ID_TAKEN
+
+
 def _reply(stored: Stored, good: Verdict) -> JobReply:
     if stored.ok:
         return JobReply(good)
--- a/courselead/daemon/scheduling/owner.py
+++ b/courselead/daemon/scheduling/owner.py
@@ -46,6 +46,7 @@
     Record,
     encode,
     forget,
+    forget_duplicate,
 )
 from courselead.core.scheduler.run_records import LeftRuns
 from courselead.core.scheduler.schedule import doubt_ms
@@ -420,9 +421,10 @@
             self._tasks.start_soon(work, *args)  # type: ignore[arg-type]
 
     async def _forget(self, order: ForgetJob) -> None:
-        result = await self._platform.jobs.append(
-            forget(order.job_id), FORGET_TIMEOUT_MS
-        )
+        records = forget(order.job_id, order.account)
+        if order.is_duplicate:
+            records = [forget_duplicate(order.job_id, order.account)]
+        result = await self._platform.jobs.append(records, FORGET_TIMEOUT_MS)
         if isinstance(result, Failure):
             _LOGGER.info("forget_failed", job_id=order.job_id)
 
--- a/courselead/daemon/scheduling/ports.py
+++ b/courselead/daemon/scheduling/ports.py
@@ -9,6 +9,7 @@
 import anyio
 from returns.result import Result
 
+from courselead.core.credentials import CredentialHolders
 from courselead.core.scheduler.events import (
     EndReport,
     Event,
@@ -252,12 +253,22 @@
 
 @dataclass(frozen=True, slots=True)
 class Directions:
-    """The operators' configuration, decoded."""
+    """The operators' configuration, decoded.
+
+    Attributes:
+        version: Of the configuration.
+        routes: Where requests belong.
+        fleet: What the scheduler needs.
+        body_bytes: Longest body of a request.
+        holders: Whose credentials are; None where there are no client accounts, and
+            all queues are open.
+    """
 
     version: int
     routes: tuple[RouteRule, ...]
     fleet: FleetConfig
     body_bytes: int
+    holders: CredentialHolders | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/courselead/integrations/http_api/auth.py
+++ b/courselead/integrations/http_api/auth.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import hashlib
 from dataclasses import dataclass
 
 from immutables import Map
 
+from courselead.core.credentials import CredentialHolders, digest_of
 from courselead.core.table import AccountRow, Table
 from courselead.integrations.http_api import const
 from courselead.integrations.http_api.errors import Refusal
@@ -41,17 +41,17 @@
 class Credentials:
     """Finds the principal of a bearer credential by the credential's digest.
 
-    Only digests are compared, so that the time taken says nothing about a
-    stored credential. The lookup is built once per table version.
+    The lookup is built once per table version.
     """
 
     def __init__(self, operator_hashes: tuple[str, ...]) -> None:
         """Keep the operators' digests, which come from the settings."""
-        self._operators: dict[str, Principal] = {}
+        self._operators: dict[bytes, Principal] = {}
         for digest in operator_hashes:
-            self._operators[digest] = Principal("", f"operator-{digest[:8]}")
+            operator = Principal("", f"operator-{digest[:8]}")
+            self._operators[bytes.fromhex(digest)] = operator
         self._built_from: Map[str, AccountRow] | None = None
-        self._principals: dict[str, Principal] = {}
+        self._holders = CredentialHolders()
 
     def authenticate(self, values: list[bytes], table: Table) -> Principal:
         """Return who sent these `Authorization` values.
@@ -65,31 +65,22 @@
         token = token.strip()
         if scheme.lower() != _SCHEME or not token:
             raise Refusal(_unauthenticated("send Authorization: Bearer <credential>"))
-        digest = hashlib.sha256(token).hexdigest()
-        principal = self._lookup(table).get(digest)
-        if principal is None:
+        digest = digest_of(token)
+        if digest in self._operators:
+            return self._operators[digest]
+        name = self._current(table).holder(digest)
+        if name is None:
             raise Refusal(_unauthenticated("the credential is not known; renew it"))
-        return principal
+        return Principal(name, name)
 
-    def _lookup(self, table: Table) -> dict[str, Principal]:
+    def _current(self, table: Table) -> CredentialHolders:
         if self._built_from is not table.accounts:
-            self._principals = self._build(table)
+            self._holders = CredentialHolders(
+                (name, map(bytes.fromhex, row.credential_hashes))
+                for name, row in table.accounts.items()
+            )
             self._built_from = table.accounts
-        return self._principals
-
-    def _build(self, table: Table) -> dict[str, Principal]:
-        made: dict[str, Principal] = {}
-        shared: set[str] = set()
-        for name, row in table.accounts.items():
-            for digest in row.credential_hashes:
-                if digest in made and made[digest].client_account != name:
-                    shared.add(digest)
-                made[digest] = Principal(name, name)
-        # A digest in two accounts would let one act as the other by chance.
-        for digest in shared:
-            del made[digest]
-        made.update(self._operators)
-        return made
+        return self._holders
 
 
 def _unauthenticated(detail: str) -> ApiProblem:
--- a/courselead/platform/const.py
+++ b/courselead/platform/const.py
@@ -15,6 +15,10 @@
 PATH_MOVE = "/-/machine-move"
 PATH_UPKEEP = "/-/machine-upkeep"
 
+HEADER_CREDENTIAL = b"x-api-key"
+CONTRACT_ACCOUNTS = "tenants"
+"""Names the part of the rules that client accounts and their credentials belong to."""
+
 HEADER_EXPECT_INSTANCE = "X-Courselead-Expect-Instance"
 HEADER_HOLDER = "X-Courselead-Lease-Holder"
 HEADER_FENCE = "X-Courselead-Fencing-Token"
--- a/courselead/platform/decode.py
+++ b/courselead/platform/decode.py
@@ -9,6 +9,7 @@
 import msgspec
 import structlog
 
+from courselead.core.credentials import CredentialHolders, digest_of
 from courselead.core.scheduler.models import (
     AdvicePolicy,
     FleetConfig,
@@ -56,6 +57,7 @@
     priority: int = 0
     max_attempts: int = 1
     stretch: float = 1.0
+    public: bool = False
     advice: _WireAdvice | None = None
 
 
@@ -65,6 +67,11 @@
     spare: bool = False
 
 
+class _WireTenant(msgspec.Struct, rename="camel"):
+    name: Annotated[str, msgspec.Meta(min_length=1)]
+    api_keys: list[str] = []
+
+
 class _WireLimits(msgspec.Struct, rename="camel"):
     max_body_bytes: int = 262_144
 
@@ -74,6 +81,7 @@
     routes: list[_WireRoute] = []
     services: list[_WireService] = []
     limits: _WireLimits = msgspec.field(default_factory=_WireLimits)
+    tenants: list[_WireTenant] = []
 
 
 class _WireWave(msgspec.Struct, rename="camel"):
@@ -106,6 +114,13 @@
 class RecordDecoder:
     """Decodes what the operator and the minions write into the store."""
 
+    def __init__(self, has_accounts: bool = False) -> None:
+        """Keep whether the deployment has client accounts.
+
+        A configuration that names none is no sign of it: it leaves no credential.
+        """
+        self._has_accounts = has_accounts
+
     def directions(self, record: KeyedRecord) -> Directions | MaintenanceWave | None:
         """Return what an operator's record says, nothing if it is of no concern."""
         key = record.key.decode("utf-8", "replace")
@@ -113,7 +128,9 @@
             return None
         try:
             if key == const.KEY_CONFIG:
-                return _directions(msgspec.json.decode(record.value, type=_WireConfig))
+                wire = msgspec.json.decode(record.value, type=_WireConfig)
+                holders = _holders(wire.tenants) if self._has_accounts else None
+                return _directions(wire, holders)
             if key.startswith(const.KEY_WAVE):
                 return _wave(msgspec.json.decode(record.value, type=_WireWave))
         except msgspec.MsgspecError as exc:
@@ -157,7 +174,14 @@
         return KeyedRecord(key.encode(), msgspec.json.encode({"state": state}))
 
 
-def _directions(wire: _WireConfig) -> Directions:
+def _holders(tenants: list[_WireTenant]) -> CredentialHolders:
+    return CredentialHolders(
+        (tenant.name, [digest_of(key.encode()) for key in tenant.api_keys])
+        for tenant in tenants
+    )
+
+
+def _directions(wire: _WireConfig, holders: CredentialHolders | None) -> Directions:
     routes = []
     queues: dict[str, Queue] = {}
     for route in wire.routes:
@@ -174,13 +198,16 @@
             route.stretch,
             route.slo_ms,
             advice,
+            route.public,
         )
     pools = {}
     for service in wire.services:
         pool = Pool(service.name, service.spare, service.admission_control)
         pools[service.name] = pool
     fleet = FleetConfig(wire.version, queues, pools)
-    return Directions(wire.version, tuple(routes), fleet, wire.limits.max_body_bytes)
+    return Directions(
+        wire.version, tuple(routes), fleet, wire.limits.max_body_bytes, holders
+    )
 
 
 def _wave(wire: _WireWave) -> MaintenanceWave:
--- a/courselead/platform/ingress.py
+++ b/courselead/platform/ingress.py
@@ -12,6 +12,7 @@
 from courselead.core.scheduler.models import JobSpec, Resources, StepSpec
 from courselead.daemon.scheduling.intake import (
     RETRY_AFTER_S,
+    Caller,
     Intake,
     JobReply,
     Verdict,
@@ -31,6 +32,7 @@
     Verdict.NOT_RUN: 503,
     Verdict.IN_DOUBT: 504,
     Verdict.NO_JOB: 410,
+    Verdict.ID_TAKEN: 409,
 }
 
 _NOT_RUN = (503, {"error": "the host ends; nothing was stored, ask another one"})
@@ -103,8 +105,6 @@
         await _answer(send, status, document, self._unhelpful())
 
     async def _serve(self, scope: Scope, body: bytes | None) -> tuple[int, object]:
-        if body is None:
-            return 413, {"error": "the body is too long; send a shorter job"}
         if not self._intake.configured:
             return 503, {"error": "no configuration yet; come back later"}
         headers = dict(scope["headers"])
@@ -113,24 +113,33 @@
         if found is None:
             return 404, {"error": "no queue has this host and path; check both"}
         queue, rest = found
+        caller = self._intake.caller_of(queue, _credentials(scope))
+        if caller is None:
+            return 401, {"error": "send one known credential in X-Api-Key"}
+        if caller.account and not self._intake.credentials_checked:
+            return 503, {"error": "credentials cannot be checked; ask another host"}
+        if body is None:
+            return 413, {"error": "the body is too long; send a shorter job"}
         method = scope["method"]
         if method == "GET" and not rest:
             return 200, {"pending": self._intake.pending(queue).pending}
         if not _JOB_ID.fullmatch(rest):
             return 400, {"error": "the path must end with 16 hexadecimal digits"}
         if method == "GET":
-            return _told(await self._intake.state(queue, rest))
+            return _told(await self._intake.state(caller, rest))
         if method == "DELETE":
-            return _told(await self._intake.cancel(queue, rest))
+            return _told(await self._intake.cancel(caller, rest))
         if method == "POST":
-            return await self._submit(queue, rest, body)
+            return await self._submit(caller, rest, body)
         return 405, {"error": "use POST, GET or DELETE"}
 
-    async def _submit(self, queue: str, job_id: str, body: bytes) -> tuple[int, object]:
+    async def _submit(
+        self, caller: Caller, job_id: str, body: bytes
+    ) -> tuple[int, object]:
         spec = decode_job(body)
         if isinstance(spec, Failure):
             return 400, {"error": spec.failure()}
-        return _told(await self._intake.submit(queue, job_id, spec.unwrap()))
+        return _told(await self._intake.submit(caller, job_id, spec.unwrap()))
 
 
 class ReadyApp:
@@ -151,6 +160,13 @@
         await _answer(send, 200 if ready else 503, {"ready": ready}, False)
 
 
+def _credentials(scope: Scope) -> list[bytes]:
+    """Return all credentials of a call: more than one are none."""
+    return [
+        value for name, value in scope["headers"] if name == const.HEADER_CREDENTIAL
+    ]
+
+
 def decode_job(body: bytes) -> Result[JobSpec, str]:
     """Return a job from its body, or what is wrong with it."""
     try:
--- a/courselead/platform/settings.py
+++ b/courselead/platform/settings.py
@@ -9,6 +9,7 @@
 from returns.result import Failure, Result, Success
 
 from courselead.core.scheduler.models import Bounds
+from courselead.platform import const
 
 
 class _Listen(msgspec.Struct):
@@ -39,6 +40,9 @@
     upkeep_s: float = 2.0
     lease_ms: int = 3_000
     stop_ms: int = 1_000
+    # Whether a host that is cut off from the store must keep revocations, too.
+    strict_revoke: bool = False
+    revoke_ms: int = 5_000
     # Spelled with an underscore on the wire, unlike the fields around it.
     status_s: int = msgspec.field(default=120, name="status_s")
 
@@ -52,6 +56,7 @@
             duty_lease_ms=self.lease_ms,
             stop_ms=self.stop_ms,
             status_s=self.status_s,
+            revoked_within_ms=self.revoke_ms if self.strict_revoke else None,
         )
 
 
@@ -69,6 +74,13 @@
     advice: str = ""
     limits: _Limits = msgspec.field(default_factory=_Limits)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    # Names of the parts of the rules that are in force.
+    contracts: list[str] = []
+
+    @property
+    def has_accounts(self) -> bool:
+        """Return whether callers belong to client accounts."""
+        return const.CONTRACT_ACCOUNTS in self.contracts
 
     @property
     def peer_address(self) -> str:
--- a/courselead/platform/wiring.py
+++ b/courselead/platform/wiring.py
@@ -37,6 +37,6 @@
         status=StoreTopic(pool, const.TOPIC_STATUS),
         advice=HttpAdvice(settings.advice),
         cloud=HttpCloud(settings.cloud_api.address, settings.node),
-        decode=RecordDecoder(),
+        decode=RecordDecoder(settings.has_accounts),
         link=HttpMinionLink,
     )
--- a/tests/daemon/scheduling/test_read_back.py
+++ b/tests/daemon/scheduling/test_read_back.py
@@ -21,7 +21,7 @@
 from courselead.core.scheduler.models import Bounds, JobSpec, Resources, StepSpec
 from courselead.core.scheduler.records import KeyedRecord
 from courselead.daemon.scheduling.host import SchedulingHost
-from courselead.daemon.scheduling.intake import Verdict
+from courselead.daemon.scheduling.intake import Caller, Verdict
 from courselead.daemon.scheduling.ports import (
     AppendUnknown,
     HostCounters,
@@ -67,7 +67,7 @@
 
 
 async def submit(host: SchedulingHost, job_id: str) -> Verdict:
-    return (await host.intake.submit("q", job_id, JOB)).verdict
+    return (await host.intake.submit(Caller("q"), job_id, JOB)).verdict
 
 
 async def test_a_job_that_the_log_shows_is_accepted_without_the_answer():
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -58,10 +58,10 @@
 class Door:
     """One host's way in, over a log in memory."""
 
-    def __init__(self, log: MemoryLog) -> None:
+    def __init__(self, log: MemoryLog, has_accounts: bool = False) -> None:
         self.log = log
-        counters = HostCounters()
-        self.directions = DirectionsView(RecordDecoder())
+        counters = self.counters = HostCounters()
+        self.directions = DirectionsView(RecordDecoder(has_accounts))
         self.follower = JobFollower(log, counters)
         self.writer = JobWriter(log, counters)
         intake = Intake(
@@ -73,12 +73,12 @@
         record = KeyedRecord(b"config", json.dumps(document).encode())
         self.directions.apply(record)
 
-    async def call(self, method, path, body=b"", host=b"a.example"):
+    async def call(self, method, path, body=b"", host=b"a.example", keys=()):
         scope = {
             "type": "http",
             "method": method,
             "path": path,
-            "headers": [(b"host", host)],
+            "headers": [(b"host", host), *((b"x-api-key", key) for key in keys)],
         }
         sent = []
 
