--- a/demo/job_site.py
+++ b/demo/job_site.py
@@ -13,6 +13,7 @@
 from returns.result import Failure
 
 from courselead.integrations.http import HttpClient, HttpRequest
+from demo.accounts import HEADER_KEY, SiteAccounts
 from demo.ports import free_ports, run_number
 from demo.processes import Processes
 from demo.relay import Relay
@@ -48,6 +49,10 @@
 upkeepS = 0.3
 """
 
+SETTINGS_OF_ACCOUNTS = """quotaOverage = 0.1
+"""
+CONTRACTS = 'contracts = ["tenants"]\n'
+
 
 @dataclass(frozen=True, slots=True)
 class HostPorts:
@@ -75,6 +80,9 @@
     store_ways: dict[str, Relay] = field(default_factory=dict)
     minion_ways: dict[str, Relay] = field(default_factory=dict)
     accepted: dict[str, int] = field(default_factory=dict)
+    accounts: SiteAccounts | None = None
+    owners: dict[str, str] = field(default_factory=dict)
+    _version: int = 0
     _clients: dict[str, HttpClient] = field(default_factory=dict)
 
     # Entry hosts
@@ -93,6 +101,8 @@
                 store=self.site["store"] if way is None else way.address,
                 cloud=self.site["cloud"],
             )
+            if self.accounts is not None:
+                text = CONTRACTS + text + SETTINGS_OF_ACCOUNTS
             path.write_text(text)
             env = {"COURSELEAD_NODE_FILE": str(path)}
             await self.processes.start_on_platform(host.name, env)
@@ -138,39 +148,54 @@
     # Callers
 
     async def call(
-        self, address: str, method: str, path: str, body: object = None
+        self, address: str, method: str, path: str, body: object = None, key: str = ""
     ) -> tuple[int, dict]:
         """Send one request; status 0 if no whole answer came."""
+        headers = ((HEADER_KEY, key.encode()),) if key else ()
         client = self._clients.setdefault(address, HttpClient(address))
         data = b"" if body is None else json.dumps(body).encode()
-        req = HttpRequest(method.encode(), path.encode(), (), data)
+        req = HttpRequest(method.encode(), path.encode(), headers, data)
         fetched = await client.fetch(req, CALL_MS)
         if isinstance(fetched, Failure):
             return 0, {}
         got = fetched.unwrap()
         return got.status, json.loads(got.body) if got.body[:1] == b"{" else {}
 
-    async def try_all(self, method: str, path: str, body: object = None) -> dict:
+    async def try_all(
+        self, method: str, path: str, body: object = None, account: str = ""
+    ) -> dict:
         """Call host after host until one answers with success, as callers do."""
         for attempt in range(ATTEMPTS):
             host = self.hosts[attempt % len(self.hosts)]
-            status, document = await self.call(host.address, method, path, body)
+            key = self.key_of(account)
+            status, document = await self.call(host.address, method, path, body, key)
             if status == STATUS_OK:
                 return document
             await anyio.sleep(RETRY_S)
         raise AssertionError(f"no success for {method} {path}")
 
-    async def submit(self, number: int, *steps: dict, **payload: object) -> str:
+    def key_of(self, account: str) -> str:
+        """Return the key that an account's callers use, "" for none."""
+        if self.accounts is None or not account:
+            return ""
+        return self.accounts.key(account)
+
+    async def submit(
+        self, number: int, *steps: dict, account: str = "", **payload: object
+    ) -> str:
         """Hand a job in, however often it takes, and return its id."""
         job_id = f"{number:016x}"
+        payload["account"] = account
         job = {"spec": json.dumps(payload), "steps": list(steps)}
-        await self.try_all("POST", PREFIX + job_id, job)
+        await self.try_all("POST", PREFIX + job_id, job, account)
+        self.owners[job_id] = account
         self.accepted[job_id] = sum(step.get("count", 1) for step in steps)
         return job_id
 
     async def state(self, job_id: str) -> str:
         """Return a job's state."""
-        return (await self.try_all("GET", PREFIX + job_id))["state"]
+        account = self.owners.get(job_id, "")
+        return (await self.try_all("GET", PREFIX + job_id, account=account))["state"]
 
     async def final_states(self, bound_s: float = BOUND_S) -> dict[str, str]:
         """Wait until all accepted jobs have ended, and return how.
@@ -232,7 +257,7 @@
             await tasks.start(relay.serve)
 
     async def configure(self) -> None:
-        """Write a configuration with one queue, as the operator does.
+        """Write the next configuration with one queue, as the operator does.
 
         The client of these tests names a host by its address, so each has a route.
         """
@@ -245,10 +270,18 @@
                 "maxAttempts": 3,
                 "stretch": 2.0,
                 "sloMs": 1000,
+                "public": False,
             }
             for host in self.hosts
         ]
-        config = {"version": 1, "routes": routes, "services": [{"name": POOL}]}
+        self._version += 1
+        config = {
+            "version": self._version,
+            "routes": routes,
+            "services": [{"name": POOL}],
+        }
+        if self.accounts is not None:
+            config["tenants"] = self.accounts.document()
         path = "/+/operator?key=config"
         status, _ = await self.call(self.site["store"], "POST", path, config)
         assert status == STATUS_OK
@@ -275,6 +308,7 @@
     hosts: int = 3,
     machines: int = 4,
     relays: bool = True,
+    accounts: SiteAccounts | None = None,
 ) -> AsyncIterator[JobSite]:
     """Run a site whose entry hosts are ready; end all its processes after.
 
@@ -285,24 +319,30 @@
         machines: How many machines with a minion each.
         relays: Whether relays stand between hosts, store and minions, which faults
             need and which cost each call its time.
+        accounts: Whose callers are served; none at all by default.
     """
     async with anyio.create_task_group() as tasks:
         processes = Processes(courselead, folder)
-        async with _running(processes, tasks, hosts, machines, relays) as site:
+        site = JobSite(processes, _plans(hosts), accounts=accounts)
+        async with _running(site, tasks, machines, relays):
             yield site
         tasks.cancel_scope.cancel()
 
 
-@asynccontextmanager
-async def _running(
-    processes: Processes, tasks: TaskGroup, hosts: int, machines: int, relays: bool
-) -> AsyncIterator[JobSite]:
+def _plans(hosts: int) -> tuple[HostPorts, ...]:
     plans = []
     for number in range(hosts):
         front, ready, peer = free_ports(3)
         ip = f"{network()}.{10 + number}"
         plans.append(HostPorts(f"front-{number}", ip, front, ready, peer))
-    site = JobSite(processes, tuple(plans))
+    return tuple(plans)
+
+
+@asynccontextmanager
+async def _running(
+    site: JobSite, tasks: TaskGroup, machines: int, relays: bool
+) -> AsyncIterator[None]:
+    processes = site.processes
     try:
         args = ["site", f"--machines={machines}", f"--pool={POOL}"]
         site.site = json.loads(await processes.start_standins(args))
@@ -311,7 +351,7 @@
         await site.configure()
         await site.start(*site.hosts)
         await site.ready()
-        yield site
+        yield
     finally:
         with anyio.CancelScope(shield=True):
             processes.kill_all()
--- a/harness/real.py
+++ b/harness/real.py
@@ -20,8 +20,15 @@
 
 import anyio
 
-from demo.job_site import PREFIX, JobSite, running_site
-from harness.real_faults import STRIKES, Fault, Striker, draw_faults
+from demo.accounts import SiteAccounts
+from demo.job_site import PREFIX, STATUS_OK, HostPorts, JobSite, running_site
+from harness.real_faults import (
+    ACCOUNT_STRIKES,
+    STRIKES,
+    Fault,
+    Striker,
+    draw_faults,
+)
 
 COURSELEAD = (sys.executable, "-m", "courselead")
 
@@ -54,6 +61,18 @@
 10 s, twice, on a busy machine."""
 
 STATUS_GONE = 410
+STATUS_REFUSED = 401
+
+ACCOUNT_CAPS = {"hot": 2_000, "calm": 6_000}
+"""Caps of the accounts, in thousandths of a core: callers of one want more at once."""
+
+ACCOUNT_FAULTS = 4
+
+HOT_SHARE = 0.6
+NO_KEY = "a-key-that-was-never-held"
+
+IN_FORCE_S = 6.0
+"""Time after the last fault within which all hosts know the newest configuration."""
 
 EXIT_OK = 0
 EXIT_FAILED = 1
@@ -85,6 +104,12 @@
     stopped: bool = False
     _number: int = 0
 
+    def _account(self) -> str:
+        """Return whose the next job is."""
+        if self.site.accounts is None:
+            return ""
+        return "hot" if self.rng.random() < HOT_SHARE else "calm"
+
     async def run(self) -> None:
         """Hand in one job after the other until stopped."""
         while not self.stopped:
@@ -105,21 +130,55 @@
             first["count"] = 1
             payload["run_ms"] = 1_000
             payload["crash_ms"] = self.rng.choice(CRASHES_MS)
-        job_id = await self.site.submit(number, first, second, **payload)
+        account = self._account()
+        job_id = await self.site.submit(
+            number, first, second, account=account, **payload
+        )
         self.expected[job_id] = "failed" if fails else "completed"
         if cancels:
             self.expected[job_id] = "any"
-            await self.site.try_all("DELETE", PREFIX + job_id)
+            await self.site.try_all("DELETE", PREFIX + job_id, account=account)
 
     async def _look(self) -> None:
         """Ask any host for any accepted job: it must be known."""
         job_id = self.rng.choice(sorted(self.expected))
         host = self.rng.choice(self.site.hosts)
-        status, _ = await self.site.call(host.address, "GET", PREFIX + job_id)
+        account = self.site.owners[job_id]
+        key = self.site.key_of(account)
+        status, _ = await self.site.call(host.address, "GET", PREFIX + job_id, key=key)
         if status == STATUS_GONE:
             self.broken.append(
                 f"{host.name} does not know {job_id}, which was accepted"
             )
+        if account:
+            await self._pry(host, job_id, account)
+
+    async def _pry(self, host: HostPorts, job_id: str, account: str) -> None:
+        """Call about a job as others: without a key, with a wrong one, as another."""
+        [other] = [name for name in ACCOUNT_CAPS if name != account]
+        method = self.rng.choice(("GET", "DELETE"))
+        for key in ("", NO_KEY, self.site.key_of(other)):
+            path = PREFIX + job_id
+            status, _ = await self.site.call(host.address, method, path, key=key)
+            if status == STATUS_OK:
+                self.broken.append(f"{host.name} let others {method} {job_id}")
+
+    async def check_keys(self) -> None:
+        """Check that all hosts know the newest configuration's keys, and no others."""
+        accounts = self.site.accounts
+        if accounts is None:
+            return
+        await anyio.sleep(IN_FORCE_S)
+        for host in self.site.hosts:
+            for key in (*accounts.revoked, NO_KEY):
+                status, _ = await self.site.call(host.address, "GET", PREFIX, key=key)
+                if status != STATUS_REFUSED:
+                    self.broken.append(f"{host.name} answers {status} to a lost key")
+            for name in accounts.caps:
+                key = accounts.key(name)
+                status, _ = await self.site.call(host.address, "GET", PREFIX, key=key)
+                if status == STATUS_REFUSED:
+                    self.broken.append(f"{host.name} refuses a key of {name}")
 
     async def finish(self) -> None:
         """Wait until all accepted jobs have ended, and check how."""
@@ -145,13 +204,24 @@
     return max(counts, default=0)
 
 
-async def run_seed(seed: int, folder: Path) -> Report:
+async def run_seed_with_accounts(seed: int, folder: Path) -> Report:
+    """Run one seed with client accounts, whose keys and caps change."""
+    return await run_seed(seed, folder, SiteAccounts.with_caps(dict(ACCOUNT_CAPS)))
+
+
+async def run_seed(
+    seed: int, folder: Path, accounts: SiteAccounts | None = None
+) -> Report:
     """Run one seed."""
     rng = Random(seed)
     faults = draw_faults(rng, FAULTS, LOAD_S)
+    if accounts is not None:
+        faults += draw_faults(rng, ACCOUNT_FAULTS, LOAD_S, ACCOUNT_STRIKES)
     report = Report(seed, list(faults))
     begun = time.monotonic()
-    async with running_site(COURSELEAD, folder, HOSTS, MACHINES) as site:
+    async with running_site(
+        COURSELEAD, folder, HOSTS, MACHINES, accounts=accounts
+    ) as site:
         callers = Callers(site, rng)
         striker = Striker(site, rng)
         async with anyio.create_task_group() as tasks:
@@ -163,6 +233,7 @@
                 strikes.start_soon(anyio.sleep, LOAD_S)
             callers.stopped = True
         await site.ready()
+        await callers.check_keys()
         await callers.finish()
         ledger = await site.ledger()
     report.jobs = len(callers.expected)
@@ -185,7 +256,8 @@
 
 async def _strike(striker: Striker, fault: Fault) -> None:
     await anyio.sleep(fault.at_s)
-    await STRIKES[fault.name][0](striker, fault.lasts_s)
+    strike, _ = (STRIKES | ACCOUNT_STRIKES)[fault.name]
+    await strike(striker, fault.lasts_s)
 
 
 def soak_real(
--- a/harness/real_faults.py
+++ b/harness/real_faults.py
@@ -24,6 +24,10 @@
 """Starts of a minion in one strike."""
 
 
+LOW_CAP = 600
+"""Cap of an account that was lowered, in thousandths of a core: a task or two."""
+
+
 @dataclass(frozen=True, slots=True)
 class Fault:
     """One fault: what strikes when, and for how long, in seconds."""
@@ -155,6 +159,33 @@
         way.delay_s = 0.0
 
 
+async def _change_keys(striker: Striker, lasts_s: float) -> None:
+    """Give an account another key, and take its oldest one away a little later."""
+    accounts = striker.site.accounts
+    if accounts is None:
+        return
+    name = striker.rng.choice(sorted(accounts.caps))
+    accounts.add_key(name)
+    await striker.site.configure()
+    await anyio.sleep(lasts_s)
+    accounts.revoke_oldest(name)
+    await striker.site.configure()
+
+
+async def _change_caps(striker: Striker, lasts_s: float) -> None:
+    """Lower an account's cap for a time."""
+    accounts = striker.site.accounts
+    if accounts is None:
+        return
+    name = striker.rng.choice(sorted(accounts.caps))
+    before = accounts.caps[name]
+    accounts.caps[name] = LOW_CAP
+    await striker.site.configure()
+    await anyio.sleep(lasts_s)
+    accounts.caps[name] = before
+    await striker.site.configure()
+
+
 async def _silence(striker: Striker, lasts_s: float) -> None:
     for way in striker.ways():
         way.silence()
@@ -186,12 +217,23 @@
 }
 """Each with the longest time that it lasts, in seconds."""
 
+ACCOUNT_STRIKES: dict[str, tuple[Strike, float]] = {
+    "change keys": (_change_keys, 3),
+    "change caps": (_change_caps, 6),
+}
+"""What the operator does to client accounts meanwhile."""
+
 
-def draw_faults(rng: Random, count: int, until_s: float) -> tuple[Fault, ...]:
+def draw_faults(
+    rng: Random,
+    count: int,
+    until_s: float,
+    strikes: dict[str, tuple[Strike, float]] = STRIKES,
+) -> tuple[Fault, ...]:
     """Return faults in the order of their time; they may overlap."""
     faults = []
     for _ in range(count):
-        name = rng.choice(sorted(STRIKES))
+        name = rng.choice(sorted(strikes))
         at_s = round(rng.uniform(0.5, until_s), 2)
-        faults.append(Fault(at_s, name, round(rng.uniform(0, STRIKES[name][1]), 2)))
+        faults.append(Fault(at_s, name, round(rng.uniform(0, strikes[name][1]), 2)))
     return tuple(sorted(faults, key=lambda fault: fault.at_s))
--- a/standins/job_platform/ledger.py
+++ b/standins/job_platform/ledger.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import itertools
+import time
 from collections import Counter
 from dataclasses import dataclass, field
 
@@ -10,6 +12,14 @@
 """Starts of a task after so many lives of minions have crashed under it."""
 
 
+CAP_OVERAGE = 1.1
+"""Times its cap that an account may have at work: a tenth is allowed beyond it."""
+
+CONFIG_S = 9.0
+"""Time for which a host that is cut off may know an older configuration only, and go on
+with its leases."""
+
+
 @dataclass(slots=True)
 class Ledger:
     """Starts and ends of all minions of a site, checked as they come.
@@ -32,6 +42,8 @@
     _crashed_lives: set[tuple[str, str]] = field(default_factory=set)
     _starts_after: Counter[str] = field(default_factory=Counter)
     _fences: dict[str, int] = field(default_factory=dict)
+    _used: Counter[str] = field(default_factory=Counter)
+    _caps: dict[str, list[tuple[float, int]]] = field(default_factory=dict)
 
     def started(self, task: str, minion: str) -> None:
         """Take a start."""
@@ -59,6 +71,32 @@
         if done:
             self.done[task] += 1
 
+    def capped(self, account: str, cap: int) -> None:
+        """Take an account's cap of a new configuration; 0 is no limit."""
+        self._caps.setdefault(account, []).append((time.monotonic(), cap))
+
+    def used_more(self, account: str, cpu: int) -> None:
+        """Take a start of an account; it may exceed its cap by this one task."""
+        used = self._used[account]
+        self._used[account] += cpu
+        caps = self._caps_in_force(account)
+        if caps and 0 not in caps and used > max(caps) * CAP_OVERAGE:
+            self._break(f"{account} starts {cpu} beside {used} of {caps}")
+
+    def used_less(self, account: str, cpu: int) -> None:
+        """Take the end of a run of an account."""
+        self._used[account] -= cpu
+
+    def _caps_in_force(self, account: str) -> list[int]:
+        """Return the caps that may be in force: the newest, and others not long ago."""
+        versions = self._caps.get(account, [])
+        since = time.monotonic() - CONFIG_S
+        caps = [cap for _, cap in versions[-1:]]
+        for (_, cap), (until, _) in itertools.pairwise(versions):
+            if until >= since:
+                caps.append(cap)
+        return caps
+
     def noted(self, task: str) -> None:
         """Take note that a minion was told to forget a task's end as done."""
         self._noted.add(task)
--- a/standins/job_platform/minion.py
+++ b/standins/job_platform/minion.py
@@ -30,12 +30,14 @@
         cpu: Thousandths of a core that a task takes.
         fails: Whether each run fails.
         crash_ms: Age at which a run ends its minion; below 0 it never does.
+        account: Whose the job is.
     """
 
     run_ms: int = 0
     cpu: int = 1000
     fails: bool = False
     crash_ms: int = -1
+    account: str = ""
 
 
 @dataclass(slots=True)
@@ -125,6 +127,7 @@
         self.over = True
         for run in self._runs.values():
             self.ledger.lost[run.task] += 1
+            self.ledger.used_less(run.payload.account, run.payload.cpu)
             self.ledger.ended(run.task, self.minion_id, False)
         self._runs.clear()
 
@@ -145,6 +148,7 @@
             return self._refusal("room")
         self._runs[task] = _Run(task, number, payload, _clock_ms())
         self.ledger.started(task, self.minion_id)
+        self.ledger.used_more(payload.account, payload.cpu)
         self.work()
         return self._told({})
 
@@ -185,6 +189,7 @@
         self._count += 1
         self._ended.append((self._count, run.task, run.number, kind, ""))
         self.ledger.ended(run.task, self.minion_id, kind == "done")
+        self.ledger.used_less(run.payload.account, run.payload.cpu)
         changed, self._changed = self._changed, anyio.Event()
         changed.set()
 
--- a/standins/job_platform/site.py
+++ b/standins/job_platform/site.py
@@ -206,6 +206,8 @@
             case "operator":
                 key = call.query["key"].encode()
                 self.store.topic(TOPIC_OPERATOR).put([(key, call.body)])
+                for row in call.json().get("tenants", []):
+                    self.ledger.capped(row["name"], row["cap"]["cpu"])
                 return json_reply(200, {})
             case "crash":
                 self._restart(self.machines[call.query["machine"]], "down")
--- a/tests/processes/test_real_soak.py
+++ b/tests/processes/test_real_soak.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from harness.real import run_seed
+from harness.real import run_seed, run_seed_with_accounts
 from harness.real_faults import STRIKES, draw_faults
 
 pytestmark = pytest.mark.processes
@@ -22,6 +22,13 @@
     assert report.broken == [], json.dumps(report.broken)
 
 
+@pytest.mark.anyio
+async def test_a_seed_with_client_accounts_keeps_all_promises(tmp_path) -> None:
+    report = await run_seed_with_accounts(1, tmp_path)
+    assert report.jobs > 0
+    assert report.broken == [], json.dumps(report.broken)
+
+
 def test_a_seed_is_a_run() -> None:
     assert draw_faults(Random(3), 6, 10) == draw_faults(Random(3), 6, 10)
 
