Go through a line by steps, not by units

Load: a pool's line of 2,800 units in a turn (400 jobs of 8 tasks), on the owner that decides all starts. Each end of a run leads to a round over the line; the units of a step need the same, so what holds one up holds the others up, too. Sorting, the check of caps and misfits, and the demand of a pool now go by step.

The order of start is as before, but for units of a step that were put in line at different times among steps that are alike in all else.

The wait for a cap is kept by step.

--- a/courselead/core/scheduler/caps.py
+++ b/courselead/core/scheduler/caps.py
@@ -36,9 +36,10 @@
         unseen = self._unseen.get(account, NOTHING)
         need = need_of(unit)
         if _is_within(used.plus(unseen).plus(need), limit):
-            if unit.at_cap_ms:
-                unit.capped_ms += self._schedule.now_ms - unit.at_cap_ms
-                unit.at_cap_ms = 0
+            step = unit.step
+            if step.at_cap_ms:
+                step.capped_ms += self._schedule.now_ms - step.at_cap_ms
+                step.at_cap_ms = 0
             return True
         if len(unit.indexes) == 1 and used == unseen == NOTHING:
             return True
@@ -49,7 +50,7 @@
         self, unit: Unit, used: Resources, unseen: Resources, limit: Resources
     ) -> None:
         schedule, account = self._schedule, unit.job.account
-        unit.at_cap_ms = unit.at_cap_ms or schedule.now_ms
+        unit.step.at_cap_ms = unit.step.at_cap_ms or schedule.now_ms
         schedule.pools_at_cap.setdefault(account, set()).add(schedule.pool_of(unit.job))
         noted_ms = schedule.cap_noted_ms.get(account)
         if noted_ms is not None and schedule.now_ms - noted_ms < const.CAP_REPORT_MS:
--- a/courselead/core/scheduler/demand.py
+++ b/courselead/core/scheduler/demand.py
@@ -7,7 +7,7 @@
 from courselead.core.scheduler import urgency
 from courselead.core.scheduler.arrivals import lead_time_ms, rate_of, turns_of
 from courselead.core.scheduler.schedule import Schedule
-from courselead.core.scheduler.state import Minion
+from courselead.core.scheduler.state import Minion, Unit
 
 DRAIN_MS = 600
 """Time within which waiting work should be done: most of the slack of short jobs, as a
@@ -129,27 +129,36 @@
 
 
 def _count_waiting(schedule: Schedule, pool: str, demand: PoolDemand) -> None:
-    work = late = 0
-    # A line may have thousands of units; those of a step are late together.
-    late_steps: dict[int, bool] = {}
+    # A line may have thousands of units; those of a step are alike.
+    finite: dict[int, list[Unit]] = {}
     for unit in schedule.ready.get(pool, ()):
-        if unit.done or unit.job.state.final:
+        if unit.done:
+            continue
+        step = unit.step
+        spec = step.spec
+        if spec.required_label and not step.job.state.final:
+            waited = schedule.now_ms - unit.ready_ms
+            if waited > LASTING_WAIT_MS:
+                demand.labels_wait.add(spec.required_label)
+        alike = finite.get(id(step))
+        if alike is not None:
+            alike.append(unit)
+            continue
+        if step.job.state.final:
             continue
-        spec = unit.spec
-        waited = schedule.now_ms - unit.ready_ms
-        if spec.required_label and waited > LASTING_WAIT_MS:
-            demand.labels_wait.add(spec.required_label)
         if spec.long_running:
+            waited = schedule.now_ms - unit.ready_ms
             if waited > LASTING_WAIT_MS and schedule.now_ms > unit.not_before_ms:
                 demand.lasting_waits = True
             continue
-        run_ms = schedule.expected_ms(unit.job.queue, spec)
-        needs = int(len(unit.indexes) * spec.need.cpu_milli * run_ms)
-        is_late = late_steps.get(id(unit.step))
-        if is_late is None:
-            is_late = urgency.is_late(schedule, unit.step)
-            late_steps[id(unit.step)] = is_late
-        if is_late:
+        finite[id(step)] = [unit]
+    work = late = 0
+    for units in finite.values():
+        step = units[0].step
+        tasks = len(units) * len(units[0].indexes)
+        run_ms = schedule.expected_ms(step.job.queue, step.spec)
+        needs = int(tasks * step.spec.need.cpu_milli * run_ms)
+        if urgency.is_late(schedule, step):
             late += needs
         else:
             work += needs
--- a/courselead/core/scheduler/jobs.py
+++ b/courselead/core/scheduler/jobs.py
@@ -128,7 +128,6 @@
     line = schedule.ready.setdefault(pool, [])
     if unit not in line:
         unit.ready_ms = schedule.now_ms
-        unit.at_cap_ms = unit.capped_ms = 0
         line.append(unit)
     schedule.dirty_pools.add(pool)
 
--- a/courselead/core/scheduler/placement.py
+++ b/courselead/core/scheduler/placement.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
+from dataclasses import dataclass
 
 from courselead.core.scheduler import const, crashes, jobs, lives, urgency
 from courselead.core.scheduler.caps import CapView
@@ -61,13 +62,24 @@
     misfits = _Misfits(_passed_over(schedule, pool, line))
     doubt = doubt_of(schedule, pool).beside(lives.barred_tasks(schedule))
     isolation = Isolation.of(schedule)
+    # Steps of which no more starts in this round: their units need the same.
+    held_up: set[int] = set()
     for unit in line:
-        if not _may_start(schedule, unit, doubt, isolation) or not caps.has_room(unit):
+        if id(unit.step) in held_up and not unit.crashes:
             waiting.append(unit)
             continue
+        if not _may_start(schedule, unit, doubt, isolation):
+            waiting.append(unit)
+            continue
+        if not caps.has_room(unit):
+            waiting.append(unit)
+            held_up.add(id(unit.step))
+            continue
         if misfits.known(unit) or not _try_start(schedule, unit, minions, isolation):
             waiting.append(unit)
             misfits.add(unit)
+            if not _is_special(unit):
+                held_up.add(id(unit.step))
     schedule.ready[pool] = waiting
 
 
@@ -124,10 +136,18 @@
 def _cleaned(schedule: Schedule, pool: str) -> list[Unit]:
     """Return the line without units that need no start any more."""
     line: list[Unit] = []
+    # The pool of each job, "" of one that has ended.
+    pools: dict[int, str] = {}
     for unit in schedule.ready.get(pool, []):
-        if unit.done or unit.runs or unit.job.state.final:
+        if unit.done or unit.runs:
+            continue
+        job = unit.job
+        current = pools.get(id(job))
+        if current is None:
+            current = "" if job.state.final else schedule.pool_of(job)
+            pools[id(job)] = current
+        if not current and job.state.final:
             continue
-        current = schedule.pool_of(unit.job)
         if current != pool:
             schedule.ready.setdefault(current, []).append(unit)
             schedule.dirty_pools.add(current)
@@ -165,14 +185,37 @@
     return not doubt.holds_back(unit)
 
 
+@dataclass(slots=True)
+class _Group:
+    """Units of a line that come one after the other: of one step.
+
+    Lasting tasks of a step begin to wait at different times, so each is a group.
+    """
+
+    order: tuple[int, ...]
+    units: list[Unit]
+
+
 def _sorted(schedule: Schedule, line: list[Unit]) -> list[Unit]:
-    """Return a line in the order of start; units of a step are alike in it."""
-    orders: dict[int, tuple[int, int, int, int]] = {}
+    """Return a line in the order of start."""
+    groups = _groups(schedule, line)
+    return [unit for group in groups for unit in group.units]
+
+
+def _groups(schedule: Schedule, line: list[Unit]) -> list[_Group]:
+    """Return the groups of a line in the order of start, whosever they are."""
+    of_step: dict[int, _Group] = {}
+    groups: list[_Group] = []
     for unit in line:
-        if id(unit.step) not in orders:
-            orders[id(unit.step)] = _order(schedule, unit.step)
-    # Lasting tasks of a step begin to wait at different times.
-    return sorted(line, key=lambda unit: (*orders[id(unit.step)], unit.ready_ms))
+        group = of_step.get(id(unit.step))
+        if group is not None:
+            group.units.append(unit)
+            continue
+        group = _Group((*_order(schedule, unit.step), unit.ready_ms), [unit])
+        groups.append(group)
+        if not unit.spec.long_running:
+            of_step[id(unit.step)] = group
+    return sorted(groups, key=lambda group: group.order)
 
 
 def _order(schedule: Schedule, step: StepRun) -> tuple[int, int, int, int]:
@@ -215,7 +258,7 @@
         minion=places[0][1].minion_id,
         tasks=len(places),
         waited_ms=schedule.now_ms - unit.ready_ms,
-        capped_ms=unit.capped_ms,
+        capped_ms=unit.step.capped_ms,
         report_age_ms=schedule.now_ms - places[0][1].seen_ms,
         version=schedule.config.version,
         resumed=bool(unit.checkpoint),
--- a/courselead/core/scheduler/state.py
+++ b/courselead/core/scheduler/state.py
@@ -123,8 +123,6 @@
     Attributes:
         crashes: Lives that ended with it, by run number and life.
         stored_batch: Batch of records that must be stored before its next start.
-        at_cap_ms: Since when its account's cap holds it up, 0 if it does not.
-        capped_ms: For how long that has held it up since it was put in line.
         left_starts: Runs of earlier owners that may have been on a life, by number.
     """
 
@@ -142,8 +140,6 @@
     avoid: set[str] = field(default_factory=set)
     crashes: dict[tuple[int, Life], Crash] = field(default_factory=dict)
     stored_batch: int = 0
-    at_cap_ms: int = 0
-    capped_ms: int = 0
     left_starts: set[tuple[int, Life]] = field(default_factory=set)
 
     @property
@@ -177,6 +173,8 @@
 
         The members of a gang start as one; a copy of a start may reach a second life.
         """
+        if not self.crashes:
+            return 0
         return self._starts_of(
             crash for crash in self.crashes.values() if not crash.cleared
         )
@@ -257,7 +255,12 @@
 
 @dataclass(slots=True, eq=False)
 class StepRun:
-    """A step of one occurrence of a job."""
+    """A step of one occurrence of a job.
+
+    Attributes:
+        at_cap_ms: Since when its account's cap holds it up, 0 if it does not.
+        capped_ms: For how long that has held it up in all.
+    """
 
     job: Job
     occurrence: int
@@ -266,6 +269,8 @@
     units: list[Unit] = field(default_factory=list)
     open_units: int = 0
     ready: bool = False
+    at_cap_ms: int = 0
+    capped_ms: int = 0
 
     @property
     def name(self) -> str:
--- a/demo/accounts.py
+++ b/demo/accounts.py
@@ -13,11 +13,13 @@
     """Accounts with their keys and caps.
 
     Attributes:
-        caps: Thousandths of a core that each may have at work; 0 is no limit.
+        usual_caps: Thousandths of a core that each may have at work; 0 is no limit.
+        caps: The same in the newest configuration.
         keys: In force, by account, newest last.
         revoked: Keys that were taken away.
     """
 
+    usual_caps: dict[str, int]
     caps: dict[str, int]
     keys: dict[str, list[str]] = field(default_factory=dict)
     revoked: set[str] = field(default_factory=set)
@@ -26,7 +28,7 @@
     @classmethod
     def with_caps(cls, caps: dict[str, int]) -> SiteAccounts:
         """Return accounts with a key each."""
-        accounts = cls(caps)
+        accounts = cls(caps, dict(caps))
         for name in caps:
             accounts.keys[name] = []
             accounts.add_key(name)
--- a/harness/real_faults.py
+++ b/harness/real_faults.py
@@ -178,11 +178,11 @@
     if accounts is None:
         return
     name = striker.rng.choice(sorted(accounts.caps))
-    before = accounts.caps[name]
     accounts.caps[name] = LOW_CAP
     await striker.site.configure()
     await anyio.sleep(lasts_s)
-    accounts.caps[name] = before
+    # Not what it was before: another strike may have lowered it, too.
+    accounts.caps[name] = accounts.usual_caps[name]
     await striker.site.configure()
 
 
