Divide a pool that has no room for all among accounts by weight

Callers of other accounts waited behind one that sends many times its usual: with one at eight times 305 of 1,265 jobs of a kind were not served in time. Of jobs that are alike the first comes first, so the longest line has the pool.

What is at work and what is free in a pool is divided by the weights of the accounts with work there, and what one does not want goes to the others; waiting work beyond its account's part comes after the others' of the same priority. Nothing is stored: the next owner sees what runs. Accounts without a weight, and deployments without accounts, are as before.

Tried first, and not kept: an account comes last as a whole while it has 1.5 times its part at work.

--- a/courselead/core/scheduler/placement.py
+++ b/courselead/core/scheduler/placement.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from courselead.core.scheduler import const, crashes, jobs, lives, urgency
@@ -12,6 +13,7 @@
 from courselead.core.scheduler.isolation import Isolation
 from courselead.core.scheduler.models import Resources
 from courselead.core.scheduler.schedule import Schedule, StepAdvice
+from courselead.core.scheduler.shares import left_of_shares
 from courselead.core.scheduler.state import Minion, Run, StepRun, Unit
 
 MAX_ADVICE_MINIONS = 100
@@ -57,7 +59,8 @@
     if not minions:
         schedule.ready[pool] = line
         return
-    line = _sorted(schedule, line)
+    free_milli = sum(max(0, minion.room.cpu_milli) for minion in minions)
+    line = _sorted(schedule, pool, line, free_milli)
     waiting: list[Unit] = []
     misfits = _Misfits(_passed_over(schedule, pool, line))
     doubt = doubt_of(schedule, pool).beside(lives.barred_tasks(schedule))
@@ -195,10 +198,28 @@
     order: tuple[int, ...]
     units: list[Unit]
 
+    @property
+    def finite_milli(self) -> int:
+        """Return what a finite unit of it takes, in thousandths of a core."""
+        unit = self.units[0]
+        if unit.spec.long_running:
+            return 0
+        return unit.spec.need.cpu_milli * len(unit.indexes)
 
-def _sorted(schedule: Schedule, line: list[Unit]) -> list[Unit]:
+
+def _sorted(
+    schedule: Schedule, pool: str, line: list[Unit], free_milli: int
+) -> list[Unit]:
     """Return a line in the order of start."""
     groups = _groups(schedule, line)
+    waiting: dict[str, int] = defaultdict(int)
+    for group in groups:
+        account = group.units[0].job.account
+        if group.finite_milli:
+            waiting[account] += group.finite_milli * len(group.units)
+    left = left_of_shares(schedule, pool, free_milli, waiting)
+    if left:
+        groups = _by_shares(groups, left)
     return [unit for group in groups for unit in group.units]
 
 
@@ -218,6 +239,27 @@
     return sorted(groups, key=lambda group: group.order)
 
 
+def _by_shares(groups: list[_Group], left: Mapping[str, int]) -> list[_Group]:
+    """Put what is beyond its account's part behind the others' work of its priority."""
+    left = dict(left)
+    within: list[_Group] = []
+    for group in groups:
+        account = group.units[0].job.account
+        need = group.finite_milli
+        if not need or account not in left:
+            within.append(group)
+            continue
+        count = max(0, left[account] // need)
+        left[account] -= need * len(group.units)
+        if count:
+            within.append(_Group(group.order, group.units[:count]))
+        beyond = group.units[count:]
+        if beyond:
+            priority, kind, *rest = group.order
+            within.append(_Group((priority, kind + 1, *rest), beyond))
+    return sorted(within, key=lambda group: group.order[:2])
+
+
 def _order(schedule: Schedule, step: StepRun) -> tuple[int, int, int, int]:
     """Return the order of start of a step's units: lowest first."""
     queue = schedule.queue(step.job.queue)
--- a/courselead/core/scheduler/schedule.py
+++ b/courselead/core/scheduler/schedule.py
@@ -168,9 +168,11 @@
     # Units with runs of earlier owners whose fate is not known yet, by name.
     left_starts: dict[str, Unit] = field(default_factory=dict)
     starts_wait: bool = False
-    # By account: what it has running, what of that an earlier owner had started, and
-    # the pools in which its work waits for its cap.
+    # By account: what it has running, of finite tasks in thousandths of a core by pool,
+    # too, what of it an earlier owner had started, and the pools in which its work
+    # waits for its cap.
     account_use: dict[str, Resources] = field(default_factory=dict)
+    pool_use: dict[str, dict[str, int]] = field(default_factory=dict)
     adopted_use: dict[str, Resources] = field(default_factory=dict)
     pools_at_cap: dict[str, set[str]] = field(default_factory=dict)
     cap_noted_ms: dict[str, int] = field(default_factory=dict)
@@ -299,6 +301,7 @@
         minion.used = minion.used.plus(run.unit.spec.charge)
         run.unit.runs.append(run)
         run.unit.job.live_runs += 1
+        run.pool = minion.info.pool
         self._count_use(run, run.unit.spec.need)
 
     def _count_use(self, run: Run, change: Resources) -> None:
@@ -306,6 +309,12 @@
         if account:
             known = self.account_use.get(account, Resources())
             self.account_use[account] = known.plus(change)
+        if account and not run.unit.spec.long_running:
+            by_account = self.pool_use.setdefault(run.pool, {})
+            used = by_account.get(account, 0) + change.cpu_milli
+            by_account[account] = used
+            if not used:
+                del by_account[account]
 
     def drop_run(self, run: Run) -> None:
         """Forget a run whose end is proved."""
--- a/courselead/core/scheduler/state.py
+++ b/courselead/core/scheduler/state.py
@@ -55,6 +55,7 @@
     pace: int = 100
     confirmed: bool = False
     start_repeated: bool = False
+    pool: str = ""
     born_ms: int = 0
     carried_over: bool = False
 
