Count against a cap what runs of jobs that ended before a new owner came

Jobs that were cancelled or failed within the time for which leases of earlier owners may run count whole now, where their pool is in doubt.

--- a/courselead/core/scheduler/caps.py
+++ b/courselead/core/scheduler/caps.py
@@ -7,13 +7,16 @@
 from __future__ import annotations
 
 from courselead.core.scheduler import const, lives
+from courselead.core.scheduler.book import JobEntry
 from courselead.core.scheduler.doubt import Doubt, doubt_of
-from courselead.core.scheduler.models import Resources
-from courselead.core.scheduler.schedule import Schedule
+from courselead.core.scheduler.models import JobSpec, JobState, Resources
+from courselead.core.scheduler.schedule import Schedule, doubt_ms
 from courselead.core.scheduler.state import Job, Unit
 
 NOTHING = Resources()
 
+_STOPPED = (JobState.CANCELLED, JobState.FAILED)
+
 
 class CapView:
     """What caps leave, for one round of placement."""
@@ -113,15 +116,43 @@
             if not job.account:
                 continue
             doubt = doubts.get(schedule.pool_of(job), Doubt()).beside(barred)
-            use = _doubtful(job, doubt)
-            if use != NOTHING:
-                found[job.account] = found.get(job.account, NOTHING).plus(use)
+            _add(found, job.account, _doubtful(job, doubt))
+        for entry in schedule.book.jobs.values():
+            if not entry.account or not _may_still_run(schedule, entry):
+                continue
+            queue = schedule.queue(entry.queue)
+            doubt = doubts.get(queue.pool if queue is not None else "", Doubt())
+            if doubt.may_hold(entry.job_id):
+                _add(found, entry.account, _whole(entry.spec))
     for account, use in found.items():
         found[account] = _left_by_adopted(schedule, account, use)
     schedule.unseen_use = (schedule.now_ms, found)
     return found
 
 
+def _add(found: dict[str, Resources], account: str, use: Resources) -> None:
+    if use != NOTHING:
+        found[account] = found.get(account, NOTHING).plus(use)
+
+
+def _may_still_run(schedule: Schedule, entry: JobEntry) -> bool:
+    """Return whether an ended job may have runs that an earlier owner did not stop."""
+    if entry.job_id in schedule.jobs or entry.state not in _STOPPED:
+        return False
+    progress = entry.progress
+    if progress is None or not progress.ended_ms:
+        return True
+    return schedule.wall_ms - progress.ended_ms < doubt_ms(schedule.bounds)
+
+
+def _whole(spec: JobSpec) -> Resources:
+    """Return what all tasks of a job take at once."""
+    total = NOTHING
+    for step in spec.steps:
+        total = total.plus(step.need.times(step.count))
+    return total
+
+
 def _doubtful(job: Job, doubt: Doubt) -> Resources:
     """Return what of a job may run unseen."""
     total = NOTHING
--- a/courselead/core/scheduler/doubt.py
+++ b/courselead/core/scheduler/doubt.py
@@ -38,6 +38,12 @@
             return True
         return self._names(unit, self.tasks)
 
+    def may_hold(self, job_id: str) -> bool:
+        """Return whether tasks of a job from before may run unseen."""
+        if self.whole_pool:
+            return True
+        return any(task.startswith(job_id) for task in self.tasks)
+
     @staticmethod
     def _names(unit: Unit, tasks: frozenset[str]) -> bool:
         return any(unit.task_name(index) in tasks for index in unit.indexes)
--- a/tests/core/scheduler/test_caps.py
+++ b/tests/core/scheduler/test_caps.py
@@ -144,6 +144,24 @@
     assert world.state(SECOND) is JobState.COMPLETED
 
 
+def test_a_new_owner_counts_a_job_that_was_cancelled_behind_a_cut():
+    """It ended before this owner came, and what runs of it was not stopped yet."""
+    world = world_with_cap(Resources(4_000))
+    world.submit(job(step(4)), FIRST, 6_000, OURS)
+    world.run(300)
+    behind = {world.minions[start[3]].minion_id for start in world.starts}
+    for minion_id in behind:
+        world.minions[minion_id].cut = True
+    world.cancel(FIRST)
+    world.claim()
+    world.run(300)
+    world.submit(job(step(4)), SECOND, 500, OURS)
+    world.run(1_000)
+    assert world.state(SECOND) is JobState.QUEUED
+    world.run(20_000)
+    assert world.state(SECOND) is JobState.COMPLETED
+
+
 def test_what_a_new_owner_has_adopted_is_not_counted_as_unseen_again():
     """Else an account with a long line would wait for its leases to run out."""
     world = world_with_cap(Resources(4_000), minions=6)
