Refuse no unknown credential for good at a host that is cut off

Callers with a new key were told 401 by a host that had not read the configuration with it, as if the key were wrong; a client does not repeat that. A host whose newest configuration is over 3 s old answers 503 now: nothing was done, another host may know. The new tests failed before; one of them also shows what strictRevoke does.

--- a/courselead/daemon/scheduling/intake.py
+++ b/courselead/daemon/scheduling/intake.py
@@ -25,6 +25,10 @@
 """When a caller may come back: the log's outages last seconds, its slowness less."""
 
 
+STALE_S = 3.0
+"""Age of the newest configuration from which a credential that it does not hold may be
+in a newer one: some twice the pause between two answers of a calm log."""
+
 DEFAULT_BODY_BYTES = 262_144
 """Longest body before the first configuration: the platform's own limit."""
 
@@ -106,15 +110,20 @@
         """Return whether there is a configuration yet."""
         return self._directions.current is not None
 
-    @property
-    def credentials_checked(self) -> bool:
-        """Return whether credentials that were taken away would be known as such.
+    def knows_credentials_for(self, caller: Caller | None) -> bool:
+        """Return whether a call can be served, or refused for good, by what is known.
 
-        Where the operators want revocations to bind a host that is cut off from the
-        log, it serves no account once what it knows of credentials is too old.
+        A credential that is not known may be newer than what a host knows that is cut
+        off from the log. Where the operators want revocations to bind such a host, it
+        serves no account, either, once what it knows is too old.
         """
+        age_s = self._directions.age_s()
+        if caller is None:
+            return age_s <= STALE_S
+        if not caller.account or self._directions.is_public(caller.queue):
+            return True
         longest_s = self._directions.longest_age_s
-        return longest_s is None or self._directions.age_s() <= longest_s
+        return longest_s is None or age_s <= longest_s
 
     @property
     def body_bytes(self) -> int:
--- a/courselead/platform/ingress.py
+++ b/courselead/platform/ingress.py
@@ -114,10 +114,10 @@
             return 404, {"error": "no queue has this host and path; check both"}
         queue, rest = found
         caller = self._intake.caller_of(queue, _credentials(scope))
+        if not self._intake.knows_credentials_for(caller):
+            return 503, {"error": "credentials cannot be checked; ask another host"}
         if caller is None:
             return 401, {"error": "send one known credential in X-Api-Key"}
-        if caller.account and not self._intake.credentials_checked:
-            return 503, {"error": "credentials cannot be checked; ask another host"}
         if body is None:
             return 413, {"error": "the body is too long; send a shorter job"}
         method = scope["method"]
--- a/tests/platform/test_accounts.py
+++ b/tests/platform/test_accounts.py
@@ -180,6 +180,26 @@
     assert accounts["b"] == ClientAccount("b")
 
 
+async def test_a_host_that_is_cut_off_refuses_no_unknown_key_for_good():
+    """It may be in a configuration that this host has not read yet."""
+    door = door_with(ours=[OURS])
+    door.directions.age_s = lambda: 20.0
+    assert await status_of(door, "POST", PRIVATE, NEW_KEY) == 503
+    assert await status_of(door, "POST", PRIVATE) == 503
+    assert await status_of(door, "POST", PRIVATE, OURS) == 200
+
+
+async def test_revocations_bind_a_host_that_is_cut_off_where_they_must():
+    door = door_with(ours=[OURS])
+    door.directions.longest_age_s = 5.0
+    door.directions.age_s = lambda: 4.9
+    assert await status_of(door, "POST", PRIVATE, OURS) == 200
+    door.directions.age_s = lambda: 5.1
+    for method in ("POST", "GET", "DELETE"):
+        assert await status_of(door, method, PRIVATE, OURS) == 503
+    assert await status_of(door, "POST", "/p/00000000000000aa", OURS) == 200
+
+
 async def test_the_order_of_refusals_tells_strangers_nothing():
     door = door_with(ours=[OURS])
     assert await status_of(door, "GET", "/none/") == 404
