Take what deployments without accounts do not need out of each round

Reading the change once more: a round reckoned what may run unseen, and summed up free room and waiting work by account, also where there are no accounts; the tasks that are barred were looked for on all minions, though only those with stray starts have any. Both are looked for where they can be now.

A class that held the schedule and a cached value is two functions; three ways to add to what an account uses are one; cores_left and the count of credentials, which nothing called, are gone; the length of a job's id stands once, and the kinds of waiting work have names. The test of long lines has its own words back.

--- a/benchmarks/accounts/__main__.py
+++ b/benchmarks/accounts/__main__.py
@@ -9,8 +9,7 @@
 from dataclasses import replace
 
 from courselead.core.credentials import CredentialHolders, digest_of
-from courselead.core.scheduler import demand, placement
-from courselead.core.scheduler.caps import CapView
+from courselead.core.scheduler import caps, demand, placement
 from courselead.core.scheduler.models import ClientAccount, FleetConfig, Resources
 from tests.core.scheduler.world import POOL, World, config, job, step
 
@@ -70,8 +69,8 @@
     schedule = owner.schedule
     line = schedule.ready[POOL]
     if cfg.accounts:
-        view, unit = CapView(schedule), line[0]
-        _time("cap checked", lambda: view.has_room(unit))
+        unit = line[0]
+        _time("cap checked", lambda: caps.has_room(schedule, unit))
 
     def go_through() -> None:
         schedule.dirty_pools.add(POOL)
--- a/courselead/core/credentials.py
+++ b/courselead/core/credentials.py
@@ -37,10 +37,6 @@
             del self._by_digest[digest]
         self.ambiguous = frozenset(ambiguous)
 
-    def __len__(self) -> int:
-        """Return how many credentials are known."""
-        return len(self._by_digest)
-
     def holder(self, digest: bytes) -> str | None:
         """Return the account that holds a credential, nothing if none does."""
         return self._by_digest.get(digest)
--- a/courselead/core/scheduler/caps.py
+++ b/courselead/core/scheduler/caps.py
@@ -8,67 +8,66 @@
 
 from courselead.core.scheduler import const, lives
 from courselead.core.scheduler.book import JobEntry
-from courselead.core.scheduler.doubt import Doubt, doubt_of
-from courselead.core.scheduler.models import JobSpec, JobState, Resources
-from courselead.core.scheduler.schedule import Schedule, doubt_ms
+from courselead.core.scheduler.doubt import NO_DOUBT, Doubt, doubt_of
+from courselead.core.scheduler.models import (
+    NOTHING,
+    JobSpec,
+    JobState,
+    Resources,
+)
+from courselead.core.scheduler.schedule import Schedule, add_use, doubt_ms
 from courselead.core.scheduler.state import Job, Unit
 
-NOTHING = Resources()
-
 _STOPPED = (JobState.CANCELLED, JobState.FAILED)
 
 
-class CapView:
-    """What caps leave, for one round of placement."""
-
-    def __init__(self, schedule: Schedule) -> None:
-        """Find what may run unseen."""
-        self._schedule = schedule
-        self._unseen = unseen_use(schedule)
-
-    def has_room(self, unit: Unit) -> bool:
-        """Return whether a unit may start within its account's cap.
-
-        A task that is larger than the whole cap runs alone.
-        """
-        account = unit.job.account
-        limit = limit_of(self._schedule, account)
-        if limit is None:
-            return True
-        used = self._schedule.account_use.get(account, NOTHING)
-        unseen = self._unseen.get(account, NOTHING)
-        need = need_of(unit)
-        if _is_within(used.plus(unseen).plus(need), limit):
-            step = unit.step
-            if step.at_cap_ms:
-                step.capped_ms += self._schedule.now_ms - step.at_cap_ms
-                step.at_cap_ms = 0
-            return True
-        if len(unit.indexes) == 1 and used == unseen == NOTHING:
-            return True
-        self._note_wait(unit, used, unseen, limit)
-        return False
+def has_room(schedule: Schedule, unit: Unit) -> bool:
+    """Return whether a unit may start within its account's cap.
 
-    def _note_wait(
-        self, unit: Unit, used: Resources, unseen: Resources, limit: Resources
-    ) -> None:
-        schedule, account = self._schedule, unit.job.account
-        unit.step.at_cap_ms = unit.step.at_cap_ms or schedule.now_ms
-        schedule.pools_at_cap.setdefault(account, set()).add(schedule.pool_of(unit.job))
-        noted_ms = schedule.cap_noted_ms.get(account)
-        if noted_ms is not None and schedule.now_ms - noted_ms < const.CAP_REPORT_MS:
-            return
-        schedule.cap_noted_ms[account] = schedule.now_ms
-        schedule.note(
-            "account_at_cap",
-            account=account,
-            job_id=unit.job.job_id,
-            used=_text(used),
-            unseen=_text(unseen),
-            need=_text(need_of(unit)),
-            limit=_text(limit),
-            version=schedule.config.version,
-        )
+    A task that is larger than the whole cap runs alone.
+    """
+    account = unit.job.account
+    limit = limit_of(schedule, account)
+    if limit is None:
+        return True
+    used = schedule.account_use.get(account, NOTHING)
+    unseen = unseen_use(schedule).get(account, NOTHING)
+    if _is_within(used.plus(unseen).plus(need_of(unit)), limit):
+        step = unit.step
+        if step.at_cap_ms:
+            step.capped_ms += schedule.now_ms - step.at_cap_ms
+            step.at_cap_ms = 0
+        return True
+    if len(unit.indexes) == 1 and used == unseen == NOTHING:
+        return True
+    _note_wait(schedule, unit, used, unseen, limit)
+    return False
+
+
+def _note_wait(
+    schedule: Schedule,
+    unit: Unit,
+    used: Resources,
+    unseen: Resources,
+    limit: Resources,
+) -> None:
+    account = unit.job.account
+    unit.step.at_cap_ms = unit.step.at_cap_ms or schedule.now_ms
+    schedule.pools_at_cap.setdefault(account, set()).add(schedule.pool_of(unit.job))
+    noted_ms = schedule.cap_noted_ms.get(account)
+    if noted_ms is not None and schedule.now_ms - noted_ms < const.CAP_REPORT_MS:
+        return
+    schedule.cap_noted_ms[account] = schedule.now_ms
+    schedule.note(
+        "account_at_cap",
+        account=account,
+        job_id=unit.job.job_id,
+        used=_text(used),
+        unseen=_text(unseen),
+        need=_text(need_of(unit)),
+        limit=_text(limit),
+        version=schedule.config.version,
+    )
 
 
 def need_of(unit: Unit) -> Resources:
@@ -91,15 +90,6 @@
     )
 
 
-def cores_left(schedule: Schedule, account: str) -> int | None:
-    """Return the thousandths of a core that an account may yet use, None if any."""
-    limit = limit_of(schedule, account)
-    if limit is None or not limit.cpu_milli:
-        return None
-    used = schedule.account_use.get(account, NOTHING)
-    return max(0, limit.cpu_milli - used.cpu_milli)
-
-
 def unseen_use(schedule: Schedule) -> dict[str, Resources]:
     """Return the most that each account may have where no look has reached yet.
 
@@ -111,33 +101,30 @@
     found: dict[str, Resources] = {}
     doubts = {pool: doubt_of(schedule, pool) for pool in schedule.config.pools}
     barred = lives.barred_tasks(schedule)
-    if barred or any(doubt != Doubt() for doubt in doubts.values()):
+    if barred or any(doubt != NO_DOUBT for doubt in doubts.values()):
         for job in schedule.jobs.values():
             if not job.account:
                 continue
-            doubt = doubts.get(schedule.pool_of(job), Doubt()).beside(barred)
-            _add(found, job.account, _doubtful(job, doubt))
+            doubt = doubts.get(schedule.pool_of(job), NO_DOUBT).beside(barred)
+            add_use(found, job.account, _doubtful(job, doubt))
         for entry in schedule.book.jobs.values():
-            if not entry.account or not _may_still_run(schedule, entry):
+            if not _may_still_run(schedule, entry):
                 continue
             queue = schedule.queue(entry.queue)
-            doubt = doubts.get(queue.pool if queue is not None else "", Doubt())
+            doubt = doubts.get(queue.pool if queue is not None else "", NO_DOUBT)
             if doubt.may_hold(entry.job_id):
-                _add(found, entry.account, _whole(entry.spec))
+                add_use(found, entry.account, _whole(entry.spec))
     for account, use in found.items():
         found[account] = _left_by_adopted(schedule, account, use)
     schedule.unseen_use = (schedule.now_ms, found)
     return found
 
 
-def _add(found: dict[str, Resources], account: str, use: Resources) -> None:
-    if use != NOTHING:
-        found[account] = found.get(account, NOTHING).plus(use)
-
-
 def _may_still_run(schedule: Schedule, entry: JobEntry) -> bool:
     """Return whether an ended job may have runs that an earlier owner did not stop."""
-    if entry.job_id in schedule.jobs or entry.state not in _STOPPED:
+    if not entry.account or entry.job_id in schedule.jobs:
+        return False
+    if entry.state not in _STOPPED:
         return False
     progress = entry.progress
     if progress is None or not progress.ended_ms:
--- a/courselead/core/scheduler/lives.py
+++ b/courselead/core/scheduler/lives.py
@@ -126,8 +126,11 @@
 def barred_tasks(schedule: Schedule) -> frozenset[str]:
     """Return the tasks that may begin on a life that has not answered their stop."""
     barred: set[str] = set()
-    for minion in schedule.minions.values():
-        barred.update(task for task, _ in minion.bars)
+    # Only a minion with stray starts has any.
+    for minion_id in schedule.stray_starts:
+        minion = schedule.minions.get(minion_id)
+        if minion is not None:
+            barred.update(task for task, _ in minion.bars)
     return frozenset(barred)
 
 
--- a/courselead/core/scheduler/minions.py
+++ b/courselead/core/scheduler/minions.py
@@ -23,8 +23,7 @@
     StepDown,
     StopRun,
 )
-from courselead.core.scheduler.models import Resources
-from courselead.core.scheduler.schedule import Schedule
+from courselead.core.scheduler.schedule import Schedule, add_use
 from courselead.core.scheduler.state import Minion, Run, RunPhase, Unit, UnsavedEnd
 
 
@@ -227,7 +226,7 @@
     run.born_ms = minion.info.born_ms
     rival = [other for other in unit.runs if other.index == index]
     schedule.add_run(minion, run)
-    _count_adopted(schedule, run)
+    add_use(schedule.adopted_use, unit.job.account, unit.spec.need)
     unit.next_number = max(unit.next_number, report.number + 1)
     unit.job.zone = unit.job.zone or minion.info.zone
     line = schedule.ready.get(schedule.pool_of(unit.job), [])
@@ -248,13 +247,6 @@
     return run
 
 
-def _count_adopted(schedule: Schedule, run: Run) -> None:
-    account = run.unit.job.account
-    if account:
-        known = schedule.adopted_use.get(account, Resources())
-        schedule.adopted_use[account] = known.plus(run.unit.spec.need)
-
-
 def _ended(schedule: Schedule, minion: Minion, end: EndReport) -> None:
     if end.sequence <= minion.ended_seen:
         return
--- a/courselead/core/scheduler/models.py
+++ b/courselead/core/scheduler/models.py
@@ -63,6 +63,9 @@
         )
 
 
+NOTHING = Resources()
+
+
 class StepSpec(msgspec.Struct, frozen=True, array_like=True):
     """One step of a job: `count` tasks of the same need."""
 
@@ -159,7 +162,7 @@
 
     name: str
     weight: float = 0.0
-    cap: Resources = Resources()
+    cap: Resources = NOTHING
 
 
 @dataclass(frozen=True, slots=True)
--- a/courselead/core/scheduler/placement.py
+++ b/courselead/core/scheduler/placement.py
@@ -3,11 +3,9 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from collections.abc import Mapping
 from dataclasses import dataclass
 
-from courselead.core.scheduler import const, crashes, jobs, lives, urgency
-from courselead.core.scheduler.caps import CapView
+from courselead.core.scheduler import caps, const, crashes, jobs, lives, urgency
 from courselead.core.scheduler.doubt import Doubt, doubt_of
 from courselead.core.scheduler.events import AskAdvice, StartRun
 from courselead.core.scheduler.isolation import Isolation
@@ -39,7 +37,9 @@
     if schedule.lease_left_ms < const.LEAST_LEASE_MS:
         return
     pools, schedule.dirty_pools = schedule.dirty_pools, set()
-    caps = CapView(schedule)
+    if schedule.config.accounts:
+        # The whole round is weighed with what was not seen at its start.
+        caps.unseen_use(schedule)
     for pool in sorted(pools):
         line = schedule.ready.get(pool)
         if not line:
@@ -50,17 +50,16 @@
         if len(line) > LONG_LINE:
             gap_ms = len(line) // UNITS_A_MS
             schedule.place_after_ms[pool] = schedule.now_ms + gap_ms
-        _place_pool(schedule, pool, caps)
+        _place_pool(schedule, pool)
 
 
-def _place_pool(schedule: Schedule, pool: str, caps: CapView) -> None:
+def _place_pool(schedule: Schedule, pool: str) -> None:
     line = _cleaned(schedule, pool)
     minions = _usable(schedule, pool)
     if not minions:
         schedule.ready[pool] = line
         return
-    free_milli = sum(max(0, minion.room.cpu_milli) for minion in minions)
-    line = _sorted(schedule, pool, line, free_milli)
+    line = _sorted(schedule, pool, line, minions)
     waiting: list[Unit] = []
     misfits = _Misfits(_passed_over(schedule, pool, line))
     doubt = doubt_of(schedule, pool).beside(lives.barred_tasks(schedule))
@@ -74,7 +73,7 @@
         if not _may_start(schedule, unit, doubt, isolation):
             waiting.append(unit)
             continue
-        if not caps.has_room(unit):
+        if not caps.has_room(schedule, unit):
             waiting.append(unit)
             held_up.add(id(unit.step))
             continue
@@ -139,17 +138,16 @@
 def _cleaned(schedule: Schedule, pool: str) -> list[Unit]:
     """Return the line without units that need no start any more."""
     line: list[Unit] = []
-    # The pool of each job, "" of one that has ended.
-    pools: dict[int, str] = {}
+    # The pool of each job, nothing of one that has ended.
+    pools: dict[int, str | None] = {}
     for unit in schedule.ready.get(pool, []):
         if unit.done or unit.runs:
             continue
         job = unit.job
-        current = pools.get(id(job))
+        if id(job) not in pools:
+            pools[id(job)] = None if job.state.final else schedule.pool_of(job)
+        current = pools[id(job)]
         if current is None:
-            current = "" if job.state.final else schedule.pool_of(job)
-            pools[id(job)] = current
-        if not current and job.state.final:
             continue
         if current != pool:
             schedule.ready.setdefault(current, []).append(unit)
@@ -188,6 +186,11 @@
     return not doubt.holds_back(unit)
 
 
+_LASTING, _FINITE, _BEYOND = range(3)
+"""Kinds of waiting work of one priority in the order of start: tasks that last, others,
+and those beyond their account's part."""
+
+
 @dataclass(slots=True)
 class _Group:
     """Units of a line that come one after the other: of one step.
@@ -198,6 +201,11 @@
     order: tuple[int, ...]
     units: list[Unit]
 
+    @property
+    def account(self) -> str:
+        """Return whose it is."""
+        return self.units[0].job.account
+
     @property
     def finite_milli(self) -> int:
         """Return what a finite unit of it takes, in thousandths of a core."""
@@ -208,18 +216,12 @@
 
 
 def _sorted(
-    schedule: Schedule, pool: str, line: list[Unit], free_milli: int
+    schedule: Schedule, pool: str, line: list[Unit], minions: list[Minion]
 ) -> list[Unit]:
     """Return a line in the order of start."""
     groups = _groups(schedule, line)
-    waiting: dict[str, int] = defaultdict(int)
-    for group in groups:
-        account = group.units[0].job.account
-        if group.finite_milli:
-            waiting[account] += group.finite_milli * len(group.units)
-    left = left_of_shares(schedule, pool, free_milli, waiting)
-    if left:
-        groups = _by_shares(groups, left)
+    if schedule.config.accounts:
+        groups = _by_shares(schedule, pool, groups, minions)
     return [unit for group in groups for unit in group.units]
 
 
@@ -239,13 +241,22 @@
     return sorted(groups, key=lambda group: group.order)
 
 
-def _by_shares(groups: list[_Group], left: Mapping[str, int]) -> list[_Group]:
+def _by_shares(
+    schedule: Schedule, pool: str, groups: list[_Group], minions: list[Minion]
+) -> list[_Group]:
     """Put what is beyond its account's part behind the others' work of its priority."""
-    left = dict(left)
-    within: list[_Group] = []
+    waiting: dict[str, int] = defaultdict(int)
     for group in groups:
-        account = group.units[0].job.account
         need = group.finite_milli
+        if need:
+            waiting[group.account] += need * len(group.units)
+    free_milli = sum(max(0, minion.room.cpu_milli) for minion in minions)
+    left = left_of_shares(schedule, pool, free_milli, waiting)
+    if not left:
+        return groups
+    within: list[_Group] = []
+    for group in groups:
+        account, need = group.account, group.finite_milli
         if not need or account not in left:
             within.append(group)
             continue
@@ -255,8 +266,8 @@
             within.append(_Group(group.order, group.units[:count]))
         beyond = group.units[count:]
         if beyond:
-            priority, kind, *rest = group.order
-            within.append(_Group((priority, kind + 1, *rest), beyond))
+            priority, _, *rest = group.order
+            within.append(_Group((priority, _BEYOND, *rest), beyond))
     return sorted(within, key=lambda group: group.order[:2])
 
 
@@ -265,9 +276,9 @@
     queue = schedule.queue(step.job.queue)
     priority = queue.priority if queue is not None else 0
     if step.spec.long_running:
-        return (priority, 0, 0, 0)
+        return (priority, _LASTING, 0, 0)
     late = urgency.is_late(schedule, step)
-    return (priority, 1, int(late), urgency.left(schedule, step).work)
+    return (priority, _FINITE, int(late), urgency.left(schedule, step).work)
 
 
 def _try_start(
--- a/courselead/core/scheduler/schedule.py
+++ b/courselead/core/scheduler/schedule.py
@@ -15,6 +15,7 @@
     StopRun,
 )
 from courselead.core.scheduler.models import (
+    NOTHING,
     Bounds,
     FleetConfig,
     Life,
@@ -112,6 +113,12 @@
     chain_ms: int
 
 
+def add_use(by_account: dict[str, Resources], account: str, use: Resources) -> None:
+    """Add to what an account uses; what belongs to no account is not counted."""
+    if account:
+        by_account[account] = by_account.get(account, NOTHING).plus(use)
+
+
 def longest_lease_ms(bounds: Bounds) -> int:
     """Return how long a lease can run, on a clock as slow as a minion's may be."""
     return int(bounds.lease_max_ms / const.CLOCK_SLOWNESS)
@@ -306,15 +313,15 @@
 
     def _count_use(self, run: Run, change: Resources) -> None:
         account = run.unit.job.account
-        if account:
-            known = self.account_use.get(account, Resources())
-            self.account_use[account] = known.plus(change)
-        if account and not run.unit.spec.long_running:
-            by_account = self.pool_use.setdefault(run.pool, {})
-            used = by_account.get(account, 0) + change.cpu_milli
+        if not account:
+            return
+        add_use(self.account_use, account, change)
+        if run.unit.spec.long_running:
+            return
+        by_account = self.pool_use.setdefault(run.pool, {})
+        used = by_account.pop(account, 0) + change.cpu_milli
+        if used:
             by_account[account] = used
-            if not used:
-                del by_account[account]
 
     def drop_run(self, run: Run) -> None:
         """Forget a run whose end is proved."""
@@ -327,7 +334,7 @@
         if run in run.unit.runs:
             run.unit.runs.remove(run)
             run.unit.job.live_runs -= 1
-            self._count_use(run, Resources().minus(run.unit.spec.need))
+            self._count_use(run, NOTHING.minus(run.unit.spec.need))
             self.dirty_pools |= self.pools_at_cap.pop(run.unit.job.account, set())
             if run.unit.starts_stored and not run.unit.job.state.final:
                 self.dirty_jobs[run.unit.job.job_id] = None
--- a/courselead/core/scheduler/shares.py
+++ b/courselead/core/scheduler/shares.py
@@ -7,12 +7,10 @@
 
 from courselead.core.scheduler.schedule import Schedule
 
-NO_SHARES: Mapping[str, int] = {}
-
 
 def left_of_shares(
     schedule: Schedule, pool: str, free_milli: int, waiting: Mapping[str, int]
-) -> Mapping[str, int]:
+) -> dict[str, int]:
     """Return what accounts may start before others' waiting work comes first.
 
     The load: one account sends many times its usual, its pool is full, and its line is
@@ -27,7 +25,7 @@
         waiting: What waits of each account.
     """
     if len(waiting) < 2:
-        return NO_SHARES
+        return {}
     use = schedule.pool_use.get(pool, {})
     weights: dict[str, float] = {}
     for account in {*waiting, *use}:
@@ -41,7 +39,7 @@
     room = free_milli + sum(use.get(account, 0) for account in weights)
     level = _level(room, weights, wanted)
     if math.isinf(level):
-        return NO_SHARES
+        return {}
     return {
         account: int(level * weight) - use.get(account, 0)
         for account, weight in weights.items()
--- a/courselead/platform/ingress.py
+++ b/courselead/platform/ingress.py
@@ -10,6 +10,7 @@
 from returns.result import Failure, Result, Success
 
 from courselead.core.scheduler.models import JobSpec, Resources, StepSpec
+from courselead.core.scheduler.records import JOB_ID_LENGTH
 from courselead.daemon.scheduling.intake import (
     RETRY_AFTER_S,
     Caller,
@@ -21,7 +22,7 @@
 from courselead.integrations.http_api.plain import answer, whole_body
 from courselead.platform import const
 
-_JOB_ID = re.compile(r"[0-9a-f]{16}")
+_JOB_ID = re.compile(f"[0-9a-f]{{{JOB_ID_LENGTH}}}")
 _MOST_PAYLOAD = 4_000
 _MOST_TASKS = 10_000
 
--- a/tests/core/scheduler/test_caps.py
+++ b/tests/core/scheduler/test_caps.py
@@ -199,6 +199,6 @@
 
 
 def test_the_world_sees_a_cap_that_is_not_kept(monkeypatch):
-    monkeypatch.setattr(caps.CapView, "has_room", lambda self, unit: True)
+    monkeypatch.setattr(caps, "has_room", lambda schedule, unit: True)
     with pytest.raises(AssertionError, match="QUOTA"):
         CapPlay(0).run()
--- a/tests/core/scheduler/test_jobs.py
+++ b/tests/core/scheduler/test_jobs.py
@@ -227,8 +227,8 @@
     monkeypatch.setattr(
         placement,
         "_place_pool",
-        lambda schedule, *args: (
-            rounds.append(schedule.now_ms) or round_of(schedule, *args)
+        lambda schedule, pool: (
+            rounds.append(schedule.now_ms) or round_of(schedule, pool)
         ),
     )
     waiting = len(owner.schedule.ready[POOL])
