--- a/standins/job_platform/ledger.py
+++ b/standins/job_platform/ledger.py
@@ -5,7 +5,9 @@
 import itertools
 import time
 from collections import Counter
+from collections.abc import Sequence
 from dataclasses import dataclass, field
+from typing import TypeVar
 
 CRASHES_ALLOWED = 3
 STARTS_ALLOWED = 2
@@ -20,6 +22,23 @@
 with its leases."""
 
 
+T = TypeVar("T")
+
+
+def in_force(versions: Sequence[tuple[float, T]], since: float) -> list[T]:
+    """Return the values that may be in force: the newest, and those replaced of late.
+
+    Args:
+        versions: Values with the time from which each holds, oldest first.
+        since: Time from which on a replaced one may still be in force somewhere.
+    """
+    found = [value for _, value in versions[-1:]]
+    for (_, value), (until, _) in itertools.pairwise(versions):
+        if until >= since:
+            found.append(value)
+    return found
+
+
 @dataclass(slots=True)
 class Ledger:
     """Starts and ends of all minions of a site, checked as they come.
@@ -89,13 +108,7 @@
 
     def _caps_in_force(self, account: str) -> list[int]:
         """Return the caps that may be in force: the newest, and others not long ago."""
-        versions = self._caps.get(account, [])
-        since = time.monotonic() - CONFIG_S
-        caps = [cap for _, cap in versions[-1:]]
-        for (_, cap), (until, _) in itertools.pairwise(versions):
-            if until >= since:
-                caps.append(cap)
-        return caps
+        return in_force(self._caps.get(account, []), time.monotonic() - CONFIG_S)
 
     def noted(self, task: str) -> None:
         """Take note that a minion was told to forget a task's end as done."""
--- a/tests/core/scheduler/test_caps.py
+++ b/tests/core/scheduler/test_caps.py
@@ -25,6 +25,16 @@
     return world
 
 
+def world_with_runs_behind_a_cut() -> World:
+    """Return a world in which an account's whole cap is at work behind a cut."""
+    world = world_with_cap(Resources(4_000))
+    world.submit(job(step(4)), FIRST, 6_000, OURS)
+    world.run(300)
+    for _, _, _, minion_id in world.starts:
+        world.minions[minion_id].cut = True
+    return world
+
+
 def waits(world: World) -> list[dict[str, object]]:
     return [
         order.fields
@@ -124,12 +134,7 @@
 
 def test_a_new_owner_counts_what_runs_behind_a_cut():
     """It learns of these runs when the cut is over, or their leases are."""
-    world = world_with_cap(Resources(4_000))
-    world.submit(job(step(4)), FIRST, 6_000, OURS)
-    world.run(300)
-    behind = {world.minions[start[3]].minion_id for start in world.starts}
-    for minion_id in behind:
-        world.minions[minion_id].cut = True
+    world = world_with_runs_behind_a_cut()
     world.claim()
     world.run(300)
     world.submit(job(step(4)), SECOND, 500, OURS)
@@ -138,20 +143,15 @@
     assert world.state(SECOND) is JobState.QUEUED
     assert world.state(THIRD) is JobState.COMPLETED
     assert waits(world)[-1]["unseen"] == "4000m/400MB/0"
-    for minion_id in behind:
-        world.minions[minion_id].cut = False
+    for minion in world.all_minions:
+        minion.cut = False
     world.run(8_000)
     assert world.state(SECOND) is JobState.COMPLETED
 
 
 def test_a_new_owner_counts_a_job_that_was_cancelled_behind_a_cut():
     """It ended before this owner came, and what runs of it was not stopped yet."""
-    world = world_with_cap(Resources(4_000))
-    world.submit(job(step(4)), FIRST, 6_000, OURS)
-    world.run(300)
-    behind = {world.minions[start[3]].minion_id for start in world.starts}
-    for minion_id in behind:
-        world.minions[minion_id].cut = True
+    world = world_with_runs_behind_a_cut()
     world.cancel(FIRST)
     world.claim()
     world.run(300)
--- a/tests/core/scheduler/test_cleared_tasks.py
+++ b/tests/core/scheduler/test_cleared_tasks.py
@@ -10,14 +10,16 @@
 
 import pytest
 
-from courselead.core.scheduler.models import JobState, Resources
+from courselead.core.scheduler.models import JobState
 from tests.core.scheduler.test_crashing_tasks import (
     CRASHER,
     CRASHING_TASK,
+    lose_owners_after_starts,
     noted,
+    world_of_racks,
     world_with_crasher,
 )
-from tests.core.scheduler.world import World, job, step
+from tests.core.scheduler.world import job, step
 
 LASTING = "00000000000000dd"
 
@@ -61,36 +63,13 @@
 def test_owners_that_are_lost_after_first_starts_hide_no_second_crash(lost_after_ms):
     """Only the first start of a task may be on no record: the limit counts one in."""
     world = world_with_crasher(10, minions=8)
-    for _ in range(14):
-        before = len(world.starts)
-        for _ in range(60):
-            world.run(50)
-            if len(world.starts) > before:
-                break
-        world.run(lost_after_ms)
-        world.claim()
-    world.run(20_000)
+    lose_owners_after_starts(world, 14, lost_after_ms)
     assert world.state(CRASHER) is JobState.FAILED
 
 
-def world_of_racks(racks=4) -> World:
-    world = World(minions=0)
-    for number in range(3 * racks):
-        rack = number // 3
-        world.add_minion(
-            f"w{number}",
-            labels=("a", f"r{rack}"),
-            zone=f"z{rack % 3 + 1}",
-            room=Resources(4_000, 4_000),
-        )
-    world.claim()
-    world.run(500)
-    return world
-
-
 def test_a_lasting_task_on_racks_that_lose_power_is_kept():
     """Others are lost at the same moment, which no task of this job does."""
-    world = world_of_racks()
+    world = world_of_racks(4)
     world.submit(job(step(1, long_running=True)), LASTING)
     # Work on each minion, of other jobs.
     for number in range(12):
--- a/tests/core/scheduler/test_crashing_tasks.py
+++ b/tests/core/scheduler/test_crashing_tasks.py
@@ -10,8 +10,8 @@
 """
 
 from courselead.core.scheduler import crashes, events as ev
-from courselead.core.scheduler.models import JobState
-from tests.core.scheduler.world import World, job, step
+from courselead.core.scheduler.models import JobState, Resources
+from tests.core.scheduler.world import ZONES, World, job, step
 
 CRASHER = "00000000000000cc"
 CRASHING_TASK = f"{CRASHER}.0.0.0"
@@ -52,6 +52,42 @@
     return {name: item.unit.crash_count for name, item in suspects.items()}
 
 
+def lose_owners_after_starts(world: World, owners: int, lost_after_ms: int) -> None:
+    """Let each owner be followed so long after the next start, and then go on."""
+    for _ in range(owners):
+        before = len(world.starts)
+        for _ in range(60):
+            world.run(50)
+            if len(world.starts) > before:
+                break
+        world.run(lost_after_ms)
+        world.claim()
+    world.run(20_000)
+
+
+def world_of_racks(racks: int) -> World:
+    """Return a world with an owner and three minions in each rack."""
+    world = World(minions=0)
+    for number in range(3 * racks):
+        rack = number // 3
+        world.add_minion(
+            f"w{number}",
+            labels=("a", f"r{rack}"),
+            zone=ZONES[rack % len(ZONES)],
+            room=Resources(4_000, 4_000),
+        )
+    world.claim()
+    world.run(500)
+    return world
+
+
+def next_life_behind_a_cut(world: World, minion_id: str, lives: int) -> None:
+    """Let a minion start again, reached by its entry alone."""
+    world.list_entry(world.start_again(minion_id, 1_800_000_000_000 + lives))
+    world.minions[minion_id].cut = True
+    world.run(50)
+
+
 def noted(world: World, event: str) -> list[dict[str, object]]:
     return [
         order.fields
@@ -162,15 +198,7 @@
     third crash in drawn plays. An owner stores now that it starts such a task.
     """
     world = world_with_crasher(30, minions=8)
-    for _ in range(12):
-        before = len(world.starts)
-        for _ in range(60):
-            world.run(50)
-            if len(world.starts) > before:
-                break
-        world.run(60)
-        world.claim()
-    world.run(20_000)
+    lose_owners_after_starts(world, owners=12, lost_after_ms=60)
     assert world.state(CRASHER) is JobState.FAILED
 
 
@@ -223,9 +251,7 @@
     run.confirmed = False
     minion_id = world.starts[1][3]
     for lives in range(2):
-        world.list_entry(world.start_again(minion_id, 1_800_000_000_000 + lives))
-        world.minions[minion_id].cut = True
-        world.run(50)
+        next_life_behind_a_cut(world, minion_id, lives)
         assert crashes_of(world) == {f"{job_id}.0.0.0": 2}
 
 
@@ -245,7 +271,5 @@
     world.run(20)
     minion_id = world.starts[0][3]
     for lives in range(4):
-        world.list_entry(world.start_again(minion_id, 1_800_000_000_000 + lives))
-        world.minions[minion_id].cut = True
-        world.run(50)
+        next_life_behind_a_cut(world, minion_id, lives)
     assert crashes_of(world) == {f"{job_id}.0.0.0": 1}
--- a/tests/core/scheduler/test_isolation.py
+++ b/tests/core/scheduler/test_isolation.py
@@ -7,13 +7,14 @@
 """
 
 from courselead.core.scheduler import losses
-from courselead.core.scheduler.models import JobState, Resources
+from courselead.core.scheduler.models import JobState
 from tests.core.scheduler.test_crashing_tasks import (
     CRASHER,
     CRASHING_TASK,
     INNOCENT,
     crashes_of,
     noted,
+    world_of_racks,
 )
 from tests.core.scheduler.world import World, job, step
 
@@ -83,16 +84,7 @@
 
 
 def test_a_rack_that_loses_power_makes_no_suspects():
-    world = World(minions=0)
-    for number in range(9):
-        world.add_minion(
-            f"w{number}",
-            labels=("a", f"r{number // 3}"),
-            zone=f"z{number // 3}",
-            room=Resources(4_000, 4_000),
-        )
-    world.claim()
-    world.run(500)
+    world = world_of_racks(3)
     for number in range(9):
         world.submit(job(step(1, cpu=3_000)), f"{number:016x}", length_ms=2_500)
     world.run(400)
--- a/tests/core/scheduler/world.py
+++ b/tests/core/scheduler/world.py
@@ -35,6 +35,7 @@
 from courselead.core.scheduler.schedule import doubt_ms
 from courselead.core.scheduler.scheduler import Scheduler
 from courselead.daemon.scheduling.held_starts import HeldStarts
+from standins.job_platform.ledger import in_force
 
 LATENCY_MS = 2
 HOLD_MS = 200
@@ -291,14 +292,9 @@
 
         It may exceed the cap by the allowed part, and by this one task.
         """
-        versions = self._caps.get(account, [])
-        if not account or not versions:
+        caps = in_force(self._caps.get(account, []), self.now_ms - CONFIG_MS)
+        if not caps:
             return
-        since_ms = self.now_ms - CONFIG_MS
-        caps = [versions[-1][1]]
-        for (_, cap), (until_ms, _) in itertools.pairwise(versions):
-            if until_ms >= since_ms:
-                caps.append(cap)
         used = self.used_by(account)
         for name in ("cpu_milli", "memory_mb", "gpus"):
             amounts = [getattr(cap, name) for cap in caps]
--- a/tests/demo/test_processes.py
+++ b/tests/demo/test_processes.py
@@ -8,6 +8,7 @@
 """
 
 import signal
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 import pytest
@@ -21,22 +22,18 @@
 SLEEP = ("/bin/sh", "-c", "exec sleep 30")
 
 
-async def test_signals_to_a_process_that_ends_leave_its_exit_code(
-    tmp_path: Path,
-) -> None:
-    processes = Processes(SLEEP, tmp_path)
-    codes = []
-    for number in range(CHILDREN):
-        name = f"child-{number}"
-        await processes.start_daemon(name, tmp_path)
-        for _ in range(REPEATS):
-            processes.signal(name, signal.SIGTERM)
-        codes.append(await processes.end(name))
-    assert codes == [-signal.SIGTERM] * CHILDREN
+async def end(processes: Processes, name: str) -> int:
+    return await processes.end(name)
 
 
-async def test_a_process_that_was_told_to_end_is_killed_with_its_own_code(
-    tmp_path: Path,
+async def kill(processes: Processes, name: str) -> int:
+    [code] = await processes.kill(name)
+    return code
+
+
+@pytest.mark.parametrize("stop", [end, kill])
+async def test_signals_to_a_process_that_ends_leave_its_exit_code(
+    tmp_path: Path, stop: Callable[[Processes, str], Awaitable[int]]
 ) -> None:
     processes = Processes(SLEEP, tmp_path)
     codes = []
@@ -45,5 +42,5 @@
         await processes.start_daemon(name, tmp_path)
         for _ in range(REPEATS):
             processes.signal(name, signal.SIGTERM)
-        codes += await processes.kill(name)
+        codes.append(await stop(processes, name))
     assert codes == [-signal.SIGTERM] * CHILDREN
