--- a/tests/daemon/scheduling/test_collector.py
+++ b/tests/daemon/scheduling/test_collector.py
@@ -21,11 +21,6 @@
 SPEC = JobSpec("text", (StepSpec(2, Resources(500, 64)),))
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
 def job(number: int) -> JobAccepted:
     return JobAccepted(f"{number:016x}", "q", SPEC)
 
--- a/tests/daemon/scheduling/test_copies.py
+++ b/tests/daemon/scheduling/test_copies.py
@@ -27,11 +27,6 @@
 SMALL = KeyedRecord(b"wave/1", b"{}")
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
 def kept_of(*records: KeyedRecord) -> KeptCopy:
     kept = KeptCopy()
     for offset, record in enumerate(records):
--- a/tests/daemon/scheduling/test_host.py
+++ b/tests/daemon/scheduling/test_host.py
@@ -33,11 +33,6 @@
 CONFIG = KeyedRecord(b"config", b'{"version": 3, "routes": [], "services": []}')
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
 @pytest.fixture(autouse=True)
 def quick(monkeypatch):
     monkeypatch.setattr(host_module, "LOOK_S", 0.01)
--- a/tests/daemon/scheduling/test_large_configs.py
+++ b/tests/daemon/scheduling/test_large_configs.py
@@ -36,11 +36,6 @@
 """Less than two transfers, far more than a copy takes on loopback."""
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
 class SlowLink(MemoryLog):
     """The same records behind a link on which each takes its time."""
 
--- a/tests/daemon/scheduling/test_log.py
+++ b/tests/daemon/scheduling/test_log.py
@@ -27,11 +27,6 @@
 JOB = "00000000000000aa"
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
 @pytest.mark.parametrize(
     "record",
     [
--- a/tests/daemon/scheduling/test_metrics.py
+++ b/tests/daemon/scheduling/test_metrics.py
@@ -13,11 +13,6 @@
 pytestmark = pytest.mark.anyio
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
 async def ask(app: MetricsApp, path: str):
     sent = []
 
--- a/tests/daemon/scheduling/test_read_back.py
+++ b/tests/daemon/scheduling/test_read_back.py
@@ -38,11 +38,6 @@
 """Far less than the time-out of an append, far more than a read takes."""
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
 class AnswersLost(MemoryLog):
     """Stores what it is given; while told to, it does not answer appends."""
 
--- a/tests/daemon/scheduling/test_relay.py
+++ b/tests/daemon/scheduling/test_relay.py
@@ -27,11 +27,6 @@
 RECORD = KeyedRecord(b"k", b"v")
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
 @asynccontextmanager
 async def peer(log: MemoryLog, reaches=True):
     """Serve another host's way to a log on loopback."""
--- a/tests/daemon/scheduling/test_repeats.py
+++ b/tests/daemon/scheduling/test_repeats.py
@@ -34,11 +34,6 @@
 SOON_S = 0.8
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
 class Swallows(MemoryLog):
     """Leaves its first appends undone and unanswered."""
 
--- a/tests/daemon/scheduling/test_start_log.py
+++ b/tests/daemon/scheduling/test_start_log.py
@@ -15,11 +15,6 @@
 pytestmark = pytest.mark.anyio
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
 class FakeOwner:
     """What the log of starts needs of an owner: its fence and its minions' runs."""
 
--- a/tests/daemon/scheduling/test_suspension.py
+++ b/tests/daemon/scheduling/test_suspension.py
@@ -21,11 +21,6 @@
 SUSPENDED_NS = 6_000_000_000
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
 @pytest.fixture
 def suspend(monkeypatch):
     """Return a function that suspends the machine: only one clock counts it."""
--- a/tests/integrations/lean_http/test_pool.py
+++ b/tests/integrations/lean_http/test_pool.py
@@ -17,11 +17,6 @@
 KEPT = 4
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
 class Server:
     """Answers requests until told to be silent on the connections of that time."""
 
--- a/tests/platform/test_accounts.py
+++ b/tests/platform/test_accounts.py
@@ -31,11 +31,6 @@
 PRIVATE, PUBLIC = f"/q/{JOB}", f"/p/{JOB}"
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
 def config(version=7, **accounts: list[bytes]) -> dict:
     """Return a configuration with a private and a public queue, and these accounts."""
     rows = []
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -46,11 +46,6 @@
 BODY = {"spec": "text", "steps": [{"count": 2, "cpu": 500, "memMb": 256}]}
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
 class NoOwner:
     owns = False
 
--- a/tests/platform/test_other_writers.py
+++ b/tests/platform/test_other_writers.py
@@ -39,11 +39,6 @@
 }
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
 def minion(entry: object, key: bytes = b"i-1") -> MinionInfo | str:
     value = entry if isinstance(entry, bytes) else json.dumps(entry).encode()
     return RecordDecoder().minion(KeyedRecord(key, value))
--- a/tests/platform/test_slow_links.py
+++ b/tests/platform/test_slow_links.py
@@ -31,11 +31,6 @@
 """Five parts take 1.25 s, longer than the patience; the gaps are far shorter."""
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
 @pytest.fixture(autouse=True)
 def short_patience(monkeypatch):
     monkeypatch.setattr(const, "READ_SLACK_MS", PATIENCE_MS)
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -34,11 +34,6 @@
 pytestmark = pytest.mark.anyio
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
 class Server:
     """Answers each request with the next of its answers; none closes instead."""
 
--- a/tests/standins/test_job_platform.py
+++ b/tests/standins/test_job_platform.py
@@ -16,11 +16,6 @@
 HEAD_BYTES = 16
 
 
-@pytest.fixture
-def anyio_backend():
-    return "asyncio"
-
-
 @pytest.fixture
 def clock(monkeypatch) -> list[int]:
     """Return the minions' clock, in a list of one."""
