--- a/courselead/core/scheduler/minions.py
+++ b/courselead/core/scheduler/minions.py
@@ -357,7 +357,9 @@
                 minion=minion.minion_id,
                 reason=event.reason,
             )
-            schedule.stop_run(run, "its start was not answered")
+            if not run.confirmed:
+                # It may begin later; one that a look has shown is there.
+                schedule.stop_run(run, "its start was not answered")
             return
         case Outcome.NO_ROOM:
             minion.rest_until_ms = schedule.now_ms + const.ROOM_REFUSAL_MS
--- /dev/null
+++ b/tests/core/scheduler/test_unanswered_starts.py
@@ -0,0 +1,43 @@
+"""Starts whose answers are lost, of tasks that a look has shown at work.
+
+Two tasks of a service began on minions whose answers were lost. Looks told of both, at
+100 percent, and 1 s later both were stopped for "its start was not answered": the
+second stop took one more than the step may miss, and finite tasks lost their work.
+"""
+
+from courselead.core.scheduler import events as ev
+from courselead.core.scheduler.models import JobState
+from tests.core.scheduler.world import World, job, step
+
+
+def world_without_answers() -> World:
+    world = World(minions=3)
+    world.claim()
+    world.run(300)
+    world.lose_answers = 1.0
+    return world
+
+
+def test_a_run_that_a_look_has_shown_is_not_stopped_for_want_of_an_answer():
+    world = world_without_answers()
+    job_id = world.submit(job(step(1)), length_ms=3_000)
+    world.run(4_000)
+    assert world.state(job_id) is JobState.COMPLETED
+    assert len(world.starts) == 1
+
+
+def test_tasks_of_a_service_stay_at_work():
+    world = world_without_answers()
+    world.submit(job(step(3, long_running=True, may_miss=1, max_per_minion=1)))
+    world.run(10_000)
+    assert len(world.starts) == 3
+    assert not [order for order in world.orders if isinstance(order, ev.StopRun)]
+
+
+def test_a_start_that_no_look_has_shown_is_stopped():
+    world = world_without_answers()
+    world.lose_answers = 0.0
+    world.late_orders = 1.0
+    world.submit(job(step(1)))
+    world.run(1_100)
+    assert [order for order in world.orders if isinstance(order, ev.StopRun)]
--- a/tests/core/scheduler/world.py
+++ b/tests/core/scheduler/world.py
@@ -46,6 +46,9 @@
 BACK_MS = 700
 """Time after which a minion that a task has crashed is back."""
 
+NOTICE_MS = 4_500
+"""Time without work from which a lasting task counts as away, whatever the cause."""
+
 ENTRY_LOST_MS = 4_500
 """Time after which the entry of a minion that says nothing goes."""
 
@@ -177,6 +180,11 @@
         self.started_after: dict[str, int] = {}
         self.crash_count = 0
         self.limits_starts = True
+        # Lasting tasks: when each ended last, and those that an order has ended.
+        self._ended_work_ms: dict[str, int] = {}
+        self._ordered_away: set[str] = set()
+        # Whether the order that is carried out was held up.
+        self._is_held_up = False
         self.lose_answers = 0.0
         self.late_orders = 0.0
         # Caps by account, with the time from which each holds.
@@ -312,6 +320,8 @@
     def crash(self, minion_id: str, silent=False) -> None:
         minion = self.minions[minion_id]
         minion.up = False
+        for run in minion.runs.values():
+            self._ended_work_ms[run.task] = self.now_ms
         minion.runs.clear()
         minion.ended.clear()
         if not silent:
@@ -358,6 +368,8 @@
         """End a minion's life and begin the next one under its id; tells nobody."""
         before = self.minions[minion_id]
         before.up = False
+        for run in before.runs.values():
+            self._ended_work_ms[run.task] = self.now_ms
         before.runs.clear()
         before.ended.clear()
         kept = {
@@ -453,6 +465,7 @@
 
     def _end(self, minion: FakeMinion, run: FakeRun, kind: ev.EndKind) -> None:
         del minion.runs[(run.task, run.number)]
+        self._ended_work_ms[run.task] = self.now_ms
         minion.sequence += 1
         minion.highest[run.task] = max(minion.highest.get(run.task, 0), run.number)
         minion.ended.append(
@@ -509,6 +522,7 @@
             spec.long_running,
             crash_ms=self._crash_age(order.task),
         )
+        self._ordered_away.discard(order.task)
         if order.task in self.crashers:
             # A turn of the world at that time: its minion is found down then.
             self._at(minion.runs[key].crash_ms, lambda: None)
@@ -551,6 +565,29 @@
             ]
             assert len(same) < spec.max_per_minion, f"ROUTE: {task}"
 
+    def _check_stop(self, minion: FakeMinion, task: str) -> None:
+        """Check that a stop leaves enough tasks of a lasting step at work."""
+        spec = self._spec_of(task)
+        entry = self.book.jobs[task.partition(".")[0]]
+        if not spec.may_miss or entry.cancelled or minion.draining:
+            return
+        prefix, _, own = task.rpartition(".")
+        away = []
+        for index in range(spec.count):
+            name = f"{prefix}.{index}"
+            if index != int(own) and self._is_away(name):
+                away.append(name)
+        self._ordered_away.add(task)
+        assert len(away) < spec.may_miss, f"AVAIL: {task} stopped, away: {away}"
+
+    def _is_away(self, task: str) -> bool:
+        if task in self._ordered_away:
+            return True
+        for minion in self.all_minions:
+            if any(run.task == task for run in minion.runs.values()):
+                return False
+        return self.now_ms - self._ended_work_ms.get(task, 0) >= NOTICE_MS
+
     def _count_after_crashes(self, task: str) -> None:
         crashed = len(self.crashed_under.get(task, ()))
         if crashed < CRASHES_ALLOWED:
@@ -710,7 +747,9 @@
         def late() -> None:
             minion = self.minions[effect.minion_id]
             if minion.up:
+                self._is_held_up = True
                 act(minion)
+                self._is_held_up = False
 
         self._at(LATENCY_MS, arrive)
 
@@ -722,6 +761,8 @@
         minion.highest[order.task] = max(highest, order.number)
         run = minion.runs.get((order.task, order.number))
         if run is not None and run.stop_at_ms is None:
+            if not self._is_held_up:
+                self._check_stop(minion, order.task)
             run.stop_at_ms = self.now_ms + 100
         return ev.Outcome.OK
 
