--- a/courselead/cli/explain.py
+++ b/courselead/cli/explain.py
@@ -157,7 +157,7 @@
     ended = last.get("job_ended")
     if ended is not None and ended.fields.get("state") != "completed":
         state, reason = ended.fields.get("state"), ended.fields.get("reason")
-        return f"{state}: {reason}{_crashes(about, ended)}"
+        return f"{state}: {reason}{_crashes(about, ended)}{_left_running(last)}"
     troubles = _troubles(about, shown)
     told = "completed" if ended is not None else "not ended in these logs"
     if not troubles:
@@ -182,6 +182,14 @@
     return f" ({'; '.join(told)}; decided by {ended.host})"
 
 
+def _left_running(last: dict[str, Line]) -> str:
+    """Return what of a failed service runs on, "" if nothing does."""
+    line = last.get("tasks_left_running")
+    if line is None:
+        return ""
+    return f"; {line.fields.get('runs')} other tasks run on until it is cancelled"
+
+
 def _capped_ms(line: Line) -> int:
     """Return for how long its account's cap held a task up, 0 if it did not."""
     capped = line.fields.get("capped_ms", 0)
--- a/courselead/core/scheduler/book.py
+++ b/courselead/core/scheduler/book.py
@@ -41,6 +41,13 @@
             return JobState.QUEUED
         return JobState.RUNNING
 
+    @property
+    def may_run_on(self) -> bool:
+        """Return whether lasting tasks may run on though the job has failed."""
+        if self.cancelled or self.state is not JobState.FAILED:
+            return False
+        return any(step.long_running for step in self.spec.steps)
+
 
 class JobBook:
     """All jobs of the log, applied record by record in its order.
--- a/courselead/core/scheduler/jobs.py
+++ b/courselead/core/scheduler/jobs.py
@@ -16,6 +16,9 @@
 from courselead.core.scheduler.schedule import Schedule
 from courselead.core.scheduler.state import Crash, Job, StepRun, Suspect, Unit
 
+CANCELLED = "cancelled by its caller"
+"""Why a job has ended, or what runs of it is stopped."""
+
 
 def open_job(schedule: Schedule, entry: JobEntry, from_before: bool) -> Job:
     """Take a job of the log into the schedule.
@@ -45,6 +48,7 @@
         state=str(entry.state),
     )
     job.state = entry.state
+    job.cancelled = entry.cancelled
     progress = entry.progress
     saved: dict[int, OccurrenceProgress] = {}
     if progress is not None:
@@ -146,13 +150,20 @@
 def cancel(schedule: Schedule, job_id: str) -> None:
     """End a job at its caller's wish."""
     job = schedule.jobs.get(job_id)
-    if job is None or job.state.final:
+    if job is None or job.cancelled:
+        return
+    job.cancelled = True
+    if not job.state.final:
+        end_job(schedule, job, JobState.CANCELLED, CANCELLED)
         return
-    end_job(schedule, job, JobState.CANCELLED, "cancelled by its caller")
+    _stop_runs(schedule, job, CANCELLED)
 
 
 def end_job(schedule: Schedule, job: Job, state: JobState, reason: str) -> None:
-    """End a job: nothing of it starts any more, and what runs is stopped."""
+    """End a job: nothing of it starts any more.
+
+    What runs is stopped, but for lasting tasks of a job that failed.
+    """
     job.state = state
     job.ended_ms = schedule.wall_ms
     save(schedule, job)
@@ -160,9 +171,41 @@
     for steps in job.occurrences.values():
         for step in steps:
             schedule.advice.pop(step.name, None)
+    _stop_runs(schedule, job, reason)
+
+
+def goes_on(unit: Unit) -> bool:
+    """Return whether what runs of a unit is to run on.
+
+    Other tasks of a service serve their users, whatever became of one: they run until
+    the caller, who reads that the job has failed, cancels it.
+    """
+    job = unit.job
+    if unit.done or job.cancelled:
+        return False
+    if not job.state.final:
+        return True
+    return job.state is JobState.FAILED and unit.spec.long_running
+
+
+def _stop_runs(schedule: Schedule, job: Job, reason: str) -> None:
+    left_running = 0
+    for steps in job.occurrences.values():
+        for step in steps:
             for unit in step.units:
+                if goes_on(unit):
+                    left_running += len(unit.runs)
+                    continue
                 for run in unit.runs:
                     schedule.stop_run(run, reason)
+    if left_running:
+        schedule.note(
+            "tasks_left_running",
+            job_id=job.job_id,
+            queue=job.queue,
+            runs=left_running,
+            reason=reason,
+        )
 
 
 def _note_job(schedule: Schedule, job: Job, event: str, reason: str) -> None:
--- a/courselead/core/scheduler/minions.py
+++ b/courselead/core/scheduler/minions.py
@@ -240,7 +240,7 @@
         run=report.number,
         minion=minion.minion_id,
     )
-    if unit.done or unit.job.state.final:
+    if not jobs.goes_on(unit):
         schedule.stop_run(run, "its job or task has ended")
     elif rival and not unit.spec.speculative:
         schedule.stop_run(run, "another run of the task is known")
--- a/courselead/core/scheduler/state.py
+++ b/courselead/core/scheduler/state.py
@@ -286,6 +286,7 @@
     Attributes:
         account: Whose it is, "" if it belongs to none.
         zone: The availability zone in which its tasks are placed if there is room.
+        cancelled: Whether its caller has cancelled it, also after it had failed.
     """
 
     job_id: str
@@ -296,6 +297,7 @@
     account: str = ""
     pool: str = ""
     state: JobState = JobState.QUEUED
+    cancelled: bool = False
     begun: bool = False
     closed: set[int] = field(default_factory=set)
     occurrences: dict[int, list[StepRun]] = field(default_factory=dict)
--- a/courselead/daemon/scheduling/intake.py
+++ b/courselead/daemon/scheduling/intake.py
@@ -196,7 +196,7 @@
             entry = self._seen_by(caller, job_id)
         if entry is None:
             return self._told("job_cancel", queue, job_id, JobReply(Verdict.NO_JOB))
-        if entry.state.final:
+        if entry.state.final and not entry.may_run_on:
             return self._told("job_cancel", queue, job_id, JobReply(Verdict.CANCELLED))
         record = JobCancelled(job_id)
         reply = _reply(await self._writer.store(record), Verdict.CANCELLED)
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -151,3 +151,11 @@
         line(6, "b", "job_ended", job_id=JOB, state="completed"),
     )
     assert "waited 3.2 s for its account's cap" in said
+
+
+def test_what_runs_on_of_a_failed_service_is_told():
+    said = story(
+        line(9, "b", "job_ended", job_id=JOB, state="failed", reason="too often"),
+        line(9, "b", "tasks_left_running", job_id=JOB, runs=5),
+    )
+    assert said == "failed: too often; 5 other tasks run on until it is cancelled"
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -9,6 +9,7 @@
 from courselead.core.scheduler.models import JobSpec, JobState
 from courselead.core.scheduler.records import (
     JobAccepted,
+    JobCancelled,
     JobProgress,
     KeyedRecord,
     OwnerBeat,
@@ -205,6 +206,23 @@
     assert (await door.call("DELETE", "/q/" + "0" * 16))[0] == 410
 
 
+async def test_a_cancel_of_a_failed_service_is_stored():
+    """Tasks of a failed service run on until its caller cancels it.
+
+    A cancel of a job that had ended was answered with 200, and nothing was stored.
+    """
+    door = Door(MemoryLog())
+    door.configure()
+    lasting = {"spec": "text", "steps": [{"count": 2, "cpu": 5, "longRunning": True}]}
+    await door.post(body=lasting)
+    door.log.records.append(encode(JobProgress(JOB, JobState.FAILED, True)))
+    assert (await door.call("GET", f"/q/{JOB}"))[1] == {"state": "failed"}
+    for _ in range(2):
+        assert (await door.call("DELETE", f"/q/{JOB}"))[0] == 200
+    cancels = [item for item in door.log.records if item == encode(JobCancelled(JOB))]
+    assert len(cancels) == 1
+
+
 @pytest.mark.parametrize(
     ("body", "says"),
     [
