--- a/courselead/core/scheduler/const.py
+++ b/courselead/core/scheduler/const.py
@@ -145,6 +145,11 @@
 """Run time that clears any task: lasting tasks lose minions now and then, each long
 after its start."""
 
+FORGOTTEN_MS = 45_000
+"""Run time that ends the count of what a task has lost before: over weeks a service
+loses more machines than `CRASHES_ALLOWED`. A task that crashes its minions so late
+costs one in that time at most."""
+
 LOST_LIVES_MS = 60_000
 """Time for which lost lives are remembered, to tell a bad worker from a bad task."""
 
--- a/courselead/core/scheduler/crashes.py
+++ b/courselead/core/scheduler/crashes.py
@@ -37,6 +37,9 @@
     if all(known.life != lost.life for known in schedule.lost_lives):
         schedule.lost_lives.append(lost)
     for run in runs:
+        if minion.seen_ms - run.started_ms >= const.FORGOTTEN_MS:
+            _forget(schedule, run.unit)
+            continue
         crash = Crash(run.number, lost.life, schedule.now_ms - run.started_ms)
         blame(schedule, run.unit, crash, lost, reason)
 
@@ -84,6 +87,7 @@
         return
     unit.crashes[crash.key] = crash
     _must_be_stored(schedule, unit)
+    schedule.cleared.pop(unit.name, None)
     suspect = schedule.suspects.setdefault(unit.name, Suspect(unit))
     suspect.at_ms = schedule.now_ms
     suspect.tried_ms = 0
@@ -105,7 +109,8 @@
 
 def _is_at_limit(unit: Unit) -> bool:
     """Return whether so many lives have crashed under a unit that it starts no more."""
-    unseen = const.UNSEEN_CRASHES if unit.job.from_before else 0
+    may_be_unseen = unit.job.from_before and not unit.has_lasted
+    unseen = const.UNSEEN_CRASHES if may_be_unseen else 0
     return unit.limit_count >= const.CRASHES_ALLOWED - unseen
 
 
@@ -137,6 +142,39 @@
             continue
         if schedule.now_ms - suspect.at_ms >= const.CRASH_SETTLE_MS:
             _settle(schedule, suspect)
+    for unit in list(schedule.cleared.values()):
+        if _is_over(unit):
+            del schedule.cleared[unit.name]
+        elif any(_has_run_for(schedule, run, const.FORGOTTEN_MS) for run in unit.runs):
+            _forget(schedule, unit)
+
+
+def _has_run_for(schedule: Schedule, run: Run, for_ms: int) -> bool:
+    """Return whether a run is there, and has gone on for so long."""
+    minion = schedule.minions.get(run.minion_id)
+    if not run.confirmed or minion is None or minion.failures:
+        return False
+    return schedule.now_ms - run.started_ms >= for_ms
+
+
+def _forget(schedule: Schedule, unit: Unit) -> None:
+    """Count from none what a unit loses from now on.
+
+    What it has lost in a long life says nothing of it: machines are lost now and then.
+    """
+    unit.has_lasted = True
+    if not unit.crashes:
+        return
+    schedule.note(
+        "crashes_forgotten",
+        job_id=unit.job.job_id,
+        task=unit.name,
+        crashes=len(unit.crashes),
+    )
+    unit.crashes.clear()
+    schedule.suspects.pop(unit.name, None)
+    schedule.cleared.pop(unit.name, None)
+    jobs.save(schedule, unit.job)
 
 
 def _has_outlived(schedule: Schedule, unit: Unit, run: Run) -> bool:
@@ -145,14 +183,10 @@
     Ages are known from above: a task that crashes its minion so long after its start
     each time never comes there.
     """
-    minion = schedule.minions.get(run.minion_id)
-    if not run.confirmed or minion is None or minion.failures:
-        return False
     ages = [crash.age_ms for crash in unit.crashes.values() if not crash.cleared]
     age_ms = min(ages, default=0)
     needed_ms = const.OUTLIVED_FACTOR * age_ms + const.OUTLIVED_MS
-    needed_ms = min(needed_ms, const.OUTLIVED_MOST_MS)
-    return schedule.now_ms - run.started_ms >= needed_ms
+    return _has_run_for(schedule, run, min(needed_ms, const.OUTLIVED_MOST_MS))
 
 
 def _clear(schedule: Schedule, unit: Unit) -> None:
@@ -162,6 +196,7 @@
         unit.crashes[key] = replace(crash, cleared=True)
     jobs.save(schedule, unit.job)
     del schedule.suspects[unit.name]
+    schedule.cleared[unit.name] = unit
 
 
 def _note_cleared(schedule: Schedule, unit: Unit, reason: str) -> None:
--- a/courselead/core/scheduler/jobs.py
+++ b/courselead/core/scheduler/jobs.py
@@ -286,6 +286,8 @@
             _restore(unit, saved)
             if unit.crash_count:
                 schedule.suspects[unit.name] = Suspect(unit)
+            elif unit.crashes:
+                schedule.cleared[unit.name] = unit
             if unit.left_starts:
                 schedule.left_starts[unit.name] = unit
             step.units.append(unit)
--- a/courselead/core/scheduler/state.py
+++ b/courselead/core/scheduler/state.py
@@ -125,6 +125,8 @@
         crashes: Lives that ended with it, by run number and life.
         stored_batch: Batch of records that must be stored before its next start.
         left_starts: Runs of earlier owners that may have been on a life, by number.
+        has_lasted: Whether a run of it has gone on for so long under this owner that
+            nothing that it lost before counts.
     """
 
     step: StepRun
@@ -142,6 +144,7 @@
     crashes: dict[tuple[int, Life], Crash] = field(default_factory=dict)
     stored_batch: int = 0
     left_starts: set[tuple[int, Life]] = field(default_factory=set)
+    has_lasted: bool = False
 
     @property
     def starts_stored(self) -> bool:
@@ -191,7 +194,7 @@
 
     @property
     def limit_count(self) -> int:
-        """Return how many crashes count towards the limit of its starts, ever."""
+        """Return how many crashes count towards the limit of its starts."""
         return self._starts_of(
             crash for crash in self.crashes.values() if not crash.drops_out
         )
--- /dev/null
+++ b/tests/core/scheduler/test_long_services.py
@@ -0,0 +1,89 @@
+"""Services that lose machines now and then over a long life.
+
+One lasting task whose machine lost power each 600 s was given up, and its job ended,
+at the fifth loss ("task_given_up", crashes 5, ages of 599 s): crashes of a task that
+was cleared of suspicion counted for ever. A service that lasts for weeks loses five.
+"""
+
+import pytest
+
+from courselead.core.scheduler import events as ev
+from courselead.core.scheduler.models import JobState
+from tests.core.scheduler.test_crashing_tasks import noted
+from tests.core.scheduler.world import World, job, step
+
+JOB = "00000000000000dd"
+TASK = f"{JOB}.0.0.0"
+
+
+def service(tasks=1, minions=2) -> World:
+    world = World(minions=minions)
+    world.claim()
+    world.run(500)
+    world.submit(job(step(tasks, long_running=True, may_miss=1)), JOB)
+    world.run(1_000)
+    return world
+
+
+def lose_its_minion(world: World, task=TASK) -> None:
+    world.lose_power(world.minions[world.starts_of(task)[-1]])
+
+
+@pytest.mark.parametrize("pace_ms", [60_000, 600_000])
+def test_a_service_goes_on_through_twelve_losses(pace_ms):
+    world = service()
+    for _ in range(12):
+        lose_its_minion(world)
+        world.run(pace_ms)
+    assert world.state(JOB) is JobState.RUNNING
+    assert len(world.starts) == 13
+    assert noted(world, "task_given_up") == []
+
+
+def test_a_service_of_six_tasks_goes_on_through_twelve_losses():
+    world = service(tasks=6, minions=8)
+    for number in range(12):
+        lose_its_minion(world, f"{JOB}.0.0.{number % 6}")
+        world.run(60_000)
+    assert world.state(JOB) is JobState.RUNNING
+
+
+def test_what_was_forgotten_stays_so_for_the_next_owner():
+    world = service()
+    for _ in range(12):
+        lose_its_minion(world)
+        world.run(50_000)
+        world.claim()
+        world.run(10_000)
+    assert world.state(JOB) is JobState.RUNNING
+
+
+def test_five_losses_in_a_row_still_end_it():
+    world = service()
+    for _ in range(5):
+        lose_its_minion(world)
+        world.run(30_000)
+    assert world.state(JOB) is JobState.FAILED
+
+
+def test_losses_each_12_s_look_like_a_task_that_crashes_its_minions():
+    """All that the owner sees and does is the same, so both go on or neither does."""
+    innocent = service()
+    begun_ms, ages_ms = [], []
+    for _ in range(4):
+        begun_ms.append(innocent.starts[-1][0])
+        ages_ms.append(innocent.now_ms - begun_ms[-1])
+        lose_its_minion(innocent)
+        innocent.run(12_000)
+    guilty = World()
+    guilty.crashers[TASK] = (*ages_ms, 600_000)
+    guilty.claim()
+    guilty.run(500)
+    guilty.submit(job(step(1, long_running=True, may_miss=1)), JOB)
+    guilty.run(innocent.now_ms - guilty.now_ms)
+    assert len(guilty.crashed_under[TASK]) == 4
+    assert _decisions(guilty) == _decisions(innocent)
+
+
+def _decisions(world: World) -> list[ev.Effect]:
+    return [order for order in world.orders if not isinstance(order, ev.SaveProgress)]
