--- a/courselead/core/scheduler/const.py
+++ b/courselead/core/scheduler/const.py
@@ -180,6 +180,16 @@
 CALM_WAIT_MS = 10_000
 """Longest wait for that."""
 
+RISKY_MS = 10_000
+"""Time for which lives that were lost with fresh starts of a queue speak against it."""
+
+RISKY_LIVES = 2
+"""Lives lost so until the queue's starts are kept apart from lasting tasks and gangs."""
+
+FRESH_MS = 5_000
+"""Age up to which a run counts as a fresh start: that a life is over is learned some
+seconds late."""
+
 DEAR_NEIGHBOURS = 1_000
 """Weight of a lasting task or a gang beside a suspect, against one of other tasks."""
 
--- a/courselead/core/scheduler/crashes.py
+++ b/courselead/core/scheduler/crashes.py
@@ -33,6 +33,11 @@
         any(
             run.unit.crash_count >= const.TRIAL_CRASHES for run in minion.runs.values()
         ),
+        frozenset(
+            run.unit.job.queue
+            for run in minion.runs.values()
+            if run.is_fresh(schedule.now_ms) and not run.unit.spec.long_running
+        ),
     )
     if all(known.life != lost.life for known in schedule.lost_lives):
         schedule.lost_lives.append(lost)
--- a/courselead/core/scheduler/isolation.py
+++ b/courselead/core/scheduler/isolation.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 
 from courselead.core.scheduler import const, losses
 from courselead.core.scheduler.schedule import Schedule
@@ -36,11 +36,28 @@
         for suspect in schedule.suspects.values():
             for run in suspect.unit.runs:
                 self._add(suspect.unit, run.minion_id, run.started_ms)
+        self._risky_queues = risky_queues(schedule)
+        self._risky_minions = self._with_risky_starts()
 
     @classmethod
     def of(cls, schedule: Schedule) -> Isolation | None:
         """Return what is known of suspects, nothing if there are none."""
-        return cls(schedule) if schedule.suspects else None
+        if not schedule.suspects and not risky_queues(schedule):
+            return None
+        return cls(schedule)
+
+    def _with_risky_starts(self) -> set[str]:
+        """Return the minions with fresh starts of queues whose tasks crash minions."""
+        found: set[str] = set()
+        if not self._risky_queues:
+            return found
+        now_ms = self._schedule.now_ms
+        for minion in self._schedule.minions.values():
+            for run in minion.runs.values():
+                if run.unit.job.queue in self._risky_queues and run.is_fresh(now_ms):
+                    found.add(minion.minion_id)
+                    break
+        return found
 
     def started(self, unit: Unit, minion_id: str) -> None:
         """Reckon with a start of this round."""
@@ -113,11 +130,11 @@
     def score(self, unit: Unit, minion: Minion) -> int:
         """Return how little a unit should start on a minion: 0 is best."""
         if not self._weight(unit):
-            return int(minion.minion_id in self._near_suspects)
+            return self._score_of_unsuspected(unit, minion)
         total = 0
         for other in _of_others(unit, minion):
             total += 1
-            if other.spec.long_running or other.spec.gang:
+            if other.is_dear:
                 total += const.DEAR_NEIGHBOURS
             if other.crash_count:
                 total += const.SUSPECT_NEIGHBOURS
@@ -126,6 +143,33 @@
         unsteady = losses.is_unsteady(lost_there, self._lost_anywhere, own)
         return total + const.DEAR_NEIGHBOURS * unsteady
 
+    def _score_of_unsuspected(self, unit: Unit, minion: Minion) -> int:
+        """Return the same for a unit under which nothing has crashed.
+
+        Many jobs of a queue may be such that crash their minions: fresh starts of it
+        are kept apart from what is dear.
+        """
+        near = int(minion.minion_id in self._near_suspects)
+        if unit.is_dear:
+            return near + const.DEAR_NEIGHBOURS * (
+                minion.minion_id in self._risky_minions
+            )
+        if unit.job.queue not in self._risky_queues:
+            return near
+        return near + const.DEAR_NEIGHBOURS * sum(
+            other.is_dear for other in _of_others(unit, minion)
+        )
+
+
+def risky_queues(schedule: Schedule) -> set[str]:
+    """Return the queues whose fresh starts were on several lives lost of late."""
+    oldest_ms = schedule.now_ms - const.RISKY_MS
+    counts: Counter[str] = Counter()
+    for lost in schedule.lost_lives:
+        if lost.at_ms >= oldest_ms:
+            counts.update(lost.fresh_queues)
+    return {queue for queue, count in counts.items() if count >= const.RISKY_LIVES}
+
 
 def _of_others(unit: Unit, minion: Minion) -> list[Unit]:
     """Return the units of other jobs that have a run on a minion."""
--- a/courselead/core/scheduler/state.py
+++ b/courselead/core/scheduler/state.py
@@ -74,6 +74,10 @@
         """Return what names the run on its minion."""
         return (self.task, self.number)
 
+    def is_fresh(self, now_ms: int) -> bool:
+        """Return whether it was started a short time ago."""
+        return now_ms - self.started_ms < const.FRESH_MS
+
     @property
     def at_work(self) -> bool:
         """Return whether a lasting task is at work."""
@@ -166,6 +170,11 @@
         """Return the job."""
         return self.step.job
 
+    @property
+    def is_dear(self) -> bool:
+        """Return whether its loss costs its caller more than a short task's."""
+        return self.spec.long_running or self.spec.gang
+
     @property
     def failed(self) -> int:
         """Return how many of its runs have failed."""
@@ -229,6 +238,7 @@
         place: What names its machine, as far as is known.
         job_ids: Whose tasks were on it.
         had_suspects: Whether several lives had crashed before under one of these tasks.
+        fresh_queues: Of finite tasks that had been started there shortly before.
     """
 
     life: Life
@@ -238,6 +248,7 @@
     place: str
     job_ids: frozenset[str]
     had_suspects: bool
+    fresh_queues: frozenset[str] = frozenset()
 
 
 @dataclass(slots=True, eq=False)
