--- a/courselead/core/scheduler/crashes.py
+++ b/courselead/core/scheduler/crashes.py
@@ -240,16 +240,57 @@
             continue
         unit.crashes[key] = replace(crash, alone=True)
         jobs.save(schedule, unit.job)
-    if _is_at_limit(unit):
-        if not unit.runs:
+    if _is_witnessed(unit):
+        _clear_companions(schedule, unit)
+        _give_up(schedule, unit)
+    elif _is_at_limit(unit) and not unit.runs:
+        if not _may_be_explained(schedule, suspect):
             _give_up(schedule, unit)
-        return
+
+
+def _is_witnessed(unit: Unit) -> bool:
+    """Return whether nothing but a unit's job explains enough of its crashes."""
     if unit.crash_count < const.WITNESSED_CRASHES_ALLOWED:
-        return
+        return False
     open_crashes = [item for item in unit.crashes.values() if not item.cleared]
     witnesses = sum(crash.alone for crash in open_crashes)
-    if open_crashes[-1].alone and witnesses >= const.WITNESSES:
-        _give_up(schedule, unit)
+    return open_crashes[-1].alone and witnesses >= const.WITNESSES
+
+
+def _may_be_explained(schedule: Schedule, suspect: Suspect) -> bool:
+    """Return whether another suspect may turn out to explain some of the crashes.
+
+    Several lost lives in common are told apart once each has been tried alone.
+    """
+    if schedule.now_ms - suspect.at_ms >= const.CALM_WAIT_MS:
+        return False
+    unit = suspect.unit
+    lives = {crash.life for crash in unit.crashes.values() if not crash.alone}
+    for other in schedule.suspects.values():
+        if other.unit.job is unit.job or _is_over(other.unit):
+            continue
+        if any(crash.life in lives for crash in other.unit.crashes.values()):
+            return True
+    return False
+
+
+def _clear_companions(schedule: Schedule, guilty: Unit) -> None:
+    """Take the crashes as explained that others share with a task that is given up.
+
+    It has crashed minions alone, so it is what ended the lives on which it was not.
+    """
+    lives = {crash.life for crash in guilty.crashes.values()}
+    units = [suspect.unit for suspect in schedule.suspects.values()]
+    for unit in (*units, *schedule.cleared.values()):
+        if unit.job is guilty.job:
+            continue
+        for key, crash in unit.crashes.items():
+            if crash.life not in lives or crash.alone or crash.explained:
+                continue
+            # One that an earlier owner may have had is of an age that is not known.
+            if crash.cleared or crash.age_ms < const.OUTLIVED_MOST_MS:
+                unit.crashes[key] = replace(crash, explained=True)
+                jobs.save(schedule, unit.job)
 
 
 def _give_up(schedule: Schedule, unit: Unit) -> None:
