--- a/courselead/core/scheduler/crashes.py
+++ b/courselead/core/scheduler/crashes.py
@@ -91,6 +91,7 @@
     if crash.key in unit.crashes:
         return
     unit.crashes[crash.key] = crash
+    unit.learn_start(crash.number)
     _must_be_stored(schedule, unit)
     schedule.cleared.pop(unit.name, None)
     suspect = schedule.suspects.setdefault(unit.name, Suspect(unit))
@@ -114,8 +115,8 @@
 
 def _is_at_limit(unit: Unit) -> bool:
     """Return whether so many lives have crashed under a unit that it starts no more."""
-    may_be_unseen = unit.job.from_before and not unit.has_lasted
-    unseen = const.UNSEEN_CRASHES if may_be_unseen else 0
+    known = unit.has_lasted or unit.first_start_known
+    unseen = const.UNSEEN_CRASHES if unit.job.from_before and not known else 0
     return unit.limit_count >= const.CRASHES_ALLOWED - unseen
 
 
--- a/courselead/core/scheduler/jobs.py
+++ b/courselead/core/scheduler/jobs.py
@@ -50,6 +50,10 @@
     job.state = entry.state
     job.cancelled = entry.cancelled
     progress = entry.progress
+    if not from_before:
+        job.opened_fence = schedule.fence
+    elif progress is not None:
+        job.opened_fence = progress.opened_fence
     saved: dict[int, OccurrenceProgress] = {}
     if progress is not None:
         job.begun = progress.begun
@@ -311,9 +315,11 @@
             item.number, life, item.age_ms, item.alone, item.explained, item.cleared
         )
         unit.crashes[crash.key] = crash
+        unit.learn_start(crash.number)
     for start in saved.starts.get(unit.checkpoint_key, ()):
         life = Life(start.minion_id, start.born_ms)
         unit.left_starts.add((start.number, life))
+        unit.learn_start(start.number)
 
 
 def _release(schedule: Schedule, job: Job, number: int) -> None:
@@ -380,6 +386,7 @@
         sorted(job.closed),
         occurrences,
         job.ended_ms,
+        job.opened_fence,
     )
 
 
--- a/courselead/core/scheduler/minions.py
+++ b/courselead/core/scheduler/minions.py
@@ -228,6 +228,7 @@
     schedule.add_run(minion, run)
     add_use(schedule.adopted_use, unit.job.account, unit.spec.need)
     unit.next_number = max(unit.next_number, report.number + 1)
+    unit.learn_start(report.number)
     unit.job.zone = unit.job.zone or minion.info.zone
     line = schedule.ready.get(schedule.pool_of(unit.job), [])
     if unit in line:
--- a/courselead/core/scheduler/records.py
+++ b/courselead/core/scheduler/records.py
@@ -79,6 +79,7 @@
     closed: list[int] = []
     occurrences: list[OccurrenceProgress] = []
     ended_ms: int = 0
+    opened_fence: int = 0
 
 
 class JobCancelled(msgspec.Struct, frozen=True, array_like=True):
--- a/courselead/core/scheduler/state.py
+++ b/courselead/core/scheduler/state.py
@@ -131,6 +131,8 @@
         left_starts: Runs of earlier owners that may have been on a life, by number.
         has_lasted: Whether a run of it has gone on for so long under this owner that
             nothing that it lost before counts.
+        first_start_known: Whether the one start that may be on no record, the first
+            under the owner to which its job came, was found running or has counted.
     """
 
     step: StepRun
@@ -149,6 +151,7 @@
     stored_batch: int = 0
     left_starts: set[tuple[int, Life]] = field(default_factory=set)
     has_lasted: bool = False
+    first_start_known: bool = False
 
     @property
     def starts_stored(self) -> bool:
@@ -170,6 +173,11 @@
         """Return the job."""
         return self.step.job
 
+    def learn_start(self, number: int) -> None:
+        """Note what is known of one of its starts, which was found or has counted."""
+        if number == (self.job.opened_fence - 1) * const.RUNS_PER_FENCE + 1:
+            self.first_start_known = True
+
     @property
     def is_dear(self) -> bool:
         """Return whether its loss costs its caller more than a short task's."""
@@ -314,6 +322,7 @@
         account: Whose it is, "" if it belongs to none.
         zone: The availability zone in which its tasks are placed if there is room.
         cancelled: Whether its caller has cancelled it, also after it had failed.
+        opened_fence: Of the owner to which it came, 0 if that is not known.
     """
 
     job_id: str
@@ -334,6 +343,7 @@
     zone: str = ""
     chain_ms: int = 0
     ended_ms: int = 0
+    opened_fence: int = 0
 
 
 @dataclass(frozen=True, slots=True)
