--- a/courselead/core/scheduler/const.py
+++ b/courselead/core/scheduler/const.py
@@ -174,6 +174,10 @@
 """Longest wait for a minion without other work, and for the trials of others: below
 the 3 s within which work that has room must run."""
 
+COMPANIONS_WAIT_MS = 5_000
+"""Longest wait of a task at its limit for what others on its lost lives turn out to be:
+within 6 s a lasting task runs again, or its job is known to have failed."""
+
 CALM_CRASHES = 3
 """Crashes from which a task waits until minions are no longer lost."""
 
--- a/courselead/core/scheduler/crashes.py
+++ b/courselead/core/scheduler/crashes.py
@@ -266,7 +266,7 @@
 
     Several lost lives in common are told apart once each has been tried alone.
     """
-    if schedule.now_ms - suspect.at_ms >= const.CALM_WAIT_MS:
+    if schedule.now_ms - suspect.at_ms >= const.COMPANIONS_WAIT_MS:
         return False
     unit = suspect.unit
     lives = {crash.life for crash in unit.crashes.values() if not crash.alone}
