--- a/courselead/daemon/scheduling/ports.py
+++ b/courselead/daemon/scheduling/ports.py
@@ -190,7 +190,7 @@
         ...
 
     async def start(self, order: StartRun, fence: int) -> OrderAnswer:
-        """Start a run."""
+        """Start a run; the order reaches that life or nobody, however late."""
         ...
 
     async def stop(self, task: str, number: int, fence: int) -> OrderAnswer:
--- a/courselead/integrations/lean_http/connection.py
+++ b/courselead/integrations/lean_http/connection.py
@@ -168,6 +168,7 @@
     Attributes:
         address: Where to.
         opened: How often it was opened.
+        vouched: Value of `opened` for which it is known who answers; 0 for none.
     """
 
     def __init__(self, address: str) -> None:
@@ -176,6 +177,7 @@
         self._host, _, self._port = address.rpartition(":")
         self._protocol: _Protocol | None = None
         self.opened = 0
+        self.vouched = 0
 
     def is_open_since(self, opened: int) -> bool:
         """Return whether the next call goes out on the connection of that number.
@@ -186,11 +188,20 @@
         protocol = self._protocol
         return protocol is not None and protocol.usable and self.opened == opened
 
-    async def call(self, call: Call, timeout_ms: int) -> Result[Answer, ExchangeError]:
+    async def call(
+        self, call: Call, timeout_ms: int, opened: int = 0
+    ) -> Result[Answer, ExchangeError]:
         """Send a request and return the whole answer.
 
         A call that fails, times out or is cancelled closes the connection.
+
+        Args:
+            call: The request.
+            timeout_ms: For the whole exchange.
+            opened: Number of the only connection that it may go out on, 0 for any.
         """
+        if opened and not self.is_open_since(opened):
+            return Failure(NotSent("the connection has ended"))
         protocol = self._protocol
         if protocol is None or not protocol.usable:
             opened = await self._open(min(CONNECT_TIMEOUT_MS, timeout_ms))
--- a/courselead/integrations/lean_http/pool.py
+++ b/courselead/integrations/lean_http/pool.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable, Callable
+
 import anyio
 from returns.result import Failure, Result
 
 from courselead.integrations.http.errors import ExchangeError
 from courselead.integrations.lean_http.connection import Answer, Call, LeanConnection
 
+Vouch = Callable[[LeanConnection], Awaitable[ExchangeError | None]]
+"""Finds out on a connection who answers; returns why nothing is to be sent there."""
+
 
 class LeanPool:
     """Up to `size` connections, the one used last first, so that few stay open."""
@@ -20,8 +25,17 @@
         self._size = size
         self._slots = anyio.Semaphore(size)
 
-    async def call(self, call: Call, timeout_ms: int) -> Result[Answer, ExchangeError]:
-        """Send a request on a free connection and return the whole answer."""
+    async def call(
+        self, call: Call, timeout_ms: int, vouch: Vouch | None = None
+    ) -> Result[Answer, ExchangeError]:
+        """Send a request on a free connection and return the whole answer.
+
+        Args:
+            call: The request.
+            timeout_ms: For the exchange.
+            vouch: Must have found nothing wrong on that connection; it is asked once
+                for each. Nothing if the request may go to whoever answers.
+        """
         try:
             # Without a wait, which costs as much as the rest of this method.
             self._slots.acquire_nowait()
@@ -29,7 +43,7 @@
             await self._slots.acquire()
         conn = self._take()
         try:
-            result = await conn.call(call, timeout_ms)
+            result = await _call_on(conn, call, timeout_ms, vouch)
         finally:
             self._idle.append(conn)
             self._slots.release()
@@ -59,6 +73,19 @@
         return conn
 
 
+async def _call_on(
+    conn: LeanConnection, call: Call, timeout_ms: int, vouch: Vouch | None
+) -> Result[Answer, ExchangeError]:
+    if vouch is None:
+        return await conn.call(call, timeout_ms)
+    if not conn.is_open_since(conn.vouched):
+        error = await vouch(conn)
+        if error is not None:
+            return Failure(error)
+        conn.vouched = conn.opened
+    return await conn.call(call, timeout_ms, conn.vouched)
+
+
 class LeanPools:
     """A pool of connections to each address, made on need."""
 
--- a/courselead/platform/const.py
+++ b/courselead/platform/const.py
@@ -65,6 +65,9 @@
 """Time-outs of a start and its repetitions, which are the same run: the first is fifty
 times a calm round trip, the last that of other orders, nearly."""
 
+VOUCH_TIMEOUT_MS = 200
+"""Time-out of the question which life answers on a new connection, as of a start."""
+
 ORDER_TIMEOUT_MS = 1_000
 """Time-out of a stop or a change of pace."""
 
--- a/courselead/platform/minions.py
+++ b/courselead/platform/minions.py
@@ -17,7 +17,14 @@
 )
 from courselead.core.scheduler.models import MinionInfo
 from courselead.daemon.scheduling.ports import MinionHold, OrderAnswer
-from courselead.integrations.lean_http import Answer, Call, LeanConnection, LeanPool
+from courselead.integrations.http.errors import ExchangeError, NotSent
+from courselead.integrations.lean_http import (
+    Answer,
+    Call,
+    LeanConnection,
+    LeanPool,
+    Vouch,
+)
 from courselead.platform import const
 from courselead.platform.answers import failed, shed
 
@@ -46,10 +53,17 @@
 
 
 class HttpMinionLink:
-    """The way to one life of a minion: a connection for looks, some for orders."""
+    """The way to one life of a minion: a connection for looks, some for orders.
+
+    A connection ends with the minion's process, so what goes out on one on which a life
+    has answered reaches that life or nobody. Starts go out on such connections only: a
+    next life, which knows no fence yet, would begin one that was held up on its way.
+    """
 
     def __init__(self, info: MinionInfo) -> None:
         """Keep the address; connections are opened on need."""
+        # Of the life; 0 if it tells none, as the id alone names it then.
+        self._born_ms = info.born_ms
         self._looks = LeanConnection(info.address)
         self._looked_on = 0
         self._orders = LeanPool(info.address, const.ORDER_CONNECTIONS)
@@ -83,6 +97,7 @@
             return Failure(_order_answer(answer))
         try:
             held = msgspec.json.decode(answer.body, type=_HoldAnswer)
+            self._born_ms = self._born_ms or held.born
             return Success(_hold(held))
         except (msgspec.MsgspecError, ValueError, IndexError) as exc:
             reason = f"malformed report: {exc}"
@@ -109,11 +124,11 @@
         if order.once:
             timeouts_ms = (sum(timeouts_ms),)
         first, *again = timeouts_ms
-        answer = await self._order(call, first)
+        answer = await self._start(call, fence, first)
         if answer.outcome is not Outcome.UNKNOWN:
             return answer
         for timeout_ms in again:
-            answer = await self._order(call, timeout_ms)
+            answer = await self._start(call, fence, timeout_ms)
             if answer.outcome in (Outcome.OK, Outcome.FENCED, Outcome.OTHER_LIFE):
                 return replace(answer, repeated=True)
             if answer.outcome is not Outcome.UNKNOWN:
@@ -146,8 +161,37 @@
     def _call(self, path: str, body: object) -> Call:
         return Call("POST", path, _ENCODER.encode(body), self._headers)
 
-    async def _order(self, call: Call, timeout_ms: int) -> OrderAnswer:
-        answered = await self._orders.call(call, timeout_ms)
+    async def _start(self, call: Call, fence: int, timeout_ms: int) -> OrderAnswer:
+        """Send a start on a connection on which this life has answered."""
+        if not self._born_ms:
+            return await self._order(call, timeout_ms)
+
+        async def vouch(conn: LeanConnection) -> ExchangeError | None:
+            return await self._vouch(conn, fence)
+
+        return await self._order(call, timeout_ms, vouch)
+
+    async def _vouch(self, conn: LeanConnection, fence: int) -> ExchangeError | None:
+        """Look which life answers on a connection, without any effect on it."""
+        look = self._call(const.PATH_HOLD, {"fence": fence, "ackCursor": 0})
+        answered = await conn.call(look, const.VOUCH_TIMEOUT_MS)
+        if isinstance(answered, Failure):
+            return NotSent(f"not known who answers: {answered.failure().reason}")
+        answer = answered.unwrap()
+        if answer.status != 200:
+            return NotSent(f"a look was answered with status {answer.status}")
+        try:
+            held = msgspec.json.decode(answer.body, type=_HoldAnswer)
+        except msgspec.MsgspecError as exc:
+            return NotSent(f"malformed report: {exc}")
+        if held.born != self._born_ms:
+            return NotSent("another life answers")
+        return None
+
+    async def _order(
+        self, call: Call, timeout_ms: int, vouch: Vouch | None = None
+    ) -> OrderAnswer:
+        answered = await self._orders.call(call, timeout_ms, vouch)
         if isinstance(answered, Failure):
             return failed(answered.failure())
         return _order_answer(answered.unwrap())
