--- a/courselead/core/scheduler/doubt.py
+++ b/courselead/core/scheduler/doubt.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, replace
 
+from courselead.core.scheduler import const
 from courselead.core.scheduler.schedule import DoubtedLife, Schedule
 from courselead.core.scheduler.state import Unit
 
@@ -56,6 +57,10 @@
     """Return what an earlier owner may have left in a pool unseen."""
     if schedule.now_ms >= schedule.doubt_until_ms:
         return NO_DOUBT
+    since_ms = schedule.now_ms - schedule.claimed_ms
+    if since_ms < const.STRAY_START_MS and _may_outlive_lives(schedule):
+        # A start of an earlier owner may begin on a life that knows of no fence yet.
+        return Doubt(whole_pool=True)
     waited = schedule.now_ms - schedule.claimed_ms >= CLOUD_WAIT_MS
     if schedule.workers_ms < 0 and not waited:
         return Doubt(whole_pool=True)
@@ -71,6 +76,13 @@
     return Doubt(tasks=frozenset(tasks))
 
 
+def _may_outlive_lives(schedule: Schedule) -> bool:
+    """Return whether a start may reach a later life of its minion under the same id."""
+    if schedule.starts_are_bound:
+        return False
+    return any(minion.info.born_ms for minion in schedule.minions.values())
+
+
 def _unseen(schedule: Schedule) -> Iterator[tuple[str, DoubtedLife]]:
     """Return the minions that have not reported to this owner."""
     for minion in schedule.minions.values():
--- a/courselead/core/scheduler/lives.py
+++ b/courselead/core/scheduler/lives.py
@@ -11,10 +11,10 @@
     NoteRuns,
     StopRun,
 )
-from courselead.core.scheduler.lost_runs import lost_unseen
+from courselead.core.scheduler.lost_runs import lost_unseen, note_stray_start
 from courselead.core.scheduler.models import Life, MinionInfo
 from courselead.core.scheduler.schedule import Schedule, longest_lease_ms
-from courselead.core.scheduler.state import Minion, Run, RunPhase
+from courselead.core.scheduler.state import Minion, Run, RunPhase, StrayStart
 
 STARTED_AGAIN = "its minion started again"
 """Why a run is over, or stopped, that a life before had or was to have."""
@@ -99,8 +99,8 @@
     A run that was stopped never begins there later.
     """
     strays = schedule.stray_starts.get(life.minion_id, {})
-    for key, until_ms in list(strays.items()):
-        if schedule.now_ms >= until_ms:
+    for key, stray in list(strays.items()):
+        if schedule.now_ms >= stray.until_ms:
             del strays[key]
             continue
         schedule.minions[life.minion_id].bars.add(key)
@@ -114,7 +114,7 @@
     """
     strays = schedule.stray_starts.get(minion.minion_id, {})
     for key in sorted(minion.bars):
-        if schedule.now_ms >= strays.get(key, 0):
+        if key not in strays or schedule.now_ms >= strays[key].until_ms:
             minion.bars.discard(key)
             continue
         task, number = key
@@ -124,20 +124,33 @@
 
 
 def barred_tasks(schedule: Schedule) -> frozenset[str]:
-    """Return the tasks that may begin on a life that has not answered their stop."""
+    """Return the tasks that may begin on a life that has not answered their stop.
+
+    Where starts are not bound to a life, that may be one of which nothing is known yet.
+    """
     barred: set[str] = set()
     # Only a minion with stray starts has any.
-    for minion_id in schedule.stray_starts:
+    for minion_id, strays in schedule.stray_starts.items():
         minion = schedule.minions.get(minion_id)
         if minion is not None:
             barred.update(task for task, _ in minion.bars)
+        if schedule.starts_are_bound:
+            continue
+        for (task, _), stray in strays.items():
+            if schedule.now_ms < stray.until_ms and _may_reach_next(minion, stray):
+                barred.add(task)
     return frozenset(barred)
 
 
-def note_stray_start(schedule: Schedule, run: Run) -> None:
-    """Remember a start of which a copy may be carried out yet."""
-    strays = schedule.stray_starts.setdefault(run.minion_id, {})
-    strays[run.key] = schedule.now_ms + const.STRAY_START_MS
+def _may_reach_next(minion: Minion | None, stray: StrayStart) -> bool:
+    """Return whether a start may yet begin on a life that is not known.
+
+    Once a later life than its own is known it is stopped there.
+    """
+    if not stray.born_ms:
+        # Each life has an id of its own, which the order names.
+        return False
+    return minion is None or minion.info.born_ms == stray.born_ms
 
 
 def _another_life_listed(schedule: Schedule, minion: Minion, info: MinionInfo) -> None:
@@ -187,8 +200,8 @@
         return True
     strays = schedule.stray_starts.get(run.minion_id, {})
     return any(
-        task == run.task and schedule.now_ms < until_ms
-        for (task, _), until_ms in strays.items()
+        task == run.task and schedule.now_ms < stray.until_ms
+        for (task, _), stray in strays.items()
     )
 
 
--- a/courselead/core/scheduler/lost_runs.py
+++ b/courselead/core/scheduler/lost_runs.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from courselead.core.scheduler import jobs
+from courselead.core.scheduler import const, jobs
 from courselead.core.scheduler.schedule import Schedule
-from courselead.core.scheduler.state import Run, Unit
+from courselead.core.scheduler.state import Run, StrayStart, Unit
 
 
 def lost(schedule: Schedule, run: Run, reason: str = "") -> None:
@@ -32,9 +32,18 @@
     jobs.requeue(schedule, unit)
 
 
+def note_stray_start(schedule: Schedule, run: Run) -> None:
+    """Remember a start of which a copy may be carried out yet."""
+    strays = schedule.stray_starts.setdefault(run.minion_id, {})
+    until_ms = schedule.now_ms + const.STRAY_START_MS
+    strays[run.key] = StrayStart(until_ms, run.born_ms)
+
+
 def lost_unseen(schedule: Schedule, run: Run, reason: str) -> None:
     """Take a run as gone that its minion has not reported on."""
     run.unit.lost_ms = schedule.now_ms
+    if not run.confirmed:
+        note_stray_start(schedule, run)
     lost(schedule, run, reason)
 
 
--- a/courselead/core/scheduler/minions.py
+++ b/courselead/core/scheduler/minions.py
@@ -114,7 +114,7 @@
     if event.verb == "start":
         run.start_repeated = run.start_repeated or event.repeated
         if event.repeated or event.outcome is Outcome.UNKNOWN:
-            lives.note_stray_start(schedule, run)
+            lost_runs.note_stray_start(schedule, run)
         _start_answered(schedule, minion, run, event)
     elif event.verb == "stop" and event.outcome is Outcome.OK:
         run.stop_answered_ms = schedule.now_ms
--- a/courselead/core/scheduler/schedule.py
+++ b/courselead/core/scheduler/schedule.py
@@ -33,6 +33,7 @@
     Run,
     RunPhase,
     StepRun,
+    StrayStart,
     Suspect,
     Unit,
 )
@@ -166,9 +167,12 @@
     workers_asked_ms: int = 0
     workers_ms: int = -1
     doubted_lives: dict[str, DoubtedLife] = field(default_factory=dict)
-    # Starts of which a copy may be carried out yet, by minion: task and number, and
-    # until when.
-    stray_starts: dict[str, dict[tuple[str, int], int]] = field(default_factory=dict)
+    # Starts of which a copy may be carried out yet, by minion, task and number.
+    stray_starts: dict[str, dict[tuple[str, int], StrayStart]] = field(
+        default_factory=dict
+    )
+    # Whether a start can reach no other life of its minion than the one it is for.
+    starts_are_bound: bool = False
     # Units under which lives have crashed, by name, and those lives.
     suspects: dict[str, Suspect] = field(default_factory=dict)
     lost_lives: list[LostLife] = field(default_factory=list)
--- a/courselead/core/scheduler/scheduler.py
+++ b/courselead/core/scheduler/scheduler.py
@@ -71,6 +71,7 @@
         wall_ms: int,
         own_zone: str = "",
         left_runs: LeftRuns | None = None,
+        starts_are_bound: bool = False,
     ) -> None:
         """Take over what the log says.
 
@@ -84,12 +85,15 @@
             wall_ms: Time since 1970.
             own_zone: Of this host, "" if it stores no starts.
             left_runs: What the owner before may have left running, if that is known.
+            starts_are_bound: Whether the ways to minions take a start to no other life
+                than the one that it is for.
         """
         schedule = Schedule(
             fence, bounds, config, book, now_ms, now_ms, now_ms, wall_ms
         )
         schedule.own_zone = own_zone
         schedule.left_runs = left_runs
+        schedule.starts_are_bound = starts_are_bound
         before = book.owner_before
         if before is not None:
             # It gave no order that is not in this record.
--- a/courselead/core/scheduler/state.py
+++ b/courselead/core/scheduler/state.py
@@ -272,6 +272,19 @@
     fresh_queues: frozenset[str] = frozenset()
 
 
+@dataclass(frozen=True, slots=True)
+class StrayStart:
+    """A start of which a copy may be carried out yet.
+
+    Attributes:
+        until_ms: When it is carried out no more.
+        born_ms: Of the life that it was for, 0 if that tells none.
+    """
+
+    until_ms: int
+    born_ms: int
+
+
 @dataclass(slots=True, eq=False)
 class Suspect:
     """A unit under which lives have crashed.
--- a/courselead/daemon/scheduling/owner.py
+++ b/courselead/daemon/scheduling/owner.py
@@ -238,6 +238,8 @@
             wall_ms(),
             self._zone,
             left,
+            # The contract of `MinionLink.start`.
+            starts_are_bound=True,
         )
         self._alive_ms = now_ms()
         self._follower.on_change = self._log_changed
--- a/tests/core/scheduler/world.py
+++ b/tests/core/scheduler/world.py
@@ -186,7 +186,9 @@
         # Whether the order that is carried out was held up.
         self._is_held_up = False
         self.lose_answers = 0.0
-        self.late_orders = 0.0
+        # Orders that are held up reach whichever life is there then.
+        self._starts_are_bound = True
+        self._late_orders = 0.0
         # Caps by account, with the time from which each holds.
         self._caps: dict[str, list[tuple[int, Resources]]] = {}
         self.store_down = False
@@ -219,6 +221,19 @@
 
     # Set-up
 
+    @property
+    def late_orders(self) -> float:
+        """Return the share of orders that are held up for seconds."""
+        return self._late_orders
+
+    @late_orders.setter
+    def late_orders(self, share: float) -> None:
+        self._late_orders = share
+        if share:
+            self._starts_are_bound = False
+            for owner in self.owners:
+                owner.schedule.starts_are_bound = False
+
     def add_minion(self, worker_id: str, **fields) -> FakeMinion:
         minion = FakeMinion(f"i{next(self._lives)}", worker_id, **fields)
         self.minions[minion.minion_id] = minion
@@ -241,6 +256,7 @@
             WALL_START_MS + self.now_ms,
             zone,
             self._left_by(before),
+            self._starts_are_bound,
         )
         self.owner = owner
         self.owners.append(owner)
