--- a/courselead/core/scheduler/crashes.py
+++ b/courselead/core/scheduler/crashes.py
@@ -1,4 +1,4 @@
-"""Lives that ended with a task on them: how often, by whose fault, and what follows.
+"""Lives that ended with a task on them: what counts, and until when.
 
 A task may crash each minion that starts it. All that ran on a crashed life is suspect,
 and most of it is innocent; what tells them apart is the next start, apart from others.
@@ -8,8 +8,8 @@
 
 from dataclasses import replace
 
-from courselead.core.scheduler import const, jobs, losses
-from courselead.core.scheduler.models import JobState, Life
+from courselead.core.scheduler import const, jobs, losses, verdicts
+from courselead.core.scheduler.models import Life
 from courselead.core.scheduler.schedule import Schedule
 from courselead.core.scheduler.state import Crash, LostLife, Minion, Run, Suspect, Unit
 
@@ -56,11 +56,7 @@
     """
     if run.carried_over and not run.confirmed:
         return False
-    return not _is_over(run.unit)
-
-
-def _is_over(unit: Unit) -> bool:
-    return unit.done or unit.job.state.final
+    return not run.unit.is_over
 
 
 def _was_expected(schedule: Schedule, minion: Minion) -> bool:
@@ -113,13 +109,6 @@
     )
 
 
-def _is_at_limit(unit: Unit) -> bool:
-    """Return whether so many lives have crashed under a unit that it starts no more."""
-    known = unit.has_lasted or unit.first_start_known
-    unseen = const.UNSEEN_CRASHES if unit.job.from_before and not known else 0
-    return unit.limit_count >= const.CRASHES_ALLOWED - unseen
-
-
 def _must_be_stored(schedule: Schedule, unit: Unit) -> None:
     """Let the unit wait until its crashes are stored: a next owner counts on."""
     jobs.save(schedule, unit.job)
@@ -133,11 +122,12 @@
         schedule.lost_lives = [
             lost for lost in schedule.lost_lives if lost.at_ms >= oldest_ms
         ]
+    schedule.risky_queues = losses.risky_queues(schedule)
     # Whether it is explained, by life: many tasks are lost with one.
     known: dict[Life, bool] = {}
     for suspect in list(schedule.suspects.values()):
         unit = suspect.unit
-        if _is_over(unit):
+        if unit.is_over:
             del schedule.suspects[unit.name]
             if unit.done:
                 _note_cleared(schedule, unit, "it is done")
@@ -147,9 +137,9 @@
             _clear(schedule, unit)
             continue
         if schedule.now_ms - suspect.at_ms >= const.CRASH_SETTLE_MS:
-            _settle(schedule, suspect)
+            verdicts.settle(schedule, suspect)
     for unit in list(schedule.cleared.values()):
-        if _is_over(unit):
+        if unit.is_over:
             del schedule.cleared[unit.name]
         elif any(_has_run_for(schedule, run, const.FORGOTTEN_MS) for run in unit.runs):
             _forget(schedule, unit)
@@ -228,98 +218,13 @@
             jobs.save(schedule, unit.job)
 
 
-def _settle(schedule: Schedule, suspect: Suspect) -> None:
-    """Take the crashes as witnessed that nothing but the task's job explains.
-
-    Other lives that were lost at the same moment are known by now.
-    """
-    unit = suspect.unit
-    unsettled, suspect.unsettled = suspect.unsettled, []
-    for key, lost in unsettled:
-        crash = unit.crashes[key]
-        if crash.explained or lost.job_ids != {unit.job.job_id}:
-            continue
-        unit.crashes[key] = replace(crash, alone=True)
-        jobs.save(schedule, unit.job)
-    if unit.runs:
-        # It may end well.
-        return
-    if _is_witnessed(unit):
-        _clear_companions(schedule, unit)
-        _give_up(schedule, unit)
-        return
-    if _is_at_limit(unit) and not _may_be_explained(schedule, suspect):
-        _give_up(schedule, unit)
-
-
-def _is_witnessed(unit: Unit) -> bool:
-    """Return whether nothing but a unit's job explains enough of its crashes."""
-    if unit.crash_count < const.WITNESSED_CRASHES_ALLOWED:
-        return False
-    open_crashes = [item for item in unit.crashes.values() if not item.cleared]
-    witnesses = sum(crash.alone for crash in open_crashes)
-    return open_crashes[-1].alone and witnesses >= const.WITNESSES
-
-
-def _may_be_explained(schedule: Schedule, suspect: Suspect) -> bool:
-    """Return whether another suspect may turn out to explain some of the crashes.
-
-    Several lost lives in common are told apart once each has been tried alone.
-    """
-    if schedule.now_ms - suspect.at_ms >= const.COMPANIONS_WAIT_MS:
-        return False
-    unit = suspect.unit
-    lives = {crash.life for crash in unit.crashes.values() if not crash.alone}
-    for other in schedule.suspects.values():
-        if other.unit.job is unit.job or _is_over(other.unit):
-            continue
-        if any(crash.life in lives for crash in other.unit.crashes.values()):
-            return True
-    return False
-
-
-def _clear_companions(schedule: Schedule, guilty: Unit) -> None:
-    """Take the crashes as explained that others share with a task that is given up.
-
-    It has crashed minions alone, so it is what ended the lives on which it was not.
-    """
-    lives = {crash.life for crash in guilty.crashes.values()}
-    units = [suspect.unit for suspect in schedule.suspects.values()]
-    for unit in (*units, *schedule.cleared.values()):
-        if unit.job is guilty.job:
-            continue
-        for key, crash in unit.crashes.items():
-            if crash.life not in lives or crash.alone or crash.explained:
-                continue
-            # One that an earlier owner may have had is of an age that is not known.
-            if crash.cleared or crash.age_ms < const.OUTLIVED_MOST_MS:
-                unit.crashes[key] = replace(crash, explained=True)
-                jobs.save(schedule, unit.job)
-
-
-def _give_up(schedule: Schedule, unit: Unit) -> None:
-    crashes = list(unit.crashes.values())
-    lives = ", ".join(crash.life.minion_id for crash in crashes)
-    schedule.note(
-        "task_given_up",
-        job_id=unit.job.job_id,
-        task=unit.name,
-        crashes=len(crashes),
-        minions=[crash.life.minion_id for crash in crashes],
-        ages_ms=[crash.age_ms for crash in crashes],
-        alone=[crash.alone for crash in crashes],
-    )
-    reason = f"minions crashed under its task {unit.name}: {lives}"
-    jobs.end_job(schedule, unit.job, JobState.FAILED, reason)
-
-
 def may_start(schedule: Schedule, unit: Unit) -> bool:
     """Return whether all that a unit's next start depends on is known and stored."""
     if unit.left_starts or unit.stored_batch > schedule.saved_batch:
         return False
     if not unit.crashes:
         return True
-    if _is_at_limit(unit):
+    if verdicts.is_at_limit(unit):
         # What the newest crash means is settled, and the task given up, on a tick.
         schedule.suspects.setdefault(unit.name, Suspect(unit))
         return False
--- a/courselead/core/scheduler/isolation.py
+++ b/courselead/core/scheduler/isolation.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections import Counter, defaultdict
+from collections import defaultdict
 
 from courselead.core.scheduler import const, losses
 from courselead.core.scheduler.schedule import Schedule
@@ -36,14 +36,14 @@
         for suspect in schedule.suspects.values():
             for run in suspect.unit.runs:
                 self._add(suspect.unit, run.minion_id, run.started_ms)
-        self._risky_queues = risky_queues(schedule)
+        self._risky_queues = schedule.risky_queues
         self._risky_minions = self._with_risky_starts()
         self._reserve()
 
     @classmethod
     def of(cls, schedule: Schedule) -> Isolation | None:
         """Return what is known of suspects, nothing if there are none."""
-        if not schedule.suspects and not risky_queues(schedule):
+        if not schedule.suspects and not schedule.risky_queues:
             return None
         return cls(schedule)
 
@@ -206,16 +206,6 @@
         )
 
 
-def risky_queues(schedule: Schedule) -> set[str]:
-    """Return the queues whose fresh starts were on several lives lost of late."""
-    oldest_ms = schedule.now_ms - const.RISKY_MS
-    counts: Counter[str] = Counter()
-    for lost in schedule.lost_lives:
-        if lost.at_ms >= oldest_ms:
-            counts.update(lost.fresh_queues)
-    return {queue for queue, count in counts.items() if count >= const.RISKY_LIVES}
-
-
 def _of_others(unit: Unit, minion: Minion) -> list[Unit]:
     """Return the units of other jobs that have a run on a minion."""
     return [run.unit for run in minion.runs.values() if run.unit.job is not unit.job]
--- a/courselead/core/scheduler/losses.py
+++ b/courselead/core/scheduler/losses.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Sequence
 
 from courselead.core.scheduler import const
@@ -69,3 +70,14 @@
 
 def _without(lost: Sequence[frozenset[str]], job_ids: frozenset[str]) -> int:
     return sum(not aboard & job_ids for aboard in lost)
+
+
+def risky_queues(schedule: Schedule) -> set[str]:
+    """Return the queues whose fresh starts were on several lives lost of late."""
+    oldest_ms = schedule.now_ms - const.RISKY_MS
+    counts: Counter[str] = Counter()
+    for lost in reversed(schedule.lost_lives):
+        if lost.at_ms < oldest_ms:
+            break
+        counts.update(lost.fresh_queues)
+    return {queue for queue, count in counts.items() if count >= const.RISKY_LIVES}
--- a/courselead/core/scheduler/schedule.py
+++ b/courselead/core/scheduler/schedule.py
@@ -176,6 +176,8 @@
     # Units under which lives have crashed, by name, and those lives.
     suspects: dict[str, Suspect] = field(default_factory=dict)
     lost_lives: list[LostLife] = field(default_factory=list)
+    # Queues whose fresh starts were on several of them, as of the last tick.
+    risky_queues: set[str] = field(default_factory=set)
     # Units that were cleared of suspicion, and whose crashes still count, by name.
     cleared: dict[str, Unit] = field(default_factory=dict)
     # Units with runs of earlier owners whose fate is not known yet, by name.
--- a/courselead/core/scheduler/state.py
+++ b/courselead/core/scheduler/state.py
@@ -178,6 +178,11 @@
         if number == (self.job.opened_fence - 1) * const.RUNS_PER_FENCE + 1:
             self.first_start_known = True
 
+    @property
+    def is_over(self) -> bool:
+        """Return whether it starts no more."""
+        return self.done or self.job.state.final
+
     @property
     def is_dear(self) -> bool:
         """Return whether its loss costs its caller more than a short task's."""
