--- /dev/null
+++ b/tests/core/scheduler/fake_minions.py
@@ -0,0 +1,71 @@
+"""Minions of the core's world, as the platform's protocol describes them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from courselead.core.scheduler import events as ev
+from courselead.core.scheduler.models import Life, MinionInfo, Resources
+
+POOL = "p"
+
+
+@dataclass
+class FakeRun:
+    task: str
+    number: int
+    started_ms: int
+    length_ms: int
+    long_running: bool
+    gang: tuple[str, int] | None = None
+    checkpoint: str = ""
+    stop_at_ms: int | None = None
+    # Age at which it ends its minion.
+    crash_ms: int | None = None
+
+
+@dataclass
+class FakeMinion:
+    """A minion as the platform's protocol describes it."""
+
+    minion_id: str
+    worker_id: str
+    room: Resources = Resources(4000, 4000)
+    labels: tuple[str, ...] = ("a", "r1")
+    zone: str = "z"
+    slowness: float = 1.0
+    fence: int = 0
+    lease_ms: int = 0
+    up: bool = True
+    cut: bool = False
+    draining: bool = False
+    fails_all: bool = False
+    sequence: int = 0
+    runs: dict[tuple[str, int], FakeRun] = field(default_factory=dict)
+    ended: list[ev.EndReport] = field(default_factory=list)
+    highest: dict[str, int] = field(default_factory=dict)
+    clock_offset: int = 5_000
+    born_ms: int = 0
+    # Whether it has answered a look.
+    answers: bool = False
+    room_before: Resources | None = None
+    shrunk_ms: int = 0
+
+    @property
+    def life(self) -> Life:
+        return Life(self.minion_id, self.born_ms)
+
+    def clock(self, now_ms: int) -> int:
+        return self.clock_offset + int(now_ms * self.slowness)
+
+    def info(self) -> MinionInfo:
+        return MinionInfo(
+            self.minion_id,
+            "",
+            POOL,
+            self.zone,
+            self.room,
+            self.labels,
+            self.draining,
+            born_ms=self.born_ms,
+        )
--- a/tests/core/scheduler/world.py
+++ b/tests/core/scheduler/world.py
@@ -5,7 +5,7 @@
 import heapq
 import itertools
 import random
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 
 from courselead.core.scheduler import events as ev
 from courselead.core.scheduler.book import JobBook
@@ -16,7 +16,6 @@
     JobSpec,
     JobState,
     Life,
-    MinionInfo,
     Pool,
     Queue,
     Resources,
@@ -36,6 +35,7 @@
 from courselead.core.scheduler.scheduler import Scheduler
 from courselead.daemon.scheduling.held_starts import HeldStarts
 from standins.job_platform.ledger import in_force
+from tests.core.scheduler.fake_minions import POOL, FakeMinion, FakeRun
 
 LATENCY_MS = 2
 HOLD_MS = 200
@@ -61,7 +61,6 @@
 """Time within which a configuration must be in force."""
 
 QUEUE = "q"
-POOL = "p"
 ZONES = ("z0", "z1", "z2")
 ROOM = Resources(4_000, 4_000)
 
@@ -81,67 +80,6 @@
     return FleetConfig(1, {QUEUE: queue}, {POOL: Pool(POOL)})
 
 
-@dataclass
-class FakeRun:
-    task: str
-    number: int
-    started_ms: int
-    length_ms: int
-    long_running: bool
-    gang: tuple[str, int] | None = None
-    checkpoint: str = ""
-    stop_at_ms: int | None = None
-    # Age at which it ends its minion.
-    crash_ms: int | None = None
-
-
-@dataclass
-class FakeMinion:
-    """A minion as the platform's protocol describes it."""
-
-    minion_id: str
-    worker_id: str
-    room: Resources = Resources(4000, 4000)
-    labels: tuple[str, ...] = ("a", "r1")
-    zone: str = "z"
-    slowness: float = 1.0
-    fence: int = 0
-    lease_ms: int = 0
-    up: bool = True
-    cut: bool = False
-    draining: bool = False
-    fails_all: bool = False
-    sequence: int = 0
-    runs: dict[tuple[str, int], FakeRun] = field(default_factory=dict)
-    ended: list[ev.EndReport] = field(default_factory=list)
-    highest: dict[str, int] = field(default_factory=dict)
-    clock_offset: int = 5_000
-    born_ms: int = 0
-    # Whether it has answered a look.
-    answers: bool = False
-    room_before: Resources | None = None
-    shrunk_ms: int = 0
-
-    @property
-    def life(self) -> Life:
-        return Life(self.minion_id, self.born_ms)
-
-    def clock(self, now_ms: int) -> int:
-        return self.clock_offset + int(now_ms * self.slowness)
-
-    def info(self) -> MinionInfo:
-        return MinionInfo(
-            self.minion_id,
-            "",
-            POOL,
-            self.zone,
-            self.room,
-            self.labels,
-            self.draining,
-            born_ms=self.born_ms,
-        )
-
-
 class World:
     """One log, one list, some minions and the owners that come and go."""
 
