--- a/courselead/core/scheduler/schedule.py
+++ b/courselead/core/scheduler/schedule.py
@@ -178,6 +178,8 @@
     lost_lives: list[LostLife] = field(default_factory=list)
     # Queues whose fresh starts were on several of them, as of the last tick.
     risky_queues: set[str] = field(default_factory=set)
+    # When a task of a queue was last given up with witnesses.
+    guilty_ms: dict[str, int] = field(default_factory=dict)
     # Units that were cleared of suspicion, and whose crashes still count, by name.
     cleared: dict[str, Unit] = field(default_factory=dict)
     # Units with runs of earlier owners whose fate is not known yet, by name.
--- a/courselead/core/scheduler/verdicts.py
+++ b/courselead/core/scheduler/verdicts.py
@@ -37,7 +37,8 @@
     if unit.runs:
         # It may end well.
         return
-    if _is_witnessed(unit):
+    if _is_witnessed(schedule, unit):
+        schedule.guilty_ms[unit.job.queue] = schedule.now_ms
         _clear_companions(schedule, unit)
         _give_up(schedule, unit)
         return
@@ -45,13 +46,21 @@
         _give_up(schedule, unit)
 
 
-def _is_witnessed(unit: Unit) -> bool:
-    """Return whether nothing but a unit's job explains enough of its crashes."""
+def _is_witnessed(schedule: Schedule, unit: Unit) -> bool:
+    """Return whether nothing but a unit's job explains enough of its crashes.
+
+    One may be bad luck, but where a task of the same queue was given up so a short time
+    ago: jobs that crash minions come by the dozen.
+    """
     if unit.crash_count < const.WITNESSED_CRASHES_ALLOWED:
         return False
     open_crashes = [item for item in unit.crashes.values() if not item.cleared]
     witnesses = sum(crash.alone for crash in open_crashes)
-    return open_crashes[-1].alone and witnesses >= const.WITNESSES
+    guilty_ms = schedule.guilty_ms.get(unit.job.queue)
+    wanted = const.WITNESSES
+    if guilty_ms is not None and schedule.now_ms - guilty_ms < const.GUILTY_MS:
+        wanted = 1
+    return open_crashes[-1].alone and witnesses >= wanted
 
 
 def _may_be_explained(schedule: Schedule, suspect: Suspect) -> bool:
--- a/tests/core/scheduler/test_shared_lives.py
+++ b/tests/core/scheduler/test_shared_lives.py
@@ -87,3 +87,18 @@
         other.crashes[key] = Crash(crash.number, crash.life, 100)
     convict(world, guilty)
     assert other.limit_count == 4
+
+
+def test_one_witness_is_enough_in_a_queue_of_a_task_that_was_given_up():
+    """Jobs that crash minions come by the dozen, and each took four minions with it."""
+    world, other, guilty = world_with_suspects(shared=0, own=0)
+    schedule = world.owner.schedule
+    for number in range(3):
+        crash = Crash(number, Life("i-own", number), 100, alone=number == 2)
+        other.crashes[crash.key] = crash
+    schedule.now_ms += LATER_MS
+    crashes.tick(schedule)
+    assert other.job.state is not JobState.FAILED
+    convict(world, guilty)
+    crashes.tick(schedule)
+    assert other.job.state is JobState.FAILED
