--- a/courselead/core/scheduler/const.py
+++ b/courselead/core/scheduler/const.py
@@ -131,7 +131,7 @@
 """One may be bad luck."""
 
 GUILTY_MS = 20_000
-"""Time after a task was given up with witnesses, in which one is enough in its queue."""
+"""Time after a task was given up with witnesses; one is enough in its queue then."""
 
 CRASH_SETTLE_MS = 1_000
 """Time until what else was lost at the same moment is known, by looks and the cloud's
