--- a/tests/platform/test_bound_starts.py
+++ b/tests/platform/test_bound_starts.py
@@ -22,6 +22,7 @@
 BORN_MS = 1_700_000_000_000
 ORDER = StartRun("i-1", "t.0.0.0", 2, "text", 9_000, "", "")
 FENCE = 7
+RETRY_S = 0.01
 
 
 @dataclass
@@ -55,6 +56,9 @@
                         report["born"] = self.born_ms
                     await _answer(stream, report)
                     continue
+                if path == "/-/run-stop":
+                    await _answer(stream, {"clockMs": 1})
+                    continue
                 self.starts.append(body)
                 self.got_start.set()
                 if not self.silent:
@@ -130,6 +134,9 @@
         ended.set()
         await tasks.start(address.run, after, over)
         if not before.silent:
+            # A stop may go to whoever answers: now there is a way to the next life.
+            while (await link.stop("t.0.0.0", 1, FENCE)).outcome is not Outcome.OK:
+                await anyio.sleep(RETRY_S)
             await send()
         await over.wait()
         link.close()
