--- a/courselead/core/scheduler/isolation.py
+++ b/courselead/core/scheduler/isolation.py
@@ -36,8 +36,7 @@
         for suspect in schedule.suspects.values():
             for run in suspect.unit.runs:
                 self._add(suspect.unit, run.minion_id, run.started_ms)
-        self._risky_queues = schedule.risky_queues
-        self._risky_minions = self._with_risky_starts()
+        self._most_trials: dict[str, int] = {}
         self._reserve()
 
     @classmethod
@@ -47,19 +46,6 @@
             return None
         return cls(schedule)
 
-    def _with_risky_starts(self) -> set[str]:
-        """Return the minions with fresh starts of queues whose tasks crash minions."""
-        found: set[str] = set()
-        if not self._risky_queues:
-            return found
-        now_ms = self._schedule.now_ms
-        for minion in self._schedule.minions.values():
-            for run in minion.runs.values():
-                if run.unit.job.queue in self._risky_queues and run.is_fresh(now_ms):
-                    found.add(minion.minion_id)
-                    break
-        return found
-
     def _reserve(self) -> None:
         """Keep others off minions for the suspects that wait for one of their own.
 
@@ -71,7 +57,7 @@
             if suspect.tried_ms and not unit.runs and not unit.job.state.final:
                 waiting[self._schedule.pool_of(unit.job)].add(unit.job.job_id)
         for pool, job_ids in waiting.items():
-            free = self._most_trials(pool) - len(self._on_trial[pool])
+            free = self._trials_of(pool) - len(self._on_trial[pool])
             wanted = min(len(job_ids), free)
             minions = [
                 item
@@ -118,32 +104,36 @@
         After three crashes the remaining starts wait until no minion is lost to others
         for a while: what loses many passes, and a task that has lost three is late.
         """
-        if unit.caution < const.TRIAL_CRASHES:
+        caution = unit.caution
+        if caution < const.TRIAL_CRASHES:
             return True
         schedule = self._schedule
         suspect = schedule.suspects.setdefault(unit.name, Suspect(unit))
         age_ms = schedule.now_ms - suspect.at_ms
-        waits = unit.caution >= const.CALM_CRASHES and age_ms < const.CALM_WAIT_MS
+        has_few_left = caution >= const.CALM_CRASHES
+        waits = has_few_left and age_ms < const.CALM_WAIT_MS
         if waits and self._lost_without_ms(unit) < const.CALM_MS:
             return False
-        if age_ms < const.CRASH_SETTLE_MS and unit.caution >= const.CALM_CRASHES:
+        is_tried = self._weight(unit) >= const.TRIAL_CRASHES
+        if age_ms < const.CRASH_SETTLE_MS and (is_tried or has_few_left):
             return False
-        if self._weight(unit) < const.TRIAL_CRASHES:
+        if not is_tried:
             return True
-        if age_ms < const.CRASH_SETTLE_MS:
-            return False
         suspect.tried_ms = suspect.tried_ms or schedule.now_ms
         if self._has_waited(suspect):
             return True
-        on_trial = self._on_trial[schedule.pool_of(unit.job)]
-        others = on_trial - {unit.job.job_id}
-        return len(others) < self._most_trials(schedule.pool_of(unit.job))
+        pool = schedule.pool_of(unit.job)
+        others = self._on_trial[pool] - {unit.job.job_id}
+        return len(others) < self._trials_of(pool)
 
-    def _most_trials(self, pool: str) -> int:
+    def _trials_of(self, pool: str) -> int:
         """Return how many jobs of a pool may have a minion of their own at once."""
-        minions = self._schedule.minions.values()
-        count = sum(item.info.pool == pool for item in minions)
-        return max(1, count // const.TRIAL_PART)
+        most = self._most_trials.get(pool)
+        if most is None:
+            minions = self._schedule.minions.values()
+            count = sum(item.info.pool == pool for item in minions)
+            most = self._most_trials[pool] = max(1, count // const.TRIAL_PART)
+        return most
 
     def _lost_without_ms(self, unit: Unit) -> int:
         """Return how long ago the last life was lost without a unit's job on it."""
@@ -196,15 +186,22 @@
         """
         near = int(minion.minion_id in self._near_suspects)
         if unit.is_dear:
-            return near + const.DEAR_NEIGHBOURS * (
-                minion.minion_id in self._risky_minions
-            )
-        if unit.job.queue not in self._risky_queues:
+            return near + const.DEAR_NEIGHBOURS * self._has_risky_start(minion)
+        if unit.job.queue not in self._schedule.risky_queues:
             return near
         return near + const.DEAR_NEIGHBOURS * sum(
             other.is_dear for other in _of_others(unit, minion)
         )
 
+    def _has_risky_start(self, minion: Minion) -> bool:
+        """Return whether a queue whose tasks crash minions has a fresh start there."""
+        schedule = self._schedule
+        return any(
+            run.unit.job.queue in schedule.risky_queues
+            and run.is_fresh(schedule.now_ms)
+            for run in minion.runs.values()
+        )
+
 
 def _of_others(unit: Unit, minion: Minion) -> list[Unit]:
     """Return the units of other jobs that have a run on a minion."""
--- a/courselead/core/scheduler/jobs.py
+++ b/courselead/core/scheduler/jobs.py
@@ -120,7 +120,7 @@
     unit.failed_numbers.add(number)
     job = unit.job
     save(schedule, job)
-    if unit.spec.long_running or unit.done or job.state.final:
+    if unit.spec.long_running or unit.is_over:
         return
     queue = schedule.queue(job.queue)
     limit = queue.max_attempts if queue is not None else 1
@@ -130,7 +130,7 @@
 
 def requeue(schedule: Schedule, unit: Unit) -> None:
     """Put a unit back in line once nothing of it runs any more."""
-    if unit.done or unit.runs or unit.job.state.final:
+    if unit.runs or unit.is_over:
         return
     pool = schedule.pool_of(unit.job)
     line = schedule.ready.setdefault(pool, [])
--- a/courselead/core/scheduler/left_starts.py
+++ b/courselead/core/scheduler/left_starts.py
@@ -35,7 +35,7 @@
             if is_over is None:
                 continue
             _resolved(schedule, unit, start)
-            if not is_over or unit.done or unit.job.state.final:
+            if not is_over or unit.is_over:
                 continue
             crash = Crash(number, life, const.OUTLIVED_MOST_MS)
             crashes.blame(schedule, unit, crash, None, ENDED_UNSEEN)
--- a/courselead/core/scheduler/schedule.py
+++ b/courselead/core/scheduler/schedule.py
@@ -36,6 +36,7 @@
     StrayStart,
     Suspect,
     Unit,
+    first_run_of,
 )
 from courselead.core.scheduler.turns import Turns
 
@@ -236,7 +237,7 @@
     @property
     def first_run_number(self) -> int:
         """Return the lowest run number that this owner may give out."""
-        return (self.fence - 1) * const.RUNS_PER_FENCE + 1
+        return first_run_of(self.fence)
 
     @property
     def doubt_until_ms(self) -> int:
--- a/courselead/core/scheduler/state.py
+++ b/courselead/core/scheduler/state.py
@@ -17,6 +17,11 @@
 )
 
 
+def first_run_of(fence: int) -> int:
+    """Return the lowest run number that an owner may give out."""
+    return (fence - 1) * const.RUNS_PER_FENCE + 1
+
+
 class RunPhase(StrEnum):
     """How far a run is, as the owner knows."""
 
@@ -175,7 +180,7 @@
 
     def learn_start(self, number: int) -> None:
         """Note what is known of one of its starts, which was found or has counted."""
-        if number == (self.job.opened_fence - 1) * const.RUNS_PER_FENCE + 1:
+        if number == first_run_of(self.job.opened_fence):
             self.first_start_known = True
 
     @property
