--- a/courselead/integrations/lean_http/connection.py
+++ b/courselead/integrations/lean_http/connection.py
@@ -78,6 +78,7 @@
         self.transport: asyncio.Transport | None = None
         self.exchange: _Exchange | None = None
         self.usable = True
+        self.vouched = False
         self._parser = httptools.HttpResponseParser(self)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -167,8 +168,6 @@
 
     Attributes:
         address: Where to.
-        opened: How often it was opened.
-        vouched: Value of `opened` for which it is known who answers; 0 for none.
     """
 
     def __init__(self, address: str) -> None:
@@ -176,20 +175,20 @@
         self.address = address
         self._host, _, self._port = address.rpartition(":")
         self._protocol: _Protocol | None = None
-        self.opened = 0
-        self.vouched = 0
 
-    def is_open_since(self, opened: int) -> bool:
-        """Return whether the next call goes out on the connection of that number.
+    def vouch(self) -> None:
+        """Note that it is known who answers, for as long as this one stays open."""
+        if self._protocol is not None:
+            self._protocol.vouched = True
 
-        Args:
-            opened: Value of `opened` as a call was answered on it.
-        """
+    @property
+    def is_vouched(self) -> bool:
+        """Return whether the next call goes out where it is known who answers."""
         protocol = self._protocol
-        return protocol is not None and protocol.usable and self.opened == opened
+        return protocol is not None and protocol.usable and protocol.vouched
 
     async def call(
-        self, call: Call, timeout_ms: int, opened: int = 0
+        self, call: Call, timeout_ms: int, only_vouched: bool = False
     ) -> Result[Answer, ExchangeError]:
         """Send a request and return the whole answer.
 
@@ -198,9 +197,9 @@
         Args:
             call: The request.
             timeout_ms: For the whole exchange.
-            opened: Number of the only connection that it may go out on, 0 for any.
+            only_vouched: Whether it may only be sent where it is known who answers.
         """
-        if opened and not self.is_open_since(opened):
+        if only_vouched and not self.is_vouched:
             return Failure(NotSent("the connection has ended"))
         protocol = self._protocol
         if protocol is None or not protocol.usable:
@@ -246,5 +245,4 @@
         sock = transport.get_extra_info("socket")
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
         self._protocol = protocol
-        self.opened += 1
         return protocol
--- a/courselead/integrations/lean_http/pool.py
+++ b/courselead/integrations/lean_http/pool.py
@@ -78,12 +78,12 @@
 ) -> Result[Answer, ExchangeError]:
     if vouch is None:
         return await conn.call(call, timeout_ms)
-    if not conn.is_open_since(conn.vouched):
+    if not conn.is_vouched:
         error = await vouch(conn)
         if error is not None:
             return Failure(error)
-        conn.vouched = conn.opened
-    return await conn.call(call, timeout_ms, conn.vouched)
+        conn.vouch()
+    return await conn.call(call, timeout_ms, only_vouched=True)
 
 
 class LeanPools:
--- a/courselead/platform/minions.py
+++ b/courselead/platform/minions.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from functools import partial
 from typing import Any
 
 import msgspec
@@ -65,7 +66,6 @@
         # Of the life; 0 if it tells none, as the id alone names it then.
         self._born_ms = info.born_ms
         self._looks = LeanConnection(info.address)
-        self._looked_on = 0
         self._orders = LeanPool(info.address, const.ORDER_CONNECTIONS)
         self._headers = (
             ("Content-Type", "application/json"),
@@ -76,10 +76,9 @@
         self, fence: int, cursor: int, lease_ms: int, wait_ms: int
     ) -> Result[MinionHold, OrderAnswer]:
         """Look at the minion and renew its lease; `lease_ms` 0 renews nothing."""
-        # The connection ends with the minion's process. On another one a next life
-        # may answer under the same id, which counts its ends anew, and would forget
-        # those up to the number that the life before was at.
-        acknowledged = cursor if self._looks.is_open_since(self._looked_on) else 0
+        # On a connection of its own a next life may answer under the same id. It counts
+        # its ends anew, and would forget those up to the number that this one is at.
+        acknowledged = cursor if self._looks.is_vouched else 0
         body: dict[str, int] = {"fence": fence, "ackCursor": acknowledged}
         if lease_ms:
             body["deadlineMs"] = lease_ms
@@ -91,17 +90,16 @@
         if isinstance(answered, Failure):
             self._orders.close_idle()
             return Failure(failed(answered.failure()))
-        answer = answered.unwrap()
-        self._looked_on = self._looks.opened
-        if answer.status != 200:
-            return Failure(_order_answer(answer))
+        self._looks.vouch()
+        looked = _look(answered.unwrap())
+        if isinstance(looked, Failure):
+            return looked
+        held = looked.unwrap()
+        self._born_ms = self._born_ms or held.born
         try:
-            held = msgspec.json.decode(answer.body, type=_HoldAnswer)
-            self._born_ms = self._born_ms or held.born
             return Success(_hold(held))
-        except (msgspec.MsgspecError, ValueError, IndexError) as exc:
-            reason = f"malformed report: {exc}"
-            return Failure(OrderAnswer(Outcome.UNKNOWN, 0, reason))
+        except (ValueError, IndexError) as exc:
+            return Failure(_malformed(exc))
 
     async def start(self, order: StartRun, fence: int) -> OrderAnswer:
         """Start a run; the same order is sent again if it is not answered.
@@ -165,26 +163,18 @@
         """Send a start on a connection on which this life has answered."""
         if not self._born_ms:
             return await self._order(call, timeout_ms)
+        return await self._order(call, timeout_ms, partial(self._vouch, fence))
 
-        async def vouch(conn: LeanConnection) -> ExchangeError | None:
-            return await self._vouch(conn, fence)
-
-        return await self._order(call, timeout_ms, vouch)
-
-    async def _vouch(self, conn: LeanConnection, fence: int) -> ExchangeError | None:
+    async def _vouch(self, fence: int, conn: LeanConnection) -> ExchangeError | None:
         """Look which life answers on a connection, without any effect on it."""
         look = self._call(const.PATH_HOLD, {"fence": fence, "ackCursor": 0})
         answered = await conn.call(look, const.VOUCH_TIMEOUT_MS)
         if isinstance(answered, Failure):
             return NotSent(f"not known who answers: {answered.failure().reason}")
-        answer = answered.unwrap()
-        if answer.status != 200:
-            return NotSent(f"a look was answered with status {answer.status}")
-        try:
-            held = msgspec.json.decode(answer.body, type=_HoldAnswer)
-        except msgspec.MsgspecError as exc:
-            return NotSent(f"malformed report: {exc}")
-        if held.born != self._born_ms:
+        looked = _look(answered.unwrap())
+        if isinstance(looked, Failure):
+            return NotSent(f"not known who answers: {looked.failure().reason}")
+        if looked.unwrap().born != self._born_ms:
             return NotSent("another life answers")
         return None
 
@@ -217,6 +207,20 @@
     return OrderAnswer(Outcome.UNKNOWN, said.clock_ms, f"status {answer.status}")
 
 
+def _look(answer: Answer) -> Result[_HoldAnswer, OrderAnswer]:
+    """Return what a look was answered with, or what its refusal comes to."""
+    if answer.status != 200:
+        return Failure(_order_answer(answer))
+    try:
+        return Success(msgspec.json.decode(answer.body, type=_HoldAnswer))
+    except msgspec.MsgspecError as exc:
+        return Failure(_malformed(exc))
+
+
+def _malformed(exc: Exception) -> OrderAnswer:
+    return OrderAnswer(Outcome.UNKNOWN, 0, f"malformed report: {exc}")
+
+
 def _hold(held: _HoldAnswer) -> MinionHold:
     running = []
     for row in held.running:
