--- a/tests/core/scheduler/crash_plays.py
+++ b/tests/core/scheduler/crash_plays.py
@@ -15,6 +15,7 @@
 
 from courselead.core.scheduler import events as ev
 from courselead.core.scheduler.models import JobSpec, JobState, Resources
+from tests.core.scheduler.innocent_jobs import InnocentJobs
 from tests.core.scheduler.world import ZONES, World, job, step
 
 MINIONS = 18
@@ -23,7 +24,6 @@
 JOB_GAP_MS = 150
 JOBS = 120
 LAST_MS = 60_000
-IN_TIME_MS = 4_000
 BORN_MS = 1_690_000_000_000
 
 CRASHES_MS = (0, 5, 30, 400, 1_500)
@@ -92,23 +92,13 @@
         self.rng = random.Random(seed)
         self.world = world = World(minions=0, seed=seed)
         world.reborn_in_place = self.rng.random() < 0.5
-        for number in range(MINIONS):
-            rack = f"r{number // RACK_SIZE}"
-            zone = ZONES[(number // RACK_SIZE) % len(ZONES)]
-            world.add_minion(
-                f"w{number}",
-                zone=zone,
-                room=ROOM,
-                labels=("a", rack),
-                born_ms=BORN_MS,
-            )
+        world.add_racks(MINIONS, RACK_SIZE, room=ROOM, born_ms=BORN_MS)
         self.crashers = crashers
         self.losses = losses
         self.owners = owners
         self.spread = spread
-        self.innocent: dict[str, int] = {}
+        self.innocent = InnocentJobs(world)
         self.guilty: list[str] = []
-        self.ended_ms: dict[str, int] = {}
 
     def run(self) -> Figures:
         """Play it, and return the figures."""
@@ -121,12 +111,12 @@
             self._submit(number)
             self._strike(number)
             world.run(rng.randint(0, 2 * JOB_GAP_MS))
-            self._watch()
+            self.innocent.watch()
         world.store_down = False
         last_ms = LAST_OF_SPREAD_MS if self.spread else LAST_MS
         for _ in range(last_ms // 500):
             world.run(500)
-            self._watch()
+            self.innocent.watch()
         return self._figures(lasting)
 
     def _submit(self, number: int) -> None:
@@ -147,7 +137,7 @@
             return
         spec, length_ms = drawn_spec(rng)
         world.submit(spec, job_id, length_ms)
-        self.innocent[job_id] = world.now_ms
+        self.innocent.add(job_id)
 
     def _drawn_ages(self) -> tuple[int, ...]:
         """Return ages at which a task crashes, within a spread of its own."""
@@ -173,20 +163,9 @@
             if minion.up and same:
                 world.lose_power(minion, rng.randint(500, 3_000))
 
-    def _watch(self) -> None:
-        for job_id in self.innocent:
-            if job_id not in self.ended_ms and self.world.state(job_id).final:
-                self.ended_ms[job_id] = self.world.now_ms
-
     def _figures(self, lasting: str) -> Figures:
         world = self.world
-        states = Counter(world.state(job_id) for job_id in self.innocent)
-        in_time = 0
-        for job_id, at_ms in self.innocent.items():
-            done = world.state(job_id) is JobState.COMPLETED
-            in_time += done and self.ended_ms[job_id] - at_ms <= IN_TIME_MS
-        failed = states[JobState.FAILED]
-        failed += world.state(lasting) is JobState.FAILED
+        innocent = self.innocent
         given_up = [
             order
             for order in world.orders
@@ -199,10 +178,10 @@
             max(world.started_after.values(), default=0),
             world.crash_count,
             len(given_up),
-            failed,
-            len(self.innocent) - states[JobState.COMPLETED] - states[JobState.FAILED],
-            in_time,
-            len(self.innocent),
+            innocent.failed + (world.state(lasting) is JobState.FAILED),
+            innocent.open,
+            innocent.in_time,
+            innocent.count,
             open_crashers,
         )
 
--- /dev/null
+++ b/tests/core/scheduler/innocent_jobs.py
@@ -0,0 +1,55 @@
+"""What becomes of the jobs of a play that crash nothing."""
+
+from __future__ import annotations
+
+from courselead.core.scheduler.models import JobState
+from tests.core.scheduler.world import World
+
+IN_TIME_MS = 4_000
+
+
+class InnocentJobs:
+    """Jobs that are to be done, and when each ended."""
+
+    def __init__(self, world: World) -> None:
+        """Start without any."""
+        self._world = world
+        self._begun_ms: dict[str, int] = {}
+        self._ended_ms: dict[str, int] = {}
+
+    def add(self, job_id: str) -> None:
+        """Take a job that has just been submitted."""
+        self._begun_ms[job_id] = self._world.now_ms
+
+    def watch(self) -> None:
+        """Note which have ended by now."""
+        for job_id in self._begun_ms:
+            if job_id not in self._ended_ms and self._world.state(job_id).final:
+                self._ended_ms[job_id] = self._world.now_ms
+
+    @property
+    def count(self) -> int:
+        """Return how many there are."""
+        return len(self._begun_ms)
+
+    @property
+    def failed(self) -> int:
+        """Return how many have failed."""
+        return self._in_state(JobState.FAILED)
+
+    @property
+    def open(self) -> int:
+        """Return how many are neither done nor failed."""
+        return self.count - self._in_state(JobState.COMPLETED) - self.failed
+
+    @property
+    def in_time(self) -> int:
+        """Return how many were done soon after they came."""
+        count = 0
+        for job_id, begun_ms in self._begun_ms.items():
+            done = self._world.state(job_id) is JobState.COMPLETED
+            count += done and self._ended_ms[job_id] - begun_ms <= IN_TIME_MS
+        return count
+
+    def _in_state(self, state: JobState) -> int:
+        return sum(self._world.state(job_id) is state for job_id in self._begun_ms)
--- a/tests/core/scheduler/storm_plays.py
+++ b/tests/core/scheduler/storm_plays.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass
 
 from courselead.core.scheduler.models import JobState, Resources
+from tests.core.scheduler.innocent_jobs import InnocentJobs
 from tests.core.scheduler.world import ZONES, World, job, step
 
 MINIONS = 8
@@ -27,7 +28,6 @@
 GUILTY_FROM = 12
 GUILTY_UNTIL = 110
 GUILTY_SHARE = 0.25
-IN_TIME_MS = 4_000
 SETTLE_MS = 40_000
 WATCH_MS = 500
 OWNER_SHARE = 0.03
@@ -66,19 +66,10 @@
         world.reborn_in_place = self.rng.random() < 0.5
         world.late_orders = LATE_SHARE if late else 0.0
         self.losses = losses
-        for number in range(MINIONS):
-            rack = number // RACK_SIZE
-            world.add_minion(
-                f"w{number}",
-                zone=ZONES[rack % len(ZONES)],
-                room=ROOM,
-                labels=("a", f"r{rack}"),
-                born_ms=BORN_MS,
-            )
+        world.add_racks(MINIONS, RACK_SIZE, room=ROOM, born_ms=BORN_MS)
         self.services: list[str] = []
-        self.innocent: dict[str, int] = {}
+        self.innocent = InnocentJobs(world)
         self.guilty: list[str] = []
-        self.ended_ms: dict[str, int] = {}
         self._at_work = 0
         self._looks = 0
 
@@ -115,7 +106,7 @@
         world.submit(job(*steps), job_id, 800)
         drawn = rng.random() < GUILTY_SHARE
         if not (GUILTY_FROM <= number < GUILTY_UNTIL and drawn):
-            self.innocent[job_id] = world.now_ms
+            self.innocent.add(job_id)
             return
         crash_ms = rng.choice((5, 30, 100, 400))
         tasks = range(6) if rng.random() < 0.5 else (rng.randrange(6),)
@@ -129,26 +120,19 @@
         self._looks += SERVICES * SERVICE_TASKS
         for job_id in self.services:
             self._at_work += sum(task.startswith(job_id) for task in running)
-        for job_id in self.innocent:
-            if job_id not in self.ended_ms and world.state(job_id).final:
-                self.ended_ms[job_id] = world.now_ms
+        self.innocent.watch()
 
     def _figures(self) -> Figures:
         world = self.world
-        states = Counter(world.state(job_id) for job_id in self.innocent)
-        in_time = 0
-        for job_id, at_ms in self.innocent.items():
-            done = world.state(job_id) is JobState.COMPLETED
-            in_time += done and self.ended_ms[job_id] - at_ms <= IN_TIME_MS
-        failed = states[JobState.FAILED]
+        innocent = self.innocent
         return Figures(
             max(world.started_after.values(), default=0),
             world.crash_count,
             sum(world.state(item) is JobState.FAILED for item in self.services),
-            failed,
-            len(self.innocent) - states[JobState.COMPLETED] - failed,
-            in_time,
-            len(self.innocent),
+            innocent.failed,
+            innocent.open,
+            innocent.in_time,
+            innocent.count,
             sum(world.state(item) is not JobState.FAILED for item in self.guilty),
             1_000 * self._at_work // self._looks,
         )
--- a/tests/core/scheduler/test_crashing_tasks.py
+++ b/tests/core/scheduler/test_crashing_tasks.py
@@ -11,7 +11,7 @@
 
 from courselead.core.scheduler import crashes, events as ev
 from courselead.core.scheduler.models import JobState, Resources
-from tests.core.scheduler.world import ZONES, World, job, step
+from tests.core.scheduler.world import World, job, step
 
 CRASHER = "00000000000000cc"
 CRASHING_TASK = f"{CRASHER}.0.0.0"
@@ -68,14 +68,7 @@
 def world_of_racks(racks: int) -> World:
     """Return a world with an owner and three minions in each rack."""
     world = World(minions=0)
-    for number in range(3 * racks):
-        rack = number // 3
-        world.add_minion(
-            f"w{number}",
-            labels=("a", f"r{rack}"),
-            zone=ZONES[rack % len(ZONES)],
-            room=Resources(4_000, 4_000),
-        )
+    world.add_racks(3 * racks, 3, room=Resources(4_000, 4_000))
     world.claim()
     world.run(500)
     return world
--- a/tests/core/scheduler/test_failed_services.py
+++ b/tests/core/scheduler/test_failed_services.py
@@ -16,14 +16,15 @@
 TASKS = 4
 
 
-def service_with_a_crasher(job_spec=None) -> World:
-    """Return a world with a service whose first task crashes its minions."""
+def failed_service() -> World:
+    """Return a world with a service that failed, as its first task crashes minions."""
     world = World(minions=8)
     world.claim()
     world.run(500)
     world.crashers[CRASHING_TASK] = 30
     lasting = step(TASKS, long_running=True, may_miss=1, max_per_minion=1)
-    world.submit(job_spec or job(lasting), CRASHER)
+    world.submit(job(lasting), CRASHER)
+    world.run(30_000)
     return world
 
 
@@ -41,15 +42,13 @@
 
 
 def test_the_other_tasks_of_a_failed_service_run_on():
-    world = service_with_a_crasher()
-    world.run(30_000)
+    world = failed_service()
     assert world.state(CRASHER) is JobState.FAILED
     assert at_work(world) == HEALTHY
 
 
 def test_the_next_owner_leaves_them_running():
-    world = service_with_a_crasher()
-    world.run(30_000)
+    world = failed_service()
     world.claim()
     world.run(15_000)
     assert at_work(world) == HEALTHY
@@ -57,8 +56,7 @@
 
 @pytest.mark.parametrize("new_owner", [False, True])
 def test_they_end_once_the_caller_cancels(new_owner):
-    world = service_with_a_crasher()
-    world.run(30_000)
+    world = failed_service()
     world.cancel(CRASHER)
     if new_owner:
         world.claim()
@@ -67,8 +65,7 @@
 
 
 def test_a_cancel_that_the_owner_before_did_not_see_ends_them():
-    world = service_with_a_crasher()
-    world.run(30_000)
+    world = failed_service()
     world.cut_ways = {(1, minion_id) for minion_id in world.minions}
     world.cancel(CRASHER)
     world.claim()
@@ -77,8 +74,7 @@
 
 
 def test_one_that_is_lost_is_not_started_again():
-    world = service_with_a_crasher()
-    world.run(30_000)
+    world = failed_service()
     victim = next(
         minion for minion in world.minions.values() if minion.runs and minion.up
     )
--- a/tests/core/scheduler/test_first_starts.py
+++ b/tests/core/scheduler/test_first_starts.py
@@ -10,7 +10,12 @@
 
 from courselead.core.scheduler.models import JobState
 from tests.core.scheduler.test_crashing_tasks import noted
-from tests.core.scheduler.test_long_services import JOB, lose_its_minion, service
+from tests.core.scheduler.test_long_services import (
+    JOB,
+    lose_its_minion,
+    lose_its_minions,
+    service,
+)
 
 PACE_MS = 14_000
 
@@ -21,24 +26,18 @@
     for _ in range(owners):
         world.claim()
         world.run(3_000)
-    for _ in range(4):
-        lose_its_minion(world)
-        world.run(PACE_MS)
+    lose_its_minions(world, 4, PACE_MS)
     assert world.state(JOB) is JobState.RUNNING
-    lose_its_minion(world)
-    world.run(PACE_MS)
+    lose_its_minion(world, PACE_MS)
     assert world.state(JOB) is JobState.FAILED
 
 
 def test_the_next_owner_knows_that_the_first_start_has_counted():
     world = service()
-    lose_its_minion(world)
-    world.run(PACE_MS)
+    lose_its_minion(world, PACE_MS)
     world.claim()
     world.run(3_000)
-    for _ in range(3):
-        lose_its_minion(world)
-        world.run(PACE_MS)
+    lose_its_minions(world, 3, PACE_MS)
     assert world.state(JOB) is JobState.RUNNING
 
 
@@ -46,10 +45,7 @@
     world = service()
     # Its minion is lost with the owner, which has stored nothing of it.
     world.claim()
-    lose_its_minion(world)
-    world.run(PACE_MS)
+    lose_its_minion(world, PACE_MS)
     known = len(noted(world, "task_crashed"))
-    for _ in range(4 - known):
-        lose_its_minion(world)
-        world.run(PACE_MS)
+    lose_its_minions(world, 4 - known, PACE_MS)
     assert world.state(JOB) is JobState.FAILED
--- a/tests/core/scheduler/test_long_services.py
+++ b/tests/core/scheduler/test_long_services.py
@@ -25,16 +25,22 @@
     return world
 
 
-def lose_its_minion(world: World, task=TASK) -> None:
+def lose_its_minion(world: World, then_ms: int, task=TASK) -> None:
+    """Take the power of a task's minion, and go on for a time."""
     world.lose_power(world.minions[world.starts_of(task)[-1]])
+    world.run(then_ms)
+
+
+def lose_its_minions(world: World, times: int, pace_ms: int) -> None:
+    """Do so several times."""
+    for _ in range(times):
+        lose_its_minion(world, pace_ms)
 
 
 @pytest.mark.parametrize("pace_ms", [60_000, 600_000])
 def test_a_service_goes_on_through_twelve_losses(pace_ms):
     world = service()
-    for _ in range(12):
-        lose_its_minion(world)
-        world.run(pace_ms)
+    lose_its_minions(world, 12, pace_ms)
     assert world.state(JOB) is JobState.RUNNING
     assert len(world.starts) == 13
     assert noted(world, "task_given_up") == []
@@ -43,16 +49,14 @@
 def test_a_service_of_six_tasks_goes_on_through_twelve_losses():
     world = service(tasks=6, minions=8)
     for number in range(12):
-        lose_its_minion(world, f"{JOB}.0.0.{number % 6}")
-        world.run(60_000)
+        lose_its_minion(world, 60_000, f"{JOB}.0.0.{number % 6}")
     assert world.state(JOB) is JobState.RUNNING
 
 
 def test_what_was_forgotten_stays_so_for_the_next_owner():
     world = service()
     for _ in range(12):
-        lose_its_minion(world)
-        world.run(50_000)
+        lose_its_minion(world, 50_000)
         world.claim()
         world.run(10_000)
     assert world.state(JOB) is JobState.RUNNING
@@ -60,9 +64,7 @@
 
 def test_five_losses_in_a_row_still_end_it():
     world = service()
-    for _ in range(5):
-        lose_its_minion(world)
-        world.run(30_000)
+    lose_its_minions(world, 5, 30_000)
     assert world.state(JOB) is JobState.FAILED
 
 
@@ -73,8 +75,7 @@
     for _ in range(4):
         begun_ms.append(innocent.starts[-1][0])
         ages_ms.append(innocent.now_ms - begun_ms[-1])
-        lose_its_minion(innocent)
-        innocent.run(12_000)
+        lose_its_minion(innocent, 12_000)
     guilty = World()
     guilty.crashers[TASK] = (*ages_ms, 600_000)
     guilty.claim()
--- a/tests/core/scheduler/world.py
+++ b/tests/core/scheduler/world.py
@@ -180,6 +180,17 @@
         self._tell(ev.MinionListed(minion.info()))
         return minion
 
+    def add_racks(self, minions: int, rack_size: int, **fields) -> None:
+        """Add minions in racks, which lie in the availability zones by turns."""
+        for number in range(minions):
+            rack = number // rack_size
+            self.add_minion(
+                f"w{number}",
+                zone=ZONES[rack % len(ZONES)],
+                labels=("a", f"r{rack}"),
+                **fields,
+            )
+
     def claim(self, zone: str = "") -> Scheduler:
         """A new owner takes over; the one before is not told."""
         before = self.owner
@@ -272,14 +283,16 @@
         return self.book.jobs[job_id].state
 
     def crash(self, minion_id: str, silent=False) -> None:
-        minion = self.minions[minion_id]
+        self._end_life(self.minions[minion_id])
+        if not silent:
+            self.unlist(minion_id)
+
+    def _end_life(self, minion: FakeMinion) -> None:
         minion.up = False
         for run in minion.runs.values():
             self._ended_work_ms[run.task] = self.now_ms
         minion.runs.clear()
         minion.ended.clear()
-        if not silent:
-            self.unlist(minion_id)
 
     def starts_of(self, task: str) -> list[str]:
         """Return the minions on which a task began, oldest first."""
@@ -321,11 +334,7 @@
     def start_again(self, minion_id: str, born_ms: int, **fields) -> FakeMinion:
         """End a minion's life and begin the next one under its id; tells nobody."""
         before = self.minions[minion_id]
-        before.up = False
-        for run in before.runs.values():
-            self._ended_work_ms[run.task] = self.now_ms
-        before.runs.clear()
-        before.ended.clear()
+        self._end_life(before)
         kept = {
             "room": before.room,
             "zone": before.zone,
