--- a/courselead/core/scheduler/lives.py
+++ b/courselead/core/scheduler/lives.py
@@ -99,9 +99,8 @@
     A run that was stopped never begins there later.
     """
     strays = schedule.stray_starts.get(life.minion_id, {})
-    for key, stray in list(strays.items()):
+    for key, stray in strays.items():
         if schedule.now_ms >= stray.until_ms:
-            del strays[key]
             continue
         schedule.minions[life.minion_id].bars.add(key)
     bar_again(schedule, schedule.minions[life.minion_id])
@@ -123,6 +122,16 @@
         )
 
 
+def forget_stray_starts(schedule: Schedule) -> None:
+    """Drop starts that are carried out no more; most of their minions are gone."""
+    for minion_id, strays in list(schedule.stray_starts.items()):
+        for key, stray in list(strays.items()):
+            if schedule.now_ms >= stray.until_ms:
+                del strays[key]
+        if not strays:
+            del schedule.stray_starts[minion_id]
+
+
 def barred_tasks(schedule: Schedule) -> frozenset[str]:
     """Return the tasks that may begin on a life that has not answered their stop.
 
--- a/courselead/core/scheduler/minions.py
+++ b/courselead/core/scheduler/minions.py
@@ -135,6 +135,7 @@
             lives.bar_again(schedule, minion)
         if minion.info.draining:
             _leave_draining(schedule, minion)
+    lives.forget_stray_starts(schedule)
 
 
 def _leave_draining(schedule: Schedule, minion: Minion) -> None:
--- a/tests/core/scheduler/test_lives.py
+++ b/tests/core/scheduler/test_lives.py
@@ -146,6 +146,16 @@
     assert len(world.starts) == 1
 
 
+def test_starts_that_are_carried_out_no_more_are_forgotten():
+    """They were kept for each minion that was lost, and read in each round."""
+    world = world_of_lives()
+    stray_start(world)
+    world.run(3_000)
+    assert world.owner.schedule.stray_starts
+    world.run(LEASE_MS)
+    assert world.owner.schedule.stray_starts == {}
+
+
 def test_a_task_that_may_begin_on_a_life_that_does_not_answer_waits():
     """A task was started elsewhere while its held-up start could begin on a new life.
 
