Start nothing in an evacuated availability zone

Every host now folds these records; a removal that was missed in a gap of the history is found when the newest records are read. The owner keeps minions of evacuated zones out of placement and checks the zone again at the last moment before a start is sent or sent again. Where the settings bound the time until an evacuation is in force, an owner that has not read the operator's log for that long starts nothing.

--- a/courselead/core/scheduler/events.py
+++ b/courselead/core/scheduler/events.py
@@ -243,6 +243,24 @@
     wave: MaintenanceWave
 
 
+@dataclass(frozen=True, slots=True)
+class ZonesEvacuated:
+    """The set of evacuated availability zones has changed."""
+
+    zones: frozenset[str]
+
+
+@dataclass(frozen=True, slots=True)
+class OperatorLogRead:
+    """The operator's log was read up to its end.
+
+    Attributes:
+        sent_ms: When the read was sent. Everything that was stored before it is known.
+    """
+
+    sent_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class Tick:
     """Time passed.
@@ -270,6 +288,8 @@
     | WorkersListed
     | CloudOrderAnswered
     | WaveRequested
+    | ZonesEvacuated
+    | OperatorLogRead
     | Tick
 )
 
--- a/courselead/core/scheduler/models.py
+++ b/courselead/core/scheduler/models.py
@@ -259,6 +259,18 @@
     cap: int
 
 
+@dataclass(frozen=True, slots=True)
+class ZoneEvacuation:
+    """The operator's request to start nothing in an availability zone, or its end.
+
+    Attributes:
+        evacuated: Whether the zone is evacuated; False once the request is withdrawn.
+    """
+
+    zone: str
+    evacuated: bool
+
+
 @dataclass(frozen=True, slots=True)
 class Bounds:
     """Bounds of the deployment, from the process settings.
@@ -266,6 +278,8 @@
     `revoked_within_ms` is the time after which a host that is cut off from the log
     stops serving all accounts; None if it continues with the credentials it knows.
     `cap_overage` is the fraction by which an account may exceed its cap.
+    `evacuated_within_ms` is the time after which nothing may start in a zone that the
+    operator has evacuated; None if the operator evacuates no zones.
     """
 
     lease_max_ms: int = 10_000
@@ -276,3 +290,4 @@
     status_s: int = 120
     revoked_within_ms: int | None = None
     cap_overage: float = 0.0
+    evacuated_within_ms: int | None = None
--- a/courselead/core/scheduler/placement.py
+++ b/courselead/core/scheduler/placement.py
@@ -187,6 +187,8 @@
             continue
         if schedule.now_ms < minion.rest_until_ms:
             continue
+        if not schedule.may_start_in(minion.info.zone):
+            continue
         minions.append(minion)
     return minions
 
@@ -319,7 +321,7 @@
         if tickets is None:
             return False
         minions = [item for item in minions if item.minion_id in tickets]
-    if not unit.job.zone:
+    if not unit.job.zone or unit.job.zone in schedule.evacuated_zones:
         unit.job.zone = _zone_for(unit, minions)
     if isolation is not None:
         minions = isolation.allowed_minions(unit, minions)
--- a/courselead/core/scheduler/schedule.py
+++ b/courselead/core/scheduler/schedule.py
@@ -228,6 +228,12 @@
     remaining_runs: RemainingRuns | None = None
     ordered_ms: dict[str, int] = field(default_factory=dict)
     orders_blocked_until_ms: dict[str, int] = field(default_factory=dict)
+    # Evacuated availability zones, with the time at which this owner learned of each.
+    evacuated_zones: dict[str, int] = field(default_factory=dict)
+    # When the newest read of the operator's log was sent.
+    operator_log_read_ms: int = 0
+    # Whether placement was last told that the operator's log was read too long ago.
+    starts_paused: bool = False
     effects: list[Effect] = field(default_factory=list)
 
     def is_over(self, incarnation: Incarnation) -> bool:
@@ -293,6 +299,30 @@
         """Return whether the log has answered recently enough to accept a record."""
         return self.now_ms - self.confirmed_ms < const.OWN_ZONE_SILENCE_MS
 
+    @property
+    def operator_log_age_ms(self) -> int:
+        """Return the age of this owner's knowledge of the operator's log."""
+        return self.now_ms - self.operator_log_read_ms
+
+    @property
+    def operator_log_is_too_old(self) -> bool:
+        """Return whether an evacuation that is not known yet may have to be in force.
+
+        An owner that cannot read the operator's log does not know which zones have been
+        evacuated since, so it starts nothing in any zone.
+        """
+        within_ms = self.bounds.evacuated_within_ms
+        return within_ms is not None and self.operator_log_age_ms >= within_ms
+
+    def may_start_in(self, zone: str) -> bool:
+        """Return whether a task may be started in an availability zone now."""
+        return zone not in self.evacuated_zones and not self.operator_log_is_too_old
+
+    def may_send(self, order: StartRun) -> bool:
+        """Return whether the zone of a start order's minion still allows the start."""
+        minion = self.minions.get(order.minion_id)
+        return minion is not None and self.may_start_in(minion.info.zone)
+
     def may_restart(self, unit: Unit) -> bool:
         """Return whether a unit whose run was lost without a report may start again.
 
--- a/courselead/core/scheduler/scheduler.py
+++ b/courselead/core/scheduler/scheduler.py
@@ -8,6 +8,7 @@
     arrivals,
     const,
     crashes,
+    evacuation,
     jobs,
     left_starts,
     lives,
@@ -29,14 +30,17 @@
     LogAnswered,
     MinionListed,
     MinionUnlisted,
+    OperatorLogRead,
     OrderAnswered,
     Outcome,
     PollAnswered,
     PollFailed,
     ProgressSaved,
+    StartRun,
     Tick,
     WaveRequested,
     WorkersListed,
+    ZonesEvacuated,
 )
 from courselead.core.scheduler.models import (
     Bounds,
@@ -81,6 +85,7 @@
         own_zone: str = "",
         remaining_runs: RemainingRuns | None = None,
         starts_are_bound: bool = False,
+        operator_log_age_ms: int = 0,
     ) -> None:
         """Take over the schedule as recorded in the log.
 
@@ -96,6 +101,7 @@
             remaining_runs: Runs that the previous owner may have left, None if unknown.
             starts_are_bound: Whether a start order can only reach the incarnation that
                 it was sent to.
+            operator_log_age_ms: Age of what is known of the operator's log.
         """
         schedule = Schedule(
             fence, bounds, config, book, now_ms, now_ms, now_ms, wall_ms
@@ -103,6 +109,7 @@
         schedule.own_zone = own_zone
         schedule.remaining_runs = remaining_runs
         schedule.starts_are_bound = starts_are_bound
+        schedule.operator_log_read_ms = now_ms - operator_log_age_ms
         before = book.previous_owner
         if before is not None:
             # The previous owner sent no orders that are missing from this record.
@@ -156,6 +163,10 @@
                 self._cloud_order_answered(event)
             case WaveRequested():
                 waves.requested(schedule, event.wave)
+            case ZonesEvacuated():
+                evacuation.zones_evacuated(schedule, event)
+            case OperatorLogRead():
+                evacuation.operator_log_read(schedule, event)
             case Tick():
                 self._tick(event.wall_ms)
 
@@ -164,6 +175,11 @@
         self.schedule.now_ms = now_ms
         placement.place_all(self.schedule)
 
+    def may_send(self, order: StartRun, now_ms: int) -> bool:
+        """Return whether a start order that is about to be sent is still allowed."""
+        self.schedule.now_ms = now_ms
+        return self.schedule.may_send(order)
+
     def take_effects(self) -> list[Effect]:
         """Return the effects since the last call, except records to store."""
         effects, self.schedule.effects = self.schedule.effects, []
--- a/courselead/daemon/scheduling/follower.py
+++ b/courselead/daemon/scheduling/follower.py
@@ -80,6 +80,8 @@
         self.on_read: Callable[[int, KeyedRecord], None] = lambda offset, record: None
         self.offset = -1
         self.last_answered_at = 0.0
+        # When the newest read was sent after which nothing was left to read.
+        self.caught_up_at = 0.0
         self._newest_offsets: dict[bytes, int] = {}
         self._failures = 0
         self._lock = anyio.Lock()
@@ -120,6 +122,8 @@
             self._log_large(found, sent_at)
             self._apply_batch(found)
         self._record_success(sent_at)
+        if self.offset >= found.end:
+            self.caught_up_at = max(self.caught_up_at, sent_at)
         return True
 
     def _log_large(self, batch: LogBatch, sent_at: float) -> None:
@@ -149,6 +153,7 @@
                 return self._record_failure(reason)
             self._apply_newest(result.unwrap())
         self._record_success(sent_at)
+        self.caught_up_at = max(self.caught_up_at, sent_at)
         return True
 
     def _apply_newest(self, newest: Newest) -> None:
--- a/courselead/daemon/scheduling/host.py
+++ b/courselead/daemon/scheduling/host.py
@@ -79,6 +79,7 @@
         cores_milli: int = 0,
         zone: str = "",
         link_mbps: float = 0.0,
+        zones: frozenset[str] = frozenset(),
     ) -> None:
         """Create and connect the components.
 
@@ -90,6 +91,7 @@
             cores_milli: Processor capacity in thousandths of a standard core.
             zone: Availability zone of this host, "" if unknown.
             link_mbps: Link speed of this host, 0 if unknown.
+            zones: All availability zones of the deployment, empty if unknown.
         """
         self.counters = HostCounters()
         self._host = host
@@ -114,6 +116,7 @@
         platform = replace(platform, claims=claims, **relayed)
         self._platform = platform
         self.operator_config = OperatorConfigView(platform.decode)
+        self.operator_config.known_zones = zones
         self._apply_bounds(bounds)
         self.follower = JobFollower(
             platform.jobs, self.counters, read_back_tracker.on_read
@@ -167,11 +170,12 @@
                     self.counters,
                 ),
                 self.operator_config.apply,
+                self.operator_config.keep_only,
                 counters=self.counters,
                 log_copy=self._operator_config_copy,
             )
             self.operator_config.age_s = lambda: (
-                anyio.current_time() - operator_config.last_answered_at
+                anyio.current_time() - operator_config.caught_up_at
             )
             tasks.start_soon(operator_config.run)
             tasks.start_soon(self._run_election)
--- a/courselead/daemon/scheduling/main.py
+++ b/courselead/daemon/scheduling/main.py
@@ -65,6 +65,7 @@
         settings.cores_milli,
         settings.zone,
         settings.limits.link_mbps,
+        frozenset(settings.zones),
     )
     jobs_app = JobsApp(host.intake, lambda: host.leaving or not host.can_store)
     metrics = MetricsApp(SchedulingMetrics(host.counters), lambda: host.owns)
--- a/courselead/daemon/scheduling/minion_tasks.py
+++ b/courselead/daemon/scheduling/minion_tasks.py
@@ -35,6 +35,9 @@
 be answered immediately with the same ends. Limits the wait during outages of the
 log."""
 
+ZONE_CLOSED = "nothing may be started in its zone"
+"""Reason of a start that is not sent because of an evacuation."""
+
 
 class MinionTasks:
     """Sends orders and polls to minions for the owner."""
@@ -78,11 +81,25 @@
         link = self._link(order.incarnation)
         if link is None:
             return
+        if not self._may_send(order):
+            self._owner.handle(order.not_sent(ZONE_CLOSED))
+            return
         begun = anyio.current_time()
-        answer = await link.start(order, self._owner.fence)
+        answer = await link.start(
+            order, self._owner.fence, lambda: self._may_send(order)
+        )
         self._counters.record_duration("start", str(answer.outcome), begun)
         self._report_answer(order, "start", answer)
 
+    def _may_send(self, order: StartRun) -> bool:
+        """Return whether the zone of an order's minion allows the start at this moment.
+
+        The zone may have been evacuated while the start waited to be stored or for the
+        answer to an earlier attempt.
+        """
+        scheduler = self._owner.scheduler
+        return scheduler is not None and scheduler.may_send(order, now_ms())
+
     async def stop(self, order: StopRun) -> None:
         """Stop a run."""
         self._counters.add("stops")
--- a/courselead/daemon/scheduling/operator_config.py
+++ b/courselead/daemon/scheduling/operator_config.py
@@ -8,7 +8,11 @@
 import structlog
 
 from courselead.core.credentials import credential_digest
-from courselead.core.scheduler.models import FleetConfig, MaintenanceWave
+from courselead.core.scheduler.models import (
+    FleetConfig,
+    MaintenanceWave,
+    ZoneEvacuation,
+)
 from courselead.core.scheduler.records import KeyedRecord
 from courselead.daemon.scheduling.ports import Decoder, OperatorConfig, RouteRule
 
@@ -29,6 +33,11 @@
         self.waves: dict[int, MaintenanceWave] = {}
         self.on_config: Callable[[FleetConfig], None] = lambda config: None
         self.on_wave: Callable[[MaintenanceWave], None] = lambda wave: None
+        self.on_zones: Callable[[frozenset[str]], None] = lambda zones: None
+        # Zones of the deployment, empty if they are not known.
+        self.known_zones: frozenset[str] = frozenset()
+        # Evacuated zones by the key of the record that requests it.
+        self._evacuated: dict[bytes, str] = {}
         # Seconds since the log was last known to hold nothing newer, and the maximum
         # age up to which known credentials are accepted (None for no limit).
         self.age_s: Callable[[], float] = lambda: 0.0
@@ -45,6 +54,11 @@
         """Return the part of the configuration that the scheduler uses."""
         return FleetConfig() if self.current is None else self.current.fleet
 
+    @property
+    def evacuated_zones(self) -> frozenset[str]:
+        """Return the availability zones in which the operator wants nothing started."""
+        return frozenset(self._evacuated.values())
+
     @property
     def has_accounts(self) -> bool:
         """Return whether the configuration defines client accounts."""
@@ -72,6 +86,9 @@
                 self.waves[decoded.wave] = decoded
                 self.on_wave(decoded)
             return
+        if isinstance(decoded, ZoneEvacuation):
+            self._apply_evacuation(record.key, decoded)
+            return
         if decoded is None or decoded.version <= self.version:
             return
         previous = self.version
@@ -88,6 +105,35 @@
             took_ms=round((time.monotonic() - begun) * 1000, 1),
         )
 
+    def keep_only(self, keys: set[bytes]) -> None:
+        """Withdraw the evacuations whose records are not among the existing keys.
+
+        Called after a read of the newest records: their removal may have been missed.
+        """
+        for key in self._evacuated.keys() - keys:
+            self._apply_evacuation(key, ZoneEvacuation(self._evacuated[key], False))
+
+    def _apply_evacuation(self, key: bytes, request: ZoneEvacuation) -> None:
+        if request.evacuated == (key in self._evacuated):
+            return
+        if not request.evacuated:
+            del self._evacuated[key]
+        else:
+            self._evacuated[key] = request.zone
+            if self.known_zones and request.zone not in self.known_zones:
+                _LOGGER.warning(
+                    "zone_unknown",
+                    zone=request.zone,
+                    known=sorted(self.known_zones),
+                    remedy="remove the record, or correct the zone in its key",
+                )
+        _LOGGER.info(
+            "zone_evacuation_requested" if request.evacuated else "zone_restored",
+            zone=request.zone,
+            view_age_ms=int(self.age_s() * 1000),
+        )
+        self.on_zones(self.evacuated_zones)
+
     def _report_ambiguous(self, decoded: OperatorConfig) -> None:
         holders = decoded.holders
         if holders is None or not holders.ambiguous:
--- a/courselead/daemon/scheduling/owner.py
+++ b/courselead/daemon/scheduling/owner.py
@@ -24,6 +24,7 @@
     MinionListed,
     MinionUnlisted,
     MoveWorker,
+    OperatorLogRead,
     PaceRun,
     ProgressSaved,
     SaveProgress,
@@ -36,6 +37,7 @@
     StoreRuns,
     Tick,
     WaveRequested,
+    ZonesEvacuated,
 )
 from courselead.core.scheduler.models import Bounds, FleetConfig, MaintenanceWave
 from courselead.core.scheduler.records import (
@@ -167,6 +169,7 @@
             self._follower.on_change = _ignore
             self._operator_config.on_config = _ignore
             self._operator_config.on_wave = _ignore
+            self._operator_config.on_zones = _ignore
             self._follower.set_continuous(False)
             self._minions.close()
             _LOGGER.info("schedule_left", fence=fence, handed=self._handing_over)
@@ -249,11 +252,14 @@
             previous_runs,
             # Guaranteed by `MinionLink.start`.
             starts_are_bound=True,
+            operator_log_age_ms=self._operator_log_age_ms(),
         )
         self._last_tick_ms = now_ms()
         self._follower.on_change = self._log_changed
         self._operator_config.on_config = self._config_changed
         self._operator_config.on_wave = self._wave_requested
+        self._operator_config.on_zones = self._zones_evacuated
+        self._zones_evacuated(self._operator_config.evacuated_zones)
         for wave in self._operator_config.waves.values():
             self._wave_requested(wave)
 
@@ -293,6 +299,12 @@
     def _wave_requested(self, wave: MaintenanceWave) -> None:
         self.handle(WaveRequested(wave))
 
+    def _zones_evacuated(self, zones: frozenset[str]) -> None:
+        self.handle(ZonesEvacuated(zones))
+
+    def _operator_log_age_ms(self) -> int:
+        return int(self._operator_config.age_s() * 1000)
+
     def _lose_ownership(self, reason: str) -> None:
         if self._ended.is_set():
             return
@@ -330,6 +342,7 @@
             await anyio.sleep(TICK_INTERVAL_S)
             self._check_pause()
             self._last_tick_ms = now_ms()
+            self.handle(OperatorLogRead(now_ms() - self._operator_log_age_ms()))
             self.handle(Tick(wall_ms()))
             if self.scheduler is not None:
                 self._held_starts.drop_all(self.scheduler.schedule)
--- a/courselead/daemon/scheduling/ports.py
+++ b/courselead/daemon/scheduling/ports.py
@@ -22,6 +22,7 @@
     MaintenanceWave,
     MinionInfo,
     Worker,
+    ZoneEvacuation,
 )
 from courselead.core.scheduler.records import KeyedRecord
 from courselead.core.scheduler.scheduler import Scheduler
@@ -193,8 +194,13 @@
         """Poll the minion and renew its lease; `lease_ms` 0 does not renew it."""
         ...
 
-    async def start(self, order: StartRun, fence: int) -> OrderResult:
-        """Start a run; a delayed order never reaches another incarnation."""
+    async def start(
+        self, order: StartRun, fence: int, may_send: Callable[[], bool]
+    ) -> OrderResult:
+        """Start a run; a delayed order never reaches another incarnation.
+
+        `may_send` is asked before the order is sent again.
+        """
         ...
 
     async def stop(self, task: str, number: int, fence: int) -> OrderResult:
@@ -296,7 +302,7 @@
 
     def operator_config(
         self, record: KeyedRecord
-    ) -> OperatorConfig | MaintenanceWave | None:
+    ) -> OperatorConfig | MaintenanceWave | ZoneEvacuation | None:
         """Return the content of an operator's record, None if it is not relevant."""
         ...
 
--- a/courselead/platform/const.py
+++ b/courselead/platform/const.py
@@ -32,6 +32,7 @@
 
 KEY_CONFIG = "config"
 WAVE_KEY_PREFIX = "wave/"
+EVACUATION_KEY_PREFIX = "evacuate/"
 
 ADDRESS_PATTERN = (
     r"^[^\s:]+:([1-9]\d{0,3}|[1-5]\d{4}|6[0-4]\d{3}|65[0-4]\d\d|655[0-2]\d|6553[0-5])$"
--- a/courselead/platform/decode.py
+++ b/courselead/platform/decode.py
@@ -19,6 +19,7 @@
     Pool,
     Queue,
     Resources,
+    ZoneEvacuation,
 )
 from courselead.core.scheduler.records import KeyedRecord
 from courselead.daemon.scheduling.ports import OperatorConfig, RouteRule
@@ -128,9 +129,16 @@
 
     def operator_config(
         self, record: KeyedRecord
-    ) -> OperatorConfig | MaintenanceWave | None:
+    ) -> OperatorConfig | MaintenanceWave | ZoneEvacuation | None:
         """Return the content of an operator's record; None if it is not relevant."""
         key = record.key.decode("utf-8", "replace")
+        if key.startswith(const.EVACUATION_KEY_PREFIX):
+            # The key says it all; a record without a value withdraws the request.
+            zone = key.removeprefix(const.EVACUATION_KEY_PREFIX)
+            if not zone:
+                _LOGGER.warning("operator_record_malformed", key=key, reason="no zone")
+                return None
+            return ZoneEvacuation(zone, bool(record.value))
         if not record.value:
             return None
         try:
--- a/courselead/platform/minions.py
+++ b/courselead/platform/minions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import replace
 from functools import partial
 from typing import Any
@@ -105,7 +106,9 @@
         except (ValueError, IndexError) as exc:
             return Failure(_malformed_report(exc))
 
-    async def start(self, order: StartRun, fence: int) -> OrderResult:
+    async def start(
+        self, order: StartRun, fence: int, may_send: Callable[[], bool]
+    ) -> OrderResult:
         """Start a run; the order is sent again if there is no response.
 
         An order with `once` is sent a single time, with the total of all timeouts.
@@ -130,6 +133,8 @@
         if answer.outcome is not Outcome.UNKNOWN:
             return answer
         for timeout_ms in retry_timeouts_ms:
+            if not may_send():
+                break
             answer = await self._send_start(call, fence, timeout_ms)
             if answer.outcome in (
                 Outcome.OK,
--- a/courselead/platform/settings.py
+++ b/courselead/platform/settings.py
@@ -44,6 +44,8 @@
     strict_revoke: bool = False
     revoke_ms: int = 5_000
     quota_overage: float = 0.0
+    # Absent where the operator evacuates no zones.
+    evacuate_ms: int | None = None
     # Unlike the other fields this one has an underscore in the file.
     status_s: int = msgspec.field(default=120, name="status_s")
 
@@ -59,6 +61,7 @@
             status_s=self.status_s,
             cap_overage=self.quota_overage,
             revoked_within_ms=self.revoke_ms if self.strict_revoke else None,
+            evacuated_within_ms=self.evacuate_ms,
         )
 
 
@@ -76,6 +79,8 @@
     advice: str = ""
     limits: _Limits = msgspec.field(default_factory=_Limits)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    # Availability zones of the deployment, each with its region.
+    zones: dict[str, str] = {}
     # Names of the contracts that are in force.
     contracts: list[str] = []
 
--- a/tests/core/scheduler/world.py
+++ b/tests/core/scheduler/world.py
@@ -140,6 +140,10 @@
         self._held_starts: dict[Scheduler, HeldStarts] = {}
         # Fences of owners that cannot reach the log.
         self.log_cut: set[int] = set()
+        # Evacuated zones with the time since when nothing may start there, and whether
+        # owners can read the operator's log.
+        self.closed_zones: dict[str, int] = {}
+        self.operator_log_readable = True
         # Cut connections between owners, by fence, and minions.
         self.cut_connections: set[tuple[int, str]] = set()
         self.guards = guards
@@ -212,6 +216,7 @@
             self._remaining_runs_of(before),
             self._starts_are_bound,
         )
+        owner.handle(ev.ZonesEvacuated(frozenset(self.closed_zones)), self.now_ms)
         self.owner = owner
         self.owners.append(owner)
         for minion_id in sorted(self.listed):
@@ -282,6 +287,23 @@
             fits = 0 in amounts or getattr(used, name) <= limit
             assert fits, f"QUOTA: {account} has {used} of {caps} running"
 
+    def evacuate(self, zone: str) -> None:
+        """Let the operator evacuate a zone, which takes effect within the bound."""
+        self.closed_zones[zone] = self.now_ms + (self.bounds.evacuated_within_ms or 0)
+        self._tell_zones()
+
+    def restore(self, zone: str) -> None:
+        """Let the operator withdraw the evacuation of a zone."""
+        self.closed_zones.pop(zone, None)
+        self._tell_zones()
+
+    def _tell_zones(self) -> None:
+        if self.owner is not None and self._reads_operator_log(self.owner):
+            self._tell(ev.ZonesEvacuated(frozenset(self.closed_zones)))
+
+    def _reads_operator_log(self, owner: Scheduler) -> bool:
+        return self.operator_log_readable and not self.store_down
+
     def cancel(self, job_id: str) -> None:
         self.book.apply(JobCancelled(job_id))
         self._tell(ev.JobCancelRequested(job_id))
@@ -399,6 +421,10 @@
     def _tick(self, owner: Scheduler) -> None:
         if owner not in self.owners:
             return
+        if self._reads_operator_log(owner):
+            zones = frozenset(self.closed_zones)
+            owner.handle(ev.ZonesEvacuated(zones), self.now_ms)
+            owner.handle(ev.OperatorLogRead(self.now_ms), self.now_ms)
         owner.handle(ev.Tick(WALL_START_MS + self.now_ms), self.now_ms)
         if self._reaches_log(owner):
             owner.handle(ev.LogAnswered(self.now_ms), self.now_ms)
@@ -512,6 +538,9 @@
         self, minion: FakeMinion, order: ev.StartRun, spec: StepSpec
     ) -> None:
         task = order.task
+        closed_ms = self.closed_zones.get(minion.zone)
+        if closed_ms is not None and not self._is_delayed:
+            assert self.now_ms <= closed_ms, f"EVAC: {task} in {minion.zone}"
         entry = self.book.jobs[task.partition(".")[0]]
         if not spec.speculative:
             for other in self.all_minions:
@@ -653,6 +682,10 @@
         fence = owner.schedule.fence
 
         def send() -> None:
+            if not owner.may_send(order, self.now_ms):
+                answer = order.not_sent("nothing may be started in its zone")
+                self._reply(owner, answer)
+                return
             self._order(owner, order, lambda m: self._start(m, order, fence))
 
         def stored() -> None:
--- a/tests/daemon/scheduling/fakes.py
+++ b/tests/daemon/scheduling/fakes.py
@@ -41,6 +41,8 @@
     answer: anyio.Event | None = None
     appends: int = 0
     reads: int = 0
+    # Maximum number of records in the response to a read, None for no limit.
+    max_batch: int | None = None
 
     async def append(
         self,
@@ -95,7 +97,7 @@
             await anyio.sleep(0.005)
             waited += 5
         await anyio.lowlevel.checkpoint()
-        records = tuple(self.records[start:])
+        records = tuple(self.records[start:][: self.max_batch])
         return Success(LogBatch(start, len(self.records), records))
 
     async def newest(self) -> Result[Newest, ReadError]:
--- a/tests/platform/serving.py
+++ b/tests/platform/serving.py
@@ -6,6 +6,11 @@
 from anyio.abc import SocketStream
 
 
+def always() -> bool:
+    """Allow every attempt of an order."""
+    return True
+
+
 class ConnectionHandler(Protocol):
     """Handles connections of a server."""
 
--- a/tests/platform/test_bound_starts.py
+++ b/tests/platform/test_bound_starts.py
@@ -17,6 +17,7 @@
 from courselead.core.scheduler.events import Outcome, StartRun
 from courselead.core.scheduler.models import MinionInfo, Resources
 from courselead.platform.minions import HttpMinionLink
+from tests.platform.serving import always
 
 pytestmark = pytest.mark.anyio
 
@@ -127,14 +128,14 @@
         link = address.link()
 
         async def send() -> None:
-            outcomes.append((await link.start(ORDER, FENCE)).outcome)
+            outcomes.append((await link.start(ORDER, FENCE, always)).outcome)
             finished.set()
 
         if before.silent:
             tasks.start_soon(send)
             await before.got_start.wait()
         else:
-            await link.start(ORDER, FENCE)
+            await link.start(ORDER, FENCE, always)
         ended.set()
         await tasks.start(address.run, after, finished)
         if not before.silent:
@@ -169,7 +170,7 @@
         await tasks.start(address.run, incarnation, finished)
         link = address.link()
         for _ in range(3):
-            assert (await link.start(ORDER, FENCE)).outcome is Outcome.OK
+            assert (await link.start(ORDER, FENCE, always)).outcome is Outcome.OK
         finished.set()
         link.close()
     assert len(incarnation.starts) == 3
@@ -181,7 +182,7 @@
     async with anyio.create_task_group() as tasks:
         await tasks.start(address.run, incarnation, finished)
         link = address.link(born_ms=0)
-        assert (await link.start(ORDER, FENCE)).outcome is Outcome.OK
+        assert (await link.start(ORDER, FENCE, always)).outcome is Outcome.OK
         finished.set()
         link.close()
     assert incarnation.polls == 0
@@ -194,7 +195,7 @@
         await tasks.start(address.run, incarnation, finished)
         link = address.link(born_ms=0)
         await link.poll(FENCE, 0, 0, 0)
-        assert (await link.start(ORDER, FENCE)).outcome is Outcome.OK
+        assert (await link.start(ORDER, FENCE, always)).outcome is Outcome.OK
         finished.set()
         link.close()
     assert incarnation.polls == 2
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 
 import anyio
+import msgspec
 import pytest
 from returns.result import Failure
 
@@ -14,6 +15,7 @@
     MinionInfo,
     Resources,
     WorkerPhase,
+    ZoneEvacuation,
 )
 from courselead.core.scheduler.records import KeyedRecord
 from courselead.daemon.scheduling.ports import (
@@ -27,9 +29,9 @@
 from courselead.platform.cloud import HttpAdvice, HttpCloud
 from courselead.platform.decode import RecordDecoder
 from courselead.platform.minions import HttpMinionLink
-from courselead.platform.settings import NodeSettings
+from courselead.platform.settings import NodeSettings, _Bounds
 from courselead.platform.store import StoreTopic, store_pool
-from tests.platform.serving import RunningServer
+from tests.platform.serving import RunningServer, always
 
 pytestmark = pytest.mark.anyio
 
@@ -174,7 +176,7 @@
 async def test_responses_to_a_start_are_mapped_to_outcomes(answer, outcome):
     server = ScriptedServer(answer)
     async with RunningServer(server) as address:
-        assert (await make_link(address).start(ORDER, 7)).outcome is outcome
+        assert (await make_link(address).start(ORDER, 7, always)).outcome is outcome
     head, body = server.requests[0]
     assert "X-Courselead-Expect-Instance: i-1" in head
     assert json.loads(body) == {
@@ -191,13 +193,13 @@
     async with RunningServer(
         ScriptedServer(None, (409, {"reason": "room"}))
     ) as address:
-        answer = await make_link(address).start(ORDER, 7)
+        answer = await make_link(address).start(ORDER, 7, always)
     assert answer.outcome is Outcome.UNKNOWN
 
 
 async def test_a_successful_retry_of_a_start_has_a_known_outcome():
     async with RunningServer(ScriptedServer(None, (200, {"clockMs": 5}))) as address:
-        answer = await make_link(address).start(ORDER, 7)
+        answer = await make_link(address).start(ORDER, 7, always)
     assert answer.outcome is Outcome.OK
 
 
@@ -210,7 +212,7 @@
     """
     server = ScriptedServer(None, (200, {"clockMs": 5}))
     async with RunningServer(server) as address:
-        answer = await make_link(address).start(replace(ORDER, once=True), 7)
+        answer = await make_link(address).start(replace(ORDER, once=True), 7, always)
     assert answer.outcome is Outcome.UNKNOWN
     assert not answer.repeated
     assert len(server.requests) == 1
@@ -263,8 +265,8 @@
     server = ScriptedServer((200, {"clockMs": 1}), None, (200, {"clockMs": 2}))
     async with RunningServer(server) as address:
         minion_link = make_link(address)
-        assert not (await minion_link.start(ORDER, 7)).repeated
-        again = await minion_link.start(ORDER, 7)
+        assert not (await minion_link.start(ORDER, 7, always)).repeated
+        again = await minion_link.start(ORDER, 7, always)
     assert again.outcome is Outcome.OK
     assert again.repeated
 
@@ -377,3 +379,15 @@
     path.write_text("node = 3\n")
     assert "correct the named field" in NodeSettings.from_file(path).failure()
     assert isinstance(NodeSettings.from_file(tmp_path / "none"), Failure)
+
+
+def test_evacuation_records_and_their_bound_are_decoded():
+    decoder = RecordDecoder()
+    record = KeyedRecord(b"evacuate/z-a", b"{}")
+    assert decoder.operator_config(record) == ZoneEvacuation("z-a", True)
+    removed = KeyedRecord(b"evacuate/z-a", b"")
+    assert decoder.operator_config(removed) == ZoneEvacuation("z-a", False)
+    assert decoder.operator_config(KeyedRecord(b"evacuate/", b"{}")) is None
+    bounds = msgspec.convert({"evacuateMs": 5_000}, _Bounds)
+    assert bounds.to_core_bounds().evacuated_within_ms == 5_000
+    assert _Bounds().to_core_bounds().evacuated_within_ms is None
