--- a/courselead/core/scheduler/state.py
+++ b/courselead/core/scheduler/state.py
@@ -408,6 +408,7 @@
         unanswered_stray_stops: Stray starts whose stop orders this incarnation has not
             answered yet.
         older_entry: Newest list entry of an incarnation that seems older than this one.
+        warm_at_ms: When it is expected to have warmed up, 0 if it is not warming up.
     """
 
     info: MinionInfo
@@ -435,6 +436,7 @@
     stray_lease_ms: int = 0
     unanswered_stray_stops: set[tuple[str, int]] = field(default_factory=set)
     older_entry: MinionInfo | None = None
+    warm_at_ms: int = 0
     _known_free_capacity: tuple[Resources, Resources, Resources] | None = None
 
     @property
@@ -467,6 +469,10 @@
         tasks += [end.task for end in self.unsaved]
         return tasks
 
+    def is_warming_up(self, now_ms: int) -> bool:
+        """Return whether it still runs tasks more slowly than usual after its start."""
+        return now_ms < self.warm_at_ms
+
     def is_unresponsive(self, now_ms: int) -> bool:
         """Return whether it has not answered a start for too long."""
         return (
