Leave evacuated zones out of a pool's capacity

Minions and workers of an evacuated zone counted as capacity although nothing may be started there. So a pool seemed large enough, work waited, and workers of that zone were fetched for it, or switched off as idle.

Demand, surplus, donors, spare workers, workers on their way and the minion counts for trials of suspects now leave them out until the zone returns. A move into a pool that serves is not ordered again there; it is given up like a lost one, so that a maintenance wave can take the worker. Losses of minions count as before.

The cloud's list of the simulated world tells the zones of its workers, as the real one does.

--- a/courselead/core/scheduler/demand.py
+++ b/courselead/core/scheduler/demand.py
@@ -6,6 +6,7 @@
 
 from courselead.core.scheduler import urgency
 from courselead.core.scheduler.arrivals import burst_tracker_of, lead_time_ms, rate_of
+from courselead.core.scheduler.models import Worker
 from courselead.core.scheduler.schedule import Schedule
 from courselead.core.scheduler.state import Minion, Unit
 
@@ -76,7 +77,10 @@
 
 
 def demands_of(schedule: Schedule) -> dict[str, PoolDemand]:
-    """Return capacity and demand of all pools except spare ones."""
+    """Return capacity and demand of all pools except spare ones.
+
+    Minions and workers in evacuated zones are left out: nothing may be started there.
+    """
     demands: dict[str, PoolDemand] = {}
     for name, pool in schedule.config.pools.items():
         if not pool.spare:
@@ -87,6 +91,8 @@
             continue
         if not minion.listed or minion.cordoned:
             continue
+        if minion.info.zone in schedule.evacuated_zones:
+            continue
         demand.capacity += minion.info.capacity.cpu_milli
         if not minion.runs and minion.synced:
             assert demand.idle is not None
@@ -94,10 +100,9 @@
         for run in minion.runs.values():
             if run.unit.spec.long_running:
                 demand.long_running_use += run.unit.spec.charge.cpu_milli
-    for worker_id, move in schedule.moves.items():
-        worker = schedule.workers.get(worker_id)
-        if worker is not None and move.pool in demands:
-            demands[move.pool].capacity += worker.capacity.cpu_milli
+    moving = _moving_workers(schedule, demands)
+    for pool, worker in moving:
+        demands[pool].capacity += worker.capacity.cpu_milli
     _count_joining(schedule, demands)
     for pool, demand in demands.items():
         rate = rate_of(schedule, pool)
@@ -107,11 +112,23 @@
         demand.arriving = max(rate.busy, rate.ahead, due)
         demand.no_burst_yet = not bursts.seen
         _count_waiting(schedule, pool, demand)
+    for pool, worker in moving:
+        demands[pool].waiting_labels.difference_update(worker.labels)
+    return demands
+
+
+def _moving_workers(
+    schedule: Schedule, demands: dict[str, PoolDemand]
+) -> list[tuple[str, Worker]]:
+    """Return the workers that are being moved, with the pools that they move to."""
+    moving = []
     for worker_id, move in schedule.moves.items():
         worker = schedule.workers.get(worker_id)
-        if worker is not None and move.pool in demands:
-            demands[move.pool].waiting_labels.difference_update(worker.labels)
-    return demands
+        if worker is None or move.pool not in demands:
+            continue
+        if worker.zone not in schedule.evacuated_zones:
+            moving.append((move.pool, worker))
+    return moving
 
 
 def _count_joining(schedule: Schedule, demands: dict[str, PoolDemand]) -> None:
@@ -121,6 +138,8 @@
         late = schedule.now_ms - since_ms > MAX_JOIN_MS
         if worker is None or late or worker.minion_id in schedule.minions:
             del schedule.joining[worker_id]
+        elif worker.zone in schedule.evacuated_zones:
+            continue
         elif worker.pool in demands:
             demands[worker.pool].capacity += worker.capacity.cpu_milli
 
--- a/courselead/core/scheduler/isolation.py
+++ b/courselead/core/scheduler/isolation.py
@@ -64,6 +64,7 @@
                 item
                 for item in self._schedule.minions.values()
                 if item.info.pool == pool and item.listed and not item.info.draining
+                if item.info.zone not in self._schedule.evacuated_zones
                 if item.minion_id not in self._trial_minions
                 if not any(run.unit.is_costly for run in item.runs.values())
             ]
@@ -133,8 +134,11 @@
         """Return how many jobs of a pool may have a trial at the same time."""
         limit = self._max_trials.get(pool)
         if limit is None:
-            minions = self._schedule.minions.values()
-            count = sum(item.info.pool == pool for item in minions)
+            evacuated_zones = self._schedule.evacuated_zones
+            count = sum(
+                item.info.pool == pool and item.info.zone not in evacuated_zones
+                for item in self._schedule.minions.values()
+            )
             limit = self._max_trials[pool] = max(1, count // const.TRIAL_SHARE_DIVISOR)
         return limit
 
--- a/courselead/core/scheduler/pools.py
+++ b/courselead/core/scheduler/pools.py
@@ -95,11 +95,15 @@
             continue
         if worker.phase is not WorkerPhase.UP:
             continue
-        lost_after_ms = move.accepted_ms + schedule.bounds.move_ms + LOST_MOVE_MS
+        # A move that is not ordered again will not be accepted any more.
+        begun_ms = move.accepted_ms
+        if not begun_ms and not _may_order_again(schedule, worker_id, move):
+            begun_ms = move.sent_ms
+        lost_after_ms = begun_ms + schedule.bounds.move_ms + LOST_MOVE_MS
         if worker.pool == move.pool:
             del schedule.moves[worker_id]
             schedule.joining[worker_id] = schedule.now_ms
-        elif move.accepted_ms and asked_ms > lost_after_ms:
+        elif begun_ms and asked_ms > lost_after_ms:
             schedule.log_event("move_lost", worker=worker_id, pool=move.pool)
             del schedule.moves[worker_id]
             _uncordon(schedule, worker_id)
@@ -150,6 +154,8 @@
         pool = schedule.config.pools.get(worker.pool)
         if pool is None or not pool.spare or not _movable(schedule, worker):
             continue
+        if worker.zone in schedule.evacuated_zones:
+            continue
         workers.append(worker)
     return workers
 
@@ -288,10 +294,24 @@
     for worker_id, move in schedule.moves.items():
         if move.accepted_ms or schedule.now_ms - move.sent_ms < MOVE_RETRY_MS:
             continue
+        if not _may_order_again(schedule, worker_id, move):
+            continue
         move.sent_ms = schedule.now_ms
         schedule.order_worker(worker_id, MoveWorker(worker_id, move.pool))
 
 
+def _may_order_again(schedule: Schedule, worker_id: str, move: MoveState) -> bool:
+    """Return whether a move may be ordered again.
+
+    A worker in an evacuated zone is not moved into a pool to serve it.
+    """
+    worker = schedule.workers.get(worker_id)
+    if worker is None or worker.zone not in schedule.evacuated_zones:
+        return True
+    pool = schedule.config.pools.get(move.pool)
+    return pool is not None and pool.spare
+
+
 def _uncordon(schedule: Schedule, worker_id: str) -> None:
     for minion in schedule.minions.values():
         if minion.worker_id == worker_id:
--- a/tests/core/scheduler/world.py
+++ b/tests/core/scheduler/world.py
@@ -843,7 +843,7 @@
                     minion.worker_id,
                     POOL,
                     WorkerPhase.UP if minion.up else WorkerPhase.DOWN,
-                    "z",
+                    minion.zone,
                     minion.capacity,
                     minion.labels,
                     minion.minion_id,
