Maintain the workers of an evacuated zone first

A wave took idle workers that serve before busy ones of an evacuated zone, whose capacity is out of use.

The zone is now the first part of the order in which a wave takes its workers. A worker of the simulated world comes back from maintenance in its zone.

--- a/courselead/core/scheduler/waves.py
+++ b/courselead/core/scheduler/waves.py
@@ -178,18 +178,22 @@
         _evacuate(schedule, number, wave, worker_id)
 
 
-def _maintenance_order(schedule: Schedule, worker_id: str) -> tuple[bool, bool, int]:
+def _maintenance_order(
+    schedule: Schedule, worker_id: str
+) -> tuple[bool, bool, bool, int]:
     """Return the sort key of a worker for maintenance; the lowest goes first.
 
-    Workers without runs come first, and among these the ones of pools outside of a
-    demand burst. Otherwise a wave at the start of a burst would also take idle workers
-    of the pool that is about to need them.
+    Workers of evacuated zones come first, as their capacity is out of use. Then follow
+    workers without runs, and among these the ones of pools outside of a demand burst.
+    Otherwise a wave at the start of a burst would also take idle workers of the pool
+    that is about to need them.
     """
+    in_use = schedule.workers[worker_id].zone not in schedule.evacuated_zones
     minion = _minion(schedule, worker_id)
     if minion is None:
-        return (False, False, 0)
+        return (in_use, False, False, 0)
     in_burst = schedule.burst_age_ms(minion.info.pool) is not None
-    return (bool(minion.runs), in_burst, len(minion.runs))
+    return (in_use, bool(minion.runs), in_burst, len(minion.runs))
 
 
 def _minion(schedule: Schedule, worker_id: str) -> Minion | None:
--- a/tests/core/scheduler/world.py
+++ b/tests/core/scheduler/world.py
@@ -881,7 +881,7 @@
 
         def back() -> None:
             del self.down[order.worker_id]
-            self.add_minion(order.worker_id, capacity=minion.capacity)
+            self.add_minion(order.worker_id, capacity=minion.capacity, zone=minion.zone)
 
         self._at(self.bounds.maintenance_ms, back)
 
