Move long-running tasks out of a zone evacuated for 10 s

Long-running and checkpointed tasks stayed in an evacuated zone for as long as the evacuation lasted, and would all be lost at once with the zone.

After 10 s they are stopped and start again elsewhere: long-running tasks within their step's budget, and all only while a minion outside has free capacity that no other stopped or waiting task needs. Gangs, suspects, tasks of ended jobs and of accounts over their cap stay, as they may not start again soon. An owner that may have been replaced stops nothing. The tasks that are to be moved count as demand outside, so that workers are fetched or kept for them.

--- a/courselead/core/scheduler/demand.py
+++ b/courselead/core/scheduler/demand.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from courselead.core.scheduler import urgency
+from courselead.core.scheduler import evacuation_moves, urgency
 from courselead.core.scheduler.arrivals import burst_tracker_of, lead_time_ms, rate_of
 from courselead.core.scheduler.models import Worker
 from courselead.core.scheduler.schedule import Schedule
@@ -80,6 +80,7 @@
     """Return capacity and demand of all pools except spare ones.
 
     Minions and workers in evacuated zones are left out: nothing may be started there.
+    The long-running tasks that are to be moved out of them need capacity elsewhere.
     """
     demands: dict[str, PoolDemand] = {}
     for name, pool in schedule.config.pools.items():
@@ -92,14 +93,14 @@
         if not minion.listed or minion.cordoned:
             continue
         if minion.info.zone in schedule.evacuated_zones:
+            if evacuation_moves.is_due(schedule, minion.info.zone):
+                demand.long_running_use += _long_running_use(minion)
             continue
         demand.capacity += minion.info.capacity.cpu_milli
         if not minion.runs and minion.synced:
             assert demand.idle is not None
             demand.idle.append(minion)
-        for run in minion.runs.values():
-            if run.unit.spec.long_running:
-                demand.long_running_use += run.unit.spec.charge.cpu_milli
+        demand.long_running_use += _long_running_use(minion)
     moving = _moving_workers(schedule, demands)
     for pool, worker in moving:
         demands[pool].capacity += worker.capacity.cpu_milli
@@ -117,6 +118,14 @@
     return demands
 
 
+def _long_running_use(minion: Minion) -> int:
+    return sum(
+        run.unit.spec.charge.cpu_milli
+        for run in minion.runs.values()
+        if run.unit.spec.long_running
+    )
+
+
 def _moving_workers(
     schedule: Schedule, demands: dict[str, PoolDemand]
 ) -> list[tuple[str, Worker]]:
--- /dev/null
+++ b/courselead/core/scheduler/evacuation_moves.py
@@ -0,0 +1,162 @@
+"""Moves tasks out of zones that have been evacuated for some time.
+
+Finite tasks run to their end where they are. Long-running tasks and checkpointed ones
+are stopped within their budgets while there is free capacity outside, and start again
+there. Nothing is moved back when a zone returns.
+"""
+
+from __future__ import annotations
+
+from courselead.core.scheduler import caps, const, lives
+from courselead.core.scheduler.doubt import UnseenTasks, find_unseen_tasks
+from courselead.core.scheduler.isolation import Isolation
+from courselead.core.scheduler.models import NOTHING, Resources
+from courselead.core.scheduler.schedule import Schedule
+from courselead.core.scheduler.state import Minion, Run, RunPhase, StepRun, Unit
+
+MOVE_AFTER_MS = 10_000
+"""Time after which tasks are moved out of an evacuated zone.
+
+A move costs a long-running task about a second of work, which a shorter evacuation does
+not justify.
+"""
+
+ZONE_EVACUATED = "its zone is evacuated"
+"""Reason given when a run is stopped to be moved out of an evacuated zone."""
+
+
+def is_due(schedule: Schedule, zone: str) -> bool:
+    """Return whether the tasks of a zone are to be moved out of it."""
+    since_ms = schedule.evacuated_zones.get(zone)
+    return since_ms is not None and schedule.now_ms - since_ms >= MOVE_AFTER_MS
+
+
+def tick(schedule: Schedule) -> None:
+    """Stop the runs that may be moved out of evacuated zones now."""
+    if not any(is_due(schedule, zone) for zone in schedule.evacuated_zones):
+        return
+    if schedule.log_is_silent or schedule.lease_left_ms < const.LEAST_LEASE_MS:
+        # Another owner may exist, or nothing may be started.
+        return
+    isolation = Isolation.create(schedule)
+    pools: dict[str, _FreeCapacity] = {}
+    for minion in schedule.minions.values():
+        # The stop of a run on a silent minion does not arrive.
+        if minion.failures or not is_due(schedule, minion.info.zone):
+            continue
+        for run in list(minion.runs.values()):
+            if not _may_be_moved(schedule, run):
+                continue
+            pool = schedule.pool_of(run.unit.job)
+            if pool not in pools:
+                pools[pool] = _FreeCapacity(schedule, pool, isolation)
+            if pools[pool].reserve(run.unit):
+                schedule.stop_run(run, ZONE_EVACUATED)
+
+
+def _may_be_moved(schedule: Schedule, run: Run) -> bool:
+    """Return whether a run may be stopped if there is free capacity for its task."""
+    unit, spec = run.unit, run.unit.spec
+    if run.phase is not RunPhase.RUNNING or spec.gang or unit.is_over:
+        return False
+    if not spec.long_running and not spec.checkpoints:
+        return False
+    if unit.placement_crash_count:
+        # The next start of a suspect may have to wait for a minion without other tasks.
+        return False
+    if _is_over_cap(schedule, unit.job.account):
+        return False
+    return schedule.may_interrupt(run)
+
+
+def _is_over_cap(schedule: Schedule, account: str) -> bool:
+    """Return whether a task of an account could not start again after a stop."""
+    limit = caps.limit_of(schedule, account)
+    if limit is None:
+        return False
+    used = schedule.account_use.get(account, NOTHING)
+    used = used.plus(caps.unseen_use(schedule).get(account, NOTHING))
+    pairs = zip(
+        (used.cpu_milli, used.memory_mb, used.gpus),
+        (limit.cpu_milli, limit.memory_mb, limit.gpus),
+        strict=True,
+    )
+    return any(amount and use > amount for use, amount in pairs)
+
+
+class _FreeCapacity:
+    """Free capacity of a pool's minions outside of the evacuated zones.
+
+    What is reserved for one task is not free for the next one.
+    """
+
+    def __init__(
+        self, schedule: Schedule, pool: str, isolation: Isolation | None
+    ) -> None:
+        """Reserve capacity for tasks that were stopped before or wait to be started."""
+        self._isolation = isolation
+        self._minions = [
+            minion
+            for minion in schedule.minions.values()
+            if minion.info.pool == pool and _is_usable(schedule, minion)
+        ]
+        self._free = {item.minion_id: item.free_capacity for item in self._minions}
+        self._reserved_of_step: dict[tuple[int, str], int] = {}
+        self._unseen: UnseenTasks = find_unseen_tasks(schedule, pool).with_pending(
+            lives.tasks_with_pending_starts(schedule)
+        )
+        for minion in schedule.minions.values():
+            for run in minion.runs.values():
+                if run.phase is not RunPhase.STOPPING or run.unit.is_over:
+                    continue
+                if schedule.pool_of(run.unit.job) == pool:
+                    self.reserve(run.unit)
+        for unit in schedule.ready.get(pool, ()):
+            if unit.spec.long_running and not unit.is_over and not unit.runs:
+                self.reserve(unit)
+
+    def reserve(self, unit: Unit) -> bool:
+        """Reserve capacity for a task, and return whether there is enough."""
+        if self._unseen.blocks(unit):
+            return False
+        minions = self._minions
+        if self._isolation is not None:
+            minions = self._isolation.allowed_minions(unit, minions)
+        spec = unit.spec
+        for minion in minions:
+            if not spec.charge.fits(self._free[minion.minion_id]):
+                continue
+            if spec.required_label and spec.required_label not in minion.info.labels:
+                continue
+            if spec.max_per_minion:
+                count = self._count_of_step(unit.step, minion)
+                if count >= spec.max_per_minion:
+                    continue
+            self._take(unit.step, minion, spec.charge)
+            return True
+        return False
+
+    def _take(self, step: StepRun, minion: Minion, charge: Resources) -> None:
+        minion_id = minion.minion_id
+        self._free[minion_id] = self._free[minion_id].minus(charge)
+        key = (id(step), minion_id)
+        self._reserved_of_step[key] = self._reserved_of_step.get(key, 0) + 1
+
+    def _count_of_step(self, step: StepRun, minion: Minion) -> int:
+        reserved = self._reserved_of_step.get((id(step), minion.minion_id), 0)
+        return reserved + sum(run.unit.step is step for run in minion.runs.values())
+
+
+def _is_usable(schedule: Schedule, minion: Minion) -> bool:
+    """Return whether tasks may be started on a minion now."""
+    if minion.info.draining or not minion.listed or minion.cordoned:
+        return False
+    if not minion.synced or minion.failures:
+        return False
+    if minion.is_unresponsive(schedule.now_ms):
+        return False
+    if schedule.now_ms < minion.rest_until_ms:
+        return False
+    if schedule.stores_starts_on(minion) and not schedule.log_accepts_records:
+        return False
+    return schedule.may_start_in(minion.info.zone)
--- a/courselead/core/scheduler/minions.py
+++ b/courselead/core/scheduler/minions.py
@@ -5,6 +5,7 @@
 from courselead.core.scheduler import (
     const,
     crashes,
+    evacuation_moves,
     jobs,
     left_starts,
     lives,
@@ -144,6 +145,7 @@
             lives.resend_pending_stops(schedule, minion)
         if minion.info.draining:
             _stop_runs_on_draining(schedule, minion)
+    evacuation_moves.tick(schedule)
     lives.drop_expired_starts(schedule)
 
 
