Let no stuck task of an evacuated zone hold up a wave

A wave takes the workers of an evacuated zone first. Where their long-running tasks could not start elsewhere, these workers took up the cap until the end of the evacuation: after 40 s one worker of nine was maintained.

Such workers now come last.

--- a/courselead/core/scheduler/evacuation_moves.py
+++ b/courselead/core/scheduler/evacuation_moves.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 from courselead.core.scheduler import caps, const, lives
 from courselead.core.scheduler.doubt import UnseenTasks, find_unseen_tasks
 from courselead.core.scheduler.isolation import Isolation
@@ -54,6 +56,30 @@
                 schedule.stop_run(run, ZONE_EVACUATED)
 
 
+def minions_that_cannot_be_emptied(
+    schedule: Schedule, minions: Iterable[Minion]
+) -> list[Minion]:
+    """Return the minions with long-running tasks that could not start elsewhere.
+
+    The free capacity outside of the evacuated zones is given to the minions in order.
+    """
+    isolation = Isolation.create(schedule)
+    pools: dict[str, _FreeCapacity] = {}
+    found = []
+    for minion in minions:
+        for run in minion.runs.values():
+            unit = run.unit
+            if run.phase is RunPhase.STOPPING or not unit.spec.long_running:
+                continue
+            pool = schedule.pool_of(unit.job)
+            if pool not in pools:
+                pools[pool] = _FreeCapacity(schedule, pool, isolation)
+            if not pools[pool].reserve(unit):
+                found.append(minion)
+                break
+    return found
+
+
 def _may_be_moved(schedule: Schedule, run: Run) -> bool:
     """Return whether a run may be stopped if there is free capacity for its task."""
     unit, spec = run.unit, run.unit.spec
--- a/courselead/core/scheduler/waves.py
+++ b/courselead/core/scheduler/waves.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from courselead.core.scheduler.evacuation_moves import minions_that_cannot_be_emptied
 from courselead.core.scheduler.events import (
     CloudOrderAnswered,
     ListWorkers,
@@ -29,6 +30,9 @@
 UNANSWERED_MS = 2_000
 """Time after which an unanswered order is sent again; the order is idempotent."""
 
+_BEFORE_OTHERS, _AFTER_OTHERS = -1, 1
+"""Ranks for maintenance of the workers of evacuated zones; all others have 0."""
+
 
 def requested(schedule: Schedule, wave: MaintenanceWave) -> None:
     """Add a wave requested by the operator, with the progress of earlier owners."""
@@ -162,8 +166,9 @@
     for worker_id in remaining:
         if worker_id in wave.evacuating:
             _evacuate(schedule, number, wave, worker_id)
+    ranks = _evacuation_ranks(schedule, remaining)
     for worker_id in sorted(
-        remaining, key=lambda item: _maintenance_order(schedule, item)
+        remaining, key=lambda item: _maintenance_order(schedule, item, ranks)
     ):
         busy = len(wave.evacuating) + len(wave.down)
         if busy >= wave.cap + EVACUATE_AHEAD:
@@ -178,22 +183,46 @@
         _evacuate(schedule, number, wave, worker_id)
 
 
+def _evacuation_ranks(schedule: Schedule, worker_ids: list[str]) -> dict[str, int]:
+    """Return the ranks for maintenance of the workers of evacuated zones.
+
+    They come before all others, as their capacity is out of use. Those with
+    long-running tasks that could not start elsewhere come last: they would take up the
+    cap while other workers could be maintained.
+    """
+    if not schedule.evacuated_zones:
+        return {}
+    ranks = {}
+    workers_by_minion = {}
+    minions = []
+    for worker_id in worker_ids:
+        if schedule.workers[worker_id].zone not in schedule.evacuated_zones:
+            continue
+        ranks[worker_id] = _BEFORE_OTHERS
+        minion = _minion(schedule, worker_id)
+        if minion is not None:
+            minions.append(minion)
+            workers_by_minion[minion.minion_id] = worker_id
+    for minion in minions_that_cannot_be_emptied(schedule, minions):
+        ranks[workers_by_minion[minion.minion_id]] = _AFTER_OTHERS
+    return ranks
+
+
 def _maintenance_order(
-    schedule: Schedule, worker_id: str
-) -> tuple[bool, bool, bool, int]:
+    schedule: Schedule, worker_id: str, evacuation_ranks: dict[str, int]
+) -> tuple[int, bool, bool, int]:
     """Return the sort key of a worker for maintenance; the lowest goes first.
 
-    Workers of evacuated zones come first, as their capacity is out of use. Then follow
-    workers without runs, and among these the ones of pools outside of a demand burst.
-    Otherwise a wave at the start of a burst would also take idle workers of the pool
-    that is about to need them.
+    Apart from the rank by evacuated zones, workers without runs come first, and among
+    these the ones of pools outside of a demand burst. Otherwise a wave at the start of
+    a burst would also take idle workers of the pool that is about to need them.
     """
-    in_use = schedule.workers[worker_id].zone not in schedule.evacuated_zones
+    rank = evacuation_ranks.get(worker_id, 0)
     minion = _minion(schedule, worker_id)
     if minion is None:
-        return (in_use, False, False, 0)
+        return (rank, False, False, 0)
     in_burst = schedule.burst_age_ms(minion.info.pool) is not None
-    return (in_use, bool(minion.runs), in_burst, len(minion.runs))
+    return (rank, bool(minion.runs), in_burst, len(minion.runs))
 
 
 def _minion(schedule: Schedule, worker_id: str) -> Minion | None:
