Take the warm-up of a minion from its list entry

The minions of a zone may be slow for a while after its return. Their runs were stopped as stalled, and their run times were learned, so that work was expected to take longer than it does on minions that are warm.

The field warmupRemainingMs of an entry gives the time at which the minion is warm. Until then its runs are not judged as stalled; the time without progress counts from then on. Run times of runs that began before are not learned. Without the field, or with 0, nothing changes.

An entry that is read late, as after a takeover, delays the end by its age at most, since minions write their entries again with each heartbeat.

--- a/courselead/core/scheduler/lives.py
+++ b/courselead/core/scheduler/lives.py
@@ -63,10 +63,23 @@
         minion.cordoned = False
     minion.info = info
     minion.listed = True
+    _update_warm_time(schedule, minion)
     schedule.unconfirmed_minions.pop(info.minion_id, None)
     schedule.dirty_pools.add(info.pool)
 
 
+def _update_warm_time(schedule: Schedule, minion: Minion) -> None:
+    """Derive from a minion's new entry when it has warmed up.
+
+    The end of a warm-up is kept, since runs that began before it took longer.
+    """
+    remaining_ms = minion.info.warmup_remaining_ms
+    if remaining_ms > 0:
+        minion.warm_at_ms = schedule.now_ms + remaining_ms
+    else:
+        minion.warm_at_ms = min(minion.warm_at_ms, schedule.now_ms)
+
+
 def add_minions_of_new_pools(schedule: Schedule) -> None:
     """Add the minions whose pools are defined by a new configuration."""
     for info in list(schedule.unknown_pool_minions.values()):
@@ -267,6 +280,8 @@
     end_incarnation(schedule, minion, STARTED_AGAIN)
     next_minion = _track_incarnation(schedule, info)
     next_minion.listed = listed_now
+    if listed_now:
+        _update_warm_time(schedule, next_minion)
     next_minion.worker_id = minion.worker_id
     # A maintenance wave or a move of the worker goes on, unless the new incarnation is
     # already in another pool.
--- a/courselead/core/scheduler/minions.py
+++ b/courselead/core/scheduler/minions.py
@@ -190,13 +190,16 @@
     unit = run.unit
     if unit.spec.gang or run.pace < 100:
         return False
-    unchanged_ms = schedule.now_ms - max(run.percent_ms, run.started_ms)
-    if unchanged_ms < const.STALL_MS or schedule.minions[run.minion_id].failures:
+    minion = schedule.minions[run.minion_id]
+    # While a minion is slow, a run on it is not judged.
+    judged_from_ms = max(run.started_ms, minion.warm_at_ms)
+    unchanged_ms = schedule.now_ms - max(run.percent_ms, judged_from_ms)
+    if unchanged_ms < const.STALL_MS or minion.failures:
         return False
     if unit.spec.long_running:
         return run.percent < 100 and not unit.spec.fills
     expected = schedule.expected_ms(unit.job.queue, unit.spec)
-    age_ms = schedule.now_ms - run.started_ms
+    age_ms = schedule.now_ms - judged_from_ms
     return age_ms > const.STALL_FACTOR * expected
 
 
@@ -304,6 +307,10 @@
 def _update_average_run_time(schedule: Schedule, run: Run, kind: EndKind) -> None:
     if kind is not EndKind.DONE or run.unit.checkpoint or not run.running_ms:
         return
+    minion = schedule.minions.get(run.minion_id)
+    if minion is not None and minion.is_warming_up(run.running_ms):
+        # It took longer than it would on a minion that is warm.
+        return
     queue = run.unit.job.queue
     took_ms = schedule.now_ms - run.running_ms
     known = schedule.run_ms.get(queue, took_ms)
--- a/courselead/core/scheduler/models.py
+++ b/courselead/core/scheduler/models.py
@@ -203,7 +203,10 @@
 
 @dataclass(frozen=True, slots=True)
 class MinionInfo:
-    """A minion's entry in the platform's minion list."""
+    """A minion's entry in the platform's minion list.
+
+    `warmup_remaining_ms` is how much longer it runs tasks more slowly than usual.
+    """
 
     minion_id: str
     address: str
@@ -214,6 +217,7 @@
     draining: bool = False
     remaining_ms: int = 0
     born_ms: int = 0
+    warmup_remaining_ms: int = 0
 
     @property
     def incarnation(self) -> Incarnation:
--- a/courselead/platform/decode.py
+++ b/courselead/platform/decode.py
@@ -111,6 +111,8 @@
     labels: list[str]
     # Minimum time until the end of the minion while it drains.
     remaining_ms: int = 0
+    # How much longer the minion is slow; absent in entries of minions that are not.
+    warmup_remaining_ms: int = 0
     # Start time of the incarnation, in milliseconds since 1970; 0 for older minions,
     # which do not report it.
     born: Annotated[int, msgspec.Meta(ge=0, le=const.MAX_START_TIME_MS)] = 0
@@ -183,6 +185,7 @@
             server.state == const.STATE_DRAINING,
             server.remaining_ms,
             server.born,
+            server.warmup_remaining_ms,
         )
 
     def encode_wave_status(self, wave: int, completed: bool) -> KeyedRecord:
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -350,6 +350,10 @@
     }
     info = decoder.decode_minion(KeyedRecord(b"i-1", json.dumps(server).encode()))
     assert (info.pool, info.rack, info.draining) == ("s", "r1-3", True)
+    assert info.warmup_remaining_ms == 0
+    cold = json.dumps({**server, "warmupRemainingMs": 700}).encode()
+    info = decoder.decode_minion(KeyedRecord(b"i-1", cold))
+    assert info.warmup_remaining_ms == 700
     assert info.capacity == Resources(16000, 32768, 1)
     assert decoder.decode_minion(KeyedRecord(b"i-1", b"")) == "i-1"
     status = decoder.encode_wave_status(2, True)
