Log how an evacuation proceeds, and export its figures

An operator could not tell when a zone was empty, whether it was used again after its return, and how many starts an evacuation prevented.

The owner logs zone_emptied once nothing can run there any more, which takes the reports of all minions or the end of old leases after a takeover, and zone_first_start with the first run that begins after a return. The metrics have the evacuated zones, the runs left there and the starts that were not sent.

--- a/courselead/core/scheduler/minions.py
+++ b/courselead/core/scheduler/minions.py
@@ -5,6 +5,7 @@
 from courselead.core.scheduler import (
     const,
     crashes,
+    evacuation,
     evacuation_moves,
     jobs,
     left_starts,
@@ -146,6 +147,7 @@
         if minion.info.draining:
             _stop_runs_on_draining(schedule, minion)
     evacuation_moves.tick(schedule)
+    evacuation.tick(schedule)
     lives.drop_expired_starts(schedule)
 
 
@@ -213,6 +215,7 @@
     if run.phase is RunPhase.SENT:
         run.phase = RunPhase.RUNNING
         run.running_ms = schedule.now_ms
+        evacuation.run_begun(schedule, minion, run)
         jobs.begin(schedule, run.unit.job)
     if report.checkpoint:
         run.checkpoint = report.checkpoint
@@ -370,6 +373,7 @@
             if run.phase is RunPhase.SENT:
                 run.phase = RunPhase.RUNNING
                 run.running_ms = schedule.now_ms
+                evacuation.run_begun(schedule, minion, run)
                 run.percent_ms = schedule.now_ms
             jobs.begin(schedule, unit.job)
             return
--- a/courselead/core/scheduler/schedule.py
+++ b/courselead/core/scheduler/schedule.py
@@ -230,6 +230,10 @@
     orders_blocked_until_ms: dict[str, int] = field(default_factory=dict)
     # Evacuated availability zones, with the time at which this owner learned of each.
     evacuated_zones: dict[str, int] = field(default_factory=dict)
+    # Evacuated zones that were found to be empty.
+    emptied_zones: set[str] = field(default_factory=set)
+    # Zones without a start since their return, with the time of the return.
+    returned_zones: dict[str, int] = field(default_factory=dict)
     # When the newest read of the operator's log was sent.
     operator_log_read_ms: int = 0
     # Whether placement was last told that the operator's log was read too long ago.
--- a/courselead/daemon/scheduling/minion_tasks.py
+++ b/courselead/daemon/scheduling/minion_tasks.py
@@ -82,6 +82,7 @@
         if link is None:
             return
         if not self._may_send(order):
+            self._counters.add("starts_refused_evacuation")
             self._owner.handle(order.not_sent(ZONE_CLOSED))
             return
         begun = anyio.current_time()
--- a/courselead/daemon/scheduling/owner.py
+++ b/courselead/daemon/scheduling/owner.py
@@ -9,6 +9,7 @@
 from anyio.abc import TaskGroup
 from returns.result import Failure
 
+from courselead.core.scheduler import evacuation
 from courselead.core.scheduler.events import (
     AskAdvice,
     ConfigChanged,
@@ -153,6 +154,10 @@
         self._cloud = CloudTasks(self, platform, counters)
         self.scheduler: Scheduler | None = None
         self._tasks: TaskGroup | None = None
+        counters.register(
+            "evacuated_zones", lambda: len(operator_config.evacuated_zones)
+        )
+        counters.register("runs_in_evacuated_zones", self._runs_in_evacuated_zones)
 
     async def run(self) -> None:
         """Own the schedule until it is lost or handed over."""
@@ -302,6 +307,11 @@
     def _zones_evacuated(self, zones: frozenset[str]) -> None:
         self.handle(ZonesEvacuated(zones))
 
+    def _runs_in_evacuated_zones(self) -> int:
+        if self.scheduler is None:
+            return 0
+        return evacuation.runs_left(self.scheduler.schedule)
+
     def _operator_log_age_ms(self) -> int:
         return int(self._operator_config.age_s() * 1000)
 
