Name an evacuation as the cause of a wait

`courselead explain` reported a wait for an evacuated zone, or while starts were paused for an old view of the operator's log, as a wait for room, and a job that was never started as one without trouble.

The history of a job has the evacuations in force before its first line, and a run that was moved out of a zone is named as such.

Seven of the ten new tests in tests/cli fail on the code before; the other three guard against blaming evacuations that were over or had not begun.

--- a/courselead/cli/explain.py
+++ b/courselead/cli/explain.py
@@ -2,12 +2,21 @@
 
 from __future__ import annotations
 
+import math
 from pathlib import Path
 from typing import Annotated
 
 from cyclopts import Parameter
 
 from courselead.cli.errors import ExitCode
+from courselead.cli.evacuations import (
+    MOVED_REASON,
+    ZONE_EVENTS,
+    Restriction,
+    describe,
+    find_restrictions,
+    lines_in_force,
+)
 from courselead.cli.log_lines import RUN_FAILURE_EVENTS, Line, iter_lines, read_lines
 from courselead.cli.lost import WINDOW_S, LostRow, lost_rows
 from courselead.cli.output import emit, emit_json, warn
@@ -34,6 +43,7 @@
     "minion_reached",
     "minion_dead",
     "lease_over",
+    *sorted(ZONE_EVENTS),
 )
 """Events that change the state of a host or its view of others, for any job."""
 
@@ -111,16 +121,17 @@
     """Return the lines of a job, and the host events between them that may concern it.
 
     An event of a minion is included if a line of the job names that minion; an event
-    without a minion is always included.
+    without a minion is always included. So are the evacuations in force before.
     """
     job_lines = [line for line in lines if line.job_id == job_id]
     if not job_lines:
         return []
     minions = {line.fields.get("minion") for line in job_lines}
     first, last = job_lines[0].at, job_lines[-1].at
+    in_force = lines_in_force(lines, first)
     shown = []
     for line in lines:
-        if line.job_id == job_id:
+        if line.job_id == job_id or line in in_force:
             shown.append(line)
             continue
         if line.event not in HOST_EVENTS or not first <= line.at <= last:
@@ -203,8 +214,16 @@
     return capped if isinstance(capped, int) else 0
 
 
+def _wait_text(line: Line, waited_ms: int, restrictions: list[Restriction]) -> str:
+    """Return what a task waited for until it was started."""
+    begin = line.seconds - waited_ms / 1000
+    causes = [item for item in restrictions if item.has_caused(begin, line.seconds)]
+    return f"tasks that waited over a second {describe(causes) or 'for room'}"
+
+
 def _delays(job_lines: list[Line], shown: list[Line]) -> list[str]:
     counts: dict[str, int] = {}
+    restrictions = find_restrictions(shown)
     for line in job_lines:
         if line.fields.get("verdict") in ("not_run", "in_doubt"):
             why = line.fields.get("reason")
@@ -216,7 +235,10 @@
             counts[key] = counts.get(key, 0) + 1
         waited = line.fields.get("waited_ms", 0)
         if isinstance(waited, int) and waited > LONG_WAIT_REFERENCE_MS // 4:
-            key = "tasks that waited over a second for room"
+            key = _wait_text(line, waited, restrictions)
+            counts[key] = counts.get(key, 0) + 1
+        if line.event == "run_ended" and line.fields.get("reason") == MOVED_REASON:
+            key = "run moved out of an evacuated zone"
             counts[key] = counts.get(key, 0) + 1
     capped_ms = max((_capped_ms(line) for line in job_lines), default=0)
     if capped_ms:
@@ -226,4 +248,9 @@
         if line.event in ("schedule_claimed", "schedule_lost", "own_way_lost"):
             key = f"{line.event} at {line.host}"
             counts[key] = counts.get(key, 0) + 1
-    return [f"{count} x {text}" for text, count in counts.items()]
+    delays = [f"{count} x {text}" for text, count in counts.items()]
+    events = {line.event for line in job_lines}
+    open_restrictions = [item for item in restrictions if item.end == math.inf]
+    if open_restrictions and not events & {"unit_started", "job_ended"}:
+        delays.append(f"no start so far {describe(open_restrictions)}")
+    return delays
--- a/courselead/cli/log_lines.py
+++ b/courselead/cli/log_lines.py
@@ -6,6 +6,7 @@
 import sys
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
+from datetime import datetime
 from pathlib import Path
 
 RUN_FAILURE_EVENTS = frozenset(
@@ -34,6 +35,14 @@
                 return value.partition(".")[0]
         return ""
 
+    @property
+    def seconds(self) -> float:
+        """Return its timestamp as seconds since 1970, 0 if it has none."""
+        try:
+            return datetime.fromisoformat(self.at).timestamp()
+        except ValueError:
+            return 0.0
+
     def text(self) -> str:
         """Return the line as text for the operator."""
         shown = []
--- a/courselead/cli/lost.py
+++ b/courselead/cli/lost.py
@@ -6,9 +6,9 @@
 import statistics
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field
-from datetime import datetime
 from enum import StrEnum
 
+from courselead.cli.evacuations import Restriction, find_restrictions
 from courselead.cli.log_lines import RUN_FAILURE_EVENTS, Line
 
 LATE_FACTOR = 2.0
@@ -35,6 +35,8 @@
     NOT_STORED = "not stored"
     NO_OWNER = "no owner"
     TAKEOVER = "doubt after a takeover"
+    ZONE_EVACUATED = "zone evacuated"
+    STARTS_PAUSED = "starts paused"
     WORKER_MOVING = "worker on its way"
     NO_FREE_CAPACITY = "no room"
     RERUN = "run again"
@@ -115,8 +117,9 @@
     jobs = _collect_jobs(lines)
     moves = _moves_by_pool(lines)
     pools = _pool_by_minion(lines)
-    first_at = _seconds(lines[0])
+    first_at = lines[0].seconds
     medians = _median_durations(jobs)
+    restrictions = find_restrictions(lines)
     scheduled = sorted(job.scheduled_at for job in jobs if job.scheduled_at)
     rows: dict[tuple[float, str], LostRow] = {}
     for job in jobs:
@@ -126,7 +129,7 @@
         row.jobs += 1
         if _is_lost(job, medians.get(job.queue, 0.0)):
             pool_moves = moves.get(pools.get(job.minion, ""), [])
-            row.causes[_cause(job, pool_moves, scheduled)] += 1
+            row.causes[_cause(job, pool_moves, scheduled, restrictions)] += 1
     return [rows[key] for key in sorted(rows)]
 
 
@@ -139,7 +142,7 @@
 
 
 def _apply_line(job: JobTimes, line: Line) -> None:
-    at = _seconds(line)
+    at = line.seconds
     match line.event:
         case "job_submitted" | "job_known":
             job.queue = job.queue or str(line.fields.get("queue", ""))
@@ -182,13 +185,19 @@
     return job.duration_s > LATE_FACTOR * median_s
 
 
-def _cause(job: JobTimes, moves: list[float], scheduled: list[float]) -> Cause:
+def _cause(
+    job: JobTimes,
+    moves: list[float],
+    scheduled: list[float],
+    restrictions: list[Restriction],
+) -> Cause:
     """Return what took most of the time; time not spent waiting counts as run time.
 
     Args:
         job: The lost job.
         moves: Times at which workers were ordered to its pool.
         scheduled: Times at which jobs were scheduled, sorted.
+        restrictions: Times in which zones were evacuated or starts were paused.
     """
     if not job.stored_at and not job.scheduled_at:
         return Cause.NOT_STORED
@@ -203,7 +212,7 @@
     parts = {
         Cause.NOT_STORED: stored_at - job.first_seen_at,
         Cause.NO_OWNER: job.scheduled_at - stored_at,
-        _wait_cause(job, moves): waited_s,
+        _wait_cause(job, moves, restrictions): waited_s,
     }
     cause = max(parts, key=parts.__getitem__)
     if not job.ended_at and parts[cause] < MIN_CAUSE_S:
@@ -216,11 +225,20 @@
     return Cause.RERUN if job.run_failures else Cause.SLOW_RUN
 
 
-def _wait_cause(job: JobTimes, moves: list[float]) -> Cause:
+def _wait_cause(
+    job: JobTimes, moves: list[float], restrictions: list[Restriction]
+) -> Cause:
     """Return the cause of the longest wait of a job's task."""
     if job.from_before:
         return Cause.TAKEOVER
     since = job.longest_wait_at - job.waited_ms / MS_PER_S
+    zones = {
+        item.zone
+        for item in restrictions
+        if item.has_caused(since, job.longest_wait_at)
+    }
+    if zones:
+        return Cause.STARTS_PAUSED if "" in zones else Cause.ZONE_EVACUATED
     if any(since <= at <= job.longest_wait_at for at in moves):
         return Cause.WORKER_MOVING
     return Cause.NO_FREE_CAPACITY
@@ -231,7 +249,7 @@
     moves: dict[str, list[float]] = defaultdict(list)
     for line in lines:
         if line.event == "move":
-            moves[str(line.fields.get("pool", ""))].append(_seconds(line))
+            moves[str(line.fields.get("pool", ""))].append(line.seconds)
     return dict(moves)
 
 
@@ -252,11 +270,3 @@
         if job.state == "completed":
             times[job.queue].append(job.duration_s)
     return {queue: statistics.median(found) for queue, found in times.items()}
-
-
-def _seconds(line: Line) -> float:
-    """Return a line's timestamp as seconds since 1970, 0 if it has none."""
-    try:
-        return datetime.fromisoformat(line.at).timestamp()
-    except ValueError:
-        return 0.0
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -159,3 +159,98 @@
         line(9, "b", "tasks_left_running", job_id=JOB, runs=5),
     )
     assert cause == "failed: too often; 5 other tasks run on until it is cancelled"
+
+
+def waited(at: float, waited_ms: int) -> list[str]:
+    """Return the lines of a completed job whose task waited until a time."""
+    task = f"{JOB}.0.0.1"
+    begun = at - waited_ms / 1000
+    return [
+        line(begun, "a", "job_submitted", job_id=JOB, verdict="accepted"),
+        line(at, "b", "unit_started", job_id=JOB, task=task, waited_ms=waited_ms),
+        line(at + 1, "b", "job_ended", job_id=JOB, state="completed"),
+    ]
+
+
+def test_a_wait_during_an_evacuation_names_the_zone():
+    # Guards against a wait that looks like a lack of workers. The evacuation was in
+    # force before the job's first line.
+    cause = cause_of(
+        line(1, "b", "zone_evacuation_in_force", zone="z-a", runs=3),
+        *waited(8, 3_000),
+        line(10, "b", "zone_returned", zone="z-a"),
+    )
+    assert "1 x tasks that waited over a second while zone z-a was evacuated" in cause
+
+
+def test_a_wait_apart_from_an_evacuation_does_not_name_it():
+    # Guards against blaming an evacuation that was over, or that began later.
+    cause = cause_of(
+        line(1, "b", "zone_evacuation_in_force", zone="z-a", runs=3),
+        line(2, "b", "zone_returned", zone="z-a"),
+        *waited(8, 3_000),
+        line(7.5, "b", "zone_evacuation_in_force", zone="z-b", runs=3),
+    )
+    assert "1 x tasks that waited over a second for room" in cause
+    assert "evacuated" not in cause
+
+
+def test_a_zone_that_returned_between_two_owners_is_no_cause():
+    # Guards against an evacuation without an end: the new owner logs none, as it never
+    # knew of the evacuation.
+    cause = cause_of(
+        line(1, "b", "zone_evacuation_in_force", zone="z-a", runs=3),
+        line(2, "a", "zone_restored", zone="z-a"),
+        *waited(8, 3_000),
+    )
+    assert "evacuated" not in cause
+
+
+def test_a_wait_while_starts_were_paused_names_the_operators_log():
+    # Guards against a wait that looks like a lack of workers while nothing was started.
+    cause = cause_of(
+        line(4, "b", "evacuation_view_old", age_ms=5_000),
+        *waited(8, 3_000),
+        line(7.9, "b", "evacuation_view_current", age_ms=0),
+    )
+    assert "while starts were paused, as the operator's log was not read" in cause
+
+
+def test_a_job_that_was_never_started_names_the_evacuation():
+    # Guards against "without trouble" for a job that waits for an evacuated zone.
+    cause = cause_of(
+        line(1, "b", "zone_evacuation_in_force", zone="z-a", runs=0),
+        line(1, "b", "zone_evacuation_in_force", zone="z-b", runs=0),
+        line(2, "a", "job_submitted", job_id=JOB, verdict="accepted"),
+        line(2, "b", "job_scheduled", job_id=JOB, state="queued"),
+    )
+    assert cause.startswith("not ended in these logs, held up by: ")
+    assert "no start so far while zones z-a, z-b were evacuated" in cause
+
+
+def test_a_run_that_was_moved_out_of_a_zone_names_the_evacuation():
+    # Guards against a stop of which the caller cannot tell the reason.
+    task = f"{JOB}.0.0.1"
+    cause = cause_of(
+        line(1, "a", "job_submitted", job_id=JOB, verdict="accepted"),
+        line(2, "b", "unit_started", job_id=JOB, task=task, waited_ms=5),
+        line(
+            3, "b", "run_ended", job_id=JOB, task=task, reason="its zone is evacuated"
+        ),
+        line(9, "b", "job_ended", job_id=JOB, state="completed"),
+    )
+    assert "1 x run moved out of an evacuated zone" in cause
+
+
+def test_the_history_of_a_job_has_the_evacuation_that_was_in_force():
+    # Guards against a history from which the cause of the wait is missing.
+    lines = [
+        line(1, "b", "zone_evacuation_in_force", zone="z-old", runs=3),
+        line(2, "b", "zone_returned", zone="z-old"),
+        line(3, "b", "zone_evacuation_in_force", zone="z-a", runs=3),
+        *waited(8, 3_000),
+        line(7, "b", "zone_returned", zone="z-a"),
+    ]
+    read, _ = explain.read_lines(lines)
+    zones = [item.fields.get("zone") for item in explain.job_history(read, JOB)]
+    assert [zone for zone in zones if zone] == ["z-a", "z-a"]
--- a/tests/cli/test_lost.py
+++ b/tests/cli/test_lost.py
@@ -128,3 +128,26 @@
     assert run(["explain", "--lost", "--window", "0", str(path)]) == 2
     assert "--window" in capsys.readouterr().err
     assert run(["explain", "--lost", str(path)]) != 0
+
+
+def test_a_job_that_waited_while_a_zone_was_evacuated_names_that():
+    # Guards against reporting the wait as a lack of workers.
+    begun = line(2, "o", "zone_evacuation_in_force", zone="z-a", runs=3)
+    lines = job(9, 8.0, 6.0, waited_ms=4_000)
+    over = line(30, "o", "zone_returned", zone="z-a")
+    assert causes(begun, *lines, over) == {Cause.ZONE_EVACUATED: 1}
+
+
+def test_a_job_that_waited_mostly_before_an_evacuation_does_not_name_it():
+    # Guards against blaming each evacuation that touches a wait.
+    begun = line(7.8, "o", "zone_evacuation_in_force", zone="z-a", runs=3)
+    assert causes(begun, *job(9, 8.0, 6.0, waited_ms=4_000)) == {
+        Cause.NO_FREE_CAPACITY: 1
+    }
+
+
+def test_a_job_that_waited_while_starts_were_paused_names_that():
+    # Guards against reporting the wait as a lack of workers while nothing was started.
+    begun = line(4, "o", "evacuation_view_old", age_ms=5_000)
+    lines = job(9, 8.0, 6.0, waited_ms=4_000)
+    assert causes(begun, *lines) == {Cause.STARTS_PAUSED: 1}
