--- a/courselead/core/scheduler/minions.py
+++ b/courselead/core/scheduler/minions.py
@@ -5,6 +5,8 @@
 from courselead.core.scheduler import (
     const,
     crashes,
+    evacuation,
+    evacuation_moves,
     jobs,
     left_starts,
     lives,
@@ -144,6 +146,8 @@
             lives.resend_pending_stops(schedule, minion)
         if minion.info.draining:
             _stop_runs_on_draining(schedule, minion)
+    evacuation_moves.tick(schedule)
+    evacuation.tick(schedule)
     lives.drop_expired_starts(schedule)
 
 
@@ -188,13 +192,16 @@
     unit = run.unit
     if unit.spec.gang or run.pace < 100:
         return False
-    unchanged_ms = schedule.now_ms - max(run.percent_ms, run.started_ms)
-    if unchanged_ms < const.STALL_MS or schedule.minions[run.minion_id].failures:
+    minion = schedule.minions[run.minion_id]
+    # While a minion is slow, a run on it is not judged.
+    judged_from_ms = max(run.started_ms, minion.warm_at_ms)
+    unchanged_ms = schedule.now_ms - max(run.percent_ms, judged_from_ms)
+    if unchanged_ms < const.STALL_MS or minion.failures:
         return False
     if unit.spec.long_running:
         return run.percent < 100 and not unit.spec.fills
     expected = schedule.expected_ms(unit.job.queue, unit.spec)
-    age_ms = schedule.now_ms - run.started_ms
+    age_ms = schedule.now_ms - judged_from_ms
     return age_ms > const.STALL_FACTOR * expected
 
 
@@ -208,6 +215,7 @@
     if run.phase is RunPhase.SENT:
         run.phase = RunPhase.RUNNING
         run.running_ms = schedule.now_ms
+        evacuation.run_begun(schedule, minion, run)
         jobs.begin(schedule, run.unit.job)
     if report.checkpoint:
         run.checkpoint = report.checkpoint
@@ -302,6 +310,10 @@
 def _update_average_run_time(schedule: Schedule, run: Run, kind: EndKind) -> None:
     if kind is not EndKind.DONE or run.unit.checkpoint or not run.running_ms:
         return
+    minion = schedule.minions.get(run.minion_id)
+    if minion is not None and minion.is_warming_up(run.running_ms):
+        # It took longer than it would on a minion that is warm.
+        return
     queue = run.unit.job.queue
     took_ms = schedule.now_ms - run.running_ms
     known = schedule.run_ms.get(queue, took_ms)
@@ -361,6 +373,7 @@
             if run.phase is RunPhase.SENT:
                 run.phase = RunPhase.RUNNING
                 run.running_ms = schedule.now_ms
+                evacuation.run_begun(schedule, minion, run)
                 run.percent_ms = schedule.now_ms
             jobs.begin(schedule, unit.job)
             return
