Switch off idle workers of a zone that is evacuated for long

Idle minions of an evacuated zone are no surplus of their pools, so their workers stayed in the pools, paid for, until the zone returned, which may take hours.

The new test of test_evacuation_capacity.py fails on the code before.

--- a/courselead/core/scheduler/pools.py
+++ b/courselead/core/scheduler/pools.py
@@ -9,6 +9,7 @@
 from collections import defaultdict
 from dataclasses import replace
 
+from courselead.core.scheduler import evacuation_moves
 from courselead.core.scheduler.demand import PoolDemand, demands_of, report
 from courselead.core.scheduler.events import CloudOrderAnswered, MoveWorker, Outcome
 from courselead.core.scheduler.models import Worker, WorkerPhase
@@ -54,6 +55,7 @@
     _retry_moves(schedule)
     demands = demands_of(schedule)
     report(schedule, demands)
+    _switch_off(schedule, _idle_minions_of_evacuated_zones(schedule))
     spare = _spare_workers(schedule)
     short_pools = {pool: item for pool, item in demands.items() if item.is_short}
     if short_pools:
@@ -129,6 +131,31 @@
     return _surplus_minions(schedule, with_history)
 
 
+def _idle_minions_of_evacuated_zones(
+    schedule: Schedule,
+) -> list[tuple[Minion, Worker]]:
+    """Return idle minions, with their movable workers, of zones evacuated for long.
+
+    Nothing is started there, however much their pools need. After a short evacuation
+    they would be missing at the zone's return.
+    """
+    found = []
+    for minion in schedule.minions.values():
+        if not evacuation_moves.is_due(schedule, minion.info.zone):
+            continue
+        if minion.runs or not minion.synced or minion.failures or minion.cordoned:
+            continue
+        if not minion.listed or minion.info.draining:
+            continue
+        worker = schedule.workers.get(minion.worker_id)
+        if worker is None or worker.minion_id != minion.minion_id:
+            continue
+        pool = schedule.config.pools.get(worker.pool)
+        if pool is not None and not pool.spare and _movable(schedule, worker):
+            found.append((minion, worker))
+    return found
+
+
 def _idle_off_ms(schedule: Schedule, pool: str) -> int:
     """Return how long an idle worker of a pool stays switched on."""
     bursts = schedule.bursts.get(pool)
--- a/tests/core/scheduler/test_evacuation_capacity.py
+++ b/tests/core/scheduler/test_evacuation_capacity.py
@@ -3,10 +3,15 @@
 from dataclasses import replace
 
 from courselead.core.scheduler import demand, events as ev
+from courselead.core.scheduler.evacuation_moves import MOVE_AFTER_MS
 from courselead.core.scheduler.isolation import Isolation
 from courselead.core.scheduler.losses import is_explained
 from courselead.core.scheduler.models import Bounds, Resources, Worker, WorkerPhase
-from courselead.core.scheduler.pools import LOST_MOVE_MS, MOVE_RETRY_MS
+from courselead.core.scheduler.pools import (
+    IDLE_OFF_MS,
+    LOST_MOVE_MS,
+    MOVE_RETRY_MS,
+)
 from courselead.core.scheduler.schedule import MoveState
 from courselead.core.scheduler.state import Suspect
 from tests.core.scheduler.test_pools import SPARE_POOL, fleet, have_burst, move_orders
@@ -127,6 +132,18 @@
     assert moved == set(OTHERS)
 
 
+def test_idle_workers_of_a_zone_evacuated_for_long_are_switched_off():
+    # Guards against paying for workers that nothing may use: the evacuation of a zone
+    # may last for hours, and its idle minions are no surplus of their pools.
+    world = fleet_of_zones()
+    have_burst(world)
+    world.evacuate(EVACUATED)
+    world.run(MOVE_AFTER_MS + IDLE_OFF_MS + 1_000)
+    zones = {minion.worker_id: minion.zone for minion in world.all_minions}
+    moved = {order.worker_id for order in move_orders(world)}
+    assert sum(zones[worker_id] == EVACUATED for worker_id in moved) == 2
+
+
 def with_unanswered_move(pool: str, worker_id: str) -> World:
     """Return a world whose zone is evacuated after an unanswered move of a worker."""
     world = fleet_of_zones(minions=3)
