--- a/courselead/core/scheduler/records.py
+++ b/courselead/core/scheduler/records.py
@@ -104,6 +104,21 @@
     account: str | None = None
 
 
+class PoolWait(msgspec.Struct, frozen=True, array_like=True):
+    """Expected wait of new finite work in an overloaded or evacuated pool.
+
+    Attributes:
+        wait_ms: Time in which all waiting work of the pool is done.
+        accounts: Expected waits in ms of the accounts with excess work, by queue
+            priority.
+        zones: Evacuated zones, if they leave the pool without a usable minion.
+    """
+
+    wait_ms: int = 0
+    accounts: dict[str, dict[int, int]] = {}
+    zones: tuple[str, ...] = ()
+
+
 class OwnerHeartbeat(msgspec.Struct, frozen=True, array_like=True):
     """Heartbeat of the schedule's owner.
 
@@ -119,6 +134,7 @@
         zone: Availability zone in which starts are stored before they are sent, "" if
             there is none.
         owned_ms: How long the owner has owned the schedule.
+        waits: Expected waits by pool, of overloaded and evacuated pools only.
     """
 
     fence: int
@@ -129,6 +145,7 @@
     ordered: dict[str, int] = {}
     zone: str = ""
     owned_ms: int = 0
+    waits: dict[str, PoolWait] = {}
 
 
 class WaveProgress(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/daemon/scheduling/test_log.py
+++ b/tests/daemon/scheduling/test_log.py
@@ -1,6 +1,7 @@
 """Claims, callers' records and followers on a log with faults."""
 
 import anyio
+import msgspec
 import pytest
 from returns.result import Failure, Success
 
@@ -11,6 +12,7 @@
     JobProgress,
     KeyedRecord,
     OwnerHeartbeat,
+    PoolWait,
     decode,
     encode,
     forget,
@@ -34,12 +36,26 @@
         JobProgress(JOB, JobState.RUNNING, True),
         JobCancelled(JOB),
         OwnerHeartbeat(3, "host", 7, True),
+        OwnerHeartbeat(
+            3, "host", 7, waits={"p": PoolWait(9_000, {"a": {1: 9_000}}, ("z0",))}
+        ),
     ],
 )
 def test_records_survive_encoding_and_decoding(record):
     assert decode(encode(record)) == record
 
 
+def test_hosts_of_two_versions_read_each_others_heartbeats():
+    # Guards against a host that cannot read the log while another version runs.
+    heartbeat = OwnerHeartbeat(3, "host", 7, waits={"p": PoolWait(9_000)})
+    newer = encode(heartbeat)
+    fields = msgspec.msgpack.decode(newer.value)
+    older = KeyedRecord(newer.key, msgspec.msgpack.encode(fields[:-1]))
+    assert decode(older) == OwnerHeartbeat(3, "host", 7)
+    newest = KeyedRecord(newer.key, msgspec.msgpack.encode([*fields, "later"]))
+    assert decode(newest) == heartbeat
+
+
 def test_a_record_of_unknown_kind_is_refused():
     with pytest.raises(ValueError, match="unknown kind"):
         decode(KeyedRecord(b"?x", b"y"))
