--- a/courselead/platform/ingress.py
+++ b/courselead/platform/ingress.py
@@ -4,6 +4,7 @@
 
 import re
 from collections.abc import Callable
+from typing import NamedTuple
 
 import anyio
 import msgspec
@@ -36,11 +37,20 @@
     Verdict.ID_TAKEN: 409,
 }
 
-_STOPPING_NOT_STORED = (
+
+class _Response(NamedTuple):
+    """A response to a caller; `retry_after_s` is sent with errors that may pass."""
+
+    status: int
+    document: object
+    retry_after_s: int = RETRY_AFTER_S
+
+
+_STOPPING_NOT_STORED = _Response(
     503,
     {"error": "the host ends; nothing was stored, ask another one"},
 )
-_STOPPING_MAY_BE_STORED = (
+_STOPPING_MAY_BE_STORED = _Response(
     504,
     {"error": "the host ends; it may be stored, ask another one"},
 )
@@ -104,51 +114,55 @@
         try:
             body = await read_body(receive, self._intake.body_bytes)
             stop_response = _STOPPING_MAY_BE_STORED
-            status, document = await self._handle(scope, body)
+            response = await self._handle(scope, body)
         except anyio.get_cancelled_exc_class():
             # The host is shutting down and the time for open requests is over. The
             # server would respond with 500, which does not tell the caller whether the
             # job may have been stored.
             with anyio.CancelScope(shield=True):
-                await _send_json(send, *stop_response, True)
+                await _send_json(send, stop_response, True)
             raise
-        await _send_json(send, status, document, self._should_close_connections())
+        await _send_json(send, response, self._should_close_connections())
 
-    async def _handle(self, scope: Scope, body: bytes | None) -> tuple[int, object]:
+    async def _handle(self, scope: Scope, body: bytes | None) -> _Response:
         if not self._intake.configured:
-            return 503, {"error": "no configuration yet; come back later"}
+            return _Response(503, {"error": "no configuration yet; come back later"})
         headers = dict(scope["headers"])
         host = headers.get(b"host", b"").decode("latin-1").partition(":")[0]
         route = self._intake.queue_for(host, scope["path"])
         if route is None:
-            return 404, {"error": "no queue has this host and path; check both"}
+            return _Response(
+                404, {"error": "no queue has this host and path; check both"}
+            )
         queue, rest = route
         caller = self._intake.authenticate(queue, _credentials(scope))
         if not self._intake.can_check_credentials(caller):
-            return 503, {"error": "credentials cannot be checked; ask another host"}
+            return _Response(
+                503, {"error": "credentials cannot be checked; ask another host"}
+            )
         if caller is None:
-            return 401, {"error": "send one known credential in X-Api-Key"}
+            return _Response(401, {"error": "send one known credential in X-Api-Key"})
         if body is None:
-            return 413, {"error": "the body is too long; send a shorter job"}
+            return _Response(413, {"error": "the body is too long; send a shorter job"})
         method = scope["method"]
         if method == "GET" and not rest:
-            return 200, {"pending": self._intake.pending(queue).pending}
+            return _Response(200, {"pending": self._intake.pending(queue).pending})
         if not _JOB_ID.fullmatch(rest):
-            return 400, {"error": "the path must end with 16 hexadecimal digits"}
+            return _Response(
+                400, {"error": "the path must end with 16 hexadecimal digits"}
+            )
         if method == "GET":
             return _to_response(await self._intake.state(caller, rest))
         if method == "DELETE":
             return _to_response(await self._intake.cancel(caller, rest))
         if method == "POST":
             return await self._submit(caller, rest, body)
-        return 405, {"error": "use POST, GET or DELETE"}
+        return _Response(405, {"error": "use POST, GET or DELETE"})
 
-    async def _submit(
-        self, caller: Caller, job_id: str, body: bytes
-    ) -> tuple[int, object]:
+    async def _submit(self, caller: Caller, job_id: str, body: bytes) -> _Response:
         spec = decode_job(body)
         if isinstance(spec, Failure):
-            return 400, {"error": spec.failure()}
+            return _Response(400, {"error": spec.failure()})
         return _to_response(await self._intake.submit(caller, job_id, spec.unwrap()))
 
 
@@ -164,10 +178,12 @@
         if scope["type"] != "http":
             return
         if scope["path"] != const.PATH_READY:
-            await _send_json(send, 404, {"error": "ask for the ready path"}, False)
+            error = _Response(404, {"error": "ask for the ready path"})
+            await _send_json(send, error, False)
             return
         ready = self._is_ready()
-        await _send_json(send, 200 if ready else 503, {"ready": ready}, False)
+        response = _Response(200 if ready else 503, {"ready": ready})
+        await _send_json(send, response, False)
 
 
 def _credentials(scope: Scope) -> list[bytes]:
@@ -223,21 +239,20 @@
     )
 
 
-def _to_response(reply: JobReply) -> tuple[int, object]:
+def _to_response(reply: JobReply) -> _Response:
     status = _STATUS_CODES[reply.verdict]
     if reply.state is not None:
-        return status, {"state": str(reply.state)}
+        return _Response(status, {"state": str(reply.state)})
     if reply.reason:
-        return status, {"error": reply.reason}
-    return status, {}
+        return _Response(status, {"error": reply.reason}, reply.retry_after_s)
+    return _Response(status, {}, reply.retry_after_s)
 
 
-async def _send_json(
-    send: Send, status: int, document: object, close_connection: bool
-) -> None:
+async def _send_json(send: Send, response: _Response, close_connection: bool) -> None:
+    status, document, retry_after_s = response
     headers = [(b"content-type", b"application/json")]
     if status in (429, 503, 504):
-        headers.append((b"retry-after", str(RETRY_AFTER_S).encode()))
+        headers.append((b"retry-after", str(retry_after_s).encode()))
     if close_connection:
         headers.append((b"connection", b"close"))
     await send_response(send, status, msgspec.json.encode(document), headers)
