Publish the expected waits with the owner's heartbeat

Entry hosts know neither running nor waiting work, so they need the owner's estimate. At peak load the owner stored no heartbeats at all: it added one only when it had nothing else to save, so a published wait would have expired.

Changes are logged as `pool_overloaded` and `pool_overload_over`. Owners of deployments without client accounts store what they stored before.

test_waits_are_published_while_other_records_are_saved fails without the change of the condition in `_save`.

--- a/courselead/daemon/scheduling/owner.py
+++ b/courselead/daemon/scheduling/owner.py
@@ -9,6 +9,7 @@
 from anyio.abc import TaskGroup
 from returns.result import Failure
 
+from courselead.core.scheduler import admission
 from courselead.core.scheduler.events import (
     AskAdvice,
     ConfigChanged,
@@ -45,6 +46,7 @@
     JobCancelled,
     KeyedRecord,
     OwnerHeartbeat,
+    PoolWait,
     Record,
     encode,
     forget,
@@ -139,6 +141,9 @@
         self._heartbeat_number = 0
         self._started_ms = 0
         self._saved_at = 0.0
+        # Expected waits as published, and when they were computed.
+        self._waits: dict[str, PoolWait] = {}
+        self._waits_at = 0.0
         self._last_tick_ms = now_ms()
         self._pause_unconfirmed = False
         self._handing_over = False
@@ -487,9 +492,41 @@
                 ordered,
                 self._zone,
                 owned_ms,
+                self._waits,
             )
         )
 
+    def _waits_are_due(self) -> bool:
+        """Update the expected waits if they are too old; return whether to store them.
+
+        They are stored with the owner's heartbeat, also while other records are saved
+        without one. Only deployments with client accounts have them.
+        """
+        now = anyio.current_time()
+        if now - self._waits_at < HEARTBEAT_INTERVAL_S or self.scheduler is None:
+            return False
+        self._waits_at = now
+        schedule = self.scheduler.schedule
+        before, self._waits = self._waits, {}
+        if schedule.config.accounts:
+            self._waits = admission.expected_waits(schedule)
+        for pool, wait in self._waits.items():
+            if pool not in before:
+                self._log_overload(pool, wait)
+        for pool in before.keys() - self._waits.keys():
+            _LOGGER.info("pool_overload_over", pool=pool, fence=self.fence)
+        return bool(before or self._waits)
+
+    def _log_overload(self, pool: str, wait: PoolWait) -> None:
+        _LOGGER.info(
+            "pool_overloaded",
+            pool=pool,
+            wait_ms=wait.wait_ms,
+            accounts=len(wait.accounts),
+            zones=list(wait.zones),
+            fence=self.fence,
+        )
+
     async def _save(self) -> None:
         while True:
             await self._save_wake.wait()
@@ -506,7 +543,7 @@
             # Read before the append: a handover that is requested during the append
             # is saved by a record of its own.
             released = self._handing_over
-            if released or cloud_orders or not records:
+            if released or cloud_orders or self._waits_are_due() or not records:
                 records.append(self._heartbeat_record(released))
             # Time of the first attempt: the response to a retry may be the stored
             # response to that attempt.
