Test that entry hosts learn the waits that an owner publishes

The host tests covered the owner's records and the age of a wait apart. This one runs two hosts on one log: the waits have to arrive often enough to count as recent at a host that reads the log with pauses.

--- a/tests/daemon/scheduling/test_admission.py
+++ b/tests/daemon/scheduling/test_admission.py
@@ -131,3 +131,22 @@
 async def test_without_client_accounts_a_busy_owner_stores_no_heartbeats(monkeypatch):
     records = await records_of_a_busy_owner(monkeypatch, FleetConfig(1))
     assert {type(item) for item in records} == {JobProgress}
+
+
+async def test_an_entry_host_learns_the_waits_of_the_owner(monkeypatch):
+    # Guards against a wait that the entry hosts never see as recent: they read the log
+    # with pauses, and the owner stores a heartbeat every 0.3 s.
+    monkeypatch.setattr(
+        owner_module.admission, "expected_waits", lambda schedule: {"p": WAIT}
+    )
+    shared = platform()
+    first, second = (SchedulingHost(name, shared, Bounds()) for name in "ab")
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(first.run)
+        await until(lambda: first.owns and first._owner.scheduler is not None)
+        config = FleetConfig(1, accounts={"a": ClientAccount("a", weight=1)})
+        first._owner.scheduler.schedule.config = config
+        tasks.start_soon(second.run)
+        await until(lambda: second.intake._waits.wait_of("p") == WAIT)
+        assert not second.owns
+        tasks.cancel_scope.cancel()
