Record the evacuation of an availability zone in the shared log

The own path has no operator request that empties a zone: only single workers are drained.

ZoneEvacuated and ZoneRestored hold the zone, the operator and the time. An unknown zone is rejected with the reason and the remedy; a repetition is accepted without effect and keeps the first operator and time. While a zone is evacuated, placing a job there, assigning one of its free workers and moving one of its workers to another pool are rejected when applied, whatever the proposing host had read.

--- a/courselead/core/fleet/apply.py
+++ b/courselead/core/fleet/apply.py
@@ -14,6 +14,7 @@
     tables,
     verdicts,
     workers,
+    zones,
 )
 from courselead.core.fleet.origin import Origin
 from courselead.core.fleet.queries import is_live
@@ -43,6 +44,8 @@
     WorkerRebooted,
     WorkersGone,
     WorkersSeen,
+    ZoneEvacuated,
+    ZoneRestored,
 )
 from courselead.core.fleet.state import AppliedRecord, FleetState, Verdict
 
@@ -56,6 +59,8 @@
     HostLeft: hosts.host_left,
     HostLost: hosts.host_lost,
     TablePublished: tables.table_published,
+    ZoneEvacuated: zones.zone_evacuated,
+    ZoneRestored: zones.zone_restored,
     WorkersSeen: workers.workers_seen,
     WorkersGone: workers.workers_gone,
     WorkerAssigned: workers.worker_assigned,
--- a/courselead/core/fleet/invariants.py
+++ b/courselead/core/fleet/invariants.py
@@ -37,6 +37,7 @@
     violations.extend(_host_violations(fleet))
     violations.extend(_job_violations(fleet))
     violations.extend(_expiry_index_violations(fleet))
+    violations.extend(_evacuation_violations(fleet))
     return tuple(sorted(violations))
 
 
@@ -149,3 +150,12 @@
         if (job.phase in PHASES_ACTIVE) is (job_id in indexed):
             violations.append(f"job {job_id} has a wrong or missing expiry entry")
     return violations
+
+
+def _evacuation_violations(fleet: FleetState) -> list[str]:
+    """Return evacuations stored under another zone or with an offset too high."""
+    violations = []
+    for zone, evacuation in fleet.evacuations.items():
+        if evacuation.availability_zone != zone or evacuation.since > fleet.offset:
+            violations.append(f"the evacuation of zone {zone} is inconsistent")
+    return violations
--- a/courselead/core/fleet/jobs.py
+++ b/courselead/core/fleet/jobs.py
@@ -5,7 +5,12 @@
 from courselead.core.fleet import verdicts
 from courselead.core.fleet.jobs_editor import PHASES_ON_WORKER, JobsEditor
 from courselead.core.fleet.origin import Origin
-from courselead.core.fleet.queries import account_row, free_capacity, service_row
+from courselead.core.fleet.queries import (
+    account_row,
+    free_capacity,
+    is_evacuated,
+    service_row,
+)
 from courselead.core.fleet.records import (
     JobEnd,
     JobOutcome,
@@ -100,6 +105,8 @@
         return verdicts.STALE_EPOCH
     if worker.phase is not WorkerPhase.SERVING:
         return verdicts.WRONG_PHASE
+    if is_evacuated(fleet, worker):
+        return verdicts.ZONE_EVACUATED
     if worker.pool != pool_name(job.spec.client_account, job.spec.service):
         return verdicts.WRONG_POOL
     if not record.cores >= 0 or record.memory_mb < 0:
--- a/courselead/core/fleet/queries.py
+++ b/courselead/core/fleet/queries.py
@@ -54,6 +54,27 @@
     return fleet.serving.get(pool, ())
 
 
+def is_evacuated(fleet: FleetState, worker: WorkerState) -> bool:
+    """Return whether the availability zone of a worker is evacuated."""
+    return worker.availability_zone in fleet.evacuations
+
+
+def usable_workers(fleet: FleetState, pool: str) -> tuple[str, ...]:
+    """Return the serving workers of a pool outside evacuated zones, sorted by ID."""
+    names = serving_workers(fleet, pool)
+    if not fleet.evacuations:
+        return names
+    workers = fleet.workers
+    return tuple(name for name in names if not is_evacuated(fleet, workers[name]))
+
+
+def known_zones(fleet: FleetState) -> tuple[str, ...]:
+    """Return the sorted availability zones of all workers and entry hosts."""
+    zones = {worker.availability_zone for worker in fleet.workers.values()}
+    zones.update(host.availability_zone for host in fleet.hosts.values())
+    return tuple(sorted(zones))
+
+
 def pool_count(fleet: FleetState, pool: str) -> PoolCount:
     """Return the number of members and serving workers of a pool."""
     return fleet.pools.get(pool, _EMPTY_POOL)
--- a/courselead/core/fleet/records.py
+++ b/courselead/core/fleet/records.py
@@ -108,6 +108,34 @@
     request_id: str = ""
 
 
+# --- availability zones --------------------------------------------------
+
+
+@dataclass(frozen=True, slots=True)
+class ZoneEvacuated:
+    """From this record on, no target of the zone gets new requests, jobs or pools.
+
+    Attributes:
+        operator: Who requested it.
+        at_ms: Wall clock time of the request, in milliseconds since the epoch.
+    """
+
+    availability_zone: str
+    operator: str
+    at_ms: int
+    request_id: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class ZoneRestored:
+    """The targets of an evacuated zone are used again; see `ZoneEvacuated`."""
+
+    availability_zone: str
+    operator: str
+    at_ms: int
+    request_id: str = ""
+
+
 # --- workers, pools, moves and maintenance -------------------------------
 
 
@@ -377,6 +405,8 @@
     | HostLeft
     | HostLost
     | TablePublished
+    | ZoneEvacuated
+    | ZoneRestored
     | WorkersSeen
     | WorkersGone
     | WorkerAssigned
--- a/courselead/core/fleet/state.py
+++ b/courselead/core/fleet/state.py
@@ -168,6 +168,22 @@
     ended_ms: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class EvacuationState:
+    """An evacuation in force.
+
+    Attributes:
+        operator: Who requested it.
+        at_ms: Wall clock time of the request, in milliseconds since the epoch.
+        since: Offset of its record.
+    """
+
+    availability_zone: str
+    operator: str
+    at_ms: int
+    since: int
+
+
 ClaimKey = tuple[str, str, str]
 
 
@@ -194,6 +210,8 @@
         due: Expiry index of claims and jobs by time bucket. Entries of a bucket are
             numbered from 0 without gaps and processed from the end.
         due_cursor: Next bucket of the expiry index to process.
+        evacuations: Evacuations in force by availability zone. The field has a
+            default, since snapshots of earlier versions do not contain it.
     """
 
     offset: int = -1
@@ -214,6 +232,7 @@
     job_counts: Map[str, int] = field(default_factory=Map)
     due: Map[int, Map[int, ClaimKey | str]] = field(default_factory=Map)
     due_cursor: int = 0
+    evacuations: Map[str, EvacuationState] = field(default_factory=Map)
 
 
 @dataclass(frozen=True, slots=True)
--- a/courselead/core/fleet/stops.py
+++ b/courselead/core/fleet/stops.py
@@ -6,7 +6,7 @@
 from courselead.core.fleet.budgets import can_stop_worker
 from courselead.core.fleet.origin import Origin
 from courselead.core.fleet.pool_index import with_worker
-from courselead.core.fleet.queries import unsettled_hosts
+from courselead.core.fleet.queries import is_evacuated, unsettled_hosts
 from courselead.core.fleet.records import (
     MinionStopped,
     StopCancelled,
@@ -52,6 +52,8 @@
         return verdicts.WRONG_POOL
     elif record.next_pool and record.next_pool not in fleet.table.services:
         return verdicts.POOL_UNKNOWN
+    elif record.next_pool and is_evacuated(fleet, worker):
+        return verdicts.ZONE_EVACUATED
     if not can_stop_worker(fleet, worker):
         return verdicts.BUDGET_SPENT
     return ""
--- a/courselead/core/fleet/verdicts.py
+++ b/courselead/core/fleet/verdicts.py
@@ -22,6 +22,9 @@
 TABLE_OVER_LIMIT = "table_over_limit"
 TABLE_SHARED_CREDENTIAL = "table_shared_credential"
 
+ZONE_UNKNOWN = "zone_unknown"
+ZONE_EVACUATED = "zone_evacuated"
+
 WORKER_UNKNOWN = "worker_unknown"
 STALE_EPOCH = "stale_epoch"
 WRONG_PHASE = "wrong_phase"
@@ -51,7 +54,7 @@
 SNAPSHOT_BAD_PART = "snapshot_bad_part"
 RECORD_UNKNOWN = "record_unknown"
 
-# Messages for submissions and table edits are returned to API clients.
+# Messages for submissions, table edits and zone commands are returned to API clients.
 MESSAGES = {
     NOT_MEMBER: "the entry host is not a member; join with a new incarnation",
     NOT_AUTHOR: "the record belongs to another entry host; propose it from that host",
@@ -72,6 +75,10 @@
     TABLE_OVER_LIMIT: "an account's services ask for more workers than its "
     "workers_limit; lower their numbers or have the limit raised",
     TABLE_SHARED_CREDENTIAL: "two accounts have one credential; make a new one",
+    ZONE_UNKNOWN: "no worker and no entry host is in this availability zone; take "
+    "its name from the list of zones",
+    ZONE_EVACUATED: "the worker's availability zone is evacuated; use a worker of "
+    "another zone, or wait until the zone is restored",
     WORKER_UNKNOWN: "the worker is unknown; wait until the platform lists it",
     STALE_EPOCH: "the epoch of the worker has changed; decide again using its current "
     "epoch",
--- a/courselead/core/fleet/workers.py
+++ b/courselead/core/fleet/workers.py
@@ -5,7 +5,7 @@
 from courselead.core.fleet import verdicts
 from courselead.core.fleet.origin import Origin
 from courselead.core.fleet.pool_index import with_worker
-from courselead.core.fleet.queries import jobs_on
+from courselead.core.fleet.queries import is_evacuated, jobs_on
 from courselead.core.fleet.records import (
     MinionUp,
     StopPurpose,
@@ -128,7 +128,9 @@
     if record.pool and record.pool not in fleet.table.services:
         return verdicts.POOL_UNKNOWN
     if worker.phase is WorkerPhase.FREE:
-        return "" if record.pool else verdicts.WRONG_PHASE
+        if not record.pool:
+            return verdicts.WRONG_PHASE
+        return verdicts.ZONE_EVACUATED if is_evacuated(fleet, worker) else ""
     if worker.purpose is not StopPurpose.MOVE:
         return verdicts.WRONG_PHASE
     # The next client account must never share a worker with a task of the previous one.
--- a/tests/core/fleet/test_codec.py
+++ b/tests/core/fleet/test_codec.py
@@ -18,6 +18,8 @@
     SnapshotPart,
     TablePublished,
     WorkersGone,
+    ZoneEvacuated,
+    ZoneRestored,
 )
 from courselead.core.fleet.snapshot import encode_state
 from courselead.core.table import AccountRow, RequestClass, ServiceRow
@@ -39,6 +41,8 @@
             (JobSpec("j", "a", "s", RequestClass.BATCH, "p", 1.5, 2, 3, 4, True),)
         ),
         SnapshotPart(1, 0, 2, "d", "h1", b"\x00\xff"),
+        ZoneEvacuated("az1", "kim", 4, "r1"),
+        ZoneRestored("az1", "lee", 5, "r2"),
     ),
 )
 
@@ -108,6 +112,7 @@
     "job_id": st.just("j1"),
     "attempt": st.sampled_from((0, 1)),
     "base_version": st.just(3),
+    "availability_zone": st.one_of(st.just("az1"), st.text()),
 }
 
 
--- a/tests/core/fleet/test_machine.py
+++ b/tests/core/fleet/test_machine.py
@@ -144,6 +144,13 @@
     def gone(self, host, name):
         self.put(host, r.WorkersGone(((name, 1), ("w4", 2))))
 
+    @rule(host=HOSTS, is_evacuation=st.booleans(), zone=st.sampled_from(("az1", "az9")))
+    def zone(self, host, is_evacuation, zone):
+        kind = r.ZoneEvacuated if is_evacuation else r.ZoneRestored
+        if self.put(host, kind(zone, "op", START_MS)).accepted:
+            assert zone == "az1"
+            assert (zone in self.fleet.evacuations) is bool(is_evacuation)
+
     @rule(data=st.data(), host=HOSTS, incarnation_lag=RARELY_ONE)
     def changes(self, data, host, incarnation_lag):
         for name in data.draw(st.lists(WORKERS, min_size=1, max_size=4)):
@@ -180,6 +187,8 @@
         assert record.epoch == worker.epoch <= new.epoch
         if new.pool != worker.pool and worker.pool:
             assert isinstance(record, r.WorkerAssigned | r.WorkerQuarantined)
+        if isinstance(record, r.WorkerAssigned) and worker.phase is WorkerPhase.FREE:
+            assert not self.fleet.evacuations
         if isinstance(record, r.MinionStopped):
             for host in self.fleet.hosts.values():
                 late = host.joined < worker.since and host.settled < worker.since
@@ -232,6 +241,7 @@
         record = r.JobPlaced(job_id, attempt, name, epoch, float(cores), 40, 1_000)
         if not self.put(host, record).accepted:
             return
+        assert not self.fleet.evacuations
         jobs = [self.fleet.jobs[other] for other in self.fleet.jobs_on[name]]
         assert sum(job.cores for job in jobs) <= worker.cores
         assert sum(job.memory_mb for job in jobs) <= worker.memory_mb
