Send requests to no target of an evacuated zone

Entry hosts followed a drain only per worker, so requests still went to the targets of a zone whose evacuation they had read.

A target of an evacuated zone leaves the target sets that routing chooses from, and returns to them when the zone is restored. It stays a known target: requests in flight end by themselves, and its shares and loans remain, as those of a worker that the platform drains. Dropping them would let a lender that reads the evacuation and its end first use units that the borrower still uses, because the minion's epoch does not change.

A request of a pool that evacuations leave no target is rejected at once with the new kind zone-evacuated, which names the zones, and a Retry-After of 5 s. This holds for new requests, before a key is claimed, for those that wait when the last zone is evacuated, and for retries. Evacuated targets neither count when targets are ejected for failures nor get requests for loans.

--- a/courselead/core/effects.py
+++ b/courselead/core/effects.py
@@ -78,6 +78,7 @@
     JOB_REFUSED = "job-refused"
     NOT_FOUND = "not-found"
     OVERLOAD = "overload"
+    EVACUATED = "zone-evacuated"
 
 
 @dataclass(frozen=True, slots=True)
--- a/courselead/core/requests/admission.py
+++ b/courselead/core/requests/admission.py
@@ -9,7 +9,7 @@
 
 from courselead.core.effects import ProblemKind
 from courselead.core.events import RequestArrived
-from courselead.core.requests import health, lifecycle, quota
+from courselead.core.requests import health, lifecycle, quota, targets
 from courselead.core.requests.policies import FairnessPolicy
 from courselead.core.requests.queue import CLASS_INDEX, ServiceQueue
 from courselead.core.requests.state import MAX_WAITING_PER_HOST, RequestState
@@ -19,6 +19,8 @@
 DEFAULT_RETRY_AFTER_MS = 1_000
 MIN_RETRY_AFTER_MS = 100
 MAX_RETRY_AFTER_MS = 60_000
+# An evacuation has no announced end, and most last longer than this.
+EVACUATED_RETRY_AFTER_MS = 5_000
 WAIT_TIME_FACTOR = 1.25
 ADMISSION_SERVICE_TIME_FACTOR = 3.0
 START_SERVICE_TIME_FACTOR = 2.0
@@ -75,6 +77,9 @@
             "no worker of the service's pool serves now; try again later",
             DEFAULT_RETRY_AFTER_MS,
         )
+    refusal = check_evacuations(turn, pool)
+    if refusal is not None:
+        return refusal
     queue = turn.queues.get(pool)
     if queue is None:
         queue = ServiceQueue(event.client_account)
@@ -102,6 +107,39 @@
     )
 
 
+def check_evacuations(turn: Turn, pool: str) -> Refusal | None:
+    """Return the refusal if evacuations leave a pool no target, None otherwise.
+
+    A worker that the platform is reclaiming is no target for new requests either.
+    """
+    view = turn.pools.get(pool)
+    if not turn.ctx.fleet.evacuations or view is None:
+        return None
+    zones = set()
+    for worker in view.members:
+        target = turn.targets[worker]
+        if targets.is_evacuated(turn, target):
+            zones.add(target.availability_zone)
+        elif worker not in turn.leaving_workers:
+            return None
+    if not zones:
+        return None
+    names = ", ".join(sorted(zones))
+    return Refusal(
+        ProblemKind.EVACUATED,
+        f"no target is left, because availability zones are evacuated ({names}); "
+        "try again later",
+        EVACUATED_RETRY_AFTER_MS,
+    )
+
+
+def fail_without_target(turn: Turn, req: RequestState, refusal: Refusal) -> None:
+    """Fail a waiting request that evacuations leave no target."""
+    lifecycle.fail_request(
+        turn, req, refusal.kind, refusal.detail, refusal.retry_after_ms
+    )
+
+
 def needed_ms(wait_ms: int, service_ms: float) -> float:
     """Return the time that a new request needs until its deadline to be admitted.
 
--- a/courselead/core/requests/dispatch.py
+++ b/courselead/core/requests/dispatch.py
@@ -42,6 +42,10 @@
         return
     target = routing.choose(turn, req)
     if target is None:
+        refusal = admission.check_evacuations(turn, pool)
+        if refusal is not None:
+            admission.fail_without_target(turn, req, refusal)
+            return
         lifecycle.mark_pool_blocked(turn, pool)
         return
     queue = queue.served(index, fairness.class_cost(index))
--- a/courselead/core/requests/health.py
+++ b/courselead/core/requests/health.py
@@ -146,8 +146,16 @@
 
 
 def _may_eject(turn: Turn, pool: str) -> bool:
-    """Return whether another target of a pool may be ejected for failures."""
-    members = turn.pools[pool].members
+    """Return whether another target of a pool may be ejected for failures.
+
+    Targets of evacuated zones are not counted, since they serve nothing.
+    """
+    evacuated = turn.ctx.fleet.evacuations
+    members = [
+        name
+        for name in turn.pools[pool].members
+        if turn.targets[name].availability_zone not in evacuated
+    ]
     ejected = sum(1 for name in members if get_health(turn, name).ejected_until_ms)
     return ejected + 1 <= len(members) * MAX_EJECTED_FRACTION
 
--- a/courselead/core/requests/roster.py
+++ b/courselead/core/requests/roster.py
@@ -9,8 +9,9 @@
 class TargetSet:
     """Persistent set with add, drop and lookup by position in O(log n).
 
-    Membership is a hint. Every target with a free unit is a member; a member
-    found to have none is dropped, and added again when it may have one.
+    Membership is a hint. Every target with a free unit is a member, except those in
+    evacuated zones; a member found to have none is dropped, and added again when it
+    may have one.
 
     Attributes:
         workers: Worker by position; positions run from 0 without gaps.
--- a/courselead/core/requests/routing.py
+++ b/courselead/core/requests/routing.py
@@ -16,7 +16,8 @@
 
     Targets in this host's availability zone are preferred. Targets in other zones are
     used only when none of these has a unit that this host may use.
-    Targets that this request was already sent to are chosen last.
+    Targets that this request was already sent to are chosen last. Targets in evacuated
+    zones are in no target set and are never chosen.
     """
     view = turn.pools.get(req.pool)
     if view is None:
--- a/courselead/core/requests/sync.py
+++ b/courselead/core/requests/sync.py
@@ -3,7 +3,7 @@
 from immutables import Map
 
 from courselead.core.effects import ProblemKind
-from courselead.core.requests import lifecycle, loans, quota, targets
+from courselead.core.requests import admission, lifecycle, loans, quota, targets
 from courselead.core.requests.state import IN_FLIGHT, Phase, RequestState
 from courselead.core.requests.turn import Turn
 
@@ -24,12 +24,28 @@
         else:
             for pool in pools:
                 lifecycle.mark_pool_ready(turn, pool)
+        if fleet.evacuations:
+            _fail_without_targets(turn, pools)
         turn.synced_fleet = fleet
     if turn.member and not turn.ctx.member:
         _handle_membership_loss(turn)
     turn.member = turn.ctx.member
 
 
+def _fail_without_targets(turn: Turn, pools: list[str]) -> None:
+    """Fail the waiting requests of pools that evacuations leave no target.
+
+    This includes requests that a ceiling keeps from being tried.
+    """
+    refusals = {pool: admission.check_evacuations(turn, pool) for pool in pools}
+    if not any(refusals.values()):
+        return
+    for req in waiting_requests(turn):
+        refusal = refusals.get(req.pool)
+        if refusal is not None:
+            admission.fail_without_target(turn, req, refusal)
+
+
 def _reset_loans(turn: Turn) -> None:
     """Drop all loans when this host has a new incarnation.
 
--- a/courselead/core/requests/targets.py
+++ b/courselead/core/requests/targets.py
@@ -12,11 +12,15 @@
 
 
 def sync_targets(turn: Turn, before: FleetState | None) -> list[str]:
-    """Update targets from changed workers; return the affected pools, sorted."""
+    """Update targets from changed workers and evacuations.
+
+    Returns:
+        The affected pools, sorted.
+    """
+    pools = _sync_evacuations(turn, before)
     after = turn.ctx.fleet.workers
     if before is not None and before.workers is after:
-        return []
-    pools: set[str] = set()
+        return sorted(pools)
     known = before.workers if before is not None else None
     changed = [
         name
@@ -34,6 +38,38 @@
     return sorted(pools)
 
 
+def _sync_evacuations(turn: Turn, before: FleetState | None) -> set[str]:
+    """Update the target sets after a change of the evacuations.
+
+    Targets of an evacuated zone stay known, with their shares and loans, because
+    requests to them are still in flight. They only leave their target sets.
+
+    Returns:
+        The pools with targets in the zones that were evacuated or restored.
+    """
+    after = turn.ctx.fleet.evacuations
+    known = before.evacuations if before is not None else {}
+    if known is after:
+        return set()
+    changed_zones = set(known) ^ set(after)
+    pools = set()
+    for name in sorted(turn.targets):
+        target = turn.targets[name]
+        if target.availability_zone not in changed_zones:
+            continue
+        pools.add(target.pool)
+        if is_evacuated(turn, target):
+            mark_unavailable(turn, name)
+        else:
+            mark_available(turn, name)
+    return pools
+
+
+def is_evacuated(turn: Turn, target: Target) -> bool:
+    """Return whether a target gets no new requests because of an evacuation."""
+    return target.availability_zone in turn.ctx.fleet.evacuations
+
+
 def _sync_one(turn: Turn, name: str, worker: WorkerState | None) -> set[str]:
     """Add, remove or replace one worker's target; return the affected pools."""
     new = _target(turn, worker)
@@ -99,9 +135,12 @@
 
 
 def mark_available(turn: Turn, worker: str) -> None:
-    """Add a target to its set, since it may have a free unit."""
+    """Add a target to its set, since it may have a free unit.
+
+    Targets of evacuated zones are in no set.
+    """
     target = turn.targets.get(worker)
-    if target is None:
+    if target is None or is_evacuated(turn, target):
         return
     view = turn.pools[target.pool]
     target_set = view.same_zone if target.same_zone else view.other_zones
@@ -125,7 +164,10 @@
         same_zone = TargetSet()
         other_zones = TargetSet()
         for worker in view.members:
-            if turn.targets[worker].same_zone:
+            target = turn.targets[worker]
+            if is_evacuated(turn, target):
+                continue
+            if target.same_zone:
                 same_zone = same_zone.add(worker)
             else:
                 other_zones = other_zones.add(worker)
--- a/courselead/core/requests/wants.py
+++ b/courselead/core/requests/wants.py
@@ -1,7 +1,7 @@
 """Units that this host asks its peers to lend."""
 
 from courselead.core.ranking import rendezvous_score
-from courselead.core.requests import health, quota, shares
+from courselead.core.requests import health, quota, shares, targets
 from courselead.core.requests.queue import ServiceQueue
 from courselead.core.requests.state import LOAN_VALIDITY_MS, PoolView
 from courselead.core.requests.turn import Turn
@@ -164,9 +164,17 @@
 
 
 def _order_members(turn: Turn, view: PoolView) -> list[str]:
-    """Return a pool's members, rotated per host and report, this zone first."""
+    """Return a pool's members, rotated per host and report, this zone first.
+
+    Members that get no new requests are left out.
+    """
     entry_host = turn.ctx.me.entry_host
-    members = [one for one in view.members if one not in turn.leaving_workers]
+    members = []
+    for worker in view.members:
+        if worker in turn.leaving_workers:
+            continue
+        if not targets.is_evacuated(turn, turn.targets[worker]):
+            members.append(worker)
     start = rendezvous_score(entry_host, str(turn.serial)) % max(1, len(members))
     rotated = members[start:] + members[:start]
     return sorted(rotated, key=lambda one: not turn.targets[one].same_zone)
--- a/courselead/integrations/http_api/problems.py
+++ b/courselead/integrations/http_api/problems.py
@@ -64,6 +64,7 @@
         ProblemKind.JOB_REFUSED: 422,
         ProblemKind.NOT_FOUND: 404,
         ProblemKind.OVERLOAD: 503,
+        ProblemKind.EVACUATED: 503,
     }
 )
 
