Place and start jobs outside evacuated zones

The pool's plan took every serving worker as a candidate, so a job could be placed in a zone whose evacuation the host had read, and a placement that was read together with the evacuation was still started.

Candidates and the reserve for urgent jobs take only usable workers. As on a worker that stops, a start that was not sent before is not sent any more, and a task that the agent has lost is not started again. Running jobs end where they are. Jobs that no zone can take wait; the record of a restored zone schedules the pools of its workers at once.

--- a/courselead/core/jobs/candidates.py
+++ b/courselead/core/jobs/candidates.py
@@ -11,13 +11,13 @@
 
 
 def find_candidates(state: JobsState, ctx: Context, pool: str) -> dict[str, Candidate]:
-    """Return the serving workers of a pool with their free capacity.
+    """Return the usable workers of a pool with their free capacity.
 
-    A worker that the platform is removing gets no more jobs, even while the
-    pool's budget does not allow stopping it yet.
+    Workers in evacuated zones get no more jobs. Neither does a worker that the
+    platform is removing, even while the pool's budget does not allow stopping it yet.
     """
     candidates = {}
-    for name in queries.serving_workers(ctx.fleet, pool):
+    for name in queries.usable_workers(ctx.fleet, pool):
         if name in ctx.leaving_workers or ctx.now_ms < state.avoided_until_ms.get(
             name, 0
         ):
--- a/courselead/core/jobs/index.py
+++ b/courselead/core/jobs/index.py
@@ -21,6 +21,7 @@
     WorkerQuarantined,
     WorkerRebooted,
     WorkersGone,
+    ZoneRestored,
 )
 from courselead.core.fleet.state import AppliedRecord, FleetState, JobPhase, JobState
 from courselead.core.table import RequestClass, pool_name
@@ -111,12 +112,23 @@
                 jobs.update(job_ids)
             case WorkersGone(workers=gone):
                 workers.update(name for name, _ in gone)
+            case ZoneRestored(availability_zone=zone):
+                workers.update(_workers_of_zone(fleet, zone))
     for worker in workers:
         jobs.update(fleet.jobs_on.get(worker, ()))
     only_placed = frozenset(placed - jobs)
     return AffectedItems(only_placed | jobs, frozenset(workers), only_placed)
 
 
+def _workers_of_zone(fleet: FleetState, zone: str) -> list[str]:
+    """Return the workers of an availability zone."""
+    return [
+        name
+        for name, worker in fleet.workers.items()
+        if worker.availability_zone == zone
+    ]
+
+
 def update(index: Index, fleet: FleetState, job_ids: Iterable[str]) -> Index:
     """Update the index to a newer shared state.
 
--- a/courselead/core/jobs/leases.py
+++ b/courselead/core/jobs/leases.py
@@ -15,6 +15,7 @@
 from courselead.core.context import Context
 from courselead.core.effects import CallAgent, Effect
 from courselead.core.events import AgentOp
+from courselead.core.fleet.queries import is_evacuated
 from courselead.core.fleet.records import JobPlaced
 from courselead.core.fleet.state import (
     AppliedRecord,
@@ -159,12 +160,18 @@
 
 
 def is_startable(fleet: FleetState, job: JobState) -> bool:
-    """Return whether the newest attempt of a job may be started on its worker."""
+    """Return whether the newest attempt of a job may be started on its worker.
+
+    In an evacuated zone, as on a worker that stops, a start that was not sent before
+    is not sent any more, and a task that the agent has lost is not started again.
+    """
     if job.phase is not JobPhase.PLACED:
         return False
     worker = fleet.workers.get(job.worker)
     if worker is None or worker.phase is not WorkerPhase.SERVING:
         return False
+    if is_evacuated(fleet, worker):
+        return False
     return worker.epoch == job.worker_epoch
 
 
--- a/courselead/core/jobs/reserve.py
+++ b/courselead/core/jobs/reserve.py
@@ -151,7 +151,7 @@
 def _max_jobs(ctx: Context, pool: str, need: Need) -> int:
     """Return the maximum number of urgent jobs to reserve for in a pool."""
     cores = 0.0
-    for name in queries.serving_workers(ctx.fleet, pool):
+    for name in queries.usable_workers(ctx.fleet, pool):
         cores += sizes.job_capacity(ctx.fleet.workers[name])[0]
     if not need.cores:
         return 0
@@ -162,7 +162,7 @@
     """Return a need reduced to what the pool's largest worker can hold."""
     cores = 0.0
     memory_mb = 0
-    for name in queries.serving_workers(ctx.fleet, pool):
+    for name in queries.usable_workers(ctx.fleet, pool):
         total_cores, total_memory_mb = sizes.job_capacity(ctx.fleet.workers[name])
         cores = max(cores, total_cores)
         memory_mb = max(memory_mb, total_memory_mb)
