Leave evacuated zones out of budgets, assignments and moves

An evacuated zone's workers still counted as serving capacity: maintenance could stop workers outside although the pool had only these left, and workers in the zone were assigned, lent and moved to pools that cannot use them.

Stops outside the zone count only the serving workers outside. Stops in it count all of them, so that the pool has enough workers when the zone is restored. The same counts decide when a stop that hosts have not settled is cancelled. Planning counts no worker of the zone in the spread of a pool, so its deficit is covered from outside; it takes none as a free worker, donor or spare. A wave takes the racks of evacuated zones first. A change of the evacuations is an input of the plan, which is otherwise skipped while nothing has changed.

--- a/courselead/core/operations/assignment.py
+++ b/courselead/core/operations/assignment.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 
+from courselead.core.fleet.queries import is_evacuated
 from courselead.core.fleet.records import StopPlanned, WorkerAssigned
 from courselead.core.fleet.state import FleetState, WorkerPhase, WorkerState
 from courselead.core.operations.placement import (
@@ -108,10 +109,13 @@
 def _donor_workers(
     fleet: FleetState, spreads: dict[str, Spread], exclusions: PlanningExclusions
 ) -> dict[str, WorkersByRack]:
-    """Return the serving workers of pools with a surplus, by pool, zone and rack."""
+    """Return the serving workers of pools with a surplus, by pool, zone and rack.
+
+    Workers in evacuated zones are left out: no pool could use them.
+    """
     pools: dict[str, list[WorkerState]] = {}
     for worker in _movable_workers(fleet):
-        if worker.worker in exclusions.leaving:
+        if worker.worker in exclusions.leaving or is_evacuated(fleet, worker):
             continue
         row = fleet.table.services.get(worker.pool)
         if row is None or spreads[worker.pool].workers > row.workers:
--- a/courselead/core/operations/borrowing.py
+++ b/courselead/core/operations/borrowing.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 from courselead.core.fleet.budgets import max_unavailable_workers, spare
+from courselead.core.fleet.queries import usable_workers
 from courselead.core.fleet.records import StopPlanned, WorkerAssigned
 from courselead.core.fleet.state import FleetState, WorkerPhase, WorkerState
 from courselead.core.fleet.windows import is_window_open
@@ -149,7 +150,7 @@
             continue
         members = [
             fleet.workers[name]
-            for name in fleet.serving.get(pool, ())
+            for name in usable_workers(fleet, pool)
             if name not in exclusions.leaving
             and fleet.workers[name].availability_zone not in cut_off
         ]
--- a/courselead/core/operations/lifecycle.py
+++ b/courselead/core/operations/lifecycle.py
@@ -7,8 +7,8 @@
 from dataclasses import replace
 
 from courselead.core.events import AgentAnswered, AgentOp, AgentReport
-from courselead.core.fleet.budgets import min_serving_workers
-from courselead.core.fleet.queries import jobs_on, pool_count, unsettled_hosts
+from courselead.core.fleet.budgets import min_serving_workers, serving_count
+from courselead.core.fleet.queries import is_evacuated, jobs_on, unsettled_hosts
 from courselead.core.fleet.records import (
     MinionStopped,
     MinionUp,
@@ -236,7 +236,9 @@
     row = draft.ctx.fleet.table.services.get(worker.pool)
     if row is None:
         return False
-    return pool_count(draft.ctx.fleet, worker.pool).serving < min_serving_workers(row)
+    fleet = draft.ctx.fleet
+    serving = serving_count(fleet, worker.pool, evacuated=is_evacuated(fleet, worker))
+    return serving < min_serving_workers(row)
 
 
 def _reboot(draft: Draft, worker: WorkerState) -> None:
--- a/courselead/core/operations/maintenance.py
+++ b/courselead/core/operations/maintenance.py
@@ -8,7 +8,8 @@
 
 from typing import Protocol
 
-from courselead.core.fleet.budgets import spare
+from courselead.core.fleet.budgets import can_stop_worker, spare_beside
+from courselead.core.fleet.queries import is_evacuated
 from courselead.core.fleet.records import StopPlanned, StopPurpose
 from courselead.core.fleet.state import FleetState, WorkerPhase, WorkerState
 from courselead.core.fleet.windows import is_window_open
@@ -118,7 +119,7 @@
         if any(is_out_for_maintenance(worker) for worker in fleet.workers.values()):
             return ()
         for worker in due_workers(fleet, now_wall_ms, cfg):
-            if spare(fleet, worker.pool) >= 1:
+            if can_stop_worker(fleet, worker):
                 return (_stop_record(fleet, worker, now_wall_ms),)
         return ()
 
@@ -140,7 +141,7 @@
             return ()
         due = due_workers(fleet, now_wall_ms, cfg)
         for first in due:
-            if spare(fleet, first.pool) < 1:
+            if not can_stop_worker(fleet, first):
                 continue
             rack = [
                 item for item in due if _failure_domain(item) == _failure_domain(first)
@@ -158,14 +159,12 @@
         self, fleet: FleetState, now_wall_ms: int, cfg: OperationsConfig
     ) -> tuple[StopPlanned, ...]:
         """Return the stops to propose now; see `MaintenancePolicy`."""
-        budgets: dict[str, int] = {}
+        budgets = _RemainingBudgets(fleet)
         chosen = []
         for worker in due_workers(fleet, now_wall_ms, cfg):
-            pool = worker.pool
-            remaining = budgets.setdefault(pool, spare(fleet, pool))
-            if remaining < 1:
+            if budgets.remaining(worker) < 1:
                 continue
-            budgets[pool] = remaining - 1
+            budgets.add_stop(worker)
             chosen.append(_stop_record(fleet, worker, now_wall_ms))
         return tuple(chosen)
 
@@ -176,12 +175,40 @@
 }
 
 
+class _RemainingBudgets:
+    """How many more workers of each pool may be stopped while planning.
+
+    Stops in evacuated zones take nothing from the budget for stops outside, because
+    workers there are unavailable already.
+    """
+
+    def __init__(self, fleet: FleetState) -> None:
+        self._fleet = fleet
+        self._spares: dict[tuple[str, bool], int] = {}
+        self._stops: dict[tuple[str, bool], int] = {}
+
+    def remaining(self, worker: WorkerState) -> int:
+        """Return how many more workers such as this one its pool may stop now."""
+        key = (worker.pool, is_evacuated(self._fleet, worker))
+        if key not in self._spares:
+            self._spares[key] = spare_beside(self._fleet, worker)
+        stops = self._stops.get((worker.pool, False), 0)
+        if key[1]:
+            stops += self._stops.get(key, 0)
+        return self._spares[key] - stops
+
+    def add_stop(self, worker: WorkerState) -> None:
+        """Count a worker as stopped."""
+        key = (worker.pool, is_evacuated(self._fleet, worker))
+        self._stops[key] = self._stops.get(key, 0) + 1
+
+
 class _PlannedOutage:
     """Workers already out for maintenance, and remaining budgets, while planning."""
 
     def __init__(self, fleet: FleetState) -> None:
         self._fleet = fleet
-        self._budgets: dict[str, int] = {}
+        self._budgets = _RemainingBudgets(fleet)
         self._pool_zones: dict[str, set[str]] = {}
         self._racks: set[FailureDomain] = set()
         self._zones: set[str] = set()
@@ -191,14 +218,16 @@
 
     def sort_key(
         self, rack: list[WorkerState]
-    ) -> tuple[bool, bool, bool, int, FailureDomain]:
+    ) -> tuple[bool, bool, bool, bool, int, FailureDomain]:
         """Return the sort key of a rack.
 
-        Racks with workers already out come first, then racks that can be stopped as
+        Racks of evacuated zones come first, since they serve nothing. Of the others,
+        racks with workers already out come first, then racks that can be stopped as
         a whole, then racks of a zone with workers already out, then the most overdue.
         """
         domain = _failure_domain(rack[0])
         return (
+            not is_evacuated(self._fleet, rack[0]),
             domain not in self._racks,
             not self._can_stop_all(rack),
             domain[0] not in self._zones,
@@ -211,22 +240,16 @@
 
         Its pool must have budget left, and no workers out in another zone.
         """
-        if self._remaining_budget(worker.pool) < 1:
+        if self._budgets.remaining(worker) < 1:
             return False
         zones = self._pool_zones.get(worker.pool, set())
         return zones <= {worker.availability_zone}
 
     def add_stop(self, worker: WorkerState) -> None:
         """Count a worker as stopped."""
-        self._budgets[worker.pool] = self._remaining_budget(worker.pool) - 1
+        self._budgets.add_stop(worker)
         self._add_location(worker)
 
-    def _remaining_budget(self, pool: str) -> int:
-        """Return how many more workers of a pool may be stopped now."""
-        if pool not in self._budgets:
-            self._budgets[pool] = spare(self._fleet, pool)
-        return self._budgets[pool]
-
     def _can_stop_all(self, rack: list[WorkerState]) -> bool:
         """Return whether all given workers of a rack can be stopped together."""
         wanted: dict[str, int] = {}
@@ -234,9 +257,9 @@
             wanted[worker.pool] = wanted.get(worker.pool, 0) + 1
             if not self.can_stop(worker):
                 return False
-        return all(
-            self._remaining_budget(pool) >= count for pool, count in wanted.items()
-        )
+            if self._budgets.remaining(worker) < wanted[worker.pool]:
+                return False
+        return True
 
     def _add_location(self, worker: WorkerState) -> None:
         """Record the rack and zone of a worker that is out."""
--- a/courselead/core/operations/placement.py
+++ b/courselead/core/operations/placement.py
@@ -5,6 +5,7 @@
 
 from courselead.core import ranking
 from courselead.core.fleet.pool_index import with_worker
+from courselead.core.fleet.queries import is_evacuated
 from courselead.core.fleet.records import StopPlanned, StopPurpose, WorkerAssigned
 from courselead.core.fleet.state import FleetState, WorkerPhase, WorkerState
 
@@ -69,12 +70,12 @@
 ) -> dict[str, Spread]:
     """Return the spread of each pool of the table, as it is after current moves.
 
-    Workers that are leaving or lost are not counted.
+    Workers that are leaving or lost and those in evacuated zones are not counted.
     """
     uncounted = exclusions.leaving | exclusions.lost
     spreads = {pool: Spread() for pool in fleet.table.services}
     for worker in fleet.workers.values():
-        if worker.worker in uncounted:
+        if worker.worker in uncounted or is_evacuated(fleet, worker):
             continue
         spread = spreads.get(pool_after_moves(worker))
         if spread is not None:
@@ -107,7 +108,9 @@
     excluded = exclusions.leaving | exclusions.absent
     free = []
     for worker in fleet.workers.values():
-        if worker.phase is WorkerPhase.FREE and worker.worker not in excluded:
+        if worker.phase is not WorkerPhase.FREE or worker.worker in excluded:
+            continue
+        if not is_evacuated(fleet, worker):
             free.append(worker)
     return free
 
--- a/courselead/core/operations/planner.py
+++ b/courselead/core/operations/planner.py
@@ -72,7 +72,8 @@
         lost=_lost_workers(draft),
     )
     minute = ctx.wall_ms // MINUTE_MS
-    inputs = (ctx.fleet.workers, ctx.fleet.table, exclusions, minute)
+    fleet = ctx.fleet
+    inputs = (fleet.workers, fleet.table, fleet.evacuations, exclusions, minute)
     if draft.state.plan_inputs.matches(*inputs):
         return
     plan = make_plan(ctx.fleet, ctx.wall_ms, draft.cfg, exclusions)
--- a/tests/core/operations/test_lifecycle.py
+++ b/tests/core/operations/test_lifecycle.py
@@ -2,6 +2,8 @@
 
 from dataclasses import replace
 
+from immutables import Map
+
 from courselead.core.events import (
     AgentAnswered,
     AgentFailed,
@@ -17,7 +19,7 @@
     WorkerAssigned,
     WorkerRebooted,
 )
-from courselead.core.fleet.state import HostStatus, WorkerPhase
+from courselead.core.fleet.state import EvacuationState, HostStatus, WorkerPhase
 from courselead.core.operations.reducer import reduce
 from courselead.core.operations.state import DEFAULT_UNSETTLED_LIMIT_MS, OperationsState
 from tests.core.operations.build import (
@@ -159,6 +161,19 @@
     assert proposed(effects) == []
 
 
+def test_unsettled_stop_is_cancelled_if_an_evacuation_exhausts_the_budget():
+    """The stopping worker would serve; a worker in the zone would not."""
+    hosts = [host("h1", settled=50), host("h2", zone="b", settled=1)]
+    rows = [row(workers=2, availability_budget=0.5)]
+    state = fleet([stopping(), serving("w2", "c")], rows, hosts=hosts)
+    expected = {(): [], ("c",): [StopCancelled], ("a", "c"): []}
+    for zones, records in expected.items():
+        evacuations = Map({zone: EvacuationState(zone, "op", 0, 1) for zone in zones})
+        context = ctx(replace(state, evacuations=evacuations), 0)
+        _, effects = step(OperationsState(), context)
+        assert [type(record) for record in proposed(effects)] == records
+
+
 def test_reboot_waits_for_tasks_and_ends_with_a_higher_boot_count():
     stopped = stopping(phase=WorkerPhase.STOPPED, since=60)
     state = fleet([stopped])
