Serve /v1/zones: list, evacuate and restore availability zones

The records of evacuations could not be requested through an entry host.

Operators list the zones and evacuate or restore one. An unknown zone is answered with zone-refused and the remedy. The list counts the workers of a zone with jobs or with requests in flight, by this host and by the newest reports of its peers. The rule for the recorded name moves from the table's endpoint to Principal, because both use it.

--- a/courselead/core/edits.py
+++ b/courselead/core/edits.py
@@ -1,4 +1,7 @@
-"""Table edits of operators: each is proposed and answered with its verdict."""
+"""Changes by operators: each is proposed and answered with its verdict.
+
+These are table edits and the commands that evacuate and restore zones.
+"""
 
 from dataclasses import dataclass, field, replace
 
@@ -14,22 +17,36 @@
     ReplyProblem,
     RunState,
 )
-from courselead.core.events import BatchesRead, Event, TableEdit, Tick
+from courselead.core.events import BatchesRead, Event, TableEdit, Tick, ZoneCommand
 from courselead.core.fleet import verdicts
-from courselead.core.fleet.records import TablePublished
+from courselead.core.fleet.records import (
+    TablePublished,
+    ZoneEvacuated,
+    ZoneRestored,
+)
 
 LOG_RETRY_MS = 2_000
+_CHANGES = (TablePublished, ZoneEvacuated, ZoneRestored)
 
 
 @dataclass(frozen=True, slots=True)
-class EditsState:
-    """Edits that wait for their verdict.
+class WaitingChange:
+    """A change that waits for its verdict.
 
     Attributes:
-        waiting: Deadline of each edit, in monotonic milliseconds, by request ID.
+        deadline_ms: Deadline, in monotonic milliseconds.
+        is_edit: Whether it is a table edit and not a zone command.
     """
 
-    waiting: Map[str, int] = field(default_factory=Map)
+    deadline_ms: int
+    is_edit: bool
+
+
+@dataclass(frozen=True, slots=True)
+class EditsState:
+    """Changes that wait for their verdict, by request ID."""
+
+    waiting: Map[str, WaitingChange] = field(default_factory=Map)
 
 
 def reduce(
@@ -37,7 +54,11 @@
 ) -> tuple[EditsState, tuple[Effect, ...]]:
     """Handle one event."""
     if isinstance(event, TableEdit):
-        return _propose_edit(state, ctx, event)
+        record = replace(event.edit, request_id=event.request_id)
+        return _propose(state, ctx, event, record)
+    if isinstance(event, ZoneCommand):
+        record = replace(event.change, request_id=event.request_id)
+        return _propose(state, ctx, event, record)
     if isinstance(event, BatchesRead):
         return _answer_applied(state, ctx)
     if isinstance(event, Tick):
@@ -45,46 +66,53 @@
     return state, ()
 
 
-def _propose_edit(
-    state: EditsState, ctx: Context, event: TableEdit
+def _propose(
+    state: EditsState,
+    ctx: Context,
+    event: TableEdit | ZoneCommand,
+    record: TablePublished | ZoneEvacuated | ZoneRestored,
 ) -> tuple[EditsState, tuple[Effect, ...]]:
-    """Propose an edit, or reject it at once while the log is unreachable."""
+    """Propose a change, or reject it at once while the log is unreachable."""
+    is_edit = isinstance(event, TableEdit)
     if not ctx.log_up or not ctx.member:
-        problem = Problem(
-            ProblemKind.LOG_DOWN,
-            RunState.NOT_RUN,
+        detail = (
             "The platform's log cannot be reached from here; the table is "
-            "unchanged. Publish again later or through another entry host.",
-            LOG_RETRY_MS,
+            "unchanged. Publish again later or through another entry host."
         )
+        if not is_edit:
+            detail = (
+                "The platform's log cannot be reached from here; no zone has changed. "
+                "Send the command again later or through another entry host."
+            )
+        problem = Problem(ProblemKind.LOG_DOWN, RunState.NOT_RUN, detail, LOG_RETRY_MS)
         return state, (ReplyProblem(event.request_id, problem),)
-    record = replace(event.edit, request_id=event.request_id)
-    waiting = state.waiting.set(event.request_id, event.deadline_ms)
+    change = WaitingChange(event.deadline_ms, is_edit)
+    waiting = state.waiting.set(event.request_id, change)
     return replace(state, waiting=waiting), (Propose(record),)
 
 
 def _answer_applied(
     state: EditsState, ctx: Context
 ) -> tuple[EditsState, tuple[Effect, ...]]:
-    """Answer the edits whose verdicts are among the applied records."""
+    """Answer the changes whose verdicts are among the applied records."""
     effects: list[Effect] = []
     waiting = state.waiting
     for applied in ctx.applied:
         record = applied.record
-        if not isinstance(record, TablePublished) or record.request_id not in waiting:
+        if not isinstance(record, _CHANGES) or record.request_id not in waiting:
             continue
+        change = waiting[record.request_id]
         waiting = waiting.delete(record.request_id)
         if applied.verdict.accepted:
             effects.append(ReplyAccepted(record.request_id, applied.offset))
             continue
-        effects.append(
-            ReplyProblem(record.request_id, _rejection_problem(applied.verdict.reason))
-        )
+        problem = _rejection_problem(change, applied.verdict.reason)
+        effects.append(ReplyProblem(record.request_id, problem))
     return replace(state, waiting=waiting), tuple(effects)
 
 
-def _rejection_problem(reason: str) -> Problem:
-    """Return the final answer to an edit that was rejected when it was applied."""
+def _rejection_problem(change: WaitingChange, reason: str) -> Problem:
+    """Return the final answer to a change that was rejected when it was applied."""
     if reason == verdicts.TABLE_CONFLICT:
         return Problem(
             ProblemKind.CONFLICT,
@@ -93,6 +121,9 @@
             "from. Read the table again, and repeat the edit on top of it.",
         )
     message = verdicts.message(reason)
+    if not change.is_edit:
+        detail = f"No zone has changed: {message}"
+        return Problem(ProblemKind.ZONE_REFUSED, RunState.NOT_RUN, detail)
     return Problem(
         ProblemKind.TABLE_REFUSED,
         RunState.NOT_RUN,
@@ -103,24 +134,31 @@
 def _expire_edits(
     state: EditsState, ctx: Context
 ) -> tuple[EditsState, tuple[Effect, ...]]:
-    """Answer edits whose deadline has passed with an unknown outcome."""
+    """Answer changes whose deadline has passed with an unknown outcome."""
     expired = [
         request_id
-        for request_id, deadline_ms in state.waiting.items()
-        if deadline_ms <= ctx.now_ms
+        for request_id, change in state.waiting.items()
+        if change.deadline_ms <= ctx.now_ms
     ]
     if not expired:
         return state, ()
     waiting = state.waiting
     effects: list[Effect] = []
-    problem = Problem(
-        ProblemKind.LOG_DOWN,
-        RunState.UNKNOWN,
-        "The log did not answer in time; the edit may still come into force. "
-        "Look at the table's history before publishing it again.",
-        LOG_RETRY_MS,
-    )
     for request_id in expired:
+        effects.append(ReplyProblem(request_id, _expiry_problem(waiting[request_id])))
         waiting = waiting.delete(request_id)
-        effects.append(ReplyProblem(request_id, problem))
     return replace(state, waiting=waiting), tuple(effects)
+
+
+def _expiry_problem(change: WaitingChange) -> Problem:
+    """Return the answer to a change without a verdict by its deadline."""
+    detail = (
+        "The log did not answer in time; the edit may still come into force. "
+        "Look at the table's history before publishing it again."
+    )
+    if not change.is_edit:
+        detail = (
+            "The log did not answer in time; the command may still take effect. "
+            "Look at the list of zones; sending it again does no harm."
+        )
+    return Problem(ProblemKind.LOG_DOWN, RunState.UNKNOWN, detail, LOG_RETRY_MS)
--- a/courselead/core/effects.py
+++ b/courselead/core/effects.py
@@ -79,6 +79,7 @@
     NOT_FOUND = "not-found"
     OVERLOAD = "overload"
     EVACUATED = "zone-evacuated"
+    ZONE_REFUSED = "zone-refused"
 
 
 @dataclass(frozen=True, slots=True)
@@ -119,7 +120,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ReplyAccepted:
-    """Answer that a table edit or a call for jobs took effect at `offset`."""
+    """Answer that a change by operators or a call for jobs took effect at `offset`."""
 
     request_id: str
     offset: int
--- a/courselead/core/events.py
+++ b/courselead/core/events.py
@@ -16,6 +16,8 @@
     SnapshotPart,
     TablePublished,
     WorkerInfo,
+    ZoneEvacuated,
+    ZoneRestored,
 )
 from courselead.core.fleet.state import FleetState
 from courselead.core.table import RequestClass
@@ -357,6 +359,16 @@
     deadline_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class ZoneCommand:
+    """An operator evacuates or restores a zone; `change` has the request's ID."""
+
+    now_ms: int
+    request_id: str
+    change: ZoneEvacuated | ZoneRestored
+    deadline_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class JobsOffered:
     """A caller submits jobs."""
@@ -405,6 +417,7 @@
     | AgentAnswered
     | AgentFailed
     | TableEdit
+    | ZoneCommand
     | JobsOffered
     | JobsCancelAsked
     | LeaveAsked
--- a/courselead/daemon/host.py
+++ b/courselead/daemon/host.py
@@ -1,6 +1,7 @@
 """The daemon's implementation of the HTTP interface's `Host` protocol."""
 
 from collections import deque
+from dataclasses import replace
 
 from courselead.core.effects import Problem, ReplyAccepted
 from courselead.core.events import (
@@ -11,20 +12,32 @@
     JobsOffered,
     RequestArrived,
     TableEdit,
+    ZoneCommand,
+)
+from courselead.core.fleet.records import (
+    JobSpec,
+    TablePublished,
+    ZoneEvacuated,
+    ZoneRestored,
 )
-from courselead.core.fleet.records import JobSpec, TablePublished
 from courselead.core.fleet.state import FleetState
 from courselead.core.requests.settle import in_flight_total
 from courselead.daemon import clock
 from courselead.daemon.alarms import find_alarms
 from courselead.daemon.handles import RequestHandle
 from courselead.daemon.runtime import Runtime
-from courselead.daemon.status import drain_statuses, pool_statuses, queued_total
+from courselead.daemon.status import (
+    drain_statuses,
+    pool_statuses,
+    queued_total,
+    zone_statuses,
+)
 from courselead.integrations.http_api.host import (
     IncomingRequest,
     PeerStatus,
     StatusReport,
     TableChange,
+    ZoneStatus,
 )
 
 MAX_TABLE_CHANGES = 1_000
@@ -116,6 +129,23 @@
         event = TableEdit(clock.now_ms(), edit.request_id, edit, deadline_ms)
         return await self._wait_for_verdict(edit.request_id, event)
 
+    def zones(self) -> tuple[ZoneStatus, ...]:
+        """Return the state of all availability zones, sorted by name."""
+        return zone_statuses(self._runtime.state)
+
+    async def change_zone(
+        self, change: ZoneEvacuated | ZoneRestored, deadline_ms: int
+    ) -> ReplyAccepted | Problem:
+        """Evacuate or restore a zone.
+
+        Args:
+            change: The record, with its `request_id` set. The daemon sets its time.
+            deadline_ms: When to give up waiting for the verdict.
+        """
+        change = replace(change, at_ms=clock.wall_ms())
+        event = ZoneCommand(clock.now_ms(), change.request_id, change, deadline_ms)
+        return await self._wait_for_verdict(change.request_id, event)
+
     async def submit_jobs(
         self, request_id: str, jobs: tuple[JobSpec, ...], deadline_ms: int
     ) -> ReplyAccepted | Problem:
--- a/courselead/daemon/status.py
+++ b/courselead/daemon/status.py
@@ -1,9 +1,10 @@
-"""Derives the pools and drains of the status report from the core's state."""
+"""Derives the status of pools, drains and zones from the core's state."""
 
 from collections import Counter
 
 from courselead.core.fleet.budgets import spare
 from courselead.core.fleet.queries import (
+    known_zones,
     pool_count,
     unsettled_hosts,
     workers_in_phase,
@@ -11,7 +12,7 @@
 from courselead.core.fleet.state import FleetState, WorkerPhase
 from courselead.core.reducer import CoreState
 from courselead.core.requests.state import IN_FLIGHT, RequestsState
-from courselead.integrations.http_api.host import DrainStatus, PoolStatus
+from courselead.integrations.http_api.host import DrainStatus, PoolStatus, ZoneStatus
 
 
 def queued_total(state: RequestsState) -> int:
@@ -60,6 +61,39 @@
     return tuple(statuses)
 
 
+def zone_statuses(state: CoreState) -> tuple[ZoneStatus, ...]:
+    """Return the status of each availability zone, sorted by name."""
+    fleet = state.fleet
+    serving: Counter[str] = Counter()
+    with_work: Counter[str] = Counter()
+    busy = _workers_with_work(state)
+    for name, worker in fleet.workers.items():
+        serving[worker.availability_zone] += worker.phase is WorkerPhase.SERVING
+        with_work[worker.availability_zone] += name in busy
+    statuses = []
+    for zone in known_zones(fleet):
+        evacuation = fleet.evacuations.get(zone)
+        statuses.append(
+            ZoneStatus(
+                availability_zone=zone,
+                evacuated=evacuation is not None,
+                operator=evacuation.operator if evacuation else "",
+                at_ms=evacuation.at_ms if evacuation else 0,
+                targets=serving[zone],
+                targets_with_work=with_work[zone],
+            )
+        )
+    return tuple(statuses)
+
+
+def _workers_with_work(state: CoreState) -> set[str]:
+    """Return the workers with jobs or with requests in flight from any host."""
+    busy = {*state.fleet.jobs_on, *state.requests.in_flight_by_worker}
+    for peer in state.requests.peers.values():
+        busy.update(peer.in_flight)
+    return busy
+
+
 def _requests_by_pool(state: RequestsState) -> tuple[Counter[str], Counter[str]]:
     """Return the numbers of requests in flight and waiting, by pool."""
     in_flight: Counter[str] = Counter()
--- a/courselead/integrations/http_api/app.py
+++ b/courselead/integrations/http_api/app.py
@@ -30,6 +30,7 @@
 from courselead.integrations.http_api.requests import RequestsApi
 from courselead.integrations.http_api.status import StatusApi
 from courselead.integrations.http_api.tables import TablesApi
+from courselead.integrations.http_api.zones import ZonesApi
 from courselead.logs import request_context
 from courselead.metrics import Metrics
 from courselead.settings import Settings
@@ -77,7 +78,9 @@
             const.PATH_HEALTHZ: self._status.healthz,
             const.PATH_READYZ: self._status.readyz,
         }
-        self._routes = _routes(TablesApi(*parts), self._jobs, self._status)
+        self._routes = _routes(
+            TablesApi(*parts), ZonesApi(*parts), self._jobs, self._status
+        )
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one HTTP exchange."""
@@ -163,11 +166,14 @@
 
 
 def _routes(
-    tables: TablesApi, jobs: JobsApi, status: StatusApi
+    tables: TablesApi, zones: ZonesApi, jobs: JobsApi, status: StatusApi
 ) -> dict[bytes, dict[str, Handler]]:
     return {
         const.PATH_TABLE: {"GET": tables.read, "POST": tables.publish},
         const.PATH_HISTORY: {"GET": tables.history},
+        const.PATH_ZONES: {"GET": zones.list},
+        const.PATH_ZONES_EVACUATE: {"POST": zones.evacuate},
+        const.PATH_ZONES_RESTORE: {"POST": zones.restore},
         const.PATH_STATUS: {"GET": status.status},
         const.PATH_WORKERS: {"GET": status.workers},
         const.PATH_METRICS: {"GET": status.metrics},
--- a/courselead/integrations/http_api/auth.py
+++ b/courselead/integrations/http_api/auth.py
@@ -8,6 +8,7 @@
 
 from courselead.core.credentials import CredentialHolders, credential_digest
 from courselead.core.table import AccountRow, Table
+from courselead.core.table_check import MAX_AUTHOR_CHARS
 from courselead.integrations.http_api import const
 from courselead.integrations.http_api.errors import Refusal
 from courselead.integrations.http_api.problems import ApiProblem, HttpProblemKind
@@ -22,7 +23,7 @@
 
     Attributes:
         client_account: Account of the credential, "" for a fleet operator.
-        author: Name recorded with table edits; reveals no part of the credential.
+        author: Name recorded with changes; reveals no part of the credential.
     """
 
     client_account: str
@@ -33,6 +34,15 @@
         """Return whether this is a fleet operator."""
         return not self.client_account
 
+    def author_named(self, given: str) -> str:
+        """Return the name to record for a change.
+
+        The given name is unverified, so it only follows the authenticated one.
+        """
+        if not self.is_operator or not given:
+            return self.author
+        return f"{self.author}/{given}"[:MAX_AUTHOR_CHARS]
+
     def can_see(self, client_account: str) -> bool:
         """Return whether the principal may see an account's rows, jobs and pools."""
         return self.is_operator or self.client_account == client_account
--- a/courselead/integrations/http_api/host.py
+++ b/courselead/integrations/http_api/host.py
@@ -10,7 +10,12 @@
 from typing import Protocol
 
 from courselead.core.effects import Problem, ReplyAccepted
-from courselead.core.fleet.records import JobSpec, TablePublished
+from courselead.core.fleet.records import (
+    JobSpec,
+    TablePublished,
+    ZoneEvacuated,
+    ZoneRestored,
+)
 from courselead.core.fleet.state import FleetState
 from courselead.core.table import RequestClass
 
@@ -190,6 +195,26 @@
     drains: tuple[DrainStatus, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class ZoneStatus:
+    """State of an availability zone of the fleet.
+
+    Attributes:
+        operator: Who requested the evacuation, "" if the zone is not evacuated.
+        at_ms: Wall-clock time of that request in milliseconds, 0 if there is none.
+        targets: Number of the zone's serving workers.
+        targets_with_work: Number of the zone's workers that have jobs, or requests
+            in flight from this host or, by their newest reports, from its peers.
+    """
+
+    availability_zone: str
+    evacuated: bool
+    operator: str
+    at_ms: int
+    targets: int
+    targets_with_work: int
+
+
 @dataclass(frozen=True, slots=True)
 class TableChange:
     """One table edit that took effect; a history lists the newest last.
@@ -242,6 +267,21 @@
         """Publish a validated edit, whose `request_id` must be set."""
         ...
 
+    def zones(self) -> tuple[ZoneStatus, ...]:
+        """Return the state of all availability zones, sorted by name."""
+        ...
+
+    async def change_zone(
+        self, change: ZoneEvacuated | ZoneRestored, deadline_ms: int
+    ) -> ReplyAccepted | Problem:
+        """Evacuate or restore a zone.
+
+        Args:
+            change: The record, with its `request_id` set. The daemon sets its time.
+            deadline_ms: When to give up waiting for the verdict.
+        """
+        ...
+
     async def submit_jobs(
         self, request_id: str, jobs: tuple[JobSpec, ...], deadline_ms: int
     ) -> ReplyAccepted | Problem:
--- a/courselead/integrations/http_api/problems.py
+++ b/courselead/integrations/http_api/problems.py
@@ -65,6 +65,7 @@
         ProblemKind.NOT_FOUND: 404,
         ProblemKind.OVERLOAD: 503,
         ProblemKind.EVACUATED: 503,
+        ProblemKind.ZONE_REFUSED: 422,
     }
 )
 
--- a/courselead/integrations/http_api/tables.py
+++ b/courselead/integrations/http_api/tables.py
@@ -16,7 +16,7 @@
     account_key,
     service_key,
 )
-from courselead.core.table_check import MAX_AUTHOR_CHARS, check_edit
+from courselead.core.table_check import check_edit
 from courselead.integrations.http_api.admission import Admission
 from courselead.integrations.http_api.auth import Principal
 from courselead.integrations.http_api.documents import (
@@ -99,7 +99,7 @@
             _check_scope(edit, principal)
             edit = replace(
                 edit,
-                author=_author(principal, edit.author),
+                author=principal.author_named(edit.author),
                 request_id=exchange.request_id,
             )
             await self._publish(exchange, edit)
@@ -183,13 +183,6 @@
         raise Refusal(forbidden("publish service rows of your own account only"))
 
 
-def _author(principal: Principal, given: str) -> str:
-    # The given name is unverified, so it only follows the authenticated one.
-    if not principal.is_operator or not given:
-        return principal.author
-    return f"{principal.author}/{given}"[:MAX_AUTHOR_CHARS]
-
-
 def _invalid_edit(faults: tuple) -> ApiProblem:
     listed = []
     for fault in faults:
--- a/tests/daemon/test_status.py
+++ b/tests/daemon/test_status.py
@@ -2,10 +2,15 @@
 
 from dataclasses import replace
 
+from immutables import Map
+
 from courselead.core.fleet.apply import apply_batch
 from courselead.core.fleet.records import (
     Batch,
     HostJoined,
+    JobPlaced,
+    JobSpec,
+    JobsSubmitted,
     MinionUp,
     StopPlanned,
     StopPurpose,
@@ -14,12 +19,15 @@
     WorkerDown,
     WorkerInfo,
     WorkersSeen,
+    ZoneEvacuated,
 )
 from courselead.core.fleet.state import FleetState
 from courselead.core.reducer import CoreState
-from courselead.core.table import AccountRow, ServiceRow
+from courselead.core.requests.state import PeerView
+from courselead.core.table import AccountRow, RequestClass, ServiceRow
 from courselead.daemon.alarms import find_alarms
-from courselead.daemon.status import drain_statuses, pool_statuses
+from courselead.daemon.status import drain_statuses, pool_statuses, zone_statuses
+from courselead.integrations.http_api.host import ZoneStatus
 from tests.core.helpers import WALL_MS, identity
 
 POOL = "aloisi/court"
@@ -79,3 +87,24 @@
     down = replace(core_state, log_up=False)
     assert "log-down" in {alarm.name for alarm in find_alarms(down, WALL_MS)}
     assert find_alarms(state(), WALL_MS) == ()
+
+
+def test_a_zone_status_shows_the_evacuation_and_the_targets_with_work():
+    """The operator waits until no target of the zone has work left."""
+    spec = JobSpec("j", "aloisi", "court", RequestClass.BATCH, "p", 1.0, 1, 1, 0, True)
+    records = [
+        WorkersSeen((WorkerInfo("w9", "z2", "r1", "127.0.0.1:9", 8.0, 1024),)),
+        JobsSubmitted((spec,)),
+        JobPlaced("j", 1, "w1", 1, 1.0, 1, 1_000),
+        ZoneEvacuated("z1", "kim", 5),
+    ]
+    core_state = state(*records, workers=4)
+    peer = PeerView(1, 1, 0, Map(), Map({"w2": 3, "w1": 1}))
+    requests = replace(
+        core_state.requests,
+        in_flight_by_worker=Map({"w3": 1}),
+        peers=Map({"b": peer}),
+    )
+    first, second = zone_statuses(replace(core_state, requests=requests))
+    assert first == ZoneStatus("z1", True, "kim", 5, 4, 3)
+    assert second == ZoneStatus("z2", False, "", 0, 0, 0)
--- a/tests/integrations/http_api/fakes.py
+++ b/tests/integrations/http_api/fakes.py
@@ -100,6 +100,7 @@
     outcome: Problem | ReplyAccepted = ReplyAccepted("r", 8)
     report: StatusReport | None = None
     changes: tuple = ()
+    zone_statuses: tuple = ()
     requests: list = field(default_factory=list)
     abandoned: list = field(default_factory=list)
     calls: list = field(default_factory=list)
@@ -122,6 +123,15 @@
         self.calls.append(edit)
         return self.outcome
 
+    def zones(self):
+        """Return the configured zones."""
+        return self.zone_statuses
+
+    async def change_zone(self, change, deadline_ms):
+        """Record the change."""
+        self.calls.append(change)
+        return self.outcome
+
     async def submit_jobs(self, request_id, jobs, deadline_ms):
         """Record the jobs."""
         self.calls.append(jobs)
--- a/tests/integrations/http_api/test_management.py
+++ b/tests/integrations/http_api/test_management.py
@@ -7,7 +7,12 @@
 from immutables import Map
 
 from courselead.core.effects import Problem, ProblemKind, ReplyAccepted, RunState
-from courselead.core.fleet.records import JobSpec, TablePublished
+from courselead.core.fleet.records import (
+    JobSpec,
+    TablePublished,
+    ZoneEvacuated,
+    ZoneRestored,
+)
 from courselead.core.fleet.state import FleetState, JobState, WorkerPhase, WorkerState
 from courselead.core.table import AccountRow, RequestClass, ServiceRow
 from courselead.integrations.http_api.app import HttpApi
@@ -17,6 +22,7 @@
     PoolStatus,
     StatusReport,
     TableChange,
+    ZoneStatus,
 )
 from courselead.integrations.http_api.jobs import full_job_id
 from tests.integrations.http_api.fakes import FakeHost, call, settings, small_table
@@ -400,3 +406,85 @@
     changed = replace(table, accounts=table.accounts.set("beta", row))
     host = FakeHost(fleet=FleetState(table=changed))
     assert (await ask(host, "GET", "/v1/table")).status == 401
+
+
+# --- zones ----------------------------------------------------------------
+
+ZONE = {"availability_zone": "az"}
+ZONES = (
+    ZoneStatus("az", True, "operator-1/kim", 5, 3, 1),
+    ZoneStatus("bz", False, "", 0, 2, 2),
+)
+
+
+async def test_zones_are_evacuated_and_restored_by_operators():
+    host = FakeHost()
+    for command, kind in (("evacuate", ZoneEvacuated), ("restore", ZoneRestored)):
+        path = f"/v1/zones/{command}"
+        got = await ask(host, "POST", path, ZONE, token="operator-token")
+        assert (got.status, got.json) == (200, {"offset": 8})
+        change = host.calls[-1]
+        assert isinstance(change, kind)
+        assert (change.availability_zone, change.request_id) == ("az", "rid")
+        named = {**ZONE, "author": "kim"}
+        await ask(host, "POST", path, named, token="operator-token")
+        assert host.calls[-1].operator == f"{change.operator}/kim"
+        assert change.operator.startswith("operator-")
+
+
+async def test_zones_are_listed_for_operators():
+    host = FakeHost(zone_statuses=ZONES)
+    got = (await ask(host, "GET", "/v1/zones", token="operator-token")).json
+    assert got["zones"][0] == {
+        "availability_zone": "az",
+        "evacuated": True,
+        "operator": "operator-1/kim",
+        "at_ms": 5,
+        "targets": 3,
+        "targets_with_work": 1,
+    }
+    assert [zone["availability_zone"] for zone in got["zones"]] == ["az", "bz"]
+
+
+async def test_an_account_may_neither_list_nor_change_zones():
+    """A zone is shared by all accounts, so only operators may empty it."""
+    host = FakeHost(zone_statuses=ZONES)
+    for method, path, data in (
+        ("GET", "/v1/zones", None),
+        ("POST", "/v1/zones/evacuate", ZONE),
+        ("POST", "/v1/zones/restore", ZONE),
+    ):
+        got = await ask(host, method, path, data)
+        assert (got.status, got.json["kind"]) == (403, "forbidden")
+    assert not host.calls
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"{",
+        b"[]",
+        {},
+        {"availability_zone": ""},
+        {"availability_zone": 3},
+        {"availability_zone": "x" * 257},
+        {**ZONE, "author": "x" * 65},
+        {**ZONE, "author": "\x1b[31m"},
+        {**ZONE, "other": 1},
+    ],
+)
+async def test_an_invalid_zone_command_is_rejected(body):
+    host = FakeHost()
+    got = await ask(host, "POST", "/v1/zones/evacuate", body, token="operator-token")
+    assert (got.status, got.json["kind"]) == (400, "bad-request")
+    assert got.json["detail"]
+    assert not host.calls
+
+
+async def test_the_verdict_on_a_zone_command_is_returned():
+    """A mistyped zone must reach the operator as a rejection with its remedy."""
+    refused = Problem(ProblemKind.ZONE_REFUSED, RunState.NOT_RUN, "no such zone")
+    host = FakeHost(outcome=refused)
+    got = await ask(host, "POST", "/v1/zones/evacuate", ZONE, token="operator-token")
+    assert (got.status, got.json["kind"]) == (422, "zone-refused")
+    assert got.json["detail"] == "no such zone"
