Add courselead zones evacuate, restore and list

The commands call /v1/zones. A repeated command has no further effect, so a command whose exchange fails, or whose entry host is leaving or cannot reach the log, goes to the next entry host. The list shows who evacuated a zone, when, and how many of its targets have work left.

--- a/courselead/cli/app.py
+++ b/courselead/cli/app.py
@@ -9,7 +9,7 @@
 from cyclopts import App, CycloptsError, Parameter
 
 from courselead import __version__
-from courselead.cli import call, explain, fleet, jobs, local, table
+from courselead.cli import call, explain, fleet, jobs, local, table, zones
 from courselead.cli.errors import CliError, ExitCode, Faults
 from courselead.cli.output import emit_json, warn
 from courselead.table_files.grid import fault_text
@@ -28,6 +28,7 @@
 APP.command(fleet.status)
 APP.command(jobs.APP)
 APP.command(fleet.WORKERS)
+APP.command(zones.APP)
 APP.command(call.call)
 APP.command(local.CONFIG)
 APP.command(local.CREDENTIAL)
--- a/courselead/cli/client.py
+++ b/courselead/cli/client.py
@@ -107,15 +107,23 @@
         """
         return _require_served(self.send("GET", path, idempotent=True)).json()
 
-    def post(self, path: str, data: Mapping) -> dict:
+    def post(self, path: str, data: Mapping, *, idempotent: bool = False) -> dict:
         """Send a POST request with JSON and return the decoded answer.
 
+        Args:
+            path: Path of the endpoint.
+            data: Body.
+            idempotent: Whether the request may take effect twice, so that it goes to
+                the next entry host if the exchange fails.
+
         Raises:
             CliError: It was refused, or its outcome is unknown.
         """
         body = json.dumps(data).encode()
         headers = (("Content-Type", CONTENT_TYPE_JSON),)
-        answer = self.send("POST", path, body=body, headers=headers)
+        answer = self.send(
+            "POST", path, body=body, headers=headers, idempotent=idempotent
+        )
         return _require_served(answer).json()
 
     def send(
--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -336,6 +336,82 @@
     assert "no job b" in err
 
 
+ZONES = [
+    {
+        "availability_zone": "az1",
+        "evacuated": True,
+        "operator": "operator-1/kim",
+        "at_ms": 1_700_000_000_000,
+        "targets": 3,
+        "targets_with_work": 2,
+    },
+    {
+        "availability_zone": "az2",
+        "evacuated": False,
+        "operator": "",
+        "at_ms": 0,
+        "targets": 3,
+        "targets_with_work": 1,
+    },
+]
+
+
+def test_zones_are_evacuated_restored_and_listed(cli, fake):
+    for command, state in (("evacuate", "evacuated"), ("restore", "in use")):
+        fake.canned[("POST", f"/v1/zones/{command}")] = (200, {"offset": 9})
+        code, out, _ = cli("zones", command, "az1", "--author", "kim")
+        assert (code, out) == (0, f"zone az1 is {state}\n")
+        sent = json.loads(fake.requests[-1][3])
+        assert sent == {"availability_zone": "az1", "author": "kim"}
+        code, out, _ = cli("zones", command, "az1", "--json")
+        assert json.loads(out) == {"offset": 9}
+    fake.canned[("GET", "/v1/zones")] = (200, {"zones": ZONES})
+    lines = cli("zones", "list")[1].splitlines()
+    assert lines[0].split() == [
+        "zone",
+        "state",
+        "requested_by",
+        "requested_at",
+        "targets_with_work",
+    ]
+    assert lines[1].split()[:3] == ["az1", "evacuated", "operator-1/kim"]
+    assert "2023-11-14 22:13:20Z" in lines[1]
+    assert lines[1].split()[-1] == "2"
+    assert "in use" in lines[2]
+    assert json.loads(cli("zones", "list", "--json")[1]) == {"zones": ZONES}
+
+
+@pytest.mark.parametrize(
+    "first",
+    [(0, b""), (503, problem("entry-host-leaving")), (503, problem("overload"))],
+)
+def test_a_zone_command_goes_to_the_next_entry_host(cli, fake, first):
+    """An entry host may fail, or be restarted, just when its zone is evacuated."""
+    fake.canned[("POST", "/v1/zones/evacuate")] = first
+    second = FakeEntryHost()
+    second.canned[("POST", "/v1/zones/evacuate")] = (200, {"offset": 9})
+    with serving(second) as other_url:
+        hosts = ("--entry-host", cli.url, "--entry-host", other_url)
+        assert cli("zones", "evacuate", "az1", *hosts)[0] == 0
+    assert len(fake.requests) == len(second.requests) == 1
+
+
+def test_a_zone_command_without_an_answer_has_an_unknown_outcome(cli, fake):
+    fake.canned[("POST", "/v1/zones/restore")] = (0, b"")
+    code, _, err = cli("zones", "restore", "az1")
+    assert code == 5
+    assert "courselead zones list" in err
+
+
+def test_a_refused_zone_command_shows_the_remedy(cli, fake):
+    detail = "no worker is in this zone; take its name from the list of zones"
+    refused = {**problem("zone-refused"), "detail": detail}
+    fake.canned[("POST", "/v1/zones/evacuate")] = (422, refused)
+    code, _, err = cli("zones", "evacuate", "az9")
+    assert code == 1
+    assert detail in err
+
+
 def test_the_daemon_loads_nothing_of_the_command_line(tmp_path):
     path = tmp_path / "settings.json"
     path.write_text("{}")
--- a/tests/cli/test_entry_host.py
+++ b/tests/cli/test_entry_host.py
@@ -1,20 +1,27 @@
 """The command line against the HTTP interface of an entry host."""
 
 import json
-from dataclasses import fields
+from dataclasses import fields, replace
 from typing import get_args, get_origin, get_type_hints
 
 import anyio
 import pytest
 from anyio import to_thread
+from immutables import Map
 from structlog.testing import capture_logs
 
 from courselead.__main__ import main
 from courselead.cli.fleet import STATUS_LISTS
 from courselead.core.effects import Problem, ProblemKind, ReplyAccepted, RunState
+from courselead.core.fleet import verdicts
+from courselead.core.fleet.apply import HANDLERS
 from courselead.core.fleet.origin import Origin
+from courselead.core.fleet.state import WorkerState
 from courselead.core.fleet.tables import table_published
+from courselead.core.reducer import CoreState
+from courselead.daemon.status import zone_statuses
 from courselead.integrations.http_api.host import StatusReport, TableChange
+from tests.core.helpers import identity
 from tests.integrations.http_api.fakes import FakeHost, complete_answer, serving
 
 pytestmark = pytest.mark.anyio
@@ -40,6 +47,19 @@
         self.changes.append(TableChange(offset, 1_700_000_000_000, edit))
         return ReplyAccepted(edit.request_id, offset)
 
+    async def change_zone(self, change, deadline_ms):
+        """Apply a zone command with its handler of the core and return the reply."""
+        origin = Origin(30, "eh-1", 1, 1, 0)
+        self.fleet, verdict = HANDLERS[type(change)](self.fleet, origin, change)
+        if not verdict.accepted:
+            detail = verdicts.message(verdict.reason)
+            return Problem(ProblemKind.ZONE_REFUSED, RunState.NOT_RUN, detail)
+        return ReplyAccepted(change.request_id, 30)
+
+    def zones(self):
+        """Return the status of the zones."""
+        return zone_statuses(CoreState(identity(), self.fleet))
+
     async def history(self, limit):
         """Return the newest publishes."""
         return tuple(self.changes[-limit:])
@@ -132,3 +152,24 @@
     assert rows.services["alpha/web"].workers == 3
     assert len(rows.accounts["alpha"].credential_hashes) == 1
     assert len(rows.accounts) == 2
+
+
+async def test_zones_are_evacuated_listed_and_restored(cli, monkeypatch):
+    worker = WorkerState("w1", "az-1", "r1", "127.0.0.1:1", 4.0, 1024)
+    cli.host.fleet = replace(cli.host.fleet, workers=Map({"w1": worker}))
+    for _ in range(2):
+        code, out, _ = await cli("zones", "evacuate", "az-1", "--author", "kim")
+        assert (code, out) == (0, "zone az-1 is evacuated\n")
+    _, line = (await cli("zones", "list"))[1].splitlines()
+    assert line.split()[:2] == ["az-1", "evacuated"]
+    assert "/kim" in line
+    code, _, err = await cli("zones", "evacuate", "az-9")
+    assert code == 1
+    assert "list of zones" in err
+    assert (await cli("zones", "restore", "az-1"))[:2] == (0, "zone az-1 is in use\n")
+    assert not cli.host.fleet.evacuations
+    monkeypatch.setenv("COURSELEAD_CREDENTIAL", "alpha-token")
+    code, _, err = await cli("zones", "evacuate", "az-1")
+    assert code == 1
+    assert "operator" in err
+    assert not cli.host.fleet.evacuations
