Split placement into a pipeline of small modules

placement.py held the start order, filters, scores, gangs and tickets in one file. It keeps the round and the start; the others are start_order.py, minion_filters.py, minion_scores.py, gangs.py, tickets.py, unplaceable.py, job_zone.py and selection.py (what minions are selected by).

--- /dev/null
+++ b/courselead/core/scheduler/selection.py
@@ -0,0 +1,56 @@
+"""What the minions of a unit are selected by, and what is reserved for its gang."""
+
+from __future__ import annotations
+
+from courselead.core.scheduler.isolation import Isolation
+from courselead.core.scheduler.models import Resources
+from courselead.core.scheduler.schedule import Schedule
+from courselead.core.scheduler.state import Minion, Unit
+
+
+class Selection:
+    """One unit for which minions are selected.
+
+    Attributes:
+        spec: The step of the unit.
+        isolation: The running suspects, None if there is nothing to keep apart.
+        reserved: Number of earlier tasks of the unit's gang by minion, None if there
+            are none.
+    """
+
+    __slots__ = ("schedule", "unit", "spec", "isolation", "reserved")
+
+    def __init__(
+        self, schedule: Schedule, unit: Unit, isolation: Isolation | None
+    ) -> None:
+        """Start with nothing reserved."""
+        self.schedule = schedule
+        self.unit = unit
+        self.spec = unit.step.spec
+        self.isolation = isolation
+        self.reserved: dict[str, int] | None = None
+
+    def reserve(self, minion: Minion) -> None:
+        """Reserve the resources of one task on a minion."""
+        if self.reserved is None:
+            self.reserved = {}
+        count = self.reserved.get(minion.minion_id, 0)
+        self.reserved[minion.minion_id] = count + 1
+
+    def free_capacity(self, minion: Minion) -> Resources:
+        """Return a minion's free resources without what is reserved."""
+        count = self._reserved_on(minion)
+        if not count:
+            return minion.free_capacity
+        return minion.free_capacity.minus(self.spec.charge.times(count))
+
+    def step_count(self, minion: Minion) -> int:
+        """Return how many tasks of the step a minion has, with those reserved."""
+        step = self.unit.step
+        count = sum(run.unit.step is step for run in minion.runs.values())
+        return count + self._reserved_on(minion)
+
+    def _reserved_on(self, minion: Minion) -> int:
+        if self.reserved is None:
+            return 0
+        return self.reserved.get(minion.minion_id, 0)
