Use minions that are warming up only where no warm one fits

The minions of a zone that is taken back may be slow for a while. Placement did not know of it: the zone is empty, so jobs that fit in no other zone and long-running tasks went there first.

A minion that is warming up is now chosen only where no warm one fits; the term comes before all others, also before racks, quarantine and the distance to suspects. A rack-local gang tries the warm minions of every rack before one that is warming up.

The four new tests fail without the term (three) or without the order of racks (one).

--- a/courselead/core/scheduler/gangs.py
+++ b/courselead/core/scheduler/gangs.py
@@ -16,17 +16,30 @@
     """Return a minion for each task of a gang, None if any task does not fit."""
     spec = selection.spec
     if spec.rack_local:
-        racks: dict[str, list[Minion]] = defaultdict(list)
-        for minion in minions:
-            racks[minion.info.rack].append(minion)
-        ordered = sorted(racks, key=lambda rack: rack != spec.preferred_rack)
-        for rack in ordered:
-            places = _places_on(selection, racks[rack])
-            if places is not None:
-                return places
+        warm = selection.warm(minions)
+        places = _places_on_one_rack(selection, warm)
+        if places is None and len(warm) < len(minions):
+            places = _places_on_one_rack(selection, minions)
+        if places is not None:
+            return places
     return _places_on(selection, minions)
 
 
+def _places_on_one_rack(
+    selection: Selection, minions: list[Minion]
+) -> list[tuple[int, Minion]] | None:
+    """Return places on a single rack, the preferred one if the gang fits there."""
+    racks: dict[str, list[Minion]] = defaultdict(list)
+    for minion in minions:
+        racks[minion.info.rack].append(minion)
+    preferred = selection.spec.preferred_rack
+    for rack in sorted(racks, key=lambda rack: rack != preferred):
+        places = _places_on(selection, racks[rack])
+        if places is not None:
+            return places
+    return None
+
+
 def _places_on(
     selection: Selection, minions: list[Minion]
 ) -> list[tuple[int, Minion]] | None:
--- a/courselead/core/scheduler/minion_scores.py
+++ b/courselead/core/scheduler/minion_scores.py
@@ -28,6 +28,15 @@
     return minions[0]
 
 
+def warm(selection: Selection, minions: list[Minion]) -> list[Minion]:
+    """Use a minion that is warming up only where no warm one fits.
+
+    This outweighs all other terms. A zone that returns from an evacuation is empty and
+    would otherwise draw the whole queue to minions that are slow.
+    """
+    return selection.warm(minions) or minions
+
+
 def least_neighbour_penalty(
     selection: Selection, minions: list[Minion]
 ) -> list[Minion]:
@@ -104,6 +113,7 @@
 
 
 FINITE_TERMS: tuple[Term, ...] = (
+    warm,
     least_neighbour_penalty,
     not_avoided,
     on_preferred_rack,
@@ -113,6 +123,7 @@
 """Terms of the score for a finite task."""
 
 LONG_RUNNING_TERMS: tuple[Term, ...] = (
+    warm,
     least_neighbour_penalty,
     not_avoided,
     on_preferred_rack,
--- a/courselead/core/scheduler/placement.py
+++ b/courselead/core/scheduler/placement.py
@@ -89,6 +89,9 @@
         lives.tasks_with_pending_starts(schedule)
     )
     isolation = Isolation.create(schedule)
+    warming_up = frozenset(
+        item.minion_id for item in minions if item.is_warming_up(schedule.now_ms)
+    )
     # Ids of steps that start nothing more in this round: their units have equal needs.
     blocked_steps: set[int] = set()
     fitting_by_step: FittingMinions = {}
@@ -104,7 +107,7 @@
             blocked_steps.add(id(unit.step))
             continue
         if unplaceable.covers(unit) or not _try_start(
-            schedule, unit, minions, isolation, fitting_by_step
+            Selection(schedule, unit, isolation, warming_up), minions, fitting_by_step
         ):
             waiting.append(unit)
             unplaceable.add(unit)
@@ -164,12 +167,10 @@
 
 
 def _try_start(
-    schedule: Schedule,
-    unit: Unit,
-    minions: list[Minion],
-    isolation: Isolation | None,
-    fitting_by_step: FittingMinions,
+    selection: Selection, minions: list[Minion], fitting_by_step: FittingMinions
 ) -> bool:
+    schedule, unit = selection.schedule, selection.unit
+    isolation = selection.isolation
     queue = schedule.queue(unit.job.queue)
     ticket_by_minion: dict[str, str] | None = None
     if queue is not None and queue.advice is not None:
@@ -181,7 +182,6 @@
         unit.job.zone = zone_for(unit, minions)
     if isolation is not None:
         minions = isolation.allowed_minions(unit, minions)
-    selection = Selection(schedule, unit, isolation)
     if selection.spec.gang:
         places = gangs.find_places(selection, minions)
     else:
--- a/courselead/core/scheduler/selection.py
+++ b/courselead/core/scheduler/selection.py
@@ -14,22 +14,34 @@
     Attributes:
         spec: The step of the unit.
         isolation: The running suspects, None if there is nothing to keep apart.
+        warming_up: Ids of the minions that still run tasks slowly after their start.
         reserved: Number of earlier tasks of the unit's gang by minion, None if there
             are none.
     """
 
-    __slots__ = ("schedule", "unit", "spec", "isolation", "reserved")
+    __slots__ = ("schedule", "unit", "spec", "isolation", "warming_up", "reserved")
 
     def __init__(
-        self, schedule: Schedule, unit: Unit, isolation: Isolation | None
+        self,
+        schedule: Schedule,
+        unit: Unit,
+        isolation: Isolation | None,
+        warming_up: frozenset[str],
     ) -> None:
         """Start with nothing reserved."""
         self.schedule = schedule
         self.unit = unit
         self.spec = unit.step.spec
         self.isolation = isolation
+        self.warming_up = warming_up
         self.reserved: dict[str, int] | None = None
 
+    def warm(self, minions: list[Minion]) -> list[Minion]:
+        """Return the minions that are not warming up."""
+        if not self.warming_up:
+            return minions
+        return [item for item in minions if item.minion_id not in self.warming_up]
+
     def reserve(self, minion: Minion) -> None:
         """Reserve the resources of one task on a minion."""
         if self.reserved is None:
--- a/tests/core/scheduler/test_placement_pipeline.py
+++ b/tests/core/scheduler/test_placement_pipeline.py
@@ -16,7 +16,14 @@
 from courselead.core.scheduler.selection import Selection
 from courselead.core.scheduler.state import Minion, Run, Unit
 from tests.core.scheduler.fake_minions import POOL
-from tests.core.scheduler.world import CAPACITY, World, job, step
+from tests.core.scheduler.world import (
+    CAPACITY,
+    ZONES,
+    World,
+    job,
+    step,
+    world_of_zones,
+)
 
 
 def schedule_with_unit(**spec: object) -> tuple[Schedule, Unit]:
@@ -35,8 +42,14 @@
     return Minion(info, synced=True, used=Resources(used, 0), **fields)
 
 
+def select(schedule: Schedule, unit: Unit, *warming_up: Minion) -> Selection:
+    """Return the selection for a unit while some minions are warming up."""
+    names = frozenset(item.minion_id for item in warming_up)
+    return Selection(schedule, unit, None, names)
+
+
 def best(schedule: Schedule, unit: Unit, *minions: Minion) -> str:
-    selection = Selection(schedule, unit, None)
+    selection = select(schedule, unit)
     return minion_scores.best_minion(selection, list(minions)).minion_id
 
 
@@ -98,7 +111,7 @@
     at_limit, kept = make_minion("at-limit"), make_minion("kept")
     run = Run(unit, 0, 1, at_limit.minion_id, schedule.now_ms)
     at_limit.runs[run.key] = run
-    selection = Selection(schedule, unit, None)
+    selection = select(schedule, unit)
     fitting = minion_filters.fitting_minions(
         selection, [full, unlabelled, at_limit, kept]
     )
@@ -145,7 +158,7 @@
     # Guards against a gang that is placed where only some of its tasks fit.
     schedule, unit = schedule_with_unit(count=3, cpu=2_000, gang=True)
     minions = [make_minion("m0", used=2_000), make_minion("m1")]
-    selection = Selection(schedule, unit, None)
+    selection = select(schedule, unit)
     places = gangs.find_places(selection, minions)
     assert [minion.minion_id for _, minion in places] == ["m0", "m1", "m1"]
     assert gangs.find_places(selection, [minions[1]]) is None
@@ -157,7 +170,7 @@
         count=2, cpu=2_000, gang=True, rack_local=True, preferred_rack="r1"
     )
     minions = [make_minion("m0"), make_minion("m1", rack="r1")]
-    selection = Selection(schedule, unit, None)
+    selection = select(schedule, unit)
     places = gangs.find_places(selection, minions)
     assert {minion.minion_id for _, minion in places} == {"m1"}
     minions[1].used = Resources(1_000, 0)
@@ -176,3 +189,56 @@
     runs = [len(item.runs) for item in owner.schedule.minions.values()]
     assert runs == [4, 4, 4]
     assert len(owner.schedule.ready[POOL]) == 2
+
+
+@pytest.mark.parametrize("long_running", [False, True])
+def test_a_minion_that_is_warming_up_is_chosen_only_where_no_warm_one_fits(
+    long_running,
+):
+    # Guards against a returned zone that draws the whole queue while it is slow, and
+    # against one that stays idle although nothing else has room.
+    schedule, unit = schedule_with_unit(
+        cpu=1_000, preferred_rack="r0", long_running=long_running
+    )
+    cold = make_minion("cold")
+    warm = make_minion("warm", "z1", "r1", used=2_000)
+    warm.quarantine_until_ms = schedule.now_ms + 1
+    selection = select(schedule, unit, cold)
+    for minions, expected in (([cold, warm], warm), ([warm, cold], warm)):
+        fitting = minion_filters.fitting_minions(selection, minions)
+        assert minion_scores.best_minion(selection, fitting) is expected
+    warm.used = Resources(3_500, 0)
+    fitting = minion_filters.fitting_minions(selection, [cold, warm])
+    assert minion_scores.best_minion(selection, fitting) is cold
+
+
+def test_a_rack_local_gang_prefers_a_warm_rack_to_its_own():
+    # Guards against a gang on a rack that is warming up while a warm one has room.
+    schedule, unit = schedule_with_unit(
+        count=2, cpu=2_000, gang=True, rack_local=True, preferred_rack="r1"
+    )
+    minions = [make_minion("m0"), make_minion("m1", rack="r1")]
+    selection = select(schedule, unit, minions[1])
+    places = gangs.find_places(selection, minions)
+    assert {minion.minion_id for _, minion in places} == {"m0"}
+    minions[0].used = Resources(1_000, 0)
+    places = gangs.find_places(selection, minions)
+    assert {minion.minion_id for _, minion in places} == {"m1"}
+
+
+def test_a_returned_zone_takes_what_the_warm_zones_have_no_room_for():
+    # Guards against a round that does not know which minions are warming up.
+    world = world_of_zones(3)
+    owner = world.claim()
+    world.run(300)
+    minions = owner.schedule.minions.values()
+    cold = next(item for item in minions if item.info.zone == ZONES[0])
+    cold.warm_at_ms = owner.schedule.now_ms + 5_000
+    world.submit(job(step(8, cpu=1_000)))
+    placement.place_all(owner.schedule)
+    assert {item.minion_id: len(item.runs) for item in minions} == {
+        item.minion_id: 0 if item is cold else 4 for item in minions
+    }
+    world.submit(job(step(2, cpu=1_000)), "00000000000000bb")
+    placement.place_all(owner.schedule)
+    assert len(cold.runs) == 2
