Keep units of a stopping minion on loan while they are in use

A host that read that a minion no longer serves dropped what it had borrowed of its slots while requests still used them.

Borrowed units now stay on record until the requests on them have ended. Nothing is wanted of a minion that has stopped serving, and its base share of 0 is not cached, as nothing would remove it.

--- a/courselead/core/requests/quota.py
+++ b/courselead/core/requests/quota.py
@@ -58,11 +58,16 @@
 
 
 def base_share(turn: Turn, quota: str) -> int:
-    """Return the base share of a quota, computing and caching it if needed."""
+    """Return the base share of a quota, computing and caching it if needed.
+
+    The share of a minion that has stopped serving is 0 and not cached: nothing would
+    remove it from the cache.
+    """
     share = turn.shares.get(quota)
     if share is None:
         share = _compute_base_share(turn, quota)
-        turn.shares = turn.shares.set(quota, share)
+        if is_current(turn, quota):
+            turn.shares = turn.shares.set(quota, share)
     return share
 
 
--- a/courselead/core/requests/targets.py
+++ b/courselead/core/requests/targets.py
@@ -119,7 +119,9 @@
         turn.shares = turn.shares.delete(target.quota)
     if target.quota in turn.lent:
         turn.lent = turn.lent.delete(target.quota)
-    if target.quota in turn.borrowed:
+    # Borrowed units in use are still reported as held. A lender that has not read of
+    # the minion's stop would otherwise use them again.
+    if target.quota in turn.borrowed and target.quota not in turn.in_use:
         turn.borrowed = turn.borrowed.delete(target.quota)
 
 
--- a/courselead/core/requests/wants.py
+++ b/courselead/core/requests/wants.py
@@ -15,10 +15,13 @@
 
     Borrowed units in use remain wanted. Idle borrowed units remain wanted while
     requests are queued that may also need another quota. More units are wanted for
-    queued requests, at targets that have free slots according to all reports.
+    queued requests, at targets that have free slots according to all reports. Nothing
+    is wanted of a minion that has stopped serving.
     """
     wanted_units: dict[str, int] = {}
     for quota_name in turn.borrowed:
+        if not quota.is_current(turn, quota_name):
+            continue
         units = _units_over_own(turn, quota_name)
         if has_queued_work(turn, quota_name):
             units = max(units, _valid_loan_units(turn, quota_name))
--- a/tests/core/requests/test_stopped_minions.py
+++ b/tests/core/requests/test_stopped_minions.py
@@ -87,6 +87,7 @@
         ]
         assert (by_host.count("a"), by_host.count("b")) == (left, SLOTS - left)
     assert STOPPED_QUOTA not in cluster.hosts["a"].state.borrowed
+    assert STOPPED_QUOTA not in cluster.hosts["a"].state.shares
     assert STOPPED_QUOTA not in cluster.hosts["b"].state.lent
 
 
