Log an evacuation and its end on each entry host

An operator could not tell from the logs when an entry host began to follow an evacuation, only from the list of zones at the time.

Each host logs zone_evacuation_requested or zone_returned when it reads an accepted record, with the zone, the operator and the offset. A host that starts logs them again for the records that it reads.

tests/core/test_edits.py passes.

--- a/courselead/core/edits.py
+++ b/courselead/core/edits.py
@@ -10,6 +10,7 @@
 from courselead.core.context import Context
 from courselead.core.effects import (
     Effect,
+    LogEvent,
     Problem,
     ProblemKind,
     Propose,
@@ -27,6 +28,10 @@
 
 LOG_RETRY_MS = 2_000
 _CHANGES = (TablePublished, ZoneEvacuated, ZoneRestored)
+_ZONE_EVENTS = {
+    ZoneEvacuated: "zone_evacuation_requested",
+    ZoneRestored: "zone_returned",
+}
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,7 +65,8 @@
         record = replace(event.change, request_id=event.request_id)
         return _propose(state, ctx, event, record)
     if isinstance(event, BatchesRead):
-        return _answer_applied(state, ctx)
+        state, replies = _answer_applied(state, ctx)
+        return state, replies + _log_zone_changes(ctx)
     if isinstance(event, Tick):
         return _expire_edits(state, ctx)
     return state, ()
@@ -111,6 +117,26 @@
     return replace(state, waiting=waiting), tuple(effects)
 
 
+def _log_zone_changes(ctx: Context) -> tuple[LogEvent, ...]:
+    """Return a log line for each accepted command that evacuates or restores a zone.
+
+    Each host writes them when it reads the record, which is when it follows it.
+    """
+    lines = []
+    for applied in ctx.applied:
+        record = applied.record
+        event = _ZONE_EVENTS.get(type(record))
+        if event is None or not applied.verdict.accepted:
+            continue
+        fields = (
+            ("zone", record.availability_zone),
+            ("operator", record.operator),
+            ("offset", applied.offset),
+        )
+        lines.append(LogEvent("info", event, fields))
+    return tuple(lines)
+
+
 def _rejection_problem(change: WaitingChange, reason: str) -> Problem:
     """Return the final answer to a change that was rejected when it was applied."""
     if reason == verdicts.TABLE_CONFLICT:
--- a/tests/core/test_edits.py
+++ b/tests/core/test_edits.py
@@ -1,5 +1,6 @@
 from courselead.core.effects import (
     Left,
+    LogEvent,
     ProblemKind,
     ReplyAccepted,
     ReplyProblem,
@@ -94,6 +95,29 @@
     assert a.effects_of(ReplyProblem) == []
 
 
+def test_each_host_logs_an_evacuation_and_its_end_when_it_reads_them():
+    """An operator follows from the logs when each host stopped using the zone."""
+    log = FakeLog()
+    a, b = create_host(log, "a"), create_host(log, "b")
+    run_all_until((a, b), 1_000)
+    evacuate(a)
+    evacuate(a, "z9", request_id="r2")
+    run_all_until((a, b), 1_500)
+    restore = ZoneRestored("z1", "ops", 6)
+    a.handle(ZoneCommand(1_500, "r3", restore, 9_000))
+    run_all_until((a, b), 2_000)
+    for host in (a, b):
+        lines = [
+            (line.event, dict(line.fields)["zone"], dict(line.fields)["operator"])
+            for line in host.effects_of(LogEvent)
+            if line.event.startswith("zone_")
+        ]
+        assert lines == [
+            ("zone_evacuation_requested", "z1", "ops"),
+            ("zone_returned", "z1", "ops"),
+        ]
+
+
 def test_a_command_for_an_unknown_zone_is_answered_with_the_remedy():
     a = create_member_host()
     evacuate(a, "z9")
