--- a/harness/callers.py
+++ b/harness/callers.py
@@ -9,8 +9,14 @@
     JobsOffered,
     RequestArrived,
     TableEdit,
+    ZoneCommand,
+)
+from courselead.core.fleet.records import (
+    JobSpec,
+    TablePublished,
+    ZoneEvacuated,
+    ZoneRestored,
 )
-from courselead.core.fleet.records import JobSpec, TablePublished
 from courselead.core.table import AccountRow, RequestClass, ServiceRow
 
 MAX_TRIES = 4
@@ -133,6 +139,18 @@
         )
         return req
 
+    def change_zone(
+        self, host: object, change: ZoneEvacuated | ZoneRestored
+    ) -> Request:
+        """Evacuate or restore a zone."""
+        req = self._new(host, self.world.sched.now_ms + EDIT_TIMEOUT_MS)
+        req.is_edit = True
+        host.deliver(
+            f"operator:{req.request_id}",
+            lambda now: ZoneCommand(now, req.request_id, change, req.deadline_ms),
+        )
+        return req
+
     def edit_rows(
         self, host: object, *rows: ServiceRow | AccountRow, author: str = "op"
     ) -> Request:
--- a/harness/checks.py
+++ b/harness/checks.py
@@ -21,6 +21,8 @@
     WorkerDown,
     WorkerQuarantined,
     WorkersGone,
+    ZoneEvacuated,
+    ZoneRestored,
 )
 from courselead.core.fleet.state import (
     AppliedRecord,
@@ -186,6 +188,13 @@
                 text = f"{host.name} has table {held_version} after 5 s of {version}"
                 self.fail(Promise.CONFIG, text)
 
+    def _on_zone_changed(self, item: AppliedRecord) -> None:
+        self._edits.add(item.record.request_id)
+        req = self.world.callers.requests.get(item.record.request_id)
+        if req is not None and req.not_run:
+            text = f"the command {req.request_id} took effect after its refusal"
+            self.fail(Promise.CONFIG, text)
+
     def _on_job_placed(self, item: AppliedRecord) -> None:
         host = self.world.hosts[item.entry_host]
         self._check_not_leaving(host, item.record.worker, f"job {item.record.job_id}")
@@ -439,4 +448,6 @@
     StopCancelled: Checks._on_minion_up,
     TablePublished: Checks._on_table_published,
     JobPlaced: Checks._on_job_placed,
+    ZoneEvacuated: Checks._on_zone_changed,
+    ZoneRestored: Checks._on_zone_changed,
 }
--- a/harness/world.py
+++ b/harness/world.py
@@ -4,7 +4,13 @@
 from collections.abc import Callable
 from dataclasses import replace
 
-from courselead.core.fleet.records import JobSpec, StopPlanned, WorkerInfo
+from courselead.core.fleet.records import (
+    JobSpec,
+    StopPlanned,
+    WorkerInfo,
+    ZoneEvacuated,
+    ZoneRestored,
+)
 from courselead.core.fleet.state import AppliedRecord, FleetState
 from courselead.core.invariants import find_violations
 from courselead.core.table import AccountRow, RequestClass, ServiceRow
@@ -113,6 +119,8 @@
         after(CHECK_PERIOD_MS, self._check_hosts)
         for wave, at_ms in enumerate((2_800, 5_000, 7_300, 9_500, 11_600)):
             after(at_ms, self._submit_jobs, wave)
+        after(3_400, self.change_zone, ZoneEvacuated("zb", "op", 0))
+        after(4_400, self.change_zone, ZoneRestored("zb", "op", 0))
         after(4_000, self.publish, (replace(WEB, workers=4),))
         after(6_000, self._crash, "wa2")
         after(6_500, self._cancel_jobs)
@@ -146,6 +154,12 @@
         if host is not None:
             self.callers.edit_rows(host, *rows)
 
+    def change_zone(self, change: ZoneEvacuated | ZoneRestored) -> None:
+        """Evacuate or restore a zone as an operator."""
+        host = self.callers.pick_host()
+        if host is not None:
+            self.callers.change_zone(host, change)
+
     def race_edits(self, one: str, other: str) -> None:
         """Publish edits of one row at two hosts at once, and of another row."""
         for number, name in enumerate((one, other, one)):
