Let the simulated world lose owners, slow the operator's log and watch cancelled jobs

The world could not show an owner that is lost for good, reads of the operator's log that are answered late, orders that are carried out more than 6 s late, or a run that goes on after its job was cancelled.

- `kill_owner` ends an owner without notice; the next one claims later.
- A host knows of an evacuation what it last read; reads take `operator_log_ms`, and an owner that is cut off from the log reads nothing.
- EVAC also checks orders that are carried out late: they must have been sent in time.
They were exempt before.
A repeated request does not put the bound off.
- UNASKED: a run of a cancelled job ends within 4,900 ms, without an owner as well.
- Records of runs in the owner's zone are repeated until the log takes them, as `StartLog` does.
- Minions and workers keep their zone and labels through maintenance.

--- a/tests/core/scheduler/fake_minions.py
+++ b/tests/core/scheduler/fake_minions.py
@@ -20,6 +20,8 @@
     gang: tuple[str, int] | None = None
     checkpoint: str = ""
     stop_at_ms: int | None = None
+    # When the owner last could not reach it, or a stop of it was delayed.
+    unreached_ms: int = 0
     # Run time after which the run crashes its minion.
     crash_ms: int | None = None
 
@@ -39,6 +41,7 @@
     up: bool = True
     cut: bool = False
     draining: bool = False
+    cold_until_ms: int = 0
     fails_all: bool = False
     sequence: int = 0
     runs: dict[tuple[str, int], FakeRun] = field(default_factory=dict)
--- a/tests/core/scheduler/world.py
+++ b/tests/core/scheduler/world.py
@@ -56,6 +56,17 @@
 ENTRY_LOST_MS = 4_500
 """Time after which the list entry of a silent minion is removed."""
 
+CONTACT_MS = 4_000
+STOP_MS = 900
+"""Bounds of the users' deployments: a run that no live job explains must have ended
+within their sum after its start and its job's cancellation."""
+
+COLD_FACTOR = 4
+"""Multiple of its run time that a task takes on a minion that is not warm yet."""
+
+LATE_MS = (500, 6_000)
+"""Range of the delays of late orders, unless a test sets another one."""
+
 CRASHES_ALLOWED = 3
 STARTS_ALLOWED = 2
 """Allowed starts of a task after `CRASHES_ALLOWED` crashes."""
@@ -125,12 +136,17 @@
         # When each task last ended, and the tasks that were stopped by an order.
         self._ended_work_ms: dict[str, int] = {}
         self._stopped_by_order: set[str] = set()
-        # Whether the order that is being carried out was delayed.
-        self._is_delayed = False
+        # When the order that is being carried out was sent, if it was delayed.
+        self._delayed_since_ms: int | None = None
+        # Delayed starts that were carried out in an evacuated zone or for a cancelled
+        # job.
+        self.late_zone_starts = 0
+        self.late_cancelled_starts = 0
         self.lose_answers = 0.0
         # False once orders may be delayed: they reach the incarnation current then.
         self._starts_are_bound = True
         self._late_orders = 0.0
+        self.late_ms = LATE_MS
         # Caps by account, each with the time from which it applies.
         self._caps: dict[str, list[tuple[int, Resources]]] = {}
         self.store_down = False
@@ -144,6 +160,15 @@
         # owners can read the operator's log.
         self.closed_zones: dict[str, int] = {}
         self.operator_log_readable = True
+        # Time until a read of the operator's log is answered.
+        self.operator_log_ms = 0
+        # The zones of the newest answered read, and when each owner's one was sent.
+        self._zones_read: tuple[frozenset[str], int] = (frozenset(), self.now_ms)
+        self._zones_read_ms: dict[int, int] = {}
+        self._cancelled_ms: dict[str, int] = {}
+        # Owners that have ended without notice.
+        self._killed: set[Scheduler] = set()
+        self._last_owner: Scheduler | None = None
         # Cut connections between owners, by fence, and minions.
         self.cut_connections: set[tuple[int, str]] = set()
         self.guards = guards
@@ -202,8 +227,11 @@
 
     def claim(self, zone: str = "") -> Scheduler:
         """Let a new owner take over; the previous one is not notified."""
-        before = self.owner
+        before = self._last_owner
         self.fence += 1
+        if self._is_operator_log_answering and not self.operator_log_ms:
+            self._zones_read = (frozenset(self.closed_zones), self.now_ms)
+        zones, read_ms = self._zones_read
         owner = Scheduler(
             self.fence,
             self.fence == 1,
@@ -215,9 +243,11 @@
             zone,
             self._remaining_runs_of(before),
             self._starts_are_bound,
+            self.now_ms - read_ms,
         )
-        owner.handle(ev.ZonesEvacuated(frozenset(self.closed_zones)), self.now_ms)
-        self.owner = owner
+        # A host follows the operator's log also before it owns the schedule.
+        owner.handle(ev.ZonesEvacuated(zones), self.now_ms)
+        self.owner = self._last_owner = owner
         self.owners.append(owner)
         for minion_id in sorted(self.listed):
             owner.handle(ev.MinionListed(self.minions[minion_id].info()), self.now_ms)
@@ -225,6 +255,15 @@
         self._pump(owner)
         return owner
 
+    def kill_owner(self) -> None:
+        """End the owner without notice; its orders in flight still arrive."""
+        if self.owner is None:
+            return
+        self._killed.add(self.owner)
+        if self.owner in self.owners:
+            self.owners.remove(self.owner)
+        self.owner = None
+
     def _remaining_runs_of(self, owner: Scheduler | None) -> RemainingRuns | None:
         """Return what the next owner learns from the records of an owner."""
         if owner is None:
@@ -289,7 +328,9 @@
 
     def evacuate(self, zone: str) -> None:
         """Let the operator evacuate a zone, which takes effect within the bound."""
-        self.closed_zones[zone] = self.now_ms + (self.bounds.evacuated_within_ms or 0)
+        within_ms = self.bounds.evacuated_within_ms or 0
+        # A repeated request doesn't put the bound off.
+        self.closed_zones.setdefault(zone, self.now_ms + within_ms)
         self._tell_zones()
 
     def restore(self, zone: str) -> None:
@@ -298,14 +339,40 @@
         self._tell_zones()
 
     def _tell_zones(self) -> None:
-        if self.owner is not None and self._reads_operator_log(self.owner):
-            self._tell(ev.ZonesEvacuated(frozenset(self.closed_zones)))
+        """Let the owner read the change at once, unless reads are slow."""
+        if self.owner is not None and not self.operator_log_ms:
+            self._read_operator_log(self.owner)
+            self._pump(self.owner)
 
-    def _reads_operator_log(self, owner: Scheduler) -> bool:
+    @property
+    def _is_operator_log_answering(self) -> bool:
         return self.operator_log_readable and not self.store_down
 
+    def _read_operator_log(self, owner: Scheduler) -> None:
+        """Let an owner read the operator's log, if the log answers it."""
+        if not self._is_operator_log_answering:
+            return
+        fence, sent_ms = owner.schedule.fence, self.now_ms
+        if fence in self.log_cut:
+            return
+        zones = frozenset(self.closed_zones)
+
+        def answered() -> None:
+            if owner in self._killed or sent_ms < self._zones_read_ms.get(fence, 0):
+                return
+            self._zones_read_ms[fence] = sent_ms
+            self._zones_read = max(self._zones_read, (zones, sent_ms), key=_sent_ms)
+            owner.handle(ev.ZonesEvacuated(zones), self.now_ms)
+            owner.handle(ev.OperatorLogRead(sent_ms), self.now_ms)
+
+        if self.operator_log_ms:
+            self._at(self.operator_log_ms, answered)
+        else:
+            answered()
+
     def cancel(self, job_id: str) -> None:
         self.book.apply(JobCancelled(job_id))
+        self._cancelled_ms.setdefault(job_id, self.now_ms)
         self._tell(ev.JobCancelRequested(job_id))
 
     def state(self, job_id: str) -> JobState:
@@ -421,10 +488,7 @@
     def _tick(self, owner: Scheduler) -> None:
         if owner not in self.owners:
             return
-        if self._reads_operator_log(owner):
-            zones = frozenset(self.closed_zones)
-            owner.handle(ev.ZonesEvacuated(zones), self.now_ms)
-            owner.handle(ev.OperatorLogRead(self.now_ms), self.now_ms)
+        self._read_operator_log(owner)
         owner.handle(ev.Tick(WALL_START_MS + self.now_ms), self.now_ms)
         if self._reaches_log(owner):
             owner.handle(ev.LogAnswered(self.now_ms), self.now_ms)
@@ -453,6 +517,24 @@
                 continue
             elif self.now_ms - run.started_ms >= run.length_ms:
                 self._finish(minion, run)
+        for run in minion.runs.values():
+            self._check_asked_for(minion, run)
+
+    def _check_asked_for(self, minion: FakeMinion, run: FakeRun) -> None:
+        """Check that a run of a cancelled job ends in time.
+
+        It counts from the last time at which the minion was cut off from the owner or a
+        stop of the run was delayed. The time without an owner counts.
+        """
+        cancelled_ms = self._cancelled_ms.get(run.task.partition(".")[0])
+        if cancelled_ms is None:
+            return
+        if self.owner is not None and not self._reaches(self.owner, minion):
+            run.unreached_ms = self.now_ms
+        since_ms = max(run.started_ms, cancelled_ms, run.unreached_ms)
+        unasked_ms = self.now_ms - since_ms
+        in_time = unasked_ms <= CONTACT_MS + STOP_MS
+        assert in_time, f"UNASKED: {run.task} on {minion.minion_id} for {unasked_ms} ms"
 
     def _finish(self, minion: FakeMinion, run: FakeRun) -> None:
         job_id = run.task.partition(".")[0]
@@ -512,11 +594,12 @@
         self._check_cap(self.book.jobs[order.task.partition(".")[0]].account)
         self._check_starts_after_crashes(order.task)
         job_id = order.task.partition(".")[0]
+        slowdown = COLD_FACTOR if self.now_ms < minion.cold_until_ms else 1
         minion.runs[key] = FakeRun(
             order.task,
             order.number,
             self.now_ms,
-            self.lengths[job_id],
+            self.lengths[job_id] * slowdown,
             spec.long_running,
             crash_ms=self._crash_age(order.task),
         )
@@ -539,9 +622,14 @@
     ) -> None:
         task = order.task
         closed_ms = self.closed_zones.get(minion.zone)
-        if closed_ms is not None and not self._is_delayed:
-            assert self.now_ms <= closed_ms, f"EVAC: {task} in {minion.zone}"
+        if closed_ms is not None:
+            # A minion may carry out late what was sent in time.
+            sent_ms = self._delayed_since_ms
+            sent_ms = self.now_ms if sent_ms is None else sent_ms
+            assert sent_ms <= closed_ms, f"EVAC: {task} in {minion.zone}"
+            self.late_zone_starts += self.now_ms > closed_ms
         entry = self.book.jobs[task.partition(".")[0]]
+        self.late_cancelled_starts += entry.cancelled
         if not spec.speculative:
             for other in self.all_minions:
                 running = [key for key in other.runs if key[0] == task]
@@ -648,7 +736,9 @@
             case ev.StartRun():
                 self._held_starts_of(owner).start(owner.schedule, effect)
             case ev.StoreRuns():
-                self._at(LATENCY_MS, lambda: self._store_runs(owner, effect.minion_id))
+                self._at(
+                    LATENCY_MS, lambda: self._keep_storing_runs(owner, effect.minion_id)
+                )
             case ev.StopRun():
                 self._order(owner, effect, lambda m: self._stop(m, effect, fence))
             case ev.PaceRun():
@@ -710,7 +800,16 @@
         self.stored_runs[minion_id] = (owner.schedule.fence, tasks)
         return True
 
+    def _keep_storing_runs(self, owner: Scheduler, minion_id: str) -> None:
+        """Store a minion's runs; repeated until the log takes it, as by the daemon."""
+        if owner is not self.owner or minion_id not in owner.schedule.minions:
+            return
+        if not self._store_runs(owner, minion_id):
+            self._at(TICK_MS, lambda: self._keep_storing_runs(owner, minion_id))
+
     def _reply(self, owner: Scheduler, event: ev.Event) -> None:
+        if owner in self._killed:
+            return
         owner.handle(event, self.now_ms)
         self._pump(owner)
 
@@ -737,7 +836,10 @@
                 self._at(1_000, lambda: answer(ev.Outcome.UNKNOWN))
                 return
             if self.random.random() < self.late_orders:
-                self._at(self.random.randint(500, 6_000), late)
+                run = minion.runs.get((effect.task, effect.number))
+                if verb == "stop" and run is not None:
+                    run.unreached_ms = self.now_ms
+                self._at(self.random.randint(*self.late_ms), late)
                 self._at(1_000, lambda: answer(ev.Outcome.UNKNOWN))
                 return
             outcome = act(minion)
@@ -751,12 +853,14 @@
                 return
             self._at(LATENCY_MS, lambda: answer(outcome))
 
+        sent_ms = self.now_ms
+
         def late() -> None:
             minion = self.minions[effect.minion_id]
             if minion.up:
-                self._is_delayed = True
+                self._delayed_since_ms = sent_ms
                 act(minion)
-                self._is_delayed = False
+                self._delayed_since_ms = None
 
         self._at(LATENCY_MS, arrive)
 
@@ -768,7 +872,7 @@
         minion.highest[order.task] = max(highest, order.number)
         run = minion.runs.get((order.task, order.number))
         if run is not None and run.stop_at_ms is None:
-            if not self._is_delayed:
+            if self._delayed_since_ms is None:
                 self._check_stop(minion, order.task)
             run.stop_at_ms = self.now_ms + 100
         return ev.Outcome.OK
@@ -843,7 +947,7 @@
                     minion.worker_id,
                     POOL,
                     WorkerPhase.UP if minion.up else WorkerPhase.DOWN,
-                    "z",
+                    minion.zone,
                     minion.capacity,
                     minion.labels,
                     minion.minion_id,
@@ -881,11 +985,20 @@
 
         def back() -> None:
             del self.down[order.worker_id]
-            self.add_minion(order.worker_id, capacity=minion.capacity)
+            self.add_minion(
+                order.worker_id,
+                capacity=minion.capacity,
+                zone=minion.zone,
+                labels=minion.labels,
+            )
 
         self._at(self.bounds.maintenance_ms, back)
 
 
+def _sent_ms(read: tuple[frozenset[str], int]) -> int:
+    return read[1]
+
+
 def world_of_zones(minions=6, seed=0, capacity: Resources = CAPACITY) -> World:
     """Return a world with minions in three availability zones, round-robin."""
     world = World(minions=0, seed=seed)
