Evacuate zones in the soak of real processes

The soak never evacuated a zone, so nothing checked from outside that starts end there.

The store's stand-in takes the operator's record evacuate/ZONE and its removal. Machines can be moved to a zone by a test control call. The ledger reports each start in a zone later than the bound that the control call gives. Each seed has one early evacuation that outlasts the bound by 2 s, and a short one. The bound is 5 s, and 11 s in seeds with a fault of the store or the network, as the users' deployments allow it (`maxStretchMs`). Other faults of a seed are the same as before.

--- a/harness/real.py
+++ b/harness/real.py
@@ -2,7 +2,8 @@
 
 Each seed is one run on a site of its own: callers submit jobs and query them, faults
 overlap, and at the end every accepted job must have ended as expected. The ledger of
-the minions checks that no task runs twice. Only the callers and the ledger are checked,
+the minions checks that no task runs twice, and that none starts in an evacuated zone
+later than the bound. Only the callers and the ledger are checked,
 not the state of the hosts.
 """
 
@@ -24,10 +25,13 @@
 from demo.job_site import PREFIX, STATUS_OK, HostPorts, JobSite, running_site
 from harness.real_faults import (
     ACCOUNT_INJECTIONS,
+    EVACUATION_INJECTIONS,
     INJECTIONS,
     Fault,
     FaultInjector,
+    draw_evacuations,
     draw_faults,
+    evacuation_bound_s,
 )
 
 COURSELEAD = (sys.executable, "-m", "courselead")
@@ -222,13 +226,16 @@
     faults = draw_faults(rng, FAULT_COUNT, LOAD_S)
     if accounts is not None:
         faults += draw_faults(rng, ACCOUNT_FAULT_COUNT, LOAD_S, ACCOUNT_INJECTIONS)
+    within_s = evacuation_bound_s(faults)
+    faults += draw_evacuations(rng, LOAD_S, within_s)
     report = Report(seed, list(faults))
     started_s = time.monotonic()
     async with running_site(
         COURSELEAD, folder, HOSTS, MACHINES, accounts=accounts
     ) as site:
         callers = Callers(site, rng)
-        injector = FaultInjector(site, rng)
+        injector = FaultInjector(site, rng, within_s)
+        await injector.spread_machines()
         async with anyio.create_task_group() as tasks:
             for _ in range(CALLERS):
                 tasks.start_soon(callers.run)
@@ -261,7 +268,8 @@
 
 async def _inject(injector: FaultInjector, fault: Fault) -> None:
     await anyio.sleep(fault.at_s)
-    inject, _ = (INJECTIONS | ACCOUNT_INJECTIONS)[fault.name]
+    injections = INJECTIONS | ACCOUNT_INJECTIONS | EVACUATION_INJECTIONS
+    inject, _ = injections[fault.name]
     await inject(injector, fault.lasts_s)
 
 
--- a/harness/real_faults.py
+++ b/harness/real_faults.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import signal
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field
 from random import Random
 
 import anyio
 
-from demo.job_site import HostPorts, JobSite
+from demo.job_site import STATUS_OK, HostPorts, JobSite
 from demo.relay import Direction, Relay
 
 FaultFunction = Callable[["FaultInjector", float], Awaitable[None]]
@@ -24,6 +24,17 @@
 """Number of times that one fault restarts a minion."""
 
 
+ZONES = ("z", "z-b", "z-c")
+"""Availability zones of the machines."""
+
+EVACUATE_S = 5.0
+MAX_STRETCH_S = 6.0
+"""Time until an evacuation holds, and how much longer that is while the store is
+unstable: the bounds of the users' deployments."""
+
+CHECKED_S = 2.0
+"""Time for which an evacuation lasts beyond the bound, while starts are checked."""
+
 LOW_CAP = 600
 """Lowered cap of an account, in thousandths of a core: one or two tasks."""
 
@@ -43,6 +54,8 @@
 
     site: JobSite
     rng: Random
+    evacuated_within_s: float = EVACUATE_S
+    evacuated: set[str] = field(default_factory=set)
     down: set[str] = field(default_factory=set)
     frozen: set[str] = field(default_factory=set)
 
@@ -95,6 +108,18 @@
         site = self.site
         return [*site.store_relays.values(), *site.minion_relays.values()]
 
+    async def spread_machines(self) -> None:
+        """Distribute the machines over the availability zones, round-robin."""
+        for number, machine in enumerate(sorted(self.site.addresses["machines"])):
+            zone = ZONES[number % len(ZONES)]
+            await self.control(f"zone?machine={machine}&zone={zone}")
+
+    async def control(self, call: str, body: object = None) -> None:
+        """Send a test control call to the site."""
+        store = self.site.addresses["store"]
+        status, _ = await self.site.call(store, "POST", f"/+/{call}", body)
+        assert status == STATUS_OK
+
     async def store(self, lasts_s: float, **faults: object) -> None:
         """Set faults of the store for a time."""
         await self.site.set_faults(self.site.addresses["store"], **faults)
@@ -188,6 +213,18 @@
     await injector.site.write_config()
 
 
+async def _evacuate(injector: FaultInjector, lasts_s: float) -> None:
+    """Evacuate a zone for a time; the ledger checks that nothing starts there."""
+    zone = injector.rng.choice(sorted(set(ZONES) - injector.evacuated))
+    injector.evacuated.add(zone)
+    key = f"operator?key=evacuate/{zone}"
+    within_ms = round(injector.evacuated_within_s * 1000)
+    await injector.control(f"{key}&withinMs={within_ms}", {})
+    await anyio.sleep(lasts_s)
+    await injector.control(key)
+    injector.evacuated.discard(zone)
+
+
 async def _silence(injector: FaultInjector, lasts_s: float) -> None:
     for relay in injector.relays():
         relay.silence()
@@ -226,6 +263,25 @@
 """Changes of client accounts by the operator, each with its longest duration."""
 
 
+EVACUATION = "evacuate a zone"
+EVACUATION_INJECTIONS: dict[str, tuple[FaultFunction, float]] = {
+    EVACUATION: (_evacuate, 3),
+}
+"""The operator's requests for zones, with the longest duration of a short one."""
+
+STORE_FAULTS = {
+    "store down",
+    "store silent",
+    "store slow",
+    "store loses answers",
+    "cut a host from the store",
+    "cut one way",
+    "reset connections",
+    "silence connections",
+}
+"""Faults during which the store is unstable for a host."""
+
+
 def draw_faults(
     rng: Random,
     count: int,
@@ -239,3 +295,16 @@
         at_s = round(rng.uniform(0.5, until_s), 2)
         faults.append(Fault(at_s, name, round(rng.uniform(0, injections[name][1]), 2)))
     return tuple(sorted(faults, key=lambda fault: fault.at_s))
+
+
+def evacuation_bound_s(faults: Iterable[Fault]) -> float:
+    """Return the time within which an evacuation has to hold amid some faults."""
+    unstable = any(fault.name in STORE_FAULTS for fault in faults)
+    return EVACUATE_S + MAX_STRETCH_S * unstable
+
+
+def draw_evacuations(rng: Random, until_s: float, within_s: float) -> tuple[Fault, ...]:
+    """Return an early evacuation that outlasts the bound, and a short one."""
+    at_s = round(rng.uniform(0.5, 1.0), 2)
+    outlasting = Fault(at_s, EVACUATION, within_s + CHECKED_S)
+    return outlasting, *draw_faults(rng, 1, until_s, EVACUATION_INJECTIONS)
--- a/standins/job_platform/ledger.py
+++ b/standins/job_platform/ledger.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 import time
 from collections import Counter
 from collections.abc import Sequence
@@ -64,10 +65,16 @@
     _fences: dict[str, int] = field(default_factory=dict)
     _cpu_in_use: Counter[str] = field(default_factory=Counter)
     _caps: dict[str, list[tuple[float, int]]] = field(default_factory=dict)
+    _closed_at: dict[str, float] = field(default_factory=dict)
 
-    def record_start(self, task: str, minion: str) -> None:
-        """Record the start of a run on a minion."""
+    def record_start(self, task: str, minion: str, zone: str = "") -> None:
+        """Record the start of a run on a minion in an availability zone."""
         self.starts[task] += 1
+        late_s = time.monotonic() - self._closed_at.get(zone, math.inf)
+        if late_s > 0:
+            self._add_violation(
+                f"{task} starts on {minion} {late_s:.2f} s after {zone} had to be empty"
+            )
         minions = self._running.setdefault(task, set())
         if minions:
             self._add_violation(f"{task} starts on {minion} and runs on {min(minions)}")
@@ -93,6 +100,17 @@
         if done:
             self.done[task] += 1
 
+    def record_evacuation(self, zone: str, within_s: float) -> None:
+        """Record a zone's evacuation, acknowledged now, and when it has to hold.
+
+        A repeated request does not put that time off.
+        """
+        self._closed_at.setdefault(zone, time.monotonic() + within_s)
+
+    def record_return(self, zone: str) -> None:
+        """Record that a zone's evacuation was withdrawn."""
+        self._closed_at.pop(zone, None)
+
     def record_cap(self, account: str, cap: int) -> None:
         """Record an account's cap of a new configuration; 0 means no limit."""
         self._caps.setdefault(account, []).append((time.monotonic(), cap))
--- a/standins/job_platform/minion.py
+++ b/standins/job_platform/minion.py
@@ -70,6 +70,7 @@
         born_ms: Start time of the incarnation.
         fence: Highest fencing token seen.
         lease_ms: Time at which the lease ends.
+        zone: Availability zone of its machine.
         on_crash: Called when a run crashes the minion.
         terminated: Whether the incarnation has ended; pending calls then do nothing.
     """
@@ -80,6 +81,7 @@
     born_ms: int = field(default_factory=lambda: int(time.time() * 1000))
     fence: int = 0
     lease_ms: int = 0
+    zone: str = ""
     on_crash: Callable[[], None] = lambda: None
     terminated: bool = False
     _runs: dict[str, _Run] = field(default_factory=dict)
@@ -156,7 +158,7 @@
         if cpu_in_use + payload.cpu > self.cpu:
             return self._refusal("room")
         self._runs[task] = _Run(task, number, payload, _clock_ms())
-        self.ledger.record_start(task, self.minion_id)
+        self.ledger.record_start(task, self.minion_id, self.zone)
         self.ledger.add_usage(payload.account, payload.cpu)
         self.advance()
         return self._success({})
--- a/standins/job_platform/site.py
+++ b/standins/job_platform/site.py
@@ -5,10 +5,12 @@
 | call | effect |
 |---|---|
 | `GET /+/ledger` | the starts and ends that were recorded, and the violations found |
-| `POST /+/operator?key=K` | writes a record as the operator |
+| `POST /+/operator?key=K` | writes a record as the operator, or removes it if empty; |
+| `...?key=evacuate/Z&withinMs=T` | checks that nothing starts in the zone after that |
 | `POST /+/crash?machine=M` | the minion on a machine ends and a new one starts |
 | `POST /+/start-again?machine=M` | the minion on a machine restarts under its id |
 | `POST /+/address?machine=M&address=A` | minions on the machine register that address |
+| `POST /+/zone?machine=M&zone=Z` | moves a machine to a zone; all begin in `z` |
 | `POST /+/forget` | the store drops its history |
 """
 
@@ -34,6 +36,9 @@
 TOPIC_OPERATOR = "keyed.op"
 TOPIC_SERVERS = "keyed.servers"
 
+EVACUATION_KEY_PREFIX = "evacuate/"
+FIRST_ZONE = "z"
+
 REGISTER_INTERVAL_S = 0.5
 """Interval at which minions register: a third of the users', to keep tests fast."""
 
@@ -64,6 +69,7 @@
         """Bind the port, which all incarnations of the minion share."""
         self.name = name
         self.pool = spec.pool
+        self.zone = FIRST_ZONE
         self.state = "up"
         self.fence = 0
         self.crashes = 0
@@ -131,7 +137,7 @@
         self._register(machine)
 
     def _create_minion(self, machine: Machine, minion_id: str) -> MinionStandin:
-        minion = MinionStandin(minion_id, self.spec.cpu, self.ledger)
+        minion = MinionStandin(minion_id, self.spec.cpu, self.ledger, zone=machine.zone)
         minion.on_crash = lambda: self._handle_crash(machine)
         return minion
 
@@ -176,7 +182,7 @@
         entry = {
             "service": machine.pool,
             "address": machine.address,
-            "zone": "z",
+            "zone": machine.zone,
             "state": "ready",
             "capacity": self._capacity(),
             "labels": ["a", "r1"],
@@ -210,10 +216,7 @@
             case "ledger":
                 return json_reply(200, self.ledger.to_dict())
             case "operator":
-                key = call.query["key"].encode()
-                self.store.topic(TOPIC_OPERATOR).put([(key, call.body)])
-                for row in call.json().get("tenants", []):
-                    self.ledger.record_cap(row["name"], row["cap"]["cpu"])
+                self._write_operator_record(call)
                 return json_reply(200, {})
             case "crash":
                 self._restart_machine(self.machines[call.query["machine"]], "down")
@@ -226,12 +229,33 @@
                 machine.address = call.query["address"]
                 self._register(machine)
                 return json_reply(200, {})
+            case "zone":
+                machine = self.machines[call.query["machine"]]
+                machine.zone = call.query["zone"]
+                if machine.minion is not None:
+                    machine.minion.zone = machine.zone
+                self._register(machine)
+                return json_reply(200, {})
             case "forget":
                 self.store.topic(TOPIC_SERVERS).drop_history()
                 self.store.topic(TOPIC_OPERATOR).drop_history()
                 return json_reply(200, {})
         return error_reply(404, "no_such_call")
 
+    def _write_operator_record(self, call: Call) -> None:
+        key = call.query["key"]
+        self.store.topic(TOPIC_OPERATOR).put([(key.encode(), call.body)])
+        if not key.startswith(EVACUATION_KEY_PREFIX):
+            for row in call.json().get("tenants", []):
+                self.ledger.record_cap(row["name"], row["cap"]["cpu"])
+            return
+        zone = key.removeprefix(EVACUATION_KEY_PREFIX)
+        if call.body:
+            within_s = int(call.query["withinMs"]) / 1000
+            self.ledger.record_evacuation(zone, within_s)
+        else:
+            self.ledger.record_return(zone)
+
     async def _handle_cloud_call(self, call: Call) -> Reply:
         if call.path == "/-/machines":
             rows = [self._machine_row(machine) for machine in self.machines.values()]
@@ -261,7 +285,7 @@
             "machine": machine.name,
             "pool": machine.pool,
             "state": machine.state,
-            "zone": "z",
+            "zone": machine.zone,
             "labels": ["a", "r1"],
             "capacity": self._capacity(),
             "id": None if minion is None else minion.minion_id,
--- a/tests/processes/test_real_soak.py
+++ b/tests/processes/test_real_soak.py
@@ -6,7 +6,14 @@
 import pytest
 
 from harness.real import run_seed, run_seed_with_accounts
-from harness.real_faults import INJECTIONS, draw_faults
+from harness.real_faults import (
+    INJECTIONS,
+    STORE_FAULTS,
+    Fault,
+    draw_evacuations,
+    draw_faults,
+    evacuation_bound_s,
+)
 
 pytestmark = pytest.mark.processes
 
@@ -38,3 +45,12 @@
     for seed in range(60):
         seen.update(fault.name for fault in draw_faults(Random(seed), 6, 10))
     assert seen == set(INJECTIONS)
+
+
+def test_an_evacuation_outlasts_the_bound() -> None:
+    # Guards against runs in which the ledger has no start to check.
+    assert set(INJECTIONS) > STORE_FAULTS
+    for name, within_s in (("kill a host", 5), ("store slow", 11)):
+        assert evacuation_bound_s([Fault(0, name, 1)]) == within_s
+        first, second = draw_evacuations(Random(1), 10, within_s)
+        assert first.lasts_s > within_s > second.lasts_s
--- a/tests/standins/test_job_platform.py
+++ b/tests/standins/test_job_platform.py
@@ -9,6 +9,7 @@
 from standins.job_platform import minion as minion_module
 from standins.job_platform.ledger import Ledger
 from standins.job_platform.minion import MinionStandin
+from standins.job_platform.site import Site, SiteSpec
 from standins.job_platform.store import StoreStandin
 
 pytestmark = pytest.mark.anyio
@@ -147,6 +148,42 @@
     assert len(ledger.broken) == 1
 
 
+def test_ledger_detects_starts_in_a_zone_that_had_to_be_empty():
+    ledger = Ledger()
+    ledger.record_evacuation("z-a", within_s=60)
+    ledger.record_start("t-1", "i-1", "z-a")
+    assert not ledger.broken
+    ledger.record_evacuation("z-b", within_s=-1)
+    ledger.record_evacuation("z-b", within_s=60)
+    ledger.record_start("t-2", "i-2", "z-c")
+    assert not ledger.broken
+    ledger.record_start("t-3", "i-3", "z-b")
+    assert len(ledger.broken) == 1
+    ledger.record_return("z-b")
+    ledger.record_start("t-4", "i-3", "z-b")
+    assert len(ledger.broken) == 1
+
+
+async def test_a_record_of_the_operator_evacuates_and_returns_a_zone(clock):
+    # Guards against a check that misses an evacuation or outlasts it, and against
+    # minions whose starts count for another zone.
+    site = Site(SiteSpec(machines=1))
+    [machine] = site.machines.values()
+    site._start_incarnation(machine)
+    await site._handle_store_call(call("/+/zone", machine="m-000", zone="z-b"))
+    key = "evacuate/z-b"
+    topic = site.store.topic("keyed.op")
+    await site._handle_store_call(call("/+/operator", b"{}", key=key, withinMs=-1))
+    assert json.loads(topic.newest(b"").body)["items"][0]["key"] == key
+    assert (await start(machine.minion, 1, run_ms=100))[0] == 200
+    assert len(site.ledger.broken) == 1
+    await site._handle_store_call(call("/+/operator", b"", key=key))
+    assert json.loads(topic.newest(b"").body)["items"] == []
+    clock[0] += 200
+    assert (await start(machine.minion, 2))[0] == 200
+    assert len(site.ledger.broken) == 1
+
+
 def test_ledger_detects_lower_fence_after_higher_one():
     ledger = Ledger()
     ledger.record_cloud_order("m-1", 2)
