--- a/tests/core/scheduler/test_evacuation_late_starts.py
+++ b/tests/core/scheduler/test_evacuation_late_starts.py
@@ -42,6 +42,7 @@
             self._deliver(owner, effect, act)
             return
         world, fence = self.world, owner.schedule.fence
+        sent_ms = world.now_ms
         minion = self.minion = world.minions[effect.minion_id]
         minion.cut = self._silent
 
@@ -61,9 +62,9 @@
             minion.cut = False
             if minion.minion_id not in world.listed:
                 world.list_entry(minion)
-            world._is_delayed = True
+            world._delayed_since_ms = sent_ms
             outcome = world._start(minion, effect, fence)
-            world._is_delayed = False
+            world._delayed_since_ms = None
             if outcome is ev.Outcome.OK:
                 self.begun_ms = world.now_ms
 
