Let a task wait for the stop of a start that nothing has confirmed

A start held up for 12 s on a minion that was cut off for 11 s ran beside the next run of its task: the owner took the run as gone at the end of its lease, and sent stops of stray starts to later incarnations only. It also forgot them after 10 s, while minions carry orders out up to 12 s late.

--- a/courselead/core/scheduler/const.py
+++ b/courselead/core/scheduler/const.py
@@ -149,11 +149,11 @@
 STOP_RETRY_MS = 700
 """Time after which an unanswered stop order is repeated."""
 
-STRAY_START_MS = 10_000
+STRAY_START_MS = 13_000
 """Time after which an unanswered start order can no longer be carried out.
 
-Minions carry out orders a few seconds late at most (platform protocol), and by then the
-longest lease has ended as well.
+Minions carry out orders up to 12 s late. A minion that was cut off for most of that
+time is sent the stop of a stray start as soon as it answers again, which takes a poll.
 """
 
 NAMED_TASKS = 20
--- a/courselead/core/scheduler/lost_runs.py
+++ b/courselead/core/scheduler/lost_runs.py
@@ -40,10 +40,17 @@
 
 
 def lost_with_minion(schedule: Schedule, run: Run, reason: str) -> None:
-    """Drop a run whose minion was lost or whose lease has expired."""
+    """Drop a run whose minion was lost or whose lease has expired.
+
+    A start that no poll has reported may still be carried out, with a lease that counts
+    from then. Its task waits until the minion has answered the stop.
+    """
     run.unit.lost_ms = schedule.now_ms
     if not run.confirmed:
         remember_delayed_start(schedule, run)
+        minion = schedule.minions.get(run.minion_id)
+        if minion is not None:
+            minion.unanswered_stray_stops.add(run.key)
     drop_lost_run(schedule, run, reason)
 
 
