Collect the inputs of expected waits in a module of their own

admission.py decided about jobs and also collected what the decisions need from the schedule. The collection is now in pool_loads.py. The CPU that long-running tasks reserve on a minion was summed up twice; both places use demand.long_running_use.

--- a/courselead/core/scheduler/demand.py
+++ b/courselead/core/scheduler/demand.py
@@ -94,13 +94,13 @@
             continue
         if minion.info.zone in schedule.evacuated_zones:
             if evacuation_moves.is_due(schedule, minion.info.zone):
-                demand.long_running_use += _long_running_use(minion)
+                demand.long_running_use += long_running_use(minion)
             continue
         demand.capacity += minion.info.capacity.cpu_milli
         if not minion.runs and minion.synced:
             assert demand.idle is not None
             demand.idle.append(minion)
-        demand.long_running_use += _long_running_use(minion)
+        demand.long_running_use += long_running_use(minion)
     moving = _moving_workers(schedule, demands)
     for pool, worker in moving:
         demands[pool].capacity += worker.capacity.cpu_milli
@@ -118,7 +118,8 @@
     return demands
 
 
-def _long_running_use(minion: Minion) -> int:
+def long_running_use(minion: Minion) -> int:
+    """Return the CPU that long-running tasks reserve on a minion."""
     return sum(
         run.unit.spec.charge.cpu_milli
         for run in minion.runs.values()
--- a/courselead/daemon/scheduling/owner.py
+++ b/courselead/daemon/scheduling/owner.py
@@ -9,7 +9,7 @@
 from anyio.abc import TaskGroup
 from returns.result import Failure
 
-from courselead.core.scheduler import admission, evacuation
+from courselead.core.scheduler import evacuation, pool_loads
 from courselead.core.scheduler.events import (
     AskAdvice,
     ConfigChanged,
@@ -518,7 +518,7 @@
         schedule = self.scheduler.schedule
         before, self._waits = self._waits, {}
         if schedule.config.accounts:
-            self._waits = admission.expected_waits(schedule)
+            self._waits = pool_loads.expected_waits(schedule)
         for pool, wait in self._waits.items():
             if pool not in before:
                 self._log_overload(pool, wait)
--- a/tests/core/scheduler/test_admission.py
+++ b/tests/core/scheduler/test_admission.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from courselead.core.scheduler import admission, events as ev
+from courselead.core.scheduler import admission, events as ev, pool_loads
 from courselead.core.scheduler.admission import (
     PoolLoad,
     Rejection,
@@ -108,7 +108,7 @@
         for now_ms in range(0, END_MS, STEP_MS):
             self._cut_minions(now_ms)
             if now_ms % PUBLISH_MS == 0:
-                waits = admission.expected_waits(self.world.owner.schedule)
+                waits = pool_loads.expected_waits(self.world.owner.schedule)
             for account in next_ms:
                 while next_ms[account] <= now_ms < SUBMIT_UNTIL_MS:
                     rate = usual
@@ -276,7 +276,7 @@
 
 
 def waits_of(world: World) -> dict[str, PoolWait]:
-    return admission.expected_waits(world.owner.schedule)
+    return pool_loads.expected_waits(world.owner.schedule)
 
 
 def test_the_wait_is_computed_without_reading_the_ready_list():
--- a/tests/daemon/scheduling/test_admission.py
+++ b/tests/daemon/scheduling/test_admission.py
@@ -96,7 +96,7 @@
     The estimate is replaced by a fixed one.
     """
     monkeypatch.setattr(
-        owner_module.admission, "expected_waits", lambda schedule: {"p": WAIT}
+        owner_module.pool_loads, "expected_waits", lambda schedule: {"p": WAIT}
     )
     monkeypatch.setattr(owner_module, "HEARTBEAT_INTERVAL_S", 0.0)
     progress = SaveProgress(JobProgress("00000000000000aa", JobState.RUNNING))
@@ -137,7 +137,7 @@
     # Guards against a wait that the entry hosts never see as recent: they read the log
     # with pauses, and the owner stores a heartbeat every 0.3 s.
     monkeypatch.setattr(
-        owner_module.admission, "expected_waits", lambda schedule: {"p": WAIT}
+        owner_module.pool_loads, "expected_waits", lambda schedule: {"p": WAIT}
     )
     shared = platform()
     first, second = (SchedulingHost(name, shared, Bounds()) for name in "ab")
