--- a/courselead/core/scheduler/placement.py
+++ b/courselead/core/scheduler/placement.py
@@ -188,6 +188,17 @@
         places = _find_place(selection, minions, fitting_by_step)
     if places is None:
         return False
+    _start_unit(selection, places, ticket_by_minion)
+    return True
+
+
+def _start_unit(
+    selection: Selection,
+    places: list[tuple[int, Minion]],
+    ticket_by_minion: dict[str, str] | None,
+) -> None:
+    """Start the tasks of a unit, each on the minion found for it."""
+    schedule, unit = selection.schedule, selection.unit
     number = max(schedule.first_run_number, unit.next_number)
     unit.next_number = number + 1
     schedule.log_event(
@@ -206,9 +217,8 @@
     for index, minion in places:
         ticket = ticket_by_minion[minion.minion_id] if ticket_by_minion else ""
         _start(schedule, unit, index, minion, number, ticket)
-        if isolation is not None:
-            isolation.record_start(unit, minion.minion_id)
-    return True
+        if selection.isolation is not None:
+            selection.isolation.record_start(unit, minion.minion_id)
 
 
 def _find_place(
