Decide once which minions are usable, and name a moved run's reason once

evacuation_moves repeated the filters of placement for minions that may be used and the count of a step's tasks on a minion. It calls eligible_minions and Minion.step_count now. The reason of a stop for an evacuated zone stood in the scheduler and in the command line; both use const.ZONE_EVACUATED_REASON. Restriction.has_caused is covers_most_of, as it compares times only.

--- a/courselead/cli/evacuations.py
+++ b/courselead/cli/evacuations.py
@@ -26,9 +26,6 @@
 """Events that end a restriction. An owner that takes over after the return of a zone
 logs none, but each host logs that the record was removed."""
 
-MOVED_REASON = "its zone is evacuated"
-"""Reason of the end of a run that was moved out of an evacuated zone."""
-
 
 @dataclass(frozen=True, slots=True)
 class Restriction:
@@ -43,8 +40,8 @@
     begin: float
     end: float
 
-    def has_caused(self, begin: float, end: float) -> bool:
-        """Return whether it was in force for more than half of a wait."""
+    def covers_most_of(self, begin: float, end: float) -> bool:
+        """Return whether it was in force for more than half of a time."""
         overlap = min(self.end, end) - max(self.begin, begin)
         return overlap > (end - begin) / 2
 
--- a/courselead/cli/explain.py
+++ b/courselead/cli/explain.py
@@ -10,7 +10,6 @@
 
 from courselead.cli.errors import ExitCode
 from courselead.cli.evacuations import (
-    MOVED_REASON,
     ZONE_EVENTS,
     Restriction,
     describe,
@@ -20,6 +19,7 @@
 from courselead.cli.log_lines import RUN_FAILURE_EVENTS, Line, iter_lines, read_lines
 from courselead.cli.lost import WINDOW_S, LostRow, lost_rows
 from courselead.cli.output import emit, emit_json, warn
+from courselead.core.scheduler.const import ZONE_EVACUATED_REASON
 
 HOST_EVENTS = (
     "started",
@@ -217,7 +217,7 @@
 def _wait_text(line: Line, waited_ms: int, restrictions: list[Restriction]) -> str:
     """Return what a task waited for until it was started."""
     begin = line.seconds - waited_ms / 1000
-    causes = [item for item in restrictions if item.has_caused(begin, line.seconds)]
+    causes = [item for item in restrictions if item.covers_most_of(begin, line.seconds)]
     return f"tasks that waited over a second {describe(causes) or 'for room'}"
 
 
@@ -237,7 +237,10 @@
         if isinstance(waited, int) and waited > LONG_WAIT_REFERENCE_MS // 4:
             key = _wait_text(line, waited, restrictions)
             counts[key] = counts.get(key, 0) + 1
-        if line.event == "run_ended" and line.fields.get("reason") == MOVED_REASON:
+        if (
+            line.event == "run_ended"
+            and line.fields.get("reason") == ZONE_EVACUATED_REASON
+        ):
             key = "run moved out of an evacuated zone"
             counts[key] = counts.get(key, 0) + 1
     capped_ms = max((_capped_ms(line) for line in job_lines), default=0)
--- a/courselead/cli/lost.py
+++ b/courselead/cli/lost.py
@@ -235,7 +235,7 @@
     zones = {
         item.zone
         for item in restrictions
-        if item.has_caused(since, job.longest_wait_at)
+        if item.covers_most_of(since, job.longest_wait_at)
     }
     if zones:
         return Cause.STARTS_PAUSED if "" in zones else Cause.ZONE_EVACUATED
--- a/courselead/core/scheduler/const.py
+++ b/courselead/core/scheduler/const.py
@@ -306,3 +306,6 @@
 ones close. Opening all of them at once would exhaust the time or memory of one owner
 after the other.
 """
+
+ZONE_EVACUATED_REASON = "its zone is evacuated"
+"""Reason given when a run is stopped to be moved out of an evacuated zone."""
--- a/courselead/core/scheduler/evacuation_moves.py
+++ b/courselead/core/scheduler/evacuation_moves.py
@@ -12,6 +12,7 @@
 from courselead.core.scheduler import caps, const, lives
 from courselead.core.scheduler.doubt import UnseenTasks, find_unseen_tasks
 from courselead.core.scheduler.isolation import Isolation
+from courselead.core.scheduler.minion_filters import eligible_minions
 from courselead.core.scheduler.models import NOTHING, Resources
 from courselead.core.scheduler.schedule import Schedule
 from courselead.core.scheduler.state import Minion, Run, RunPhase, StepRun, Unit
@@ -23,9 +24,6 @@
 not justify.
 """
 
-ZONE_EVACUATED = "its zone is evacuated"
-"""Reason given when a run is stopped to be moved out of an evacuated zone."""
-
 
 def is_due(schedule: Schedule, zone: str) -> bool:
     """Return whether the tasks of a zone are to be moved out of it."""
@@ -63,7 +61,7 @@
             if not schedule.may_interrupt(run):
                 refused.add(key)
             elif free_capacity.reserve(run.unit):
-                schedule.stop_run(run, ZONE_EVACUATED)
+                schedule.stop_run(run, const.ZONE_EVACUATED_REASON)
 
 
 def minions_that_cannot_be_emptied(
@@ -129,11 +127,7 @@
     ) -> None:
         """Reserve capacity for tasks that were stopped before or wait to be started."""
         self._isolation = isolation
-        self._minions = [
-            minion
-            for minion in schedule.minions.values()
-            if minion.info.pool == pool and _is_usable(schedule, minion)
-        ]
+        self._minions = eligible_minions(schedule, pool)
         self._free = {item.minion_id: item.free_capacity for item in self._minions}
         self._reserved_of_step: dict[tuple[int, str], int] = {}
         # Ids of steps whose tasks fit on no minion any more.
@@ -187,19 +181,4 @@
 
     def _count_of_step(self, step: StepRun, minion: Minion) -> int:
         reserved = self._reserved_of_step.get((id(step), minion.minion_id), 0)
-        return reserved + sum(run.unit.step is step for run in minion.runs.values())
-
-
-def _is_usable(schedule: Schedule, minion: Minion) -> bool:
-    """Return whether tasks may be started on a minion now."""
-    if minion.info.draining or not minion.listed or minion.cordoned:
-        return False
-    if not minion.synced or minion.failures:
-        return False
-    if minion.is_unresponsive(schedule.now_ms):
-        return False
-    if schedule.now_ms < minion.rest_until_ms:
-        return False
-    if schedule.stores_starts_on(minion) and not schedule.log_accepts_records:
-        return False
-    return schedule.may_start_in(minion.info.zone)
+        return reserved + minion.step_count(step)
--- a/courselead/core/scheduler/selection.py
+++ b/courselead/core/scheduler/selection.py
@@ -58,9 +58,7 @@
 
     def step_count(self, minion: Minion) -> int:
         """Return how many tasks of the step a minion has, with those reserved."""
-        step = self.unit.step
-        count = sum(run.unit.step is step for run in minion.runs.values())
-        return count + self._reserved_on(minion)
+        return minion.step_count(self.unit.step) + self._reserved_on(minion)
 
     def _reserved_on(self, minion: Minion) -> int:
         if self.reserved is None:
--- a/courselead/core/scheduler/state.py
+++ b/courselead/core/scheduler/state.py
@@ -469,6 +469,10 @@
         tasks += [end.task for end in self.unsaved]
         return tasks
 
+    def step_count(self, step: StepRun) -> int:
+        """Return how many tasks of a step it runs."""
+        return sum(run.unit.step is step for run in self.runs.values())
+
     def is_warming_up(self, now_ms: int) -> bool:
         """Return whether it still runs tasks more slowly than usual after its start."""
         return now_ms < self.warm_at_ms
--- a/tests/core/scheduler/test_evacuation_moves.py
+++ b/tests/core/scheduler/test_evacuation_moves.py
@@ -4,7 +4,8 @@
 """
 
 from courselead.core.scheduler import demand, events as ev
-from courselead.core.scheduler.evacuation_moves import MOVE_AFTER_MS, ZONE_EVACUATED
+from courselead.core.scheduler.const import ZONE_EVACUATED_REASON
+from courselead.core.scheduler.evacuation_moves import MOVE_AFTER_MS
 from courselead.core.scheduler.models import JobState, Resources
 from courselead.core.scheduler.schedule import Schedule
 from courselead.core.scheduler.state import Crash
@@ -88,7 +89,7 @@
     world.run(MOVE_AFTER_MS - 200)
     assert not stops(world)
     world.run(SETTLED_MS)
-    assert {order.reason for order in stops(world)} == {ZONE_EVACUATED}
+    assert {order.reason for order in stops(world)} == {ZONE_EVACUATED_REASON}
     assert tasks_in(world, EVACUATED) == set()
     assert world.state(JOB) is JobState.RUNNING
     assert len(world.starts) == 2
