Move the rejection of jobs out of the intake

intake.py served callers and also kept published waits, jobs in doubt and the causes of rejections. The latter are now in job_admission.py. No change of behaviour: the tests of admission, the ingress and the log pass.

--- a/courselead/daemon/scheduling/intake.py
+++ b/courselead/daemon/scheduling/intake.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import math
-import random
 from collections.abc import Sequence
 from dataclasses import dataclass, replace
 from enum import StrEnum
@@ -12,12 +10,12 @@
 import anyio
 import structlog
 
-from courselead.core.scheduler import admission
 from courselead.core.scheduler.admission import Rejection, RejectReason
-from courselead.core.scheduler.book import JobBook, JobEntry
+from courselead.core.scheduler.book import JobEntry
 from courselead.core.scheduler.models import JobSpec, JobState
-from courselead.core.scheduler.records import JobAccepted, JobCancelled, PoolWait
+from courselead.core.scheduler.records import JobAccepted, JobCancelled
 from courselead.daemon.scheduling.follower import JobFollower
+from courselead.daemon.scheduling.job_admission import JobAdmission
 from courselead.daemon.scheduling.operator_config import OperatorConfigView
 from courselead.daemon.scheduling.owner_forwarder import StoreResult
 from courselead.daemon.scheduling.ports import HostCounters
@@ -29,14 +27,6 @@
 """Time after which a caller should retry in a deployment without client accounts:
 outages of the log last seconds, slow periods less."""
 
-IN_DOUBT_S = 10.0
-"""Time for which a job whose storing is in doubt is not rejected by load when it is
-submitted again: an append without an answer may still be carried out seconds later."""
-
-SAME_CAUSE_S = 10.0
-"""Time without a rejection after which the next one has a new cause: twice the longest
-time after which callers are told to retry."""
-
 STALE_CONFIG_S = 3.0
 """Age of the newest configuration from which an unknown credential may belong to a
 newer one: about twice the time between two responses of an idle log."""
@@ -110,35 +100,6 @@
         ...
 
 
-class PublishedWaits:
-    """The expected waits of the owner's newest heartbeat, while they are recent.
-
-    A heartbeat has no time that another host could compare. Its age counts from the
-    check before the one that found it, so it is at least the time since it was read.
-    """
-
-    def __init__(self, book: JobBook) -> None:
-        """Initialize with the state built from the log."""
-        self._book = book
-        self._heartbeat = (0, 0)
-        self._checked_at = -math.inf
-        self._read_after = -math.inf
-
-    def wait_of(self, pool: str) -> PoolWait | None:
-        """Return the wait of a pool, None if there is none or if it is too old."""
-        owner = self._book.owner
-        now = anyio.current_time()
-        previous_check, self._checked_at = self._checked_at, now
-        if owner is None:
-            return None
-        if (owner.fence, owner.heartbeat) != self._heartbeat:
-            self._heartbeat = (owner.fence, owner.heartbeat)
-            self._read_after = previous_check
-        if now - self._read_after >= admission.MAX_WAIT_AGE_MS / 1000:
-            return None
-        return owner.waits.get(pool)
-
-
 class Intake:
     """Serves callers from the log and the job state that this host derives from it."""
 
@@ -156,12 +117,7 @@
         self._writer = writer
         self._ownership = ownership
         self._counters = counters
-        self._waits = PublishedWaits(follower.book)
-        # First and newest rejection by reason and pool ("" for the store).
-        self._rejecting: dict[tuple[RejectReason, str], tuple[float, float]] = {}
-        # Jobs that may be stored although their callers were not told so, with the
-        # time of the answer.
-        self._in_doubt: dict[str, float] = {}
+        self._admission = JobAdmission(operator_config, follower.book)
 
     @property
     def configured(self) -> bool:
@@ -219,7 +175,7 @@
                 "job_known", queue, job_id, _reply_for_known_job(known, caller)
             )
         owner = "" if self._operator_config.is_public(queue) else caller.account
-        rejected = self._rejection(queue, owner, job_id, spec)
+        rejected = self._admission.rejection(queue, owner, job_id, spec)
         if rejected is not None and await self._follower.catch_up():
             # The job may have been stored by another host, and the owner may have
             # published a newer wait.
@@ -227,9 +183,9 @@
             if known is not None:
                 reply = _reply_for_known_job(known, caller)
                 return self._log_reply("job_known", queue, job_id, reply)
-            rejected = self._rejection(queue, owner, job_id, spec)
+            rejected = self._admission.rejection(queue, owner, job_id, spec)
             if rejected is not None:
-                reply = self._reject(rejected, self._pool_of(queue))
+                reply = self._reject(rejected, queue)
                 return self._log_reply("job_submitted", queue, job_id, reply)
         begun = anyio.current_time()
         record = JobAccepted(job_id, queue, spec, owner)
@@ -239,9 +195,9 @@
             # A job of another account with this id may have been stored first.
             if self._follower.book.jobs[job_id].account != owner:
                 reply = _ID_TAKEN_REPLY
-            self._job_stored(self._pool_of(queue))
+            self._admission.record_stored(queue)
         elif reply.verdict is Verdict.IN_DOUBT:
-            self._record_doubt(job_id)
+            self._admission.record_doubt(job_id)
         elif self._operator_config.has_accounts:
             self._counters.add(f"jobs_rejected_{RejectReason.STORE}")
         reply = self._with_retry(reply)
@@ -291,48 +247,15 @@
         """Return how many jobs of a queue wait for their first task."""
         return JobReply(Verdict.KNOWN, pending=self._follower.book.pending(queue))
 
-    def _pool_of(self, queue: str) -> str:
-        found = self._operator_config.fleet.queues.get(queue)
-        return "" if found is None else found.pool
-
-    def _rejection(
-        self, queue: str, account: str, job_id: str, spec: JobSpec
-    ) -> Rejection | None:
-        """Return why a job cannot be served, None if it is to be stored."""
-        config = self._operator_config
-        settings = config.fleet.queues.get(queue)
-        if not config.has_accounts or settings is None or admission.is_exempt(spec):
-            return None
-        wait = self._waits.wait_of(settings.pool)
-        answered_at = self._in_doubt.get(job_id, -math.inf)
-        if anyio.current_time() - answered_at < IN_DOUBT_S:
-            return None
-        if config.known_zones and config.known_zones <= config.evacuated_zones:
-            return admission.evacuated(config.known_zones)
-        if wait is not None and not config.evacuated_zones.issuperset(wait.zones):
-            # A zone has returned since the wait was published.
-            wait = None
-        return admission.rejection(spec, settings, account, wait)
-
-    def _reject(self, rejected: Rejection, pool: str = "") -> JobReply:
+    def _reject(self, rejected: Rejection, queue: str) -> JobReply:
         """Count a rejected job and return the reply to its caller."""
         self._counters.add(f"jobs_rejected_{rejected.reason}")
         return JobReply(
             Verdict.NOT_RUN,
             reason=rejected.text,
-            retry_after_s=self._retry_after_s(rejected, pool),
+            retry_after_s=self._admission.retry_after_s(rejected, queue),
         )
 
-    def _retry_after_s(self, rejected: Rejection, pool: str = "") -> int:
-        key = (rejected.reason, pool)
-        now = anyio.current_time()
-        since, last_at = self._rejecting.get(key, (now, now))
-        if now - last_at > SAME_CAUSE_S:
-            since = now
-        self._rejecting[key] = (since, now)
-        lasted_ms = int((now - since) * 1000)
-        return admission.retry_after_s(rejected, lasted_ms, random.random())
-
     def _with_retry(self, reply: JobReply) -> JobReply:
         """Return a reply with the Retry-After of an outage, if it reports one."""
         if not self._operator_config.has_accounts:
@@ -340,22 +263,7 @@
         if reply.verdict not in (Verdict.NOT_RUN, Verdict.IN_DOUBT):
             return reply
         outage = Rejection(RejectReason.STORE, reply.reason)
-        return replace(reply, retry_after_s=self._retry_after_s(outage))
-
-    def _job_stored(self, pool: str) -> None:
-        """End the causes that a stored job shows to be over."""
-        self._rejecting.pop((RejectReason.STORE, ""), None)
-        self._rejecting.pop((RejectReason.EVACUATED, pool), None)
-
-    def _record_doubt(self, job_id: str) -> None:
-        now = anyio.current_time()
-        self._in_doubt.pop(job_id, None)
-        self._in_doubt[job_id] = now
-        # The oldest are first.
-        for other, answered_at in list(self._in_doubt.items()):
-            if now - answered_at < IN_DOUBT_S:
-                break
-            del self._in_doubt[other]
+        return replace(reply, retry_after_s=self._admission.retry_after_s(outage))
 
     def _visible_job(self, caller: Caller, job_id: str) -> JobEntry | None:
         """Return a job if it exists and is visible to a caller."""
--- a/tests/daemon/scheduling/test_admission.py
+++ b/tests/daemon/scheduling/test_admission.py
@@ -18,9 +18,9 @@
     Record,
     decode,
 )
-from courselead.daemon.scheduling import intake, owner as owner_module
+from courselead.daemon.scheduling import job_admission, owner as owner_module
 from courselead.daemon.scheduling.host import SchedulingHost
-from courselead.daemon.scheduling.intake import PublishedWaits
+from courselead.daemon.scheduling.job_admission import PublishedWaits
 from tests.daemon.scheduling.test_host import platform, short_election, until
 
 __all__ = ["short_election"]
@@ -30,11 +30,11 @@
 
 
 class Clock:
-    """Replaces the clock of the intake."""
+    """Replaces the clock of the admission of jobs."""
 
     def __init__(self, monkeypatch) -> None:
         self.now = 100.0
-        monkeypatch.setattr(intake.anyio, "current_time", lambda: self.now)
+        monkeypatch.setattr(job_admission.anyio, "current_time", lambda: self.now)
 
 
 def heartbeat(number: int, fence: int = 1, wait: PoolWait = WAIT) -> OwnerHeartbeat:
@@ -147,6 +147,6 @@
         config = FleetConfig(1, accounts={"a": ClientAccount("a", weight=1)})
         first._owner.scheduler.schedule.config = config
         tasks.start_soon(second.run)
-        await until(lambda: second.intake._waits.wait_of("p") == WAIT)
+        await until(lambda: second.intake._admission.waits.wait_of("p") == WAIT)
         assert not second.owns
         tasks.cancel_scope.cancel()
--- a/tests/platform/test_admission.py
+++ b/tests/platform/test_admission.py
@@ -16,7 +16,7 @@
     decode,
     encode,
 )
-from courselead.daemon.scheduling import intake as intake_module
+from courselead.daemon.scheduling import job_admission
 from courselead.platform.ingress import decode_job
 from tests.daemon.scheduling.fakes import MemoryLog
 from tests.platform.test_accounts import OURS, THEIRS, config
@@ -40,7 +40,7 @@
     async def publish(self, wait: PoolWait = WAIT) -> None:
         """Publish a wait in the job log, which the host reads."""
         # The age of a heartbeat counts from the check before.
-        self.ingress.app._intake._waits.wait_of("s")
+        self.ingress.app._intake._admission.waits.wait_of("s")
         self._heartbeats += 1
         heartbeat = OwnerHeartbeat(1, "a", self._heartbeats, waits={"s": wait})
         self.ingress.log.records.append(encode(heartbeat))
@@ -163,9 +163,9 @@
 
 
 async def test_retry_after_grows_with_an_outage_of_the_store(full_pool, monkeypatch):
-    monkeypatch.setattr(intake_module.random, "random", lambda: 0.99)
+    monkeypatch.setattr(job_admission.random, "random", lambda: 0.99)
     now = 100.0
-    monkeypatch.setattr(intake_module.anyio, "current_time", lambda: now)
+    monkeypatch.setattr(job_admission.anyio, "current_time", lambda: now)
     full_pool.ingress.log.refuse = True
     delays = []
     for number in range(4):
