Store a submitted job in a function of its own

submit answered known jobs in two places and was 39 lines long. No change of behaviour: the 83 tests of admission, accounts, the ingress and the log pass.

--- a/courselead/daemon/scheduling/intake.py
+++ b/courselead/daemon/scheduling/intake.py
@@ -168,32 +168,33 @@
 
     async def submit(self, caller: Caller, job_id: str, spec: JobSpec) -> JobReply:
         """Store a job; it is accepted only if it is stored."""
-        queue = caller.queue
-        known = self._follower.book.jobs.get(job_id)
+        known = self._known_job_reply(caller, job_id)
         if known is not None:
-            return self._log_reply(
-                "job_known", queue, job_id, _reply_for_known_job(known, caller)
-            )
-        owner = "" if self._operator_config.is_public(queue) else caller.account
-        rejected = self._admission.rejection(queue, owner, job_id, spec)
+            return known
+        queue = caller.queue
+        account = "" if self._operator_config.is_public(queue) else caller.account
+        rejected = self._admission.rejection(queue, account, job_id, spec)
         if rejected is not None and await self._follower.catch_up():
             # The job may have been stored by another host, and the owner may have
             # published a newer wait.
-            known = self._follower.book.jobs.get(job_id)
+            known = self._known_job_reply(caller, job_id)
             if known is not None:
-                reply = _reply_for_known_job(known, caller)
-                return self._log_reply("job_known", queue, job_id, reply)
-            rejected = self._admission.rejection(queue, owner, job_id, spec)
+                return known
+            rejected = self._admission.rejection(queue, account, job_id, spec)
             if rejected is not None:
                 reply = self._reject(rejected, queue)
                 return self._log_reply("job_submitted", queue, job_id, reply)
+        return await self._store_job(JobAccepted(job_id, queue, spec, account))
+
+    async def _store_job(self, record: JobAccepted) -> JobReply:
+        """Store a submitted job and return the reply to its caller."""
+        queue, job_id = record.queue, record.job_id
         begun = anyio.current_time()
-        record = JobAccepted(job_id, queue, spec, owner)
         reply = _reply_for_result(await self._writer.store(record), Verdict.ACCEPTED)
         if reply.verdict is Verdict.ACCEPTED:
             self._follower.apply_stored(record)
             # A job of another account with this id may have been stored first.
-            if self._follower.book.jobs[job_id].account != owner:
+            if self._follower.book.jobs[job_id].account != record.account:
                 reply = _ID_TAKEN_REPLY
             self._admission.record_stored(queue)
         elif reply.verdict is Verdict.IN_DOUBT:
@@ -265,6 +266,14 @@
         outage = Rejection(RejectReason.STORE, reply.reason)
         return replace(reply, retry_after_s=self._admission.retry_after_s(outage))
 
+    def _known_job_reply(self, caller: Caller, job_id: str) -> JobReply | None:
+        """Return the reply to the submission of a known job, None if it is unknown."""
+        known = self._follower.book.jobs.get(job_id)
+        if known is None:
+            return None
+        reply = _reply_for_known_job(known, caller)
+        return self._log_reply("job_known", caller.queue, job_id, reply)
+
     def _visible_job(self, caller: Caller, job_id: str) -> JobEntry | None:
         """Return a job if it exists and is visible to a caller."""
         entry = self._follower.book.jobs.get(job_id)
