Compute and log expected waits in a class of their own

owner.py kept the waits in two fields, and _waits_are_due computed them as a side effect of a question. WaitPublisher has both now. No change of behaviour or log events: the tests of admission, the metrics and the host pass.

--- a/courselead/daemon/scheduling/owner.py
+++ b/courselead/daemon/scheduling/owner.py
@@ -9,7 +9,7 @@
 from anyio.abc import TaskGroup
 from returns.result import Failure
 
-from courselead.core.scheduler import evacuation, pool_loads
+from courselead.core.scheduler import evacuation
 from courselead.core.scheduler.events import (
     AskAdvice,
     ConfigChanged,
@@ -46,7 +46,6 @@
     JobCancelled,
     KeyedRecord,
     OwnerHeartbeat,
-    PoolWait,
     Record,
     encode,
     forget,
@@ -65,6 +64,7 @@
 from courselead.daemon.scheduling.operator_config import OperatorConfigView
 from courselead.daemon.scheduling.ports import HostCounters, Platform
 from courselead.daemon.scheduling.start_log import StartLog
+from courselead.daemon.scheduling.wait_publisher import WaitPublisher
 
 _LOGGER = structlog.get_logger(__name__)
 
@@ -141,9 +141,7 @@
         self._heartbeat_number = 0
         self._started_ms = 0
         self._saved_at = 0.0
-        # Expected waits as published, and when they were computed.
-        self._waits: dict[str, PoolWait] = {}
-        self._waits_at = 0.0
+        self._waits = WaitPublisher(claim.fence)
         self._last_tick_ms = now_ms()
         self._pause_unconfirmed = False
         self._handing_over = False
@@ -158,10 +156,7 @@
         self._cloud = CloudTasks(self, platform, counters)
         self.scheduler: Scheduler | None = None
         self._tasks: TaskGroup | None = None
-        counters.register(
-            "evacuated_zones", lambda: len(operator_config.evacuated_zones)
-        )
-        counters.register("runs_in_evacuated_zones", self._runs_in_evacuated_zones)
+        self._register_gauges()
 
     async def run(self) -> None:
         """Own the schedule until it is lost or handed over."""
@@ -311,6 +306,13 @@
     def _zones_evacuated(self, zones: frozenset[str]) -> None:
         self.handle(ZonesEvacuated(zones))
 
+    def _register_gauges(self) -> None:
+        config = self._operator_config
+        self._counters.register("evacuated_zones", lambda: len(config.evacuated_zones))
+        self._counters.register(
+            "runs_in_evacuated_zones", self._runs_in_evacuated_zones
+        )
+
     def _runs_in_evacuated_zones(self) -> int:
         if self.scheduler is None:
             return 0
@@ -501,40 +503,18 @@
                 ordered,
                 self._zone,
                 owned_ms,
-                self._waits,
+                self._waits.waits,
             )
         )
 
-    def _waits_are_due(self) -> bool:
-        """Update the expected waits if they are too old; return whether to store them.
+    def _update_waits(self) -> bool:
+        """Update the expected waits; return whether a heartbeat has to be stored.
 
-        They are stored with the owner's heartbeat, also while other records are saved
-        without one. Only deployments with client accounts have them.
+        Without it, waits would expire while other records are saved without one.
         """
-        now = anyio.current_time()
-        if now - self._waits_at < HEARTBEAT_INTERVAL_S or self.scheduler is None:
+        if self.scheduler is None:
             return False
-        self._waits_at = now
-        schedule = self.scheduler.schedule
-        before, self._waits = self._waits, {}
-        if schedule.config.accounts:
-            self._waits = pool_loads.expected_waits(schedule)
-        for pool, wait in self._waits.items():
-            if pool not in before:
-                self._log_overload(pool, wait)
-        for pool in before.keys() - self._waits.keys():
-            _LOGGER.info("pool_overload_over", pool=pool, fence=self.fence)
-        return bool(before or self._waits)
-
-    def _log_overload(self, pool: str, wait: PoolWait) -> None:
-        _LOGGER.info(
-            "pool_overloaded",
-            pool=pool,
-            wait_ms=wait.wait_ms,
-            accounts=len(wait.accounts),
-            zones=list(wait.zones),
-            fence=self.fence,
-        )
+        return self._waits.update(self.scheduler.schedule, HEARTBEAT_INTERVAL_S)
 
     async def _save(self) -> None:
         while True:
@@ -552,7 +532,7 @@
             # Read before the append: a handover that is requested during the append
             # is saved by a record of its own.
             released = self._handing_over
-            if released or cloud_orders or self._waits_are_due() or not records:
+            if released or cloud_orders or self._update_waits() or not records:
                 records.append(self._heartbeat_record(released))
             # Time of the first attempt: the response to a retry may be the stored
             # response to that attempt.
--- a/tests/daemon/scheduling/test_admission.py
+++ b/tests/daemon/scheduling/test_admission.py
@@ -18,7 +18,11 @@
     Record,
     decode,
 )
-from courselead.daemon.scheduling import job_admission, owner as owner_module
+from courselead.daemon.scheduling import (
+    job_admission,
+    owner as owner_module,
+    wait_publisher,
+)
 from courselead.daemon.scheduling.host import SchedulingHost
 from courselead.daemon.scheduling.job_admission import PublishedWaits
 from tests.daemon.scheduling.test_host import platform, short_election, until
@@ -96,7 +100,7 @@
     The estimate is replaced by a fixed one.
     """
     monkeypatch.setattr(
-        owner_module.pool_loads, "expected_waits", lambda schedule: {"p": WAIT}
+        wait_publisher.pool_loads, "expected_waits", lambda schedule: {"p": WAIT}
     )
     monkeypatch.setattr(owner_module, "HEARTBEAT_INTERVAL_S", 0.0)
     progress = SaveProgress(JobProgress("00000000000000aa", JobState.RUNNING))
@@ -137,7 +141,7 @@
     # Guards against a wait that the entry hosts never see as recent: they read the log
     # with pauses, and the owner stores a heartbeat every 0.3 s.
     monkeypatch.setattr(
-        owner_module.pool_loads, "expected_waits", lambda schedule: {"p": WAIT}
+        wait_publisher.pool_loads, "expected_waits", lambda schedule: {"p": WAIT}
     )
     shared = platform()
     first, second = (SchedulingHost(name, shared, Bounds()) for name in "ab")
