Use the same bounds for late starts in two tests

test_evacuation_late_starts.py defined the bounds of the simulated world again with the same values.

--- a/courselead/daemon/scheduling/owner.py
+++ b/courselead/daemon/scheduling/owner.py
@@ -156,7 +156,7 @@
         self._cloud = CloudTasks(self, platform, counters)
         self.scheduler: Scheduler | None = None
         self._tasks: TaskGroup | None = None
-        self._register_gauges()
+        self._register_evacuation_values()
 
     async def run(self) -> None:
         """Own the schedule until it is lost or handed over."""
@@ -306,7 +306,7 @@
     def _zones_evacuated(self, zones: frozenset[str]) -> None:
         self.handle(ZonesEvacuated(zones))
 
-    def _register_gauges(self) -> None:
+    def _register_evacuation_values(self) -> None:
         config = self._operator_config
         self._counters.register("evacuated_zones", lambda: len(config.evacuated_zones))
         self._counters.register(
--- a/tests/core/scheduler/test_evacuation_late_starts.py
+++ b/tests/core/scheduler/test_evacuation_late_starts.py
@@ -12,11 +12,15 @@
 from courselead.core.scheduler.models import JobState
 from tests.core.scheduler import world as world_module
 from tests.core.scheduler.fake_minions import FakeMinion
-from tests.core.scheduler.world import ENTRY_LOST_MS, World, job, step, world_of_zones
-
-CONTACT_MS = 4_000
-STOP_MS = 900
-"""Bounds of the platform: a run nobody wants ends within both of its start."""
+from tests.core.scheduler.world import (
+    CONTACT_MS,
+    ENTRY_LOST_MS,
+    STOP_MS,
+    World,
+    job,
+    step,
+    world_of_zones,
+)
 
 RUN_MS = 60_000
 TAKEOVER_MS = 1_200
