State what the checks of evacuations guard, without references to users

Constants of the harness and the simulated world were justified by the deployments of users; they name the platform's settings now. Comments, and the text of one violation that the stand-in's ledger reports. The tests of the daemon, platform and cli pass.

--- a/harness/real.py
+++ b/harness/real.py
@@ -3,8 +3,8 @@
 Each seed is one run on a site of its own: callers submit jobs and query them, faults
 overlap, and at the end every accepted job must have ended as expected. The ledger of
 the minions checks that no task runs twice, and that none starts in an evacuated zone
-later than the bound. Only the callers and the ledger are checked,
-not the state of the hosts.
+later than the bound. Only the callers and the ledger are checked, not the state of the
+hosts.
 """
 
 from __future__ import annotations
--- a/harness/real_faults.py
+++ b/harness/real_faults.py
@@ -29,11 +29,11 @@
 
 EVACUATE_S = 5.0
 MAX_STRETCH_S = 6.0
-"""Time until an evacuation holds, and how much longer that is while the store is
-unstable: the bounds of the users' deployments."""
+"""Time after which nothing may start in an evacuated zone, and how much longer that is
+while the store is unstable (`evacuateMs` and `maxStretchMs` of the platform)."""
 
 CHECKED_S = 2.0
-"""Time for which an evacuation lasts beyond the bound, while starts are checked."""
+"""Time beyond the bound for which an evacuation lasts, so that starts are checked."""
 
 LOW_CAP = 600
 """Lowered cap of an account, in thousandths of a core: one or two tasks."""
@@ -298,7 +298,7 @@
 
 
 def evacuation_bound_s(faults: Iterable[Fault]) -> float:
-    """Return the time within which an evacuation has to hold amid some faults."""
+    """Return the time after which nothing may start in an evacuated zone."""
     unstable = any(fault.name in STORE_FAULTS for fault in faults)
     return EVACUATE_S + MAX_STRETCH_S * unstable
 
--- a/standins/job_platform/ledger.py
+++ b/standins/job_platform/ledger.py
@@ -73,7 +73,7 @@
         late_s = time.monotonic() - self._closed_at.get(zone, math.inf)
         if late_s > 0:
             self._add_violation(
-                f"{task} starts on {minion} {late_s:.2f} s after {zone} had to be empty"
+                f"{task} starts on {minion} {late_s:.2f} s too late in evacuated {zone}"
             )
         minions = self._running.setdefault(task, set())
         if minions:
@@ -101,9 +101,9 @@
             self.done[task] += 1
 
     def record_evacuation(self, zone: str, within_s: float) -> None:
-        """Record a zone's evacuation, acknowledged now, and when it has to hold.
+        """Record a zone's evacuation, acknowledged now, and when starts have to end.
 
-        A repeated request does not put that time off.
+        A repeated request does not extend that time.
         """
         self._closed_at.setdefault(zone, time.monotonic() + within_s)
 
--- a/tests/core/scheduler/world.py
+++ b/tests/core/scheduler/world.py
@@ -58,8 +58,8 @@
 
 CONTACT_MS = 4_000
 STOP_MS = 900
-"""Bounds of the users' deployments: a run that no live job explains must have ended
-within their sum after its start and its job's cancellation."""
+"""Bounds of the platform: a run that no live job explains must have ended within their
+sum after its start and its job's cancellation."""
 
 COLD_FACTOR = 4
 """Multiple of its run time that a task takes on a minion that is not warm yet."""
--- a/tests/platform/test_admission.py
+++ b/tests/platform/test_admission.py
@@ -1,7 +1,7 @@
 """Rejections of jobs that cannot be served, as their callers see them.
 
-Every rejection of the platform path carried the same Retry-After of 1 s, and jobs were
-accepted that nothing could run in time.
+Guards against a Retry-After that does not depend on the cause of the rejection, and
+against accepting jobs that cannot end in time.
 """
 
 import json
