--- a/tests/core/scheduler/test_evacuation.py
+++ b/tests/core/scheduler/test_evacuation.py
@@ -3,12 +3,12 @@
 from dataclasses import replace
 
 from courselead.core.scheduler.models import Bounds, JobState
+from tests.core.scheduler.evacuation_plays import WITHIN_MS
 from tests.core.scheduler.world import ZONES, World, job, step, world_of_zones
 
-WITHIN_MS = 5_000
-
 
 def make_world(minions=6) -> World:
+    """Return a world of three zones whose deployment has a bound for evacuations."""
     world = world_of_zones(minions)
     world.bounds = replace(Bounds(), evacuated_within_ms=WITHIN_MS)
     world.claim()
@@ -17,6 +17,7 @@
 
 
 def zones_of_starts(world: World, since_ms: int) -> set[str]:
+    """Return the zones in which tasks were started since a time."""
     return {
         world.minions[minion_id].zone
         for at_ms, _, _, minion_id in world.starts
--- a/tests/core/scheduler/test_evacuation_plays.py
+++ b/tests/core/scheduler/test_evacuation_plays.py
@@ -3,18 +3,17 @@
 The world checks every start, stop and run of a cancelled job from outside.
 """
 
-from dataclasses import replace
-
 import pytest
 
 from courselead.core.scheduler import events as ev, jobs
 from courselead.core.scheduler.doubt import UnseenTasks
-from courselead.core.scheduler.models import Bounds, JobState, MaintenanceWave
+from courselead.core.scheduler.models import JobState, MaintenanceWave
 from courselead.core.scheduler.schedule import Schedule
 from courselead.core.scheduler.state import Minion
 from tests.core.scheduler.evacuation_plays import WITHIN_MS, EvacuationSimulation
 from tests.core.scheduler.fake_minions import FakeMinion
-from tests.core.scheduler.world import ZONES, World, job, step, world_of_zones
+from tests.core.scheduler.test_evacuation import make_world, zones_of_starts
+from tests.core.scheduler.world import ZONES, World, job, step
 
 SEEDS = range(8)
 MUTATED_SEEDS = range(20)
@@ -28,22 +27,6 @@
 SERVICE_TASKS = 3
 
 
-def make_world(minions=6) -> World:
-    world = world_of_zones(minions)
-    world.bounds = replace(Bounds(), evacuated_within_ms=WITHIN_MS)
-    world.claim()
-    world.run(300)
-    return world
-
-
-def zones_of_starts(world: World, since_ms: int) -> set[str]:
-    return {
-        world.minions[minion_id].zone
-        for at_ms, _, _, minion_id in world.starts
-        if at_ms >= since_ms
-    }
-
-
 def minions_in(world: World, zone: str) -> list[FakeMinion]:
     return [minion for minion in world.all_minions if minion.zone == zone]
 
