Pass answers of the advice service to tickets.py directly

placement.py exported two functions of tickets.py again for the scheduler. No change of behaviour: the tests of placement, jobs and advice pass.

--- a/courselead/core/scheduler/placement.py
+++ b/courselead/core/scheduler/placement.py
@@ -22,15 +22,12 @@
 from courselead.core.scheduler.selection import Selection
 from courselead.core.scheduler.shares import remaining_shares
 from courselead.core.scheduler.state import Minion, Run, Unit
-from courselead.core.scheduler.tickets import advice_failed, advice_given
 from courselead.core.scheduler.unplaceable import (
     UnplaceableNeeds,
     is_constrained,
     skipped_ids,
 )
 
-__all__ = ["advice_failed", "advice_given", "place_all"]
-
 UNITS_PER_MS = 20
 """Ready units scanned by a placement round per millisecond of delay that it causes.
 
--- a/courselead/core/scheduler/scheduler.py
+++ b/courselead/core/scheduler/scheduler.py
@@ -15,6 +15,7 @@
     minions,
     placement,
     pools,
+    tickets,
     waves,
 )
 from courselead.core.scheduler.book import JobBook
@@ -152,11 +153,11 @@
             case LogAnswered():
                 schedule.confirmed_ms = max(schedule.confirmed_ms, event.sent_ms)
             case AdviceAnswered():
-                placement.advice_given(
+                tickets.advice_given(
                     schedule, event.step, event.tickets, event.valid_ms
                 )
             case AdviceFailed():
-                placement.advice_failed(schedule, event.step)
+                tickets.advice_failed(schedule, event.step)
             case WorkersListed():
                 self._workers_listed(event)
             case CloudOrderAnswered():
