Reject queued requests when the last target outside is reclaimed

With one zone evacuated, a pool has no target left once the platform reclaims its last worker outside. New requests were rejected at once, queued ones only when a request in flight ended, or at their deadline: they were checked after changes of the shared state, and the platform's list is not part of it. The list of members now leads to the same check for the pools of workers that begin to leave.

The new test fails before, with and without a ceiling ("expected 1, got 0" answers to the queued request), and passes now.

--- a/courselead/core/requests/admission.py
+++ b/courselead/core/requests/admission.py
@@ -133,7 +133,7 @@
     )
 
 
-def fail_without_target(turn: Turn, req: RequestState, refusal: Refusal) -> None:
+def fail_evacuated(turn: Turn, req: RequestState, refusal: Refusal) -> None:
     """Fail a waiting request that evacuations leave no target."""
     lifecycle.fail_request(
         turn, req, refusal.kind, refusal.detail, refusal.retry_after_ms
--- a/courselead/core/requests/dispatch.py
+++ b/courselead/core/requests/dispatch.py
@@ -44,7 +44,7 @@
     if target is None:
         refusal = admission.check_evacuations(turn, pool)
         if refusal is not None:
-            admission.fail_without_target(turn, req, refusal)
+            admission.fail_evacuated(turn, req, refusal)
             return
         lifecycle.mark_pool_blocked(turn, pool)
         return
--- a/courselead/core/requests/reducer.py
+++ b/courselead/core/requests/reducer.py
@@ -121,7 +121,12 @@
     leaving = frozenset(event.leaving_workers)
     leaving |= _removed_from_list(turn, event, turn.leaving_workers - leaving)
     back = sorted(turn.leaving_workers - leaving)
+    newly_leaving = leaving - turn.leaving_workers
     turn.leaving_workers = leaving
+    smaller_pools = {
+        turn.targets[name].pool for name in newly_leaving if name in turn.targets
+    }
+    sync.fail_evacuated_pools(turn, smaller_pools)
     for worker in back:
         target = turn.targets.get(worker)
         if target is None:
--- a/courselead/core/requests/sync.py
+++ b/courselead/core/requests/sync.py
@@ -1,5 +1,7 @@
 """Update the data that is derived from the shared state."""
 
+from collections.abc import Iterable
+
 from immutables import Map
 
 from courselead.core.effects import ProblemKind
@@ -24,16 +26,15 @@
         else:
             for pool in pools:
                 lifecycle.mark_pool_ready(turn, pool)
-        if fleet.evacuations:
-            _fail_without_targets(turn, pools)
+        fail_evacuated_pools(turn, pools)
         turn.synced_fleet = fleet
     if turn.member and not turn.ctx.member:
         _handle_membership_loss(turn)
     turn.member = turn.ctx.member
 
 
-def _fail_without_targets(turn: Turn, pools: list[str]) -> None:
-    """Fail the waiting requests of pools that evacuations leave no target.
+def fail_evacuated_pools(turn: Turn, pools: Iterable[str]) -> None:
+    """Fail the waiting requests of those pools that evacuations leave no target.
 
     This includes requests that a ceiling keeps from being tried.
     """
@@ -43,7 +44,7 @@
     for req in waiting_requests(turn):
         refusal = refusals.get(req.pool)
         if refusal is not None:
-            admission.fail_without_target(turn, req, refusal)
+            admission.fail_evacuated(turn, req, refusal)
 
 
 def _reset_loans(turn: Turn) -> None:
--- a/tests/core/requests/test_evacuation.py
+++ b/tests/core/requests/test_evacuation.py
@@ -146,6 +146,16 @@
     check_rejected(host.arrive(), "z1")
 
 
+@pytest.mark.parametrize("ceiling", [0, 1])
+def test_queued_requests_are_rejected_when_the_last_other_target_is_reclaimed(ceiling):
+    """They would wait until a request in flight ends, or for their deadline."""
+    host = host_of(NEAR, FAR, evacuated=("z1",), slots=1, ceiling=ceiling)
+    assert sends(host.arrive())
+    assert not host.arrive()
+    effects = host.feed(MembersListed(host.now_ms, 1, (), ("far",), ()))
+    check_rejected(effects, "z1")
+
+
 def test_requests_wait_while_a_target_outside_is_only_busy():
     """A busy target is no reason to reject: the request can still be served."""
     host = host_of(NEAR, FAR, evacuated=("z1",), slots=1)
