Name what the budgets count while zones are evacuated

`spare(..., evacuated=True)` read as the budget of evacuated workers, but counts them beside all others: the argument is include_evacuated now. spare_beside becomes spare_for, and the keys of the remaining budgets are described. No change of behaviour: tests/core/operations, tests/core/fleet and tests/daemon/test_status.py pass.

--- a/courselead/core/fleet/budgets.py
+++ b/courselead/core/fleet/budgets.py
@@ -17,20 +17,21 @@
     return row.workers - max_unavailable_workers(row)
 
 
-def serving_count(fleet: FleetState, pool: str, *, evacuated: bool = False) -> int:
+def serving_count(
+    fleet: FleetState, pool: str, *, include_evacuated: bool = False
+) -> int:
     """Return how many serving workers of a pool count for its budget.
 
-    Workers in evacuated zones are unavailable: they do not count when a worker
-    outside is stopped. With `evacuated`, they count. This is for stops of these
-    workers, which must leave enough workers for the time when their zones are
-    restored.
+    Workers in evacuated zones are unavailable, so they do not count when a worker
+    outside is stopped. They count when one of them is stopped, since the pool needs
+    enough workers once the zones are restored.
     """
-    if evacuated or not fleet.evacuations:
+    if include_evacuated or not fleet.evacuations:
         return pool_count(fleet, pool).serving
     return len(usable_workers(fleet, pool))
 
 
-def spare(fleet: FleetState, pool: str, *, evacuated: bool = False) -> int:
+def spare(fleet: FleetState, pool: str, *, include_evacuated: bool = False) -> int:
     """Return how many serving workers of a pool may be stopped now.
 
     All workers of a pool may be stopped once its service row has been removed.
@@ -38,21 +39,24 @@
     Args:
         fleet: Shared state.
         pool: Name of the pool.
-        evacuated: Whether workers in evacuated zones are to be stopped; see
-            `serving_count`.
+        include_evacuated: Whether workers in evacuated zones count, as for stops
+            of such workers; see `serving_count`.
     """
     row = fleet.table.services.get(pool)
     if row is None:
         return pool_count(fleet, pool).serving
-    serving = serving_count(fleet, pool, evacuated=evacuated)
+    serving = serving_count(fleet, pool, include_evacuated=include_evacuated)
     return max(0, serving - min_serving_workers(row))
 
 
-def spare_beside(fleet: FleetState, worker: WorkerState) -> int:
-    """Return how many workers such as this one its pool may stop now."""
-    return spare(fleet, worker.pool, evacuated=is_evacuated(fleet, worker))
+def spare_for(fleet: FleetState, worker: WorkerState) -> int:
+    """Return the budget of a worker's pool for stops of workers such as this one.
+
+    It differs between workers inside and outside evacuated zones.
+    """
+    return spare(fleet, worker.pool, include_evacuated=is_evacuated(fleet, worker))
 
 
 def can_stop_worker(fleet: FleetState, worker: WorkerState) -> bool:
     """Return whether the budget allows stopping a serving worker now."""
-    return spare_beside(fleet, worker) >= 1
+    return spare_for(fleet, worker) >= 1
--- a/courselead/core/operations/lifecycle.py
+++ b/courselead/core/operations/lifecycle.py
@@ -233,11 +233,13 @@
         return False
     if waited_ms >= draft.cfg.unsettled_limit_ms + delay:
         return True
-    row = draft.ctx.fleet.table.services.get(worker.pool)
+    fleet = draft.ctx.fleet
+    row = fleet.table.services.get(worker.pool)
     if row is None:
         return False
-    fleet = draft.ctx.fleet
-    serving = serving_count(fleet, worker.pool, evacuated=is_evacuated(fleet, worker))
+    serving = serving_count(
+        fleet, worker.pool, include_evacuated=is_evacuated(fleet, worker)
+    )
     return serving < min_serving_workers(row)
 
 
--- a/courselead/core/operations/maintenance.py
+++ b/courselead/core/operations/maintenance.py
@@ -8,7 +8,7 @@
 
 from typing import Protocol
 
-from courselead.core.fleet.budgets import can_stop_worker, spare_beside
+from courselead.core.fleet.budgets import can_stop_worker, spare_for
 from courselead.core.fleet.queries import is_evacuated
 from courselead.core.fleet.records import StopPlanned, StopPurpose
 from courselead.core.fleet.state import FleetState, WorkerPhase, WorkerState
@@ -179,7 +179,8 @@
     """How many more workers of each pool may be stopped while planning.
 
     Stops in evacuated zones take nothing from the budget for stops outside, because
-    workers there are unavailable already.
+    workers there are unavailable already. Budgets and planned stops are kept by pool
+    and by whether the workers are in an evacuated zone.
     """
 
     def __init__(self, fleet: FleetState) -> None:
@@ -189,11 +190,12 @@
 
     def remaining(self, worker: WorkerState) -> int:
         """Return how many more workers such as this one its pool may stop now."""
-        key = (worker.pool, is_evacuated(self._fleet, worker))
+        evacuated = is_evacuated(self._fleet, worker)
+        key = (worker.pool, evacuated)
         if key not in self._spares:
-            self._spares[key] = spare_beside(self._fleet, worker)
+            self._spares[key] = spare_for(self._fleet, worker)
         stops = self._stops.get((worker.pool, False), 0)
-        if key[1]:
+        if evacuated:
             stops += self._stops.get(key, 0)
         return self._spares[key] - stops
 
--- a/tests/core/operations/test_evacuation.py
+++ b/tests/core/operations/test_evacuation.py
@@ -182,11 +182,11 @@
         assert outside[pool] <= budgets.spare(state, pool)
         if inside[pool]:
             total = inside[pool] + outside[pool]
-            assert total <= budgets.spare(state, pool, evacuated=True)
+            assert total <= budgets.spare(state, pool, include_evacuated=True)
 
 
 @pytest.mark.parametrize("zones", [(), ("a",), ("a", "b")])
 def test_budgets_equal_those_of_the_serving_workers_outside(zones):
     state = evacuated(two_zones(availability_budget=1.0), *zones)
     assert budgets.spare(state, POOL) == 4 - 2 * len(zones)
-    assert budgets.spare(state, POOL, evacuated=True) == 4
+    assert budgets.spare(state, POOL, include_evacuated=True) == 4
