Share the handling of table edits and zone commands in the core

_propose told edits from commands by the type of the event, and each problem text was set for an edit first and replaced for a command. Both kinds now become a WaitingChange at once, and _log_down_problem and _expiry_problem choose the text by it. The health checks use targets.is_evacuated rather than a copy of it, and the zone endpoint names the fields of its record. No change of behaviour: tests/core/test_edits.py, tests/core/requests, test_management.py and test_status.py pass.

--- a/courselead/core/edits.py
+++ b/courselead/core/edits.py
@@ -27,8 +27,8 @@
 )
 
 LOG_RETRY_MS = 2_000
-_CHANGES = (TablePublished, ZoneEvacuated, ZoneRestored)
-_ZONE_EVENTS = {
+_CHANGE_RECORDS = (TablePublished, ZoneEvacuated, ZoneRestored)
+_ZONE_LOG_EVENTS = {
     ZoneEvacuated: "zone_evacuation_requested",
     ZoneRestored: "zone_returned",
 }
@@ -59,42 +59,47 @@
 ) -> tuple[EditsState, tuple[Effect, ...]]:
     """Handle one event."""
     if isinstance(event, TableEdit):
-        record = replace(event.edit, request_id=event.request_id)
-        return _propose(state, ctx, event, record)
+        change = WaitingChange(event.deadline_ms, is_edit=True)
+        return _propose(state, ctx, change, event.request_id, event.edit)
     if isinstance(event, ZoneCommand):
-        record = replace(event.change, request_id=event.request_id)
-        return _propose(state, ctx, event, record)
+        change = WaitingChange(event.deadline_ms, is_edit=False)
+        return _propose(state, ctx, change, event.request_id, event.change)
     if isinstance(event, BatchesRead):
         state, replies = _answer_applied(state, ctx)
         return state, replies + _log_zone_changes(ctx)
     if isinstance(event, Tick):
-        return _expire_edits(state, ctx)
+        return _expire_changes(state, ctx)
     return state, ()
 
 
 def _propose(
     state: EditsState,
     ctx: Context,
-    event: TableEdit | ZoneCommand,
+    change: WaitingChange,
+    request_id: str,
     record: TablePublished | ZoneEvacuated | ZoneRestored,
 ) -> tuple[EditsState, tuple[Effect, ...]]:
     """Propose a change, or reject it at once while the log is unreachable."""
-    is_edit = isinstance(event, TableEdit)
     if not ctx.log_up or not ctx.member:
+        return state, (ReplyProblem(request_id, _log_down_problem(change)),)
+    waiting = state.waiting.set(request_id, change)
+    proposal = Propose(replace(record, request_id=request_id))
+    return replace(state, waiting=waiting), (proposal,)
+
+
+def _log_down_problem(change: WaitingChange) -> Problem:
+    """Return the answer to a change that cannot be proposed now."""
+    if change.is_edit:
         detail = (
             "The platform's log cannot be reached from here; the table is "
             "unchanged. Publish again later or through another entry host."
         )
-        if not is_edit:
-            detail = (
-                "The platform's log cannot be reached from here; no zone has changed. "
-                "Send the command again later or through another entry host."
-            )
-        problem = Problem(ProblemKind.LOG_DOWN, RunState.NOT_RUN, detail, LOG_RETRY_MS)
-        return state, (ReplyProblem(event.request_id, problem),)
-    change = WaitingChange(event.deadline_ms, is_edit)
-    waiting = state.waiting.set(event.request_id, change)
-    return replace(state, waiting=waiting), (Propose(record),)
+    else:
+        detail = (
+            "The platform's log cannot be reached from here; no zone has changed. "
+            "Send the command again later or through another entry host."
+        )
+    return Problem(ProblemKind.LOG_DOWN, RunState.NOT_RUN, detail, LOG_RETRY_MS)
 
 
 def _answer_applied(
@@ -105,7 +110,7 @@
     waiting = state.waiting
     for applied in ctx.applied:
         record = applied.record
-        if not isinstance(record, _CHANGES) or record.request_id not in waiting:
+        if not isinstance(record, _CHANGE_RECORDS) or record.request_id not in waiting:
             continue
         change = waiting[record.request_id]
         waiting = waiting.delete(record.request_id)
@@ -120,12 +125,13 @@
 def _log_zone_changes(ctx: Context) -> tuple[LogEvent, ...]:
     """Return a log line for each accepted command that evacuates or restores a zone.
 
-    Each host writes them when it reads the record, which is when it follows it.
+    Each host logs a command when it reads the record, since it applies it from then
+    on. A repeated command is logged again.
     """
     lines = []
     for applied in ctx.applied:
         record = applied.record
-        event = _ZONE_EVENTS.get(type(record))
+        event = _ZONE_LOG_EVENTS.get(type(record))
         if event is None or not applied.verdict.accepted:
             continue
         fields = (
@@ -157,7 +163,7 @@
     )
 
 
-def _expire_edits(
+def _expire_changes(
     state: EditsState, ctx: Context
 ) -> tuple[EditsState, tuple[Effect, ...]]:
     """Answer changes whose deadline has passed with an unknown outcome."""
@@ -178,11 +184,12 @@
 
 def _expiry_problem(change: WaitingChange) -> Problem:
     """Return the answer to a change without a verdict by its deadline."""
-    detail = (
-        "The log did not answer in time; the edit may still come into force. "
-        "Look at the table's history before publishing it again."
-    )
-    if not change.is_edit:
+    if change.is_edit:
+        detail = (
+            "The log did not answer in time; the edit may still come into force. "
+            "Look at the table's history before publishing it again."
+        )
+    else:
         detail = (
             "The log did not answer in time; the command may still take effect. "
             "Look at the list of zones; sending it again does no harm."
--- a/courselead/core/requests/health.py
+++ b/courselead/core/requests/health.py
@@ -10,6 +10,7 @@
 
 from courselead.core.effects import LogEvent
 from courselead.core.events import NotRunReason
+from courselead.core.requests import targets
 from courselead.core.requests.state import Health, Target
 from courselead.core.requests.turn import Turn
 
@@ -150,11 +151,10 @@
 
     Targets of evacuated zones are not counted, since they serve nothing.
     """
-    evacuated = turn.ctx.fleet.evacuations
     members = [
         name
         for name in turn.pools[pool].members
-        if turn.targets[name].availability_zone not in evacuated
+        if not targets.is_evacuated(turn, turn.targets[name])
     ]
     ejected = sum(1 for name in members if get_health(turn, name).ejected_until_ms)
     return ejected + 1 <= len(members) * MAX_EJECTED_FRACTION
--- a/courselead/integrations/http_api/auth.py
+++ b/courselead/integrations/http_api/auth.py
@@ -34,7 +34,7 @@
         """Return whether this is a fleet operator."""
         return not self.client_account
 
-    def author_named(self, given: str) -> str:
+    def author_for_record(self, given: str) -> str:
         """Return the name to record for a change.
 
         The given name is unverified, so it only follows the authenticated one.
--- a/courselead/integrations/http_api/tables.py
+++ b/courselead/integrations/http_api/tables.py
@@ -99,7 +99,7 @@
             _check_scope(edit, principal)
             edit = replace(
                 edit,
-                author=principal.author_named(edit.author),
+                author=principal.author_for_record(edit.author),
                 request_id=exchange.request_id,
             )
             await self._publish(exchange, edit)
--- a/courselead/integrations/http_api/zones.py
+++ b/courselead/integrations/http_api/zones.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from typing import Annotated
 
 import msgspec
@@ -62,13 +61,17 @@
         self,
         exchange: Exchange,
         principal: Principal,
-        kind: Callable[..., ZoneEvacuated | ZoneRestored],
+        record_type: type[ZoneEvacuated] | type[ZoneRestored],
     ) -> None:
         _require_operator(principal)
         with self._admission.hold(principal.client_account):
             body = await self._decode_body(exchange)
-            operator = principal.author_named(body.author)
-            change = kind(body.availability_zone, operator, 0, exchange.request_id)
+            change = record_type(
+                availability_zone=body.availability_zone,
+                operator=principal.author_for_record(body.author),
+                at_ms=0,  # Set by the daemon.
+                request_id=exchange.request_id,
+            )
             deadline_ms = self._calls.deadline_ms()
             reply = await self._calls.wait(self._host.change_zone(change, deadline_ms))
             if isinstance(reply, Problem):
