--- a/courselead/core/events.py
+++ b/courselead/core/events.py
@@ -361,7 +361,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ZoneCommand:
-    """An operator evacuates or restores a zone; `change` has the request's ID."""
+    """An operator evacuates or restores a zone.
+
+    The record that is proposed gets the ID of this event's request.
+    """
 
     now_ms: int
     request_id: str
--- a/courselead/core/fleet/records.py
+++ b/courselead/core/fleet/records.py
@@ -115,6 +115,8 @@
 class ZoneEvacuated:
     """From this record on, no target of the zone gets new requests, jobs or pools.
 
+    A move that has begun ends; see `workers.worker_assigned`.
+
     Attributes:
         operator: Who requested it.
         at_ms: Wall clock time of the request, in milliseconds since the epoch.
--- a/courselead/core/fleet/workers.py
+++ b/courselead/core/fleet/workers.py
@@ -131,6 +131,8 @@
         if not record.pool:
             return verdicts.WRONG_PHASE
         return verdicts.ZONE_EVACUATED if is_evacuated(fleet, worker) else ""
+    # A stopped worker keeps its next pool while its zone is evacuated. It would
+    # otherwise be in no pool until the zone is restored.
     if worker.purpose is not StopPurpose.MOVE:
         return verdicts.WRONG_PHASE
     # The next client account must never share a worker with a task of the previous one.
