--- a/tests/core/test_edits.py
+++ b/tests/core/test_edits.py
@@ -168,6 +168,30 @@
     assert "z1" in a.state.fleet.evacuations
 
 
+def test_a_late_command_does_not_undo_a_newer_one():
+    """Guards against an evacuation that comes back after the zone was restored.
+
+    A host that cannot append keeps the command in its outbox after its caller was
+    told that the outcome is unknown, and has sent it to another host.
+    """
+    log = FakeLog()
+    a, b = create_host(log, "a"), create_host(log, "b")
+    run_all_until((a, b), 1_000)
+    a.append_result = AppendResult.NOT_STORED
+    evacuate(a, request_id="ra", deadline_ms=2_000)
+    run_all_until((a, b), 2_100)
+    assert a.effects_of(ReplyProblem)[0].problem.run is RunState.UNKNOWN
+    evacuate(b, request_id="rb")
+    run_all_until((a, b), 2_500)
+    restore = ZoneRestored("z1", "ops", 6)
+    b.handle(ZoneCommand(2_500, "rc", restore, 9_000))
+    run_all_until((a, b), 2_900)
+    assert not b.state.fleet.evacuations
+    a.append_result = None
+    run_all_until((a, b), 7_000)
+    assert not b.state.fleet.evacuations
+
+
 def test_hosts_that_are_restarted_in_turn_keep_the_evacuation():
     """One host leaves with the command in its outbox; both return from the log."""
     log = FakeLog()
