--- a/courselead/core/fleet/workers.py
+++ b/courselead/core/fleet/workers.py
@@ -131,8 +131,6 @@
         if not record.pool:
             return verdicts.WRONG_PHASE
         return verdicts.ZONE_EVACUATED if is_evacuated(fleet, worker) else ""
-    # A stopped worker keeps its next pool while its zone is evacuated. It would
-    # otherwise be in no pool until the zone is restored.
     if worker.purpose is not StopPurpose.MOVE:
         return verdicts.WRONG_PHASE
     # The next client account must never share a worker with a task of the previous one.
@@ -140,6 +138,8 @@
         return verdicts.JOBS_REMAIN
     # A stopped worker may always be released, because the row of its next pool may
     # have been removed during the move.
+    # It joins its next pool in an evacuated zone too, since it would otherwise be in
+    # no pool until the zone is restored.
     if record.pool not in ("", worker.next_pool):
         return verdicts.WRONG_POOL
     return ""
