Refuse a zone command that is older than the zone's newest change

A host that could not append kept a command in its outbox. Its caller was told that the outcome is unknown, sent it through another host and restored the zone later; then the first host could append again and evacuated the zone.

Zone commands now carry the offset up to which their host had read the log, and the shared state keeps the offset of each zone's newest change: a command older than that is rejected when it is applied.

--- a/courselead/core/edits.py
+++ b/courselead/core/edits.py
@@ -83,7 +83,10 @@
     if not ctx.log_up or not ctx.member:
         return state, (ReplyProblem(request_id, _log_down_problem(change)),)
     waiting = state.waiting.set(request_id, change)
-    proposal = Propose(replace(record, request_id=request_id))
+    record = replace(record, request_id=request_id)
+    if not isinstance(record, TablePublished):
+        record = replace(record, read_offset=ctx.fleet.offset)
+    proposal = Propose(record)
     return replace(state, waiting=waiting), (proposal,)
 
 
--- a/courselead/core/fleet/records.py
+++ b/courselead/core/fleet/records.py
@@ -120,12 +120,16 @@
     Attributes:
         operator: Who requested it.
         at_ms: Wall clock time of the request, in milliseconds since the epoch.
+        read_offset: Offset up to which the proposing host had read the log. The record
+            is rejected if the zone has changed after that, as it may have waited in an
+            outbox while a newer command took effect. None for no such check.
     """
 
     availability_zone: str
     operator: str
     at_ms: int
     request_id: str = ""
+    read_offset: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -136,6 +140,7 @@
     operator: str
     at_ms: int
     request_id: str = ""
+    read_offset: int | None = None
 
 
 # --- workers, pools, moves and maintenance -------------------------------
--- a/courselead/core/fleet/state.py
+++ b/courselead/core/fleet/state.py
@@ -210,8 +210,10 @@
         due: Expiry index of claims and jobs by time bucket. Entries of a bucket are
             numbered from 0 without gaps and processed from the end.
         due_cursor: Next bucket of the expiry index to process.
-        evacuations: Evacuations in force by availability zone. The field has a
-            default, since snapshots of earlier versions do not contain it.
+        evacuations: Evacuations in force by availability zone. This field and the next
+            one have a default, since snapshots of earlier versions lack them.
+        zone_changes: Offset of the newest record by which a zone was evacuated or
+            restored, by availability zone.
     """
 
     offset: int = -1
@@ -233,6 +235,7 @@
     due: Map[int, Map[int, ClaimKey | str]] = field(default_factory=Map)
     due_cursor: int = 0
     evacuations: Map[str, EvacuationState] = field(default_factory=Map)
+    zone_changes: Map[str, int] = field(default_factory=Map)
 
 
 @dataclass(frozen=True, slots=True)
--- a/courselead/core/fleet/verdicts.py
+++ b/courselead/core/fleet/verdicts.py
@@ -24,6 +24,7 @@
 
 ZONE_UNKNOWN = "zone_unknown"
 ZONE_EVACUATED = "zone_evacuated"
+ZONE_CHANGED = "zone_changed"
 
 WORKER_UNKNOWN = "worker_unknown"
 STALE_EPOCH = "stale_epoch"
@@ -77,6 +78,8 @@
     TABLE_SHARED_CREDENTIAL: "two accounts have one credential; make a new one",
     ZONE_UNKNOWN: "no worker and no entry host is in this availability zone; take "
     "its name from the list of zones",
+    ZONE_CHANGED: "the zone was changed after this command was given; look at the list "
+    "of zones, and repeat the command if it still applies",
     ZONE_EVACUATED: "the worker's availability zone is evacuated; use a worker of "
     "another zone, or wait until the zone is restored",
     WORKER_UNKNOWN: "the worker is unknown; wait until the platform lists it",
