Keep tasks of services that begin while their starts are being stopped

Cause: a long-running task whose start was not answered stayed in the phase STOPPING although a poll reported it as running, and its stop was repeated on a timer without a check of the step's budget. Several tasks that began late were ended, beyond `may_miss` (AVAIL).

Change: such a task goes on once a poll reports it, if it is still wanted, has no other run and no stop of it was answered. It does not count as working for STRAY_START_MS after its last stop. Stops of unanswered starts of long-running tasks are sent right after a poll that does not report the run; a timer would hit runs that begin between two polls. The same holds for runs that were carried over to the next incarnation of a minion. Finite tasks and gangs are stopped as before.

--- a/courselead/core/scheduler/minions.py
+++ b/courselead/core/scheduler/minions.py
@@ -28,6 +28,12 @@
 from courselead.core.scheduler.schedule import Schedule, add_use
 from courselead.core.scheduler.state import Minion, Run, RunPhase, Unit, UnsavedEnd
 
+START_NOT_ANSWERED = "its start was not answered"
+"""Reason given for stops of runs that may still begin."""
+
+LATE_START_REASONS = (START_NOT_ANSWERED, lives.STARTED_AGAIN)
+"""Reasons of stops for runs that are not known to have begun."""
+
 
 def poll_answered(schedule: Schedule, event: PollAnswered) -> None:
     """Process the full report of a minion."""
@@ -56,6 +62,7 @@
         reported.add((end.task, end.number))
         _process_end_report(schedule, minion, end)
     _drop_stopped_unreported(schedule, minion, event.sent_ms, reported)
+    _stop_unreported_services(schedule, minion, reported)
     if not minion.synced:
         minion.synced = True
         minion.synced_ms = schedule.now_ms
@@ -117,7 +124,8 @@
         return
     if event.outcome is not Outcome.UNKNOWN:
         _mark_responsive(schedule, minion)
-    if event.verb == "stop" and event.outcome is Outcome.OK:
+    stopped = event.verb == "stop" and event.outcome is Outcome.OK
+    if stopped:
         minion.unanswered_stray_stops.discard((event.task, event.number))
     run = minion.runs.get((event.task, event.number))
     if run is None:
@@ -127,8 +135,12 @@
         if event.repeated or event.outcome is Outcome.UNKNOWN:
             lost_runs.remember_delayed_start(schedule, run)
         _handle_start_answer(schedule, minion, run, event)
-    elif event.verb == "stop" and event.outcome is Outcome.OK:
+    elif stopped:
         run.stop_answered_ms = schedule.now_ms
+        if run.phase is RunPhase.RUNNING:
+            # It was kept before the answer to its stop arrived.
+            run.phase = RunPhase.STOPPING
+            run.stop_reason = START_NOT_ANSWERED
 
 
 def tick(schedule: Schedule) -> None:
@@ -138,7 +150,8 @@
             _expire_lease(schedule, minion)
         for run in list(minion.runs.values()):
             if run.phase is RunPhase.STOPPING:
-                _retry_stop(schedule, run)
+                if not _is_stopped_after_polls(run):
+                    _retry_stop(schedule, run)
             elif _is_stalled(schedule, run):
                 run.unit.avoid.add(run.minion_id)
                 schedule.stop_run(run, "no progress")
@@ -186,6 +199,29 @@
     schedule.order_stop(run)
 
 
+def _is_stopped_after_polls(run: Run) -> bool:
+    """Return whether stops of a run are sent only after polls that do not report it.
+
+    A long-running task may begin late, while its unanswered start is being stopped. A
+    stop on a timer would end it although its step's budget may not allow that.
+    """
+    if run.confirmed or run.stop_reason not in LATE_START_REASONS:
+        return False
+    spec = run.unit.spec
+    return spec.long_running and not spec.gang and jobs.keeps_running(run.unit)
+
+
+def _stop_unreported_services(
+    schedule: Schedule, minion: Minion, reported: set[tuple[str, int]]
+) -> None:
+    """Send due stops of long-running tasks that a poll has just not reported."""
+    for run in list(minion.runs.values()):
+        if run.phase is not RunPhase.STOPPING or run.key in reported:
+            continue
+        if _is_stopped_after_polls(run):
+            _retry_stop(schedule, run)
+
+
 def _is_stalled(schedule: Schedule, run: Run) -> bool:
     if run.phase is not RunPhase.RUNNING:
         return False
@@ -211,6 +247,8 @@
         run = _adopt_run(schedule, minion, report)
         if run is None:
             return
+    if _may_be_kept(run):
+        _keep_run(schedule, minion, run)
     run.confirmed = True
     if run.phase is RunPhase.SENT:
         run.phase = RunPhase.RUNNING
@@ -225,6 +263,38 @@
     run.figure = report.figure
 
 
+def _may_be_kept(run: Run) -> bool:
+    """Return whether a run that began late goes on although a stop of it was sent.
+
+    Only a long-running task that is still wanted and has no other run is kept. After an
+    answered stop, a run that is reported is about to end.
+    """
+    if run.phase is not RunPhase.STOPPING or run.stop_answered_ms is not None:
+        return False
+    return _is_stopped_after_polls(run) and len(run.unit.runs) == 1
+
+
+def _keep_run(schedule: Schedule, minion: Minion, run: Run) -> None:
+    """Keep a run whose start was not answered and that a poll reports as running.
+
+    Its stops are not repeated. One that is still in transit may end it, so it does not
+    count as working for a while (`Schedule._is_at_work`).
+    """
+    # The report that is being processed confirms it like a start that is in transit.
+    run.phase = RunPhase.SENT
+    run.percent_ms = schedule.now_ms
+    minion.unanswered_stray_stops.discard(run.key)
+    schedule.log_event(
+        "run_kept",
+        job_id=run.unit.job.job_id,
+        task=run.task,
+        run=run.number,
+        minion=minion.minion_id,
+        reason=run.stop_reason,
+    )
+    run.stop_reason = ""
+
+
 def _adopt_run(schedule: Schedule, minion: Minion, report: RunReport) -> Run | None:
     """Adopt a run that an earlier owner started."""
     unit = jobs.unit_of(schedule, report.task)
@@ -389,7 +459,7 @@
             if not run.confirmed:
                 # The run may still begin later. A run that a poll has reported exists,
                 # and goes on.
-                schedule.stop_run(run, "its start was not answered")
+                _stop_unanswered(schedule, run)
             return
         case Outcome.NO_CAPACITY:
             minion.rest_until_ms = schedule.now_ms + const.CAPACITY_REFUSAL_MS
@@ -407,3 +477,15 @@
         reason=event.reason,
     )
     lost_runs.drop_lost_run(schedule, run)
+
+
+def _stop_unanswered(schedule: Schedule, run: Run) -> None:
+    """Stop a run whose start was not answered, so that it does not begin later."""
+    if run.phase is RunPhase.STOPPING:
+        return
+    run.stop_reason = START_NOT_ANSWERED
+    if _is_stopped_after_polls(run):
+        # The stop is sent after the next poll that does not report the run.
+        run.phase = RunPhase.STOPPING
+    else:
+        schedule.stop_run(run, START_NOT_ANSWERED)
--- a/courselead/core/scheduler/schedule.py
+++ b/courselead/core/scheduler/schedule.py
@@ -469,7 +469,11 @@
         another task of the step could exceed the step's budget.
         """
         minion = self.minions.get(run.minion_id)
-        return run.is_working and minion is not None and not minion.failures
+        if not run.is_working or minion is None or minion.failures:
+            return False
+        # A run that began late was kept, but a stop of it may still be carried out.
+        stop_sent_ms = run.stop_sent_ms
+        return not stop_sent_ms or self.now_ms - stop_sent_ms >= const.STRAY_START_MS
 
     def may_interrupt(self, run: Run) -> bool:
         """Return whether a run may be stopped.
