Keep services that an incarnation begins from a stray start

Cause: after the lease of an incarnation had ended, a delayed start of it could begin on the next one.

Change: an adopted run of a long-running task takes its key out of the stops that are repeated, and does not count as working while the last one may arrive.

--- a/courselead/core/scheduler/minions.py
+++ b/courselead/core/scheduler/minions.py
@@ -336,6 +336,10 @@
         schedule.stop_run(run, "its job or task has ended")
     elif other_runs and not unit.spec.speculative:
         schedule.stop_run(run, "another run of the task is known")
+    elif unit.spec.long_running and run.key in minion.unanswered_stray_stops:
+        # It began late on this incarnation. It goes on, but a stop is in transit.
+        minion.unanswered_stray_stops.discard(run.key)
+        run.stop_sent_ms = schedule.now_ms
     return run
 
 
--- a/tests/core/scheduler/test_late_services.py
+++ b/tests/core/scheduler/test_late_services.py
@@ -185,3 +185,23 @@
     world.late_orders = 0.0
     world.run(3_000)
     assert len(world.starts) == len(running(world)) == TASKS
+
+
+def test_an_adopted_task_that_began_late_is_not_stopped_as_a_stray_start():
+    # Guards against repeated stops of a start that was given up with the lease of an
+    # earlier incarnation.
+    world = make_world(minions=TASKS)
+    submit_late(world, late_ms=NEVER_MS)
+    schedule = world.owner.schedule
+    orders = starts_sent(world)
+    while known_runs(world):
+        world.run(100)
+    for order in orders:
+        minion = world.minions[order.minion_id]
+        restart_with_lost_stops(world, minion, after_ms=50_000)
+        following = world.minions[order.minion_id]
+        world._start(following, order, schedule.fence)
+    world.run(500)
+    world.late_orders = 0.0
+    world.run(3_000)
+    assert len(world.starts) == len(running(world)) == TASKS
