Count reported runs without a unit as using their minions

When a minion reports the ends of a completed job again, a new owner opens the job, finishes its units with these ends and removes them, while the job stays in the schedule.

Such a run now gets a StrayUnit, which belongs to no occurrence and never starts. The run is stopped and uses its minion until it is known to have ended. If its job or step is unknown, its need is too, and it is taken to use the whole minion. An unanswered stop is still repeated at every report. Progress of jobs that are not in the schedule is not marked to be stored, as Schedule.urgent would fail.

The same path left runs of closed occurrences, of ended timed jobs and of unknown jobs or steps uncounted: 8 of the 14 new tests failed before. The other 6 are about the ends of unknown runs, one of which fails without the check in save.

--- a/courselead/core/scheduler/jobs.py
+++ b/courselead/core/scheduler/jobs.py
@@ -2,10 +2,18 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 from courselead.core.scheduler import const
 from courselead.core.scheduler.book import JobEntry
 from courselead.core.scheduler.events import ForgetJob, SaveProgress
-from courselead.core.scheduler.models import Incarnation, JobState
+from courselead.core.scheduler.models import (
+    Incarnation,
+    JobSpec,
+    JobState,
+    MinionInfo,
+    StepSpec,
+)
 from courselead.core.scheduler.records import (
     JobProgress,
     OccurrenceProgress,
@@ -19,6 +27,30 @@
 CANCELLED = "cancelled by its caller"
 """Reason given when a job ends or its runs are stopped at the caller's request."""
 
+ENDED = "its job or task has ended"
+"""Reason given when a reported run is stopped because it is not needed any more."""
+
+UNKNOWN_JOB = "unknown job"
+"""Reason given when a reported run is stopped because its need is not known."""
+
+
+@dataclass(slots=True, eq=False)
+class StrayUnit(Unit):
+    """Stands for the task of a reported run that has no unit in the schedule.
+
+    It belongs to no occurrence and never starts. The run has to be tracked all the
+    same, as it uses its minion until it has ended.
+
+    Attributes:
+        task: The task's name as reported, which need not be well-formed.
+    """
+
+    task: str = ""
+
+    def task_name(self, index: int) -> str:
+        """Return the task's name as reported."""
+        return self.task
+
 
 def open_job(schedule: Schedule, entry: JobEntry, from_before: bool) -> Job:
     """Add a job from the log to the schedule.
@@ -98,6 +130,35 @@
     return schedule.units.get(task)
 
 
+def stray_unit(schedule: Schedule, task: str, info: MinionInfo) -> tuple[Unit, str]:
+    """Return a unit for a reported run without one, and the reason to stop the run.
+
+    An ended job may have no units: they are removed when its occurrence is closed, and
+    a job whose progress is final has no stored occurrences. If the job or the step is
+    unknown, so is the need, and the run is taken to use the whole minion.
+
+    Args:
+        schedule: The owner's state; `unit_of` has opened the job if it is known.
+        task: The task's name as reported.
+        info: The minion that reported the run.
+    """
+    job_id, *rest = task.split(".")
+    numbers = [int(part) for part in rest if part.isascii() and part.isdecimal()]
+    job = schedule.jobs.get(job_id)
+    if job is not None and len(numbers) == len(rest) == 3:
+        occurrence, number, index = numbers
+        if number < len(job.spec.steps):
+            step = StepRun(job, occurrence, number, job.spec.steps[number])
+            return StrayUnit(step, (index,), done=True, task=task), ENDED
+    spec = StepSpec(1, info.capacity)
+    job = Job(job_id, "", JobSpec("", (spec,)), schedule.now_ms, from_before=False)
+    job.pool = info.pool
+    job.state = JobState.CANCELLED
+    job.begun = True
+    unit = StrayUnit(StepRun(job, 0, 0, spec), (0,), done=True, task=task)
+    return unit, UNKNOWN_JOB
+
+
 def unit_done(schedule: Schedule, unit: Unit) -> None:
     """Mark a unit as done."""
     if unit.done:
@@ -227,8 +288,12 @@
 
 
 def save(schedule: Schedule, job: Job) -> None:
-    """Mark the job's progress to be stored with the open batch."""
-    schedule.dirty_jobs[job.job_id] = None
+    """Mark the job's progress to be stored with the open batch.
+
+    The job of a stray run may be unknown, and has no progress then.
+    """
+    if job.job_id in schedule.jobs:
+        schedule.dirty_jobs[job.job_id] = None
 
 
 def flush(schedule: Schedule) -> None:
--- a/courselead/core/scheduler/minions.py
+++ b/courselead/core/scheduler/minions.py
@@ -22,7 +22,6 @@
     PollFailed,
     RunReport,
     StepDown,
-    StopRun,
     StoreRuns,
 )
 from courselead.core.scheduler.schedule import Schedule, add_use
@@ -209,8 +208,9 @@
     run = minion.runs.get((report.task, report.number))
     if run is None:
         run = _adopt_run(schedule, minion, report)
-        if run is None:
-            return
+    elif isinstance(run.unit, jobs.StrayUnit) and run.stop_answered_ms is None:
+        # Its stop may have been lost.
+        schedule.order_stop(run)
     run.confirmed = True
     if run.phase is RunPhase.SENT:
         run.phase = RunPhase.RUNNING
@@ -225,21 +225,18 @@
     run.figure = report.figure
 
 
-def _adopt_run(schedule: Schedule, minion: Minion, report: RunReport) -> Run | None:
-    """Adopt a run that an earlier owner started."""
+def _adopt_run(schedule: Schedule, minion: Minion, report: RunReport) -> Run:
+    """Track a reported run, which an earlier owner started or whose task has ended.
+
+    It uses its minion until it is known to have ended, also if it is stopped at once.
+    """
+    stop_reason = jobs.ENDED
     unit = jobs.unit_of(schedule, report.task)
     if unit is None:
-        schedule.emit(
-            StopRun(
-                minion.minion_id,
-                report.task,
-                report.number,
-                "unknown job",
-                minion.info.born_ms,
-            )
-        )
-        return None
-    index = int(report.task.rpartition(".")[2])
+        unit, stop_reason = jobs.stray_unit(schedule, report.task, minion.info)
+        index = unit.indexes[0]
+    else:
+        index = int(report.task.rpartition(".")[2])
     run = Run(
         unit, index, report.number, minion.minion_id, schedule.now_ms, RunPhase.RUNNING
     )
@@ -263,7 +260,7 @@
         minion=minion.minion_id,
     )
     if not jobs.keeps_running(unit):
-        schedule.stop_run(run, "its job or task has ended")
+        schedule.stop_run(run, stop_reason)
     elif other_runs and not unit.spec.speculative:
         schedule.stop_run(run, "another run of the task is known")
     return run
