Wait only for starts that no answer has confirmed

An earlier time until which a start is remembered is kept, instead of counting again from the end of the lease.

--- a/courselead/core/scheduler/lost_runs.py
+++ b/courselead/core/scheduler/lost_runs.py
@@ -42,18 +42,24 @@
 def lost_with_minion(schedule: Schedule, run: Run, reason: str) -> None:
     """Drop a run whose minion was lost or whose lease has expired.
 
-    A start that no poll has reported may still be carried out, with a lease that counts
-    from then. Its task waits until the minion has answered the stop.
+    A start that nothing has confirmed may still be carried out, with a lease that
+    counts from then. Its task waits until the minion has answered the stop.
     """
     run.unit.lost_ms = schedule.now_ms
     if not run.confirmed:
-        remember_delayed_start(schedule, run)
-        minion = schedule.minions.get(run.minion_id)
-        if minion is not None:
-            minion.unanswered_stray_stops.add(run.key)
+        _expect_delayed_start(schedule, run)
     drop_lost_run(schedule, run, reason)
 
 
+def _expect_delayed_start(schedule: Schedule, run: Run) -> None:
+    known_starts = schedule.stray_starts.get(run.minion_id, {})
+    if run.key not in known_starts:
+        remember_delayed_start(schedule, run)
+    minion = schedule.minions.get(run.minion_id)
+    if minion is not None and not run.running_ms:
+        minion.unanswered_stray_stops.add(run.key)
+
+
 def stop_gang(schedule: Schedule, unit: Unit) -> None:
     """Stop the remaining members of a gang after one of them has ended."""
     if not unit.spec.gang or unit.done:
--- a/tests/core/scheduler/test_late_services.py
+++ b/tests/core/scheduler/test_late_services.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from courselead.core.scheduler import events as ev
+from courselead.core.scheduler import const, events as ev
 from courselead.core.scheduler.state import Run, RunPhase
 from tests.core.scheduler.fake_minions import FakeMinion
 from tests.core.scheduler.world import WALL_START_MS, World, job, step
@@ -15,8 +15,8 @@
 TASKS = 2
 LATE_MS = 2_000
 NEVER_MS = 600_000
-IN_TRANSIT_MS = 10_000
-"""Time within which a stop that was sent may still be carried out."""
+IN_TRANSIT_MS = const.STRAY_START_MS
+"""Time within which an order that was sent may still be carried out."""
 
 
 def make_world(minions=3) -> World:
