Compute a job's longest chain in one place

estimated_chain_ms repeated the loop of urgency over the steps of a job. It now calls longest_chain_ms with the estimates.

--- a/courselead/core/scheduler/admission.py
+++ b/courselead/core/scheduler/admission.py
@@ -15,6 +15,7 @@
 
 from courselead.core.scheduler.models import JobSpec, Queue
 from courselead.core.scheduler.records import PoolWait
+from courselead.core.scheduler.urgency import longest_chain_ms
 
 MIN_PUBLISHED_WAIT_MS = 1_000
 """Expected wait from which a pool counts as overloaded.
@@ -223,8 +224,4 @@
 
 def estimated_chain_ms(spec: JobSpec) -> int:
     """Return the estimated duration of a job's longest chain of dependent steps."""
-    ends: list[int] = []
-    for step in spec.steps:
-        start_ms = max((ends[before] for before in step.after), default=0)
-        ends.append(start_ms + step.estimate_ms)
-    return max(ends)
+    return longest_chain_ms(spec.steps, [step.estimate_ms for step in spec.steps])
--- a/courselead/core/scheduler/urgency.py
+++ b/courselead/core/scheduler/urgency.py
@@ -25,7 +25,7 @@
         expected = schedule.expected_ms(step.job.queue, item.spec)
         durations.append(expected if item.open_units else 0.0)
         work += item.open_units * item.spec.need.cpu_milli * durations[-1]
-    chain_ms = _chain_ms([item.spec for item in steps], durations)
+    chain_ms = longest_chain_ms([item.spec for item in steps], durations)
     found = RemainingWork(schedule.now_ms, int(work), chain_ms)
     schedule.remaining_work[key] = found
     return found
@@ -54,11 +54,11 @@
     if job.chain_ms == 0:
         specs = job.spec.steps
         durations = [schedule.expected_ms(job.queue, spec) for spec in specs]
-        job.chain_ms = _chain_ms(specs, durations)
+        job.chain_ms = longest_chain_ms(specs, durations)
     return job.chain_ms
 
 
-def _chain_ms(specs: Sequence[StepSpec], durations: Sequence[float]) -> int:
+def longest_chain_ms(specs: Sequence[StepSpec], durations: Sequence[float]) -> int:
     """Return the duration of the longest chain of dependent steps."""
     ends: list[float] = []
     for spec, time_ms in zip(specs, durations, strict=True):
