Do no work for evacuated zones in ticks without any

Each tick of the pools listed the kinds of all workers to switch off idle ones of evacuated zones, and went through all minions, also where no zone is evacuated. Both now return at once. The check which worker of a minion may be moved stood twice; _movable_worker_of serves both. Behaviour is the same; the tests of pools, demand, waves and evacuations pass unchanged.

--- a/courselead/core/scheduler/pools.py
+++ b/courselead/core/scheduler/pools.py
@@ -139,7 +139,9 @@
     Nothing is started there, however much their pools need. After a short evacuation
     they would be missing at the zone's return.
     """
-    found = []
+    found: list[tuple[Minion, Worker]] = []
+    if not schedule.evacuated_zones:
+        return found
     for minion in schedule.minions.values():
         if not evacuation_moves.is_due(schedule, minion.info.zone):
             continue
@@ -147,11 +149,11 @@
             continue
         if not minion.listed or minion.info.draining:
             continue
-        worker = schedule.workers.get(minion.worker_id)
-        if worker is None or worker.minion_id != minion.minion_id:
+        worker = _movable_worker_of(schedule, minion)
+        if worker is None:
             continue
         pool = schedule.config.pools.get(worker.pool)
-        if pool is not None and not pool.spare and _movable(schedule, worker):
+        if pool is not None and not pool.spare:
             found.append((minion, worker))
     return found
 
@@ -201,6 +203,14 @@
     return True
 
 
+def _movable_worker_of(schedule: Schedule, minion: Minion) -> Worker | None:
+    """Return the worker that runs a minion, None if it may not be moved now."""
+    worker = schedule.workers.get(minion.worker_id)
+    if worker is None or worker.minion_id != minion.minion_id:
+        return None
+    return worker if _movable(schedule, worker) else None
+
+
 def _surplus_minions(
     schedule: Schedule, demands: dict[str, PoolDemand]
 ) -> list[tuple[Minion, Worker]]:
@@ -209,11 +219,11 @@
     for demand in demands.values():
         surplus = demand.capacity - demand.wanted
         for minion in demand.idle or ():
-            worker = schedule.workers.get(minion.worker_id)
             capacity = minion.info.capacity.cpu_milli
-            if worker is None or capacity > surplus or not _movable(schedule, worker):
+            if capacity > surplus:
                 continue
-            if worker.minion_id != minion.minion_id:
+            worker = _movable_worker_of(schedule, minion)
+            if worker is None:
                 continue
             surplus -= capacity
             donors.append((minion, worker))
@@ -292,6 +302,8 @@
 
 
 def _switch_off(schedule: Schedule, donors: list[tuple[Minion, Worker]]) -> None:
+    if not donors:
+        return
     spare_pools = [name for name, pool in schedule.config.pools.items() if pool.spare]
     if not spare_pools:
         return
