--- a/benchmarks/path/fleet.py
+++ b/benchmarks/path/fleet.py
@@ -7,17 +7,15 @@
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field, replace
 from pathlib import Path
-from subprocess import DEVNULL
 from tempfile import TemporaryDirectory
 
 import anyio
-from anyio.streams.text import TextReceiveStream
 from returns.result import Failure
 
 from courselead.integrations.http import HttpClient, HttpRequest
 from demo.plan import HostPlan, digest
 from demo.ports import free_ports
-from demo.processes import READY_TIMEOUT_S, Processes
+from demo.processes import Processes
 
 OPERATOR = "operator-bench-credential"
 STATUS_OK = 200
@@ -70,16 +68,7 @@
 
     async def start_platform(self, args: Sequence[str]) -> str:
         """Start `benchmarks.path.platform` and return its JSON line."""
-        command = [sys.executable, "-m", "benchmarks.path.platform", *args]
-        process = await anyio.open_process(command, stdin=DEVNULL, stderr=None)
-        self._running["standins"] = process
-        with anyio.fail_after(READY_TIMEOUT_S):
-            line = ""
-            async for text in TextReceiveStream(process.stdout):
-                line += text
-                if "\n" in line:
-                    break
-        return line
+        return await self.start_standins(args, "benchmarks.path.platform")
 
 
 class ProcessFleet:
--- a/demo/processes.py
+++ b/demo/processes.py
@@ -38,9 +38,11 @@
     folder: Path
     _running: dict[str, Process] = field(default_factory=dict)
 
-    async def start_standins(self, args: Sequence[str]) -> str:
+    async def start_standins(
+        self, args: Sequence[str], module: str = "standins"
+    ) -> str:
         """Start the stand-ins and return the line that they print when ready."""
-        command = [sys.executable, "-m", "standins", *args]
+        command = [sys.executable, "-m", module, *args]
         process = await anyio.open_process(command, stdin=DEVNULL, stderr=None)
         self._running["standins"] = process
         with anyio.fail_after(READY_TIMEOUT_S):
