Log stops of long-running tasks and when tasks become ready

Cause: of a stop only the answer was logged, seconds later, so nothing told whether a task was slow, its report late or the stop held up. Change: service_stop_sent tells what the owner believed when the stop left, and how old the newest check of the step's budget was; service_task_ready tells how long a task needed. The simulated world's long-running tasks may need time to be ready, or stand still. Result: tests/core/scheduler passes (python -m pytest tests/core/scheduler).

--- a/courselead/core/scheduler/minions.py
+++ b/courselead/core/scheduler/minions.py
@@ -25,7 +25,14 @@
     StoreRuns,
 )
 from courselead.core.scheduler.schedule import Schedule, add_use
-from courselead.core.scheduler.state import Minion, Run, RunPhase, Unit, UnsavedEnd
+from courselead.core.scheduler.state import (
+    READY_PERCENT,
+    Minion,
+    Run,
+    RunPhase,
+    Unit,
+    UnsavedEnd,
+)
 
 START_NOT_ANSWERED = "its start was not answered"
 """Reason given for stops of runs that may still begin."""
@@ -257,12 +264,28 @@
         jobs.begin(schedule, run.unit.job)
     if report.checkpoint:
         run.checkpoint = report.checkpoint
-    if report.percent != run.percent:
-        run.percent = report.percent
-        run.percent_ms = schedule.now_ms
+    _update_percent(schedule, run, report.percent)
     run.figure = report.figure
 
 
+def _update_percent(schedule: Schedule, run: Run, percent: int) -> None:
+    if percent == run.percent:
+        return
+    was_ready = run.percent >= READY_PERCENT
+    run.percent = percent
+    run.percent_ms = schedule.now_ms
+    if not run.unit.spec.long_running or was_ready or percent < READY_PERCENT:
+        return
+    schedule.log_event(
+        "service_task_ready",
+        job_id=run.unit.job.job_id,
+        task=run.task,
+        run=run.number,
+        minion=run.minion_id,
+        age_ms=schedule.now_ms - run.started_ms,
+    )
+
+
 def _may_be_kept(run: Run) -> bool:
     """Return whether a run that began late goes on although a stop of it was sent.
 
--- a/courselead/core/scheduler/schedule.py
+++ b/courselead/core/scheduler/schedule.py
@@ -28,6 +28,7 @@
 )
 from courselead.core.scheduler.run_records import RemainingRuns
 from courselead.core.scheduler.state import (
+    BudgetCheck,
     Job,
     LostIncarnation,
     Minion,
@@ -430,10 +431,31 @@
         run.stop_answered_ms = None
         minion = self.minions.get(run.minion_id)
         born_ms = 0 if minion is None else minion.info.born_ms
+        if run.unit.spec.long_running:
+            self._log_service_stop(run, minion)
         self.emit(
             StopRun(run.minion_id, run.task, run.number, run.stop_reason, born_ms)
         )
 
+    def _log_service_stop(self, run: Run, minion: Minion | None) -> None:
+        """Log the stop of a long-running task with what is known of its step."""
+        step = run.unit.step
+        check = step.budget_check
+        self.log_event(
+            "service_stop_sent",
+            job_id=step.job.job_id,
+            task=run.task,
+            run=run.number,
+            minion=run.minion_id,
+            reason=run.stop_reason,
+            percent=run.percent,
+            unchanged_ms=self.now_ms - max(run.started_ms, run.percent_ms),
+            report_age_ms=None if minion is None else self.now_ms - minion.seen_ms,
+            missing=None if check is None else check.missing,
+            checked_age_ms=None if check is None else self.now_ms - check.at_ms,
+            may_miss=step.spec.may_miss,
+        )
+
     def burst_age_ms(self, pool: str) -> int | None:
         """Return how long a pool's demand burst has lasted, None outside of a burst."""
         bursts = self.bursts.get(pool)
@@ -485,8 +507,10 @@
             return True
         if not self._is_settled(run.unit.step):
             return False
-        allowed = max(1, spec.may_miss)
-        return self.missing_in_step(run.unit.step, run) < allowed
+        step = run.unit.step
+        missing = self.missing_in_step(step, run)
+        step.budget_check = BudgetCheck(self.now_ms, missing)
+        return missing < max(1, spec.may_miss)
 
     def _is_settled(self, step: StepRun) -> bool:
         """Return whether no stop by an earlier owner can be in flight in a step.
--- a/courselead/core/scheduler/state.py
+++ b/courselead/core/scheduler/state.py
@@ -16,6 +16,9 @@
     StepSpec,
 )
 
+READY_PERCENT = 100
+"""Progress that a long-running task reports while it serves its users."""
+
 
 def first_run_of(fence: int) -> int:
     """Return the lowest run number that an owner with this fence may assign."""
@@ -87,7 +90,7 @@
     @property
     def is_working(self) -> bool:
         """Return whether a long-running task is fully up."""
-        return self.phase is RunPhase.RUNNING and self.percent >= 100
+        return self.phase is RunPhase.RUNNING and self.percent >= READY_PERCENT
 
 
 @dataclass(frozen=True, slots=True)
@@ -322,11 +325,24 @@
     tried_ms: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class BudgetCheck:
+    """A check of whether a long-running step may miss one more task.
+
+    Attributes:
+        missing: How many other tasks of the step did not work.
+    """
+
+    at_ms: int
+    missing: int
+
+
 @dataclass(slots=True, eq=False)
 class StepRun:
     """A step of one occurrence of a job.
 
     Attributes:
+        budget_check: Newest check of its disruption budget, for the log.
         at_cap_ms: Since when it waits for its account's cap, 0 if it does not.
         capped_ms: Total time that it has waited for the cap.
     """
@@ -340,6 +356,7 @@
     ready: bool = False
     at_cap_ms: int = 0
     capped_ms: int = 0
+    budget_check: BudgetCheck | None = None
 
     @property
     def name(self) -> str:
--- a/tests/core/scheduler/fake_minions.py
+++ b/tests/core/scheduler/fake_minions.py
@@ -24,6 +24,12 @@
     unreached_ms: int = 0
     # Run time after which the run crashes its minion.
     crash_ms: int | None = None
+    # When a long-running task begins to work; None while its minion stands still.
+    ready_ms: int | None = 0
+
+    def is_at_work(self, now_ms: int) -> bool:
+        """Return whether a long-running task serves its users."""
+        return self.ready_ms is not None and now_ms >= self.ready_ms
 
 
 @dataclass
@@ -42,6 +48,10 @@
     cut: bool = False
     draining: bool = False
     cold_until_ms: int = 0
+    # Multiple of its usual time that a long-running task takes here to be ready.
+    startup_factor: float = 1.0
+    # While set, no task that is not ready yet becomes so.
+    stands_still: bool = False
     fails_all: bool = False
     sequence: int = 0
     runs: dict[tuple[str, int], FakeRun] = field(default_factory=dict)
