Add failing tests of services that are slow to be ready

A service whose tasks need more than 2.5 s to be ready is stopped as a whole, and one that always needs so long is restarted for ever.

--- a/tests/core/scheduler/test_stalled_services.py
+++ b/tests/core/scheduler/test_stalled_services.py
@@ -12,6 +12,8 @@
 SERVICE = "5" * 16
 TASKS = 5
 CAPACITY = Resources(8_000, 8_000)
+SLOW_MS = (2_400, 2_600, 3_000, 6_000, 14_000)
+SEEDS = 40
 
 
 def make_world(minions=4, startup_ms=(0, 0), seed=0) -> World:
@@ -71,3 +73,24 @@
     assert fields["percent"] == 100
     assert 0 <= fields["report_age_ms"] <= world.poll_ms
     assert (fields["missing"], fields["checked_age_ms"]) == (0, 0)
+
+
+def test_a_service_that_is_slow_to_be_ready_is_not_stopped():
+    # Guards against the stop of all tasks of a step that are taken for stalled.
+    for ready_ms in SLOW_MS:
+        world = make_world(startup_ms=(ready_ms, ready_ms))
+        submit(world)
+        world.run(ready_ms + 6_000)
+        assert len(at_work(world)) == TASKS
+        assert not stops_sent(world)
+
+
+def test_no_task_that_became_ready_is_stopped_beside_others_that_are_not():
+    # Guards against a stop that was decided before the task became ready. The world
+    # checks the budget.
+    for seed in range(SEEDS):
+        world = make_world(startup_ms=(1_500, 6_000), seed=seed)
+        world.poll_ms = 200 + 80 * (seed % 11)
+        submit(world)
+        world.run(20_000)
+        assert len(at_work(world)) == TASKS
