Stop stalled long-running tasks only within their step's budget

Cause: a long-running task counted as stalled 2.5 s after its start or its last change of percent, by the owner's clock, whatever the age of the newest report, and was stopped without a look at the budget. A task that is slow to be ready looks like one that stands still. Change: a long-running task is judged by the reports of its minion, when one has arrived, by how long tasks of its queue usually need, and longer after each stall; it is stopped only if the budget of its step allows it as if it worked. Where the budget allows none, the tasks are replaced one at a time after 20 s without any progress. Left: a task that stood still for 20 s and becomes ready while its stop is in transit.

--- a/courselead/core/scheduler/const.py
+++ b/courselead/core/scheduler/const.py
@@ -38,12 +38,6 @@
 QUARANTINE_MS = 4_000
 """Duration of the quarantine of a minion on which runs keep failing."""
 
-STALL_MS = 2_500
-"""Time without progress after which a run is stopped: two and a half polls."""
-
-STALL_FACTOR = 3
-"""A run counts as stalled only after this many times its expected run time."""
-
 RESTART_BACKOFF_MS = 200
 """Initial delay before a failed long-running task is restarted."""
 
--- a/courselead/core/scheduler/minions.py
+++ b/courselead/core/scheduler/minions.py
@@ -12,6 +12,7 @@
     lives,
     lost_runs,
     pace,
+    stalls,
 )
 from courselead.core.scheduler.events import (
     EndKind,
@@ -69,6 +70,7 @@
         _process_end_report(schedule, minion, end)
     _drop_stopped_unreported(schedule, minion, event.sent_ms, reported)
     _stop_unreported_services(schedule, minion, reported)
+    stalls.stop_stalled_services(schedule, minion, event.sent_ms)
     if not minion.synced:
         minion.synced = True
         minion.synced_ms = schedule.now_ms
@@ -155,12 +157,11 @@
         if minion.failures and minion.runs:
             _expire_lease(schedule, minion)
         for run in list(minion.runs.values()):
-            if run.phase is RunPhase.STOPPING:
-                if not _is_stopped_after_polls(run):
-                    _retry_stop(schedule, run)
-            elif _is_stalled(schedule, run):
-                run.unit.avoid.add(run.minion_id)
-                schedule.stop_run(run, "no progress")
+            if run.phase is not RunPhase.STOPPING:
+                continue
+            if not _is_stopped_after_polls(run):
+                _retry_stop(schedule, run)
+        stalls.stop_stalled_finite_runs(schedule, minion)
         if minion.unanswered_stray_stops:
             lives.resend_pending_stops(schedule, minion)
         if minion.info.draining:
@@ -228,25 +229,6 @@
             _retry_stop(schedule, run)
 
 
-def _is_stalled(schedule: Schedule, run: Run) -> bool:
-    if run.phase is not RunPhase.RUNNING:
-        return False
-    unit = run.unit
-    if unit.spec.gang or run.pace < 100:
-        return False
-    minion = schedule.minions[run.minion_id]
-    # While a minion is slow, a run on it is not judged.
-    judged_from_ms = max(run.started_ms, minion.warm_at_ms)
-    unchanged_ms = schedule.now_ms - max(run.percent_ms, judged_from_ms)
-    if unchanged_ms < const.STALL_MS or minion.failures:
-        return False
-    if unit.spec.long_running:
-        return run.percent < 100 and not unit.spec.fills
-    expected = schedule.expected_ms(unit.job.queue, unit.spec)
-    age_ms = schedule.now_ms - judged_from_ms
-    return age_ms > const.STALL_FACTOR * expected
-
-
 def _process_run_report(schedule: Schedule, minion: Minion, report: RunReport) -> None:
     run = minion.runs.get((report.task, report.number))
     if run is None:
@@ -276,6 +258,7 @@
     run.percent_ms = schedule.now_ms
     if not run.unit.spec.long_running or was_ready or percent < READY_PERCENT:
         return
+    stalls.record_ready(schedule, run)
     schedule.log_event(
         "service_task_ready",
         job_id=run.unit.job.job_id,
--- a/courselead/core/scheduler/schedule.py
+++ b/courselead/core/scheduler/schedule.py
@@ -215,6 +215,8 @@
     unknown_pool_minions: dict[str, MinionInfo] = field(default_factory=dict)
     waves: dict[int, WaveState] = field(default_factory=dict)
     run_ms: dict[str, float] = field(default_factory=dict)
+    # Average time by queue until a long-running task is ready, in ms.
+    ready_ms: dict[str, float] = field(default_factory=dict)
     moves: dict[str, MoveState] = field(default_factory=dict)
     moved_ms: dict[str, int] = field(default_factory=dict)
     joining: dict[str, int] = field(default_factory=dict)
--- a/courselead/core/scheduler/state.py
+++ b/courselead/core/scheduler/state.py
@@ -145,6 +145,8 @@
         first_start_known: Whether its first start under the owner that accepted the job
             was found running or has been counted. Only that start may be missing from
             the log.
+        stalls: Times in a row that a long-running task was stopped as it did not become
+            ready.
     """
 
     step: StepRun
@@ -164,6 +166,7 @@
     stored_starts: set[tuple[int, Incarnation]] = field(default_factory=set)
     has_lasted: bool = False
     first_start_known: bool = False
+    stalls: int = 0
 
     @property
     def starts_stored(self) -> bool:
--- a/tests/core/scheduler/test_evacuation_warmup.py
+++ b/tests/core/scheduler/test_evacuation_warmup.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from courselead.core.scheduler import const, events as ev
+from courselead.core.scheduler import events as ev, stalls
 from courselead.core.scheduler.models import JobState
 from tests.core.scheduler.fake_minions import FakeMinion
 from tests.core.scheduler.world import QUEUE, WALL_START_MS, World, job, step
@@ -76,7 +76,7 @@
     # stopping it: the time without progress counts from when the minion is warm.
     world = world_with_cold_minion()
     world.submit(job(step(1)), length_ms=STUCK_MS)
-    world.run(WARMUP_MS + const.STALL_MS - 100)
+    world.run(WARMUP_MS + stalls.STALL_MS - 100)
     assert not stops(world)
     world.run(400)
     assert {order.reason for order in stops(world)} == {"no progress"}
--- a/tests/core/scheduler/test_stalled_services.py
+++ b/tests/core/scheduler/test_stalled_services.py
@@ -4,7 +4,9 @@
 had become ready before their stops arrived.
 """
 
-from courselead.core.scheduler import events as ev
+import itertools
+
+from courselead.core.scheduler import events as ev, stalls
 from courselead.core.scheduler.models import MaintenanceWave, Resources
 from tests.core.scheduler.fake_minions import FakeMinion
 from tests.core.scheduler.world import World, job, step
@@ -37,6 +39,10 @@
     return [item for item in events if item.event == name]
 
 
+def stop_lines(world: World) -> list[ev.LogEvent]:
+    return log_events(world, "service_stop_sent")
+
+
 def at_work(world: World) -> list[str]:
     return sorted(
         run.task
@@ -68,7 +74,7 @@
     wave = ev.WaveRequested(MaintenanceWave(1, ("w0", "w1", "w2", "w3"), 60, 1))
     world.owner.handle(wave, world.now_ms)
     world.run(12_000)
-    fields = log_events(world, "service_stop_sent")[0].fields
+    fields = stop_lines(world)[0].fields
     assert fields["reason"] == "its worker is due for maintenance"
     assert fields["percent"] == 100
     assert 0 <= fields["report_age_ms"] <= world.poll_ms
@@ -94,3 +100,83 @@
         submit(world)
         world.run(20_000)
         assert len(at_work(world)) == TASKS
+
+
+def stand_still(world: World, count: int) -> list[FakeMinion]:
+    """Let the minions of a service's first tasks stand still before they are ready."""
+    minions = minions_in_use(world)[:count]
+    for minion in minions:
+        world.stand_still(minion)
+    return minions
+
+
+def make_spread_world(seed=0) -> World:
+    """Return a world in which each task of a service starts on its own minion."""
+    world = make_world(minions=6, startup_ms=(800, 1_200), seed=seed)
+    spec = step(TASKS, long_running=True, may_miss=1, max_per_minion=1)
+    world.submit(job(spec), SERVICE)
+    world.run(100)
+    return world
+
+
+def test_a_task_that_stands_still_is_replaced_on_another_minion():
+    # Guards against a task that waits for a minion that stands still for good.
+    world = make_spread_world()
+    [still] = stand_still(world, 1)
+    world.run(6_000)
+    assert len(at_work(world)) == TASKS
+    assert not still.runs
+    assert len(stops_sent(world)) == 1
+
+
+def test_tasks_beyond_the_budget_are_left_to_become_ready():
+    # Guards against stops of several tasks that may all become ready in the meantime.
+    world = make_spread_world()
+    minions = stand_still(world, 2)
+    world.run(12_000)
+    assert not stops_sent(world)
+    for minion in minions:
+        world.go_on(minion)
+    world.run(2_000)
+    assert len(at_work(world)) == TASKS
+
+
+def test_a_service_on_minions_that_stand_still_for_good_is_replaced_task_by_task():
+    # Guards against a service that never works again, as its budget allows no stop.
+    world = make_world(minions=4, startup_ms=(800, 1_200))
+    submit(world)
+    world.run(100)
+    stand_still(world, len(minions_in_use(world)))
+    world.run(stalls.STANDSTILL_MS - 500)
+    assert not stops_sent(world)
+    world.run(20_000)
+    assert len(at_work(world)) == TASKS
+    stops_at_ms = [line.fields["unchanged_ms"] for line in stop_lines(world)]
+    assert len(stops_at_ms) == TASKS
+    # Each is stopped only after the last one works again.
+    assert all(b - a >= 800 for a, b in itertools.pairwise(stops_at_ms))
+
+
+def test_a_task_is_not_judged_by_old_reports():
+    # Guards against a task that became ready while its minion's reports were late.
+    world = make_spread_world()
+    world.poll_ms = 6_000
+    world.run(5_000)
+    assert not stops_sent(world)
+
+
+def test_a_task_that_is_always_slow_becomes_ready_after_a_crash():
+    # Guards against a restart each time that it is about to be ready.
+    world = make_world(minions=6, startup_ms=(4_000, 4_000))
+    spec = step(TASKS, long_running=True, may_miss=1, max_per_minion=1)
+    world.submit(job(spec), SERVICE)
+    world.run(8_000)
+    world.lose_power(minions_in_use(world)[0])
+    world.run(12_000)
+    assert len(at_work(world)) == TASKS
+    # A new owner does not know how long the tasks need.
+    world.claim()
+    world.run(3_000)
+    world.lose_power(minions_in_use(world)[0])
+    world.run(20_000)
+    assert len(at_work(world)) == TASKS
