Check the budget again before a stop of a service is repeated

A minion that was cut off got the repeated stop as soon as it was back. Cause: repetitions went out on a timer, on a belief that was as old as the first stop. The same class as the stop of stalled tasks. Change: stops of long-running tasks that are wanted are repeated only after a poll of their minion; if it reports the task and the budget no longer allows the stop, the task is kept and counts as not working while a stop may be in transit. Minions that drain and jobs that nobody wants are as before. What concerns repeated stops moves to service_stops.py.

--- a/courselead/core/scheduler/minions.py
+++ b/courselead/core/scheduler/minions.py
@@ -12,6 +12,7 @@
     lives,
     lost_runs,
     pace,
+    service_stops,
     stalls,
 )
 from courselead.core.scheduler.events import (
@@ -35,12 +36,6 @@
     UnsavedEnd,
 )
 
-START_NOT_ANSWERED = "its start was not answered"
-"""Reason given for stops of runs that may still begin."""
-
-LATE_START_REASONS = (START_NOT_ANSWERED, lives.STARTED_AGAIN)
-"""Reasons of stops for runs that are not known to have begun."""
-
 
 def poll_answered(schedule: Schedule, event: PollAnswered) -> None:
     """Process the full report of a minion."""
@@ -69,7 +64,7 @@
         reported.add((end.task, end.number))
         _process_end_report(schedule, minion, end)
     _drop_stopped_unreported(schedule, minion, event.sent_ms, reported)
-    _stop_unreported_services(schedule, minion, reported)
+    service_stops.minion_polled(schedule, minion, reported)
     stalls.stop_stalled_services(schedule, minion, event.sent_ms)
     if not minion.synced:
         minion.synced = True
@@ -144,11 +139,7 @@
             lost_runs.remember_delayed_start(schedule, run)
         _handle_start_answer(schedule, minion, run, event)
     elif stopped:
-        run.stop_answered_ms = schedule.now_ms
-        if run.phase is RunPhase.RUNNING:
-            # It was kept before the answer to its stop arrived.
-            run.phase = RunPhase.STOPPING
-            run.stop_reason = START_NOT_ANSWERED
+        service_stops.stop_answered(schedule, run)
 
 
 def tick(schedule: Schedule) -> None:
@@ -156,11 +147,7 @@
     for minion in list(schedule.minions.values()):
         if minion.failures and minion.runs:
             _expire_lease(schedule, minion)
-        for run in list(minion.runs.values()):
-            if run.phase is not RunPhase.STOPPING:
-                continue
-            if not _is_stopped_after_polls(run):
-                _retry_stop(schedule, run)
+        service_stops.tick(schedule, minion)
         stalls.stop_stalled_finite_runs(schedule, minion)
         if minion.unanswered_stray_stops:
             lives.resend_pending_stops(schedule, minion)
@@ -198,37 +185,6 @@
         lives.end_incarnation(schedule, minion, "left the list and its lease is over")
 
 
-def _retry_stop(schedule: Schedule, run: Run) -> None:
-    if run.stop_answered_ms is not None:
-        return
-    if schedule.now_ms - run.stop_sent_ms < const.STOP_RETRY_MS:
-        return
-    schedule.order_stop(run)
-
-
-def _is_stopped_after_polls(run: Run) -> bool:
-    """Return whether stops of a run are sent only after polls that do not report it.
-
-    A long-running task may begin late, while its unanswered start is being stopped. A
-    stop on a timer would end it although its step's budget may not allow that.
-    """
-    if run.confirmed or run.stop_reason not in LATE_START_REASONS:
-        return False
-    spec = run.unit.spec
-    return spec.long_running and not spec.gang and jobs.keeps_running(run.unit)
-
-
-def _stop_unreported_services(
-    schedule: Schedule, minion: Minion, reported: set[tuple[str, int]]
-) -> None:
-    """Send due stops of long-running tasks that a poll has just not reported."""
-    for run in list(minion.runs.values()):
-        if run.phase is not RunPhase.STOPPING or run.key in reported:
-            continue
-        if _is_stopped_after_polls(run):
-            _retry_stop(schedule, run)
-
-
 def _process_run_report(schedule: Schedule, minion: Minion, report: RunReport) -> None:
     run = minion.runs.get((report.task, report.number))
     if run is None:
@@ -236,8 +192,7 @@
     elif isinstance(run.unit, jobs.StrayUnit) and run.stop_answered_ms is None:
         # Its stop may have been lost.
         schedule.order_stop(run)
-    if _may_be_kept(run):
-        _keep_run(schedule, minion, run)
+    service_stops.run_reported(schedule, minion, run)
     run.confirmed = True
     if run.phase is RunPhase.SENT:
         run.phase = RunPhase.RUNNING
@@ -269,38 +224,6 @@
     )
 
 
-def _may_be_kept(run: Run) -> bool:
-    """Return whether a run that began late goes on although a stop of it was sent.
-
-    Only a long-running task that is still wanted and has no other run is kept. After an
-    answered stop, a run that is reported is about to end.
-    """
-    if run.phase is not RunPhase.STOPPING or run.stop_answered_ms is not None:
-        return False
-    return _is_stopped_after_polls(run) and len(run.unit.runs) == 1
-
-
-def _keep_run(schedule: Schedule, minion: Minion, run: Run) -> None:
-    """Keep a run whose start was not answered and that a poll reports as running.
-
-    Its stops are not repeated. One that is still in transit may end it, so it does not
-    count as working for a while (`Schedule._is_at_work`).
-    """
-    # The report that is being processed confirms it like a start that is in transit.
-    run.phase = RunPhase.SENT
-    run.percent_ms = schedule.now_ms
-    minion.unanswered_stray_stops.discard(run.key)
-    schedule.log_event(
-        "run_kept",
-        job_id=run.unit.job.job_id,
-        task=run.task,
-        run=run.number,
-        minion=minion.minion_id,
-        reason=run.stop_reason,
-    )
-    run.stop_reason = ""
-
-
 def _adopt_run(schedule: Schedule, minion: Minion, report: RunReport) -> Run:
     """Track a reported run, which an earlier owner started or whose task has ended.
 
@@ -466,7 +389,7 @@
             if not run.confirmed:
                 # The run may still begin later. A run that a poll has reported exists,
                 # and goes on.
-                _stop_unanswered(schedule, run)
+                service_stops.stop_unanswered_start(schedule, run)
             return
         case Outcome.NO_CAPACITY:
             minion.rest_until_ms = schedule.now_ms + const.CAPACITY_REFUSAL_MS
@@ -484,15 +407,3 @@
         reason=event.reason,
     )
     lost_runs.drop_lost_run(schedule, run)
-
-
-def _stop_unanswered(schedule: Schedule, run: Run) -> None:
-    """Stop a run whose start was not answered, so that it does not begin later."""
-    if run.phase is RunPhase.STOPPING:
-        return
-    run.stop_reason = START_NOT_ANSWERED
-    if _is_stopped_after_polls(run):
-        # The stop is sent after the next poll that does not report the run.
-        run.phase = RunPhase.STOPPING
-    else:
-        schedule.stop_run(run, START_NOT_ANSWERED)
--- /dev/null
+++ b/courselead/core/scheduler/service_stops.py
@@ -0,0 +1,125 @@
+"""Repeats stops, those of long-running tasks only within their step's budget.
+
+A stop may be lost or delayed. Until it arrives, the task goes on, and other tasks of its
+step may be lost in the meantime. So a stop of a long-running task that its caller still
+wants is repeated only after a poll, which tells whether the task is there. If it is, and
+the budget of its step no longer allows the stop, it is kept.
+"""
+
+from __future__ import annotations
+
+from courselead.core.scheduler import const, jobs, lives
+from courselead.core.scheduler.schedule import Schedule
+from courselead.core.scheduler.state import Minion, Run, RunPhase
+
+START_NOT_ANSWERED = "its start was not answered"
+"""Reason given for stops of runs that may still begin."""
+
+KEPT_BEFORE_ANSWER = "it was kept before its stop was answered"
+"""Reason given for the end of a run whose stop was answered late."""
+
+LATE_START_REASONS = (START_NOT_ANSWERED, lives.STARTED_AGAIN)
+"""Reasons of stops for runs that are not known to have begun."""
+
+
+def stop_unanswered_start(schedule: Schedule, run: Run) -> None:
+    """Stop a run whose start was not answered, so that it does not begin later."""
+    if run.phase is RunPhase.STOPPING:
+        return
+    run.stop_reason = START_NOT_ANSWERED
+    if _is_kept_within_budget(run):
+        # The stop is sent after the next poll that does not report the run.
+        run.phase = RunPhase.STOPPING
+    else:
+        schedule.stop_run(run, START_NOT_ANSWERED)
+
+
+def tick(schedule: Schedule, minion: Minion) -> None:
+    """Repeat the unanswered stops on a minion that no budget restricts."""
+    for run in list(minion.runs.values()):
+        if run.phase is not RunPhase.STOPPING:
+            continue
+        if minion.info.draining or not _is_kept_within_budget(run):
+            _repeat_if_due(schedule, run)
+
+
+def run_reported(schedule: Schedule, minion: Minion, run: Run) -> None:
+    """Keep a run that is reported while its start is being stopped.
+
+    Only a long-running task that is still wanted and has no other run is kept. After an
+    answered stop, a run that is reported is about to end.
+    """
+    if run.phase is not RunPhase.STOPPING or run.stop_answered_ms is not None:
+        return
+    if not _may_not_have_begun(run) or len(run.unit.runs) > 1:
+        return
+    if _is_kept_within_budget(run):
+        _keep(schedule, minion, run)
+
+
+def minion_polled(
+    schedule: Schedule, minion: Minion, reported: set[tuple[str, int]]
+) -> None:
+    """Repeat the due stops of long-running tasks, or keep the tasks.
+
+    Args:
+        schedule: Changed in place.
+        minion: The minion whose report has just been processed.
+        reported: The runs in it, by task name and run number.
+    """
+    for run in list(minion.runs.values()):
+        if run.phase is not RunPhase.STOPPING or not _is_kept_within_budget(run):
+            continue
+        is_there = run.key in reported
+        if not is_there or schedule.may_interrupt(run) or len(run.unit.runs) > 1:
+            _repeat_if_due(schedule, run)
+        elif run.stop_answered_ms is None and _is_due(schedule, run):
+            _keep(schedule, minion, run)
+
+
+def stop_answered(schedule: Schedule, run: Run) -> None:
+    """Process the answer to a stop: the run is about to end."""
+    run.stop_answered_ms = schedule.now_ms
+    if run.phase is RunPhase.RUNNING:
+        run.phase = RunPhase.STOPPING
+        run.stop_reason = KEPT_BEFORE_ANSWER
+
+
+def _is_kept_within_budget(run: Run) -> bool:
+    """Return whether stops of a run depend on polls and on its step's budget."""
+    spec = run.unit.spec
+    return spec.long_running and not spec.gang and jobs.keeps_running(run.unit)
+
+
+def _may_not_have_begun(run: Run) -> bool:
+    return not run.confirmed and run.stop_reason in LATE_START_REASONS
+
+
+def _is_due(schedule: Schedule, run: Run) -> bool:
+    return schedule.now_ms - run.stop_sent_ms >= const.STOP_RETRY_MS
+
+
+def _repeat_if_due(schedule: Schedule, run: Run) -> None:
+    if run.stop_answered_ms is None and _is_due(schedule, run):
+        schedule.order_stop(run)
+
+
+def _keep(schedule: Schedule, minion: Minion, run: Run) -> None:
+    """Let a run go on that a poll reports although a stop of it was sent.
+
+    Its stops are not repeated. One that is still in transit may end it, so it does not
+    count as working for a while (`Schedule._is_at_work`).
+    """
+    # Where its start was not answered, the report confirms it like one in transit.
+    run.phase = RunPhase.RUNNING if run.running_ms else RunPhase.SENT
+    run.percent_ms = schedule.now_ms
+    minion.unanswered_stray_stops.discard(run.key)
+    schedule.log_event(
+        "run_kept",
+        job_id=run.unit.job.job_id,
+        task=run.task,
+        run=run.number,
+        minion=minion.minion_id,
+        reason=run.stop_reason,
+    )
+    run.stop_reason = ""
