--- a/courselead/core/scheduler/service_stops.py
+++ b/courselead/core/scheduler/service_stops.py
@@ -1,9 +1,9 @@
 """Repeats stops, those of long-running tasks only within their step's budget.
 
-A stop may be lost or delayed. Until it arrives, the task goes on, and other tasks of its
-step may be lost in the meantime. So a stop of a long-running task that its caller still
-wants is repeated only after a poll, which tells whether the task is there. If it is, and
-the budget of its step no longer allows the stop, it is kept.
+A stop may be lost or delayed. Until it arrives, the task goes on, and other tasks of
+its step may be lost in the meantime. So a stop of a long-running task that its caller
+still wants is repeated only after a poll, which tells whether the task is there. If it
+is, and the budget of its step no longer allows the stop, it is kept.
 """
 
 from __future__ import annotations
