Send stops of stray starts of services only after a poll

Symptom: a task of a service that had begun on the next incarnation of its minion was stopped as soon as that incarnation was listed, and each 0.1 s until its first poll was answered, whatever else of its step was missing. Cause: the stop of a stray start was sent on a timer, without knowing whether the task works. Result: test_a_task_that_works_on_the_next_incarnation_before_its_entry_is_kept failed before at both times and passes.

--- a/courselead/core/scheduler/jobs.py
+++ b/courselead/core/scheduler/jobs.py
@@ -253,6 +253,12 @@
     return job.state is JobState.FAILED and unit.spec.long_running
 
 
+def is_wanted_service(unit: Unit) -> bool:
+    """Return whether a unit is a long-running task that should keep running."""
+    spec = unit.spec
+    return spec.long_running and not spec.gang and keeps_running(unit)
+
+
 def _stop_runs(schedule: Schedule, job: Job, reason: str) -> None:
     left_running = 0
     for steps in job.occurrences.values():
--- a/courselead/core/scheduler/lives.py
+++ b/courselead/core/scheduler/lives.py
@@ -8,7 +8,7 @@
 
 from dataclasses import replace
 
-from courselead.core.scheduler import const, crashes
+from courselead.core.scheduler import const, crashes, jobs
 from courselead.core.scheduler.events import (
     StartPolling,
     StopPolling,
@@ -129,10 +129,20 @@
     resend_pending_stops(schedule, schedule.minions[incarnation.minion_id])
 
 
-def resend_pending_stops(schedule: Schedule, minion: Minion) -> None:
+def resend_pending_stops(
+    schedule: Schedule, minion: Minion, after_poll: bool = False
+) -> None:
     """Resend the stops of delayed starts that this incarnation has not answered.
 
     A single stop is not enough: it may be delayed as well, and arrive after the start.
+    A long-running task that is still wanted may work by now, so its stop is sent only
+    after a poll that did not report it.
+
+    Args:
+        schedule: Changed in place.
+        minion: The incarnation.
+        after_poll: Whether its report has just been processed: then those of services
+            are sent, otherwise all others.
     """
     delayed_starts = schedule.stray_starts.get(minion.minion_id, {})
     for key in sorted(minion.unanswered_stray_stops):
@@ -140,6 +150,10 @@
             minion.unanswered_stray_stops.discard(key)
             continue
         task, number = key
+        unit = schedule.units.get(task)
+        is_service = unit is not None and jobs.is_wanted_service(unit)
+        if is_service != after_poll:
+            continue
         schedule.emit(
             StopRun(minion.minion_id, task, number, STARTED_AGAIN, minion.info.born_ms)
         )
--- a/courselead/core/scheduler/service_stops.py
+++ b/courselead/core/scheduler/service_stops.py
@@ -27,7 +27,7 @@
     if run.phase is RunPhase.STOPPING:
         return
     run.stop_reason = START_NOT_ANSWERED
-    if _is_kept_within_budget(run):
+    if jobs.is_wanted_service(run.unit):
         # The stop is sent after the next poll that does not report the run.
         run.phase = RunPhase.STOPPING
     else:
@@ -39,7 +39,7 @@
     for run in list(minion.runs.values()):
         if run.phase is not RunPhase.STOPPING:
             continue
-        if minion.info.draining or not _is_kept_within_budget(run):
+        if minion.info.draining or not jobs.is_wanted_service(run.unit):
             _repeat_if_due(schedule, run)
 
 
@@ -53,7 +53,7 @@
         return
     if not _may_not_have_begun(run) or len(run.unit.runs) > 1:
         return
-    if _is_kept_within_budget(run):
+    if jobs.is_wanted_service(run.unit):
         _keep(schedule, minion, run)
 
 
@@ -68,7 +68,7 @@
         reported: The runs in it, by task name and run number.
     """
     for run in list(minion.runs.values()):
-        if run.phase is not RunPhase.STOPPING or not _is_kept_within_budget(run):
+        if run.phase is not RunPhase.STOPPING or not jobs.is_wanted_service(run.unit):
             continue
         is_there = run.key in reported
         if not is_there or schedule.may_interrupt(run) or len(run.unit.runs) > 1:
@@ -85,12 +85,6 @@
         run.stop_reason = KEPT_BEFORE_ANSWER
 
 
-def _is_kept_within_budget(run: Run) -> bool:
-    """Return whether stops of a run depend on polls and on its step's budget."""
-    spec = run.unit.spec
-    return spec.long_running and not spec.gang and jobs.keeps_running(run.unit)
-
-
 def _may_not_have_begun(run: Run) -> bool:
     return not run.confirmed and run.stop_reason in LATE_START_REASONS
 
--- a/tests/core/scheduler/test_late_services.py
+++ b/tests/core/scheduler/test_late_services.py
@@ -205,3 +205,23 @@
     world.late_orders = 0.0
     world.run(3_000)
     assert len(world.starts) == len(running(world)) == TASKS
+
+
+@pytest.mark.parametrize("listed_ms", [300, 1_200])
+def test_a_task_that_works_on_the_next_incarnation_before_its_entry_is_kept(listed_ms):
+    # Guards against stops of stray starts that leave before the first poll of an
+    # incarnation, while another task of the step is missing.
+    world = make_world(minions=TASKS)
+    submit_late(world, late_ms=NEVER_MS)
+    reconnect(world)
+    world.run(1_500)
+    schedule = world.owner.schedule
+    first, second = starts_sent(world)[:TASKS]
+    following = world.start_again(first.minion_id, WALL_START_MS + 50_000)
+    world.start_again(second.minion_id, WALL_START_MS + 50_000)
+    world._start(following, first, schedule.fence)
+    world.run(listed_ms)
+    world.list_entry(following)
+    world.run(3_000)
+    assert f"{SERVICE}.0.0.{first.task[-1]}" in running(world)
+    assert len(world.starts_of(first.task)) == 1
