Trust no report of a minion that is older than 2.5 s for a step's budget

An owner that was suspended, or ran late, could stop a task of a service on a belief of any age about the others. Cause: only a failed poll made a minion's last report count as outdated. Change: a task counts as working only if its minion's newest report is younger than 2.5 s. Result: two tests of test_repeated_service_stops.py failed before and pass.

--- a/courselead/core/scheduler/const.py
+++ b/courselead/core/scheduler/const.py
@@ -59,6 +59,13 @@
 POLL_WAIT_MS = 1_000
 """Time that a poll waits for a run end: the maximum age of progress and tail data."""
 
+REPORT_VALID_MS = 2_500
+"""Age of a minion's report from which its tasks are not assumed to work any more.
+
+A poll that is answered takes less. A task that is lost just after a report counts as
+missing, for the users, no earlier than 4.5 s later.
+"""
+
 POLL_WAIT_IDLE_MS = 2_000
 """Wait of a poll if nothing runs: the protocol's maximum, as each poll has a cost."""
 
--- a/courselead/core/scheduler/schedule.py
+++ b/courselead/core/scheduler/schedule.py
@@ -489,12 +489,15 @@
     def _is_at_work(self, run: Run) -> bool:
         """Return whether a long-running task works on a minion that answers.
 
-        The last report of a silent minion may be outdated. If it were trusted, stopping
-        another task of the step could exceed the step's budget.
+        The last report of a silent minion may be outdated, and so are all reports after
+        the owner was suspended. If they were trusted, stopping another task of the step
+        could exceed the step's budget.
         """
         minion = self.minions.get(run.minion_id)
         if not run.is_working or minion is None or minion.failures:
             return False
+        if self.now_ms - minion.seen_ms >= const.REPORT_VALID_MS:
+            return False
         # A run that began late was kept, but a stop of it may still be carried out.
         stop_sent_ms = run.stop_sent_ms
         return not stop_sent_ms or self.now_ms - stop_sent_ms >= const.STRAY_START_MS
--- a/tests/core/scheduler/test_repeated_service_stops.py
+++ b/tests/core/scheduler/test_repeated_service_stops.py
@@ -125,3 +125,22 @@
     world.owner.handle(ev.WaveRequested(wave), world.now_ms)
     world.run(60_000)
     assert sorted(world.maintained) == list(wave.workers)
+
+
+def test_an_owner_that_was_suspended_stops_nothing_by_its_old_reports():
+    # Guards against a stop beside a task that was lost while the owner was suspended.
+    world = make_world(count=3)
+    schedule = world.owner.schedule
+    assert schedule.may_interrupt(known_run(world, 0))
+    world.owner.handle(ev.Tick(schedule.wall_ms + 5_000), world.now_ms + 5_000)
+    assert not schedule.may_interrupt(known_run(world, 0))
+
+
+def test_a_task_is_not_stopped_by_the_report_of_another_minion_alone():
+    # Guards against a stop where only the minion of the stopped task reports in time.
+    world = make_world()
+    schedule = world.owner.schedule
+    minion = schedule.minions[known_run(world, 1).minion_id]
+    assert schedule.may_interrupt(known_run(world, 0))
+    minion.seen_ms -= 3_000
+    assert not schedule.may_interrupt(known_run(world, 0))
