Send stops of services at once or not at all

Cause: orders to one minion share four connections, and unanswered starts hold each for 1.3 s. 18 starts went to the minion at 26.8 s; the stops of two starts that a poll had not reported were decided at 28.33 s and took effect at 30.46 s, behind them. By then one of the starts had been carried out late and its task worked. Nothing asked, when the order left, whether it still held. Change: the stop of a wanted long-running task expires after 200 ms; it has connections of its own, and expiry is checked when it is written, after the wait for a connection. A stop that was not sent is logged and decided anew after the next poll.

--- a/courselead/core/scheduler/const.py
+++ b/courselead/core/scheduler/const.py
@@ -147,6 +147,12 @@
 An earlier owner may have stopped it; the margin is the transit time of a report.
 """
 
+STOP_EXPIRES_MS = 200
+"""Time within which the stop of a wanted long-running task is sent, or not at all.
+
+No task that was not there when it was decided is ready that soon.
+"""
+
 STOP_RETRY_MS = 700
 """Time after which an unanswered stop order is repeated."""
 
--- a/courselead/core/scheduler/events.py
+++ b/courselead/core/scheduler/events.py
@@ -340,13 +340,23 @@
 
 @dataclass(frozen=True, slots=True)
 class StopRun(_IncarnationMessage):
-    """Stop a run on a minion."""
+    """Stop a run on a minion.
+
+    Attributes:
+        expires_ms: Time on the owner's monotonic clock after which the order is not
+            sent any more, as what it was based on may have changed; 0 if it may wait.
+    """
 
     minion_id: str
     task: str
     number: int
     reason: str
     born_ms: int = 0
+    expires_ms: int = 0
+
+    def is_expired(self, now_ms: int) -> bool:
+        """Return whether it must not be sent any more."""
+        return bool(self.expires_ms) and now_ms > self.expires_ms
 
 
 @dataclass(frozen=True, slots=True)
--- a/courselead/core/scheduler/jobs.py
+++ b/courselead/core/scheduler/jobs.py
@@ -239,32 +239,12 @@
     _stop_runs(schedule, job, reason)
 
 
-def keeps_running(unit: Unit) -> bool:
-    """Return whether the runs of a unit should keep running.
-
-    When one task of a service fails, the others still serve users. They run until the
-    caller sees that the job has failed and cancels it.
-    """
-    job = unit.job
-    if unit.done or job.cancelled:
-        return False
-    if not job.state.final:
-        return True
-    return job.state is JobState.FAILED and unit.spec.long_running
-
-
-def is_wanted_service(unit: Unit) -> bool:
-    """Return whether a unit is a long-running task that should keep running."""
-    spec = unit.spec
-    return spec.long_running and not spec.gang and keeps_running(unit)
-
-
 def _stop_runs(schedule: Schedule, job: Job, reason: str) -> None:
     left_running = 0
     for steps in job.occurrences.values():
         for step in steps:
             for unit in step.units:
-                if keeps_running(unit):
+                if unit.keeps_running:
                     left_running += len(unit.runs)
                     continue
                 for run in unit.runs:
--- a/courselead/core/scheduler/lives.py
+++ b/courselead/core/scheduler/lives.py
@@ -8,7 +8,7 @@
 
 from dataclasses import replace
 
-from courselead.core.scheduler import const, crashes, jobs
+from courselead.core.scheduler import const, crashes
 from courselead.core.scheduler.events import (
     StartPolling,
     StopPolling,
@@ -151,11 +151,18 @@
             continue
         task, number = key
         unit = schedule.units.get(task)
-        is_service = unit is not None and jobs.is_wanted_service(unit)
+        is_service = unit is not None and unit.is_wanted_service
         if is_service != after_poll:
             continue
         schedule.emit(
-            StopRun(minion.minion_id, task, number, STARTED_AGAIN, minion.info.born_ms)
+            StopRun(
+                minion.minion_id,
+                task,
+                number,
+                STARTED_AGAIN,
+                minion.info.born_ms,
+                schedule.now_ms + const.STOP_EXPIRES_MS if is_service else 0,
+            )
         )
 
 
--- a/courselead/core/scheduler/minions.py
+++ b/courselead/core/scheduler/minions.py
@@ -141,6 +141,8 @@
         _handle_start_answer(schedule, minion, run, event)
     elif stopped:
         service_stops.stop_answered(schedule, run)
+    elif event.verb == "stop" and event.outcome is Outcome.NOT_SENT:
+        service_stops.stop_not_sent(schedule, run, event.reason)
 
 
 def tick(schedule: Schedule) -> None:
@@ -259,7 +261,7 @@
         run=report.number,
         minion=minion.minion_id,
     )
-    if not jobs.keeps_running(unit):
+    if not unit.keeps_running:
         schedule.stop_run(run, stop_reason)
     elif other_runs and not unit.spec.speculative:
         schedule.stop_run(run, "another run of the task is known")
--- a/courselead/core/scheduler/schedule.py
+++ b/courselead/core/scheduler/schedule.py
@@ -435,8 +435,17 @@
         born_ms = 0 if minion is None else minion.info.born_ms
         if run.unit.spec.long_running:
             self._log_service_stop(run, minion)
+        is_draining = minion is not None and minion.info.draining
+        expires = run.unit.is_wanted_service and not is_draining
         self.emit(
-            StopRun(run.minion_id, run.task, run.number, run.stop_reason, born_ms)
+            StopRun(
+                run.minion_id,
+                run.task,
+                run.number,
+                run.stop_reason,
+                born_ms,
+                self.now_ms + const.STOP_EXPIRES_MS if expires else 0,
+            )
         )
 
     def _log_service_stop(self, run: Run, minion: Minion | None) -> None:
--- a/courselead/core/scheduler/service_stops.py
+++ b/courselead/core/scheduler/service_stops.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from courselead.core.scheduler import const, jobs, lives
+from courselead.core.scheduler import const, lives
 from courselead.core.scheduler.schedule import Schedule
 from courselead.core.scheduler.state import Minion, Run, RunPhase
 
@@ -27,7 +27,7 @@
     if run.phase is RunPhase.STOPPING:
         return
     run.stop_reason = START_NOT_ANSWERED
-    if jobs.is_wanted_service(run.unit):
+    if run.unit.is_wanted_service:
         # The stop is sent after the next poll that does not report the run.
         run.phase = RunPhase.STOPPING
     else:
@@ -39,7 +39,7 @@
     for run in list(minion.runs.values()):
         if run.phase is not RunPhase.STOPPING:
             continue
-        if minion.info.draining or not jobs.is_wanted_service(run.unit):
+        if minion.info.draining or not run.unit.is_wanted_service:
             _repeat_if_due(schedule, run)
 
 
@@ -53,7 +53,7 @@
         return
     if not _may_not_have_begun(run) or len(run.unit.runs) > 1:
         return
-    if jobs.is_wanted_service(run.unit):
+    if run.unit.is_wanted_service:
         _keep(schedule, minion, run)
 
 
@@ -68,7 +68,7 @@
         reported: The runs in it, by task name and run number.
     """
     for run in list(minion.runs.values()):
-        if run.phase is not RunPhase.STOPPING or not jobs.is_wanted_service(run.unit):
+        if run.phase is not RunPhase.STOPPING or not run.unit.is_wanted_service:
             continue
         is_there = run.key in reported
         if not is_there or schedule.may_interrupt(run) or len(run.unit.runs) > 1:
@@ -85,6 +85,20 @@
         run.stop_reason = KEPT_BEFORE_ANSWER
 
 
+def stop_not_sent(schedule: Schedule, run: Run, reason: str) -> None:
+    """Log the stop of a service that was not sent; a later poll decides anew."""
+    if not run.unit.spec.long_running:
+        return
+    schedule.log_event(
+        "service_stop_not_sent",
+        job_id=run.unit.job.job_id,
+        task=run.task,
+        run=run.number,
+        minion=run.minion_id,
+        reason=reason,
+    )
+
+
 def _may_not_have_begun(run: Run) -> bool:
     return not run.confirmed and run.stop_reason in LATE_START_REASONS
 
--- a/courselead/core/scheduler/state.py
+++ b/courselead/core/scheduler/state.py
@@ -198,6 +198,25 @@
         """Return whether it will not start any more."""
         return self.done or self.job.state.final
 
+    @property
+    def keeps_running(self) -> bool:
+        """Return whether its runs should keep running.
+
+        When one task of a service fails, the others still serve users. They run until
+        the caller sees that the job has failed and cancels it.
+        """
+        job = self.job
+        if self.done or job.cancelled:
+            return False
+        if not job.state.final:
+            return True
+        return job.state is JobState.FAILED and self.spec.long_running
+
+    @property
+    def is_wanted_service(self) -> bool:
+        """Return whether it is a long-running task that should keep running."""
+        return self.spec.long_running and not self.spec.gang and self.keeps_running
+
     @property
     def is_costly(self) -> bool:
         """Return whether losing it costs the caller more than losing a short task."""
--- a/courselead/daemon/scheduling/minion_tasks.py
+++ b/courselead/daemon/scheduling/minion_tasks.py
@@ -107,7 +107,9 @@
         link = self._link(order.incarnation)
         if link is None:
             return
-        answer = await link.stop(order.task, order.number, self._owner.fence)
+        answer = await link.stop(
+            order, self._owner.fence, lambda: not order.is_expired(now_ms())
+        )
         self._report_answer(order, "stop", answer)
 
     async def set_pace(self, order: PaceRun) -> None:
--- a/courselead/daemon/scheduling/ports.py
+++ b/courselead/daemon/scheduling/ports.py
@@ -16,6 +16,7 @@
     Outcome,
     RunReport,
     StartRun,
+    StopRun,
 )
 from courselead.core.scheduler.models import (
     FleetConfig,
@@ -203,8 +204,13 @@
         """
         ...
 
-    async def stop(self, task: str, number: int, fence: int) -> OrderResult:
-        """Stop a run."""
+    async def stop(
+        self, order: StopRun, fence: int, may_send: Callable[[], bool]
+    ) -> OrderResult:
+        """Stop a run, unless `may_send` returns False at the moment of sending.
+
+        An order that expires does not wait behind others.
+        """
         ...
 
     async def pace(
--- a/courselead/integrations/lean_http/connection.py
+++ b/courselead/integrations/lean_http/connection.py
@@ -21,6 +21,9 @@
     USER_TIMEOUT_MS,
 )
 
+MaySend = Callable[[], bool]
+"""Returns whether a request that is about to be sent is still wanted."""
+
 
 @dataclass(frozen=True, slots=True)
 class Call:
@@ -196,7 +199,11 @@
         return protocol is not None and protocol.usable and protocol.verified
 
     async def call(
-        self, call: Call, timeout_ms: int, verified_only: bool = False
+        self,
+        call: Call,
+        timeout_ms: int,
+        verified_only: bool = False,
+        may_send: MaySend | None = None,
     ) -> Result[Answer, ExchangeError]:
         """Send a request and return the complete response.
 
@@ -206,6 +213,8 @@
             call: The request.
             timeout_ms: Timeout of the exchange, see `Call.max_pause_ms`.
             verified_only: Whether to send the request only on a verified connection.
+            may_send: Asked at the moment of sending; the request is not sent if it
+                returns False.
         """
         if verified_only and not self.is_verified:
             return Failure(NotSent("the connection has ended"))
@@ -215,6 +224,8 @@
             if isinstance(opened, NotSent):
                 return Failure(opened)
             protocol = opened
+        if may_send is not None and not may_send():
+            return Failure(NotSent("it may not be sent any more"))
         loop = asyncio.get_running_loop()
         exchange = _Exchange(loop.create_future(), call.on_body)
         protocol.exchange = exchange
--- a/courselead/integrations/lean_http/pool.py
+++ b/courselead/integrations/lean_http/pool.py
@@ -8,7 +8,12 @@
 from returns.result import Failure, Result
 
 from courselead.integrations.http.errors import ExchangeError
-from courselead.integrations.lean_http.connection import Answer, Call, LeanConnection
+from courselead.integrations.lean_http.connection import (
+    Answer,
+    Call,
+    LeanConnection,
+    MaySend,
+)
 
 VerifyPeer = Callable[[LeanConnection], Awaitable[ExchangeError | None]]
 """Verifies the identity of a connection's peer; returns an error if that fails."""
@@ -29,7 +34,11 @@
         self._slots = anyio.Semaphore(size)
 
     async def call(
-        self, call: Call, timeout_ms: int, verify_peer: VerifyPeer | None = None
+        self,
+        call: Call,
+        timeout_ms: int,
+        verify_peer: VerifyPeer | None = None,
+        may_send: MaySend | None = None,
     ) -> Result[Answer, ExchangeError]:
         """Send a request on a free connection and return the complete response.
 
@@ -38,6 +47,8 @@
             timeout_ms: Timeout of the exchange.
             verify_peer: Verifies the peer of a connection before the first request on
                 it. None if the request may go to any peer.
+            may_send: Asked at the moment of sending, after the wait for a free
+                connection; the request is not sent if it returns False.
         """
         try:
             # acquire() yields to the event loop even if a slot is free, which would
@@ -47,7 +58,7 @@
             await self._slots.acquire()
         conn = self._acquire()
         try:
-            result = await _call_on(conn, call, timeout_ms, verify_peer)
+            result = await _call_on(conn, call, timeout_ms, verify_peer, may_send)
         finally:
             self._idle.append(conn)
             self._slots.release()
@@ -78,16 +89,20 @@
 
 
 async def _call_on(
-    conn: LeanConnection, call: Call, timeout_ms: int, verify_peer: VerifyPeer | None
+    conn: LeanConnection,
+    call: Call,
+    timeout_ms: int,
+    verify_peer: VerifyPeer | None,
+    may_send: MaySend | None,
 ) -> Result[Answer, ExchangeError]:
     if verify_peer is None:
-        return await conn.call(call, timeout_ms)
+        return await conn.call(call, timeout_ms, may_send=may_send)
     if not conn.is_verified:
         error = await verify_peer(conn)
         if error is not None:
             return Failure(error)
         conn.mark_verified()
-    return await conn.call(call, timeout_ms, verified_only=True)
+    return await conn.call(call, timeout_ms, verified_only=True, may_send=may_send)
 
 
 class LeanPools:
--- a/courselead/platform/const.py
+++ b/courselead/platform/const.py
@@ -87,6 +87,9 @@
 ORDER_CONNECTIONS = 4
 """Maximum number of connections for orders to one minion, which accepts 64."""
 
+PROMPT_CONNECTIONS = 2
+"""Maximum number of further connections to it for orders that expire."""
+
 MAX_START_TIME_MS = 2**53
 """Latest start time of a minion that is accepted: the largest integer that every JSON
 implementation reads exactly (RFC 8259, section 6)."""
--- a/courselead/platform/minions.py
+++ b/courselead/platform/minions.py
@@ -16,6 +16,7 @@
     Outcome,
     RunReport,
     StartRun,
+    StopRun,
 )
 from courselead.core.scheduler.models import MinionInfo
 from courselead.daemon.scheduling.ports import MinionReport, OrderResult
@@ -71,6 +72,8 @@
         self._born_ms = info.born_ms
         self._poll_connection = LeanConnection(info.address)
         self._order_pool = LeanPool(info.address, const.ORDER_CONNECTIONS)
+        # For orders that expire, which must not wait behind others.
+        self._prompt_pool = LeanPool(info.address, const.PROMPT_CONNECTIONS)
         self._headers = (
             ("Content-Type", "application/json"),
             (const.HEADER_EXPECT_INSTANCE, info.minion_id),
@@ -94,6 +97,7 @@
         )
         if isinstance(result, Failure):
             self._order_pool.close_idle()
+            self._prompt_pool.close_idle()
             return Failure(result_of_error(result.failure()))
         self._poll_connection.mark_verified()
         decoded = _decode_poll_response(result.unwrap())
@@ -148,12 +152,15 @@
         repeated = not order.once
         return OrderResult(Outcome.UNKNOWN, answer.clock_ms, answer.reason, repeated)
 
-    async def stop(self, task: str, number: int, fence: int) -> OrderResult:
-        """Stop a run."""
-        body = {"task": task, "run": number, "fence": fence}
-        return await self._send_order(
-            self._make_call(const.PATH_STOP, body), const.ORDER_TIMEOUT_MS
-        )
+    async def stop(
+        self, order: StopRun, fence: int, may_send: Callable[[], bool]
+    ) -> OrderResult:
+        """Stop a run, unless `may_send` returns False at the moment of sending."""
+        body = {"task": order.task, "run": order.number, "fence": fence}
+        call = self._make_call(const.PATH_STOP, body)
+        pool = self._prompt_pool if order.expires_ms else self._order_pool
+        result = await pool.call(call, const.ORDER_TIMEOUT_MS, may_send=may_send)
+        return _result_of_order(result)
 
     async def pace(
         self, task: str, number: int, percent: int, fence: int
@@ -168,6 +175,7 @@
         """Close all connections."""
         self._poll_connection.close()
         self._order_pool.close()
+        self._prompt_pool.close()
 
     def _make_call(self, path: str, body: object) -> Call:
         return Call("POST", path, _ENCODER.encode(body), self._headers)
@@ -199,9 +207,13 @@
         self, call: Call, timeout_ms: int, verify_peer: VerifyPeer | None = None
     ) -> OrderResult:
         result = await self._order_pool.call(call, timeout_ms, verify_peer)
-        if isinstance(result, Failure):
-            return result_of_error(result.failure())
-        return _decode_order_response(result.unwrap())
+        return _result_of_order(result)
+
+
+def _result_of_order(result: Result[Answer, ExchangeError]) -> OrderResult:
+    if isinstance(result, Failure):
+        return result_of_error(result.failure())
+    return _decode_order_response(result.unwrap())
 
 
 def _decode_order_response(answer: Answer) -> OrderResult:
--- a/tests/core/scheduler/test_repeated_service_stops.py
+++ b/tests/core/scheduler/test_repeated_service_stops.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from courselead.core.scheduler import events as ev
+from courselead.core.scheduler import const, events as ev
 from courselead.core.scheduler.models import MaintenanceWave
 from courselead.core.scheduler.state import Run, RunPhase
 from tests.core.scheduler.fake_minions import FakeMinion
@@ -144,3 +144,39 @@
     assert schedule.may_interrupt(known_run(world, 0))
     minion.seen_ms -= 3_000
     assert not schedule.may_interrupt(known_run(world, 0))
+
+
+def test_only_stops_of_wanted_services_expire():
+    # Guards against a stop that leaves seconds after it was decided, and against one of
+    # a cancelled job that never leaves.
+    world = make_world(count=3)
+    stop(world, known_run(world, 0))
+    [order] = stops_sent(world)
+    assert order.expires_ms == world.now_ms + const.STOP_EXPIRES_MS
+    assert not order.is_expired(order.expires_ms)
+    assert order.is_expired(order.expires_ms + 1)
+    world.run(3_000)
+    world.drain(minion_of(world, 1).minion_id)
+    world.run(200)
+    world.cancel(SERVICE)
+    later = [item for item in stops_sent(world) if item.reason != DUE]
+    assert len(later) >= 3
+    assert not any(item.expires_ms for item in later)
+
+
+def test_a_stop_that_was_not_sent_is_decided_anew_after_a_poll():
+    # Guards against a stop that is taken for sent.
+    world = make_world()
+    run = known_run(world, 0)
+    minion = minion_of(world, 0)
+    minion.cut = True
+    stop(world, run)
+    not_sent = ev.OrderAnswered(
+        run.minion_id, run.task, run.number, "stop", ev.Outcome.NOT_SENT
+    )
+    world.owner.handle(not_sent, world.now_ms)
+    world.run(100)
+    minion.cut = False
+    world.run(2_500)
+    assert known_run(world, 0).number > run.number
+    assert len(stops_sent(world)) == 2
--- a/tests/integrations/lean_http/test_pool.py
+++ b/tests/integrations/lean_http/test_pool.py
@@ -7,6 +7,7 @@
 import pytest
 from returns.result import Failure, Success
 
+from courselead.integrations.http.errors import NotSent
 from courselead.integrations.lean_http import Call, LeanPool
 
 pytestmark = pytest.mark.anyio
@@ -103,3 +104,29 @@
             server.gate.set()
         assert isinstance(results[0], Failure)
         assert isinstance(results[1], Success)
+
+
+async def test_a_call_that_waited_for_a_connection_is_not_sent_if_it_may_not_be():
+    # Guards against orders that leave seconds after they were decided, as all
+    # connections were waiting for answers.
+    async with _served() as (server, pool):
+        server.gate = anyio.Event()
+        results = []
+        allowed = True
+
+        async def call_late() -> None:
+            results.append(
+                await pool.call(Call("GET", "/"), LONG_MS, may_send=lambda: allowed)
+            )
+
+        async with anyio.create_task_group() as calls:
+            for _ in range(KEPT):
+                calls.start_soon(pool.call, Call("GET", "/"), LONG_MS)
+            while server.arrived < 2 * KEPT:
+                await anyio.sleep(0)
+            calls.start_soon(call_late)
+            await anyio.wait_all_tasks_blocked()
+            allowed = False
+            server.gate.set()
+        assert isinstance(results[0].failure(), NotSent)
+        assert server.arrived == 2 * KEPT
--- a/tests/platform/test_bound_starts.py
+++ b/tests/platform/test_bound_starts.py
@@ -14,7 +14,7 @@
 import anyio
 import pytest
 
-from courselead.core.scheduler.events import Outcome, StartRun
+from courselead.core.scheduler.events import Outcome, StartRun, StopRun
 from courselead.core.scheduler.models import MinionInfo, Resources
 from courselead.platform.minions import HttpMinionLink
 from tests.platform.serving import always
@@ -23,6 +23,7 @@
 
 BORN_MS = 1_700_000_000_000
 ORDER = StartRun("i-1", "t.0.0.0", 2, "text", 9_000, "", "")
+STOP = StopRun("i-1", "t.0.0.0", 1, "")
 FENCE = 7
 RETRY_S = 0.01
 
@@ -140,7 +141,7 @@
         await tasks.start(address.run, after, finished)
         if not before.silent:
             # A stop may be sent to any incarnation; it opens a connection to the next.
-            while (await link.stop("t.0.0.0", 1, FENCE)).outcome is not Outcome.OK:
+            while (await link.stop(STOP, FENCE, always)).outcome is not Outcome.OK:
                 await anyio.sleep(RETRY_S)
             await send()
         await finished.wait()
