Ask whether a start is wanted when it leaves, after the wait for a connection

Cause: a start waits for one of four connections to its minion, and whether its zone was evacuated was asked before that wait; whether its job was cancelled was not asked at all. Where answers are lost, it could leave seconds later (EVAC, UNASKED). Change: both are asked when the order is written, also for each retry. A start that was stopped while it waited does not let its minion rest.

--- a/courselead/core/scheduler/minions.py
+++ b/courselead/core/scheduler/minions.py
@@ -398,6 +398,9 @@
             minion.rest_until_ms = schedule.now_ms + const.CAPACITY_REFUSAL_MS
         case Outcome.NO_TICKET:
             schedule.advice.pop(unit.step.name, None)
+        case Outcome.NOT_SENT if run.phase is RunPhase.STOPPING:
+            # It was stopped while it waited; nothing is wrong with the minion.
+            pass
         case _:
             minion.rest_until_ms = schedule.now_ms + const.SHED_MS
     schedule.log_event(
--- a/courselead/daemon/scheduling/minion_tasks.py
+++ b/courselead/daemon/scheduling/minion_tasks.py
@@ -87,7 +87,7 @@
             return
         begun = anyio.current_time()
         answer = await link.start(
-            order, self._owner.fence, lambda: self._may_send(order)
+            order, self._owner.fence, lambda: self._is_wanted(order)
         )
         self._counters.record_duration("start", str(answer.outcome), begun)
         self._report_answer(order, "start", answer)
@@ -101,6 +101,13 @@
         scheduler = self._owner.scheduler
         return scheduler is not None and scheduler.may_send(order, now_ms())
 
+    def _is_wanted(self, order: StartRun) -> bool:
+        """Return whether a start that waited for a connection is still to be sent."""
+        scheduler = self._owner.scheduler
+        if scheduler is None or not scheduler.schedule.is_wanted(order):
+            return False
+        return self._may_send(order)
+
     async def stop(self, order: StopRun) -> None:
         """Stop a run."""
         self._counters.add("stops")
--- a/courselead/daemon/scheduling/ports.py
+++ b/courselead/daemon/scheduling/ports.py
@@ -200,7 +200,7 @@
     ) -> OrderResult:
         """Start a run; a delayed order never reaches another incarnation.
 
-        `may_send` is asked before the order is sent again.
+        `may_send` is asked at the moment of sending, each time that it is sent.
         """
         ...
 
--- a/courselead/platform/minions.py
+++ b/courselead/platform/minions.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from dataclasses import replace
 from functools import partial
 from typing import Any
@@ -26,6 +25,7 @@
     Call,
     LeanConnection,
     LeanPool,
+    MaySend,
     VerifyPeer,
 )
 from courselead.platform import const
@@ -111,10 +111,12 @@
             return Failure(_malformed_report(exc))
 
     async def start(
-        self, order: StartRun, fence: int, may_send: Callable[[], bool]
+        self, order: StartRun, fence: int, may_send: MaySend
     ) -> OrderResult:
         """Start a run; the order is sent again if there is no response.
 
+        It is not sent, or not again, if `may_send` returns False at that moment.
+
         An order with `once` is sent a single time, with the total of all timeouts.
         """
         body: dict[str, object] = {
@@ -133,13 +135,11 @@
         if order.once:
             timeouts_ms = (sum(timeouts_ms),)
         first_timeout_ms, *retry_timeouts_ms = timeouts_ms
-        answer = await self._send_start(call, fence, first_timeout_ms)
+        answer = await self._send_start(call, fence, first_timeout_ms, may_send)
         if answer.outcome is not Outcome.UNKNOWN:
             return answer
         for timeout_ms in retry_timeouts_ms:
-            if not may_send():
-                break
-            answer = await self._send_start(call, fence, timeout_ms)
+            answer = await self._send_start(call, fence, timeout_ms, may_send)
             if answer.outcome in (
                 Outcome.OK,
                 Outcome.FENCED,
@@ -153,7 +153,7 @@
         return OrderResult(Outcome.UNKNOWN, answer.clock_ms, answer.reason, repeated)
 
     async def stop(
-        self, order: StopRun, fence: int, may_send: Callable[[], bool]
+        self, order: StopRun, fence: int, may_send: MaySend
     ) -> OrderResult:
         """Stop a run, unless `may_send` returns False at the moment of sending."""
         body = {"task": order.task, "run": order.number, "fence": fence}
@@ -180,13 +180,14 @@
     def _make_call(self, path: str, body: object) -> Call:
         return Call("POST", path, _ENCODER.encode(body), self._headers)
 
-    async def _send_start(self, call: Call, fence: int, timeout_ms: int) -> OrderResult:
+    async def _send_start(
+        self, call: Call, fence: int, timeout_ms: int, may_send: MaySend
+    ) -> OrderResult:
         """Send a start on a connection on which this incarnation has responded."""
         if not self._born_ms:
-            return await self._send_order(call, timeout_ms)
-        return await self._send_order(
-            call, timeout_ms, partial(self._verify_incarnation, fence)
-        )
+            return await self._send_order(call, timeout_ms, may_send=may_send)
+        verify_peer = partial(self._verify_incarnation, fence)
+        return await self._send_order(call, timeout_ms, verify_peer, may_send)
 
     async def _verify_incarnation(
         self, fence: int, conn: LeanConnection
@@ -204,9 +205,13 @@
         return None
 
     async def _send_order(
-        self, call: Call, timeout_ms: int, verify_peer: VerifyPeer | None = None
+        self,
+        call: Call,
+        timeout_ms: int,
+        verify_peer: VerifyPeer | None = None,
+        may_send: MaySend | None = None,
     ) -> OrderResult:
-        result = await self._order_pool.call(call, timeout_ms, verify_peer)
+        result = await self._order_pool.call(call, timeout_ms, verify_peer, may_send)
         return _result_of_order(result)
 
 
--- a/tests/core/scheduler/test_unanswered_starts.py
+++ b/tests/core/scheduler/test_unanswered_starts.py
@@ -42,3 +42,19 @@
     world.submit(job(step(1)))
     world.run(1_100)
     assert [order for order in world.orders if isinstance(order, ev.StopRun)]
+
+
+def test_a_start_that_was_cancelled_while_it_waited_does_not_rest_its_minion():
+    # Guards against a minion that gets no work because of an order that it never got.
+    world = World(minions=1)
+    world.claim()
+    world.run(300)
+    world.submit(job(step(1)))
+    world.cut_connections.add((1, "i1"))
+    world.run(1)
+    [order] = [item for item in world.orders if isinstance(item, ev.StartRun)]
+    world.cancel("00000000000000aa")
+    world.owner.handle(order.not_sent("it may not be sent any more"), world.now_ms)
+    minion = world.owner.schedule.minions["i1"]
+    assert not minion.runs
+    assert minion.rest_until_ms <= world.now_ms
