--- a/courselead/integrations/lean_http/__init__.py
+++ b/courselead/integrations/lean_http/__init__.py
@@ -8,4 +8,12 @@
 )
 from courselead.integrations.lean_http.pool import LeanPool, LeanPools, VerifyPeer
 
-__all__ = ["Answer", "Call", "LeanConnection", "LeanPool", "LeanPools", "MaySend", "VerifyPeer"]
+__all__ = [
+    "Answer",
+    "Call",
+    "LeanConnection",
+    "LeanPool",
+    "LeanPools",
+    "MaySend",
+    "VerifyPeer",
+]
--- a/courselead/platform/minions.py
+++ b/courselead/platform/minions.py
@@ -152,9 +152,7 @@
         repeated = not order.once
         return OrderResult(Outcome.UNKNOWN, answer.clock_ms, answer.reason, repeated)
 
-    async def stop(
-        self, order: StopRun, fence: int, may_send: MaySend
-    ) -> OrderResult:
+    async def stop(self, order: StopRun, fence: int, may_send: MaySend) -> OrderResult:
         """Stop a run, unless `may_send` returns False at the moment of sending."""
         body = {"task": order.task, "run": order.number, "fence": fence}
         call = self._make_call(const.PATH_STOP, body)
