Order nothing for a worker that may have an unknown minion with a service

On the users' platform a move would do the same. Cause: the owner decided by the cloud's list, which was older than the minion: the worker had lost its minion, so nothing seemed to run there, while the next one was listed and had been given a task before the cloud told on which worker it is. Change: no order goes to a worker while a minion whose worker is not known has a long-running task and may be there: it is in the worker's zone, and the worker's known minion has not answered since the other one was listed.

--- a/courselead/core/scheduler/minion_scores.py
+++ b/courselead/core/scheduler/minion_scores.py
@@ -84,11 +84,7 @@
 
     A worker with a long-running task cannot change pools.
     """
-    return [
-        item
-        for item in minions
-        if any(run.unit.spec.long_running for run in item.runs.values())
-    ] or minions
+    return [item for item in minions if item.serves] or minions
 
 
 def least_conflicts(selection: Selection, minions: list[Minion]) -> list[Minion]:
--- a/courselead/core/scheduler/schedule.py
+++ b/courselead/core/scheduler/schedule.py
@@ -358,12 +358,36 @@
         """Return whether an order for a worker may be sent to the cloud.
 
         It may not while an earlier owner's order may be in flight, or while the log
-        does not answer: each order is stored there before it is sent.
+        does not answer: each order is stored there before it is sent. Nor may it while
+        an unknown minion may serve on the worker, as the order would end its tasks.
         """
-        if self.log_is_silent:
+        if self.log_is_silent or self._may_have_unknown_service(worker_id):
             return False
         return self.now_ms >= self.orders_blocked_until_ms.get(worker_id, 0)
 
+    def _may_have_unknown_service(self, worker_id: str) -> bool:
+        """Return whether a minion with a long-running task may be on a worker.
+
+        A new minion takes tasks as soon as it answers, but the cloud's list tells only
+        later on which worker it is.
+        """
+        worker = self.workers.get(worker_id)
+        if worker is None:
+            return False
+        pool = self.config.pools.get(worker.pool)
+        if pool is not None and pool.spare:
+            # It is switched off and has no minion.
+            return False
+        known = self.minions.get(worker.minion_id)
+        known_until_ms = 0 if known is None else known.seen_ms
+        return any(
+            not minion.worker_id
+            and minion.info.zone == worker.zone
+            and known_until_ms <= minion.listed_ms
+            and minion.serves
+            for minion in self.minions.values()
+        )
+
     def order_worker(self, worker_id: str, order: MoveWorker | MaintainWorker) -> None:
         """Send an order for a worker to the cloud and record the time."""
         self.ordered_ms[worker_id] = self.now_ms
--- a/courselead/core/scheduler/state.py
+++ b/courselead/core/scheduler/state.py
@@ -497,6 +497,11 @@
         """Return whether the minion list no longer has an entry of this incarnation."""
         return not self.listed or self.older_entry is not None
 
+    @property
+    def serves(self) -> bool:
+        """Return whether it has a long-running task."""
+        return any(run.unit.spec.long_running for run in self.runs.values())
+
     @property
     def tasks_at_risk(self) -> list[str]:
         """Return the tasks that the next owner must not start while it is unreachable.
