--- a/tests/core/scheduler/service_plays.py
+++ b/tests/core/scheduler/service_plays.py
@@ -42,7 +42,8 @@
 
     Attributes:
         stops: Stop orders for tasks of services, of which some expired.
-        idle: Tasks of services that are not at work at the end.
+        failed: Services of which a task was given up, after its minions crashed.
+        idle: Tasks of other services that are not at work at the end.
     """
 
     starts: int
@@ -51,6 +52,7 @@
     not_sent: int
     crashes: int
     maintained: int
+    failed: int
     idle: int
 
 
@@ -195,6 +197,10 @@
         stops = Counter(
             order.event for order in world.orders if isinstance(order, ev.LogEvent)
         )
+        jobs = {task[:16] for task in self.tasks}
+        failed = {job_id for job_id in jobs if world.state(job_id).final}
+        wanted = [task for task in self.tasks if task[:16] not in failed]
+        idle = [task for task in wanted if not world.is_at_work(task)]
         return Results(
             len(world.starts),
             stops["service_stop_sent"],
@@ -202,7 +208,8 @@
             stops["service_stop_not_sent"],
             world.crash_count,
             len(world.maintained),
-            sum(not world.is_at_work(task) for task in self.tasks),
+            len(failed),
+            len(idle),
         )
 
 
