--- a/tests/core/scheduler/world.py
+++ b/tests/core/scheduler/world.py
@@ -1043,6 +1043,13 @@
             self._at(held, lambda: self._maintain(owner, order))
             return
         again = order.worker_id in self.maintained
+        if not again and minion is not None and not minion.up:
+            # The platform refuses orders for a worker that is not up.
+            busy = ev.CloudOrderAnswered(
+                order.worker_id, ev.Outcome.NO_CAPACITY, wave=order.wave
+            )
+            self._reply(owner, busy)
+            return
         self._reply(
             owner,
             ev.CloudOrderAnswered(order.worker_id, ev.Outcome.OK, wave=order.wave),
