Leave the tasks of a failed timed service running under a new owner

Symptom: a new owner stopped all healthy tasks of a failed timed service in one tick (AVAIL, in the simulated world); found by going through all paths to a stop. Cause: the record of a failed timed job names no occurrences, so its reported runs had no units and were stopped as strays of an ended job. Change: a reported task of such a job opens its occurrence, as untimed jobs do. Result: test_the_next_owner_leaves_the_tasks_of_a_failed_timed_service_running failed before.

--- a/courselead/core/scheduler/jobs.py
+++ b/courselead/core/scheduler/jobs.py
@@ -122,14 +122,30 @@
     unit = schedule.units.get(task)
     if unit is not None:
         return unit
-    job_id = task.partition(".")[0]
-    entry = schedule.book.jobs.get(job_id)
-    if entry is None or job_id in schedule.jobs:
-        return None
-    open_job(schedule, entry, from_before=True)
+    job_id, *numbers = task.split(".")
+    job = schedule.jobs.get(job_id)
+    if job is None:
+        entry = schedule.book.jobs.get(job_id)
+        if entry is None:
+            return None
+        job = open_job(schedule, entry, from_before=True)
+    if job.state is JobState.FAILED and job.spec.timed and numbers:
+        _open_failed_occurrence(schedule, job, numbers[0])
     return schedule.units.get(task)
 
 
+def _open_failed_occurrence(schedule: Schedule, job: Job, name: str) -> None:
+    """Open an occurrence of a failed timed job, of which a task is reported.
+
+    The record of such a job names no occurrences, but its long-running tasks go on.
+    """
+    if not name.isascii() or not name.isdecimal():
+        return
+    number = int(name)
+    if number < job.spec.repeats and number not in job.closed | set(job.occurrences):
+        _open_occurrence(schedule, job, number, None)
+
+
 def stray_unit(schedule: Schedule, task: str, info: MinionInfo) -> tuple[Unit, str]:
     """Return a unit for a reported run without one, and the reason to stop the run.
 
--- a/tests/core/scheduler/test_failed_services.py
+++ b/tests/core/scheduler/test_failed_services.py
@@ -10,7 +10,7 @@
 
 from courselead.core.scheduler.models import JobState
 from tests.core.scheduler.test_crashing_tasks import CRASHER, CRASHING_TASK
-from tests.core.scheduler.world import World, job, step
+from tests.core.scheduler.world import WALL_START_MS, World, job, step
 
 TASKS = 4
 
@@ -80,3 +80,24 @@
     world.lose_power(victim)
     world.run(10_000)
     assert len(active_tasks(world)) == TASKS - 2
+
+
+def test_the_next_owner_leaves_the_tasks_of_a_failed_timed_service_running():
+    # Guards against healthy tasks that are stopped all at once, as the record of a
+    # failed timed job names no occurrences.
+    world = World(minions=8)
+    world.claim()
+    world.run(500)
+    world.crash_ages_ms[CRASHING_TASK] = 30
+    service_step = step(TASKS, long_running=True, may_miss=1, max_per_minion=1)
+    due_ms = WALL_START_MS + world.now_ms
+    timed = job(service_step, first_due_ms=due_ms, interval_ms=3_600_000, repeats=2)
+    world.submit(timed, CRASHER)
+    world.run(30_000)
+    assert world.state(CRASHER) is JobState.FAILED
+    world.claim()
+    world.run(15_000)
+    assert active_tasks(world) == HEALTHY
+    world.cancel(CRASHER)
+    world.run(2_000)
+    assert active_tasks(world) == set()
