Check an order to the cloud again once it is stored

A worker that lost its minion while the order was being stored was maintained or moved although its next minion had been given a task of a service. Cause: orders to the cloud are stored before they are sent, which may take seconds, and nothing was asked after that. An owner that had stepped down sent them as well. Change: the order is not sent if a minion with a service may be on the worker by now, or if the owner has stepped down; it is retried as before.

--- a/courselead/core/scheduler/events.py
+++ b/courselead/core/scheduler/events.py
@@ -410,6 +410,12 @@
     worker_id: str
     pool: str
 
+    def not_sent(self, reason: str) -> CloudOrderAnswered:
+        """Return the event that it was not sent."""
+        return CloudOrderAnswered(
+            self.worker_id, Outcome.NOT_SENT, reason, pool=self.pool
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class MaintainWorker:
@@ -418,6 +424,12 @@
     worker_id: str
     wave: int
 
+    def not_sent(self, reason: str) -> CloudOrderAnswered:
+        """Return the event that it was not sent."""
+        return CloudOrderAnswered(
+            self.worker_id, Outcome.NOT_SENT, reason, wave=self.wave
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class ListWorkers:
--- a/courselead/core/scheduler/schedule.py
+++ b/courselead/core/scheduler/schedule.py
@@ -361,11 +361,11 @@
         does not answer: each order is stored there before it is sent. Nor may it while
         an unknown minion may serve on the worker, as the order would end its tasks.
         """
-        if self.log_is_silent or self._may_have_unknown_service(worker_id):
+        if self.log_is_silent or self.may_have_unknown_service(worker_id):
             return False
         return self.now_ms >= self.orders_blocked_until_ms.get(worker_id, 0)
 
-    def _may_have_unknown_service(self, worker_id: str) -> bool:
+    def may_have_unknown_service(self, worker_id: str) -> bool:
         """Return whether a minion with a long-running task may be on a worker.
 
         A new minion takes tasks as soon as it answers, but the cloud's list tells only
--- a/courselead/daemon/scheduling/cloud_tasks.py
+++ b/courselead/daemon/scheduling/cloud_tasks.py
@@ -68,8 +68,16 @@
         self._owner.handle(WorkersListed(asked_ms, result.unwrap()))
 
     async def order(self, order: MoveWorker | MaintainWorker) -> None:
-        """Send an order that is stored in the log."""
-        if isinstance(order, MoveWorker):
+        """Send an order that is stored in the log, if it still holds.
+
+        Storing it may have taken seconds.
+        """
+        scheduler = self._owner.scheduler
+        if scheduler is None:
+            return
+        if scheduler.schedule.may_have_unknown_service(order.worker_id):
+            self._owner.handle(order.not_sent("an unknown minion may serve there"))
+        elif isinstance(order, MoveWorker):
             await self.move(order)
         else:
             await self.maintain(order)
