Start long-running suspects within 5 s and log what suspects wait for

The same wait holds for services, which must run again within 6 s. Cause: such a task waits up to 10 s until no more minions are being lost, then up to 10 s for a minion of its own. While minions crash all the time both are used up. Change: suspect_waits tells what a suspect waits for; a long-running suspect waits 2.5 s for calm, and 5 s in all.

--- a/courselead/core/scheduler/const.py
+++ b/courselead/core/scheduler/const.py
@@ -270,6 +270,15 @@
 CALM_WAIT_MS = 10_000
 """Maximum wait until no more minions are being lost."""
 
+SERVICE_CALM_WAIT_MS = 2_500
+"""The same for a long-running task."""
+
+SERVICE_SUSPECT_WAIT_MS = 5_000
+"""Maximum wait of a long-running suspect from its newest crash on, in all.
+
+It must run again within 6 s. After that time it starts beside others.
+"""
+
 RISKY_MS = 10_000
 """Time for which incarnations lost with fresh starts of a queue count against it."""
 
--- a/courselead/core/scheduler/crashes.py
+++ b/courselead/core/scheduler/crashes.py
@@ -107,6 +107,7 @@
     suspect = schedule.suspects.setdefault(unit.name, Suspect(unit))
     suspect.at_ms = schedule.now_ms
     suspect.tried_ms = 0
+    suspect.logged_waits.clear()
     if lost is not None:
         suspect.unsettled.append((crash.key, lost))
     schedule.log_event(
--- a/courselead/core/scheduler/isolation.py
+++ b/courselead/core/scheduler/isolation.py
@@ -115,8 +115,11 @@
         suspect = schedule.suspects.setdefault(unit.name, Suspect(unit))
         age_ms = schedule.now_ms - suspect.at_ms
         has_few_left = placement_crash_count >= const.CALM_CRASHES
-        may_wait = has_few_left and age_ms < const.CALM_WAIT_MS
+        is_service = unit.spec.long_running
+        calm_wait_ms = const.SERVICE_CALM_WAIT_MS if is_service else const.CALM_WAIT_MS
+        may_wait = has_few_left and age_ms < calm_wait_ms
         if may_wait and self._since_unrelated_loss_ms(unit) < const.CALM_MS:
+            self._log_wait(suspect, "minions are being lost")
             return False
         needs_trial = self._weight(unit) >= const.TRIAL_CRASHES
         if age_ms < const.CRASH_SETTLE_MS and (needs_trial or has_few_left):
@@ -128,7 +131,30 @@
             return True
         pool = schedule.pool_of(unit.job)
         others = self._on_trial[pool] - {unit.job.job_id}
-        return len(others) < self._max_trials_of(pool)
+        if len(others) < self._max_trials_of(pool):
+            return True
+        self._log_wait(suspect, "other suspects are on trial")
+        return False
+
+    def _waited_ms(self, suspect: Suspect) -> int:
+        """Return the time since a suspect's newest crash that this owner knows of."""
+        since_ms = suspect.at_ms or self._schedule.claimed_ms
+        return self._schedule.now_ms - since_ms
+
+    def _log_wait(self, suspect: Suspect, reason: str) -> None:
+        """Log what a suspect waits for, once for each reason."""
+        if reason in suspect.logged_waits:
+            return
+        suspect.logged_waits.add(reason)
+        unit = suspect.unit
+        self._schedule.log_event(
+            "suspect_waits",
+            job_id=unit.job.job_id,
+            task=unit.name,
+            crashes=unit.placement_crash_count,
+            reason=reason,
+            waited_ms=self._waited_ms(suspect),
+        )
 
     def _max_trials_of(self, pool: str) -> int:
         """Return how many jobs of a pool may have a trial at the same time."""
@@ -153,8 +179,12 @@
         """Return whether a suspect has reached the maximum wait for its own minion."""
         if not suspect.tried_ms:
             return False
+        unit = suspect.unit
+        if unit.spec.long_running:
+            if self._waited_ms(suspect) >= const.SERVICE_SUSPECT_WAIT_MS:
+                return True
         waited_ms = self._schedule.now_ms - suspect.tried_ms
-        if suspect.unit.placement_crash_count >= const.CALM_CRASHES:
+        if unit.placement_crash_count >= const.CALM_CRASHES:
             return waited_ms >= const.CALM_WAIT_MS
         return waited_ms >= const.ISOLATION_WAIT_MS
 
@@ -164,7 +194,11 @@
         if weight >= const.TRIAL_CRASHES:
             if self._has_reached_max_wait(self._schedule.suspects[unit.name]):
                 return minions
-            return [item for item in minions if not _units_of_other_jobs(unit, item)]
+            empty = [item for item in minions if not _units_of_other_jobs(unit, item)]
+            if not empty:
+                suspect = self._schedule.suspects[unit.name]
+                self._log_wait(suspect, "no minion is without tasks of other jobs")
+            return empty
         if not self._trial_minions:
             return minions
         return [item for item in minions if item.minion_id not in self._trial_minions]
--- a/courselead/core/scheduler/state.py
+++ b/courselead/core/scheduler/state.py
@@ -337,6 +337,7 @@
             Others lost at the same moment may be learned of a little later.
         tried_ms: Since when only a lack of free capacity delays its next start, 0
             before.
+        logged_waits: What it has waited for since its newest crash, as logged.
     """
 
     unit: Unit
@@ -345,6 +346,7 @@
         default_factory=list
     )
     tried_ms: int = 0
+    logged_waits: set[str] = field(default_factory=set)
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/tests/core/scheduler/test_waiting_suspects.py
@@ -0,0 +1,97 @@
+"""Suspects that wait while many others lose minions.
+
+Regression test: a task that had lost three minions was not started for 19 s, until the
+end of the day, although most of the pool was free. It waited 10 s for a moment without
+losses and then 10 s for a minion of its own, while other tasks crashed minions.
+"""
+
+from courselead.core.scheduler import const
+from tests.core.scheduler.test_crashing_tasks import logged_fields
+from tests.core.scheduler.world import World, job, step
+
+WAITING = "d" * 16
+TASK = f"{WAITING}.0.0.0"
+LONG_MS = 300_000
+MINIONS = 8
+LOST_EACH_MS = 900
+SERVICE_BACK_MS = 6_000
+"""Time within which a lost task of a service must run again."""
+
+FINISH_MS = 11_000
+"""Time within which lost work that fits must run again, however many suspects wait."""
+
+
+def make_world() -> World:
+    """Return a world in which a service has a task on each minion."""
+    world = World(minions=MINIONS, guards=True)
+    world.claim()
+    world.run(500)
+    service = step(
+        MINIONS, cpu=200, long_running=True, may_miss=MINIONS, max_per_minion=1
+    )
+    world.submit(job(service), "5" * 16)
+    world.run(500)
+    return world
+
+
+def lose_three(world: World, **fields) -> None:
+    """Let a task lose three minions soon after its starts, beside other jobs."""
+    spec = step(1, cpu=500, **fields)
+    on_each = step(MINIONS, cpu=400, max_per_minion=1)
+    world.submit(job(spec), WAITING, length_ms=LONG_MS)
+    for number in range(const.CALM_CRASHES):
+        world.submit(job(on_each), f"{number}{0:015x}", length_ms=1_200)
+        world.run(600)
+        runs = world.starts_of(TASK)
+        world.lose_power(world.minions[runs[-1]])
+        if number == const.CALM_CRASHES - 1:
+            return
+        while len(world.starts_of(TASK)) == len(runs):
+            world.run(100)
+
+
+def lose_others(world: World, for_ms: int) -> None:
+    """Let other jobs use and lose minions all the time, until the task starts."""
+    on_each = step(MINIONS, cpu=400, max_per_minion=1)
+    started = len(world.starts_of(TASK))
+    for number in range(for_ms // LOST_EACH_MS):
+        up = [item for item in world.minions.values() if item.up and item.runs]
+        if up:
+            world.lose_power(up[number % len(up)])
+        world.submit(job(on_each), f"e{number:015x}", length_ms=1_500)
+        world.run(LOST_EACH_MS)
+        if len(world.starts_of(TASK)) > started:
+            return
+
+
+def wait_of_suspect(**fields) -> int:
+    """Return how long a task that has lost three minions waits for its next start."""
+    world = make_world()
+    lose_three(world, **fields)
+    lost_ms = world.now_ms
+    lose_others(world, 40_000)
+    [*_, started_ms] = [at for at, task, _, _ in world.starts if task == TASK]
+    assert started_ms > lost_ms
+    return started_ms - lost_ms
+
+
+def test_a_service_that_is_a_suspect_starts_in_time_while_others_lose_minions():
+    wait_ms = wait_of_suspect(long_running=True, may_miss=1)
+    assert wait_ms <= SERVICE_BACK_MS
+
+
+def test_a_finite_suspect_starts_before_the_end_of_the_day():
+    assert wait_of_suspect() <= FINISH_MS
+
+
+def test_the_wait_of_a_suspect_is_logged():
+    # Guards against a task of which no line tells why it is not started.
+    world = make_world()
+    lose_three(world)
+    lose_others(world, 40_000)
+    reasons = {
+        row["reason"]
+        for row in logged_fields(world, "suspect_waits")
+        if row["task"] == TASK
+    }
+    assert "minions are being lost" in reasons
