--- a/courselead/core/scheduler/isolation.py
+++ b/courselead/core/scheduler/isolation.py
@@ -180,9 +180,9 @@
         if not suspect.tried_ms:
             return False
         unit = suspect.unit
-        if unit.spec.long_running:
-            if self._waited_ms(suspect) >= const.SERVICE_SUSPECT_WAIT_MS:
-                return True
+        in_all_ms = self._waited_ms(suspect)
+        if unit.spec.long_running and in_all_ms >= const.SERVICE_SUSPECT_WAIT_MS:
+            return True
         waited_ms = self._schedule.now_ms - suspect.tried_ms
         if unit.placement_crash_count >= const.CALM_CRASHES:
             return waited_ms >= const.CALM_WAIT_MS
