Count requests of a resumed minion for its slots

Symptom: a minion had 4 requests on 2 slots after its stop was cancelled. Cause: the worker returns at the next epoch, which had a quota of its own, while the same process still ran the requests of the epoch before. What had been lent of the old quota was dropped with the target. Change: a worker remembers the epoch at which its minion was started, which a cancelled stop does not end, and the quota is named after that. What a host lends of a minion that stops stays on record until its return is reported; nothing more of it is offered.

--- a/courselead/core/fleet/state.py
+++ b/courselead/core/fleet/state.py
@@ -92,6 +92,8 @@
         minion_address: Address of the minion of this epoch, "" if there is none.
         maintained_ms: Wall clock time of the last maintenance reboot, in
             milliseconds since the epoch, 0 if there was none.
+        resumed_epoch: Epoch at which its minion was started, if it went on at a later
+            one because its stop was cancelled; 0 otherwise.
     """
 
     worker: str
@@ -109,6 +111,12 @@
     minion_address: str = ""
     maintained_ms: int = 0
     reason: str = ""
+    resumed_epoch: int = 0
+
+    @property
+    def minion_epoch(self) -> int:
+        """Return the epoch at which its minion was started."""
+        return self.resumed_epoch or self.epoch
 
 
 @dataclass(frozen=True, slots=True)
--- a/courselead/core/fleet/stops.py
+++ b/courselead/core/fleet/stops.py
@@ -66,13 +66,18 @@
 
     An entry host that was paused may still request the stop at this epoch. The worker
     therefore returns at the next epoch: its agent treats starting a minion that is
-    already serving as a success, and from then on refuses the older request.
+    already serving as a success, and from then on refuses the older request. Requests
+    that its minion still runs use its slots as before.
     """
     worker = fleet.workers.get(record.worker)
     reason = record_rejection(worker, record.epoch, (WorkerPhase.STOPPING,))
     if reason or worker is None:
         return fleet, verdicts.rejected(reason)
-    worker = replace(with_next_epoch(worker, origin.offset), reason=record.reason)
+    worker = replace(
+        with_next_epoch(worker, origin.offset),
+        reason=record.reason,
+        resumed_epoch=worker.minion_epoch,
+    )
     return with_worker(fleet, worker), verdicts.ACCEPTED
 
 
--- a/courselead/core/fleet/workers.py
+++ b/courselead/core/fleet/workers.py
@@ -113,6 +113,7 @@
         next_pool="",
         minion_address="",
         reason="",
+        resumed_epoch=0,
     )
     return with_worker(fleet, worker), verdicts.ACCEPTED
 
@@ -232,6 +233,7 @@
         next_pool="",
         minion_address="",
         reason="",
+        resumed_epoch=0,
     )
 
 
--- a/courselead/core/requests/quota.py
+++ b/courselead/core/requests/quota.py
@@ -1,9 +1,9 @@
 """Quotas of three kinds: minion slots, service ceilings and account ceilings.
 
-Quota names are `minion:<worker>:<epoch>`, `service:<pool>` and
-`account:<client_account>`. A host may use its base share, minus the units it lends,
-plus the units it borrows. The shares of all entry hosts sum to at most the minion's
-slots or the ceiling.
+Quota names are `minion:<worker>:<epoch>` with the epoch of the minion's start,
+`service:<pool>` and `account:<client_account>`. A host may use its base share, minus
+the units it lends, plus the units it borrows. The shares of all entry hosts sum to at
+most the minion's slots or the ceiling.
 """
 
 from dataclasses import replace
@@ -247,8 +247,14 @@
 
 
 def build_target(
-    worker: str, pool: str, epoch: int, zone: str, address: str, own_zone: str
+    worker: str,
+    pool: str,
+    epoch: int,
+    minion_epoch: int,
+    zone: str,
+    address: str,
+    own_zone: str,
 ) -> Target:
     """Return the target for a serving minion."""
-    quota = minion_quota(worker, epoch)
+    quota = minion_quota(worker, minion_epoch)
     return Target(worker, pool, epoch, zone, address, quota, zone == own_zone)
--- a/courselead/core/requests/reports.py
+++ b/courselead/core/requests/reports.py
@@ -146,6 +146,7 @@
     offered: dict[str, list[Loan]] = {}
     for quota_name in sorted(names):
         if not quota.is_current(turn, quota_name):
+            _withdraw_offers(turn, quota_name)
             continue
         if quota.base_share(turn, quota_name) == UNLIMITED:
             continue
@@ -153,6 +154,15 @@
     return offered
 
 
+def _withdraw_offers(turn: Turn, quota_name: str) -> None:
+    """Offer nothing more of a minion that has stopped serving.
+
+    Units that are in use stay lent until their return is reported.
+    """
+    for peer, lent in sorted(turn.lent.get(quota_name, Map()).items()):
+        _record_offer(turn, quota_name, peer, lent, 0)
+
+
 def _offer_quota(
     turn: Turn, quota_name: str, peers: list[str], offered: dict[str, list[Loan]]
 ) -> None:
--- a/courselead/core/requests/state.py
+++ b/courselead/core/requests/state.py
@@ -77,7 +77,7 @@
     """One serving minion as seen by this host.
 
     Attributes:
-        quota: Name of the quota of its slots; each epoch has its own quota.
+        quota: Name of the quota of its slots; each start of a minion has its own.
         same_zone: Whether it is in this host's availability zone.
     """
 
--- a/courselead/core/requests/targets.py
+++ b/courselead/core/requests/targets.py
@@ -96,6 +96,7 @@
         worker.worker,
         worker.pool,
         worker.epoch,
+        worker.minion_epoch,
         worker.availability_zone,
         worker.minion_address,
         turn.ctx.me.availability_zone,
@@ -117,10 +118,9 @@
         turn.cooldowns = turn.cooldowns.delete(target.worker)
     if target.quota in turn.shares:
         turn.shares = turn.shares.delete(target.quota)
-    if target.quota in turn.lent:
-        turn.lent = turn.lent.delete(target.quota)
     # Borrowed units in use are still reported as held. A lender that has not read of
-    # the minion's stop would otherwise use them again.
+    # the minion's stop would otherwise use them again. What is lent stays on record
+    # until it is reported as returned, as the stop may be cancelled.
     if target.quota in turn.borrowed and target.quota not in turn.in_use:
         turn.borrowed = turn.borrowed.delete(target.quota)
 
