--- a/tests/core/scheduler/storm_plays.py
+++ b/tests/core/scheduler/storm_plays.py
@@ -90,7 +90,8 @@
                 world.claim(rng.choice(("", *ZONES)))
             if self.losses and rng.random() < LOSS_SHARE:
                 up = [minion for minion in world.all_minions if minion.up]
-                world.lose_power(rng.choice(up))
+                if up:
+                    world.lose_power(rng.choice(up))
             world.run(rng.randint(0, 2 * JOB_GAP_MS))
             self._watch()
         world.late_orders = 0.0
