Start no service beside a long-running task that stands still

Cause: long-running tasks are packed onto minions that already have some, also where those do not become ready. Change: such minions are used only where no other one fits. Result: test_no_service_starts_beside_a_task_that_stands_still failed before.

--- a/courselead/core/scheduler/minion_scores.py
+++ b/courselead/core/scheduler/minion_scores.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Callable, Sequence
 
+from courselead.core.scheduler import stalls
 from courselead.core.scheduler.selection import Selection
 from courselead.core.scheduler.state import Minion
 
@@ -79,6 +80,15 @@
     return [minions[free_cpu.index(min(free_cpu))]]
 
 
+def without_stalled(selection: Selection, minions: list[Minion]) -> list[Minion]:
+    """Avoid minions on which another long-running task does not become ready."""
+    return [
+        item
+        for item in minions
+        if not stalls.has_stalled_service(selection.schedule, item)
+    ] or minions
+
+
 def with_long_running(selection: Selection, minions: list[Minion]) -> list[Minion]:
     """Pack long-running tasks onto few workers.
 
@@ -122,6 +132,7 @@
     warm,
     least_neighbour_penalty,
     not_avoided,
+    without_stalled,
     on_preferred_rack,
     with_long_running,
     least_conflicts,
--- a/courselead/core/scheduler/stalls.py
+++ b/courselead/core/scheduler/stalls.py
@@ -75,6 +75,14 @@
             refused.add(step_id)
 
 
+def has_stalled_service(schedule: Schedule, minion: Minion) -> bool:
+    """Return whether a long-running task on a minion stands still."""
+    return any(
+        run.unit.spec.long_running and _is_stalled(schedule, minion, run)
+        for run in minion.runs.values()
+    )
+
+
 def record_ready(schedule: Schedule, run: Run) -> None:
     """Learn from a long-running task that has become ready how long that takes."""
     run.unit.stalls = 0
--- a/tests/core/scheduler/test_stalled_services.py
+++ b/tests/core/scheduler/test_stalled_services.py
@@ -180,3 +180,24 @@
     world.lose_power(minions_in_use(world)[0])
     world.run(20_000)
     assert len(at_work(world)) == TASKS
+
+
+def test_no_service_starts_beside_a_task_that_stands_still():
+    # Guards against services that are packed onto a minion that does not work.
+    world = make_world(startup_ms=(800, 1_200))
+    submit(world, count=2)
+    world.run(100)
+    [still] = stand_still(world, len(minions_in_use(world)))
+    world.run(5_000)
+    world.submit(job(step(2, long_running=True, may_miss=1)), "6" * 16)
+    world.run(2_000)
+    assert len(at_work(world)) == 2
+    assert len(still.runs) == 2
+
+
+def test_a_service_fills_the_only_minion_with_room():
+    # Guards against a service that waits for a second minion.
+    world = make_world(minions=1)
+    submit(world)
+    world.run(1_000)
+    assert len(at_work(world)) == TASKS
