--- a/courselead/core/scheduler/evacuation_moves.py
+++ b/courselead/core/scheduler/evacuation_moves.py
@@ -9,7 +9,7 @@
 
 from collections.abc import Iterable
 
-from courselead.core.scheduler import caps, const
+from courselead.core.scheduler import budgets, caps, const
 from courselead.core.scheduler.free_capacity import PoolCapacities
 from courselead.core.scheduler.models import NOTHING
 from courselead.core.scheduler.schedule import Schedule
@@ -52,7 +52,7 @@
             free_capacity = pools.free_capacity_for(run.unit)
             if not free_capacity.may_have_room_for(run.unit):
                 continue
-            if not schedule.may_interrupt(run):
+            if not budgets.may_interrupt(schedule, run):
                 refused.add(key)
             elif free_capacity.reserve(run.unit):
                 schedule.stop_run(run, const.ZONE_EVACUATED_REASON)
--- a/courselead/core/scheduler/schedule.py
+++ b/courselead/core/scheduler/schedule.py
@@ -28,13 +28,11 @@
 )
 from courselead.core.scheduler.run_records import RemainingRuns
 from courselead.core.scheduler.state import (
-    BudgetCheck,
     Job,
     LostIncarnation,
     Minion,
     Run,
     RunPhase,
-    StepRun,
     StrayStart,
     Suspect,
     Unit,
@@ -502,65 +500,3 @@
         """Return the pool of a job's queue, or its last known pool without a queue."""
         queue = self.queue(job.queue)
         return queue.pool if queue is not None else job.pool
-
-    def missing_in_step(self, step: StepRun, excluded: Run | None = None) -> int:
-        """Return how many units of a long-running step are not working.
-
-        Args:
-            step: The step.
-            excluded: A run whose unit is not counted.
-        """
-        missing = 0
-        for unit in step.units:
-            if excluded is not None and excluded.unit is unit:
-                continue
-            if any(self._is_at_work(run) for run in unit.runs):
-                continue
-            missing += 1
-        return missing
-
-    def _is_at_work(self, run: Run) -> bool:
-        """Return whether a long-running task works on a minion that answers.
-
-        The last report of a silent minion may be outdated, and so are all reports after
-        the owner was suspended. If they were trusted, stopping another task of the step
-        could exceed the step's budget.
-        """
-        minion = self.minions.get(run.minion_id)
-        if not run.is_working or minion is None or minion.failures:
-            return False
-        if self.now_ms - minion.seen_ms >= const.REPORT_VALID_MS:
-            return False
-        # A run that began late was kept, but a stop of it may still be carried out.
-        stop_sent_ms = run.stop_sent_ms
-        return not stop_sent_ms or self.now_ms - stop_sent_ms >= const.STRAY_START_MS
-
-    def may_interrupt(self, run: Run) -> bool:
-        """Return whether a run may be stopped.
-
-        A long-running task may be stopped only within its step's disruption budget.
-        """
-        spec = run.unit.spec
-        if not spec.long_running:
-            return True
-        if not self._is_settled(run.unit.step):
-            return False
-        step = run.unit.step
-        missing = self.missing_in_step(step, run)
-        step.budget_check = BudgetCheck(self.now_ms, missing)
-        return missing < max(1, spec.may_miss)
-
-    def _is_settled(self, step: StepRun) -> bool:
-        """Return whether no stop by an earlier owner can be in flight in a step.
-
-        Minions report a run that is being stopped like one that is working.
-        """
-        settle_ms = self.bounds.stop_ms + const.STOP_SETTLE_MS
-        for unit in step.units:
-            for run in unit.runs:
-                minion = self.minions.get(run.minion_id)
-                if run.number >= self.first_run_number or minion is None:
-                    continue
-                if self.now_ms - minion.synced_ms < settle_ms:
-                    return False
-        return True
--- a/courselead/core/scheduler/service_stops.py
+++ b/courselead/core/scheduler/service_stops.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from courselead.core.scheduler import const, lives
+from courselead.core.scheduler import budgets, const, lives
 from courselead.core.scheduler.schedule import Schedule
 from courselead.core.scheduler.state import Minion, Run, RunPhase
 
@@ -71,7 +71,11 @@
         if run.phase is not RunPhase.STOPPING or not run.unit.is_wanted_service:
             continue
         is_there = run.key in reported
-        if not is_there or schedule.may_interrupt(run) or len(run.unit.runs) > 1:
+        if (
+            not is_there
+            or budgets.may_interrupt(schedule, run)
+            or len(run.unit.runs) > 1
+        ):
             _repeat_if_due(schedule, run)
         elif run.stop_answered_ms is None and _is_due(schedule, run):
             _keep(schedule, minion, run)
@@ -116,7 +120,7 @@
     """Let a run go on that a poll reports although a stop of it was sent.
 
     Its stops are not repeated. One that is still in transit may end it, so it does not
-    count as working for a while (`Schedule._is_at_work`).
+    count as working for a while (`budgets.is_at_work`).
     """
     # Where its start was not answered, the report confirms it like one in transit.
     run.phase = RunPhase.RUNNING if run.running_ms else RunPhase.SENT
--- a/courselead/core/scheduler/stalls.py
+++ b/courselead/core/scheduler/stalls.py
@@ -11,7 +11,7 @@
 
 from __future__ import annotations
 
-from courselead.core.scheduler import const
+from courselead.core.scheduler import budgets, const
 from courselead.core.scheduler.schedule import Schedule
 from courselead.core.scheduler.state import READY_PERCENT, Minion, Run, RunPhase, Unit
 
@@ -68,7 +68,9 @@
             continue
         if not _is_stalled(schedule, minion, run):
             continue
-        if schedule.may_interrupt(run) or (is_fresh and _stands_still(schedule, run)):
+        if budgets.may_interrupt(schedule, run) or (
+            is_fresh and _stands_still(schedule, run)
+        ):
             run.unit.stalls += 1
             _stop(schedule, run)
         else:
--- a/courselead/core/scheduler/waves.py
+++ b/courselead/core/scheduler/waves.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from courselead.core.scheduler import budgets
 from courselead.core.scheduler.evacuation_moves import minions_that_cannot_be_emptied
 from courselead.core.scheduler.events import (
     CloudOrderAnswered,
@@ -277,7 +278,7 @@
         return
     spec = run.unit.spec
     if spec.long_running:
-        if schedule.may_interrupt(run):
+        if budgets.may_interrupt(schedule, run):
             schedule.stop_run(run, "its worker is due for maintenance")
         return
     if spec.checkpoints or waited_ms >= EVACUATE_MS:
--- a/tests/core/scheduler/test_evacuation_moves.py
+++ b/tests/core/scheduler/test_evacuation_moves.py
@@ -3,11 +3,10 @@
 The world checks every stop against the step's disruption budget (AVAIL).
 """
 
-from courselead.core.scheduler import demand, events as ev
+from courselead.core.scheduler import budgets, demand, events as ev
 from courselead.core.scheduler.const import ZONE_EVACUATED_REASON
 from courselead.core.scheduler.evacuation_moves import MOVE_AFTER_MS
 from courselead.core.scheduler.models import JobState, Resources
-from courselead.core.scheduler.schedule import Schedule
 from courselead.core.scheduler.state import Crash
 from tests.core.scheduler.world import (
     CAPACITY,
@@ -326,13 +325,13 @@
     world = world_with(job(long_running(8, may_miss=1)))
     world.evacuate(EVACUATED)
     checks = []
-    before = Schedule.missing_in_step
+    before = budgets.missing_in_step
 
     def missing_in_step(schedule, *args):
         checks.append(schedule.now_ms)
         return before(schedule, *args)
 
-    monkeypatch.setattr(Schedule, "missing_in_step", missing_in_step)
+    monkeypatch.setattr(budgets, "missing_in_step", missing_in_step)
     world.run(MOVE_AFTER_MS + 500)
     # One check allows a stop, and the next one refuses it.
     assert checks
--- a/tests/core/scheduler/test_evacuation_plays.py
+++ b/tests/core/scheduler/test_evacuation_plays.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from courselead.core.scheduler import events as ev, jobs
+from courselead.core.scheduler import budgets, events as ev, jobs
 from courselead.core.scheduler.doubt import UnseenTasks
 from courselead.core.scheduler.models import JobState, MaintenanceWave
 from courselead.core.scheduler.schedule import Schedule
@@ -62,7 +62,7 @@
 
 MUTATIONS = {
     "EVAC": (Schedule, "may_start_in", lambda schedule, zone: True),
-    "AVAIL": (Schedule, "may_interrupt", lambda schedule, run: True),
+    "AVAIL": (budgets, "may_interrupt", lambda schedule, run: True),
     "TWICE": (UnseenTasks, "blocks", lambda unseen, unit: False),
     "LIMIT": (Minion, "free_capacity", property(lambda self: self.info.capacity)),
     "UNASKED": (jobs, "cancel", lambda schedule, job_id: None),
--- a/tests/core/scheduler/test_late_services.py
+++ b/tests/core/scheduler/test_late_services.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from courselead.core.scheduler import const, events as ev
+from courselead.core.scheduler import budgets, const, events as ev
 from courselead.core.scheduler.state import Run, RunPhase
 from tests.core.scheduler.fake_minions import FakeMinion
 from tests.core.scheduler.world import WALL_START_MS, World, job, step
@@ -123,10 +123,10 @@
     world.run(1_000)
     assert len(running(world)) == TASKS
     schedule = world.owner.schedule
-    assert not any(schedule.may_interrupt(run) for run in known_runs(world))
+    assert not any(budgets.may_interrupt(schedule, run) for run in known_runs(world))
     world.run(IN_TRANSIT_MS)
     assert len(running(world)) == TASKS
-    assert all(schedule.may_interrupt(run) for run in known_runs(world))
+    assert all(budgets.may_interrupt(schedule, run) for run in known_runs(world))
 
 
 def test_a_kept_task_whose_stop_is_answered_counts_as_stopping():
--- a/tests/core/scheduler/test_repeated_service_stops.py
+++ b/tests/core/scheduler/test_repeated_service_stops.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from courselead.core.scheduler import const, events as ev
+from courselead.core.scheduler import budgets, const, events as ev
 from courselead.core.scheduler.models import MaintenanceWave
 from courselead.core.scheduler.state import Run, RunPhase
 from tests.core.scheduler.fake_minions import FakeMinion
@@ -47,7 +47,7 @@
 
 
 def stop(world: World, run: Run, reason=DUE) -> None:
-    assert world.owner.schedule.may_interrupt(run)
+    assert budgets.may_interrupt(world.owner.schedule, run)
     world.owner.schedule.stop_run(run, reason)
     world._pump(world.owner)
 
@@ -131,9 +131,9 @@
     # Guards against a stop beside a task that was lost while the owner was suspended.
     world = make_world(count=3)
     schedule = world.owner.schedule
-    assert schedule.may_interrupt(known_run(world, 0))
+    assert budgets.may_interrupt(schedule, known_run(world, 0))
     world.owner.handle(ev.Tick(schedule.wall_ms + 5_000), world.now_ms + 5_000)
-    assert not schedule.may_interrupt(known_run(world, 0))
+    assert not budgets.may_interrupt(schedule, known_run(world, 0))
 
 
 def test_a_task_is_not_stopped_by_the_report_of_another_minion_alone():
@@ -141,9 +141,9 @@
     world = make_world()
     schedule = world.owner.schedule
     minion = schedule.minions[known_run(world, 1).minion_id]
-    assert schedule.may_interrupt(known_run(world, 0))
+    assert budgets.may_interrupt(schedule, known_run(world, 0))
     minion.seen_ms -= 3_000
-    assert not schedule.may_interrupt(known_run(world, 0))
+    assert not budgets.may_interrupt(schedule, known_run(world, 0))
 
 
 def test_only_stops_of_wanted_services_expire():
--- a/tests/core/scheduler/test_waves.py
+++ b/tests/core/scheduler/test_waves.py
@@ -1,6 +1,6 @@
 """Maintenance waves: the cap holds, each worker goes once, serving tasks move first."""
 
-from courselead.core.scheduler import events as ev
+from courselead.core.scheduler import budgets, events as ev
 from courselead.core.scheduler.bursts import BurstMemory, BurstTracker
 from courselead.core.scheduler.models import Bounds, JobState, MaintenanceWave
 from courselead.core.scheduler.records import OwnerHeartbeat, WaveProgress
@@ -158,9 +158,9 @@
     world.run(20)
     assert len(owner.schedule.minions["i1"].runs) == 2
     run = owner.schedule.minions["i1"].runs[second.key]
-    assert not owner.schedule.may_interrupt(run)
+    assert not budgets.may_interrupt(owner.schedule, run)
     world.run(1_500)
-    assert owner.schedule.may_interrupt(run)
+    assert budgets.may_interrupt(owner.schedule, run)
     assert world.state(job_id) is JobState.RUNNING
 
 
