Learn the time to be ready from when a task begins

Cause: it was counted from the start order, which may be carried out seconds late: one such start made tasks of its queue count as stalled only after half a minute. Change: counted from when the run is known to have begun. Beside it, the budget is asked only for stops that are due.

--- a/courselead/core/scheduler/service_stops.py
+++ b/courselead/core/scheduler/service_stops.py
@@ -39,8 +39,9 @@
     for run in list(minion.runs.values()):
         if run.phase is not RunPhase.STOPPING:
             continue
-        if minion.info.draining or not run.unit.is_wanted_service:
-            _repeat_if_due(schedule, run)
+        is_restricted = run.unit.is_wanted_service and not minion.info.draining
+        if not is_restricted and _is_due(schedule, run):
+            schedule.order_stop(run)
 
 
 def run_reported(schedule: Schedule, minion: Minion, run: Run) -> None:
@@ -70,15 +71,13 @@
     for run in list(minion.runs.values()):
         if run.phase is not RunPhase.STOPPING or not run.unit.is_wanted_service:
             continue
-        is_there = run.key in reported
-        if (
-            not is_there
-            or budgets.may_interrupt(schedule, run)
-            or len(run.unit.runs) > 1
-        ):
-            _repeat_if_due(schedule, run)
-        elif run.stop_answered_ms is None and _is_due(schedule, run):
+        if not _is_due(schedule, run):
+            continue
+        is_only_run = run.key in reported and len(run.unit.runs) == 1
+        if is_only_run and not budgets.may_interrupt(schedule, run):
             _keep(schedule, minion, run)
+        else:
+            schedule.order_stop(run)
 
 
 def stop_answered(schedule: Schedule, run: Run) -> None:
@@ -108,14 +107,12 @@
 
 
 def _is_due(schedule: Schedule, run: Run) -> bool:
+    """Return whether a stop without an answer is to be repeated."""
+    if run.stop_answered_ms is not None:
+        return False
     return schedule.now_ms - run.stop_sent_ms >= const.STOP_RETRY_MS
 
 
-def _repeat_if_due(schedule: Schedule, run: Run) -> None:
-    if run.stop_answered_ms is None and _is_due(schedule, run):
-        schedule.order_stop(run)
-
-
 def _keep(schedule: Schedule, minion: Minion, run: Run) -> None:
     """Let a run go on that a poll reports although a stop of it was sent.
 
--- a/courselead/core/scheduler/stalls.py
+++ b/courselead/core/scheduler/stalls.py
@@ -94,7 +94,8 @@
         # When it was started is not known, or it took longer than it usually does.
         return
     queue = run.unit.job.queue
-    took_ms = schedule.now_ms - run.started_ms
+    # Its start may have been carried out late.
+    took_ms = schedule.now_ms - run.running_ms
     known_ms = schedule.ready_ms.get(queue, took_ms)
     learned_ms = known_ms + const.LEARN_WEIGHT * (took_ms - known_ms)
     schedule.ready_ms[queue] = learned_ms
--- a/tests/core/scheduler/test_stalled_services.py
+++ b/tests/core/scheduler/test_stalled_services.py
@@ -201,3 +201,22 @@
     submit(world)
     world.run(1_000)
     assert len(at_work(world)) == TASKS
+
+
+def test_the_wait_for_a_late_start_does_not_count_as_time_to_be_ready():
+    # Guards against tasks that stand still for long, as one was once started late.
+    world = make_world(startup_ms=(800, 800))
+    world.late_ms = (9_000, 9_000)
+    world.late_orders = 1.0
+    submit(world, count=1)
+    world.run(50)
+    [order] = [item for item in world.orders if isinstance(item, ev.StartRun)]
+    world.minions[order.minion_id].cut = True
+    world.late_orders = 0.0
+    world.run(9_100)
+    world.minions[order.minion_id].cut = False
+    world.run(2_000)
+    assert log_events(world, "run_kept")
+    assert len(at_work(world)) == 1
+    [ready_ms] = world.owner.schedule.ready_ms.values()
+    assert ready_ms <= 1_000
