Give the simulated services a module of their own

The model of long-running tasks moves to fake_services.py unchanged: start-up, standing still, what counts as missing, and the check of a stop.

--- a/tests/core/scheduler/service_plays.py
+++ b/tests/core/scheduler/service_plays.py
@@ -72,7 +72,9 @@
                 startup_factor=rng.choice((1.0, 1.0, 3.0)),
             )
         world.bounds = replace(Bounds(), evacuated_within_ms=WITHIN_MS)
-        world.startup_ms = rng.choice(((300, 900), (1_000, 2_500), (2_000, 6_000)))
+        world.services.startup_ms = rng.choice(
+            ((300, 900), (1_000, 2_500), (2_000, 6_000))
+        )
         world.poll_ms = rng.choice((200, 600, 1_000))
         world.late_ms = LATE_MS
         self.late_share = rng.choice(LATE_SHARES)
@@ -155,9 +157,9 @@
 
     def _toggle_stands_still(self, minion: FakeMinion) -> None:
         if minion.stands_still:
-            self.world.go_on(minion)
+            self.world.services.go_on(minion, self.world.now_ms)
         else:
-            self.world.stand_still(minion)
+            self.world.services.stand_still(minion, self.world.now_ms)
 
     def _toggle_evacuation(self, zone: str) -> None:
         if zone in self.world.closed_zones:
@@ -184,7 +186,7 @@
         world.queue_ms = (0, 0)
         for minion in world.all_minions:
             minion.cut = False
-            world.go_on(minion)
+            world.services.go_on(minion, world.now_ms)
         for minion in world.minions.values():
             if minion.up:
                 world.change_capacity(minion.minion_id, CAPACITY)
@@ -201,7 +203,9 @@
         jobs = {task[:16] for task in self.tasks}
         failed = {job_id for job_id in jobs if world.state(job_id).final}
         wanted = [task for task in self.tasks if task[:16] not in failed]
-        idle = [task for task in wanted if not world.is_at_work(task)]
+        idle = [
+            task for task in wanted if not world.services.is_at_work(task, world.now_ms)
+        ]
         return Results(
             len(world.starts),
             stops["service_stop_sent"],
--- a/tests/core/scheduler/test_repeated_service_stops.py
+++ b/tests/core/scheduler/test_repeated_service_stops.py
@@ -10,7 +10,8 @@
 from courselead.core.scheduler.models import MaintenanceWave
 from courselead.core.scheduler.state import Run, RunPhase
 from tests.core.scheduler.fake_minions import FakeMinion
-from tests.core.scheduler.world import NOTICE_MS, World, job, step
+from tests.core.scheduler.fake_services import NOTICE_MS
+from tests.core.scheduler.world import World, job, step
 
 SERVICE = "5" * 16
 NEVER_MS = 600_000
--- a/tests/core/scheduler/test_stalled_services.py
+++ b/tests/core/scheduler/test_stalled_services.py
@@ -20,7 +20,7 @@
 
 def make_world(minions=4, startup_ms=(0, 0), seed=0) -> World:
     world = World(minions=minions, capacity=CAPACITY, seed=seed)
-    world.startup_ms = startup_ms
+    world.services.startup_ms = startup_ms
     world.claim()
     world.run(300)
     return world
@@ -106,7 +106,7 @@
     """Let the minions of a service's first tasks stand still before they are ready."""
     minions = minions_in_use(world)[:count]
     for minion in minions:
-        world.stand_still(minion)
+        world.services.stand_still(minion, world.now_ms)
     return minions
 
 
@@ -136,7 +136,7 @@
     world.run(12_000)
     assert not stops_sent(world)
     for minion in minions:
-        world.go_on(minion)
+        world.services.go_on(minion, world.now_ms)
     world.run(2_000)
     assert len(at_work(world)) == TASKS
 
--- a/tests/core/scheduler/world.py
+++ b/tests/core/scheduler/world.py
@@ -40,6 +40,7 @@
 from courselead.daemon.scheduling.held_starts import HeldStarts
 from standins.job_platform.ledger import values_in_force
 from tests.core.scheduler.fake_minions import POOL, FakeMinion, FakeRun
+from tests.core.scheduler.fake_services import FakeServices
 
 LATENCY_MS = 2
 POLL_MS = 200
@@ -50,9 +51,6 @@
 BACK_MS = 700
 """Time after which a crashed minion is back."""
 
-NOTICE_MS = 4_500
-"""Time without a run after which a task counts as missing, whatever the cause."""
-
 ENTRY_LOST_MS = 4_500
 """Time after which the list entry of a silent minion is removed."""
 
@@ -115,6 +113,7 @@
         self.book = JobBook()
         self.minions: dict[str, FakeMinion] = {}
         self.all_minions: list[FakeMinion] = []
+        self.services = FakeServices(self.all_minions, seed)
         self.listed: set[str] = set()
         self.owner: Scheduler | None = None
         self.owners: list[Scheduler] = []
@@ -133,18 +132,10 @@
         self.started_after: dict[str, int] = {}
         self.crash_count = 0
         self.limits_starts = True
-        # Range of the time that a long-running task takes to be ready.
-        self.startup_ms = (0, 0)
-        # Drawn apart, so that the other draws of a seed stay as they are.
-        self._startup_random = random.Random(seed)
         self.poll_ms = POLL_MS
         # Range of the time that an order waits in the owner's process before it leaves.
         self.queue_ms = (0, 0)
         self._queue_random = random.Random(seed)
-        # When each task last ended, and the tasks that were stopped by an order and
-        # have not been at work since, delayed orders included.
-        self._ended_work_ms: dict[str, int] = {}
-        self._stopped_by_order: set[str] = set()
         # When the order that is being carried out was sent, if it was delayed.
         self._delayed_since_ms: int | None = None
         # Delayed starts that were carried out in an evacuated zone or for a cancelled
@@ -395,7 +386,7 @@
     def _end_incarnation(self, minion: FakeMinion) -> None:
         minion.up = False
         for run in minion.runs.values():
-            self._note_end_of_work(run)
+            self.services.note_end(run, self.now_ms)
         minion.runs.clear()
         minion.ended.clear()
 
@@ -556,7 +547,7 @@
 
     def _end(self, minion: FakeMinion, run: FakeRun, kind: ev.EndKind) -> None:
         del minion.runs[(run.task, run.number)]
-        self._note_end_of_work(run)
+        self.services.note_end(run, self.now_ms)
         minion.sequence += 1
         minion.highest[run.task] = max(minion.highest.get(run.task, 0), run.number)
         minion.ended.append(
@@ -569,39 +560,12 @@
         if kind is ev.EndKind.FAILED:
             self.failed[run.task] = self.failed.get(run.task, 0) + 1
 
-    def _note_end_of_work(self, run: FakeRun) -> None:
-        if run.is_at_work(self.now_ms):
-            self._ended_work_ms[run.task] = self.now_ms
-
-    def stand_still(self, minion: FakeMinion) -> None:
-        """Let no task on a minion become ready until it goes on."""
-        minion.stands_still = True
-        for run in minion.runs.values():
-            if not run.is_at_work(self.now_ms):
-                run.ready_ms = None
-
-    def go_on(self, minion: FakeMinion) -> None:
-        """Let the tasks of a minion that stood still start up anew."""
-        minion.stands_still = False
-        for run in minion.runs.values():
-            if run.ready_ms is None:
-                run.ready_ms = self._ready_ms(minion)
-
     def fail_service_task(self, minion: FakeMinion, rng: random.Random) -> None:
         """Let a long-running task on a minion fail by its own fault."""
         runs = [run for run in minion.runs.values() if run.long_running]
         if runs:
             self._end(minion, rng.choice(runs), ev.EndKind.FAILED)
 
-    def _ready_ms(self, minion: FakeMinion) -> int | None:
-        """Return when a task that starts up on a minion now will be ready."""
-        if minion.stands_still:
-            return None
-        if self.startup_ms == (0, 0):
-            return self.now_ms
-        startup_ms = self._startup_random.randint(*self.startup_ms)
-        return self.now_ms + int(startup_ms * minion.startup_factor)
-
     def _spec_of(self, task: str) -> StepSpec:
         job_id, _, number, _ = task.split(".")
         return self.book.jobs[job_id].spec.steps[int(number)]
@@ -648,7 +612,9 @@
             self.lengths[job_id] * slowdown,
             spec.long_running,
             crash_ms=self._crash_age(order.task),
-            ready_ms=self._ready_ms(minion) if spec.long_running else 0,
+            ready_ms=self.services.ready_ms(minion, self.now_ms)
+            if spec.long_running
+            else 0,
         )
         if order.task in self.crash_ages_ms:
             # Wakes the world at that time, so that the crash is carried out.
@@ -701,46 +667,14 @@
             assert len(same) < spec.max_per_minion, f"ROUTE: {task}"
 
     def _check_stop(self, minion: FakeMinion, run: FakeRun) -> None:
-        """Check that a stop leaves enough tasks of a long-running step working.
-
-        A task that is not at work may be stopped, and so may any by an order that was
-        delayed. Both then count as missing until they are at work again.
-        """
-        task = run.task
-        spec = self._spec_of(task)
-        entry = self.book.jobs[task.partition(".")[0]]
+        """Check that a stop keeps to the budget of a long-running step."""
+        spec = self._spec_of(run.task)
+        entry = self.book.jobs[run.task.partition(".")[0]]
         if not spec.may_miss or entry.cancelled or minion.draining:
             return
-        is_checked = run.is_at_work(self.now_ms) and self._delayed_since_ms is None
-        missing = self._missing_beside(task) if is_checked else []
-        self._stopped_by_order.add(task)
-        assert len(missing) < spec.may_miss, (
-            f"AVAIL: {task} stopped, missing: {missing}"
-        )
-
-    def _missing_beside(self, task: str) -> list[str]:
-        """Return the other tasks of a long-running step that count as missing."""
-        prefix, _, own = task.rpartition(".")
-        names = [f"{prefix}.{index}" for index in range(self._spec_of(task).count)]
-        own_name = f"{prefix}.{own}"
-        return [item for item in names if item != own_name and self._is_missing(item)]
-
-    def _is_missing(self, task: str) -> bool:
-        """Return whether a task was stopped by an order or is missing for long."""
-        if self.is_at_work(task):
-            # Stopped earlier, it works again.
-            self._stopped_by_order.discard(task)
-            return False
-        if task in self._stopped_by_order:
-            return True
-        return self.now_ms - self._ended_work_ms.get(task, 0) >= NOTICE_MS
-
-    def is_at_work(self, task: str) -> bool:
-        """Return whether a run of a task works that is not being stopped."""
-        return any(
-            run.task == task and run.stop_at_ms is None and run.is_at_work(self.now_ms)
-            for minion in self.all_minions
-            for run in minion.runs.values()
+        is_delayed = self._delayed_since_ms is not None
+        self.services.check_stop(
+            run, self.now_ms, spec.count, spec.may_miss, is_delayed
         )
 
     def _check_starts_after_crashes(self, task: str) -> None:
@@ -950,7 +884,7 @@
         run = minion.runs.get((order.task, order.number))
         if run is not None and run.stop_at_ms is None:
             self._check_stop(minion, run)
-            self._note_end_of_work(run)
+            self.services.note_end(run, self.now_ms)
             run.stop_at_ms = self.now_ms + 100
         return ev.Outcome.OK
 
