--- a/tests/core/scheduler/evacuation_plays.py
+++ b/tests/core/scheduler/evacuation_plays.py
@@ -10,7 +10,6 @@
 
 import random
 import sys
-from collections import Counter
 from dataclasses import dataclass, replace
 
 from courselead.core.scheduler import events as ev
@@ -21,6 +20,7 @@
     MaintenanceWave,
     Resources,
 )
+from tests.core.scheduler.seed_range import run_seeds
 from tests.core.scheduler.world import ZONES, job, step, world_of_zones
 
 MINIONS = 9
@@ -60,6 +60,11 @@
     open_jobs: int
     idle_services: int
 
+    @property
+    def is_incomplete(self) -> bool:
+        """Return whether a job or service has not got what it asks for."""
+        return bool(self.open_jobs or self.idle_services)
+
 
 def random_spec(rng: random.Random) -> tuple[JobSpec, int]:
     """Return a random finite job and the run time of its tasks in ms."""
@@ -203,24 +208,5 @@
         )
 
 
-def main(argv: list[str]) -> None:
-    """Print the violated rules and the sums over a range of seeds."""
-    first, last = int(argv[0]), int(argv[1])
-    sums: Counter[str] = Counter()
-    broken = 0
-    for seed in range(first, last):
-        try:
-            results = EvacuationSimulation(seed).run()
-        except AssertionError as exc:
-            broken += 1
-            print(f"{seed}: {exc}")
-            continue
-        if results.open_jobs or results.idle_services:
-            print(f"{seed}: {results}")
-        for name in Results.__dataclass_fields__:
-            sums[name] += getattr(results, name)
-    print(f"{last - first} seeds, {broken} with a violated rule, {dict(sums)}")
-
-
 if __name__ == "__main__":
-    main(sys.argv[1:])
+    run_seeds(lambda seed: EvacuationSimulation(seed).run(), sys.argv[1:])
--- a/tests/core/scheduler/service_plays.py
+++ b/tests/core/scheduler/service_plays.py
@@ -18,6 +18,7 @@
 from courselead.core.scheduler import events as ev
 from courselead.core.scheduler.models import Bounds, MaintenanceWave, Resources
 from tests.core.scheduler.fake_minions import FakeMinion
+from tests.core.scheduler.seed_range import run_seeds
 from tests.core.scheduler.world import ZONES, World, job, step
 
 CAPACITY = Resources(8_000, 8_000)
@@ -56,6 +57,11 @@
     failed: int
     idle: int
 
+    @property
+    def is_incomplete(self) -> bool:
+        """Return whether a job or service has not got what it asks for."""
+        return bool(self.idle)
+
 
 class ServiceSimulation:
     """One random simulation."""
@@ -218,24 +224,5 @@
         )
 
 
-def main(argv: list[str]) -> None:
-    """Print the violated rules and the sums over a range of seeds."""
-    first, last = int(argv[0]), int(argv[1])
-    sums: Counter[str] = Counter()
-    broken = 0
-    for seed in range(first, last):
-        try:
-            results = ServiceSimulation(seed).run()
-        except AssertionError as exc:
-            broken += 1
-            print(f"{seed}: {exc}", flush=True)
-            continue
-        if results.idle:
-            print(f"{seed}: {results}", flush=True)
-        for name in Results.__dataclass_fields__:
-            sums[name] += getattr(results, name)
-    print(f"{last - first} seeds, {broken} with a violated rule, {dict(sums)}")
-
-
 if __name__ == "__main__":
-    main(sys.argv[1:])
+    run_seeds(lambda seed: ServiceSimulation(seed).run(), sys.argv[1:])
