--- a/courselead/core/scheduler/schedule.py
+++ b/courselead/core/scheduler/schedule.py
@@ -377,11 +377,12 @@
             # It is switched off and has no minion.
             return False
         known = self.minions.get(worker.minion_id)
-        if known is not None and not known.failures:
-            # Its own minion answers, so no other one is there.
-            return False
+        known_until_ms = 0 if known is None else known.seen_ms
         return any(
-            not minion.worker_id and minion.info.zone == worker.zone and minion.serves
+            not minion.worker_id
+            and minion.info.zone == worker.zone
+            and known_until_ms <= minion.listed_ms
+            and minion.serves
             for minion in self.minions.values()
         )
 
