Build a request target from its worker

build_target had grown to seven positional values, all of one worker at its only caller. Behaviour is unchanged: tests/core/requests passes.

--- a/courselead/core/requests/quota.py
+++ b/courselead/core/requests/quota.py
@@ -11,6 +11,7 @@
 from immutables import Map
 
 from courselead.core.fleet.queries import unsettled_hosts
+from courselead.core.fleet.state import WorkerState
 from courselead.core.requests import shares
 from courselead.core.requests.shares import UNLIMITED
 from courselead.core.requests.state import (
@@ -246,15 +247,15 @@
     return shares.ceiling_share(basis, quota, total, entry_host, incarnation)
 
 
-def build_target(
-    worker: str,
-    pool: str,
-    epoch: int,
-    minion_epoch: int,
-    zone: str,
-    address: str,
-    own_zone: str,
-) -> Target:
-    """Return the target for a serving minion."""
-    quota = minion_quota(worker, minion_epoch)
-    return Target(worker, pool, epoch, zone, address, quota, zone == own_zone)
+def build_target(worker: WorkerState, own_zone: str) -> Target:
+    """Return the target for a worker's serving minion."""
+    zone = worker.availability_zone
+    return Target(
+        worker.worker,
+        worker.pool,
+        worker.epoch,
+        zone,
+        worker.minion_address,
+        minion_quota(worker.worker, worker.minion_epoch),
+        zone == own_zone,
+    )
--- a/courselead/core/requests/targets.py
+++ b/courselead/core/requests/targets.py
@@ -92,15 +92,7 @@
         return None
     if not worker.minion_address or not worker.pool:
         return None
-    return quota.build_target(
-        worker.worker,
-        worker.pool,
-        worker.epoch,
-        worker.minion_epoch,
-        worker.availability_zone,
-        worker.minion_address,
-        turn.ctx.me.availability_zone,
-    )
+    return quota.build_target(worker, turn.ctx.me.availability_zone)
 
 
 def _remove(turn: Turn, target: Target) -> None:
