--- a/review/standin/site.py
+++ b/review/standin/site.py
@@ -237,6 +237,16 @@
             self.start_host(host)
             self.ledger.say(f"started again: {host.name}")
 
+    def freeze(self, host: Host) -> None:
+        """Let a host stand still."""
+        self.ledger.say(f"freeze {host.name}")
+        os.kill(host.process.pid, signal.SIGSTOP)
+
+    def go_on(self, host: Host) -> None:
+        """Let a frozen host go on."""
+        self.ledger.say(f"go on: {host.name}")
+        os.kill(host.process.pid, signal.SIGCONT)
+
     async def restart(self, host: Host) -> None:
         """Stop a host as the platform does: SIGTERM, then a new process."""
         self.ledger.say(f"SIGTERM {host.name}")
