--- a/review/2/run.py
+++ b/review/2/run.py
@@ -1,4 +1,4 @@
-"""Plays the case: jobs are cancelled at a host that has stood still for four seconds."""
+"""Plays the case: jobs are cancelled at a host that has stood still for 4 s."""
 
 from __future__ import annotations
 
