--- a/review/2/run.py
+++ b/review/2/run.py
@@ -1,4 +1,4 @@
-"""Plays the case: jobs are cancelled at a host that has stood still for 4 s."""
+"""Plays the case: the owner restarts while over 500 ends wait on each minion."""
 
 from __future__ import annotations
 
@@ -12,138 +12,80 @@
 
 from standin.http import STATUS_OK  # noqa: E402
 from standin.minion import Needs  # noqa: E402
-from standin.site import BROKEN, HELD, NOT_RUN, CannotRun, Host, Site  # noqa: E402
+from standin.site import BROKEN, HELD, NOT_RUN, CannotRun, Site  # noqa: E402
 
 MINIONS = 3
 CPU = 32_000
-JOBS = 500
-STEPS = 8
-CANCELLED_JOBS = 5
-SPEC_BYTES = 4_000
-NEEDS = Needs(cpu=20, run_s=8.0)
-CALLERS = 8
-
-SUBMIT_S = 3.0
-"""The jobs are handed in over this time, evenly."""
-
-FREEZE_S = 4.0
-"""The host stands still for 4 s (`node_freeze`)."""
-
-CANCEL_BEFORE_WAKE_S = 0.5
-"""When the jobs are cancelled, before the host goes on."""
-
-CANCEL_MS = 3_000
-"""`cancel_ms`: nothing of a job starts later than this after its cancel's answer."""
-
-WATCH_S = 15.0
-
-STATUS_NO_JOB = 410
-
-
-class Play:
-    """One play of the case."""
-
-    def __init__(self, site: Site) -> None:
-        """Start without jobs."""
-        self.site = site
-        self.accepted: list[str] = []
-        self.answered: dict[str, tuple[float, int]] = {}
-        """Time and status of the answer to each cancel."""
-
-    async def run(self, trouble: bool) -> None:
-        """Hand in jobs while a host stands still, and cancel the last ones there."""
-        site, ledger = self.site, self.site.ledger
-        owner = site.owner()
-        frozen, other = [host for host in site.hosts if host is not owner]
-        if trouble:
-            site.freeze(frozen)
-        begun_s = ledger.now_s
-        await self._submit([owner, other], begun_s)
-        ledger.say(f"{len(self.accepted)} jobs accepted")
-        await asyncio.sleep(begun_s + FREEZE_S - CANCEL_BEFORE_WAKE_S - ledger.now_s)
-        cancels = asyncio.gather(
-            *(self._cancel(frozen, job) for job in self.accepted[-CANCELLED_JOBS:])
-        )
-        await asyncio.sleep(begun_s + FREEZE_S - ledger.now_s)
-        if trouble:
-            site.go_on(frozen)
-        await cancels
-        await asyncio.sleep(WATCH_S)
-        for job_id in self.answered:
-            await site.client_call(other, "GET", job_id)
-
-    async def _submit(self, hosts: list[Host], begun_s: float) -> None:
-        numbers = iter(range(1, JOBS + 1))
-
-        async def call_in_turn(host: Host) -> None:
-            for number in numbers:
-                due_s = begun_s + SUBMIT_S * number / JOBS
-                await asyncio.sleep(due_s - self.site.ledger.now_s)
-                job_id = f"{number:016x}"
-                status, _ = await self.site.client_call(
-                    host, "POST", job_id, make_job()
-                )
-                if status == STATUS_OK:
-                    self.accepted.append(job_id)
-
-        callers = [call_in_turn(hosts[n % len(hosts)]) for n in range(CALLERS)]
-        await asyncio.gather(*callers)
-        if len(self.accepted) < JOBS:
-            raise CannotRun(f"only {len(self.accepted)} jobs were accepted")
-        if self.site.ledger.now_s > begun_s + FREEZE_S - CANCEL_BEFORE_WAKE_S:
-            raise CannotRun("the jobs were not accepted in time")
-
-    async def _cancel(self, host: Host, job_id: str) -> None:
-        status, _ = await self.site.client_call(host, "DELETE", job_id)
-        if status in (STATUS_OK, STATUS_NO_JOB):
-            self.answered[job_id] = (self.site.ledger.now_s, status)
-
-    def late_starts(self) -> list[str]:
-        """Return the starts that break UNASKED."""
-        found = []
-        for (task, run), (begun_s, minion, _) in self.site.ledger.starts.items():
-            answer = self.answered.get(task.partition(".")[0])
-            if answer is None or begun_s <= answer[0] + CANCEL_MS / 1000:
-                continue
-            late_s = begun_s - answer[0]
-            found.append(
-                f"{task} run {run} begins on {minion} {late_s:.2f} s after the cancel "
-                f"of its job was answered with {answer[1]}"
-            )
-        return found
-
-
-def make_job() -> dict:
-    """Return a job of a few steps, one after the other, with a long spec."""
-    spec = f"{NEEDS.to_spec()} note="
-    spec += "x" * (SPEC_BYTES - len(spec))
-    steps = []
-    for number in range(STEPS):
-        step = {
-            "count": 1,
-            "cpu": NEEDS.cpu,
-            "memMb": 32,
-            "estRuntimeMs": 8000,
-            "image": f"registry.example/translations/align-and-check-{number}:2026.12",
-        }
-        if number:
-            step["after"] = [number - 1]
-        steps.append(step)
-    return {"spec": spec, "steps": steps}
+TASKS = 1_950
+NEEDS = Needs(cpu=45, run_s=6.0)
+JOB_ID = "5c0e7a21d94b36f8"
+
+SLOWNESS = 50.0
+SLOW_S = 4.5
+"""The store's answers take 50 times as long for 4.5 s (`platform_slow`)."""
+
+SLOW_BEFORE_END_S = 0.5
+TERM_BEFORE_END_S = 0.3
+"""Times before the first task is done."""
+
+START_TIMEOUT_S = 20.0
+END_TIMEOUT_S = 60.0
+
+
+async def play(site: Site, trouble: bool) -> None:
+    """Run one job of many short tasks, and restart the owner as they end."""
+    ledger = site.ledger
+    step = {"count": TASKS, "cpu": NEEDS.cpu, "memMb": 32, "estRuntimeMs": 6000}
+    job = {"spec": NEEDS.to_spec(), "steps": [step]}
+    status, _ = await site.client_call(site.hosts[0], "POST", JOB_ID, job)
+    if status != STATUS_OK:
+        raise CannotRun(f"the job was not accepted: {status}")
+    limit_s = ledger.now_s + START_TIMEOUT_S
+    while len(ledger.starts) < TASKS:
+        await asyncio.sleep(0.02)
+        if ledger.now_s > limit_s:
+            raise CannotRun(f"{len(ledger.starts)} of {TASKS} tasks began")
+    begun = sorted(item[0] for item in ledger.starts.values())
+    ledger.say(f"{TASKS} tasks began within {begun[-1] - begun[0]:.2f} s")
+    first_end_s = begun[0] + NEEDS.run_s
+    await asyncio.sleep(first_end_s - SLOW_BEFORE_END_S - ledger.now_s)
+    slow = asyncio.create_task(slow_store(site)) if trouble else None
+    await asyncio.sleep(first_end_s - TERM_BEFORE_END_S - ledger.now_s)
+    if ledger.ends:
+        raise CannotRun("tasks ended before the owner was told to stop")
+    await site.restart(site.owner())
+    if slow is not None:
+        await slow
+    limit_s = ledger.now_s + END_TIMEOUT_S
+    state = ""
+    while state != "completed" and ledger.now_s < limit_s:
+        await asyncio.sleep(1.0)
+        _, answer = await site.client_call(site.hosts[1], "GET", JOB_ID)
+        state = answer.get("state", "")
+    await asyncio.sleep(2.0)
+
+
+async def slow_store(site: Site) -> None:
+    """Make the store slow for a while."""
+    site.store.slowness = SLOWNESS
+    site.ledger.say(f"the store's answers take {SLOWNESS:.0f} times as long")
+    await asyncio.sleep(SLOW_S)
+    site.store.slowness = 1.0
+    site.ledger.say("the store's answers take as long as usual again")
 
 
 async def main(trouble: bool) -> int:
     """Play the case and write the record; return the exit code."""
     site = Site(MINIONS, CPU)
     ledger = site.ledger
-    play = Play(site)
-    failure = await site.run(lambda: play.run(trouble))
-    found = play.late_starts()
+    failure = await site.run(lambda: play(site, trouble))
+    found = ledger.started_twice()
+    done = sum(1 for end in ledger.ends.values() if end[3] == "done")
+    ledger.say(f"{len(ledger.starts)} starts, {done} ends `done`, {TASKS} tasks")
     for line in found:
-        ledger.say(f"UNASKED: {line}")
+        ledger.say(f"TWICE: {line}")
     result = NOT_RUN if failure else BROKEN if found else HELD
-    verdict = f"UNASKED is broken by {len(found)} starts"
-    ledger.finish(FOLDER, verdict, failure, result)
+    ledger.finish(FOLDER, f"TWICE is broken for {len(found)} tasks", failure, result)
     return result
 
 
--- a/review/standin/site.py
+++ b/review/standin/site.py
@@ -36,6 +36,9 @@
 RESTART_S = 1.0
 READY_S = 30.0
 
+RETRIES = 4
+"""A client's retries, as the sheets give them."""
+
 SETTINGS = """node = "{name}"
 role = "entry-host"
 machineClass = "front"
@@ -157,6 +160,8 @@
             )
             for number in range(minions)
         ]
+        self.own_ends: dict[str, int] = {}
+        self._waiting: set[str] = set()
         self._tasks: list[asyncio.Task] = []
         self._folder = tempfile.TemporaryDirectory()
 
@@ -237,6 +242,24 @@
             self.start_host(host)
             self.ledger.say(f"started again: {host.name}")
 
+    async def supervise(self) -> None:
+        """Start processes that end by themselves again, as the platform does."""
+        while True:
+            await asyncio.sleep(0.05)
+            for host in self.hosts:
+                code = host.process.poll()
+                if code is None or host.name in self._waiting:
+                    continue
+                self.own_ends[host.name] = self.own_ends.get(host.name, 0) + 1
+                self.ledger.say(f"{host.name} ended by itself with exit {code}")
+                self._waiting.add(host.name)
+                self._tasks.append(asyncio.create_task(self._start_later(host)))
+
+    async def _start_later(self, host: Host) -> None:
+        await asyncio.sleep(RESTART_S)
+        self.start_host(host)
+        self._waiting.discard(host.name)
+
     def freeze(self, host: Host) -> None:
         """Let a host stand still."""
         self.ledger.say(f"freeze {host.name}")
@@ -256,6 +279,16 @@
         self.ledger.say(f"{host.name} ended with {host.process.returncode}")
         self.start_host(host)
 
+    async def submit(self, job_id: str, job: object) -> bool:
+        """Hand in a job as a client does, with retries at other hosts."""
+        for attempt in range(1 + RETRIES):
+            host = self.hosts[(int(job_id, 16) + attempt) % len(self.hosts)]
+            status, _ = await self.client_call(host, "POST", job_id, job)
+            if status == STATUS_OK:
+                return True
+            await asyncio.sleep(0.2)
+        return False
+
     def owner(self) -> Host | None:
         """Return the host that has taken over the schedule last."""
         owners = [
