--- a/review/3/run.py
+++ b/review/3/run.py
@@ -1,4 +1,4 @@
-"""Plays the case: jobs are cancelled at a host that has stood still for 4 s."""
+"""Plays the case: a worker that was cut off and runs on gets no work any more."""
 
 from __future__ import annotations
 
@@ -10,34 +10,29 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
-from standin.http import STATUS_OK  # noqa: E402
 from standin.minion import Needs  # noqa: E402
-from standin.site import BROKEN, HELD, NOT_RUN, CannotRun, Host, Site  # noqa: E402
+from standin.site import BROKEN, HELD, NOT_RUN, CannotRun, Site  # noqa: E402
 
-MINIONS = 3
+MINIONS = 6
 CPU = 32_000
-JOBS = 500
-STEPS = 8
-CANCELLED_JOBS = 5
-SPEC_BYTES = 4_000
-NEEDS = Needs(cpu=20, run_s=8.0)
-CALLERS = 8
+NEEDS = Needs(cpu=1800, run_s=0.8)
+TASKS = 6
 
-SUBMIT_S = 3.0
-"""The jobs are handed in over this time, evenly."""
+KIND = "b"
+"""The kind of one minion; the others are of kind `a`."""
 
-FREEZE_S = 4.0
-"""The host stands still for 4 s (`node_freeze`)."""
+CUT_S = 5.5
+"""The minion is cut off from all machines for 5.5 s (`node_cut`)."""
 
-CANCEL_BEFORE_WAKE_S = 0.5
-"""When the jobs are cancelled, before the host goes on."""
+IDLE_S = 3.0
+"""Pause before the cut, in which nothing runs, and after it."""
 
-CANCEL_MS = 3_000
-"""`cancel_ms`: nothing of a job starts later than this after its cancel's answer."""
+JOBS = 10
+GAP_S = 0.5
+FINISH_S = 14.0
+"""`finish_s`: so long after the end of the traffic the jobs are asked for."""
 
-WATCH_S = 15.0
-
-STATUS_NO_JOB = 410
+EARLIER_JOB, FIRST_JOB = 1, 2
 
 
 class Play:
@@ -46,103 +41,71 @@
     def __init__(self, site: Site) -> None:
         """Start without jobs."""
         self.site = site
-        self.accepted: list[str] = []
-        self.answered: dict[str, tuple[float, int]] = {}
-        """Time and status of the answer to each cancel."""
+        self.accepted: dict[str, float] = {}
+        self.states: dict[str, str] = {}
+        self.ended_s = 0.0
 
     async def run(self, trouble: bool) -> None:
-        """Hand in jobs while a host stands still, and cancel the last ones there."""
+        """Cut a minion off while it is idle, then hand in jobs that need it."""
         site, ledger = self.site, self.site.ledger
-        owner = site.owner()
-        frozen, other = [host for host in site.hosts if host is not owner]
+        minion = site.minions[-1]
+        await self._submit(EARLIER_JOB, KIND)
+        await asyncio.sleep(IDLE_S)
+        if not self._has_begun(f"{EARLIER_JOB:016x}"):
+            raise CannotRun("the job before the cut did not run")
         if trouble:
-            site.freeze(frozen)
-        begun_s = ledger.now_s
-        await self._submit([owner, other], begun_s)
-        ledger.say(f"{len(self.accepted)} jobs accepted")
-        await asyncio.sleep(begun_s + FREEZE_S - CANCEL_BEFORE_WAKE_S - ledger.now_s)
-        cancels = asyncio.gather(
-            *(self._cancel(frozen, job) for job in self.accepted[-CANCELLED_JOBS:])
-        )
-        await asyncio.sleep(begun_s + FREEZE_S - ledger.now_s)
+            minion.cut()
+        await asyncio.sleep(CUT_S)
         if trouble:
-            site.go_on(frozen)
-        await cancels
-        await asyncio.sleep(WATCH_S)
-        for job_id in self.answered:
-            await site.client_call(other, "GET", job_id)
-
-    async def _submit(self, hosts: list[Host], begun_s: float) -> None:
-        numbers = iter(range(1, JOBS + 1))
-
-        async def call_in_turn(host: Host) -> None:
-            for number in numbers:
-                due_s = begun_s + SUBMIT_S * number / JOBS
-                await asyncio.sleep(due_s - self.site.ledger.now_s)
-                job_id = f"{number:016x}"
-                status, _ = await self.site.client_call(
-                    host, "POST", job_id, make_job()
-                )
-                if status == STATUS_OK:
-                    self.accepted.append(job_id)
-
-        callers = [call_in_turn(hosts[n % len(hosts)]) for n in range(CALLERS)]
-        await asyncio.gather(*callers)
-        if len(self.accepted) < JOBS:
-            raise CannotRun(f"only {len(self.accepted)} jobs were accepted")
-        if self.site.ledger.now_s > begun_s + FREEZE_S - CANCEL_BEFORE_WAKE_S:
-            raise CannotRun("the jobs were not accepted in time")
-
-    async def _cancel(self, host: Host, job_id: str) -> None:
-        status, _ = await self.site.client_call(host, "DELETE", job_id)
-        if status in (STATUS_OK, STATUS_NO_JOB):
-            self.answered[job_id] = (self.site.ledger.now_s, status)
-
-    def late_starts(self) -> list[str]:
-        """Return the starts that break UNASKED."""
+            minion.heal()
+        await asyncio.sleep(IDLE_S)
+        for number in range(FIRST_JOB, FIRST_JOB + JOBS):
+            await self._submit(number, KIND if number % 2 else "")
+        await asyncio.sleep(FINISH_S)
+        self.ended_s = ledger.now_s
+        for job_id in self.accepted:
+            _, answer = await site.client_call(site.hosts[0], "GET", job_id)
+            self.states[job_id] = answer.get("state", "no answer")
+
+    async def _submit(self, number: int, kind: str) -> None:
+        step = {"count": TASKS, "cpu": NEEDS.cpu, "memMb": 256, "estRuntimeMs": 800}
+        if kind:
+            step["constraints"] = kind
+        job_id = f"{number:016x}"
+        job = {"spec": NEEDS.to_spec(), "steps": [step]}
+        if not await self.site.submit(job_id, job):
+            raise CannotRun("a job was not accepted")
+        self.accepted[job_id] = self.site.ledger.now_s
+        self.site.ledger.say(f"{job_id} needs a minion of kind {kind or 'a or b'}")
+        await asyncio.sleep(GAP_S)
+
+    def _has_begun(self, job_id: str) -> bool:
+        return any(task.startswith(job_id) for task, _ in self.site.ledger.starts)
+
+    def lost_jobs(self) -> list[str]:
+        """Return the jobs that break LOST: accepted, and nothing of them runs."""
         found = []
-        for (task, run), (begun_s, minion, _) in self.site.ledger.starts.items():
-            answer = self.answered.get(task.partition(".")[0])
-            if answer is None or begun_s <= answer[0] + CANCEL_MS / 1000:
-                continue
-            late_s = begun_s - answer[0]
-            found.append(
-                f"{task} run {run} begins on {minion} {late_s:.2f} s after the cancel "
-                f"of its job was answered with {answer[1]}"
-            )
+        for job_id, accepted_s in self.accepted.items():
+            if not self._has_begun(job_id):
+                found.append(
+                    f"{job_id}: accepted {self.ended_s - accepted_s:.1f} s before the "
+                    f"end, no task has begun, shown as {self.states.get(job_id)}"
+                )
         return found
 
 
-def make_job() -> dict:
-    """Return a job of a few steps, one after the other, with a long spec."""
-    spec = f"{NEEDS.to_spec()} note="
-    spec += "x" * (SPEC_BYTES - len(spec))
-    steps = []
-    for number in range(STEPS):
-        step = {
-            "count": 1,
-            "cpu": NEEDS.cpu,
-            "memMb": 32,
-            "estRuntimeMs": 8000,
-            "image": f"registry.example/translations/align-and-check-{number}:2026.12",
-        }
-        if number:
-            step["after"] = [number - 1]
-        steps.append(step)
-    return {"spec": spec, "steps": steps}
-
-
 async def main(trouble: bool) -> int:
     """Play the case and write the record; return the exit code."""
     site = Site(MINIONS, CPU)
+    site.minions[-1].kind = KIND
     ledger = site.ledger
     play = Play(site)
     failure = await site.run(lambda: play.run(trouble))
-    found = play.late_starts()
+    found = play.lost_jobs()
     for line in found:
-        ledger.say(f"UNASKED: {line}")
+        ledger.say(f"LOST: {line}")
     result = NOT_RUN if failure else BROKEN if found else HELD
-    verdict = f"UNASKED is broken by {len(found)} starts"
+    verdict = f"LOST is broken by {len(found)} of {len(play.accepted)} accepted jobs"
     ledger.finish(FOLDER, verdict, failure, result)
     return result
 
--- a/review/standin/minion.py
+++ b/review/standin/minion.py
@@ -57,7 +57,14 @@
 
 @dataclass(slots=True)
 class Minion:
-    """One minion on one machine."""
+    """One minion on one machine.
+
+    Attributes:
+        cut_off: Whether it is partitioned from the system and from the store. It runs
+            on; what reaches it then is answered when the partition is over.
+        beat_s: When it wrote its entry last.
+        listed: Whether the store has its entry.
+    """
 
     minion_id: str
     machine: str
@@ -66,6 +73,10 @@
     rack: str
     cpu: int
     ledger: Ledger
+    kind: str = "a"
+    cut_off: bool = False
+    beat_s: float = 0.0
+    listed: bool = False
     born_ms: int = field(default_factory=lambda: int(time.time() * 1000))
     server: HttpServer = field(init=False)
     _born_s: float = field(default_factory=time.monotonic)
@@ -78,6 +89,7 @@
     _ended_s: dict[int, float] = field(default_factory=dict)
     _highest: dict[str, int] = field(default_factory=dict)
     _lapsed_s: float = 0.0
+    _healed: asyncio.Event = field(default_factory=asyncio.Event)
     _ended: asyncio.Event = field(default_factory=asyncio.Event)
 
     def __post_init__(self) -> None:
@@ -94,6 +106,11 @@
         """Return the capacity as the minion reports it."""
         return {"cpu": self.cpu, "memMb": 131_072, "gpu": 0}
 
+    @property
+    def labels(self) -> list[str]:
+        """Return the minion's kind and its rack."""
+        return [self.kind, self.rack]
+
     def entry(self) -> dict[str, Any]:
         """Return the entry in the list of minions."""
         self._seq += 1
@@ -106,12 +123,25 @@
             "state": "ready",
             "warmupRemainingMs": 0,
             "capacity": self.capacity,
-            "labels": ["a", self.rack],
+            "labels": self.labels,
             "clockMs": self.clock_ms,
             "seq": self._seq,
             "born": self.born_ms,
         }
 
+    def cut(self) -> None:
+        """Partition the minion from all machines and the store."""
+        self.ledger.say(f"cut off {self.minion_id}")
+        self._healed.clear()
+        self.cut_off = True
+
+    def heal(self) -> None:
+        """End the partition; connections from before it are reset."""
+        self.ledger.say(f"reachable again: {self.minion_id}")
+        self.cut_off = False
+        self._healed.set()
+        self.server.reset_connections()
+
     async def work(self) -> None:
         """End runs that are done, stopped or without a lease, until cancelled."""
         while True:
@@ -143,6 +173,8 @@
 
     async def _handle(self, request: Request) -> Response:
         await asyncio.sleep(ROUND_TRIP_S)
+        while self.cut_off:
+            await self._healed.wait()
         expected = request.headers.get("x-courselead-expect-instance", self.minion_id)
         if expected != self.minion_id:
             return json_response(421, {"clockMs": self.clock_ms})
--- a/review/standin/site.py
+++ b/review/standin/site.py
@@ -14,6 +14,7 @@
 import subprocess
 import sys
 import tempfile
+import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from pathlib import Path
@@ -33,6 +34,10 @@
 QUEUE = "r-8pjbvk9"
 ZONES = ("via-maqueda", "borgo-vecchio", "mondello")
 HEARTBEAT_S = 1.5
+SILENT_HEARTBEATS = 3
+"""Heartbeats of silence after which the store removes a minion's entry."""
+
+BEAT_CHECK_S = 0.1
 RESTART_S = 1.0
 READY_S = 30.0
 
@@ -370,9 +375,21 @@
     async def _register(self) -> None:
         while True:
             for minion in self.minions:
-                entry = json.dumps(minion.entry()).encode()
-                self.store.put("keyed.servers", minion.minion_id, entry)
-            await asyncio.sleep(HEARTBEAT_S)
+                self._register_minion(minion)
+            await asyncio.sleep(BEAT_CHECK_S)
+
+    def _register_minion(self, minion: Minion) -> None:
+        """Write a minion's entry, or remove it after three heartbeats of silence."""
+        silent_s = time.monotonic() - minion.beat_s
+        if not minion.cut_off and silent_s >= HEARTBEAT_S:
+            entry = json.dumps(minion.entry()).encode()
+            self.store.put("keyed.servers", minion.minion_id, entry)
+            minion.beat_s = time.monotonic()
+            minion.listed = True
+        elif minion.listed and silent_s >= SILENT_HEARTBEATS * HEARTBEAT_S:
+            self.store.put("keyed.servers", minion.minion_id, b"")
+            minion.listed = False
+            self.ledger.say(f"the entry of {minion.minion_id} is removed")
 
     async def _handle_cloud(self, request: Request) -> Response:
         if request.path != "/-/machines":
@@ -383,7 +400,7 @@
                 "pool": SERVICE,
                 "state": "up",
                 "zone": minion.zone,
-                "labels": ["a", minion.rack],
+                "labels": minion.labels,
                 "capacity": minion.capacity,
                 "id": minion.minion_id,
             }
