--- a/review/2/run.py
+++ b/review/2/run.py
@@ -16,8 +16,8 @@
 
 MINIONS = 3
 CPU = 32_000
-TASKS = 3_000
-NEEDS = Needs(cpu=30, run_s=6.0)
+TASKS = 2_400
+NEEDS = Needs(cpu=40, run_s=6.0)
 JOB_ID = "5c0e7a21d94b36f8"
 
 SLOWNESS = 50.0
