--- a/review/3/run.py
+++ b/review/3/run.py
@@ -10,6 +10,7 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
+from standin.lost import Waiting, lost_jobs  # noqa: E402
 from standin.minion import Needs  # noqa: E402
 from standin.site import BROKEN, HELD, NOT_RUN, CannotRun, Site  # noqa: E402
 
@@ -38,9 +39,9 @@
     def __init__(self, site: Site) -> None:
         """Start without jobs."""
         self.site = site
-        self.accepted: dict[str, float] = {}
+        self.accepted: list[Waiting] = []
         self.states: dict[str, str] = {}
-        self.ended_s = 0.0
+        self.asked_s = 0.0
 
     async def run(self, trouble: bool) -> None:
         """Cut the idle workers of a zone off, then hand in jobs that need them."""
@@ -65,10 +66,10 @@
         for number in range(FIRST_JOB, FIRST_JOB + JOBS):
             await self._submit(number, rack if number % 2 else "")
         await asyncio.sleep(FINISH_S)
-        self.ended_s = ledger.now_s
-        for job_id in self.accepted:
+        self.asked_s = ledger.now_s
+        for job_id in (job.job_id for job in self.accepted):
             _, answer = await site.client_call(owner, "GET", job_id)
-            self.states[job_id] = answer.get("state", "no answer")
+            self.states[job_id] = answer.get("state", "")
 
     async def _submit(self, number: int, label: str) -> None:
         step = {"count": TASKS, "cpu": NEEDS.cpu, "memMb": 256, "estRuntimeMs": 800}
@@ -78,24 +79,13 @@
         job = {"spec": NEEDS.to_spec(), "steps": [step]}
         if not await self.site.submit(job_id, job):
             raise CannotRun("a job was not accepted")
-        self.accepted[job_id] = self.site.ledger.now_s
+        self.accepted.append(Waiting(job_id, TASKS, label))
         self.site.ledger.say(f"{job_id} may run on {label or 'any minion'}")
         await asyncio.sleep(GAP_S)
 
     def _has_begun(self, job_id: str) -> bool:
         return any(task.startswith(job_id) for task, _ in self.site.ledger.starts)
 
-    def lost_jobs(self) -> list[str]:
-        """Return the jobs that break LOST: accepted, and nothing of them runs."""
-        found = []
-        for job_id, accepted_s in self.accepted.items():
-            if not self._has_begun(job_id):
-                found.append(
-                    f"{job_id}: accepted {self.ended_s - accepted_s:.1f} s before the "
-                    f"end, no task has begun, shown as {self.states.get(job_id)}"
-                )
-        return found
-
 
 async def main(trouble: bool) -> int:
     """Play the case and write the record; return the exit code."""
@@ -103,7 +93,9 @@
     ledger = site.ledger
     play = Play(site)
     failure = await site.run(lambda: play.run(trouble))
-    found = play.lost_jobs()
+    found = lost_jobs(
+        play.accepted, NEEDS, site.minions, ledger, play.asked_s, play.states
+    )
     for line in found:
         ledger.say(f"LOST: {line}")
     result = NOT_RUN if failure else BROKEN if found else HELD
--- a/review/standin/ledger.py
+++ b/review/standin/ledger.py
@@ -80,6 +80,15 @@
             return f"began {begun_s - end[0]:.2f} s after the end `done` of"
         return ""
 
+    def running(self, from_s: float, to_s: float) -> list[tuple[str, str]]:
+        """Return task and minion of each run that was there at any time of a span."""
+        found = []
+        for key, (begun_s, minion, _) in self.starts.items():
+            end = self.ends.get(key)
+            if begun_s <= to_s and (end is None or end[0] >= from_s):
+                found.append((key[0], minion))
+        return found
+
     def finish(self, folder: Path, verdict: str, failure: str, result: int) -> None:
         """Write the record, and print the verdict."""
         if failure:
