Take a minion as fully known only once it has listed all of its run ends

Cause: an answer to a poll lists at most 500 run ends. The first answer of a minion set `synced`, and a task that was in neither list then counted as one that never began. With more than 500 ends on a minion and a slow store, the other ends are listed only once the first are stored; until then the new owner starts their tasks again. `synced` held two facts: that the minion has seen the new fence, and that all of its runs and ends are known.

Change: the adapter tells whether an answer lists all ends, and a minion that has not listed all of them is in `partly_reported`. Whatever takes a task that is not listed for one that did not run asks `has_reported_all`: the tasks that wait after a takeover, minions that leave the list, and workers that are moved, switched off or due for maintenance. Leases and starts of other tasks need the fence only. The wait ends with the last page or with the minion's lease.

--- a/benchmarks/schedule/fleet.py
+++ b/benchmarks/schedule/fleet.py
@@ -127,7 +127,9 @@
         reports = tuple(ev.RunReport(*key, "", 50, 0) for key in running)
         self._handle(
             "look",
-            ev.PollAnswered(minion_id, self.now_ms, self.now_ms, reports, tuple(ended)),
+            ev.PollAnswered(
+                minion_id, self.now_ms, self.now_ms, reports, tuple(ended), True
+            ),
         )
 
     def _save(self) -> None:
--- a/benchmarks/turns/fleet.py
+++ b/benchmarks/turns/fleet.py
@@ -263,6 +263,7 @@
                 self.now_ms,
                 tuple(running),
                 ended,
+                lists_all_ends=True,
             )
         )
 
--- a/courselead/core/scheduler/demand.py
+++ b/courselead/core/scheduler/demand.py
@@ -97,7 +97,7 @@
                 demand.long_running_use += long_running_use(minion)
             continue
         demand.capacity += minion.info.capacity.cpu_milli
-        if not minion.runs and minion.synced:
+        if not minion.runs and schedule.has_reported_all(minion):
             assert demand.idle is not None
             demand.idle.append(minion)
         demand.long_running_use += long_running_use(minion)
--- a/courselead/core/scheduler/doubt.py
+++ b/courselead/core/scheduler/doubt.py
@@ -1,13 +1,17 @@
-"""Finds tasks of earlier owners that may run on minions that have not reported."""
+"""Finds tasks of earlier owners that may run, or may have ended, unknown to this owner.
+
+A minion that has not reported may have runs, and one whose first answers did not list
+all of its run ends may have finished tasks that this owner takes for unfinished.
+"""
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, replace
 
 from courselead.core.scheduler import const
 from courselead.core.scheduler.schedule import Schedule, UnconfirmedMinion
-from courselead.core.scheduler.state import Unit
+from courselead.core.scheduler.state import Minion, Unit
 
 CLOUD_WAIT_MS = 1_000
 """Maximum wait for the cloud's worker list after a takeover."""
@@ -60,9 +64,9 @@
 
 
 def find_unseen_tasks(schedule: Schedule, pool: str) -> UnseenTasks:
-    """Return the tasks that an earlier owner may have left running in a pool."""
+    """Return the tasks of a pool whose runs or ends this owner may not know."""
     if schedule.now_ms >= schedule.old_leases_end_ms:
-        return NO_UNSEEN_TASKS
+        return _tasks_on(schedule, pool, _partly_reported_minions(schedule))
     since_ms = schedule.now_ms - schedule.claimed_ms
     if since_ms < const.STRAY_START_MS and _may_reach_later_incarnation(schedule):
         # A delayed start of an earlier owner may be carried out by a new incarnation
@@ -71,8 +75,17 @@
     has_waited = schedule.now_ms - schedule.claimed_ms >= CLOUD_WAIT_MS
     if schedule.workers_ms < 0 and not has_waited:
         return UnseenTasks(whole_pool=True)
+    return _tasks_on(schedule, pool, _unreported_minions(schedule))
+
+
+def _tasks_on(
+    schedule: Schedule,
+    pool: str,
+    minions: Iterable[tuple[str, UnconfirmedMinion]],
+) -> UnseenTasks:
+    """Return the tasks of a pool that may be on the given minions."""
     tasks: set[str] = set()
-    for minion_id, unreported in _unreported_minions(schedule):
+    for minion_id, unreported in minions:
         known = None
         if schedule.remaining_runs is not None:
             known = schedule.remaining_runs.tasks_on(minion_id, unreported.zone)
@@ -80,7 +93,7 @@
             tasks |= known
         elif unreported.pool == pool:
             return UnseenTasks(whole_pool=True)
-    return UnseenTasks(tasks=frozenset(tasks))
+    return UnseenTasks(tasks=frozenset(tasks)) if tasks else NO_UNSEEN_TASKS
 
 
 def _may_reach_later_incarnation(schedule: Schedule) -> bool:
@@ -91,11 +104,20 @@
 
 
 def _unreported_minions(schedule: Schedule) -> Iterator[tuple[str, UnconfirmedMinion]]:
-    """Yield the minions that have not reported to this owner."""
+    """Yield the minions that have not reported everything to this owner."""
     for minion in schedule.minions.values():
-        if not minion.synced:
-            yield (
-                minion.minion_id,
-                UnconfirmedMinion(minion.info.pool, minion.info.zone),
-            )
+        if not schedule.has_reported_all(minion):
+            yield minion.minion_id, _place_of(minion)
     yield from schedule.unconfirmed_minions.items()
+
+
+def _partly_reported_minions(
+    schedule: Schedule,
+) -> Iterator[tuple[str, UnconfirmedMinion]]:
+    """Yield the minions that have answered, but have not listed all of their ends."""
+    for minion_id in sorted(schedule.partly_reported):
+        yield minion_id, _place_of(schedule.minions[minion_id])
+
+
+def _place_of(minion: Minion) -> UnconfirmedMinion:
+    return UnconfirmedMinion(minion.info.pool, minion.info.zone)
--- a/courselead/core/scheduler/events.py
+++ b/courselead/core/scheduler/events.py
@@ -130,6 +130,8 @@
     """A minion answered a poll.
 
     Attributes:
+        ended: The oldest run ends that are not acknowledged.
+        lists_all_ends: Whether `ended` has all of them; an answer has a limited number.
         born_ms: Start time of the polled incarnation, 0 if it was unknown.
         answered_by: The incarnation that answered, None if the answer does not tell.
     """
@@ -139,6 +141,7 @@
     clock_ms: int
     running: tuple[RunReport, ...]
     ended: tuple[EndReport, ...]
+    lists_all_ends: bool
     born_ms: int = 0
     answered_by: Incarnation | None = None
 
--- a/courselead/core/scheduler/lives.py
+++ b/courselead/core/scheduler/lives.py
@@ -351,13 +351,15 @@
 
 
 def is_certainly_empty(schedule: Schedule, minion: Minion) -> bool:
-    """Return whether an unresponsive minion certainly has no runs.
+    """Return whether an unresponsive minion certainly has no runs or unlisted ends.
 
     Until its first report to this owner it may have runs of an earlier owner.
     """
     if minion.runs:
         return False
-    return minion.synced or schedule.now_ms >= schedule.old_leases_end_ms
+    if minion.synced:
+        return schedule.has_reported_all(minion)
+    return schedule.now_ms >= schedule.old_leases_end_ms
 
 
 def end_incarnation(schedule: Schedule, minion: Minion, reason: str) -> None:
@@ -371,6 +373,7 @@
         minion.info.incarnation
     )
     schedule.unconfirmed_minions.pop(minion.minion_id, None)
+    schedule.partly_reported.discard(minion.minion_id)
     schedule.dirty_pools.add(minion.info.pool)
     schedule.emit(StopPolling(minion.minion_id))
     if minion.older_entry is not None:
--- a/courselead/core/scheduler/minions.py
+++ b/courselead/core/scheduler/minions.py
@@ -38,7 +38,7 @@
 
 
 def poll_answered(schedule: Schedule, event: PollAnswered) -> None:
-    """Process the full report of a minion."""
+    """Process a minion's answer to a poll."""
     minion = lives.current_minion(schedule, event.incarnation)
     if minion is None:
         return
@@ -72,14 +72,33 @@
         minion.synced_ms = schedule.now_ms
         schedule.dirty_pools.add(minion.info.pool)
         schedule.log_event(
-            "minion_synced", minion=minion.minion_id, runs=len(event.running)
+            "minion_synced",
+            minion=minion.minion_id,
+            runs=len(event.running),
+            ends=len(event.ended),
+            all_ends=event.lists_all_ends,
         )
+        if not event.lists_all_ends:
+            schedule.partly_reported.add(minion.minion_id)
         left_starts.minion_synced(schedule, minion)
         if schedule.stores_starts_on(minion):
             schedule.emit(StoreRuns(minion.minion_id))
+    if event.lists_all_ends:
+        _all_ends_listed(schedule, minion)
     pace.adjust(schedule, minion)
 
 
+def _all_ends_listed(schedule: Schedule, minion: Minion) -> None:
+    """Record that a minion has listed all of its run ends to this owner."""
+    if minion.minion_id not in schedule.partly_reported:
+        return
+    schedule.partly_reported.discard(minion.minion_id)
+    schedule.dirty_pools.add(minion.info.pool)
+    schedule.log_event(
+        "minion_ends_listed", minion=minion.minion_id, ends=minion.ended_seen
+    )
+
+
 def poll_failed(schedule: Schedule, event: PollFailed) -> None:
     """Process a failed poll."""
     minion = lives.current_minion(schedule, event.incarnation)
@@ -148,7 +167,8 @@
 def tick(schedule: Schedule) -> None:
     """Handle expired leases, unanswered stops, stalled runs and draining minions."""
     for minion in list(schedule.minions.values()):
-        if minion.failures and minion.runs:
+        has_unlisted_ends = minion.minion_id in schedule.partly_reported
+        if minion.failures and (minion.runs or has_unlisted_ends):
             _expire_lease(schedule, minion)
         service_stops.tick(schedule, minion)
         stalls.stop_stalled_finite_runs(schedule, minion)
@@ -175,6 +195,10 @@
 
 
 def _expire_lease(schedule: Schedule, minion: Minion) -> None:
+    """Drop the runs of a silent minion once its lease is over.
+
+    Run ends that it has not listed count no more, since its lease was over in between.
+    """
     if schedule.now_ms < minion.lease_over_ms():
         return
     schedule.log_event("lease_over", minion=minion.minion_id, runs=len(minion.runs))
@@ -184,6 +208,7 @@
     for run in list(minion.runs.values()):
         lost_runs.lost_with_minion(schedule, run, "its lease is over")
     minion.synced = False
+    schedule.partly_reported.discard(minion.minion_id)
     if minion.has_no_entry:
         lives.end_incarnation(schedule, minion, "left the list and its lease is over")
 
--- a/courselead/core/scheduler/pools.py
+++ b/courselead/core/scheduler/pools.py
@@ -145,7 +145,9 @@
     for minion in schedule.minions.values():
         if not evacuation_moves.is_due(schedule, minion.info.zone):
             continue
-        if minion.runs or not minion.synced or minion.failures or minion.cordoned:
+        if minion.runs or not schedule.has_reported_all(minion):
+            continue
+        if minion.failures or minion.cordoned:
             continue
         if not minion.listed or minion.info.draining:
             continue
--- a/courselead/core/scheduler/schedule.py
+++ b/courselead/core/scheduler/schedule.py
@@ -176,6 +176,8 @@
     workers_asked_ms: int = 0
     workers_ms: int = -1
     unconfirmed_minions: dict[str, UnconfirmedMinion] = field(default_factory=dict)
+    # Minions that have reported, but have run ends that no answer has listed yet.
+    partly_reported: set[str] = field(default_factory=set)
     # Starts of which a copy may still be carried out, by minion, then task and number.
     stray_starts: dict[str, dict[tuple[str, int], StrayStart]] = field(
         default_factory=dict
@@ -248,6 +250,10 @@
             for over in self.ended_incarnations.get(incarnation.minion_id, ())
         )
 
+    def has_reported_all(self, minion: Minion) -> bool:
+        """Return whether all runs of a minion and all their ends are known."""
+        return minion.synced and minion.minion_id not in self.partly_reported
+
     @property
     def unsaved(self) -> bool:
         """Return whether the open batch has changes to store."""
--- a/courselead/core/scheduler/state.py
+++ b/courselead/core/scheduler/state.py
@@ -437,7 +437,8 @@
         clock_ms: Its clock in its newest answer.
         clock_at_ms: When that answer arrived, on the owner's clock.
         lease_ms: Latest end of a lease sent to it, on its clock.
-        synced: Whether it has answered a poll that carried this owner's fence.
+        synced: Whether it has answered a poll that carried this owner's fence. All of
+            its runs are known then, but maybe not all of its run ends.
         synced_ms: When it first did so; no order of an earlier owner arrives later.
         ended_seen: Sequence number of the newest processed run end.
         unanswered_since_ms: When the first start was sent since its last answer.
--- a/courselead/core/scheduler/waves.py
+++ b/courselead/core/scheduler/waves.py
@@ -260,7 +260,7 @@
 
 
 def _may_have_runs(schedule: Schedule, worker_id: str) -> bool:
-    """Return whether any run may exist on a worker.
+    """Return whether any run, or any end that is not known, may exist on a worker.
 
     Until its minion has reported to this owner, it may have runs of an earlier owner.
     """
@@ -270,7 +270,7 @@
         return False
     if minion is None or not minion.synced:
         return schedule.now_ms < schedule.old_leases_end_ms
-    return bool(minion.runs)
+    return bool(minion.runs) or not schedule.has_reported_all(minion)
 
 
 def _move_away(schedule: Schedule, run: Run, waited_ms: int) -> None:
--- a/courselead/daemon/scheduling/minion_tasks.py
+++ b/courselead/daemon/scheduling/minion_tasks.py
@@ -171,6 +171,7 @@
                         report.clock_ms,
                         report.running,
                         report.ended,
+                        report.lists_all_ends,
                         born_ms,
                         Incarnation(minion_id, report.born_ms)
                         if report.born_ms
--- a/courselead/daemon/scheduling/ports.py
+++ b/courselead/daemon/scheduling/ports.py
@@ -168,11 +168,18 @@
 
 @dataclass(frozen=True, slots=True)
 class MinionReport:
-    """A minion's complete report."""
+    """A minion's report.
+
+    Attributes:
+        running: All of its runs.
+        ended: The oldest run ends that are not acknowledged.
+        lists_all_ends: Whether `ended` has all of them; an answer has a limited number.
+    """
 
     clock_ms: int
     running: tuple[RunReport, ...]
     ended: tuple[EndReport, ...]
+    lists_all_ends: bool
     born_ms: int = 0
 
 
--- a/courselead/platform/const.py
+++ b/courselead/platform/const.py
@@ -34,6 +34,9 @@
 WAVE_KEY_PREFIX = "wave/"
 EVACUATION_KEY_PREFIX = "evacuate/"
 
+MAX_LISTED_ENDS = 500
+"""Maximum number of run ends in a minion's answer to a poll."""
+
 ADDRESS_PATTERN = (
     r"^[^\s:]+:([1-9]\d{0,3}|[1-5]\d{4}|6[0-4]\d{3}|65[0-4]\d\d|655[0-2]\d|6553[0-5])$"
 )
--- a/courselead/platform/minions.py
+++ b/courselead/platform/minions.py
@@ -266,5 +266,9 @@
     for sequence, task, number, kind, checkpoint in sorted(wire_report.finished):
         ended.append(EndReport(sequence, task, number, EndKind(kind), checkpoint))
     return MinionReport(
-        wire_report.clock_ms, tuple(running), tuple(ended), wire_report.born
+        wire_report.clock_ms,
+        tuple(running),
+        tuple(ended),
+        len(ended) < const.MAX_LISTED_ENDS,
+        wire_report.born,
     )
--- a/standins/job_platform/minion.py
+++ b/standins/job_platform/minion.py
@@ -18,6 +18,9 @@
 MAX_LEASE_MS = 10_000
 """Longer leases are shortened to this: `holdMaxMs` of the users' deployments."""
 
+MAX_LISTED_ENDS = 500
+"""Run ends in one answer to a poll, as the platform's protocol limits them."""
+
 STOP_DURATION_MS = 50
 """Time a stop takes; short to keep the tests fast."""
 
@@ -189,7 +192,7 @@
             run_ms = run.payload.run_ms
             percent = min(99, 100 * (now_ms - run.started_ms) // run_ms)
             running.append([run.task, run.number, "", percent if run_ms else 100, 0])
-        finished = list(self._unacknowledged_ends)
+        finished = self._unacknowledged_ends[:MAX_LISTED_ENDS]
         return self._success(
             {"born": self.born_ms, "running": running, "finished": finished}
         )
--- a/tests/core/scheduler/fake_minions.py
+++ b/tests/core/scheduler/fake_minions.py
@@ -9,6 +9,9 @@
 
 POOL = "p"
 
+MAX_LISTED_ENDS = 500
+"""Run ends in one answer to a poll, as the platform's protocol limits them."""
+
 
 @dataclass
 class FakeRun:
@@ -56,6 +59,10 @@
     sequence: int = 0
     runs: dict[tuple[str, int], FakeRun] = field(default_factory=dict)
     ended: list[ev.EndReport] = field(default_factory=list)
+    # When each run that is done has ended, by the number of its end.
+    done_ms: dict[int, int] = field(default_factory=dict)
+    # When its lease was last over.
+    lapsed_ms: int = -1
     highest: dict[str, int] = field(default_factory=dict)
     clock_offset: int = 5_000
     born_ms: int = 0
--- a/tests/core/scheduler/test_evacuation_late_starts.py
+++ b/tests/core/scheduler/test_evacuation_late_starts.py
@@ -230,7 +230,7 @@
     report = ev.RunReport(f"{7:016x}.0.0.0", 3, "", 0, 0)
     for _ in range(2):
         before = len(world.orders)
-        answer = ev.PollAnswered(minion.minion_id, world.now_ms, 0, (report,), ())
+        answer = ev.PollAnswered(minion.minion_id, world.now_ms, 0, (report,), (), True)
         world._reply(world.owner, answer)
         orders = [
             item for item in world.orders[before:] if isinstance(item, ev.StopRun)
--- a/tests/core/scheduler/test_lives.py
+++ b/tests/core/scheduler/test_lives.py
@@ -215,6 +215,7 @@
             9_999_999,
             (),
             (ev.EndReport(70, task, number, ev.EndKind.DONE, ""),),
+            True,
             BORN_MS,
         ),
     )
--- a/tests/core/scheduler/test_lost_polls.py
+++ b/tests/core/scheduler/test_lost_polls.py
@@ -39,7 +39,7 @@
 
 def answer_poll(world: World, minion_id: str) -> None:
     now = world.now_ms
-    world.owner.handle(ev.PollAnswered(minion_id, now, now, (), ()), now)
+    world.owner.handle(ev.PollAnswered(minion_id, now, now, (), (), True), now)
 
 
 def test_polls_are_long_while_none_is_lost():
--- a/tests/core/scheduler/test_stray_runs.py
+++ b/tests/core/scheduler/test_stray_runs.py
@@ -102,7 +102,7 @@
     now_ms = world.now_ms = world.now_ms + 1
     running = tuple(ev.RunReport(task, 1, "", 0, 0) for task in runs)
     clock_ms = minion.clock(now_ms)
-    answer = ev.PollAnswered(minion.minion_id, now_ms, clock_ms, running, ended)
+    answer = ev.PollAnswered(minion.minion_id, now_ms, clock_ms, running, ended, True)
     world.owner.handle(answer, now_ms)
     world.owner.place(now_ms)
     return world.owner.take_effects()
--- /dev/null
+++ b/tests/core/scheduler/test_unlisted_ends.py
@@ -0,0 +1,77 @@
+"""Tests for minions with more run ends than one answer to a poll lists."""
+
+import pytest
+
+from courselead.core.scheduler.models import JobState, Resources
+from tests.core.scheduler.fake_minions import MAX_LISTED_ENDS
+from tests.core.scheduler.world import ZONES, World, job, step
+
+TASKS_PER_MINION = 2 * MAX_LISTED_ENDS + 100
+CAPACITY = Resources(TASKS_PER_MINION, TASKS_PER_MINION)
+RUN_MS = 2_000
+SLOW_SAVE_MS = 400
+
+
+def world_with_many_small_tasks() -> tuple[World, str]:
+    """Return a world in which each minion runs over two answers full of tasks."""
+    world = World(minions=0)
+    for number, zone in enumerate(ZONES):
+        world.add_minion(f"w{number}", zone=zone, capacity=CAPACITY)
+    world.poll_ms = 20
+    world.claim("z0")
+    count = len(ZONES) * TASKS_PER_MINION
+    job_id = world.submit(job(step(count, cpu=1, memory=1)), length_ms=RUN_MS)
+    world.run(1_000)
+    assert len(world.starts) == count
+    return world, job_id
+
+
+@pytest.mark.parametrize("zone", ["", "z1"])
+def test_tasks_with_ends_beyond_the_first_answer_do_not_run_twice(zone):
+    # Seen with a restart of the owner in a slow store: 76 of 2,400 tasks ran twice.
+    world, job_id = world_with_many_small_tasks()
+    world.save_ms = SLOW_SAVE_MS
+    world.kill_owner()
+    world.run(RUN_MS)
+    world.claim(zone)
+    # The world checks at each start and at each acknowledgement that no task ran twice.
+    world.run(10_000)
+    assert len(world.starts) == len(ZONES) * TASKS_PER_MINION
+    assert world.state(job_id) is JobState.COMPLETED
+
+
+def test_a_minion_with_unlisted_ends_is_known_to_be_empty_only_after_its_lease():
+    # It answers again before its lease is over, and its ends count.
+    world, job_id = world_with_many_small_tasks()
+    world.kill_owner()
+    world.run(RUN_MS)
+    world.store_down = True
+    world.claim("z1")
+    world.run(200)
+    silent = world.all_minions[0]
+    silent.cut = True
+    world.run(1_000)
+    world.unlist(silent.minion_id)
+    world.store_down = False
+    world.run(5_000)
+    assert silent.minion_id in world.owner.schedule.minions
+    silent.cut = False
+    world.list_entry(silent)
+    world.run(5_000)
+    assert len(world.starts) == len(ZONES) * TASKS_PER_MINION
+    assert world.state(job_id) is JobState.COMPLETED
+
+
+def test_tasks_with_unlisted_ends_start_again_once_the_lease_is_over():
+    world, job_id = world_with_many_small_tasks()
+    world.kill_owner()
+    world.run(RUN_MS)
+    world.store_down = True
+    world.claim("z1")
+    world.run(200)
+    lost = world.all_minions[0]
+    world.crash(lost.minion_id)
+    world.add_minion("w3", capacity=CAPACITY)
+    world.store_down = False
+    world.run(30_000)
+    assert world.state(job_id) is JobState.COMPLETED
--- a/tests/core/scheduler/world.py
+++ b/tests/core/scheduler/world.py
@@ -39,7 +39,12 @@
 from courselead.core.scheduler.scheduler import Scheduler
 from courselead.daemon.scheduling.held_starts import HeldStarts
 from standins.job_platform.ledger import values_in_force
-from tests.core.scheduler.fake_minions import POOL, FakeMinion, FakeRun
+from tests.core.scheduler.fake_minions import (
+    MAX_LISTED_ENDS,
+    POOL,
+    FakeMinion,
+    FakeRun,
+)
 from tests.core.scheduler.fake_services import FakeServices
 
 LATENCY_MS = 2
@@ -122,6 +127,7 @@
         self.acknowledged: set[tuple[Incarnation, int]] = set()
         self.failed: dict[str, int] = {}
         self.starts: list[tuple[int, str, int, str]] = []
+        self._last_start_ms: dict[str, int] = {}
         self.lengths: dict[str, int] = {}
         self.failing_jobs: set[str] = set()
         # Run time in ms after which a task crashes its minion. The values of a tuple
@@ -510,6 +516,8 @@
             if crash_ms is not None and self.now_ms - run.started_ms >= crash_ms:
                 self._crash_under(minion, run.task)
                 return
+        if minion.clock(self.now_ms) > minion.lease_ms:
+            minion.lapsed_ms = self.now_ms
         if minion.runs and minion.clock(self.now_ms) > minion.lease_ms:
             for run in list(minion.runs.values()):
                 self._end(minion, run, ev.EndKind.LAPSED)
@@ -557,6 +565,7 @@
             self.done.setdefault(run.task, []).append(
                 (minion.incarnation, minion.sequence)
             )
+            minion.done_ms[minion.sequence] = self.now_ms
         if kind is ev.EndKind.FAILED:
             self.failed[run.task] = self.failed.get(run.task, 0) + 1
 
@@ -620,6 +629,7 @@
             # Wakes the world at that time, so that the crash is carried out.
             self._at(minion.runs[key].crash_ms, lambda: None)
         self.starts.append((self.now_ms, order.task, order.number, minion.minion_id))
+        self._last_start_ms[order.task] = self.now_ms
         return ev.Outcome.OK
 
     def _crash_age(self, task: str) -> int | None:
@@ -921,7 +931,7 @@
         minion.answers = True
         for end in minion.ended:
             if end.sequence <= cursor:
-                self.acknowledged.add((minion.incarnation, end.sequence))
+                self._acknowledge(minion, end)
         minion.ended = [end for end in minion.ended if end.sequence > cursor]
         running = tuple(
             ev.RunReport(
@@ -938,13 +948,29 @@
             sent,
             minion.clock(self.now_ms),
             running,
-            tuple(minion.ended),
+            tuple(minion.ended[:MAX_LISTED_ENDS]),
+            len(minion.ended) < MAX_LISTED_ENDS,
             incarnation.born_ms,
             minion.incarnation if minion.born_ms else None,
         )
         self._at(LATENCY_MS, lambda: self._reply(owner, report))
         self._at(self.poll_ms, lambda: self._poll_minion(owner, incarnation))
 
+    def _acknowledge(self, minion: FakeMinion, end: ev.EndReport) -> None:
+        """Record that an owner has taken note of an end, and check what began since.
+
+        A start after the end of a run that was done is a second run of its task, unless
+        the minion's lease was over between its end and the acknowledgement.
+        """
+        self.acknowledged.add((minion.incarnation, end.sequence))
+        ended_ms = minion.done_ms.get(end.sequence)
+        if ended_ms is None or minion.lapsed_ms > ended_ms:
+            return
+        if self._spec_of(end.task).speculative:
+            return
+        again_ms = self._last_start_ms[end.task]
+        assert again_ms <= ended_ms, f"TWICE: {end.task} was done and starts again"
+
     def _percent(self, run: FakeRun) -> int:
         if run.long_running:
             return 100 if run.is_at_work(self.now_ms) else 0
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -239,6 +239,18 @@
     }
 
 
+@pytest.mark.parametrize("count, lists_all", [(499, True), (500, False)])
+async def test_a_report_with_a_full_page_of_ends_may_not_list_all(count, lists_all):
+    ends = [
+        [number, f"t.0.0.{number}", 1, "done", ""] for number in range(1, count + 1)
+    ]
+    server = ScriptedServer((200, {"clockMs": 1, "running": [], "finished": ends}))
+    async with RunningServer(server) as address:
+        report = (await make_link(address).poll(7, 0, 0, 0)).unwrap()
+    assert len(report.ended) == count
+    assert report.lists_all_ends is lists_all
+
+
 async def test_a_poll_on_a_new_connection_acknowledges_no_ends():
     """A new incarnation under the same id begins its sequence numbers of ends anew.
 
