Do not take a stopped run for lost because an answer lists only some ends

What callers would see: a task that had ended `done` runs a second time (TWICE).

Cause: a run whose stop was answered, and that a later answer lists neither as running nor as ended, was taken for one that never began, and its task was started elsewhere. While the store is away a minion gathers more ends than the 500 that an answer lists, and the end of the stopped run, which may be `done`, is among the others.

Change: the conclusion is drawn only from an answer that lists all ends. The run stays until its end is listed, or until the lease of its minion is over.

--- a/courselead/core/scheduler/minions.py
+++ b/courselead/core/scheduler/minions.py
@@ -63,7 +63,8 @@
     for end in event.ended:
         reported.add((end.task, end.number))
         _process_end_report(schedule, minion, end)
-    _drop_stopped_unreported(schedule, minion, event.sent_ms, reported)
+    if event.lists_all_ends:
+        _drop_stopped_unreported(schedule, minion, event.sent_ms, reported)
     service_stops.minion_polled(schedule, minion, reported)
     lives.resend_pending_stops(schedule, minion, after_poll=True)
     stalls.stop_stalled_services(schedule, minion, event.sent_ms)
--- a/tests/core/scheduler/test_unlisted_ends.py
+++ b/tests/core/scheduler/test_unlisted_ends.py
@@ -40,6 +40,29 @@
     assert world.state(job_id) is JobState.COMPLETED
 
 
+def test_a_stopped_run_whose_end_is_not_listed_yet_is_not_started_again():
+    # A stopped run that an answer did not list was taken for one that never began.
+    world = World(minions=0)
+    world.poll_ms = 20
+    world.add_minion("w0", capacity=CAPACITY)
+    world.claim()
+    world.submit(job(step(MAX_LISTED_ENDS, cpu=1, memory=1)), length_ms=1_500)
+    checkpointed = step(1, cpu=1, memory=1, checkpoints=True)
+    job_id = world.submit(job(checkpointed), "00000000000000bb", length_ms=2_080)
+    world.run(1_000)
+    world.store_down = True
+    world.run(1_000)
+    [minion] = world.all_minions
+    world.add_minion("w1", capacity=CAPACITY)
+    # The owner stops the run, which is done before its stop takes effect.
+    world.drain(minion.minion_id)
+    world.run(2_000)
+    world.store_down = False
+    world.run(5_000)
+    assert len(world.starts_of(f"{job_id}.0.0.0")) == 1
+    assert world.state(job_id) is JobState.COMPLETED
+
+
 def test_a_minion_with_unlisted_ends_is_known_to_be_empty_only_after_its_lease():
     # It answers again before its lease is over, and its ends count.
     world, job_id = world_with_many_small_tasks()
