Use minions again that were only out of reach

Cause: a minion without runs that has left the list and does not answer was put into `ended_incarnations`, and every later entry of an ended incarnation is ignored. Silence shows that it is out of reach, not that it is over.

Change: an incarnation ends for good only on positive evidence: another one answers or is listed in its place, or the cloud says that its worker is down, busy or runs another minion. Otherwise it is dropped, and tracked anew once its entry is listed again. A minion that was dropped empty has no runs of earlier owners when it returns, so nothing waits for it.

Related paths: a lease that is over without an entry, an older entry that is listed while the known incarnation is silent, and a cloud list without the minion came to the same conclusion.

--- a/courselead/core/scheduler/doubt.py
+++ b/courselead/core/scheduler/doubt.py
@@ -106,7 +106,7 @@
 def _unreported_minions(schedule: Schedule) -> Iterator[tuple[str, UnconfirmedMinion]]:
     """Yield the minions that have not reported everything to this owner."""
     for minion in schedule.minions.values():
-        if not schedule.has_reported_all(minion):
+        if schedule.may_have_earlier_runs(minion):
             yield minion.minion_id, _place_of(minion)
     yield from schedule.unconfirmed_minions.items()
 
--- a/courselead/core/scheduler/lives.py
+++ b/courselead/core/scheduler/lives.py
@@ -2,6 +2,11 @@
 
 An incarnation (`Incarnation`) is one process lifetime of a minion. A minion may restart
 under the same id; the new incarnation has no state of the previous one.
+
+An incarnation that does not answer may have ended or may only be out of reach. It is
+dropped, and tracked anew once its entry is listed again. It counts as ended for good
+only on positive evidence: another incarnation answers or is listed in its place, or the
+cloud reports that its worker is down, busy or runs another one.
 """
 
 from __future__ import annotations
@@ -101,7 +106,7 @@
     minion.listed = False
     schedule.log_event("minion_unlisted", minion=minion_id, runs=len(minion.runs))
     if minion.failures and is_certainly_empty(schedule, minion):
-        end_incarnation(schedule, minion, "left the list")
+        drop_unreachable(schedule, minion, "left the list")
 
 
 def _track_incarnation(schedule: Schedule, info: MinionInfo) -> Minion:
@@ -233,7 +238,7 @@
     )
     minion.older_entry = info
     if minion.failures and is_certainly_empty(schedule, minion):
-        end_incarnation(
+        drop_unreachable(
             schedule, minion, "an older incarnation is listed, and it does not answer"
         )
 
@@ -357,21 +362,38 @@
     """
     if minion.runs:
         return False
-    if minion.synced:
-        return schedule.has_reported_all(minion)
-    return schedule.now_ms >= schedule.old_leases_end_ms
+    if not schedule.may_have_earlier_runs(minion):
+        return True
+    return not minion.synced and schedule.now_ms >= schedule.old_leases_end_ms
 
 
 def end_incarnation(schedule: Schedule, minion: Minion, reason: str) -> None:
-    """End an incarnation whose runs have certainly stopped."""
-    _log_incarnation_ended(schedule, minion, reason)
+    """End an incarnation that is known to be over; its later entries are ignored."""
+    schedule.ended_incarnations.setdefault(minion.minion_id, set()).add(
+        minion.info.incarnation
+    )
+    _stop_tracking(schedule, minion, reason, may_return=False)
+
+
+def drop_unreachable(schedule: Schedule, minion: Minion, reason: str) -> None:
+    """Drop an incarnation that does not answer, and whose runs have stopped.
+
+    It may have ended or be out of reach. If its entry is listed again, it is tracked
+    like a new one.
+    """
+    if is_certainly_empty(schedule, minion):
+        schedule.empty_incarnations.add(minion.info.incarnation)
+    _stop_tracking(schedule, minion, reason, may_return=True)
+
+
+def _stop_tracking(
+    schedule: Schedule, minion: Minion, reason: str, may_return: bool
+) -> None:
+    _log_incarnation_ended(schedule, minion, reason, may_return)
     crashes.record_incarnation_end(schedule, minion, reason)
     for run in list(minion.runs.values()):
         lost_with_minion(schedule, run, reason)
     schedule.minions.pop(minion.minion_id, None)
-    schedule.ended_incarnations.setdefault(minion.minion_id, set()).add(
-        minion.info.incarnation
-    )
     schedule.unconfirmed_minions.pop(minion.minion_id, None)
     schedule.partly_reported.discard(minion.minion_id)
     schedule.dirty_pools.add(minion.info.pool)
@@ -382,8 +404,10 @@
         handle_listed(schedule, minion.older_entry)
 
 
-def _log_incarnation_ended(schedule: Schedule, minion: Minion, reason: str) -> None:
-    """Log the end of an incarnation and what was lost with it.
+def _log_incarnation_ended(
+    schedule: Schedule, minion: Minion, reason: str, may_return: bool
+) -> None:
+    """Log the end of an incarnation, or that it is dropped, and what was lost with it.
 
     The tasks are included because the lines about single runs are the first to be
     dropped when many incarnations end at once.
@@ -397,6 +421,7 @@
         zone=minion.info.zone,
         rack=minion.info.rack,
         reason=reason,
+        may_return=may_return,
         seen_age_ms=schedule.now_ms - minion.seen_ms,
         draining=minion.info.draining,
         runs=len(runs),
--- a/courselead/core/scheduler/minions.py
+++ b/courselead/core/scheduler/minions.py
@@ -113,7 +113,7 @@
             "minion_unreachable", minion=minion.minion_id, reason=event.reason
         )
     if minion.has_no_entry and lives.is_certainly_empty(schedule, minion):
-        lives.end_incarnation(schedule, minion, "left the list and does not answer")
+        lives.drop_unreachable(schedule, minion, "left the list and does not answer")
 
 
 def _mark_responsive(schedule: Schedule, minion: Minion) -> None:
@@ -211,7 +211,7 @@
     minion.synced = False
     schedule.partly_reported.discard(minion.minion_id)
     if minion.has_no_entry:
-        lives.end_incarnation(schedule, minion, "left the list and its lease is over")
+        lives.drop_unreachable(schedule, minion, "left the list, its lease is over")
 
 
 def _process_run_report(schedule: Schedule, minion: Minion, report: RunReport) -> None:
--- a/courselead/core/scheduler/schedule.py
+++ b/courselead/core/scheduler/schedule.py
@@ -161,8 +161,10 @@
     jobs: dict[str, Job] = field(default_factory=dict)
     units: dict[str, Unit] = field(default_factory=dict)
     minions: dict[str, Minion] = field(default_factory=dict)
-    # Ended incarnations by minion id.
+    # Incarnations that are known to have ended, by minion id.
     ended_incarnations: dict[str, set[Incarnation]] = field(default_factory=dict)
+    # Incarnations that were dropped while nothing ran on them, and that may return.
+    empty_incarnations: set[Incarnation] = field(default_factory=set)
     ready: dict[str, list[Unit]] = field(default_factory=dict)
     constrained_from: dict[str, int] = field(default_factory=dict)
     place_after_ms: dict[str, int] = field(default_factory=dict)
@@ -254,6 +256,12 @@
         """Return whether all runs of a minion and all their ends are known."""
         return minion.synced and minion.minion_id not in self.partly_reported
 
+    def may_have_earlier_runs(self, minion: Minion) -> bool:
+        """Return whether runs or run ends of earlier owners may be on a minion."""
+        if minion.info.incarnation in self.empty_incarnations:
+            return False
+        return not self.has_reported_all(minion)
+
     @property
     def unsaved(self) -> bool:
         """Return whether the open batch has changes to store."""
--- a/courselead/core/scheduler/scheduler.py
+++ b/courselead/core/scheduler/scheduler.py
@@ -318,7 +318,7 @@
                 known_ms = event.asked_ms - minion.listed_ms
                 unknown = minion.minion_id not in on_workers
                 if unknown and known_ms > const.UNKNOWN_INCARNATION_MS:
-                    lives.end_incarnation(schedule, minion, "cloud: no worker has it")
+                    lives.drop_unreachable(schedule, minion, "cloud: no worker has it")
                 continue
             worker = listed_workers.get(minion.worker_id)
             if worker is None:
