Record the runs of a minion for the next owner only once all its ends are known

What callers would see: a task that had ended `done` runs a second time after two takeovers (TWICE).

Cause: an owner records what may run on the minions of its zone, so that the next one need not wait for those it can't reach. It wrote the record after the first answer of a minion, and with each start there, although ends beyond the first 500 were not known to it. Their tasks are missing in the record, and the next owner starts them. An owner that has owned the schedule for longer than a lease also told the next one that minions without a record have nothing.

Change: the record is written once the minion has listed all ends, nothing that has to be recorded is started there before, and the owner's heartbeat does not claim that everything of earlier owners is known while a minion's ends are not.

--- a/courselead/core/scheduler/minion_filters.py
+++ b/courselead/core/scheduler/minion_filters.py
@@ -66,10 +66,19 @@
 
 
 def with_storable_starts(schedule: Schedule, minions: list[Minion]) -> list[Minion]:
-    """Keep the minions whose starts need not be stored first, or can be stored."""
-    if schedule.log_accepts_records:
+    """Keep the minions whose starts need not be stored first, or can be stored.
+
+    A start is stored as part of a record of all that may run on its minion, which is
+    not known until the minion has listed all of its run ends.
+    """
+    if schedule.log_accepts_records and not schedule.partly_reported:
         return minions
-    return [item for item in minions if not schedule.stores_starts_on(item)]
+    return [
+        item
+        for item in minions
+        if not schedule.stores_starts_on(item)
+        or (schedule.log_accepts_records and schedule.has_reported_all(item))
+    ]
 
 
 POOL_FILTERS: tuple[PoolFilter, ...] = (
--- a/courselead/core/scheduler/minions.py
+++ b/courselead/core/scheduler/minions.py
@@ -69,35 +69,44 @@
     lives.resend_pending_stops(schedule, minion, after_poll=True)
     stalls.stop_stalled_services(schedule, minion, event.sent_ms)
     if not minion.synced:
-        minion.synced = True
-        minion.synced_ms = schedule.now_ms
-        schedule.dirty_pools.add(minion.info.pool)
+        _synced(schedule, minion, event)
+    elif event.lists_all_ends and minion.minion_id in schedule.partly_reported:
         schedule.log_event(
-            "minion_synced",
-            minion=minion.minion_id,
-            runs=len(event.running),
-            ends=len(event.ended),
-            all_ends=event.lists_all_ends,
+            "minion_ends_listed", minion=minion.minion_id, ends=minion.ended_seen
         )
-        if not event.lists_all_ends:
-            schedule.partly_reported.add(minion.minion_id)
-        left_starts.minion_synced(schedule, minion)
-        if schedule.stores_starts_on(minion):
-            schedule.emit(StoreRuns(minion.minion_id))
-    if event.lists_all_ends:
         _all_ends_listed(schedule, minion)
     pace.adjust(schedule, minion)
 
 
-def _all_ends_listed(schedule: Schedule, minion: Minion) -> None:
-    """Record that a minion has listed all of its run ends to this owner."""
-    if minion.minion_id not in schedule.partly_reported:
-        return
-    schedule.partly_reported.discard(minion.minion_id)
+def _synced(schedule: Schedule, minion: Minion, event: PollAnswered) -> None:
+    """Record the first answer of a minion to this owner."""
+    minion.synced = True
+    minion.synced_ms = schedule.now_ms
     schedule.dirty_pools.add(minion.info.pool)
     schedule.log_event(
-        "minion_ends_listed", minion=minion.minion_id, ends=minion.ended_seen
+        "minion_synced",
+        minion=minion.minion_id,
+        runs=len(event.running),
+        ends=len(event.ended),
+        all_ends=event.lists_all_ends,
     )
+    left_starts.minion_synced(schedule, minion)
+    if event.lists_all_ends:
+        _all_ends_listed(schedule, minion)
+    else:
+        schedule.partly_reported.add(minion.minion_id)
+
+
+def _all_ends_listed(schedule: Schedule, minion: Minion) -> None:
+    """Record that a minion has listed all of its run ends to this owner.
+
+    Only then can its runs be recorded for the next owner: a task with an end that is
+    not listed yet would be missing in the record.
+    """
+    schedule.partly_reported.discard(minion.minion_id)
+    schedule.dirty_pools.add(minion.info.pool)
+    if schedule.stores_starts_on(minion):
+        schedule.emit(StoreRuns(minion.minion_id))
 
 
 def poll_failed(schedule: Schedule, event: PollFailed) -> None:
--- a/courselead/core/scheduler/records.py
+++ b/courselead/core/scheduler/records.py
@@ -133,7 +133,8 @@
             before it is sent.
         zone: Availability zone in which starts are stored before they are sent, "" if
             there is none.
-        owned_ms: How long the owner has owned the schedule.
+        owned_ms: How long the owner has owned the schedule, 0 while it does not know
+            all run ends of earlier owners.
         waits: Expected waits by pool, of overloaded and evacuated pools only.
     """
 
--- a/courselead/core/scheduler/schedule.py
+++ b/courselead/core/scheduler/schedule.py
@@ -262,6 +262,14 @@
             return False
         return not self.has_reported_all(minion)
 
+    def owned_ms(self, now_ms: int) -> int:
+        """Return how long this owner has owned the schedule, as its heartbeats tell it.
+
+        Returns 0 while run ends of earlier owners are unknown, as the next owner would
+        not expect their tasks on minions without a record.
+        """
+        return 0 if self.partly_reported else now_ms - self.claimed_ms
+
     @property
     def unsaved(self) -> bool:
         """Return whether the open batch has changes to store."""
--- a/courselead/daemon/scheduling/owner.py
+++ b/courselead/daemon/scheduling/owner.py
@@ -139,7 +139,6 @@
         # Cloud orders by worker id, sent once a record of them is stored.
         self._cloud_orders: dict[str, MoveWorker | MaintainWorker] = {}
         self._heartbeat_number = 0
-        self._started_ms = 0
         self._saved_at = 0.0
         self._waits = WaitPublisher(claim.fence)
         self._last_tick_ms = now_ms()
@@ -243,7 +242,6 @@
             settled_before=previous_runs is not None and previous_runs.settled,
             minions_known=0 if previous_runs is None else len(previous_runs.by_minion),
         )
-        self._started_ms = now_ms()
         self.scheduler = Scheduler(
             self.fence,
             self._claim.first,
@@ -491,7 +489,7 @@
         ordered: dict[str, int] = {}
         owned_ms = 0
         if self.scheduler is not None:
-            owned_ms = now_ms() - self._started_ms
+            owned_ms = self.scheduler.schedule.owned_ms(now_ms())
             ordered = self.scheduler.recent_orders(now_ms())
             for pool, known in self.scheduler.schedule.bursts.items():
                 if known.seen:
--- a/tests/core/scheduler/test_unlisted_ends.py
+++ b/tests/core/scheduler/test_unlisted_ends.py
@@ -98,3 +98,28 @@
     world.store_down = False
     world.run(30_000)
     assert world.state(job_id) is JobState.COMPLETED
+
+
+def test_the_owner_after_the_next_does_not_start_tasks_with_unlisted_ends():
+    # An owner recorded the runs of a minion before it knew all ends there.
+    world, job_id = world_with_many_small_tasks()
+    world.kill_owner()
+    world.run(RUN_MS)
+    world.save_ms = 5_000
+    world.claim("z1")
+    world.run(100)
+    other_job = world.submit(job(step(1, cpu=1, memory=1)), "00000000000000bb")
+    world.run(200)
+    silent = world.all_minions[1]
+    assert silent.zone == "z1"
+    world.kill_owner()
+    silent.cut = True
+    world.claim("z2")
+    world.run(3_000)
+    world.save_ms = SLOW_SAVE_MS
+    silent.cut = False
+    world.run(10_000)
+    for index in range(len(ZONES) * TASKS_PER_MINION):
+        assert len(world.starts_of(f"{job_id}.0.0.{index}")) == 1
+    assert world.state(job_id) is JobState.COMPLETED
+    assert world.state(other_job) is JobState.COMPLETED
--- a/tests/core/scheduler/world.py
+++ b/tests/core/scheduler/world.py
@@ -280,7 +280,7 @@
             if fence == schedule.fence:
                 by_minion[minion_id] = tasks
         # The owner's last stored heartbeat may be older than this.
-        owned_ms = schedule.confirmed_ms - schedule.claimed_ms
+        owned_ms = schedule.owned_ms(schedule.confirmed_ms)
         heartbeat = OwnerHeartbeat(
             schedule.fence, "", 0, zone=schedule.own_zone, owned_ms=owned_ms
         )
