Withdraw a crash once its incarnation answers again

What callers would see: the job of a long task whose minions are cut off one after the other is shown as failed, though none of them has crashed (LOST).

Cause: when the lease of a silent minion without an entry is over, its end is recorded as a crash of its runs. It may only be out of reach, and nothing took the crash back when the same incarnation answered again. The same holds for starts of earlier owners whose minion was out of reach until the old leases were over.

Change: the crash is withdrawn once the incarnation answers a poll, from the task and from the losses that explain others. An entry alone is not enough, as a write of a minion that has crashed may be carried out late.

--- a/courselead/core/scheduler/crashes.py
+++ b/courselead/core/scheduler/crashes.py
@@ -100,7 +100,7 @@
     """
     if crash.key in unit.crashes:
         return
-    unit.crashes[crash.key] = crash
+    schedule.add_crash(unit, crash)
     unit.record_start(crash.number)
     _require_stored_crashes(schedule, unit)
     schedule.cleared.pop(unit.name, None)
@@ -124,6 +124,43 @@
     )
 
 
+def withdraw(schedule: Schedule, incarnation: Incarnation) -> None:
+    """Withdraw the crashes of an incarnation that answers, so that it has not ended.
+
+    It was out of reach for so long that the leases of its runs were over.
+    """
+    schedule.lost_incarnations = [
+        lost for lost in schedule.lost_incarnations if lost.incarnation != incarnation
+    ]
+    for name in sorted(schedule.crashed_units.pop(incarnation, ())):
+        unit = schedule.units.get(name)
+        if unit is not None and not unit.is_over:
+            _withdraw_from(schedule, unit, incarnation)
+
+
+def _withdraw_from(schedule: Schedule, unit: Unit, incarnation: Incarnation) -> None:
+    for key in list(unit.crashes):
+        if unit.crashes[key].incarnation == incarnation:
+            del unit.crashes[key]
+    schedule.log_event(
+        "crash_withdrawn",
+        job_id=unit.job.job_id,
+        task=unit.name,
+        minion=incarnation.minion_id,
+        crashes=len(unit.crashes),
+    )
+    suspect = schedule.suspects.get(unit.name)
+    if suspect is not None:
+        suspect.unsettled = [
+            item for item in suspect.unsettled if item[1].incarnation != incarnation
+        ]
+    if not unit.crashes:
+        schedule.suspects.pop(unit.name, None)
+        schedule.cleared.pop(unit.name, None)
+    schedule.dirty_pools.add(schedule.pool_of(unit.job))
+    jobs.save(schedule, unit.job)
+
+
 def _require_stored_crashes(schedule: Schedule, unit: Unit) -> None:
     """Block starts of a unit until its crashes are stored.
 
--- a/courselead/core/scheduler/jobs.py
+++ b/courselead/core/scheduler/jobs.py
@@ -354,7 +354,7 @@
             groups = [(index,) for index in range(spec.count)]
         for indexes in groups:
             unit = Unit(step, indexes, done=indexes[0] in done)
-            _restore_progress(unit, saved)
+            _restore_progress(schedule, unit, saved)
             if unit.crash_count:
                 schedule.suspects[unit.name] = Suspect(unit)
             elif unit.crashes:
@@ -371,7 +371,9 @@
     _release_steps(schedule, job, number)
 
 
-def _restore_progress(unit: Unit, saved: OccurrenceProgress | None) -> None:
+def _restore_progress(
+    schedule: Schedule, unit: Unit, saved: OccurrenceProgress | None
+) -> None:
     if saved is None:
         return
     unit.failed_numbers = set(saved.failed.get(unit.checkpoint_key, ()))
@@ -386,7 +388,7 @@
             item.explained,
             item.cleared,
         )
-        unit.crashes[crash.key] = crash
+        schedule.add_crash(unit, crash)
         unit.record_start(crash.number)
     for start in saved.starts.get(unit.checkpoint_key, ()):
         incarnation = Incarnation(start.minion_id, start.born_ms)
--- a/courselead/core/scheduler/minions.py
+++ b/courselead/core/scheduler/minions.py
@@ -91,6 +91,7 @@
         all_ends=event.lists_all_ends,
     )
     left_starts.minion_synced(schedule, minion)
+    crashes.withdraw(schedule, minion.info.incarnation)
     if event.lists_all_ends:
         _all_ends_listed(schedule, minion)
     else:
--- a/courselead/core/scheduler/schedule.py
+++ b/courselead/core/scheduler/schedule.py
@@ -28,6 +28,7 @@
 )
 from courselead.core.scheduler.run_records import RemainingRuns
 from courselead.core.scheduler.state import (
+    Crash,
     Job,
     LostIncarnation,
     Minion,
@@ -190,6 +191,8 @@
     suspects: dict[str, Suspect] = field(default_factory=dict)
     # Incarnations that ended unexpectedly in the recent past.
     lost_incarnations: list[LostIncarnation] = field(default_factory=list)
+    # Names of the units with a crash of each incarnation.
+    crashed_units: dict[Incarnation, set[str]] = field(default_factory=dict)
     # Queues with recently started tasks on several lost incarnations, as of the last
     # tick.
     risky_queues: set[str] = field(default_factory=set)
@@ -270,6 +273,11 @@
         """
         return 0 if self.partly_reported else now_ms - self.claimed_ms
 
+    def add_crash(self, unit: Unit, crash: Crash) -> None:
+        """Add a crash to a unit."""
+        unit.crashes[crash.key] = crash
+        self.crashed_units.setdefault(crash.incarnation, set()).add(unit.name)
+
     @property
     def unsaved(self) -> bool:
         """Return whether the open batch has changes to store."""
