Do not end an owner because of an address that cannot be connected to

Cause: an entry of another writer in the list of minions may have any text as its host. To connect to a host with a zero byte raises ValueError, with an empty or overlong label UnicodeError, and to a port over 65,535 OverflowError; the connection expected OSError and timeouts only, and the error ended the owner's task group. As the entry stays in the store, the next owner ends as well.

Change: the decoder accepts host names and addresses by RFC 1123 only, and a connection that cannot be made for these reasons returns its typed error, also on the product's own interface.

--- a/courselead/integrations/http/backend.py
+++ b/courselead/integrations/http/backend.py
@@ -120,7 +120,8 @@
                 sock = await _connect(host, port)
         except TimeoutError as exc:
             raise httpcore.ConnectTimeout("connect timed out") from exc
-        except OSError as exc:
+        except (OSError, ValueError, OverflowError) as exc:
+            # The last two tell of a host or a port that is not a possible one.
             raise httpcore.ConnectError(str(exc)) from exc
         self.stream = SocketStream(sock)
         return self.stream
--- a/courselead/integrations/lean_http/connection.py
+++ b/courselead/integrations/lean_http/connection.py
@@ -256,12 +256,18 @@
                 transport, protocol = await loop.create_connection(
                     _Protocol, self._host, self._port
                 )
+            sock = transport.get_extra_info("socket")
+            sock.setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
+            )
         except TimeoutError:
             return NotSent(f"no connection within {timeout_ms} ms")
         except OSError as exc:
             reason = exc.strerror or type(exc).__name__
             return NotSent(f"connect: {reason}")
-        sock = transport.get_extra_info("socket")
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+        except (ValueError, OverflowError) as exc:
+            # The host or the port is not a possible one, such as a host with a zero
+            # byte or an empty label, or a port over 65,535.
+            return NotSent(f"the address cannot be connected to: {exc}")
         self._protocol = protocol
         return protocol
--- a/courselead/platform/const.py
+++ b/courselead/platform/const.py
@@ -37,10 +37,11 @@
 MAX_LISTED_ENDS = 500
 """Maximum number of run ends in a minion's answer to a poll."""
 
-ADDRESS_PATTERN = (
-    r"^[^\s:]+:([1-9]\d{0,3}|[1-5]\d{4}|6[0-4]\d{3}|65[0-4]\d\d|655[0-2]\d|6553[0-5])$"
-)
-"""A host and a port from 1 to 65,535; other addresses cannot be connected to."""
+_HOST_LABEL = r"[A-Za-z0-9_]([A-Za-z0-9_-]{0,61}[A-Za-z0-9_])?"
+_PORT = r"([1-9]\d{0,3}|[1-5]\d{4}|6[0-4]\d{3}|65[0-4]\d\d|655[0-2]\d|6553[0-5])"
+ADDRESS_PATTERN = rf"(?a)^(?=.{{1,253}}:){_HOST_LABEL}(\.{_HOST_LABEL})*:{_PORT}\Z"
+"""A host (RFC 1123, section 2.1, and underscores) and a port from 1 to 65,535; other
+addresses cannot be connected to."""
 
 MINION_ID_PATTERN = r"[!-~]+"
 """Visible ASCII, because each order carries the minion's id in a header."""
--- a/tests/platform/test_other_writers.py
+++ b/tests/platform/test_other_writers.py
@@ -8,18 +8,27 @@
 """
 
 import base64
+import ipaddress
 import json
+import socket
 import struct
+from dataclasses import replace
+from unittest import mock
 
 import anyio
 import pytest
-from returns.result import Failure
+from hypothesis import HealthCheck, example, given, settings, strategies as st
+from returns.result import Failure, Result
 
-from courselead.core.scheduler.models import MinionInfo
+from courselead.core.scheduler import events as ev
+from courselead.core.scheduler.models import MinionInfo, Pool
 from courselead.core.scheduler.records import KeyedRecord
+from courselead.integrations.http.errors import NotSent
 from courselead.integrations.lean_http import Call, LeanPool
 from courselead.platform.decode import RecordDecoder
+from courselead.platform.minions import HttpMinionLink
 from courselead.platform.store import StoreTopic, store_pool
+from tests.core.scheduler.world import World
 from tests.platform.serving import RunningServer
 from tests.platform.test_wire import ScriptedServer
 
@@ -39,6 +48,10 @@
 }
 
 
+LOCAL_ENTRY = VALID_ENTRY | {"address": "127.0.0.1:1"}
+"""Nothing listens on this port."""
+
+
 def minion(entry: object, key: bytes = b"i-1") -> MinionInfo | str:
     value = entry if isinstance(entry, bytes) else json.dumps(entry).encode()
     return RecordDecoder().decode_minion(KeyedRecord(key, value))
@@ -86,6 +99,16 @@
         {"address": "10.0.0.9:port"},
         {"address": "10.0.0.9:80800"},
         {"address": ":8080"},
+        {"address": "127.0.0.\x00:8080"},
+        {"address": "10.0.0.9:8080\n"},
+        {"address": "10.0.0.9:0"},
+        {"address": "10.0.0.9:080"},
+        {"address": "front..example:8080"},
+        {"address": ".:8080"},
+        {"address": f"{'a' * 64}.example:8080"},
+        {"address": f"{'a.' * 127}example:8080"},
+        {"address": "caf\u00e9.example:8080"},
+        {"address": "front\x1b.example:8080"},
         {"zone": None},
         {"state": "sleeping"},
         {"state": True},
@@ -155,7 +178,105 @@
     assert batch.records[2] == KeyedRecord(b"i-3", b"value")
 
 
-async def test_a_call_to_an_address_without_a_port_fails():
+@pytest.mark.parametrize("host", ["10.0.0.9", "localhost", "front-1.b_2.example"])
+def test_addresses_and_names_of_hosts_are_accepted(host):
+    assert minion(VALID_ENTRY | {"address": f"{host}:8080"}).address == f"{host}:8080"
+
+
+@pytest.mark.parametrize(
+    "address",
+    [
+        "nowhere",
+        "",
+        "127.0.0.\x00:8080",
+        "front..example:8080",
+        f"{'a' * 64}.example:8080",
+        "\ud800:8080",
+        "127.0.0.1:99999999999999999999",
+        "127.0.0.1:\u0661",
+    ],
+)
+async def test_a_call_to_an_address_that_cannot_be_connected_to_fails(address):
+    # A zero byte in an address ended each owner of the schedule (ValueError).
     with anyio.fail_after(5):
-        result = await LeanPool("nowhere", 1).call(Call("GET", "/"), 100)
-    assert isinstance(result, Failure)
+        result = await LeanPool(address, 1).call(Call("GET", "/"), 100)
+    assert isinstance(result.failure(), NotSent)
+
+
+def _entries() -> st.SearchStrategy[dict[str, object]]:
+    """Return a strategy of entries with up to three fields of another writer."""
+    texts = st.one_of(
+        st.text(max_size=300),
+        st.sampled_from(["", "\x00", "\x1b[2J", "a" * 300, "1e999", "..", "\ud800"]),
+    )
+    numbers = st.one_of(
+        st.integers(-(10**30), 10**30),
+        st.sampled_from([10**400, -(10**400), 2**63, 2**64, -1]),
+        st.floats(),
+    )
+    values = st.one_of(
+        texts,
+        numbers,
+        st.none(),
+        st.booleans(),
+        st.lists(texts, max_size=3),
+        st.dictionaries(st.sampled_from(["cpu", "memMb", "gpu"]), numbers),
+    )
+    addresses = texts.map(lambda host: f"{host}:8080")
+    fields = [*VALID_ENTRY, "born", "remainingMs", "warmupRemainingMs"]
+    changes = st.dictionaries(
+        st.sampled_from(fields), st.one_of(values, addresses), max_size=3
+    )
+    return changes.map(lambda changed: LOCAL_ENTRY | changed)
+
+
+@settings(max_examples=300, deadline=None, suppress_health_check=[HealthCheck.too_slow])
+@given(_entries())
+@example(LOCAL_ENTRY | {"address": "127.0.0.\x00:8080"})
+def test_no_entry_of_another_writer_ends_an_owner(entry):
+    # What is decoded has to be usable by the scheduler, by its log lines and by polls.
+    value = json.dumps(entry).encode()
+    decoded = RecordDecoder().decode_minion(KeyedRecord(b"i-9", value))
+    if isinstance(decoded, str):
+        return
+    world = World()
+    world.claim()
+    pools = {**world.config.pools, decoded.pool: Pool(decoded.pool)}
+    world._tell(ev.ConfigChanged(replace(world.config, version=2, pools=pools)))
+    world._tell(ev.MinionListed(decoded))
+    world.owner.handle(ev.PollFailed("i-9", ev.Outcome.UNKNOWN, "silent"), 2_000)
+    world.owner.handle(ev.Tick(2_000), 2_000)
+    world.owner.place(2_000)
+    for effect in world.owner.take_effects():
+        if isinstance(effect, ev.LogEvent):
+            json.dumps(effect.fields, ensure_ascii=False).encode()
+    host = decoded.address.rpartition(":")[0]
+    if host == "127.0.0.1" or not _is_ip_address(host):
+        assert isinstance(_poll_result(decoded), Failure)
+
+
+def _is_ip_address(host: str) -> bool:
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        return False
+    return True
+
+
+def _poll_result(info: MinionInfo) -> Result:
+    """Return the result of a poll, which looks up no names and leaves no machine."""
+    look_up = socket.getaddrinfo
+
+    def check_address(*args, **kwargs) -> list:
+        look_up(*args, **{**kwargs, "flags": socket.AI_NUMERICHOST})
+        raise socket.gaierror("no other machines in tests")
+
+    async def poll() -> Result:
+        link = HttpMinionLink(info)
+        try:
+            return await link.poll(7, 0, 0, 0)
+        finally:
+            link.close()
+
+    with mock.patch("socket.getaddrinfo", check_address):
+        return anyio.run(poll)
