Reject a minion's report with values that cannot be used

What callers would see: the owner of the schedule ends, and each one after it, as long as a minion answers polls with such a report.

Cause: rows of runs were read without types. A task that is no text ended the owner with TypeError ("unhashable type"), as did a run number that is no number, and a clock of 400 digits is too large for the lease's arithmetic.

Change: rows are typed, and numbers are limited to those that JSON carries exactly. A report beyond that is a failed poll, like one that cannot be decoded.

--- a/courselead/platform/const.py
+++ b/courselead/platform/const.py
@@ -94,9 +94,12 @@
 PROMPT_CONNECTIONS = 2
 """Maximum number of further connections to it for orders that expire."""
 
-MAX_START_TIME_MS = 2**53
-"""Latest start time of a minion that is accepted: the largest integer that every JSON
-implementation reads exactly (RFC 8259, section 6)."""
+MAX_EXACT_INTEGER = 2**53
+"""Largest integer that every JSON implementation reads exactly (RFC 8259, section 6).
+Larger numbers in answers of minions are rejected."""
+
+MAX_START_TIME_MS = MAX_EXACT_INTEGER
+"""Latest start time of a minion that is accepted."""
 
 START_TIME_AHEAD_WARNING_MS = 86_400_000
 """A start time this far ahead of this host's clock is logged as a warning: neither a
--- a/courselead/platform/minions.py
+++ b/courselead/platform/minions.py
@@ -4,7 +4,7 @@
 
 from dataclasses import replace
 from functools import partial
-from typing import Any
+from typing import Annotated
 
 import msgspec
 from returns.result import Failure, Result, Success
@@ -46,14 +46,33 @@
     reason: str = ""
 
 
+_ExactInt = Annotated[
+    int, msgspec.Meta(ge=-const.MAX_EXACT_INTEGER, le=const.MAX_EXACT_INTEGER)
+]
+
+
+class _RunRow(msgspec.Struct, array_like=True):
+    task: str
+    number: _ExactInt
+    checkpoint: str | None
+    percent: float
+    # Of the last half second.
+    figure: float = 0
+
+
+class _EndRow(msgspec.Struct, array_like=True, order=True):
+    sequence: _ExactInt
+    task: str
+    number: _ExactInt
+    kind: str
+    checkpoint: str
+
+
 class _PollResponse(msgspec.Struct, rename="camel"):
-    clock_ms: int
-    born: int = 0
-    # Rows of task, run, newest checkpoint, percent, and the figure of the last half
-    # second.
-    running: list[list[Any]] = []
-    # Rows of sequence number, task, run, kind of end and checkpoint.
-    finished: list[tuple[int, str, int, str, str]] = []
+    clock_ms: _ExactInt
+    born: _ExactInt = 0
+    running: list[_RunRow] = []
+    finished: list[_EndRow] = []
 
 
 class HttpMinionLink:
@@ -100,15 +119,10 @@
             self._prompt_pool.close_idle()
             return Failure(result_of_error(result.failure()))
         self._poll_connection.mark_verified()
-        decoded = _decode_poll_response(result.unwrap())
-        if isinstance(decoded, Failure):
-            return decoded
-        wire_report = decoded.unwrap()
-        self._born_ms = self._born_ms or wire_report.born
-        try:
-            return Success(_to_report(wire_report))
-        except (ValueError, IndexError) as exc:
-            return Failure(_malformed_report(exc))
+        decoded = decode_report(result.unwrap())
+        if isinstance(decoded, Success):
+            self._born_ms = self._born_ms or decoded.unwrap().born_ms
+        return decoded
 
     async def start(
         self, order: StartRun, fence: int, may_send: MaySend
@@ -241,8 +255,19 @@
     return OrderResult(Outcome.UNKNOWN, response.clock_ms, f"status {answer.status}")
 
 
-def _decode_poll_response(answer: Answer) -> Result[_PollResponse, OrderResult]:
+def decode_report(answer: Answer) -> Result[MinionReport, OrderResult]:
     """Return the report in the response to a poll, or the result of a failure."""
+    decoded = _decode_poll_response(answer)
+    if isinstance(decoded, Failure):
+        return decoded
+    try:
+        return Success(_to_report(decoded.unwrap()))
+    except ValueError as exc:
+        return Failure(_malformed_report(exc))
+
+
+def _decode_poll_response(answer: Answer) -> Result[_PollResponse, OrderResult]:
+    """Return the decoded response to a poll, or the result of a failure."""
     if answer.status != 200:
         return Failure(_decode_order_response(answer))
     try:
@@ -258,13 +283,18 @@
 def _to_report(wire_report: _PollResponse) -> MinionReport:
     running = []
     for row in wire_report.running:
-        figure = int(row[4]) if len(row) > 4 else 0
+        checkpoint = row.checkpoint or ""
         running.append(
-            RunReport(row[0], int(row[1]), row[2] or "", int(row[3]), figure)
+            RunReport(
+                row.task, row.number, checkpoint, int(row.percent), int(row.figure)
+            )
         )
     ended = []
-    for sequence, task, number, kind, checkpoint in sorted(wire_report.finished):
-        ended.append(EndReport(sequence, task, number, EndKind(kind), checkpoint))
+    for end in sorted(wire_report.finished):
+        kind = EndKind(end.kind)
+        ended.append(
+            EndReport(end.sequence, end.task, end.number, kind, end.checkpoint)
+        )
     return MinionReport(
         wire_report.clock_ms,
         tuple(running),
