Read a log to its end before a job counts as unknown

What callers saw: a cancel of a job that was accepted over half a second before is answered with 410 by a host that had stood still, and the job runs on (UNASKED).

Cause: a host that does not know a job reads the log once, and took any answer for the log's end.

Change: read_now reads on until all is applied that was stored when it was called. If that fails or takes over 2 s, the host says that it can't tell, and the caller retries. The claim of the schedule, replies to repeated submissions and confirmed copies rely on the same call.

One test is replaced: test_a_read_that_leaves_records_unread_does_not_count_as_current used read_now for a single read, which it is no more. The log now refuses all reads after the first, so that records stay unread; that the read doesn't count as current is checked as before, and the offsets and the result of the call besides.

--- a/courselead/daemon/scheduling/follower.py
+++ b/courselead/daemon/scheduling/follower.py
@@ -39,6 +39,10 @@
 """Bounds of the wait after a failed read, with jitter. Reads resume well within the 2 s
 in which a configuration must be in force after the store has recovered."""
 
+MAX_CATCH_UP_S = 2.0
+"""Maximum time after which a host that is far behind the end of a log starts another
+read for a caller, who waits for seconds at most."""
+
 LARGE_READ_BYTES = 262_144
 """Size from which a read is logged; this program writes no record that large."""
 
@@ -82,6 +86,9 @@
         self.last_answered_at = 0.0
         # When the newest read was sent after which nothing was left to read.
         self.caught_up_at = 0.0
+        # End of the log according to the newest read, and when that was sent.
+        self._end = -1
+        self._end_read_at = 0.0
         self._newest_offsets: dict[bytes, int] = {}
         self._failures = 0
         self._lock = anyio.Lock()
@@ -96,8 +103,26 @@
                 await anyio.sleep(self.pause_s)
 
     async def read_now(self) -> bool:
-        """Read the records that are available now, without waiting for more."""
-        return await self._poll(0)
+        """Apply all records that were stored before this call.
+
+        The response to a read contains a limited number of records, and none at all if
+        the history is gone, so several reads may be needed. Returns False if one fails
+        or if they take too long.
+        """
+        begun_at = anyio.current_time()
+        end = None
+        while await self._poll(0):
+            # A concurrent read may have been sent before this call.
+            if end is None and self._end_read_at >= begun_at:
+                end = self._end
+            if end is not None and self.offset >= end:
+                return True
+            if anyio.current_time() - begun_at > MAX_CATCH_UP_S:
+                _LOGGER.info(
+                    "catch_up_incomplete", log=self._name, offset=self.offset, end=end
+                )
+                return False
+        return False
 
     async def _poll(self, wait_ms: int) -> bool:
         if self.offset < 0:
@@ -121,7 +146,7 @@
         else:
             self._log_large(found, sent_at)
             self._apply_batch(found)
-        self._record_success(sent_at)
+        self._record_end(sent_at, found.end)
         if self.offset >= found.end:
             self.caught_up_at = max(self.caught_up_at, sent_at)
         return True
@@ -151,8 +176,9 @@
                 error = result.failure()
                 reason = "" if isinstance(error, HistoryGone) else error.reason
                 return self._record_failure(reason)
-            self._apply_newest(result.unwrap())
-        self._record_success(sent_at)
+            newest = result.unwrap()
+            self._apply_newest(newest)
+        self._record_end(sent_at, newest.end)
         self.caught_up_at = max(self.caught_up_at, sent_at)
         return True
 
@@ -179,6 +205,13 @@
             if self._log_copy is not None:
                 self._log_copy.put(offset, record)
 
+    def _record_end(self, sent_at: float, end: int) -> None:
+        """Record that a read succeeded and what end of the log it reported."""
+        if sent_at >= self._end_read_at:
+            self._end_read_at = sent_at
+            self._end = end
+        self._record_success(sent_at)
+
     def _record_success(self, sent_at: float) -> None:
         if self._failures:
             _LOGGER.info("log_reached", log=self._name, failures=self._failures)
--- a/tests/daemon/scheduling/test_evacuation.py
+++ b/tests/daemon/scheduling/test_evacuation.py
@@ -49,14 +49,26 @@
 
 async def test_a_read_that_leaves_records_unread_does_not_count_as_current():
     # Guards against starts by an owner that lags behind in a long operator's log.
-    log = MemoryLog()
+    log = LogWithOneRead()
     follower = KeyedFollower("test", log, lambda record: None)
     await log.append([evacuation("z-a")], 100)
     assert await follower.read_now()
     caught_up_at = follower.caught_up_at
     log.max_batch = 1
     await log.append([evacuation("z-b"), evacuation("z-c")], 100)
-    assert await follower.read_now()
+    assert not await follower.read_now()
+    assert follower.offset == 2
     assert follower.caught_up_at == caught_up_at
+    log.refuse = False
     assert await follower.read_now()
+    assert follower.offset == 3
     assert follower.caught_up_at > caught_up_at
+
+
+class LogWithOneRead(MemoryLog):
+    """A log that refuses all reads after each one that it has answered."""
+
+    async def read(self, *args, **kwargs):
+        found = await super().read(*args, **kwargs)
+        self.refuse = True
+        return found
--- a/tests/daemon/scheduling/test_log.py
+++ b/tests/daemon/scheduling/test_log.py
@@ -17,6 +17,7 @@
     encode,
     forget,
 )
+from courselead.daemon.scheduling import follower as follower_module
 from courselead.daemon.scheduling.claims import Claimant, slow_log_allowance_s
 from courselead.daemon.scheduling.follower import JobFollower, KeyedFollower
 from courselead.daemon.scheduling.ports import HostCounters
@@ -206,6 +207,57 @@
     assert await follower.catch_up()
 
 
+@pytest.mark.parametrize("max_batch", [1, 3, 100])
+async def test_a_stored_job_beyond_the_first_read_is_not_unknown(max_batch):
+    # A cancel of a stored job was answered with "no such job", and the job ran on.
+    log = MemoryLog(max_batch=max_batch)
+    follower = JobFollower(log, HostCounters())
+    assert await follower.catch_up()
+    log.records += [encode(JobAccepted(f"{n:016x}", "q", SPEC)) for n in range(10)]
+    assert await follower.catch_up()
+    assert len(follower.book.jobs) == 10
+
+
+async def test_a_stored_job_is_not_unknown_because_the_history_is_gone():
+    log = MemoryLog()
+    follower = JobFollower(log, HostCounters())
+    assert await follower.catch_up()
+    log.records.append(encode(JobAccepted(JOB, "q", SPEC)))
+    log.forget_history()
+    assert await follower.catch_up()
+    assert JOB in follower.book.jobs
+
+
+async def test_catch_up_needs_no_more_than_what_was_stored_before_it():
+    # A log that grows with each read would never be read to its end.
+    log = GrowingLog(max_batch=1)
+    follower = JobFollower(log, HostCounters())
+    with anyio.fail_after(5):
+        assert await follower.catch_up()
+        assert await follower.catch_up()
+
+
+async def test_catch_up_fails_when_the_log_takes_too_long(monkeypatch):
+    monkeypatch.setattr(follower_module, "MAX_CATCH_UP_S", 0.0)
+    log = MemoryLog(max_batch=1)
+    follower = JobFollower(log, HostCounters())
+    assert await follower.catch_up()
+    log.records += [encode(JobAccepted(f"{n:016x}", "q", SPEC)) for n in range(3)]
+    assert not await follower.catch_up()
+    assert not await follower.catch_up()
+    assert await follower.catch_up()
+
+
+class GrowingLog(MemoryLog):
+    """A log to which another host appends during each read."""
+
+    async def read(self, *args, **kwargs):
+        found = await super().read(*args, **kwargs)
+        job_id = f"{len(self.records):016x}"
+        self.records.append(encode(JobAccepted(job_id, "q", SPEC)))
+        return found
+
+
 async def test_concurrent_catch_ups_share_a_read():
     log = MemoryLog()
     follower = JobFollower(log, HostCounters())
