Handle signals before the libraries are loaded

What operators saw: a host that gets SIGHUP in its first 0.3 s ends, and SIGTERM in that time ends it like a killed one.

Cause: the handlers are those of the event loop, which starts after all imports.

Change: handlers are installed by the first import. SIGTERM and SIGINT end the process with exit 0, as it serves nobody yet; SIGHUP is remembered, and repeated once the event loop handles it, because the settings may have been read before.

--- a/courselead/__main__.py
+++ b/courselead/__main__.py
@@ -7,6 +7,8 @@
 import sys
 from collections.abc import Sequence
 
+from courselead.startup_signals import StartupSignals
+
 COMMAND_SERVE = "serve"
 CONFIG_OPTION = "--config"
 HELP_OPTIONS = ("-h", "--help")
@@ -40,14 +42,17 @@
         sys.stdout.write(f"{SERVE_USAGE}\n")
         return EXIT_OK
     if args == [PLATFORM_OPTION]:
+        startup_signals = StartupSignals.install()
         sys.modules.setdefault(RICH_LIBRARY, None)
         from courselead.daemon.scheduling.main import run as run_on_platform
 
-        return run_on_platform()
+        return run_on_platform(startup_signals)
     path = _config_path(args)
     if not path:
         sys.stderr.write(f"{SERVE_USAGE}\n")
         return EXIT_USAGE
+    # This daemon reads its settings once, so a SIGHUP need not be repeated to it.
+    StartupSignals.install()
     # structlog imports rich, for coloured output, wherever it is installed. With None
     # in `sys.modules` that import fails, and structlog does without.
     sys.modules.setdefault(RICH_LIBRARY, None)
--- a/courselead/daemon/scheduling/main.py
+++ b/courselead/daemon/scheduling/main.py
@@ -21,6 +21,7 @@
 from courselead.platform.settings import NodeSettings
 from courselead.platform.wiring import load_settings, make_platform
 from courselead.settings import Address, LimitSettings
+from courselead.startup_signals import StartupSignals
 
 _LOGGER = structlog.get_logger(__name__)
 
@@ -39,7 +40,7 @@
 period."""
 
 
-def run() -> int:
+def run(startup_signals: StartupSignals) -> int:
     """Run the daemon until it is asked to shut down; return its exit code."""
     writer = BoundedWriter(sys.stdout)
     budget = LineBudget()
@@ -49,13 +50,16 @@
         _LOGGER.error("settings_refused", reason=loaded.failure())
         writer.drain(LOG_DRAIN_TIMEOUT_S)
         return EXIT_SETTINGS
-    anyio.run(_serve, loaded.unwrap(), budget, writer)
+    anyio.run(_serve, loaded.unwrap(), budget, writer, startup_signals)
     writer.drain(LOG_DRAIN_TIMEOUT_S)
     return EXIT_OK
 
 
 async def _serve(
-    settings: NodeSettings, budget: LineBudget, writer: BoundedWriter
+    settings: NodeSettings,
+    budget: LineBudget,
+    writer: BoundedWriter,
+    startup_signals: StartupSignals,
 ) -> None:
     host = SchedulingHost(
         settings.node,
@@ -80,6 +84,7 @@
     host.counters.register("lines_dropped", lambda: budget.dropped + writer.dropped)
     _LOGGER.info("started", host=settings.node, front=settings.listen.front)
     with anyio.open_signal_receiver(*signals.HANDLED_SIGNALS) as received:
+        startup_signals.repeat()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(host.run)
             for server in servers:
