--- a/courselead/core/scheduler/caps.py
+++ b/courselead/core/scheduler/caps.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from courselead.core.scheduler import const, lives
+from courselead.core.scheduler import const, delayed_starts
 from courselead.core.scheduler.book import JobEntry
 from courselead.core.scheduler.doubt import (
     NO_UNSEEN_TASKS,
@@ -108,7 +108,7 @@
     unseen_by_pool = {
         pool: find_unseen_tasks(schedule, pool) for pool in schedule.config.pools
     }
-    pending = lives.tasks_with_pending_starts(schedule)
+    pending = delayed_starts.tasks_with_pending_starts(schedule)
     if pending or any(
         unseen_tasks != NO_UNSEEN_TASKS for unseen_tasks in unseen_by_pool.values()
     ):
--- a/courselead/core/scheduler/free_capacity.py
+++ b/courselead/core/scheduler/free_capacity.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from courselead.core.scheduler import lives
+from courselead.core.scheduler import delayed_starts
 from courselead.core.scheduler.doubt import UnseenTasks, find_unseen_tasks
 from courselead.core.scheduler.isolation import Isolation
 from courselead.core.scheduler.minion_filters import eligible_minions
@@ -45,7 +45,7 @@
         # Ids of steps whose tasks fit on no minion any more.
         self._full_steps: set[int] = set()
         self._unseen: UnseenTasks = find_unseen_tasks(schedule, pool).with_pending(
-            lives.tasks_with_pending_starts(schedule)
+            delayed_starts.tasks_with_pending_starts(schedule)
         )
         for minion in schedule.minions.values():
             for run in minion.runs.values():
--- a/courselead/core/scheduler/lives.py
+++ b/courselead/core/scheduler/lives.py
@@ -13,11 +13,11 @@
 
 from dataclasses import replace
 
-from courselead.core.scheduler import const, crashes
+from courselead.core.scheduler import const, crashes, delayed_starts
+from courselead.core.scheduler.delayed_starts import STARTED_AGAIN
 from courselead.core.scheduler.events import (
     StartPolling,
     StopPolling,
-    StopRun,
     StoreRuns,
 )
 from courselead.core.scheduler.lost_runs import (
@@ -26,10 +26,7 @@
 )
 from courselead.core.scheduler.models import Incarnation, MinionInfo
 from courselead.core.scheduler.schedule import Schedule, longest_lease_ms
-from courselead.core.scheduler.state import Minion, Run, RunPhase, StrayStart
-
-STARTED_AGAIN = "its minion started again"
-"""Reason given for runs of an earlier incarnation that are lost or stopped."""
+from courselead.core.scheduler.state import Minion, Run, RunPhase
 
 
 def handle_listed(schedule: Schedule, info: MinionInfo) -> None:
@@ -115,106 +112,10 @@
     minion = Minion(info, idle_ms=now_ms, listed_ms=now_ms)
     schedule.minions[info.minion_id] = minion
     schedule.emit(StartPolling(info.minion_id, info.born_ms))
-    _stop_delayed_starts(schedule, info.incarnation)
+    delayed_starts.stop_on_incarnation(schedule, info.incarnation)
     return minion
 
 
-def _stop_delayed_starts(schedule: Schedule, incarnation: Incarnation) -> None:
-    """Send stops to a new incarnation for delayed starts of its minion id.
-
-    These starts were sent before the incarnation was known and may still arrive.
-
-    A minion never begins a run after it has received the stop for it.
-    """
-    delayed_starts = schedule.stray_starts.get(incarnation.minion_id, {})
-    for key, delayed in delayed_starts.items():
-        if schedule.now_ms >= delayed.until_ms:
-            continue
-        schedule.minions[incarnation.minion_id].unanswered_stray_stops.add(key)
-    resend_pending_stops(schedule, schedule.minions[incarnation.minion_id])
-
-
-def resend_pending_stops(
-    schedule: Schedule, minion: Minion, after_poll: bool = False
-) -> None:
-    """Resend the stops of delayed starts that this incarnation has not answered.
-
-    A single stop is not enough: it may be delayed as well, and arrive after the start.
-    A long-running task that is still wanted may work by now, so its stop is sent only
-    after a poll that did not report it.
-
-    Args:
-        schedule: Changed in place.
-        minion: The incarnation.
-        after_poll: Whether its report has just been processed: then those of services
-            are sent, otherwise all others.
-    """
-    delayed_starts = schedule.stray_starts.get(minion.minion_id, {})
-    for key in sorted(minion.unanswered_stray_stops):
-        if key not in delayed_starts or schedule.now_ms >= delayed_starts[key].until_ms:
-            minion.unanswered_stray_stops.discard(key)
-            continue
-        task, number = key
-        unit = schedule.units.get(task)
-        is_service = unit is not None and unit.is_wanted_service
-        if is_service != after_poll:
-            continue
-        schedule.emit(
-            StopRun(
-                minion.minion_id,
-                task,
-                number,
-                STARTED_AGAIN,
-                minion.info.born_ms,
-                schedule.now_ms + const.STOP_EXPIRES_MS if is_service else 0,
-            )
-        )
-
-
-def drop_expired_starts(schedule: Schedule) -> None:
-    """Remove delayed starts that have expired, also those of unknown minions."""
-    for minion_id, delayed_starts in list(schedule.stray_starts.items()):
-        for key, delayed in list(delayed_starts.items()):
-            if schedule.now_ms >= delayed.until_ms:
-                del delayed_starts[key]
-        if not delayed_starts:
-            del schedule.stray_starts[minion_id]
-
-
-def tasks_with_pending_starts(schedule: Schedule) -> frozenset[str]:
-    """Return the tasks that may still begin because their stops are not answered.
-
-    If starts are not bound to an incarnation, a delayed start may also be carried out
-    by an incarnation that the owner does not know yet.
-    """
-    pending: set[str] = set()
-    # Only minions with delayed starts have pending stops.
-    for minion_id, delayed_starts in schedule.stray_starts.items():
-        minion = schedule.minions.get(minion_id)
-        if minion is not None:
-            pending.update(task for task, _ in minion.unanswered_stray_stops)
-        if schedule.starts_are_bound:
-            continue
-        for (task, _), delayed in delayed_starts.items():
-            if schedule.now_ms < delayed.until_ms and _may_reach_unknown_incarnation(
-                minion, delayed
-            ):
-                pending.add(task)
-    return frozenset(pending)
-
-
-def _may_reach_unknown_incarnation(minion: Minion | None, delayed: StrayStart) -> bool:
-    """Return whether a delayed start may reach an incarnation that is not known yet.
-
-    If a later incarnation is known, the start is stopped there instead.
-    """
-    if not delayed.born_ms:
-        # No start time is known: such incarnations have minion ids of their own, and
-        # the order contains the id.
-        return False
-    return minion is None or minion.info.born_ms == delayed.born_ms
-
-
 def _handle_other_incarnation_listed(
     schedule: Schedule, minion: Minion, info: MinionInfo
 ) -> None:
@@ -267,10 +168,10 @@
     """
     if not run.confirmed or run.start_repeated:
         return True
-    delayed_starts = schedule.stray_starts.get(run.minion_id, {})
+    starts = schedule.stray_starts.get(run.minion_id, {})
     return any(
         task == run.task and schedule.now_ms < delayed.until_ms
-        for (task, _), delayed in delayed_starts.items()
+        for (task, _), delayed in starts.items()
     )
 
 
--- a/courselead/core/scheduler/minions.py
+++ b/courselead/core/scheduler/minions.py
@@ -5,6 +5,7 @@
 from courselead.core.scheduler import (
     const,
     crashes,
+    delayed_starts,
     evacuation,
     evacuation_moves,
     jobs,
@@ -12,12 +13,11 @@
     lives,
     lost_runs,
     pace,
+    run_ends,
     service_stops,
     stalls,
 )
 from courselead.core.scheduler.events import (
-    EndKind,
-    EndReport,
     OrderAnswered,
     Outcome,
     PollAnswered,
@@ -32,8 +32,6 @@
     Minion,
     Run,
     RunPhase,
-    Unit,
-    UnsavedEnd,
 )
 
 
@@ -62,11 +60,11 @@
         _process_run_report(schedule, minion, report)
     for end in event.ended:
         reported.add((end.task, end.number))
-        _process_end_report(schedule, minion, end)
+        run_ends.process_end(schedule, minion, end)
     if event.lists_all_ends:
         _drop_stopped_unreported(schedule, minion, event.sent_ms, reported)
     service_stops.minion_polled(schedule, minion, reported)
-    lives.resend_pending_stops(schedule, minion, after_poll=True)
+    delayed_starts.resend_pending_stops(schedule, minion, after_poll=True)
     stalls.stop_stalled_services(schedule, minion, event.sent_ms)
     if not minion.synced:
         _synced(schedule, minion, event)
@@ -184,12 +182,12 @@
         service_stops.tick(schedule, minion)
         stalls.stop_stalled_finite_runs(schedule, minion)
         if minion.unanswered_stray_stops:
-            lives.resend_pending_stops(schedule, minion)
+            delayed_starts.resend_pending_stops(schedule, minion)
         if minion.info.draining:
             _stop_runs_on_draining(schedule, minion)
     evacuation_moves.tick(schedule)
     evacuation.tick(schedule)
-    lives.drop_expired_starts(schedule)
+    delayed_starts.drop_expired_starts(schedule)
 
 
 def _stop_runs_on_draining(schedule: Schedule, minion: Minion) -> None:
@@ -308,90 +306,6 @@
     return run
 
 
-def _process_end_report(schedule: Schedule, minion: Minion, end: EndReport) -> None:
-    if end.sequence <= minion.ended_seen:
-        return
-    minion.ended_seen = end.sequence
-    unsaved = UnsavedEnd(end.sequence, schedule.open_batch, end.task)
-    minion.unsaved.append(unsaved)
-    run = minion.runs.get((end.task, end.number))
-    unit = run.unit if run is not None else jobs.unit_of(schedule, end.task)
-    if unit is None:
-        return
-    unit.next_number = max(unit.next_number, end.number + 1)
-    if end.checkpoint and end.kind is not EndKind.DONE:
-        unit.checkpoint = end.checkpoint
-        if not unit.job.state.final:
-            jobs.save(schedule, unit.job)
-    if run is not None:
-        _update_average_run_time(schedule, run, end.kind)
-        schedule.drop_run(run)
-    if end.kind is EndKind.DONE:
-        minion.failures_in_row.clear()
-        jobs.unit_done(schedule, unit)
-        return
-    schedule.log_event(
-        "run_ended",
-        job_id=unit.job.job_id,
-        task=end.task,
-        run=end.number,
-        minion=minion.minion_id,
-        how=str(end.kind),
-        reason=run.stop_reason if run is not None else "",
-    )
-    if end.kind is EndKind.FAILED:
-        _handle_failed_run(schedule, minion, unit, end.number)
-    else:
-        lost_runs.stop_gang(schedule, unit)
-    jobs.requeue(schedule, unit)
-
-
-def _update_average_run_time(schedule: Schedule, run: Run, kind: EndKind) -> None:
-    if kind is not EndKind.DONE or run.unit.checkpoint or not run.running_ms:
-        return
-    minion = schedule.minions.get(run.minion_id)
-    if minion is not None and minion.is_warming_up(run.running_ms):
-        # It took longer than it would on a minion that is warm.
-        return
-    queue = run.unit.job.queue
-    took_ms = schedule.now_ms - run.running_ms
-    known = schedule.run_ms.get(queue, took_ms)
-    schedule.run_ms[queue] = known + const.LEARN_WEIGHT * (took_ms - known)
-
-
-def _handle_failed_run(
-    schedule: Schedule, minion: Minion, unit: Unit, number: int
-) -> None:
-    unit.avoid.add(minion.minion_id)
-    if unit.spec.long_running:
-        backoff = unit.backoff_ms * 2 or const.RESTART_BACKOFF_MS
-        unit.backoff_ms = min(backoff, const.RESTART_BACKOFF_MAX_MS)
-        unit.not_before_ms = schedule.now_ms + unit.backoff_ms
-    else:
-        _quarantine_if_failing(schedule, minion, unit)
-    jobs.unit_failed(schedule, unit, number)
-    schedule.log_event(
-        "run_failed",
-        job_id=unit.job.job_id,
-        task=unit.task_name(unit.indexes[0]),
-        minion=minion.minion_id,
-        failed=unit.failed,
-    )
-    lost_runs.stop_gang(schedule, unit)
-
-
-def _quarantine_if_failing(schedule: Schedule, minion: Minion, unit: Unit) -> None:
-    """Quarantine a minion on which different jobs failed one after the other."""
-    job_ids = minion.failures_in_row
-    if unit.job.job_id not in job_ids:
-        job_ids.append(unit.job.job_id)
-    if len(job_ids) < const.QUARANTINE_FAILURES:
-        return
-    job_ids.clear()
-    minion.quarantine_until_ms = schedule.now_ms + const.QUARANTINE_MS
-    schedule.log_event("minion_quarantined", minion=minion.minion_id)
-
-
 def _drop_stopped_unreported(
     schedule: Schedule, minion: Minion, sent_ms: int, reported: set[tuple[str, int]]
 ) -> None:
--- a/courselead/core/scheduler/placement.py
+++ b/courselead/core/scheduler/placement.py
@@ -6,9 +6,9 @@
     caps,
     const,
     crashes,
+    delayed_starts,
     gangs,
     jobs,
-    lives,
     minion_filters,
     minion_scores,
     start_order,
@@ -83,7 +83,7 @@
     waiting: list[Unit] = []
     unplaceable = UnplaceableNeeds(skipped_ids(schedule, pool, ready_units))
     unseen = find_unseen_tasks(schedule, pool).with_pending(
-        lives.tasks_with_pending_starts(schedule)
+        delayed_starts.tasks_with_pending_starts(schedule)
     )
     isolation = Isolation.create(schedule)
     warming_up = frozenset(
--- a/courselead/core/scheduler/service_stops.py
+++ b/courselead/core/scheduler/service_stops.py
@@ -8,7 +8,8 @@
 
 from __future__ import annotations
 
-from courselead.core.scheduler import budgets, const, lives
+from courselead.core.scheduler import budgets, const
+from courselead.core.scheduler.delayed_starts import STARTED_AGAIN
 from courselead.core.scheduler.schedule import Schedule
 from courselead.core.scheduler.state import Minion, Run, RunPhase
 
@@ -18,7 +19,7 @@
 KEPT_BEFORE_ANSWER = "it was kept before its stop was answered"
 """Reason given for the end of a run whose stop was answered late."""
 
-LATE_START_REASONS = (START_NOT_ANSWERED, lives.STARTED_AGAIN)
+LATE_START_REASONS = (START_NOT_ANSWERED, STARTED_AGAIN)
 """Reasons of stops for runs that are not known to have begun."""
 
 
