Do not let an end of unknown start time cover later incarnations

What callers would see: a minion is never used although it is listed and answers (LOST).

Cause: an incarnation whose start time was unknown when it ended made every later one under its id count as ended, because an unknown start time was taken to equal any. An entry of another writer under a minion's id, without a start time, was enough.

Change: the end of an incarnation covers entries with the same start time, and entries without one. test_an_end_of_unknown_start_time_does_not_cover_later_incarnations failed before.

--- a/courselead/core/scheduler/schedule.py
+++ b/courselead/core/scheduler/schedule.py
@@ -249,11 +249,15 @@
     effects: list[Effect] = field(default_factory=list)
 
     def is_over(self, incarnation: Incarnation) -> bool:
-        """Return whether an incarnation is known to have ended."""
-        return any(
-            incarnation.may_equal(over)
-            for over in self.ended_incarnations.get(incarnation.minion_id, ())
-        )
+        """Return whether an incarnation is known to have ended.
+
+        The end of one whose start time was unknown shows nothing about one that has a
+        start time.
+        """
+        ended = self.ended_incarnations.get(incarnation.minion_id, set())
+        if incarnation.born_ms:
+            return incarnation in ended
+        return bool(ended)
 
     def has_reported_all(self, minion: Minion) -> bool:
         """Return whether all runs of a minion and all their ends are known."""
--- a/tests/core/scheduler/test_unreachable_minions.py
+++ b/tests/core/scheduler/test_unreachable_minions.py
@@ -151,3 +151,13 @@
     world.submit(job(step(3, required_label="r2")), "00000000000000bb", length_ms=300)
     world.run(4_000)
     assert world.state("00000000000000bb") is JobState.COMPLETED
+
+
+def test_an_end_of_unknown_start_time_does_not_cover_later_incarnations():
+    # An entry without a start time came from another writer, under a minion's id.
+    world = world_with_rack(born_ms=0)
+    world._tell(ev.PollFailed("i2", ev.Outcome.OTHER_INCARNATION, ""))
+    assert "i2" not in world.owner.schedule.minions
+    world.list_entry(world.start_again("i2", BORN_MS))
+    world.run(SOON_MS)
+    assert_is_used(world, "r2")
