Let a service with two crashes wait no longer than before

The limit that a suspect's waits share made a long-running task with two crashes wait up to 5 s for a minion without other work, not 3 s: the limit for three crashes was used for all services. It must run again within 6 s.

test_two_crashes_make_no_task_wait_as_long_as_three fails with the earlier order of the cases.

--- a/courselead/core/scheduler/isolation.py
+++ b/courselead/core/scheduler/isolation.py
@@ -188,7 +188,7 @@
         The wait for calm and the wait for a minion without other work share one limit
         from the newest crash on, so that they do not add up.
         """
-        return self._waited_ms(suspect) >= _max_wait_ms(suspect.unit)
+        return self._waited_ms(suspect) >= max_wait_ms(suspect.unit)
 
     def allowed_minions(self, unit: Unit, minions: list[Minion]) -> list[Minion]:
         """Return the minions on which a unit may start."""
@@ -251,17 +251,17 @@
         )
 
 
-def _max_wait_ms(unit: Unit) -> int:
+def max_wait_ms(unit: Unit) -> int:
     """Return the time from its newest crash in which a suspect is started if it fits.
 
     A finite task with few starts left may wait longest: each start beside others that
     crash their minions costs it one of them.
     """
+    if unit.placement_crash_count < const.CALM_CRASHES:
+        return const.CRASH_SETTLE_MS + const.ISOLATION_WAIT_MS
     if unit.spec.long_running:
         return const.SERVICE_SUSPECT_WAIT_MS
-    if unit.placement_crash_count >= const.CALM_CRASHES:
-        return const.SUSPECT_WAIT_MS
-    return const.CRASH_SETTLE_MS + const.ISOLATION_WAIT_MS
+    return const.SUSPECT_WAIT_MS
 
 
 def _units_of_other_jobs(unit: Unit, minion: Minion) -> list[Unit]:
