--- a/courselead/core/scheduler/doubt.py
+++ b/courselead/core/scheduler/doubt.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, replace
 
 from courselead.core.scheduler import const
-from courselead.core.scheduler.schedule import Schedule, UnconfirmedMinion
+from courselead.core.scheduler.schedule import MinionPlace, Schedule
 from courselead.core.scheduler.state import Minion, Unit
 
 CLOUD_WAIT_MS = 1_000
@@ -81,7 +81,7 @@
 def _tasks_on(
     schedule: Schedule,
     pool: str,
-    minions: Iterable[tuple[str, UnconfirmedMinion]],
+    minions: Iterable[tuple[str, MinionPlace]],
 ) -> UnseenTasks:
     """Return the tasks of a pool that may be on the given minions."""
     tasks: set[str] = set()
@@ -103,7 +103,7 @@
     return any(minion.info.born_ms for minion in schedule.minions.values())
 
 
-def _unreported_minions(schedule: Schedule) -> Iterator[tuple[str, UnconfirmedMinion]]:
+def _unreported_minions(schedule: Schedule) -> Iterator[tuple[str, MinionPlace]]:
     """Yield the minions that have not reported everything to this owner."""
     for minion in schedule.minions.values():
         if schedule.may_have_earlier_runs(minion):
@@ -113,11 +113,11 @@
 
 def _partly_reported_minions(
     schedule: Schedule,
-) -> Iterator[tuple[str, UnconfirmedMinion]]:
+) -> Iterator[tuple[str, MinionPlace]]:
     """Yield the minions that have answered, but have not listed all of their ends."""
     for minion_id in sorted(schedule.partly_reported):
         yield minion_id, _place_of(schedule.minions[minion_id])
 
 
-def _place_of(minion: Minion) -> UnconfirmedMinion:
-    return UnconfirmedMinion(minion.info.pool, minion.info.zone)
+def _place_of(minion: Minion) -> MinionPlace:
+    return MinionPlace(minion.info.pool, minion.info.zone)
--- a/courselead/core/scheduler/schedule.py
+++ b/courselead/core/scheduler/schedule.py
@@ -90,11 +90,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class UnconfirmedMinion:
-    """A minion that only the cloud's list names.
-
-    It may have left the minion list while its tasks still run.
-    """
+class MinionPlace:
+    """The pool and the availability zone of a minion."""
 
     pool: str
     zone: str
@@ -178,7 +175,9 @@
     workers: dict[str, Worker] = field(default_factory=dict)
     workers_asked_ms: int = 0
     workers_ms: int = -1
-    unconfirmed_minions: dict[str, UnconfirmedMinion] = field(default_factory=dict)
+    # Minions that only the cloud names: they may have left the minion list while their
+    # tasks still run.
+    unconfirmed_minions: dict[str, MinionPlace] = field(default_factory=dict)
     # Minions that have reported, but have run ends that no answer has listed yet.
     partly_reported: set[str] = field(default_factory=set)
     # Starts of which a copy may still be carried out, by minion, then task and number.
--- a/courselead/core/scheduler/scheduler.py
+++ b/courselead/core/scheduler/scheduler.py
@@ -50,7 +50,7 @@
     WorkerPhase,
 )
 from courselead.core.scheduler.run_records import RemainingRuns
-from courselead.core.scheduler.schedule import Schedule, UnconfirmedMinion
+from courselead.core.scheduler.schedule import MinionPlace, Schedule
 
 FORGET_PERIOD_MS = 10_000
 """Interval of sweeps for jobs that ended long ago, which bounds their cost."""
@@ -291,7 +291,7 @@
             if minion is not None:
                 minion.worker_id = worker.worker_id
             elif first and worker.phase is WorkerPhase.UP and worker.minion_id:
-                unconfirmed = UnconfirmedMinion(worker.pool, worker.zone)
+                unconfirmed = MinionPlace(worker.pool, worker.zone)
                 schedule.unconfirmed_minions[worker.minion_id] = unconfirmed
         for minion_id in list(schedule.unconfirmed_minions):
             if minion_id not in on_workers:
