Count a worker as gone only after as many failed calls as one that is down

What operators would see, on the product's own interface: a worker that the platform's list lacks for a while is recorded as gone, and its minions with it, though its agent answers.

Cause: a worker is down after three failed calls over some time, so that a lost call alone proves nothing. It was gone after one, if that was long enough ago and no call followed, as on hosts that are not ranked first for the worker.

Change: both ask the same question now (is_unresponsive). test_a_missing_worker_is_not_gone_because_a_single_call_has_failed failed before.

--- a/courselead/core/operations/health.py
+++ b/courselead/core/operations/health.py
@@ -15,6 +15,7 @@
     ACTIVE_PHASES,
     MINION_STOPPED,
 )
+from courselead.core.operations.state import AgentView
 
 WORKER_OPS = frozenset(
     {AgentOp.STATE, AgentOp.START_MINION, AgentOp.STOP_MINION, AgentOp.REBOOT}
@@ -86,13 +87,21 @@
         WorkerPhase.STOPPING,
     ):
         return
-    if view.failures < MIN_FAILURES:
-        return
-    if draft.now_ms - since < draft.cfg.down_after_ms:
+    if not is_unresponsive(draft, view):
         return
     draft.propose(WorkerDown(worker.worker, worker.epoch, REASON_UNREACHABLE))
 
 
+def is_unresponsive(draft: Draft, view: AgentView) -> bool:
+    """Return whether an agent has not answered for long enough to count as lost.
+
+    Several calls have to fail: a single one may have been lost, long before the next.
+    """
+    if view.first_failure_ms < 0 or view.failures < MIN_FAILURES:
+        return False
+    return draft.now_ms - view.first_failure_ms >= draft.cfg.down_after_ms
+
+
 def _check_report(draft: Draft, worker: WorkerState, report: AgentReport) -> None:
     """Compare a reported state with the worker's shared state."""
     if worker.phase in (WorkerPhase.SERVING, WorkerPhase.STOPPING):
--- a/courselead/core/operations/inventory.py
+++ b/courselead/core/operations/inventory.py
@@ -12,6 +12,7 @@
 from courselead.core.fleet.records import WorkerInfo, WorkersGone, WorkersSeen
 from courselead.core.fleet.state import WorkerPhase, WorkerState
 from courselead.core.operations.draft import Draft
+from courselead.core.operations.health import is_unresponsive
 from courselead.core.operations.state import NoOpInputs
 
 MAX_WORKERS_PER_RECORD = 200
@@ -115,9 +116,7 @@
         if draft.now_ms - since < draft.cfg.gone_after_ms:
             continue
         view = draft.state.agents.get(name)
-        if view is None or view.first_failure_ms < 0:
-            continue
-        if draft.now_ms - view.first_failure_ms < draft.cfg.down_after_ms:
+        if view is None or not is_unresponsive(draft, view):
             continue
         gone.append((name, worker.epoch))
     for start in range(0, len(gone), MAX_WORKERS_PER_RECORD):
--- a/tests/core/operations/test_inventory.py
+++ b/tests/core/operations/test_inventory.py
@@ -10,6 +10,7 @@
 )
 from courselead.core.fleet.records import WorkerInfo, WorkersGone, WorkersSeen
 from courselead.core.fleet.state import AppliedRecord, Verdict, WorkerPhase
+from courselead.core.operations.health import MIN_FAILURES
 from courselead.core.operations.reducer import reduce
 from courselead.core.operations.state import OperationsState
 from tests.core.operations.build import ctx, fleet, proposed, report, worker
@@ -97,6 +98,19 @@
     assert now_ms >= 21_000
 
 
+def test_a_missing_worker_is_not_gone_because_a_single_call_has_failed():
+    # A call that was lost long ago made a worker gone that was not called since.
+    state = fleet([worker("w1")], rows=())
+    own, _ = reduce(OperationsState(), ctx(state, 0), listed(0))
+    own, _ = reduce(own, ctx(state, 200), Tick(200, 0))
+    for failures in range(1, MIN_FAILURES + 1):
+        event = AgentFailed(200, "w1", AgentOp.STATE, 0, False)
+        own, _ = reduce(own, ctx(state, 200), event)
+        _, effects = reduce(own, ctx(state, 29_000), Tick(29_000, 0))
+        gone = WorkersGone((("w1", 0),)) in proposed(effects)
+        assert gone is (failures == MIN_FAILURES)
+
+
 def test_gone_worker_that_is_listed_again_is_proposed_as_seen():
     state = fleet([worker("w1", phase=WorkerPhase.GONE)])
     _, effects = reduce(OperationsState(), ctx(state, 0), listed(0, info("w1")))
