--- a/review/4/small_site.py
+++ b/review/4/small_site.py
@@ -560,6 +560,7 @@
         self.broken: list[str] = []
         self.starts: dict[str, list[tuple[float, str, int]]] = {}
         self.ends: dict[str, list[tuple[float, str, int, str]]] = {}
+        self.noted_at: dict[tuple[str, int], float] = {}
         self._tasks: list[asyncio.Task] = []
         self._version = 0
         self._servers: list[Server] = []
@@ -602,6 +603,7 @@
 
     def end_is_noted(self, minion: Minion, task: str, number: int, how: str) -> None:
         """Record that an end was taken note of."""
+        self.noted_at[task, number] = self.record.now
         if self.shown_runs(task):
             self.record("end is noted", task=task, run=number, how=how)
 
