--- a/review/4/small_site.py
+++ b/review/4/small_site.py
@@ -363,7 +363,6 @@
         self._highest: dict[str, int] = {}
         self._ended = asyncio.Event()
         self._beats = 0
-        self.is_over = False
 
     @property
     def clock_ms(self) -> int:
@@ -373,7 +372,7 @@
     async def live(self) -> None:
         """Register, and end everything when the lease is over."""
         next_beat = 0.0
-        while not self.is_over:
+        while True:
             if time.monotonic() >= next_beat:
                 next_beat = time.monotonic() + HEARTBEAT_S
                 self._beats += 1
@@ -383,16 +382,6 @@
                     self._end(run, "lapsed")
             await asyncio.sleep(0.05)
 
-    def crash(self) -> None:
-        """End this life without a word: nothing answers, and nothing runs on."""
-        self.is_over = True
-        self.server.close()
-        for run in list(self.runs.values()):
-            if run.ends is not None:
-                run.ends.cancel()
-            self.site.run_ends(self, run, "crashed")
-        self.runs.clear()
-
     def entry(self) -> dict[str, object]:
         """Return what the minion says of itself."""
         return {
@@ -658,21 +647,6 @@
         names = ",".join(f"{item['name']}->{item['service']}" for item in routes)
         self.record("config acknowledged", version=self._version, routes=names)
 
-    async def crash_and_return(self, minions: list[Minion], dark_s: float) -> None:
-        """Crash minions together; new lives come on their machines after a while."""
-        for minion in minions:
-            self.record("minion crashes", minion=minion.minion_id, zone=minion.zone)
-            minion.crash()
-        await asyncio.sleep(dark_s)
-        for minion in minions:
-            self.store.put("keyed.servers", minion.minion_id, None)
-            place = self.minions.index(minion)
-            new = Minion(self, place, minion.pool, minion.zone)
-            self.minions[place] = new
-            await new.server.start()
-            self._tasks.append(asyncio.create_task(new.live()))
-            self.record("a new life comes", minion=new.minion_id, zone=new.zone)
-
     async def _handle_cloud(
         self, method: str, path: str, query: dict, headers: dict, body: bytes
     ) -> Answer:
@@ -686,11 +660,11 @@
                 {
                     "machine": minion.machine,
                     "pool": minion.pool,
-                    "state": "down" if minion.is_over else "up",
+                    "state": "up",
                     "zone": minion.zone,
                     "labels": [f"kind-{minion.pool}", f"rack-{minion.zone}"],
                     "capacity": minion.room,
-                    "id": None if minion.is_over else minion.minion_id,
+                    "id": minion.minion_id,
                 }
             )
         return as_json(200, {"machines": rows, "nextToken": None})
@@ -800,12 +774,6 @@
         self.record("host has ended", host=host.name, code=host.process.returncode)
         await self.start_host(host)
 
-    async def kill_host(self, host: Host) -> None:
-        """Kill a host."""
-        self.record("host is killed", host=host.name)
-        host.process.kill()
-        await host.process.wait()
-
     # Clients
 
     async def call(
