--- a/review/4/small_site.py
+++ b/review/4/small_site.py
@@ -478,6 +478,8 @@
         running = []
         for run in self.runs.values():
             running.append([run.task, run.number, "", run.percent, 0])
+        for _, task, number, _, _ in self.finished[:MAX_LISTED_ENDS]:
+            self.site.listed_at.setdefault((task, number), self.site.record.now)
         return self._answer(
             200,
             born=self.born,
@@ -549,6 +551,7 @@
         self.broken: list[str] = []
         self.starts: dict[str, list[tuple[float, str, int]]] = {}
         self.ends: dict[str, list[tuple[float, str, int, str]]] = {}
+        self.listed_at: dict[tuple[str, int], float] = {}
         self.noted_at: dict[tuple[str, int], float] = {}
         self._tasks: list[asyncio.Task] = []
         self._version = 0
