Store each job with the settings of its queue

A job needs its queue for as long as it lasts: the pool of its tasks, their attempts, its objective and its advice.

Hosts of both versions read each other's records: a job of before has no settings (test_hosts_of_two_versions_read_each_others_jobs).

--- a/benchmarks/schedule/fleet.py
+++ b/benchmarks/schedule/fleet.py
@@ -52,6 +52,7 @@
         """Create `pools` pools of `minions` minions each."""
         names = [f"pool-{number}" for number in range(pools)]
         queues = {name: Queue(name, name, 0, 3, 1.6, 600) for name in names}
+        self._queues = queues
         config = FleetConfig(1, queues, {name: Pool(name) for name in names})
         self.now_ms = 1_000
         self.meter = Meter()
@@ -82,7 +83,9 @@
             StepSpec(TASKS, need, RUN_MS, tuple(range(number)))
             for number in range(STEPS)
         ]
-        self.book.apply(JobAccepted(job_id, pool, JobSpec("x" * 150, tuple(steps))))
+        spec = JobSpec("x" * 150, tuple(steps))
+        settings = self._queues[pool]
+        self.book.apply(JobAccepted(job_id, pool, spec, settings=settings))
         self._handle("intake", ev.JobArrived(job_id))
 
     def pass_time(self, for_ms: int) -> None:
--- a/courselead/core/scheduler/book.py
+++ b/courselead/core/scheduler/book.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from courselead.core.scheduler.bursts import BurstMemory
-from courselead.core.scheduler.models import JobSpec, JobState
+from courselead.core.scheduler.models import JobSpec, JobState, Queue
 from courselead.core.scheduler.records import (
     HostAddress,
     JobAccepted,
@@ -20,12 +20,17 @@
 
 @dataclass(slots=True)
 class JobEntry:
-    """A job according to the log."""
+    """A job according to the log.
+
+    Attributes:
+        settings: Settings of its queue when it was accepted, None if unknown.
+    """
 
     job_id: str
     queue: str
     spec: JobSpec
     account: str = ""
+    settings: Queue | None = None
     progress: JobProgress | None = None
     cancelled: bool = False
 
@@ -106,7 +111,9 @@
             if known.account != record.account:
                 self.duplicates.add((record.job_id, record.account))
             return
-        entry = JobEntry(record.job_id, record.queue, record.spec, record.account)
+        entry = JobEntry(
+            record.job_id, record.queue, record.spec, record.account, record.settings
+        )
         entry.progress = self._early_progress.pop(record.job_id, None)
         entry.cancelled = record.job_id in self._early_cancels
         self._early_cancels.discard(record.job_id)
--- a/courselead/core/scheduler/models.py
+++ b/courselead/core/scheduler/models.py
@@ -118,8 +118,7 @@
         return self.first_due_ms + occurrence * self.interval_ms
 
 
-@dataclass(frozen=True, slots=True)
-class AdvicePolicy:
+class AdvicePolicy(msgspec.Struct, frozen=True, array_like=True):
     """Timing of the advice service for a queue, in milliseconds."""
 
     decide_ms: int
@@ -127,11 +126,11 @@
     valid_ms: int
 
 
-@dataclass(frozen=True, slots=True)
-class Queue:
+class Queue(msgspec.Struct, frozen=True, array_like=True):
     """A queue of the configuration; `priority` 0 is the highest.
 
-    A public queue accepts jobs without a credential; they belong to no account.
+    A public queue accepts jobs without a credential; they belong to no account. Jobs
+    are stored with their queue, as a later configuration may not have it.
     """
 
     name: str
--- a/courselead/core/scheduler/records.py
+++ b/courselead/core/scheduler/records.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from courselead.core.scheduler.bursts import BurstMemory
-from courselead.core.scheduler.models import JobSpec, JobState
+from courselead.core.scheduler.models import JobSpec, JobState, Queue
 
 
 class JobAccepted(msgspec.Struct, frozen=True, array_like=True):
@@ -19,12 +19,15 @@
         queue: Queue to which it was submitted.
         spec: Specification of the work.
         account: Client account, "" if it has none.
+        settings: Settings of the queue when the job was accepted; None in records of
+            earlier versions.
     """
 
     job_id: str
     queue: str
     spec: JobSpec
     account: str = ""
+    settings: Queue | None = None
 
 
 class SavedCrash(msgspec.Struct, frozen=True, array_like=True):
--- a/courselead/daemon/scheduling/intake.py
+++ b/courselead/daemon/scheduling/intake.py
@@ -172,6 +172,8 @@
         if known is not None:
             return known
         queue = caller.queue
+        # A newer configuration may be applied while the log is read or written.
+        settings = self._operator_config.fleet.queues.get(queue)
         account = "" if self._operator_config.is_public(queue) else caller.account
         rejected = self._admission.rejection(queue, account, job_id, spec)
         if rejected is not None and await self._follower.catch_up():
@@ -184,7 +186,9 @@
             if rejected is not None:
                 reply = self._reject(rejected, queue)
                 return self._log_reply("job_submitted", queue, job_id, reply)
-        return await self._store_job(JobAccepted(job_id, queue, spec, account))
+        return await self._store_job(
+            JobAccepted(job_id, queue, spec, account, settings)
+        )
 
     async def _store_job(self, record: JobAccepted) -> JobReply:
         """Store a submitted job and return the reply to its caller."""
--- a/tests/core/scheduler/world.py
+++ b/tests/core/scheduler/world.py
@@ -292,7 +292,9 @@
         self, spec: JobSpec, job_id="00000000000000aa", length_ms=500, account=""
     ) -> str:
         self.lengths[job_id] = length_ms
-        self.book.apply(decode(encode(JobAccepted(job_id, QUEUE, spec, account))))
+        settings = self.config.queues.get(QUEUE)
+        record = JobAccepted(job_id, QUEUE, spec, account, settings)
+        self.book.apply(decode(encode(record)))
         self._tell(ev.JobArrived(job_id))
         return job_id
 
--- a/tests/daemon/scheduling/test_log.py
+++ b/tests/daemon/scheduling/test_log.py
@@ -5,7 +5,14 @@
 import pytest
 from returns.result import Failure, Success
 
-from courselead.core.scheduler.models import JobSpec, JobState, Resources, StepSpec
+from courselead.core.scheduler.models import (
+    AdvicePolicy,
+    JobSpec,
+    JobState,
+    Queue,
+    Resources,
+    StepSpec,
+)
 from courselead.core.scheduler.records import (
     JobAccepted,
     JobCancelled,
@@ -28,12 +35,14 @@
 
 SPEC = JobSpec("text", (StepSpec(2, Resources(500, 64)),))
 JOB = "00000000000000aa"
+QUEUE = Queue("q", "p", 1, 4, 2.0, 600, AdvicePolicy(100, 10, 3_000))
 
 
 @pytest.mark.parametrize(
     "record",
     [
         JobAccepted(JOB, "q", SPEC),
+        JobAccepted(JOB, "q", SPEC, "a", QUEUE),
         JobProgress(JOB, JobState.RUNNING, True),
         JobCancelled(JOB),
         OwnerHeartbeat(3, "host", 7, True),
@@ -57,6 +66,16 @@
     assert decode(newest) == heartbeat
 
 
+def test_hosts_of_two_versions_read_each_others_jobs():
+    # Guards against an upgrade that loses the jobs accepted before it.
+    newer = encode(JobAccepted(JOB, "q", SPEC, "a", QUEUE))
+    fields = msgspec.msgpack.decode(newer.value)
+    older = KeyedRecord(newer.key, msgspec.msgpack.encode(fields[:-1]))
+    assert decode(older) == JobAccepted(JOB, "q", SPEC, "a")
+    newest = KeyedRecord(newer.key, msgspec.msgpack.encode([*fields, "later"]))
+    assert decode(newest) == JobAccepted(JOB, "q", SPEC, "a", QUEUE)
+
+
 def test_a_record_of_unknown_kind_is_refused():
     with pytest.raises(ValueError, match="unknown kind"):
         decode(KeyedRecord(b"?x", b"y"))
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -13,6 +13,7 @@
     JobProgress,
     KeyedRecord,
     OwnerHeartbeat,
+    decode,
     encode,
 )
 from courselead.daemon.scheduling.follower import JobFollower
@@ -106,6 +107,17 @@
     assert len(ingress.log.records) == 1
 
 
+async def test_a_job_is_stored_with_the_settings_of_its_queue():
+    # A later configuration may not have the queue, or not with the same settings.
+    ingress = IngressHarness(MemoryLog())
+    ingress.configure()
+    await ingress.post()
+    stored = decode(ingress.log.records[0])
+    assert stored.settings == ingress.operator_config.fleet.queues["r-1"]
+    assert stored.settings.pool == "s"
+    assert stored.settings.max_attempts == 4
+
+
 async def test_a_refused_job_gets_retry_after_and_is_not_stored():
     ingress = IngressHarness(MemoryLog(refuse=True))
     ingress.configure()
