--- a/tests/core/scheduler/test_admission.py
+++ b/tests/core/scheduler/test_admission.py
@@ -7,6 +7,7 @@
 from itertools import count
 
 import pytest
+from msgspec import structs
 
 from courselead.core.scheduler import admission, events as ev, pool_loads
 from courselead.core.scheduler.admission import (
@@ -370,7 +371,7 @@
     assert admission.rejection(JOB, SETTINGS, "a", None) is None
     wait = PoolWait(60_000, {"a": {1: 60_000}})
     assert admission.rejection(JOB, SETTINGS, "b", wait) is None
-    urgent = replace(SETTINGS, priority=0)
+    urgent = structs.replace(SETTINGS, priority=0)
     assert admission.rejection(JOB, urgent, "a", wait) is None
 
 
