Wait for silent minions of every pool in which a task may have been started

Cause: which tasks may run on a minion that has not reported was told from the pool that their queue has in the newest configuration. That is where a task may start next, not where it may run, and nothing told the latter.

Change: a job's acceptance names the pool of its queue, its progress the pools in which its tasks may have been started. A pool that is not on record yet is stored before the first start there is sent, by way of the batch that starts of suspects wait for. Minions of a pool without a configuration, which are never polled, count as silent too.

A queue that doesn't move costs nothing but the name of its pool in the progress record: its first pool is on record with the job.

Two tests name the new form of the answer: test_own_zone.py asks for the pool that blocks, where it asked whether one does, and the mutant of test_machine.py takes one argument less.

--- a/courselead/core/scheduler/book.py
+++ b/courselead/core/scheduler/book.py
@@ -46,6 +46,17 @@
             return JobState.QUEUED
         return JobState.RUNNING
 
+    @property
+    def start_pools(self) -> frozenset[str]:
+        """Return the pools in which its tasks may have been started.
+
+        They are unknown, and the result is empty, if only earlier versions have stored
+        the job.
+        """
+        accepted_for = set() if self.settings is None else {self.settings.pool}
+        started_in = set() if self.progress is None else set(self.progress.pools)
+        return frozenset(accepted_for | started_in)
+
     @property
     def may_keep_running(self) -> bool:
         """Return whether long-running tasks may keep running after the job failed."""
--- a/courselead/core/scheduler/caps.py
+++ b/courselead/core/scheduler/caps.py
@@ -105,28 +105,19 @@
     if known is not None and schedule.now_ms - known[0] < const.UNSEEN_MS:
         return known[1]
     unseen: dict[str, Resources] = {}
-    unseen_by_pool = {
-        pool: find_unseen_tasks(schedule, pool) for pool in schedule.config.pools
-    }
-    pending = delayed_starts.tasks_with_pending_starts(schedule)
-    if pending or any(
-        unseen_tasks != NO_UNSEEN_TASKS for unseen_tasks in unseen_by_pool.values()
-    ):
+    unseen_tasks = find_unseen_tasks(schedule).with_pending(
+        delayed_starts.tasks_with_pending_starts(schedule)
+    )
+    if unseen_tasks != NO_UNSEEN_TASKS:
         for job in schedule.jobs.values():
             if not job.account:
                 continue
-            unseen_tasks = unseen_by_pool.get(
-                schedule.pool_of(job), NO_UNSEEN_TASKS
-            ).with_pending(pending)
             add_use(unseen, job.account, _possibly_running(job, unseen_tasks))
         for entry in schedule.book.jobs.values():
             if not _may_still_run(schedule, entry):
                 continue
-            queue = schedule.queue(entry.queue)
-            unseen_tasks = unseen_by_pool.get(
-                queue.pool if queue is not None else "", NO_UNSEEN_TASKS
-            )
-            if unseen_tasks.may_include_job(entry.job_id):
+            start_pools = _start_pools_of(schedule, entry)
+            if unseen_tasks.may_include_job(entry.job_id, start_pools):
                 add_use(unseen, entry.account, _total_need(entry.spec))
     for account, use in unseen.items():
         unseen[account] = _limit_unseen(schedule, account, use)
@@ -134,6 +125,17 @@
     return unseen
 
 
+def _start_pools_of(schedule: Schedule, entry: JobEntry) -> frozenset[str]:
+    """Return the pools in which tasks of a job may have been started.
+
+    Where no record tells them, it is the pool of the queue as it is now.
+    """
+    queue = schedule.queue(entry.queue)
+    if entry.start_pools or queue is None:
+        return entry.start_pools
+    return frozenset((queue.pool,))
+
+
 def _may_still_run(schedule: Schedule, entry: JobEntry) -> bool:
     """Return whether an ended job may still have runs from an earlier owner."""
     if not entry.account or entry.job_id in schedule.jobs:
--- a/courselead/core/scheduler/doubt.py
+++ b/courselead/core/scheduler/doubt.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Set
 from dataclasses import dataclass, replace
 
 from courselead.core.scheduler import const
@@ -26,12 +26,15 @@
     minions was cut off together with the owner.
 
     Attributes:
-        whole_pool: Whether all tasks of jobs from before the takeover may run.
+        everywhere: Whether all tasks of jobs from before the takeover may run.
+        pools: Pools with a minion of which nothing is known. All tasks of such jobs
+            that may have been started in these pools may run.
         tasks: Names of the tasks of such jobs that may run.
         pending: Names of tasks of any job whose starts may still be carried out.
     """
 
-    whole_pool: bool = False
+    everywhere: bool = False
+    pools: frozenset[str] = frozenset()
     tasks: frozenset[str] = frozenset()
     pending: frozenset[str] = frozenset()
 
@@ -43,18 +46,35 @@
         """Return whether a unit has to wait."""
         if self.pending and self._includes_task_of(unit, self.pending):
             return True
-        if not unit.job.from_before:
+        job = unit.job
+        if not job.from_before:
             return False
-        if self.whole_pool:
+        if self._includes_job_of(job.start_pools.keys()):
             return True
         return self._includes_task_of(unit, self.tasks)
 
-    def may_include_job(self, job_id: str) -> bool:
-        """Return whether tasks of a job from before the takeover may run unseen."""
-        if self.whole_pool:
+    def may_include_job(self, job_id: str, start_pools: Set[str]) -> bool:
+        """Return whether tasks of a job from before the takeover may run unseen.
+
+        Args:
+            job_id: Id of the job.
+            start_pools: Pools in which its tasks may have been started.
+        """
+        if self._includes_job_of(start_pools):
             return True
         return any(task.startswith(job_id) for task in self.tasks)
 
+    def _includes_job_of(self, start_pools: Set[str]) -> bool:
+        """Return whether all tasks of a job that was started in some pools may run.
+
+        A job whose pools are unknown may have been started in any.
+        """
+        if self.everywhere:
+            return True
+        if not start_pools:
+            return bool(self.pools)
+        return not self.pools.isdisjoint(start_pools)
+
     @staticmethod
     def _includes_task_of(unit: Unit, tasks: frozenset[str]) -> bool:
         return any(unit.task_name(index) in tasks for index in unit.indexes)
@@ -63,37 +83,39 @@
 NO_UNSEEN_TASKS = UnseenTasks()
 
 
-def find_unseen_tasks(schedule: Schedule, pool: str) -> UnseenTasks:
-    """Return the tasks of a pool whose runs or ends this owner may not know."""
+def find_unseen_tasks(schedule: Schedule) -> UnseenTasks:
+    """Return the tasks whose runs or ends this owner may not know.
+
+    They may be in any pool that their queues have had, not only in the newest one.
+    """
     if schedule.now_ms >= schedule.old_leases_end_ms:
-        return _tasks_on(schedule, pool, _partly_reported_minions(schedule))
+        return _tasks_on(schedule, _partly_reported_minions(schedule))
     since_ms = schedule.now_ms - schedule.claimed_ms
     if since_ms < const.STRAY_START_MS and _may_reach_later_incarnation(schedule):
         # A delayed start of an earlier owner may be carried out by a new incarnation
         # that has not seen the current fence yet.
-        return UnseenTasks(whole_pool=True)
+        return UnseenTasks(everywhere=True)
     has_waited = schedule.now_ms - schedule.claimed_ms >= CLOUD_WAIT_MS
     if schedule.workers_ms < 0 and not has_waited:
-        return UnseenTasks(whole_pool=True)
-    return _tasks_on(schedule, pool, _unreported_minions(schedule))
+        return UnseenTasks(everywhere=True)
+    return _tasks_on(schedule, _unreported_minions(schedule))
 
 
 def _tasks_on(
-    schedule: Schedule,
-    pool: str,
-    minions: Iterable[tuple[str, MinionPlace]],
+    schedule: Schedule, minions: Iterable[tuple[str, MinionPlace]]
 ) -> UnseenTasks:
-    """Return the tasks of a pool that may be on the given minions."""
+    """Return the tasks that may be on the given minions."""
+    pools: set[str] = set()
     tasks: set[str] = set()
     for minion_id, unreported in minions:
         known = None
         if schedule.remaining_runs is not None:
             known = schedule.remaining_runs.tasks_on(minion_id, unreported.zone)
-        if known is not None:
+        if known is None:
+            pools.add(unreported.pool)
+        else:
             tasks |= known
-        elif unreported.pool == pool:
-            return UnseenTasks(whole_pool=True)
-    return UnseenTasks(tasks=frozenset(tasks)) if tasks else NO_UNSEEN_TASKS
+    return UnseenTasks(pools=frozenset(pools), tasks=frozenset(tasks))
 
 
 def _may_reach_later_incarnation(schedule: Schedule) -> bool:
@@ -109,6 +131,11 @@
         if schedule.may_have_earlier_runs(minion):
             yield minion.minion_id, _place_of(minion)
     yield from schedule.unconfirmed_minions.items()
+    for minion_id, info in schedule.unknown_pool_minions.items():
+        if minion_id in schedule.minions:
+            continue
+        # Nothing is sent to it, so it does not report.
+        yield minion_id, MinionPlace(info.pool, info.zone)
 
 
 def _partly_reported_minions(
--- a/courselead/core/scheduler/free_capacity.py
+++ b/courselead/core/scheduler/free_capacity.py
@@ -44,7 +44,7 @@
         self._reserved_of_step: dict[tuple[int, str], int] = {}
         # Ids of steps whose tasks fit on no minion any more.
         self._full_steps: set[int] = set()
-        self._unseen: UnseenTasks = find_unseen_tasks(schedule, pool).with_pending(
+        self._unseen: UnseenTasks = find_unseen_tasks(schedule).with_pending(
             delayed_starts.tasks_with_pending_starts(schedule)
         )
         for minion in schedule.minions.values():
--- a/courselead/core/scheduler/jobs.py
+++ b/courselead/core/scheduler/jobs.py
@@ -34,6 +34,10 @@
 """Reason given when a reported run is stopped because its need is not known."""
 
 
+STORED = 0
+"""Number before that of the first batch: what was stored before this owner."""
+
+
 @dataclass(slots=True, eq=False)
 class StrayUnit(Unit):
     """Stands for the task of a reported run that has no unit in the schedule.
@@ -71,6 +75,8 @@
     queue = schedule.queue(entry.queue)
     job.pool = queue.pool if queue is not None else ""
     job.advised = queue is not None and queue.advice is not None
+    known_pools = entry.start_pools or {job.pool} - {""}
+    job.start_pools = dict.fromkeys(sorted(known_pools), STORED)
     schedule.jobs[job.job_id] = job
     schedule.log_event(
         "job_scheduled",
@@ -228,6 +234,22 @@
     save(schedule, job)
 
 
+def record_pool(schedule: Schedule, job: Job, pool: str) -> int:
+    """Record that tasks of a job may be started in a pool from now on.
+
+    The queue may have another pool by the time the next owner takes over. Without the
+    record, that owner would not wait for silent minions of this one.
+
+    Returns:
+        The batch of records that must be stored before such a start is sent.
+    """
+    batch = job.start_pools.get(pool)
+    if batch is None:
+        batch = job.start_pools[pool] = schedule.open_batch
+        save(schedule, job)
+    return batch
+
+
 def cancel(schedule: Schedule, job_id: str) -> None:
     """Cancel a job at its caller's request."""
     job = schedule.jobs.get(job_id)
@@ -461,6 +483,7 @@
         occurrences,
         job.ended_ms,
         job.opened_fence,
+        sorted(job.start_pools),
     )
 
 
--- a/courselead/core/scheduler/minions.py
+++ b/courselead/core/scheduler/minions.py
@@ -287,6 +287,7 @@
     ready_units = schedule.ready.get(schedule.pool_of(unit.job), [])
     if unit in ready_units:
         ready_units.remove(unit)
+    jobs.record_pool(schedule, unit.job, minion.info.pool)
     jobs.begin(schedule, unit.job)
     schedule.log_event(
         "run_adopted",
--- a/courselead/core/scheduler/placement.py
+++ b/courselead/core/scheduler/placement.py
@@ -82,7 +82,7 @@
     ready_units = _in_start_order(schedule, pool, ready_units, minions)
     waiting: list[Unit] = []
     unplaceable = UnplaceableNeeds(skipped_ids(schedule, pool, ready_units))
-    unseen = find_unseen_tasks(schedule, pool).with_pending(
+    unseen = find_unseen_tasks(schedule).with_pending(
         delayed_starts.tasks_with_pending_starts(schedule)
     )
     isolation = Isolation.create(schedule)
@@ -240,12 +240,13 @@
     run.born_ms = minion.info.born_ms
     schedule.add_run(minion, run)
     is_suspect = bool(unit.crashes)
-    batch = 0
+    batch = jobs.record_pool(schedule, unit.job, minion.info.pool)
     if unit.starts_stored:
         jobs.save(schedule, unit.job)
     if is_suspect:
-        schedule.starts_wait = True
         batch = schedule.open_batch
+    if batch > schedule.saved_batch:
+        schedule.starts_wait = True
     else:
         minion.unanswered_since_ms = minion.unanswered_since_ms or schedule.now_ms
     lease_ms = schedule.grant_lease(minion)
--- a/courselead/core/scheduler/records.py
+++ b/courselead/core/scheduler/records.py
@@ -78,7 +78,12 @@
 
 
 class JobProgress(msgspec.Struct, frozen=True, array_like=True):
-    """State of a job as last saved by the owner of the schedule."""
+    """State of a job as last saved by the owner of the schedule.
+
+    Attributes:
+        pools: Pools in which its tasks may have been started. The pool of its queue at
+            its acceptance may be missing.
+    """
 
     job_id: str
     state: JobState
@@ -87,6 +92,7 @@
     occurrences: list[OccurrenceProgress] = []
     ended_ms: int = 0
     opened_fence: int = 0
+    pools: list[str] = []
 
 
 class JobCancelled(msgspec.Struct, frozen=True, array_like=True):
--- a/courselead/core/scheduler/state.py
+++ b/courselead/core/scheduler/state.py
@@ -395,6 +395,8 @@
     Attributes:
         account: The client account that it belongs to, "" if none.
         zone: The preferred availability zone for its tasks.
+        start_pools: Pools in which its tasks may have been started, each with the batch
+            that records it.
         cancelled: Whether its caller has cancelled it, also after it had failed.
         opened_fence: Fence of the owner that accepted it, 0 if unknown.
     """
@@ -406,6 +408,7 @@
     from_before: bool
     account: str = ""
     pool: str = ""
+    start_pools: dict[str, int] = field(default_factory=dict)
     state: JobState = JobState.QUEUED
     cancelled: bool = False
     begun: bool = False
--- a/tests/core/scheduler/fake_minions.py
+++ b/tests/core/scheduler/fake_minions.py
@@ -44,6 +44,7 @@
     capacity: Resources = Resources(4000, 4000)
     labels: tuple[str, ...] = ("a", "r1")
     zone: str = "z"
+    pool: str = POOL
     slowness: float = 1.0
     fence: int = 0
     lease_ms: int = 0
@@ -82,7 +83,7 @@
         return MinionInfo(
             self.minion_id,
             "",
-            POOL,
+            self.pool,
             self.zone,
             self.capacity,
             self.labels,
--- a/tests/core/scheduler/test_machine.py
+++ b/tests/core/scheduler/test_machine.py
@@ -120,7 +120,7 @@
 ]
 
 DISABLED_GUARDS = {
-    "doubt": (placement, "find_unseen_tasks", lambda schedule, pool: NO_UNSEEN_TASKS),
+    "doubt": (placement, "find_unseen_tasks", lambda schedule: NO_UNSEEN_TASKS),
     "lease": (
         minions,
         "_expire_lease",
--- a/tests/core/scheduler/test_own_zone.py
+++ b/tests/core/scheduler/test_own_zone.py
@@ -98,8 +98,8 @@
     take_over(world, "z2", "z0")
     world.submit(job(step(1)), SECOND)
     world.run(100)
-    unseen = find_unseen_tasks(world.owner.schedule, "p")
-    assert unseen.whole_pool
+    unseen = find_unseen_tasks(world.owner.schedule)
+    assert unseen.pools == {"p"}
 
 
 def test_an_end_that_is_not_stored_yet_stays_on_record():
--- a/tests/core/scheduler/world.py
+++ b/tests/core/scheduler/world.py
@@ -114,6 +114,8 @@
         self.now_ms = 1_000
         self.random = random.Random(seed)
         self.config = cfg or config()
+        # Settings that the configurations so far have given the queue, newest last.
+        self.queue_settings = [self.config.queues[QUEUE]]
         self.bounds = bounds or Bounds()
         self.book = JobBook()
         self.minions: dict[str, FakeMinion] = {}
@@ -307,6 +309,13 @@
         self._caps.setdefault(account, []).append((self.now_ms, cap))
         self._tell(ev.ConfigChanged(self.config))
 
+    def change_config(self, cfg: FleetConfig) -> None:
+        """Let the operator write a configuration, which takes effect at once."""
+        self.config = cfg
+        if QUEUE in cfg.queues:
+            self.queue_settings.append(cfg.queues[QUEUE])
+        self._tell(ev.ConfigChanged(cfg))
+
     def used_by(self, account: str) -> Resources:
         """Return the resources used by an account, including runs unseen by owners."""
         used = Resources()
@@ -421,6 +430,7 @@
                 minion.worker_id,
                 capacity=minion.capacity,
                 zone=minion.zone,
+                pool=minion.pool,
                 labels=minion.labels,
             )
 
@@ -442,6 +452,7 @@
         kept = {
             "capacity": before.capacity,
             "zone": before.zone,
+            "pool": before.pool,
             "labels": before.labels,
             "clock_offset": 0,
         }
@@ -667,8 +678,10 @@
                 name = f"{prefix}.{before}.{index}"
                 gang = entry.spec.steps[before].gang
                 assert gang or self.done.get(name), f"ORDER: {task} before {name}"
+        pools = {settings.pool for settings in self.queue_settings}
+        assert minion.pool in pools, f"ROUTE: {task} in pool {minion.pool}"
         if not spec.long_running:
-            limit = self.config.queues[QUEUE].max_attempts
+            limit = self.queue_settings[-1].max_attempts
             assert self.failed.get(task, 0) < limit, f"BUDGET: {task}"
         if spec.max_per_minion:
             same = [
@@ -984,7 +997,7 @@
             workers.append(
                 Worker(
                     minion.worker_id,
-                    POOL,
+                    minion.pool,
                     WorkerPhase.UP if minion.up else WorkerPhase.DOWN,
                     minion.zone,
                     minion.capacity,
@@ -1035,6 +1048,7 @@
                 order.worker_id,
                 capacity=minion.capacity,
                 zone=minion.zone,
+                pool=minion.pool,
                 labels=minion.labels,
             )
 
