Store orders to the cloud first in the tests' world, as the daemon does

The world sent an order of maintenance at once, whoever had the schedule. The daemon stores it in the owner's record first, and the log refuses the record of an owner that has been replaced. The checks are unchanged.

--- a/tests/core/scheduler/world.py
+++ b/tests/core/scheduler/world.py
@@ -771,7 +771,7 @@
                     asked = self.now_ms
                     self._at(LATENCY_MS, lambda: self._list_workers(owner, asked))
             case ev.MaintainWorker():
-                self._at(LATENCY_MS, lambda: self._maintain(owner, effect))
+                self._store_and_maintain(owner, effect)
             case ev.StepDown():
                 if owner in self.owners:
                     self.owners.remove(owner)
@@ -1008,6 +1008,18 @@
         by_worker = {item.worker_id: item for item in workers}
         self._reply(owner, ev.WorkersListed(asked_ms, tuple(by_worker.values())))
 
+    def _store_and_maintain(self, owner: Scheduler, order: ev.MaintainWorker) -> None:
+        """Send an order to the cloud once it is stored, as the daemon does.
+
+        The log refuses it from an owner that has been replaced.
+        """
+        if owner is not self.owner:
+            return
+        if not self._reaches_log(owner):
+            self._at(TICK_MS, lambda: self._store_and_maintain(owner, order))
+            return
+        self._at(LATENCY_MS, lambda: self._maintain(owner, order))
+
     def _maintain(self, owner: Scheduler, order: ev.MaintainWorker) -> None:
         minion = None
         for item in self.minions.values():
