Start long-running tasks again however they end

Cause: every end 'done' completed its task. A long-running task has no completion; the protocol asks for its restart however it ends.

Change: such an end is the end of one run, and the next one follows after the delay that failed ones have. Marks of completion that an earlier version has stored for long-running tasks are left aside, and the length of such a run is not expected of the queue's finite tasks any more.

--- a/courselead/core/scheduler/const.py
+++ b/courselead/core/scheduler/const.py
@@ -39,7 +39,7 @@
 """Duration of the quarantine of a minion on which runs keep failing."""
 
 RESTART_BACKOFF_MS = 200
-"""Initial delay before a failed long-running task is restarted."""
+"""Initial delay before a long-running task that ended by itself is restarted."""
 
 RESTART_BACKOFF_MAX_MS = 2_000
 """Maximum restart delay: below the 3 s in which a long-running task must be back."""
--- a/courselead/core/scheduler/jobs.py
+++ b/courselead/core/scheduler/jobs.py
@@ -369,7 +369,10 @@
     steps: list[StepRun] = []
     for step_number, spec in enumerate(job.spec.steps):
         step = StepRun(job, number, step_number, spec)
-        done = set(saved.done[step_number]) if saved is not None else set()
+        done: set[int] = set()
+        if saved is not None and not spec.long_running:
+            # Earlier versions have stored ends of long-running tasks as well.
+            done.update(saved.done[step_number])
         if spec.gang:
             groups = [tuple(range(spec.count))]
         else:
--- a/courselead/core/scheduler/run_ends.py
+++ b/courselead/core/scheduler/run_ends.py
@@ -8,6 +8,10 @@
 from courselead.core.scheduler.state import Minion, Run, Unit, UnsavedEnd
 
 
+_ENDS_BY_ITSELF = (EndKind.DONE, EndKind.FAILED)
+"""Kinds of ends that the system has not caused."""
+
+
 def process_end(schedule: Schedule, minion: Minion, end: EndReport) -> None:
     """Process the end of a run, unless an earlier report already listed it."""
     if end.sequence <= minion.ended_seen:
@@ -20,15 +24,20 @@
     if unit is None:
         return
     unit.next_number = max(unit.next_number, end.number + 1)
-    if end.checkpoint and end.kind is not EndKind.DONE:
+    # Long-running tasks have no end of their own: however a run ends, the next one
+    # follows.
+    completes_unit = end.kind is EndKind.DONE and not unit.spec.long_running
+    if end.checkpoint and not completes_unit:
         unit.checkpoint = end.checkpoint
         if not unit.job.state.final:
             jobs.save(schedule, unit.job)
     if run is not None:
-        _update_average_run_time(schedule, run, end.kind)
+        if completes_unit:
+            _update_average_run_time(schedule, run)
         schedule.drop_run(run)
     if end.kind is EndKind.DONE:
         minion.failures_in_row.clear()
+    if completes_unit:
         jobs.unit_done(schedule, unit)
         return
     schedule.log_event(
@@ -40,6 +49,8 @@
         how=str(end.kind),
         reason=run.stop_reason if run is not None else "",
     )
+    if unit.spec.long_running and end.kind in _ENDS_BY_ITSELF:
+        _delay_restart(schedule, unit)
     if end.kind is EndKind.FAILED:
         _process_failure(schedule, minion, unit, end.number)
     else:
@@ -47,8 +58,9 @@
     jobs.requeue(schedule, unit)
 
 
-def _update_average_run_time(schedule: Schedule, run: Run, kind: EndKind) -> None:
-    if kind is not EndKind.DONE or run.unit.checkpoint or not run.running_ms:
+def _update_average_run_time(schedule: Schedule, run: Run) -> None:
+    """Learn from a run of a finite task that is done how long such tasks take."""
+    if run.unit.checkpoint or not run.running_ms:
         return
     minion = schedule.minions.get(run.minion_id)
     if minion is not None and minion.is_warming_up(run.running_ms):
@@ -60,15 +72,18 @@
     schedule.run_ms[queue] = known + const.LEARN_WEIGHT * (took_ms - known)
 
 
+def _delay_restart(schedule: Schedule, unit: Unit) -> None:
+    """Delay the next start of a task that may end again soon after it."""
+    backoff = unit.backoff_ms * 2 or const.RESTART_BACKOFF_MS
+    unit.backoff_ms = min(backoff, const.RESTART_BACKOFF_MAX_MS)
+    unit.not_before_ms = schedule.now_ms + unit.backoff_ms
+
+
 def _process_failure(
     schedule: Schedule, minion: Minion, unit: Unit, number: int
 ) -> None:
     unit.avoid.add(minion.minion_id)
-    if unit.spec.long_running:
-        backoff = unit.backoff_ms * 2 or const.RESTART_BACKOFF_MS
-        unit.backoff_ms = min(backoff, const.RESTART_BACKOFF_MAX_MS)
-        unit.not_before_ms = schedule.now_ms + unit.backoff_ms
-    else:
+    if not unit.spec.long_running:
         _quarantine_if_failing(schedule, minion, unit)
     jobs.unit_failed(schedule, unit, number)
     schedule.log_event(
--- a/tests/core/scheduler/service_plays.py
+++ b/tests/core/scheduler/service_plays.py
@@ -16,7 +16,12 @@
 from dataclasses import dataclass, replace
 
 from courselead.core.scheduler import events as ev
-from courselead.core.scheduler.models import Bounds, MaintenanceWave, Resources
+from courselead.core.scheduler.models import (
+    Bounds,
+    JobState,
+    MaintenanceWave,
+    Resources,
+)
 from tests.core.scheduler.fake_minions import FakeMinion
 from tests.core.scheduler.seed_range import run_seeds
 from tests.core.scheduler.world import ZONES, World, job, step
@@ -31,6 +36,9 @@
 services are at work again."""
 
 WITHIN_MS = 5_000
+ENDS = (ev.EndKind.FAILED, ev.EndKind.DONE)
+"""Ends of a service's task by itself."""
+
 LATE_SHARES = (0.2, 0.6)
 LATE_MS = (2_000, 12_000)
 QUEUE_MS = (1, 2_500)
@@ -69,6 +77,8 @@
     def __init__(self, seed: int) -> None:
         """Draw the sizes and set up the world."""
         self.rng = rng = random.Random(seed)
+        # Drawn apart, so that the other draws of a seed stay as they are.
+        self.ends = random.Random(seed)
         self.world = world = World(minions=0, seed=seed, guards=True)
         for number in range(rng.choice((4, 6, 9, 24))):
             world.add_minion(
@@ -114,12 +124,13 @@
         self.tasks += [f"{job_id}.0.0.{index}" for index in range(count)]
 
     def _lose_task(self) -> None:
-        """Let a task of a service fail on its minion, by its own fault."""
+        """Let a task of a service end on its minion by itself."""
         if self.rng.random() > 0.3:
             return
         minions = [item for item in self.world.all_minions if item.up and item.runs]
         if minions:
-            self.world.fail_service_task(self.rng.choice(minions), self.rng)
+            minion, kind = self.rng.choice(minions), self.ends.choice(ENDS)
+            self.world.end_service_task(minion, self.rng, kind)
 
     def _act(self, choice: int) -> None:
         """Begin or end a fault, or let the operator act."""
@@ -207,7 +218,7 @@
             order.event for order in world.orders if isinstance(order, ev.LogEvent)
         )
         jobs = {task[:16] for task in self.tasks}
-        failed = {job_id for job_id in jobs if world.state(job_id).final}
+        failed = {job_id for job_id in jobs if world.state(job_id) is JobState.FAILED}
         wanted = [task for task in self.tasks if task[:16] not in failed]
         idle = [
             task for task in wanted if not world.services.is_at_work(task, world.now_ms)
--- a/tests/core/scheduler/world.py
+++ b/tests/core/scheduler/world.py
@@ -574,7 +574,8 @@
         minion.ended.append(
             ev.EndReport(minion.sequence, run.task, run.number, kind, run.checkpoint)
         )
-        if kind is ev.EndKind.DONE:
+        # A long-running task is to start again however it ends.
+        if kind is ev.EndKind.DONE and not run.long_running:
             self.done.setdefault(run.task, []).append(
                 (minion.incarnation, minion.sequence)
             )
@@ -582,11 +583,16 @@
         if kind is ev.EndKind.FAILED:
             self.failed[run.task] = self.failed.get(run.task, 0) + 1
 
-    def fail_service_task(self, minion: FakeMinion, rng: random.Random) -> None:
-        """Let a long-running task on a minion fail by its own fault."""
+    def end_service_task(
+        self,
+        minion: FakeMinion,
+        rng: random.Random,
+        kind: ev.EndKind = ev.EndKind.FAILED,
+    ) -> None:
+        """Let a long-running task on a minion end by itself."""
         runs = [run for run in minion.runs.values() if run.long_running]
         if runs:
-            self._end(minion, rng.choice(runs), ev.EndKind.FAILED)
+            self._end(minion, rng.choice(runs), kind)
 
     def _spec_of(self, task: str) -> StepSpec:
         job_id, _, number, _ = task.split(".")
