Stop only the run of a gang of which a member has ended

A minion that was out of reach until its lease was over lists the end of its run when it is back. Its gang has started again elsewhere by then, and was stopped and started a third time: the end of any run stopped whatever members ran. The members of one start share a run number, so an end stops those with its own number.

--- a/courselead/core/scheduler/lost_runs.py
+++ b/courselead/core/scheduler/lost_runs.py
@@ -28,7 +28,7 @@
         age_ms=schedule.now_ms - run.started_ms,
     )
     schedule.drop_run(run)
-    stop_gang(schedule, unit)
+    stop_gang(schedule, unit, run.number)
     jobs.requeue(schedule, unit)
 
 
@@ -60,9 +60,19 @@
         minion.unanswered_stray_stops.add(run.key)
 
 
-def stop_gang(schedule: Schedule, unit: Unit) -> None:
-    """Stop the remaining members of a gang after one of them has ended."""
+def stop_gang(schedule: Schedule, unit: Unit, number: int) -> None:
+    """Stop the remaining members of a gang after one of them has ended.
+
+    A minion that was out of reach may list the end of an earlier run late. The gang may
+    have started again by then, under a higher number.
+
+    Args:
+        schedule: Changed in place.
+        unit: The unit, which need not be a gang.
+        number: Run number of the member that has ended.
+    """
     if not unit.spec.gang or unit.done:
         return
     for run in unit.runs:
-        schedule.stop_run(run, "a member of its gang ended")
+        if run.number == number:
+            schedule.stop_run(run, "a member of its gang ended")
--- a/courselead/core/scheduler/run_ends.py
+++ b/courselead/core/scheduler/run_ends.py
@@ -7,7 +7,6 @@
 from courselead.core.scheduler.schedule import Schedule
 from courselead.core.scheduler.state import Minion, Run, Unit, UnsavedEnd
 
-
 _ENDS_BY_ITSELF = (EndKind.DONE, EndKind.FAILED)
 """Kinds of ends that the system has not caused."""
 
@@ -54,7 +53,7 @@
     if end.kind is EndKind.FAILED:
         _process_failure(schedule, minion, unit, end.number)
     else:
-        lost_runs.stop_gang(schedule, unit)
+        lost_runs.stop_gang(schedule, unit, end.number)
     jobs.requeue(schedule, unit)
 
 
@@ -93,7 +92,7 @@
         minion=minion.minion_id,
         failed=unit.failed,
     )
-    lost_runs.stop_gang(schedule, unit)
+    lost_runs.stop_gang(schedule, unit, number)
 
 
 def _quarantine_if_failing(schedule: Schedule, minion: Minion, unit: Unit) -> None:
--- a/tests/core/scheduler/test_ended_services.py
+++ b/tests/core/scheduler/test_ended_services.py
@@ -108,3 +108,22 @@
     end_all(world, EndKind.DONE)
     world.run(BACK_MS)
     assert world.owner.schedule.run_ms == {}
+
+
+@pytest.mark.parametrize("long_running", [False, True])
+def test_a_late_end_of_an_earlier_run_does_not_stop_a_gang(long_running):
+    # A minion that was out of reach lists the end of its run after the gang has started
+    # again elsewhere. The gang was stopped and started a third time.
+    world = World(minions=4)
+    world.claim()
+    world.run(500)
+    spec = step(2, cpu=4_000, gang=True, long_running=long_running)
+    world.submit(job(spec), JOB, length_ms=60_000)
+    world.run(500)
+    silent = world.minions[world.starts_of(TASK)[0]]
+    silent.cut = True
+    world.run(16_000)
+    assert len(world.starts_of(TASK)) == 2
+    silent.cut = False
+    world.run(5_000)
+    assert len(world.starts_of(TASK)) == 2
