Keep the settings of a job's queue while the configuration does not have it

Cause, one for both: a job was stored with the name of its queue, and each use of the queue looked it up in the newest configuration, with a stand-in of its own where it was not there: one attempt, no pool, no advice, an objective that is over.

Change: a job has the settings of its queue. They are those of the newest configuration that has the queue, else the newest on record: of its acceptance, or of its progress if they were newer as the queue went. Where a configuration allows fewer attempts than a task has used, the job fails as it arrives, in place of one more start. Nothing else looks a job's queue up any more, so that Schedule.pool_of is gone.

--- a/courselead/core/scheduler/arrivals.py
+++ b/courselead/core/scheduler/arrivals.py
@@ -72,7 +72,7 @@
         return
     spread_ms = max(RATE_WINDOW_MS, urgency.chain_ms(schedule, job))
     arrival = Arrival(schedule.now_ms, work, spread_ms)
-    schedule.arrivals.setdefault(schedule.pool_of(job), []).append(arrival)
+    schedule.arrivals.setdefault(job.pool, []).append(arrival)
 
 
 def lead_time_ms(schedule: Schedule) -> int:
--- a/courselead/core/scheduler/book.py
+++ b/courselead/core/scheduler/book.py
@@ -46,6 +46,13 @@
             return JobState.QUEUED
         return JobState.RUNNING
 
+    @property
+    def newest_settings(self) -> Queue | None:
+        """Return the newest settings of its queue on record, None if there are none."""
+        if self.progress is not None and self.progress.settings is not None:
+            return self.progress.settings
+        return self.settings
+
     @property
     def start_pools(self) -> frozenset[str]:
         """Return the pools in which its tasks may have been started.
--- a/courselead/core/scheduler/caps.py
+++ b/courselead/core/scheduler/caps.py
@@ -58,7 +58,7 @@
 ) -> None:
     account = unit.job.account
     unit.step.at_cap_ms = unit.step.at_cap_ms or schedule.now_ms
-    schedule.pools_at_cap.setdefault(account, set()).add(schedule.pool_of(unit.job))
+    schedule.pools_at_cap.setdefault(account, set()).add(unit.job.pool)
     logged_ms = schedule.cap_logged_ms.get(account)
     if logged_ms is not None and schedule.now_ms - logged_ms < const.CAP_REPORT_MS:
         return
@@ -128,7 +128,7 @@
 def _start_pools_of(schedule: Schedule, entry: JobEntry) -> frozenset[str]:
     """Return the pools in which tasks of a job may have been started.
 
-    Where no record tells them, it is the pool of the queue as it is now.
+    Jobs of earlier versions tell none; it is the pool of the queue as it is now.
     """
     queue = schedule.queue(entry.queue)
     if entry.start_pools or queue is None:
--- a/courselead/core/scheduler/crashes.py
+++ b/courselead/core/scheduler/crashes.py
@@ -157,7 +157,7 @@
     if not unit.crashes:
         schedule.suspects.pop(unit.name, None)
         schedule.cleared.pop(unit.name, None)
-    schedule.dirty_pools.add(schedule.pool_of(unit.job))
+    schedule.dirty_pools.add(unit.job.pool)
     jobs.save(schedule, unit.job)
 
 
--- a/courselead/core/scheduler/free_capacity.py
+++ b/courselead/core/scheduler/free_capacity.py
@@ -22,7 +22,7 @@
 
     def free_capacity_for(self, unit: Unit) -> FreeCapacity:
         """Return the free capacity of a unit's pool."""
-        pool = self._schedule.pool_of(unit.job)
+        pool = unit.job.pool
         if pool not in self._pools:
             self._pools[pool] = FreeCapacity(self._schedule, pool, self._isolation)
         return self._pools[pool]
@@ -51,7 +51,7 @@
             for run in minion.runs.values():
                 if run.phase is not RunPhase.STOPPING or run.unit.is_over:
                     continue
-                if schedule.pool_of(run.unit.job) == pool:
+                if run.unit.job.pool == pool:
                     self.reserve(run.unit)
         for unit in schedule.ready.get(pool, ()):
             if unit.spec.long_running and not unit.is_over and not unit.runs:
--- a/courselead/core/scheduler/isolation.py
+++ b/courselead/core/scheduler/isolation.py
@@ -56,7 +56,7 @@
         for suspect in self._schedule.suspects.values():
             unit = suspect.unit
             if suspect.tried_ms and not unit.runs and not unit.job.state.final:
-                waiting[self._schedule.pool_of(unit.job)].add(unit.job.job_id)
+                waiting[unit.job.pool].add(unit.job.job_id)
         for pool, job_ids in waiting.items():
             free = self._max_trials_of(pool) - len(self._on_trial[pool])
             wanted = min(len(job_ids), free)
@@ -98,7 +98,7 @@
         trial_ms = const.OUTLIVED_MAX_MS if long_running else const.TRIAL_MS
         if weight >= const.TRIAL_CRASHES and age_ms < trial_ms:
             self._trial_minions.add(minion_id)
-            pool = self._schedule.pool_of(unit.job)
+            pool = unit.job.pool
             self._on_trial[pool].add(unit.job.job_id)
 
     def may_start(self, unit: Unit) -> bool:
@@ -129,7 +129,7 @@
         suspect.tried_ms = suspect.tried_ms or schedule.now_ms
         if self._has_reached_max_wait(suspect):
             return True
-        pool = schedule.pool_of(unit.job)
+        pool = unit.job.pool
         others = self._on_trial[pool] - {unit.job.job_id}
         if len(others) < self._max_trials_of(pool):
             return True
--- a/courselead/core/scheduler/jobs.py
+++ b/courselead/core/scheduler/jobs.py
@@ -8,10 +8,12 @@
 from courselead.core.scheduler.book import JobEntry
 from courselead.core.scheduler.events import ForgetJob, SaveProgress
 from courselead.core.scheduler.models import (
+    FleetConfig,
     Incarnation,
     JobSpec,
     JobState,
     MinionInfo,
+    Queue,
     StepSpec,
 )
 from courselead.core.scheduler.records import (
@@ -27,6 +29,9 @@
 CANCELLED = "cancelled by its caller"
 """Reason given when a job ends or its runs are stopped at the caller's request."""
 
+FAILED_TOO_OFTEN = "a task failed too often"
+"""Reason given when a job ends because a task has no attempts left."""
+
 ENDED = "its job or task has ended"
 """Reason given when a reported run is stopped because it is not needed any more."""
 
@@ -72,9 +77,8 @@
         from_before,
         entry.account,
     )
-    queue = schedule.queue(entry.queue)
-    job.pool = queue.pool if queue is not None else ""
-    job.advised = queue is not None and queue.advice is not None
+    job.accepted_settings = entry.settings
+    job.settings = schedule.queue(entry.queue) or entry.newest_settings
     known_pools = entry.start_pools or {job.pool} - {""}
     job.start_pools = dict.fromkeys(sorted(known_pools), STORED)
     schedule.jobs[job.job_id] = job
@@ -174,7 +178,7 @@
             return StrayUnit(step, (index,), done=True, task=task), ENDED
     spec = StepSpec(1, info.capacity)
     job = Job(job_id, "", JobSpec("", (spec,)), schedule.now_ms, from_before=False)
-    job.pool = info.pool
+    job.settings = Queue("", info.pool)
     job.state = JobState.CANCELLED
     job.begun = True
     unit = StrayUnit(StepRun(job, 0, 0, spec), (0,), done=True, task=task)
@@ -203,19 +207,52 @@
     unit.failed_numbers.add(number)
     job = unit.job
     save(schedule, job)
-    if unit.spec.long_running or unit.is_over:
-        return
-    queue = schedule.queue(job.queue)
-    limit = queue.max_attempts if queue is not None else 1
-    if unit.failed >= limit:
-        end_job(schedule, job, JobState.FAILED, "a task failed too often")
+    if _is_exhausted(unit):
+        end_job(schedule, job, JobState.FAILED, FAILED_TOO_OFTEN)
+
+
+def _is_exhausted(unit: Unit) -> bool:
+    """Return whether a unit has used up the attempts that its queue allows."""
+    settings = unit.job.settings
+    if settings is None or unit.spec.long_running or unit.is_over:
+        return False
+    return unit.failed >= settings.max_attempts
+
+
+def config_changed(schedule: Schedule, before: FleetConfig) -> None:
+    """Update the jobs whose queues have new settings or are gone.
+
+    The jobs of a queue that is gone keep its newest settings, also under later owners.
+
+    Args:
+        schedule: The owner's state with the new configuration.
+        before: The previous configuration.
+    """
+    for job in list(schedule.jobs.values()):
+        settings = schedule.queue(job.queue)
+        if job.state.final or settings == before.queues.get(job.queue):
+            continue
+        if settings is not None:
+            job.settings = settings
+            _end_if_exhausted(schedule, job)
+        elif job.settings != job.accepted_settings:
+            save(schedule, job)
+
+
+def _end_if_exhausted(schedule: Schedule, job: Job) -> None:
+    """End a job of which a task has no attempts left under changed settings."""
+    for steps in job.occurrences.values():
+        for step in steps:
+            if any(_is_exhausted(unit) for unit in step.units):
+                end_job(schedule, job, JobState.FAILED, FAILED_TOO_OFTEN)
+                return
 
 
 def requeue(schedule: Schedule, unit: Unit) -> None:
     """Put a unit back on the ready list if it has no runs and may still start."""
     if unit.runs or unit.is_over:
         return
-    pool = schedule.pool_of(unit.job)
+    pool = unit.job.pool
     ready_units = schedule.ready.setdefault(pool, [])
     if unit not in ready_units:
         unit.ready_ms = schedule.now_ms
@@ -487,6 +524,7 @@
         job.ended_ms,
         job.opened_fence,
         sorted(job.start_pools),
+        None if job.settings == job.accepted_settings else job.settings,
     )
 
 
--- a/courselead/core/scheduler/left_starts.py
+++ b/courselead/core/scheduler/left_starts.py
@@ -31,7 +31,7 @@
     if unit.stored_starts:
         return
     schedule.stored_starts.pop(unit.name, None)
-    schedule.dirty_pools.add(schedule.pool_of(unit.job))
+    schedule.dirty_pools.add(unit.job.pool)
 
 
 def tick(schedule: Schedule) -> None:
--- a/courselead/core/scheduler/minions.py
+++ b/courselead/core/scheduler/minions.py
@@ -284,7 +284,7 @@
     unit.next_number = max(unit.next_number, report.number + 1)
     unit.record_start(report.number)
     unit.job.zone = unit.job.zone or minion.info.zone
-    ready_units = schedule.ready.get(schedule.pool_of(unit.job), [])
+    ready_units = schedule.ready.get(unit.job.pool, [])
     if unit in ready_units:
         ready_units.remove(unit)
     jobs.record_pool(schedule, unit.job, minion.info.pool)
--- a/courselead/core/scheduler/placement.py
+++ b/courselead/core/scheduler/placement.py
@@ -126,7 +126,7 @@
             continue
         job = unit.job
         if id(job) not in pools:
-            pools[id(job)] = None if job.state.final else schedule.pool_of(job)
+            pools[id(job)] = None if job.state.final else job.pool
         current = pools[id(job)]
         if current is None:
             continue
@@ -168,9 +168,8 @@
 ) -> bool:
     schedule, unit = selection.schedule, selection.unit
     isolation = selection.isolation
-    queue = schedule.queue(unit.job.queue)
     ticket_by_minion: dict[str, str] | None = None
-    if queue is not None and queue.advice is not None:
+    if unit.job.advised:
         ticket_by_minion = tickets.tickets_for(schedule, unit, minions)
         if ticket_by_minion is None:
             return False
--- a/courselead/core/scheduler/pool_loads.py
+++ b/courselead/core/scheduler/pool_loads.py
@@ -99,8 +99,7 @@
         if schedule.now_ms - remaining.at_ms > CURRENT_WORK_MS:
             continue
         job = schedule.jobs.get(job_id)
-        queue = None if job is None else schedule.queue(job.queue)
-        if job is None or queue is None or queue.pool not in pools:
+        if job is None or job.settings is None or job.pool not in pools:
             continue
         if job.state.final or job.advised or job.account in schedule.pools_at_cap:
             continue
@@ -109,8 +108,8 @@
             if step.ready and step.open_units and _runs_anywhere(step.spec):
                 run_ms = schedule.expected_ms(job.queue, step.spec)
                 work += int(step.open_units * step.spec.need.cpu_milli * run_ms)
-        backlog = backlogs.setdefault(queue.pool, {})
-        key = (job.account, queue.priority)
+        backlog = backlogs.setdefault(job.pool, {})
+        key = (job.account, job.settings.priority)
         backlog[key] = backlog.get(key, 0) + max(0, work)
     return backlogs
 
--- a/courselead/core/scheduler/records.py
+++ b/courselead/core/scheduler/records.py
@@ -83,6 +83,8 @@
     Attributes:
         pools: Pools in which its tasks may have been started. The pool of its queue at
             its acceptance may be missing.
+        settings: Newest settings of its queue, None if they are those of its
+            acceptance.
     """
 
     job_id: str
@@ -93,6 +95,7 @@
     ended_ms: int = 0
     opened_fence: int = 0
     pools: list[str] = []
+    settings: Queue | None = None
 
 
 class JobCancelled(msgspec.Struct, frozen=True, array_like=True):
--- a/courselead/core/scheduler/schedule.py
+++ b/courselead/core/scheduler/schedule.py
@@ -528,8 +528,3 @@
         if bursts is None or not bursts.in_burst:
             return None
         return max(0, self.wall_ms - bursts.memory.onset_ms)
-
-    def pool_of(self, job: Job) -> str:
-        """Return the pool of a job's queue, or its last known pool without a queue."""
-        queue = self.queue(job.queue)
-        return queue.pool if queue is not None else job.pool
--- a/courselead/core/scheduler/scheduler.py
+++ b/courselead/core/scheduler/scheduler.py
@@ -147,7 +147,8 @@
             case MinionUnlisted():
                 lives.handle_removed(schedule, event.minion_id)
             case ConfigChanged():
-                schedule.config = event.config
+                before, schedule.config = schedule.config, event.config
+                jobs.config_changed(schedule, before)
                 lives.add_minions_of_new_pools(schedule)
                 schedule.dirty_pools.update(schedule.ready)
             case LogAnswered():
@@ -267,7 +268,7 @@
     def _saved(self, batch: int) -> None:
         self.schedule.saved_batch = batch
         for suspect in self.schedule.suspects.values():
-            self.schedule.dirty_pools.add(self.schedule.pool_of(suspect.unit.job))
+            self.schedule.dirty_pools.add(suspect.unit.job.pool)
         for minion in self.schedule.minions.values():
             unsaved = minion.unsaved
             while unsaved and unsaved[0].batch <= batch:
--- a/courselead/core/scheduler/start_order.py
+++ b/courselead/core/scheduler/start_order.py
@@ -100,8 +100,8 @@
 
 def _start_order(schedule: Schedule, step: StepRun) -> tuple[int, int, int, int]:
     """Return the sort key of a step's units; the lowest starts first."""
-    queue = schedule.queue(step.job.queue)
-    priority = queue.priority if queue is not None else 0
+    settings = step.job.settings
+    priority = settings.priority if settings is not None else 0
     if step.spec.long_running:
         return (priority, _LONG_RUNNING, 0, 0)
     late = urgency.is_late(schedule, step)
--- a/courselead/core/scheduler/state.py
+++ b/courselead/core/scheduler/state.py
@@ -12,6 +12,7 @@
     JobSpec,
     JobState,
     MinionInfo,
+    Queue,
     Resources,
     StepSpec,
 )
@@ -393,6 +394,9 @@
     """A job that has not ended, or that still has runs.
 
     Attributes:
+        settings: Settings of its queue in the newest configuration that has or had it,
+            as far as known; None if they are unknown.
+        accepted_settings: Settings of its queue when it was accepted, None if unknown.
         account: The client account that it belongs to, "" if none.
         zone: The preferred availability zone for its tasks.
         start_pools: Pools in which its tasks may have been started, each with the batch
@@ -407,7 +411,8 @@
     accepted_ms: int
     from_before: bool
     account: str = ""
-    pool: str = ""
+    settings: Queue | None = None
+    accepted_settings: Queue | None = None
     start_pools: dict[str, int] = field(default_factory=dict)
     state: JobState = JobState.QUEUED
     cancelled: bool = False
@@ -416,12 +421,21 @@
     occurrences: dict[int, list[StepRun]] = field(default_factory=dict)
     next_occurrence: int = 0
     live_runs: int = 0
-    advised: bool = False
     zone: str = ""
     chain_ms: int = 0
     ended_ms: int = 0
     opened_fence: int = 0
 
+    @property
+    def pool(self) -> str:
+        """Return the pool in which its tasks start now, "" if that is unknown."""
+        return "" if self.settings is None else self.settings.pool
+
+    @property
+    def advised(self) -> bool:
+        """Return whether the advice service decides where its tasks may start."""
+        return self.settings is not None and self.settings.advice is not None
+
 
 @dataclass(frozen=True, slots=True)
 class UnsavedEnd:
--- a/courselead/core/scheduler/urgency.py
+++ b/courselead/core/scheduler/urgency.py
@@ -36,11 +36,11 @@
 
     It is on the owner's clock.
     """
-    queue = schedule.queue(job.queue)
-    if queue is None:
+    settings = job.settings
+    if settings is None:
         return job.accepted_ms
     longest_ms = chain_ms(schedule, job)
-    return job.accepted_ms + int(queue.stretch * longest_ms) + queue.slo_ms
+    return job.accepted_ms + int(settings.stretch * longest_ms) + settings.slo_ms
 
 
 def is_late(schedule: Schedule, step: StepRun) -> bool:
--- a/tests/core/scheduler/test_moved_queues.py
+++ b/tests/core/scheduler/test_moved_queues.py
@@ -105,8 +105,11 @@
     world.run(50)
     world.submit(job(step(2, cpu=4_000)), "00000000000000bb", length_ms=LONG_MS)
     world.change_config(config_with(SECOND, 2))
-    while SECOND not in pools_of_starts(world):
+    for _ in range(5_000):
+        if SECOND in pools_of_starts(world):
+            break
         world.run(1)
+    assert SECOND in pools_of_starts(world)
     world.change_config(config_with(THIRD, 3))
     cut_one_with_a_run(world, SECOND)
     world.kill_owner()
