Keep each waiting unit on one ready list, at constant cost

Two faults of the lists of units that wait for a place.

A unit that was queued again while its queue moved stayed on the list of the pool that the queue had left and was added to the new one, where both entries started in one round: TWICE under one owner.

Each addition searched the whole list, and so did each run that a new owner adopted: quadratic in a job's tasks.

Change: a list is an ordered set, and a unit knows which one it is on (ready_lists.py).

--- a/benchmarks/accounts/__main__.py
+++ b/benchmarks/accounts/__main__.py
@@ -72,7 +72,7 @@
     schedule = owner.schedule
     queue = schedule.ready[POOL]
     if cfg.accounts:
-        unit = queue[0]
+        unit = next(iter(queue))
         _time("cap checked", lambda: caps.has_capacity(schedule, unit))
 
     def place_all() -> None:
--- a/courselead/core/scheduler/jobs.py
+++ b/courselead/core/scheduler/jobs.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from courselead.core.scheduler import const
+from courselead.core.scheduler import const, ready_lists
 from courselead.core.scheduler.book import JobEntry
 from courselead.core.scheduler.events import ForgetJob, SaveProgress
 from courselead.core.scheduler.models import (
@@ -252,12 +252,7 @@
     """Put a unit back on the ready list if it has no runs and may still start."""
     if unit.runs or unit.is_over:
         return
-    pool = unit.job.pool
-    ready_units = schedule.ready.setdefault(pool, [])
-    if unit not in ready_units:
-        unit.ready_ms = schedule.now_ms
-        ready_units.append(unit)
-    schedule.dirty_pools.add(pool)
+    ready_lists.add(schedule, unit)
 
 
 def begin(schedule: Schedule, job: Job) -> None:
--- a/courselead/core/scheduler/minions.py
+++ b/courselead/core/scheduler/minions.py
@@ -13,6 +13,7 @@
     lives,
     lost_runs,
     pace,
+    ready_lists,
     run_ends,
     service_stops,
     stalls,
@@ -284,9 +285,7 @@
     unit.next_number = max(unit.next_number, report.number + 1)
     unit.record_start(report.number)
     unit.job.zone = unit.job.zone or minion.info.zone
-    ready_units = schedule.ready.get(unit.job.pool, [])
-    if unit in ready_units:
-        ready_units.remove(unit)
+    ready_lists.remove(schedule, unit)
     jobs.record_pool(schedule, unit.job, minion.info.pool)
     jobs.begin(schedule, unit.job)
     schedule.log_event(
--- a/courselead/core/scheduler/placement.py
+++ b/courselead/core/scheduler/placement.py
@@ -11,6 +11,7 @@
     jobs,
     minion_filters,
     minion_scores,
+    ready_lists,
     start_order,
     tickets,
 )
@@ -77,7 +78,7 @@
     ready_units = _pending_units(schedule, pool)
     minions = minion_filters.eligible_minions(schedule, pool)
     if not minions:
-        schedule.ready[pool] = ready_units
+        ready_lists.reorder(schedule, pool, ready_units)
         return
     ready_units = _in_start_order(schedule, pool, ready_units, minions)
     waiting: list[Unit] = []
@@ -110,7 +111,7 @@
             unplaceable.add(unit)
             if not is_constrained(unit):
                 blocked_steps.add(id(unit.step))
-    schedule.ready[pool] = waiting
+    ready_lists.reorder(schedule, pool, waiting)
 
 
 def _pending_units(schedule: Schedule, pool: str) -> list[Unit]:
@@ -121,18 +122,19 @@
     ready_units: list[Unit] = []
     # The pool of each job by its id(), None if the job has ended.
     pools: dict[int, str | None] = {}
-    for unit in schedule.ready.get(pool, []):
+    for unit in list(schedule.ready.get(pool, ())):
         if unit.done or unit.runs:
+            ready_lists.remove(schedule, unit)
             continue
         job = unit.job
         if id(job) not in pools:
             pools[id(job)] = None if job.state.final else job.pool
         current = pools[id(job)]
         if current is None:
+            ready_lists.remove(schedule, unit)
             continue
         if current != pool:
-            schedule.ready.setdefault(current, []).append(unit)
-            schedule.dirty_pools.add(current)
+            ready_lists.move(schedule, unit)
             continue
         ready_units.append(unit)
     return ready_units
@@ -195,6 +197,7 @@
 ) -> None:
     """Start the tasks of a unit, each on the minion found for it."""
     schedule, unit = selection.schedule, selection.unit
+    ready_lists.remove(schedule, unit)
     number = max(schedule.first_run_number, unit.next_number)
     unit.next_number = number + 1
     schedule.log_event(
--- a/courselead/core/scheduler/schedule.py
+++ b/courselead/core/scheduler/schedule.py
@@ -163,7 +163,9 @@
     ended_incarnations: dict[str, set[Incarnation]] = field(default_factory=dict)
     # Incarnations that were dropped while nothing ran on them, and that may return.
     empty_incarnations: set[Incarnation] = field(default_factory=set)
-    ready: dict[str, list[Unit]] = field(default_factory=dict)
+    # Units that wait for a place, by pool; see `ready_lists`. The values are not used:
+    # the keys are an ordered set.
+    ready: dict[str, dict[Unit, None]] = field(default_factory=dict)
     constrained_from: dict[str, int] = field(default_factory=dict)
     place_after_ms: dict[str, int] = field(default_factory=dict)
     dirty_pools: set[str] = field(default_factory=set)
--- a/courselead/core/scheduler/state.py
+++ b/courselead/core/scheduler/state.py
@@ -146,6 +146,7 @@
         first_start_known: Whether its first start under the owner that accepted the job
             was found running or has been counted. Only that start may be missing from
             the log.
+        ready_pool: Pool on whose ready list it is, None if it is on none.
         stalls: Times in a row that a long-running task was stopped as it did not become
             ready.
     """
@@ -158,6 +159,7 @@
     checkpoint: str = ""
     next_number: int = 1
     ready_ms: int = 0
+    ready_pool: str | None = None
     not_before_ms: int = 0
     lost_ms: int = 0
     backoff_ms: int = 0
--- a/tests/core/scheduler/test_moved_queues.py
+++ b/tests/core/scheduler/test_moved_queues.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from courselead.core.scheduler import const
+from courselead.core.scheduler import const, jobs
 from courselead.core.scheduler.models import FleetConfig, JobState, Pool, Queue
 from tests.core.scheduler.world import QUEUE, World, job, step
 
@@ -141,3 +141,24 @@
     world.claim()
     world.run(9_000)
     assert len(world.starts) == 4
+
+
+def test_a_unit_that_is_queued_again_while_its_queue_moves_is_on_one_ready_list():
+    # It stayed on the list of the pool that the queue had left and was added to that of
+    # the new one, where both entries started: two runs at the same time.
+    world = world_of_pools()
+    world.submit(job(step(1)), JOB, length_ms=LONG_MS)
+    world.run(500)
+    cut_one_with_a_run(world, FIRST)
+    world.claim()
+    world.run(100)
+    schedule = world.owner.schedule
+    [unit] = schedule.ready[FIRST]
+    # The round that would move the unit to the other list is still to come.
+    schedule.place_after_ms[FIRST] = world.now_ms + 1_000
+    world.change_config(config_with(SECOND, 2))
+    jobs.requeue(schedule, unit)
+    lists = [pool for pool, units in schedule.ready.items() if unit in units]
+    assert lists == [SECOND]
+    run_until_leases_are_over(world)
+    assert pools_of_starts(world) == [FIRST, SECOND]
