--- /dev/null
+++ b/benchmarks/takeover/__init__.py
@@ -0,0 +1,1 @@
+"""Cost of a takeover of one job with many running tasks."""
--- a/tests/core/scheduler/test_benchmark.py
+++ b/tests/core/scheduler/test_benchmark.py
@@ -1,4 +1,5 @@
 from benchmarks.schedule.fleet import STEPS, TASKS, Fleet
+from benchmarks.takeover.__main__ import Takeover
 from courselead.core.scheduler.models import JobState
 
 
@@ -8,3 +9,9 @@
     fleet.pass_time(2_500)
     assert fleet.starts == STEPS * TASKS
     assert [entry.state for entry in fleet.book.jobs.values()] == [JobState.COMPLETED]
+
+
+def test_the_benchmark_of_takeovers_adopts_all_runs():
+    # It raises an error if runs are missing.
+    found = Takeover.of_job(50, minions=3)
+    assert len(found.reports_ms) == 3
