Fail a task without attempts left wherever it would be queued again

Now the check is part of queueing a task, for every way there, and a change of the configuration fails only jobs of which such a task waits. test_a_task_without_attempts_is_not_started_by_an_owner_that_learns_of_it_late and test_an_attempt_that_runs_may_succeed_though_fewer_are_allowed_now are new.

Putting a ready list in order keeps units that were added meanwhile.

--- a/courselead/core/scheduler/jobs.py
+++ b/courselead/core/scheduler/jobs.py
@@ -240,18 +240,27 @@
 
 
 def _end_if_exhausted(schedule: Schedule, job: Job) -> None:
-    """End a job of which a task has no attempts left under changed settings."""
+    """End a job of which a task that does not run has no attempts left.
+
+    An attempt that runs may still succeed.
+    """
     for steps in job.occurrences.values():
         for step in steps:
-            if any(_is_exhausted(unit) for unit in step.units):
+            if any(_is_exhausted(unit) and not unit.runs for unit in step.units):
                 end_job(schedule, job, JobState.FAILED, FAILED_TOO_OFTEN)
                 return
 
 
 def requeue(schedule: Schedule, unit: Unit) -> None:
-    """Put a unit back on the ready list if it has no runs and may still start."""
+    """Put a unit back on the ready list if it has no runs and may still start.
+
+    Its job fails if it has no attempts left, as its queue may allow fewer by now.
+    """
     if unit.runs or unit.is_over:
         return
+    if _is_exhausted(unit):
+        end_job(schedule, unit.job, JobState.FAILED, FAILED_TOO_OFTEN)
+        return
     ready_lists.add(schedule, unit)
 
 
--- a/courselead/core/scheduler/ready_lists.py
+++ b/courselead/core/scheduler/ready_lists.py
@@ -1,8 +1,8 @@
 """The ready lists: units by pool that wait for a place.
 
 A unit is on one list at most, also while its queue moves to another pool. On two lists
-it could be started twice in one round. All operations take constant time, since a job
-may have thousands of units.
+it could be started twice in one round. Adding and removing a unit takes constant time,
+since a job may have thousands of units.
 """
 
 from __future__ import annotations
@@ -43,5 +43,5 @@
 
 
 def reorder(schedule: Schedule, pool: str, units: Iterable[Unit]) -> None:
-    """Set the order of a pool's list, which must have these units."""
-    schedule.ready[pool] = dict.fromkeys(units)
+    """Put units of a pool's list first, in this order."""
+    schedule.ready[pool] = dict.fromkeys(units) | schedule.ready[pool]
--- a/courselead/core/scheduler/run_ends.py
+++ b/courselead/core/scheduler/run_ends.py
@@ -7,7 +7,7 @@
 from courselead.core.scheduler.schedule import Schedule
 from courselead.core.scheduler.state import Minion, Run, Unit, UnsavedEnd
 
-_ENDS_BY_ITSELF = (EndKind.DONE, EndKind.FAILED)
+_SPONTANEOUS_ENDS = (EndKind.DONE, EndKind.FAILED)
 """Kinds of ends that the system has not caused."""
 
 
@@ -23,8 +23,7 @@
     if unit is None:
         return
     unit.next_number = max(unit.next_number, end.number + 1)
-    # Long-running tasks have no end of their own: however a run ends, the next one
-    # follows.
+    # A long-running task is never complete: however a run ends, the next one follows.
     completes_unit = end.kind is EndKind.DONE and not unit.spec.long_running
     if end.checkpoint and not completes_unit:
         unit.checkpoint = end.checkpoint
@@ -48,7 +47,7 @@
         how=str(end.kind),
         reason=run.stop_reason if run is not None else "",
     )
-    if unit.spec.long_running and end.kind in _ENDS_BY_ITSELF:
+    if unit.spec.long_running and end.kind in _SPONTANEOUS_ENDS:
         _delay_restart(schedule, unit)
     if end.kind is EndKind.FAILED:
         _process_failure(schedule, minion, unit, end.number)
--- a/tests/core/scheduler/test_removed_queues.py
+++ b/tests/core/scheduler/test_removed_queues.py
@@ -186,6 +186,33 @@
     assert world.state(JOB) is JobState.FAILED
 
 
+def test_an_attempt_that_runs_may_succeed_though_fewer_are_allowed_now():
+    world = world_of_two_pools()
+    world.submit(job(step(1)), JOB, length_ms=500)
+    fail_all(world)
+    run_until_starts(world, 2)
+    world.failing_jobs.clear()
+    world.change_config(config_with(2, max_attempts=1))
+    world.run(3_000)
+    assert world.state(JOB) is JobState.COMPLETED
+
+
+def test_a_task_without_attempts_is_not_started_by_an_owner_that_learns_of_it_late():
+    # The queue allowed fewer attempts while nobody had the schedule.
+    world = world_of_two_pools()
+    world.submit(job(step(1)), JOB, length_ms=500)
+    fail_all(world)
+    run_until_starts(world, 2)
+    set_cordoned(world, True)
+    world.run(1_000)
+    world.kill_owner()
+    world.change_config(config_with(2, max_attempts=2))
+    world.claim()
+    world.run(20_000)
+    assert world.failed[f"{JOB}.0.0.0"] == 2
+    assert world.state(JOB) is JobState.FAILED
+
+
 def test_a_job_of_an_earlier_version_does_not_fail_while_its_queue_is_unknown():
     # Nothing tells how many attempts its tasks have.
     world = world_of_two_pools()
