--- a/courselead/core/scheduler/jobs.py
+++ b/courselead/core/scheduler/jobs.py
@@ -1,30 +1,23 @@
-"""Job lifecycle: occurrences, steps and units, and the job's stored progress."""
+"""Job lifecycle: occurrences, steps and units."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass
 
-from courselead.core.scheduler import const, ready_lists
+from courselead.core.scheduler import const, job_progress, ready_lists
 from courselead.core.scheduler.book import JobEntry
 from courselead.core.scheduler.events import ForgetJob, SaveProgress
 from courselead.core.scheduler.models import (
     FleetConfig,
-    Incarnation,
     JobSpec,
     JobState,
     MinionInfo,
     Queue,
     StepSpec,
 )
-from courselead.core.scheduler.records import (
-    JobProgress,
-    OccurrenceProgress,
-    SavedCrash,
-    SavedStart,
-    WaveProgress,
-)
+from courselead.core.scheduler.records import OccurrenceProgress, WaveProgress
 from courselead.core.scheduler.schedule import Schedule
-from courselead.core.scheduler.state import Crash, Job, StepRun, Suspect, Unit
+from courselead.core.scheduler.state import Job, StepRun, Suspect, Unit
 
 CANCELLED = "cancelled by its caller"
 """Reason given when a job ends or its runs are stopped at the caller's request."""
@@ -366,7 +359,7 @@
     for job_id in schedule.dirty_jobs:
         job = schedule.jobs.get(job_id)
         if job is not None:
-            schedule.emit(SaveProgress(_progress(job)))
+            schedule.emit(SaveProgress(job_progress.progress_of(job)))
     schedule.dirty_jobs.clear()
     for number in sorted(schedule.dirty_waves):
         wave = schedule.waves[number]
@@ -420,7 +413,7 @@
             groups = [(index,) for index in range(spec.count)]
         for indexes in groups:
             unit = Unit(step, indexes, done=indexes[0] in done)
-            _restore_progress(schedule, unit, saved)
+            job_progress.restore_unit(schedule, unit, saved)
             if unit.crash_count:
                 schedule.suspects[unit.name] = Suspect(unit)
             elif unit.crashes:
@@ -437,31 +430,6 @@
     _release_steps(schedule, job, number)
 
 
-def _restore_progress(
-    schedule: Schedule, unit: Unit, saved: OccurrenceProgress | None
-) -> None:
-    if saved is None:
-        return
-    unit.failed_numbers = set(saved.failed.get(unit.checkpoint_key, ()))
-    unit.checkpoint = saved.checkpoints.get(unit.checkpoint_key, "")
-    for item in saved.crashes.get(unit.checkpoint_key, ()):
-        incarnation = Incarnation(item.minion_id, item.born_ms)
-        crash = Crash(
-            item.number,
-            incarnation,
-            item.age_ms,
-            item.alone,
-            item.explained,
-            item.cleared,
-        )
-        schedule.add_crash(unit, crash)
-        unit.record_start(crash.number)
-    for start in saved.starts.get(unit.checkpoint_key, ()):
-        incarnation = Incarnation(start.minion_id, start.born_ms)
-        unit.stored_starts.add((start.number, incarnation))
-        unit.record_start(start.number)
-
-
 def _release_steps(schedule: Schedule, job: Job, number: int) -> None:
     """Make the units of each step ready whose preceding steps are done."""
     steps = job.occurrences[number]
@@ -511,71 +479,3 @@
         for unit in step.units:
             for index in unit.indexes:
                 schedule.units.pop(unit.task_name(index), None)
-
-
-def _progress(job: Job) -> JobProgress:
-    occurrences = []
-    if not job.state.final:
-        for number, steps in sorted(job.occurrences.items()):
-            if number not in job.closed:
-                occurrences.append(_occurrence_progress(number, steps))
-    return JobProgress(
-        job.job_id,
-        job.state,
-        job.begun,
-        sorted(job.closed),
-        occurrences,
-        job.ended_ms,
-        job.opened_fence,
-        sorted(job.start_pools),
-        None if job.settings == job.accepted_settings else job.settings,
-    )
-
-
-def _occurrence_progress(number: int, steps: list[StepRun]) -> OccurrenceProgress:
-    done: list[list[int]] = []
-    failed: dict[str, list[int]] = {}
-    checkpoints: dict[str, str] = {}
-    crashes: dict[str, list[SavedCrash]] = {}
-    starts: dict[str, list[SavedStart]] = {}
-    for step in steps:
-        finished: list[int] = []
-        for unit in step.units:
-            if unit.done:
-                finished.extend(unit.indexes)
-                continue
-            if unit.failed and not step.spec.long_running:
-                failed[unit.checkpoint_key] = sorted(unit.failed_numbers)
-            if unit.checkpoint:
-                checkpoints[unit.checkpoint_key] = unit.checkpoint
-            if unit.crashes:
-                crashes[unit.checkpoint_key] = _saved_crashes(unit)
-            if unit.starts_stored and (unit.runs or unit.stored_starts):
-                starts[unit.checkpoint_key] = _saved_starts(unit)
-        done.append(finished)
-    return OccurrenceProgress(number, done, failed, checkpoints, crashes, starts)
-
-
-def _saved_starts(unit: Unit) -> list[SavedStart]:
-    incarnations = {
-        (run.number, run.incarnation) for run in unit.runs
-    } | unit.stored_starts
-    return [
-        SavedStart(number, incarnation.minion_id, incarnation.born_ms)
-        for number, incarnation in sorted(incarnations, key=lambda item: item[0])
-    ]
-
-
-def _saved_crashes(unit: Unit) -> list[SavedCrash]:
-    return [
-        SavedCrash(
-            crash.number,
-            crash.incarnation.minion_id,
-            crash.incarnation.born_ms,
-            crash.age_ms,
-            crash.alone,
-            crash.explained,
-            crash.cleared,
-        )
-        for crash in unit.crashes.values()
-    ]
