--- a/courselead/core/scheduler/jobs.py
+++ b/courselead/core/scheduler/jobs.py
@@ -72,6 +72,7 @@
     )
     job.accepted_settings = entry.settings
     job.settings = schedule.queue(entry.queue) or entry.newest_settings
+    # A job that earlier versions have stored tells no pool.
     known_pools = entry.start_pools or {job.pool} - {""}
     job.start_pools = dict.fromkeys(sorted(known_pools), STORED)
     schedule.jobs[job.job_id] = job
--- a/courselead/core/scheduler/placement.py
+++ b/courselead/core/scheduler/placement.py
@@ -248,6 +248,7 @@
     if is_suspect:
         batch = schedule.open_batch
     if batch > schedule.saved_batch:
+        # The start is held back until the batch is stored.
         schedule.starts_wait = True
     else:
         minion.unanswered_since_ms = minion.unanswered_since_ms or schedule.now_ms
