Find what runs unseen once for a round of placement

The answer no longer depends on the pool since tasks may be in any pool that their queue has had, but each pool of a round still worked it out, and the postmortem of the moved queues said that it did not. place_all finds it once now, when the first pool has units to place. The starts that may still be carried out belong to the same question, and all three callers added them by themselves: find_unseen_tasks includes them.

Behaviour is as before. Two tests follow the private functions that they replace: the mutant of test_machine.py takes out the part that it took out before, and a wrapper in test_jobs.py passes the new argument on; no assertion changed.

--- a/courselead/core/scheduler/caps.py
+++ b/courselead/core/scheduler/caps.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from courselead.core.scheduler import const, delayed_starts
+from courselead.core.scheduler import const
 from courselead.core.scheduler.book import JobEntry
 from courselead.core.scheduler.doubt import (
     NO_UNSEEN_TASKS,
@@ -105,9 +105,7 @@
     if known is not None and schedule.now_ms - known[0] < const.UNSEEN_MS:
         return known[1]
     unseen: dict[str, Resources] = {}
-    unseen_tasks = find_unseen_tasks(schedule).with_pending(
-        delayed_starts.tasks_with_pending_starts(schedule)
-    )
+    unseen_tasks = find_unseen_tasks(schedule)
     if unseen_tasks != NO_UNSEEN_TASKS:
         for job in schedule.jobs.values():
             if not job.account:
--- a/courselead/core/scheduler/doubt.py
+++ b/courselead/core/scheduler/doubt.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable, Iterator, Set
 from dataclasses import dataclass, replace
 
-from courselead.core.scheduler import const
+from courselead.core.scheduler import const, delayed_starts
 from courselead.core.scheduler.schedule import MinionPlace, Schedule
 from courselead.core.scheduler.state import Minion, Unit
 
@@ -84,10 +84,16 @@
 
 
 def find_unseen_tasks(schedule: Schedule) -> UnseenTasks:
-    """Return the tasks whose runs or ends this owner may not know.
+    """Return the tasks whose runs, ends or coming starts this owner may not know.
 
     They may be in any pool that their queues have had, not only in the newest one.
     """
+    pending = delayed_starts.tasks_with_pending_starts(schedule)
+    return _tasks_of_earlier_owners(schedule).with_pending(pending)
+
+
+def _tasks_of_earlier_owners(schedule: Schedule) -> UnseenTasks:
+    """Return the tasks of earlier owners whose runs or ends may not be known."""
     if schedule.now_ms >= schedule.old_leases_end_ms:
         return _tasks_on(schedule, _partly_reported_minions(schedule))
     since_ms = schedule.now_ms - schedule.claimed_ms
--- a/courselead/core/scheduler/free_capacity.py
+++ b/courselead/core/scheduler/free_capacity.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from courselead.core.scheduler import delayed_starts
 from courselead.core.scheduler.doubt import UnseenTasks, find_unseen_tasks
 from courselead.core.scheduler.isolation import Isolation
 from courselead.core.scheduler.minion_filters import eligible_minions
@@ -44,9 +43,7 @@
         self._reserved_of_step: dict[tuple[int, str], int] = {}
         # Ids of steps whose tasks fit on no minion any more.
         self._full_steps: set[int] = set()
-        self._unseen: UnseenTasks = find_unseen_tasks(schedule).with_pending(
-            delayed_starts.tasks_with_pending_starts(schedule)
-        )
+        self._unseen: UnseenTasks = find_unseen_tasks(schedule)
         for minion in schedule.minions.values():
             for run in minion.runs.values():
                 if run.phase is not RunPhase.STOPPING or run.unit.is_over:
--- a/courselead/core/scheduler/placement.py
+++ b/courselead/core/scheduler/placement.py
@@ -6,7 +6,6 @@
     caps,
     const,
     crashes,
-    delayed_starts,
     gangs,
     jobs,
     minion_filters,
@@ -61,6 +60,8 @@
         # Renews the cached estimate of the unseen use if it is too old, so that the
         # whole round uses the same one.
         caps.unseen_use(schedule)
+    # Placing units changes nothing about what is unseen.
+    unseen: UnseenTasks | None = None
     for pool in sorted(pools):
         ready_units = schedule.ready.get(pool)
         if not ready_units:
@@ -71,10 +72,12 @@
         if len(ready_units) > LONG_READY_LIST:
             gap_ms = len(ready_units) // UNITS_PER_MS
             schedule.place_after_ms[pool] = schedule.now_ms + gap_ms
-        _place_pool(schedule, pool)
+        if unseen is None:
+            unseen = find_unseen_tasks(schedule)
+        _place_pool(schedule, pool, unseen)
 
 
-def _place_pool(schedule: Schedule, pool: str) -> None:
+def _place_pool(schedule: Schedule, pool: str, unseen: UnseenTasks) -> None:
     ready_units = _pending_units(schedule, pool)
     minions = minion_filters.eligible_minions(schedule, pool)
     if not minions:
@@ -83,9 +86,6 @@
     ready_units = _in_start_order(schedule, pool, ready_units, minions)
     waiting: list[Unit] = []
     unplaceable = UnplaceableNeeds(skipped_ids(schedule, pool, ready_units))
-    unseen = find_unseen_tasks(schedule).with_pending(
-        delayed_starts.tasks_with_pending_starts(schedule)
-    )
     isolation = Isolation.create(schedule)
     warming_up = frozenset(
         item.minion_id for item in minions if item.is_warming_up(schedule.now_ms)
--- a/tests/core/scheduler/test_jobs.py
+++ b/tests/core/scheduler/test_jobs.py
@@ -228,8 +228,8 @@
     monkeypatch.setattr(
         placement,
         "_place_pool",
-        lambda schedule, pool: (
-            round_times_ms.append(schedule.now_ms) or place_pool(schedule, pool)
+        lambda schedule, *args: (
+            round_times_ms.append(schedule.now_ms) or place_pool(schedule, *args)
         ),
     )
     waiting = len(owner.schedule.ready[POOL])
--- a/tests/core/scheduler/test_machine.py
+++ b/tests/core/scheduler/test_machine.py
@@ -5,7 +5,7 @@
 import pytest
 from hypothesis import HealthCheck, given, settings, strategies as st
 
-from courselead.core.scheduler import jobs, lost_runs, minions, placement
+from courselead.core.scheduler import doubt, jobs, lost_runs, minions
 from courselead.core.scheduler.doubt import NO_UNSEEN_TASKS
 from courselead.core.scheduler.models import JobState
 from tests.core.scheduler.world import World, job, step
@@ -120,7 +120,7 @@
 ]
 
 DISABLED_GUARDS = {
-    "doubt": (placement, "find_unseen_tasks", lambda schedule: NO_UNSEEN_TASKS),
+    "doubt": (doubt, "_tasks_of_earlier_owners", lambda schedule: NO_UNSEEN_TASKS),
     "lease": (
         minions,
         "_expire_lease",
