--- a/review/standin_3/site.py
+++ b/review/standin_3/site.py
@@ -125,9 +125,10 @@
         zones: tuple[str, ...] = ("via-maqueda", "zisa"),
         cpu: int = 32_000,
         mem: int = 131_072,
-        store_by_zone: bool = False,
+        restart_s: float = RESTART_S,
     ) -> None:
         self.begun = time.monotonic()
+        self.restart_s = restart_s
         self._file = record_file.open("w")
         self.events: list[dict] = []
         self.zones = zones
@@ -284,7 +285,7 @@
                 if host.process.poll() is not None:
                     code = host.process.returncode
                     self.record("host_ended", host=host.name, code=code)
-                    await asyncio.sleep(RESTART_S)
+                    await asyncio.sleep(self.restart_s)
                     if not self.stopping:
                         self.start_host(host)
 
