--- a/review/9/case.py
+++ b/review/9/case.py
@@ -16,7 +16,7 @@
 
 HERE = Path(__file__).resolve().parent
 JOBS = 12
-WIDTH, STEPS = 32, 4
+WIDTH, STEPS = 24, 4
 OCCURRENCES = 400
 INTERVAL_MS = 100
 LENGTH_S = 60.0
