Find a job at its address after its route got another name

Cause: a job was stored with its queue's name only, and visibility and `pending` compared that name with the one at the address now.

The record of a job has a digest of the host and prefix of its submission; a call reaches a job under its queue's name or at that address, after the unchanged check of the account.

--- a/courselead/core/scheduler/book.py
+++ b/courselead/core/scheduler/book.py
@@ -32,6 +32,7 @@
 
     Attributes:
         settings: Settings of its queue when it was accepted, None if unknown.
+        address: Digest of the host and path prefix of its submission, 0 if unknown.
         open_bytes: Memory of the job until it has ended.
         ended_bytes: Memory afterwards, as its state may still be requested.
     """
@@ -41,11 +42,20 @@
     spec: JobSpec
     account: str = ""
     settings: Queue | None = None
+    address: int = 0
     progress: JobProgress | None = None
     cancelled: bool = False
     open_bytes: int = 0
     ended_bytes: int = 0
 
+    def is_reached_by(self, queue: str, address: int) -> bool:
+        """Return whether a call to a queue at an address refers to this job.
+
+        Callers know the address of their job. A queue may get another name at the same
+        address, or another address under the same name.
+        """
+        return queue == self.queue or (address != 0 and address == self.address)
+
     @property
     def held_bytes(self) -> int:
         """Return the memory of the job on the host that owns the schedule."""
@@ -134,12 +144,18 @@
                     self.owner = record
                     self.bursts.update(record.turns)
 
-    def pending(self, queue: str) -> int:
-        """Return how many jobs of a queue have not started a task yet."""
+    def pending(self, queue: str, address: int = 0) -> int:
+        """Return how many jobs of a queue have not started a task yet.
+
+        Args:
+            queue: Name of the queue.
+            address: Digest of its host and path prefix, 0 if unknown.
+        """
         count = 0
         for entry in self.jobs.values():
-            if entry.queue == queue and entry.state is JobState.QUEUED:
-                count += 1
+            if not entry.is_reached_by(queue, address):
+                continue
+            count += entry.state is JobState.QUEUED
         return count
 
     @property
@@ -154,7 +170,12 @@
                 self.duplicates.add((record.job_id, record.account))
             return
         entry = JobEntry(
-            record.job_id, record.queue, record.spec, record.account, record.settings
+            record.job_id,
+            record.queue,
+            record.spec,
+            record.account,
+            record.settings,
+            record.address,
         )
         entry.open_bytes = open_job_bytes(record.spec)
         entry.ended_bytes = record.spec.memory_bytes
--- a/courselead/core/scheduler/records.py
+++ b/courselead/core/scheduler/records.py
@@ -22,6 +22,8 @@
         account: Client account, "" if it has none.
         settings: Settings of the queue when the job was accepted; None in records of
             earlier versions.
+        address: Digest of the host and path prefix to which it was submitted; 0 in
+            records of earlier versions.
     """
 
     job_id: str
@@ -29,6 +31,7 @@
     spec: JobSpec
     account: str = ""
     settings: Queue | None = None
+    address: int = 0
 
 
 class SavedCrash(msgspec.Struct, frozen=True, array_like=True):
--- a/courselead/daemon/scheduling/intake.py
+++ b/courselead/daemon/scheduling/intake.py
@@ -18,7 +18,7 @@
 from courselead.daemon.scheduling.job_admission import JobAdmission
 from courselead.daemon.scheduling.operator_config import OperatorConfigView
 from courselead.daemon.scheduling.owner_forwarder import StoreResult
-from courselead.daemon.scheduling.ports import HostCounters
+from courselead.daemon.scheduling.ports import HostCounters, RouteMatch
 from courselead.daemon.scheduling.writer import JobWriter
 
 _LOGGER = structlog.get_logger(__name__)
@@ -70,10 +70,12 @@
         queue: Queue that is called.
         account: Client account of the call's credential, "" for a call without one to
             a public queue.
+        address: Digest of the host and path prefix that were called, 0 if unknown.
     """
 
     queue: str
     account: str = ""
+    address: int = 0
 
     def may_see(self, entry: JobEntry) -> bool:
         """Return whether a job is visible to this caller.
@@ -81,7 +83,9 @@
         A job without an account is visible to everyone who knows its id; ids are not
         disclosed.
         """
-        return entry.queue == self.queue and entry.account in ("", self.account)
+        if entry.account not in ("", self.account):
+            return False
+        return entry.is_reached_by(self.queue, self.address)
 
 
 _ID_TAKEN_REPLY = JobReply(
@@ -154,17 +158,20 @@
         current = self._operator_config.current
         return DEFAULT_BODY_BYTES if current is None else current.body_bytes
 
-    def queue_for(self, host: str, path: str) -> tuple[str, str] | None:
-        """Return the queue of a request and the rest of its path."""
+    def route(self, host: str, path: str) -> RouteMatch | None:
+        """Return the queue that a request selects, None if there is none."""
         return self._operator_config.route(host, path)
 
-    def authenticate(self, queue: str, credentials: Sequence[bytes]) -> Caller | None:
+    def authenticate(
+        self, route: RouteMatch, credentials: Sequence[bytes]
+    ) -> Caller | None:
         """Return the caller of a queue, None if its credentials are not accepted."""
+        queue = route.queue
         account = self._operator_config.account_of(credentials)
         if account is not None:
-            return Caller(queue, account)
+            return Caller(queue, account, route.address)
         if self._operator_config.is_public(queue):
-            return Caller(queue)
+            return Caller(queue, address=route.address)
         self._counters.add("credential_refused")
         _LOGGER.info(
             "credential_refused",
@@ -199,7 +206,7 @@
                 return self._log_reply("job_submitted", queue, job_id, reply)
         with self._admission.storing(spec):
             return await self._store_job(
-                JobAccepted(job_id, queue, spec, account, settings)
+                JobAccepted(job_id, queue, spec, account, settings, caller.address)
             )
 
     async def _store_job(self, record: JobAccepted) -> JobReply:
@@ -260,9 +267,10 @@
         reply = self._with_retry(reply)
         return self._log_reply("job_cancel", queue, job_id, reply)
 
-    def pending(self, queue: str) -> JobReply:
+    def pending(self, caller: Caller) -> JobReply:
         """Return how many jobs of a queue wait for their first task."""
-        return JobReply(Verdict.KNOWN, pending=self._follower.book.pending(queue))
+        pending = self._follower.book.pending(caller.queue, caller.address)
+        return JobReply(Verdict.KNOWN, pending=pending)
 
     def _reject(self, rejected: Rejection, queue: str) -> JobReply:
         """Count a rejected job and return the reply to its caller."""
--- a/courselead/daemon/scheduling/operator_config.py
+++ b/courselead/daemon/scheduling/operator_config.py
@@ -14,7 +14,12 @@
     ZoneEvacuation,
 )
 from courselead.core.scheduler.records import KeyedRecord
-from courselead.daemon.scheduling.ports import Decoder, OperatorConfig, RouteRule
+from courselead.daemon.scheduling.ports import (
+    Decoder,
+    OperatorConfig,
+    RouteMatch,
+    RouteRule,
+)
 
 _LOGGER = structlog.get_logger(__name__)
 
@@ -146,11 +151,12 @@
             outcome="opens nothing",
         )
 
-    def route(self, host: str, path: str) -> tuple[str, str] | None:
-        """Return the queue of the longest matching prefix and the rest of the path."""
+    def route(self, host: str, path: str) -> RouteMatch | None:
+        """Return the queue of the longest matching prefix, None if there is none."""
         for rule in self._rules.get(host, ()):
             if path.startswith(rule.prefix):
-                return rule.queue, path[len(rule.prefix) :]
+                rest = path[len(rule.prefix) :]
+                return RouteMatch(rule.queue, rule.address, rest)
         return None
 
 
--- a/courselead/daemon/scheduling/ports.py
+++ b/courselead/daemon/scheduling/ports.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 import anyio
+import xxhash
 from returns.result import Result
 
 from courselead.core.credentials import CredentialHolders
@@ -273,6 +274,26 @@
     prefix: str
     queue: str
 
+    @property
+    def address(self) -> int:
+        """Return a digest of the host and the prefix that fits into a record."""
+        return xxhash.xxh3_64_intdigest(f"{self.host} {self.prefix}".encode())
+
+
+@dataclass(frozen=True, slots=True)
+class RouteMatch:
+    """The queue that a request selects.
+
+    Attributes:
+        queue: Name of the queue.
+        address: Digest of the host and path prefix that selected it.
+        rest: Path after the prefix.
+    """
+
+    queue: str
+    address: int
+    rest: str
+
 
 @dataclass(frozen=True, slots=True)
 class OperatorConfig:
--- a/courselead/platform/ingress.py
+++ b/courselead/platform/ingress.py
@@ -203,13 +203,12 @@
             return _Response(503, {"error": "no configuration yet; come back later"})
         headers = dict(scope["headers"])
         host = headers.get(b"host", b"").decode("latin-1").partition(":")[0]
-        route = self._intake.queue_for(host, scope["path"])
+        route = self._intake.route(host, scope["path"])
         if route is None:
             return _Response(
                 404, {"error": "no queue has this host and path; check both"}
             )
-        queue, rest = route
-        caller = self._intake.authenticate(queue, _credentials(scope))
+        caller = self._intake.authenticate(route, _credentials(scope))
         if not self._intake.can_check_credentials(caller):
             return _Response(
                 503, {"error": "credentials cannot be checked; ask another host"}
@@ -218,9 +217,9 @@
             return _Response(401, {"error": "send one known credential in X-Api-Key"})
         if isinstance(body, _Response):
             return body
-        method = scope["method"]
+        method, rest = scope["method"], route.rest
         if method == "GET" and not rest:
-            return _Response(200, {"pending": self._intake.pending(queue).pending})
+            return _Response(200, {"pending": self._intake.pending(caller).pending})
         if not _JOB_ID.fullmatch(rest):
             return _Response(
                 400, {"error": "the path must end with 16 hexadecimal digits"}
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -334,8 +334,10 @@
 async def test_the_longest_matching_prefix_selects_the_queue():
     ingress = IngressHarness(MemoryLog())
     ingress.configure()
-    assert ingress.operator_config.route("a.example", f"/q/{JOB}") == ("r-1", JOB)
-    assert ingress.operator_config.route("a.example", f"/q/long/{JOB}") == ("r-2", JOB)
+    short = ingress.operator_config.route("a.example", f"/q/{JOB}")
+    assert (short.queue, short.rest) == ("r-1", JOB)
+    long = ingress.operator_config.route("a.example", f"/q/long/{JOB}")
+    assert (long.queue, long.rest) == ("r-2", JOB)
     assert (await ingress.call("GET", "/other/"))[0] == 404
     assert (await ingress.call("GET", "/q/", host=b"b.example"))[0] == 404
 
