Check the records of jobs of both earlier versions

The test cut off the last field of a job's record to get an earlier version's. It checks records of both earlier versions now.

--- a/tests/daemon/scheduling/test_log.py
+++ b/tests/daemon/scheduling/test_log.py
@@ -68,12 +68,14 @@
 
 def test_hosts_of_two_versions_read_each_others_jobs():
     # Guards against an upgrade that loses the jobs accepted before it.
-    newer = encode(JobAccepted(JOB, "q", SPEC, "a", QUEUE))
+    newer = encode(JobAccepted(JOB, "q", SPEC, "a", QUEUE, 5))
     fields = msgspec.msgpack.decode(newer.value)
-    older = KeyedRecord(newer.key, msgspec.msgpack.encode(fields[:-1]))
-    assert decode(older) == JobAccepted(JOB, "q", SPEC, "a")
+    without_settings = KeyedRecord(newer.key, msgspec.msgpack.encode(fields[:-2]))
+    assert decode(without_settings) == JobAccepted(JOB, "q", SPEC, "a")
+    without_address = KeyedRecord(newer.key, msgspec.msgpack.encode(fields[:-1]))
+    assert decode(without_address) == JobAccepted(JOB, "q", SPEC, "a", QUEUE)
     newest = KeyedRecord(newer.key, msgspec.msgpack.encode([*fields, "later"]))
-    assert decode(newest) == JobAccepted(JOB, "q", SPEC, "a", QUEUE)
+    assert decode(newest) == JobAccepted(JOB, "q", SPEC, "a", QUEUE, 5)
 
 
 def test_a_record_of_unknown_kind_is_refused():
