Ask for advice about the minions that nothing is known of

Cause: each call named the first 100 minions in the order of the list. Denials were not remembered, room and the service's times were not looked at, and a call of over 2 s was given up before it could be answered.

Answers are remembered by minion's life; calls name minions with room that nothing is known of, as many as the queue's settings allow, and their timeout follows from these.

--- a/courselead/core/scheduler/events.py
+++ b/courselead/core/scheduler/events.py
@@ -201,11 +201,12 @@
 
     Attributes:
         tickets: Tickets by minion.
+        valid_ms: Time for which they are valid, None if the answer does not say.
     """
 
     step: str
     tickets: dict[str, str]
-    valid_ms: int
+    valid_ms: int | None
 
 
 @dataclass(frozen=True, slots=True)
@@ -404,6 +405,7 @@
 
     step: str
     minion_ids: tuple[str, ...]
+    timeout_ms: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/courselead/core/scheduler/minions.py
+++ b/courselead/core/scheduler/minions.py
@@ -17,6 +17,7 @@
     run_ends,
     service_stops,
     stalls,
+    tickets,
 )
 from courselead.core.scheduler.events import (
     OrderAnswered,
@@ -347,7 +348,7 @@
         case Outcome.NO_CAPACITY:
             minion.rest_until_ms = schedule.now_ms + const.CAPACITY_REFUSAL_MS
         case Outcome.NO_TICKET:
-            schedule.advice.pop(unit.step.name, None)
+            tickets.ticket_refused(schedule, unit, minion.minion_id)
         case Outcome.NOT_SENT if run.phase is RunPhase.STOPPING:
             # It was stopped while it waited; nothing is wrong with the minion.
             pass
--- a/courselead/core/scheduler/placement.py
+++ b/courselead/core/scheduler/placement.py
@@ -168,18 +168,40 @@
 def _try_start(
     selection: Selection, minions: list[Minion], fitting_by_step: FittingMinions
 ) -> bool:
+    if not selection.unit.job.advised:
+        return _try_start_on(selection, minions, fitting_by_step, {})
+    valid = tickets.valid_tickets(selection.schedule, selection.unit, minions)
+    allowed = [item for item in minions if item.minion_id in valid]
+    if allowed and _try_start_on(selection, allowed, fitting_by_step, valid):
+        return True
+    _ask_advice(selection, minions)
+    return False
+
+
+def _ask_advice(selection: Selection, minions: list[Minion]) -> None:
+    """Ask which of the minions that a unit would use may run its step."""
+    schedule, unit = selection.schedule, selection.unit
+    if not tickets.may_ask(schedule, unit):
+        return
+    if selection.isolation is not None:
+        minions = selection.isolation.allowed_minions(unit, minions)
+    # A gang that has found no places may have left some reserved.
+    selection.reserved = None
+    tickets.ask(schedule, unit, minion_filters.fitting_minions(selection, minions))
+
+
+def _try_start_on(
+    selection: Selection,
+    minions: list[Minion],
+    fitting_by_step: FittingMinions,
+    ticket_by_minion: dict[str, str],
+) -> bool:
+    """Start a unit on some of the minions; returns False if it does not fit."""
     schedule, unit = selection.schedule, selection.unit
-    isolation = selection.isolation
-    ticket_by_minion: dict[str, str] | None = None
-    if unit.job.advised:
-        ticket_by_minion = tickets.tickets_for(schedule, unit, minions)
-        if ticket_by_minion is None:
-            return False
-        minions = [item for item in minions if item.minion_id in ticket_by_minion]
     if not unit.job.zone or unit.job.zone in schedule.evacuated_zones:
         unit.job.zone = zone_for(unit, minions)
-    if isolation is not None:
-        minions = isolation.allowed_minions(unit, minions)
+    if selection.isolation is not None:
+        minions = selection.isolation.allowed_minions(unit, minions)
     if selection.spec.gang:
         places = gangs.find_places(selection, minions)
     else:
@@ -193,7 +215,7 @@
 def _start_unit(
     selection: Selection,
     places: list[tuple[int, Minion]],
-    ticket_by_minion: dict[str, str] | None,
+    ticket_by_minion: dict[str, str],
 ) -> None:
     """Start the tasks of a unit, each on the minion found for it."""
     schedule, unit = selection.schedule, selection.unit
@@ -214,7 +236,7 @@
         resumed=bool(unit.checkpoint),
     )
     for index, minion in places:
-        ticket = ticket_by_minion[minion.minion_id] if ticket_by_minion else ""
+        ticket = ticket_by_minion.get(minion.minion_id, "")
         _start(schedule, unit, index, minion, number, ticket)
         if selection.isolation is not None:
             selection.isolation.record_start(unit, minion.minion_id)
--- a/courselead/core/scheduler/schedule.py
+++ b/courselead/core/scheduler/schedule.py
@@ -39,16 +39,7 @@
     Unit,
     first_run_of,
 )
-
-
-@dataclass(slots=True)
-class StepAdvice:
-    """Tickets for a step by minion; `asked` is set while a request is pending."""
-
-    tickets: dict[str, str] = field(default_factory=dict)
-    until_ms: int = 0
-    asked: bool = False
-    retry_ms: int = 0
+from courselead.core.scheduler.step_advice import StepAdvice
 
 
 @dataclass(slots=True)
@@ -173,7 +164,11 @@
     dirty_waves: set[int] = field(default_factory=set)
     open_batch: int = 1
     saved_batch: int = 0
+    # What the advice service has said, by step, and the steps with open calls to it.
     advice: dict[str, StepAdvice] = field(default_factory=dict)
+    open_advice_calls: set[str] = field(default_factory=set)
+    # Minions that the newest answer with any tickets has allowed, by queue.
+    advised_minions: dict[str, frozenset[str]] = field(default_factory=dict)
     workers: dict[str, Worker] = field(default_factory=dict)
     workers_asked_ms: int = 0
     workers_ms: int = -1
--- a/courselead/core/scheduler/state.py
+++ b/courselead/core/scheduler/state.py
@@ -8,6 +8,7 @@
 
 from courselead.core.scheduler import const
 from courselead.core.scheduler.models import (
+    AdvicePolicy,
     Incarnation,
     JobSpec,
     JobState,
@@ -436,7 +437,12 @@
     @property
     def advised(self) -> bool:
         """Return whether the advice service decides where its tasks may start."""
-        return self.settings is not None and self.settings.advice is not None
+        return self.advice_policy is not None
+
+    @property
+    def advice_policy(self) -> AdvicePolicy | None:
+        """Return the policy of its queue, None if its tasks may start anywhere."""
+        return None if self.settings is None else self.settings.advice
 
 
 @dataclass(frozen=True, slots=True)
--- a/courselead/daemon/scheduling/cloud_tasks.py
+++ b/courselead/daemon/scheduling/cloud_tasks.py
@@ -21,9 +21,6 @@
 
 _LOGGER = structlog.get_logger(__name__)
 
-ADVICE_TIMEOUT_MS = 2_000
-"""Timeout of a call to the advice service, which handles one call at a time."""
-
 STATUS_TIMEOUT_MS = 500
 STATUS_RETRY_S = 0.2
 """Timeout and retry pause of a status record's append."""
@@ -44,11 +41,10 @@
 
     async def ask_advice(self, ask: AskAdvice) -> None:
         """Ask the advice service which minions may run a step, one call at a time."""
-        timeout_ms = ADVICE_TIMEOUT_MS
         async with self._advice_lock:
             self._counters.add("advice_calls")
             result = await self._platform.advice.request_tickets(
-                ask.step, ask.minion_ids, timeout_ms
+                ask.step, ask.minion_ids, ask.timeout_ms
             )
         if isinstance(result, Failure):
             _LOGGER.info("advice_failed", step=ask.step, reason=result.failure())
--- a/courselead/daemon/scheduling/ports.py
+++ b/courselead/daemon/scheduling/ports.py
@@ -234,10 +234,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Tickets:
-    """A response of the advice service."""
+    """A response of the advice service.
+
+    Attributes:
+        tickets: Tickets by minion.
+        valid_ms: Time for which they are valid, None if the response does not say.
+    """
 
     tickets: dict[str, str]
-    valid_ms: int
+    valid_ms: int | None
 
 
 class AdviceService(Protocol):
--- a/courselead/platform/cloud.py
+++ b/courselead/platform/cloud.py
@@ -50,7 +50,7 @@
 class _WireAdviceResponse(msgspec.Struct, rename="camel"):
     # Pairs of minion id and ticket.
     good: list[tuple[str, str]] = []
-    valid_ms: ranges.DurationMs = 3_000
+    valid_ms: ranges.DurationMs | None = None
 
 
 _ADVICE_DECODER = JsonDecoder(_WireAdviceResponse)
--- a/tests/core/scheduler/test_jobs.py
+++ b/tests/core/scheduler/test_jobs.py
@@ -111,6 +111,8 @@
     world = World(minions=3, cfg=config(advice=AdvicePolicy(5, 1, 3_000)))
     world.advised = {"i2": "ticket"}
     world.claim()
+    # All minions have reported by then, so one call names all of them.
+    world.run(100)
     job_id = world.submit(job(step(2)))
     world.run(2_000)
     assert world.state(job_id) is JobState.COMPLETED
--- a/tests/core/scheduler/world.py
+++ b/tests/core/scheduler/world.py
@@ -15,6 +15,7 @@
 from courselead.core.scheduler import events as ev
 from courselead.core.scheduler.book import JobBook
 from courselead.core.scheduler.models import (
+    AdvicePolicy,
     Bounds,
     ClientAccount,
     FleetConfig,
@@ -79,6 +80,9 @@
 CONFIG_MS = 3_000
 """Time within which a new configuration must take effect."""
 
+MAX_ADVISED_AT_ONCE = 100
+"""Maximum number of minions in one call to the advice service."""
+
 QUEUE = "q"
 ZONES = ("z0", "z1", "z2")
 CAPACITY = Resources(4_000, 4_000)
@@ -191,6 +195,10 @@
         self.wave_status: list[tuple[int, bool]] = []
         self.advised: dict[str, str] = {}
         self.advice_calls = 0
+        self.advice_slowness = 1.0
+        self.refused_tickets = 0
+        self.asked_minions: Counter[str] = Counter()
+        self._advice_free_ms = 0
         self.paces: list[tuple[str, int]] = []
         self.figures: dict[str, int] = {}
         self.orders: list[ev.Effect] = []
@@ -632,6 +640,7 @@
         if self.guards and not fits:
             return ev.Outcome.NO_CAPACITY
         if self.advised and order.ticket != self.advised.get(minion.minion_id):
+            self.refused_tickets += 1
             return ev.Outcome.NO_TICKET
         assert fits, f"LIMIT: {order.task} on {minion.minion_id}"
         self._check_start(minion, order, spec)
@@ -791,9 +800,30 @@
             case ev.SaveWaveStatus():
                 self.wave_status.append((effect.wave, effect.completed))
             case ev.AskAdvice():
-                self.advice_calls += 1
-                given = ev.AdviceAnswered(effect.step, dict(self.advised), 3_000)
-                self._at(LATENCY_MS, lambda: self._reply(owner, given))
+                self._give_advice(owner, effect)
+
+    def _give_advice(self, owner: Scheduler, asked: ev.AskAdvice) -> None:
+        """Answer a call as the advice service does, or let it time out."""
+        assert 0 < len(asked.minion_ids) <= MAX_ADVISED_AT_ONCE
+        self.advice_calls += 1
+        self.asked_minions.update(asked.minion_ids)
+        policy = self.queue_settings[-1].advice or AdvicePolicy(0, 0, 3_000)
+        took_ms = policy.decide_ms + policy.each_ms * len(asked.minion_ids)
+        took_ms = int(took_ms * self.advice_slowness)
+        begin_ms = max(self.now_ms, self._advice_free_ms)
+        self._advice_free_ms = begin_ms + took_ms
+        if took_ms > asked.timeout_ms:
+            failed = ev.AdviceFailed(asked.step, "timeout")
+            delay_ms = begin_ms + asked.timeout_ms - self.now_ms
+            self._at(delay_ms, lambda: self._reply(owner, failed))
+            return
+        tickets = {}
+        for minion_id in asked.minion_ids:
+            if minion_id in self.advised:
+                tickets[minion_id] = self.advised[minion_id]
+        given = ev.AdviceAnswered(asked.step, tickets, None)
+        delay_ms = self._advice_free_ms + LATENCY_MS - self.now_ms
+        self._at(delay_ms, lambda: self._reply(owner, given))
 
     def _held_starts_of(self, owner: Scheduler) -> HeldStarts:
         """Return the starts of an owner that wait for a save, as held by the daemon."""
