Store the cancel of a job that is not known

Cause: the cancel of a job that is not in the log left no trace, while its submission may be on its way in a host that stands still, a forward to the owner's host or an append without an answer.

Such a cancel is stored before it is acknowledged; the log's order decides. It holds for 60 s and for jobs that its caller may see.

--- a/courselead/core/scheduler/book.py
+++ b/courselead/core/scheduler/book.py
@@ -5,8 +5,11 @@
 from dataclasses import dataclass
 
 from courselead.core.scheduler.bursts import BurstMemory
+from courselead.core.scheduler.early_cancels import EarlyCancels
 from courselead.core.scheduler.models import JobSpec, JobState, Queue
 from courselead.core.scheduler.records import (
+    EarlyCancel,
+    EarlyCancelForgotten,
     HostAddress,
     JobAccepted,
     JobCancelled,
@@ -56,6 +59,16 @@
         """
         return queue == self.queue or (address != 0 and address == self.address)
 
+    def is_visible_to(self, queue: str, account: str, address: int) -> bool:
+        """Return whether a caller may see and cancel this job.
+
+        A job without an account is visible to everyone who knows its id; ids are not
+        disclosed.
+        """
+        if self.account not in ("", account):
+            return False
+        return self.is_reached_by(queue, address)
+
     @property
     def held_bytes(self) -> int:
         """Return the memory of the job on the host that owns the schedule."""
@@ -121,6 +134,7 @@
         self.duplicates: set[tuple[str, str]] = set()
         self._early_progress: dict[str, JobProgress] = {}
         self._early_cancels: set[str] = set()
+        self.early_cancels = EarlyCancels()
 
     def apply(self, record: Record) -> None:
         """Apply a record."""
@@ -131,6 +145,11 @@
                 self._progressed(record)
             case JobCancelled():
                 self._cancelled(record)
+            case EarlyCancel():
+                self.early_cancels.add(record)
+                self._cancel_early(record)
+            case EarlyCancelForgotten():
+                self.early_cancels.remove(record.key)
             case JobForgotten():
                 self._forgotten(record)
             case HostAddress():
@@ -183,6 +202,8 @@
         entry.cancelled = record.job_id in self._early_cancels
         self._early_cancels.discard(record.job_id)
         self.jobs[record.job_id] = entry
+        for cancel in self.early_cancels.of_job(record.job_id):
+            self._cancel_early(cancel)
 
     def _forgotten(self, record: JobForgotten) -> None:
         entry = self.jobs.get(record.job_id)
@@ -205,6 +226,18 @@
             return
         entry.progress = record
 
+    def _cancel_early(self, record: EarlyCancel) -> None:
+        """Cancel a job that its caller has cancelled before it was known.
+
+        It must be a job that this caller could have cancelled afterwards.
+        """
+        entry = self.jobs.get(record.job_id)
+        if entry is None or not entry.is_visible_to(
+            record.queue, record.account, record.address
+        ):
+            return
+        entry.cancelled = True
+
     def _cancelled(self, record: JobCancelled) -> None:
         entry = self.jobs.get(record.job_id)
         if entry is None:
--- a/courselead/core/scheduler/const.py
+++ b/courselead/core/scheduler/const.py
@@ -318,6 +318,16 @@
 UNSEEN_MS = 100
 """Time for which the estimate of unseen use is cached: one tick."""
 
+EARLY_CANCEL_MS = 60_000
+"""Time for which the cancel of an unknown job holds for a submission that follows.
+
+A submission may wait in a host that stands still, and in an append that is carried out
+seconds later.
+"""
+
+FORGOTTEN_AT_ONCE = 1_000
+"""Maximum number of early cancels that are removed from the log by one append."""
+
 OPEN_OCCURRENCES = 200
 """Maximum number of open occurrences of a job.
 
--- a/courselead/core/scheduler/events.py
+++ b/courselead/core/scheduler/events.py
@@ -118,6 +118,13 @@
     job_id: str
 
 
+@dataclass(frozen=True, slots=True)
+class EarlyCancelStored:
+    """A caller has cancelled a job that was not known."""
+
+    job_id: str
+
+
 @dataclass(frozen=True, slots=True)
 class JobCancelRequested:
     """The log contains a cancellation of a job."""
@@ -282,6 +289,7 @@
     | MinionUnlisted
     | JobArrived
     | JobCancelRequested
+    | EarlyCancelStored
     | PollAnswered
     | PollFailed
     | OrderAnswered
@@ -385,6 +393,13 @@
     progress: JobProgress | WaveProgress
 
 
+@dataclass(frozen=True, slots=True)
+class ForgetEarlyCancels:
+    """Remove records of early cancels from the log, by their keys."""
+
+    keys: tuple[bytes, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class ForgetJob:
     """Drop the records of a job that ended long ago, or of a duplicate.
@@ -486,6 +501,7 @@
     | PaceRun
     | SaveProgress
     | ForgetJob
+    | ForgetEarlyCancels
     | AskAdvice
     | MoveWorker
     | MaintainWorker
--- a/courselead/core/scheduler/jobs.py
+++ b/courselead/core/scheduler/jobs.py
@@ -6,7 +6,7 @@
 
 from courselead.core.scheduler import const, job_progress, ready_lists
 from courselead.core.scheduler.book import JobEntry
-from courselead.core.scheduler.events import ForgetJob, SaveProgress
+from courselead.core.scheduler.events import ForgetEarlyCancels, ForgetJob, SaveProgress
 from courselead.core.scheduler.models import (
     FleetConfig,
     JobSpec,
@@ -66,6 +66,38 @@
         entry: The job with its stored progress.
         from_before: Whether an earlier owner may have started some of its tasks.
     """
+    job = _add_job(schedule, entry, from_before)
+    progress = entry.progress
+    if not from_before:
+        job.opened_fence = schedule.fence
+    elif progress is not None:
+        job.opened_fence = progress.opened_fence
+    saved: dict[int, OccurrenceProgress] = {}
+    if progress is not None:
+        job.begun = progress.begun
+        job.closed = set(progress.closed)
+        job.ended_ms = progress.ended_ms
+        saved = {item.number: item for item in progress.occurrences}
+    if not job.spec.timed:
+        _open_occurrence(schedule, job, 0, saved.get(0))
+        return job
+    for number, item in sorted(saved.items()):
+        _open_occurrence(schedule, job, number, item)
+    open_due(schedule, job)
+    return job
+
+
+def add_cancelled(schedule: Schedule, entry: JobEntry) -> None:
+    """Add a job that was cancelled before it arrived: none of its tasks ever starts."""
+    job = _add_job(schedule, entry, from_before=False)
+    job.opened_fence = schedule.fence
+    job.ended_ms = schedule.wall_ms
+    save(schedule, job)
+    _log_job(schedule, job, "job_ended", CANCELLED)
+
+
+def _add_job(schedule: Schedule, entry: JobEntry, from_before: bool) -> Job:
+    """Add a job from the log without any occurrence."""
     job = Job(
         entry.job_id,
         entry.queue,
@@ -89,23 +121,6 @@
     )
     job.state = entry.state
     job.cancelled = entry.cancelled
-    progress = entry.progress
-    if not from_before:
-        job.opened_fence = schedule.fence
-    elif progress is not None:
-        job.opened_fence = progress.opened_fence
-    saved: dict[int, OccurrenceProgress] = {}
-    if progress is not None:
-        job.begun = progress.begun
-        job.closed = set(progress.closed)
-        job.ended_ms = progress.ended_ms
-        saved = {item.number: item for item in progress.occurrences}
-    if not job.spec.timed:
-        _open_occurrence(schedule, job, 0, saved.get(0))
-        return job
-    for number, item in sorted(saved.items()):
-        _open_occurrence(schedule, job, number, item)
-    open_due(schedule, job)
     return job
 
 
@@ -308,6 +323,16 @@
     _stop_runs(schedule, job, CANCELLED)
 
 
+def cancel_early(schedule: Schedule, job_id: str) -> None:
+    """Cancel a job, if it exists, for which an early cancel was just stored.
+
+    The cancel may be of another caller who cannot see the job.
+    """
+    entry = schedule.book.jobs.get(job_id)
+    if entry is not None and entry.cancelled:
+        cancel(schedule, job_id)
+
+
 def end_job(schedule: Schedule, job: Job, state: JobState, reason: str) -> None:
     """End a job, so that none of its tasks start any more.
 
@@ -398,6 +423,25 @@
         schedule.emit(ForgetJob(job_id, account, is_duplicate=True))
 
 
+def forget_early_cancels(schedule: Schedule) -> None:
+    """Remove early cancels from the log that no submission can follow any more.
+
+    Their ages count from when this owner first saw them, as records have no times.
+    """
+    known = schedule.book.early_cancels.keys
+    seen_ms = schedule.early_cancels_seen_ms
+    for key in seen_ms.keys() - known:
+        del seen_ms[key]
+    expired = []
+    for key in known:
+        age_ms = schedule.now_ms - seen_ms.setdefault(key, schedule.now_ms)
+        if age_ms >= const.EARLY_CANCEL_MS:
+            expired.append(key)
+    for start in range(0, len(expired), const.FORGOTTEN_AT_ONCE):
+        batch = expired[start : start + const.FORGOTTEN_AT_ONCE]
+        schedule.emit(ForgetEarlyCancels(tuple(batch)))
+
+
 def drop_job(schedule: Schedule, job_id: str) -> None:
     """Remove a job from the schedule."""
     job = schedule.jobs.pop(job_id, None)
--- a/courselead/core/scheduler/records.py
+++ b/courselead/core/scheduler/records.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import msgspec
+import xxhash
 
 from courselead.core.scheduler.bursts import BurstMemory
 from courselead.core.scheduler.models import JobSpec, JobState, Queue
@@ -108,6 +109,31 @@
     job_id: str
 
 
+class EarlyCancel(msgspec.Struct, frozen=True, array_like=True):
+    """A caller's request to cancel a job that was unknown to the host that was asked.
+
+    The job's submission may still be on its way to the log. If it is stored before or
+    after this record, the job is cancelled.
+
+    Attributes:
+        job_id: Id of the job.
+        queue: Queue that was called.
+        account: Client account of the caller, "" if it has none.
+        address: Digest of the host and path prefix that were called.
+    """
+
+    job_id: str
+    queue: str
+    account: str = ""
+    address: int = 0
+
+
+class EarlyCancelForgotten(msgspec.Struct, frozen=True, array_like=True):
+    """The removal of the record of an early cancel, by its key."""
+
+    key: bytes
+
+
 class JobForgotten(msgspec.Struct, frozen=True, array_like=True):
     """The removal of a record of a job that ended long ago.
 
@@ -202,6 +228,8 @@
     | JobAccepted
     | JobProgress
     | JobCancelled
+    | EarlyCancel
+    | EarlyCancelForgotten
     | JobForgotten
     | OwnerHeartbeat
     | WaveProgress
@@ -213,6 +241,7 @@
 _KEY_ACCEPTED = b"j"
 _KEY_PROGRESS = b"p"
 _KEY_CANCELLED = b"x"
+_KEY_EARLY_CANCEL = b"c"
 _KEY_OWNER = b"o"
 _KEY_WAVE = b"w"
 _KEY_HOST = b"h"
@@ -221,6 +250,7 @@
     _KEY_ACCEPTED: JobAccepted,
     _KEY_PROGRESS: JobProgress,
     _KEY_CANCELLED: JobCancelled,
+    _KEY_EARLY_CANCEL: EarlyCancel,
     _KEY_OWNER: OwnerHeartbeat,
     _KEY_WAVE: WaveProgress,
     _KEY_HOST: HostAddress,
@@ -247,6 +277,10 @@
             key = _KEY_PROGRESS + record.job_id.encode()
         case JobCancelled():
             key = _KEY_CANCELLED + record.job_id.encode()
+        case EarlyCancel():
+            key = early_cancel_key(record)
+        case EarlyCancelForgotten():
+            return KeyedRecord(record.key, b"")
         case OwnerHeartbeat():
             key = _KEY_OWNER
         case WaveProgress():
@@ -263,6 +297,13 @@
     return _KEY_ACCEPTED + job_id.encode() + account.encode()
 
 
+def early_cancel_key(record: EarlyCancel) -> bytes:
+    """Return a key that differs for callers of other accounts and queues."""
+    caller = f"{record.account} {record.queue} {record.address}"
+    digest = xxhash.xxh3_64_hexdigest(caller.encode())
+    return _KEY_EARLY_CANCEL + record.job_id.encode() + digest.encode()
+
+
 def forget(job_id: str, account: str = "") -> list[KeyedRecord]:
     """Return the records that drop all stored state of a job."""
     name = job_id.encode()
@@ -285,6 +326,8 @@
     prefix, name = keyed.key[:1], keyed.key[1:]
     if prefix not in _DECODERS:
         raise ValueError("record with an unknown kind of key")
+    if not keyed.value and prefix == _KEY_EARLY_CANCEL:
+        return EarlyCancelForgotten(keyed.key)
     if not keyed.value and prefix == _KEY_ACCEPTED:
         job_id, account = name[:JOB_ID_LENGTH], name[JOB_ID_LENGTH:]
         return JobForgotten(job_id.decode(), account.decode())
--- a/courselead/core/scheduler/schedule.py
+++ b/courselead/core/scheduler/schedule.py
@@ -167,6 +167,8 @@
     # What the advice service has said, by step, and the steps with open calls to it.
     advice: dict[str, StepAdvice] = field(default_factory=dict)
     open_advice_calls: set[str] = field(default_factory=set)
+    # When this owner first saw each early cancel, by the key of its record.
+    early_cancels_seen_ms: dict[bytes, int] = field(default_factory=dict)
     # Minions that the newest answer with any tickets has allowed, by queue.
     advised_minions: dict[str, frozenset[str]] = field(default_factory=dict)
     workers: dict[str, Worker] = field(default_factory=dict)
--- a/courselead/core/scheduler/scheduler.py
+++ b/courselead/core/scheduler/scheduler.py
@@ -24,6 +24,7 @@
     AdviceFailed,
     CloudOrderAnswered,
     ConfigChanged,
+    EarlyCancelStored,
     Effect,
     Event,
     JobArrived,
@@ -140,6 +141,8 @@
                 self._job_arrived(event.job_id)
             case JobCancelRequested():
                 jobs.cancel(schedule, event.job_id)
+            case EarlyCancelStored():
+                jobs.cancel_early(schedule, event.job_id)
             case ProgressSaved():
                 self._saved(event.batch)
             case MinionListed():
@@ -262,6 +265,9 @@
         entry = schedule.book.jobs.get(job_id)
         if entry is None or job_id in schedule.jobs:
             return
+        if entry.cancelled:
+            jobs.add_cancelled(schedule, entry)
+            return
         job = jobs.open_job(schedule, entry, from_before=False)
         arrivals.job_arrived(schedule, job)
 
@@ -362,3 +368,4 @@
         if schedule.now_ms - self._forgot_ms >= FORGET_PERIOD_MS:
             self._forgot_ms = schedule.now_ms
             jobs.forget_old(schedule)
+            jobs.forget_early_cancels(schedule)
--- a/courselead/daemon/scheduling/follower.py
+++ b/courselead/daemon/scheduling/follower.py
@@ -11,6 +11,7 @@
 
 from courselead.core.scheduler.book import JobBook
 from courselead.core.scheduler.records import (
+    EarlyCancel,
     JobAccepted,
     JobCancelled,
     JobProgress,
@@ -247,7 +248,12 @@
         self.owner_seen_at = 0.0
         self._counters = counters
         self._follower = KeyedFollower(
-            "jobs", log, self._apply, pause_s=READ_PAUSE_S, counters=counters
+            "jobs",
+            log,
+            self._apply,
+            self.book.early_cancels.keep_only,
+            pause_s=READ_PAUSE_S,
+            counters=counters,
         )
         self._follower.on_recovery = self._on_log_recovered
         self._follower.on_read = on_read
@@ -288,7 +294,7 @@
             return self._last_outcome
         return await self._read(anyio.Event())
 
-    def apply_stored(self, record: JobAccepted | JobCancelled) -> None:
+    def apply_stored(self, record: JobAccepted | JobCancelled | EarlyCancel) -> None:
         """Apply a record that this host has stored, before it is read back."""
         self.book.apply(record)
 
--- a/courselead/daemon/scheduling/intake.py
+++ b/courselead/daemon/scheduling/intake.py
@@ -13,7 +13,11 @@
 from courselead.core.scheduler.admission import Rejection, RejectReason
 from courselead.core.scheduler.book import JobEntry
 from courselead.core.scheduler.models import JobSpec, JobState
-from courselead.core.scheduler.records import JobAccepted, JobCancelled
+from courselead.core.scheduler.records import (
+    EarlyCancel,
+    JobAccepted,
+    JobCancelled,
+)
 from courselead.daemon.scheduling.follower import JobFollower
 from courselead.daemon.scheduling.job_admission import JobAdmission
 from courselead.daemon.scheduling.operator_config import OperatorConfigView
@@ -78,14 +82,8 @@
     address: int = 0
 
     def may_see(self, entry: JobEntry) -> bool:
-        """Return whether a job is visible to this caller.
-
-        A job without an account is visible to everyone who knows its id; ids are not
-        disclosed.
-        """
-        if entry.account not in ("", self.account):
-            return False
-        return entry.is_reached_by(self.queue, self.address)
+        """Return whether a job is visible to this caller."""
+        return entry.is_visible_to(self.queue, self.account, self.address)
 
 
 _ID_TAKEN_REPLY = JobReply(
@@ -97,6 +95,10 @@
     Verdict.TOO_LARGE, reason="the hosts have no memory for all its tasks; split it"
 )
 
+_TOO_MANY_CANCELS_REPLY = JobReply(
+    Verdict.NOT_RUN, reason="too many unknown jobs were cancelled; come back later"
+)
+
 _LOG_UNREADABLE_REPLY = JobReply(Verdict.NOT_RUN, reason="the log cannot be read")
 
 
@@ -253,20 +255,40 @@
                 return self._with_retry(_LOG_UNREADABLE_REPLY)
             entry = self._visible_job(caller, job_id)
         if entry is None:
-            return self._log_reply(
-                "job_cancel", queue, job_id, JobReply(Verdict.NO_JOB)
-            )
+            return await self._cancel_unknown(caller, job_id)
         if entry.state.final and not entry.may_keep_running:
             return self._log_reply(
                 "job_cancel", queue, job_id, JobReply(Verdict.CANCELLED)
             )
-        record = JobCancelled(job_id)
-        reply = _reply_for_result(await self._writer.store(record), Verdict.CANCELLED)
-        if reply.verdict is Verdict.CANCELLED:
-            self._follower.apply_stored(record)
-        reply = self._with_retry(reply)
+        reply = await self._store_cancel(JobCancelled(job_id), Verdict.CANCELLED)
         return self._log_reply("job_cancel", queue, job_id, reply)
 
+    async def _cancel_unknown(self, caller: Caller, job_id: str) -> JobReply:
+        """Store the cancellation of a job that is not in the log.
+
+        Its submission may wait in another host, or in an append without an answer.
+        """
+        record = EarlyCancel(job_id, caller.queue, caller.account, caller.address)
+        early_cancels = self._follower.book.early_cancels
+        if early_cancels.has(record):
+            reply = JobReply(Verdict.NO_JOB)
+        elif early_cancels.is_full(record.account):
+            self._counters.add("early_cancels_rejected")
+            reply = self._with_retry(_TOO_MANY_CANCELS_REPLY)
+        else:
+            with early_cancels.storing(record.account):
+                reply = await self._store_cancel(record, Verdict.NO_JOB)
+        return self._log_reply("job_cancel", caller.queue, job_id, reply)
+
+    async def _store_cancel(
+        self, record: JobCancelled | EarlyCancel, success: Verdict
+    ) -> JobReply:
+        """Store a cancellation and return the reply to its caller."""
+        reply = _reply_for_result(await self._writer.store(record), success)
+        if reply.verdict is success:
+            self._follower.apply_stored(record)
+        return self._with_retry(reply)
+
     def pending(self, caller: Caller) -> JobReply:
         """Return how many jobs of a queue wait for their first task."""
         pending = self._follower.book.pending(caller.queue, caller.address)
--- a/courselead/daemon/scheduling/owner.py
+++ b/courselead/daemon/scheduling/owner.py
@@ -13,8 +13,10 @@
 from courselead.core.scheduler.events import (
     AskAdvice,
     ConfigChanged,
+    EarlyCancelStored,
     Effect,
     Event,
+    ForgetEarlyCancels,
     ForgetJob,
     JobArrived,
     JobCancelRequested,
@@ -42,6 +44,8 @@
 )
 from courselead.core.scheduler.models import Bounds, FleetConfig, MaintenanceWave
 from courselead.core.scheduler.records import (
+    EarlyCancel,
+    EarlyCancelForgotten,
     JobAccepted,
     JobCancelled,
     KeyedRecord,
@@ -298,6 +302,8 @@
                 self.handle(JobArrived(record.job_id))
             case JobCancelled():
                 self.handle(JobCancelRequested(record.job_id))
+            case EarlyCancel():
+                self.handle(EarlyCancelStored(record.job_id))
             case OwnerHeartbeat() if record.fence > self.fence:
                 self._lose_ownership("the log has a newer owner")
 
@@ -435,6 +441,8 @@
                 self._spawn(self._cloud.save_wave, effect)
             case ForgetJob():
                 self._spawn(self._forget, effect)
+            case ForgetEarlyCancels():
+                self._spawn(self._forget_early_cancels, effect)
             case StepDown():
                 self._lose_ownership(effect.reason)
             case LogEvent():
@@ -487,6 +495,12 @@
         if isinstance(result, Failure):
             _LOGGER.info("forget_failed", job_id=order.job_id)
 
+    async def _forget_early_cancels(self, order: ForgetEarlyCancels) -> None:
+        records = [encode(EarlyCancelForgotten(key)) for key in order.keys]
+        result = await self._platform.jobs.append(records, FORGET_TIMEOUT_MS)
+        if isinstance(result, Failure):
+            _LOGGER.info("forget_early_cancels_failed", count=len(records))
+
     # Saving state
 
     def _heartbeat_record(self, released: bool) -> KeyedRecord:
--- a/courselead/daemon/scheduling/writer.py
+++ b/courselead/daemon/scheduling/writer.py
@@ -9,6 +9,7 @@
 from returns.result import Success
 
 from courselead.core.scheduler.records import (
+    EarlyCancel,
     JobAccepted,
     JobCancelled,
     KeyedRecord,
@@ -79,7 +80,9 @@
         self._wake = anyio.Event()
         self._rejecting_until = 0.0
 
-    async def store(self, record: JobAccepted | JobCancelled) -> StoreResult:
+    async def store(
+        self, record: JobAccepted | JobCancelled | EarlyCancel
+    ) -> StoreResult:
         """Store a record through the owner's host or, if that fails, directly."""
         encoded = encode(record)
         if self._forwarder is None:
--- a/tests/core/scheduler/world.py
+++ b/tests/core/scheduler/world.py
@@ -30,6 +30,8 @@
     WorkerPhase,
 )
 from courselead.core.scheduler.records import (
+    EarlyCancel,
+    EarlyCancelForgotten,
     JobAccepted,
     JobCancelled,
     OwnerHeartbeat,
@@ -404,6 +406,11 @@
         self._cancelled_ms.setdefault(job_id, self.now_ms)
         self._tell(ev.JobCancelRequested(job_id))
 
+    def cancel_early(self, job_id: str, queue=QUEUE, account="") -> None:
+        """Cancel a job at a host that does not know it; it may be stored later."""
+        self.book.apply(EarlyCancel(job_id, queue, account))
+        self._tell(ev.EarlyCancelStored(job_id))
+
     def state(self, job_id: str) -> JobState:
         return self.book.jobs[job_id].state
 
@@ -797,6 +804,9 @@
             case ev.StepDown():
                 if owner in self.owners:
                     self.owners.remove(owner)
+            case ev.ForgetEarlyCancels():
+                for key in effect.keys:
+                    self.book.apply(EarlyCancelForgotten(key))
             case ev.SaveWaveStatus():
                 self.wave_status.append((effect.wave, effect.completed))
             case ev.AskAdvice():
