Drop the units of a job that has ended

Cause: admission counts an ended job with its specification only, but the owner kept its units until the job was forgotten, 240 s later, and all units of an ended job were made again for one reported run of it.

Units without runs are dropped with the job's end, the others with its last run, closed occurrences with theirs. Long-running tasks of a failed job keep their units.

--- a/courselead/core/scheduler/jobs.py
+++ b/courselead/core/scheduler/jobs.py
@@ -17,7 +17,7 @@
 )
 from courselead.core.scheduler.records import OccurrenceProgress, WaveProgress
 from courselead.core.scheduler.schedule import Schedule
-from courselead.core.scheduler.state import Job, StepRun, Suspect, Unit
+from courselead.core.scheduler.state import Job, Run, StepRun, Suspect, Unit
 
 CANCELLED = "cancelled by its caller"
 """Reason given when a job ends or its runs are stopped at the caller's request."""
@@ -66,18 +66,10 @@
         entry: The job with its stored progress.
         from_before: Whether an earlier owner may have started some of its tasks.
     """
-    job = _add_job(schedule, entry, from_before)
-    progress = entry.progress
-    if not from_before:
-        job.opened_fence = schedule.fence
-    elif progress is not None:
-        job.opened_fence = progress.opened_fence
+    job = _restore_job(schedule, entry, from_before)
     saved: dict[int, OccurrenceProgress] = {}
-    if progress is not None:
-        job.begun = progress.begun
-        job.closed = set(progress.closed)
-        job.ended_ms = progress.ended_ms
-        saved = {item.number: item for item in progress.occurrences}
+    if entry.progress is not None:
+        saved = {item.number: item for item in entry.progress.occurrences}
     if not job.spec.timed:
         _open_occurrence(schedule, job, 0, saved.get(0))
         return job
@@ -96,6 +88,21 @@
     _log_job(schedule, job, "job_ended", CANCELLED)
 
 
+def _restore_job(schedule: Schedule, entry: JobEntry, from_before: bool) -> Job:
+    """Add a job from the log with its stored progress, without any unit."""
+    job = _add_job(schedule, entry, from_before)
+    progress = entry.progress
+    if not from_before:
+        job.opened_fence = schedule.fence
+    elif progress is not None:
+        job.opened_fence = progress.opened_fence
+    if progress is not None:
+        job.begun = progress.begun
+        job.closed = set(progress.closed)
+        job.ended_ms = progress.ended_ms
+    return job
+
+
 def _add_job(schedule: Schedule, entry: JobEntry, from_before: bool) -> Job:
     """Add a job from the log without any occurrence."""
     job = Job(
@@ -141,7 +148,10 @@
 
 
 def unit_of(schedule: Schedule, task: str) -> Unit | None:
-    """Return the unit of a task by name; reopens the job if it has ended."""
+    """Return the unit of a task that a minion has reported, None if it has none.
+
+    An ended job has no units, except for the long-running tasks of one that failed.
+    """
     unit = schedule.units.get(task)
     if unit is not None:
         return unit
@@ -151,6 +161,9 @@
         entry = schedule.book.jobs.get(job_id)
         if entry is None:
             return None
+        if entry.state.final and not entry.may_keep_running:
+            _restore_job(schedule, entry, from_before=True)
+            return None
         job = open_job(schedule, entry, from_before=True)
     if job.state is JobState.FAILED and job.spec.timed and numbers:
         _open_failed_occurrence(schedule, job, numbers[0])
@@ -321,6 +334,7 @@
         end_job(schedule, job, JobState.CANCELLED, CANCELLED)
         return
     _stop_runs(schedule, job, CANCELLED)
+    _drop_idle_units(schedule, job)
 
 
 def cancel_early(schedule: Schedule, job_id: str) -> None:
@@ -342,10 +356,12 @@
     job.ended_ms = schedule.wall_ms
     save(schedule, job)
     _log_job(schedule, job, "job_ended", reason)
-    for steps in job.occurrences.values():
+    for number, steps in job.occurrences.items():
+        schedule.remaining_work.pop((job.job_id, number), None)
         for step in steps:
             schedule.advice.pop(step.name, None)
     _stop_runs(schedule, job, reason)
+    _drop_idle_units(schedule, job)
 
 
 def _stop_runs(schedule: Schedule, job: Job, reason: str) -> None:
@@ -517,11 +533,7 @@
 def _close_occurrence(schedule: Schedule, job: Job, number: int) -> None:
     job.closed.add(number)
     save(schedule, job)
-    steps = job.occurrences[number]
-    if not any(unit.runs for step in steps for unit in step.units):
-        _drop_units(schedule, steps)
-        del job.occurrences[number]
-        schedule.remaining_work.pop((job.job_id, number), None)
+    _drop_closed_occurrence(schedule, job, number)
     if job.state.final:
         return
     if len(job.closed) >= max(1, job.spec.repeats):
@@ -530,8 +542,61 @@
         _log_job(schedule, job, "job_ended", "")
 
 
+def drop_unneeded_units(schedule: Schedule, run: Run) -> None:
+    """Drop units that only a run which has just ended had kept.
+
+    Those of an ended job are dropped with its last run, those of a closed occurrence
+    with the last run of the occurrence.
+    """
+    step = run.unit.step
+    job = step.job
+    if job.state.final:
+        if not job.live_runs:
+            _drop_idle_units(schedule, job)
+    elif step.occurrence in job.closed and step.occurrence in job.occurrences:
+        _drop_closed_occurrence(schedule, job, step.occurrence)
+
+
+def _drop_closed_occurrence(schedule: Schedule, job: Job, number: int) -> None:
+    """Drop an occurrence whose tasks are all done, unless it still has runs."""
+    steps = job.occurrences[number]
+    if any(unit.runs for step in steps for unit in step.units):
+        return
+    _drop_units(schedule, steps)
+    del job.occurrences[number]
+    schedule.remaining_work.pop((job.job_id, number), None)
+
+
+def _drop_idle_units(schedule: Schedule, job: Job) -> None:
+    """Drop the units of an ended job that have no runs, to give their memory back.
+
+    A run of theirs that is reported later is stopped like any other one without a unit.
+    Long-running tasks of a failed job keep their units, since their runs go on. So do
+    units that an earlier owner may have started within the cap of an account.
+    """
+    may_run_unseen = bool(job.account) and job.from_before
+    if may_run_unseen and schedule.now_ms < schedule.old_leases_end_ms:
+        return
+    for steps in job.occurrences.values():
+        for step in steps:
+            if step.spec.long_running and not job.cancelled:
+                continue
+            kept = [unit for unit in step.units if unit.runs]
+            if len(kept) == len(step.units):
+                continue
+            for unit in step.units:
+                if not unit.runs:
+                    _drop_unit(schedule, unit)
+            step.units = kept
+
+
 def _drop_units(schedule: Schedule, steps: list[StepRun]) -> None:
     for step in steps:
         for unit in step.units:
-            for index in unit.indexes:
-                schedule.units.pop(unit.task_name(index), None)
+            _drop_unit(schedule, unit)
+
+
+def _drop_unit(schedule: Schedule, unit: Unit) -> None:
+    ready_lists.remove(schedule, unit)
+    for index in unit.indexes:
+        schedule.units.pop(unit.task_name(index), None)
--- a/courselead/core/scheduler/lost_runs.py
+++ b/courselead/core/scheduler/lost_runs.py
@@ -28,6 +28,7 @@
         age_ms=schedule.now_ms - run.started_ms,
     )
     schedule.drop_run(run)
+    jobs.drop_unneeded_units(schedule, run)
     stop_gang(schedule, unit, run.number)
     jobs.requeue(schedule, unit)
 
--- a/courselead/core/scheduler/run_ends.py
+++ b/courselead/core/scheduler/run_ends.py
@@ -33,6 +33,7 @@
         if completes_unit:
             _update_average_run_time(schedule, run)
         schedule.drop_run(run)
+        jobs.drop_unneeded_units(schedule, run)
     if end.kind is EndKind.DONE:
         minion.failures_in_row.clear()
     if completes_unit:
