Open jobs and occurrences as far as the owner has memory

Cause: occurrences were opened up to 200 of each job without regard to the memory of all, and admission counts one occurrence, and none of jobs of up to 1,000 tasks. As the jobs are in the store, each next owner opened them again.

The owner opens what fits into its memory for jobs, whatever the log holds, and the rest as other work ends; nothing more is refused. Stored progress of occurrences that are not open is kept.

--- a/courselead/core/scheduler/job_progress.py
+++ b/courselead/core/scheduler/job_progress.py
@@ -17,9 +17,11 @@
     """Return what is stored of a job."""
     occurrences = []
     if not job.state.final:
-        for number, steps in sorted(job.occurrences.items()):
+        occurrences.extend(job.saved.values())
+        for number, steps in job.occurrences.items():
             if number not in job.closed:
                 occurrences.append(_occurrence_progress(number, steps))
+        occurrences.sort(key=lambda item: item.number)
     return JobProgress(
         job.job_id,
         job.state,
--- a/courselead/core/scheduler/jobs.py
+++ b/courselead/core/scheduler/jobs.py
@@ -15,7 +15,7 @@
     Queue,
     StepSpec,
 )
-from courselead.core.scheduler.records import OccurrenceProgress, WaveProgress
+from courselead.core.scheduler.records import WaveProgress
 from courselead.core.scheduler.schedule import Schedule
 from courselead.core.scheduler.state import Job, Run, StepRun, Suspect, Unit
 
@@ -59,7 +59,7 @@
 
 
 def open_job(schedule: Schedule, entry: JobEntry, from_before: bool) -> Job:
-    """Add a job from the log to the schedule.
+    """Add a job from the log to the schedule, and open its first due occurrence.
 
     Args:
         schedule: The owner's state.
@@ -67,22 +67,18 @@
         from_before: Whether an earlier owner may have started some of its tasks.
     """
     job = _restore_job(schedule, entry, from_before)
-    saved: dict[int, OccurrenceProgress] = {}
-    if entry.progress is not None:
-        saved = {item.number: item for item in entry.progress.occurrences}
-    if not job.spec.timed:
-        _open_occurrence(schedule, job, 0, saved.get(0))
-        return job
-    for number, item in sorted(saved.items()):
-        _open_occurrence(schedule, job, number, item)
-    open_due(schedule, job)
+    if job.spec.timed:
+        open_next_due(schedule, job)
+    else:
+        _open_occurrence(schedule, job, 0)
     return job
 
 
-def add_cancelled(schedule: Schedule, entry: JobEntry) -> None:
-    """Add a job that was cancelled before it arrived: none of its tasks ever starts."""
-    job = _add_job(schedule, entry, from_before=False)
-    job.opened_fence = schedule.fence
+def add_cancelled(schedule: Schedule, entry: JobEntry, from_before: bool) -> None:
+    """Add a job that was cancelled before it was opened: none of its tasks starts."""
+    job = _restore_job(schedule, entry, from_before)
+    job.state = JobState.CANCELLED
+    job.cancelled = True
     job.ended_ms = schedule.wall_ms
     save(schedule, job)
     _log_job(schedule, job, "job_ended", CANCELLED)
@@ -100,6 +96,7 @@
         job.begun = progress.begun
         job.closed = set(progress.closed)
         job.ended_ms = progress.ended_ms
+        job.saved = {item.number: item for item in progress.occurrences}
     return job
 
 
@@ -131,26 +128,36 @@
     return job
 
 
-def open_due(schedule: Schedule, job: Job) -> None:
-    """Open the due occurrences of a timed job."""
-    if job.state.final:
-        return
+def next_due(schedule: Schedule, job: Job) -> int | None:
+    """Return the occurrence of a timed job to open next, None if none is due."""
+    if job.state.final or len(job.occurrences) >= const.OPEN_OCCURRENCES:
+        return None
+    if job.saved:
+        return min(job.saved)
     while job.next_occurrence < job.spec.repeats:
         number = job.next_occurrence
         if job.spec.due_ms(number) > schedule.wall_ms:
-            return
-        if len(job.occurrences) >= const.OPEN_OCCURRENCES:
-            return
+            return None
+        if number not in job.closed and number not in job.occurrences:
+            return number
         job.next_occurrence += 1
-        if number in job.closed or number in job.occurrences:
-            continue
-        _open_occurrence(schedule, job, number, None)
+    return None
+
+
+def open_next_due(schedule: Schedule, job: Job) -> bool:
+    """Open an occurrence of a timed job; returns whether one was due."""
+    number = next_due(schedule, job)
+    if number is None:
+        return False
+    _open_occurrence(schedule, job, number)
+    return True
 
 
 def unit_of(schedule: Schedule, task: str) -> Unit | None:
     """Return the unit of a task that a minion has reported, None if it has none.
 
-    An ended job has no units, except for the long-running tasks of one that failed.
+    The job, or its occurrence, may not be open yet. An ended job has no units, except
+    for the long-running tasks of one that failed.
     """
     unit = schedule.units.get(task)
     if unit is not None:
@@ -161,25 +168,30 @@
         entry = schedule.book.jobs.get(job_id)
         if entry is None:
             return None
+        schedule.waiting_jobs.pop(job_id, None)
         if entry.state.final and not entry.may_keep_running:
             _restore_job(schedule, entry, from_before=True)
             return None
         job = open_job(schedule, entry, from_before=True)
-    if job.state is JobState.FAILED and job.spec.timed and numbers:
-        _open_failed_occurrence(schedule, job, numbers[0])
+    if job.spec.timed and numbers:
+        _open_reported_occurrence(schedule, job, numbers[0])
     return schedule.units.get(task)
 
 
-def _open_failed_occurrence(schedule: Schedule, job: Job, name: str) -> None:
-    """Open an occurrence of a failed timed job, of which a task is reported.
+def _open_reported_occurrence(schedule: Schedule, job: Job, name: str) -> None:
+    """Open an occurrence of a timed job, of which a task is reported.
 
-    The record of such a job names no occurrences, but its long-running tasks go on.
+    The record of a failed job names no occurrences, but its long-running tasks go on.
+    Other jobs may have due occurrences that this owner has not opened yet.
     """
     number = _task_number(name)
-    if number is None:
+    if number is None or number >= job.spec.repeats:
+        return
+    if number in job.closed or number in job.occurrences:
         return
-    if number < job.spec.repeats and number not in job.closed | set(job.occurrences):
-        _open_occurrence(schedule, job, number, None)
+    is_due = job.spec.due_ms(number) <= schedule.wall_ms
+    if job.state is JobState.FAILED or (is_due and not job.state.final):
+        _open_occurrence(schedule, job, number)
 
 
 def _task_number(text: str) -> int | None:
@@ -326,6 +338,10 @@
 
 def cancel(schedule: Schedule, job_id: str) -> None:
     """Cancel a job at its caller's request."""
+    from_before = schedule.waiting_jobs.pop(job_id, None)
+    if from_before is not None:
+        add_cancelled(schedule, schedule.book.jobs[job_id], from_before)
+        return
     job = schedule.jobs.get(job_id)
     if job is None or job.cancelled:
         return
@@ -356,6 +372,7 @@
     job.ended_ms = schedule.wall_ms
     save(schedule, job)
     _log_job(schedule, job, "job_ended", reason)
+    job.saved.clear()
     for number, steps in job.occurrences.items():
         schedule.remaining_work.pop((job.job_id, number), None)
         for step in steps:
@@ -469,9 +486,8 @@
         _drop_units(schedule, steps)
 
 
-def _open_occurrence(
-    schedule: Schedule, job: Job, number: int, saved: OccurrenceProgress | None
-) -> None:
+def _open_occurrence(schedule: Schedule, job: Job, number: int) -> None:
+    saved = job.saved.pop(number, None)
     steps: list[StepRun] = []
     for step_number, spec in enumerate(job.spec.steps):
         step = StepRun(job, number, step_number, spec)
@@ -498,7 +514,6 @@
         step.open_units = sum(not unit.done for unit in step.units)
         steps.append(step)
     job.occurrences[number] = steps
-    job.next_occurrence = max(job.next_occurrence, number + 1)
     _release_steps(schedule, job, number)
 
 
--- a/courselead/core/scheduler/schedule.py
+++ b/courselead/core/scheduler/schedule.py
@@ -148,6 +148,11 @@
     now_ms: int
     wall_ms: int
     jobs: dict[str, Job] = field(default_factory=dict)
+    # Jobs that are not open yet, as there is no memory for their tasks, by id: whether
+    # an earlier owner may have started some of their tasks.
+    waiting_jobs: dict[str, bool] = field(default_factory=dict)
+    # Tasks for whose units there is memory, None if it is unknown.
+    max_open_tasks: int | None = None
     units: dict[str, Unit] = field(default_factory=dict)
     minions: dict[str, Minion] = field(default_factory=dict)
     # Incarnations that are known to have ended, by minion id.
--- a/courselead/core/scheduler/scheduler.py
+++ b/courselead/core/scheduler/scheduler.py
@@ -5,7 +5,6 @@
 from dataclasses import dataclass, replace
 
 from courselead.core.scheduler import (
-    arrivals,
     const,
     crashes,
     evacuation,
@@ -13,12 +12,13 @@
     left_starts,
     lives,
     minions,
+    opening,
     placement,
     pools,
     tickets,
     waves,
 )
-from courselead.core.scheduler.book import JobBook
+from courselead.core.scheduler.book import OPEN_TASK_BYTES, JobBook
 from courselead.core.scheduler.events import (
     AdviceAnswered,
     AdviceFailed,
@@ -88,6 +88,7 @@
         remaining_runs: RemainingRuns | None = None,
         starts_are_bound: bool = False,
         operator_log_age_ms: int = 0,
+        max_job_bytes: int | None = None,
     ) -> None:
         """Take over the schedule as recorded in the log.
 
@@ -104,6 +105,7 @@
             starts_are_bound: Whether a start order can only reach the incarnation that
                 it was sent to.
             operator_log_age_ms: Age of what is known of the operator's log.
+            max_job_bytes: Memory for the jobs of the log, None if it is unknown.
         """
         schedule = Schedule(
             fence, bounds, config, book, now_ms, now_ms, now_ms, wall_ms
@@ -122,9 +124,12 @@
             schedule.cloud_orders_after_ms = now_ms + bounds.cloud_order_lease_ms
         self.schedule = schedule
         self._forgot_ms = now_ms
+        if max_job_bytes is not None:
+            schedule.max_open_tasks = max_job_bytes // OPEN_TASK_BYTES
         for entry in list(book.jobs.values()):
             if not entry.state.final:
-                jobs.open_job(schedule, entry, from_before=True)
+                opening.add_job(schedule, entry, from_before=True)
+        opening.open_due(schedule)
 
     def handle(self, event: Event, now_ms: int) -> None:
         """Apply an event; its effects are returned by `take_effects`."""
@@ -266,10 +271,9 @@
         if entry is None or job_id in schedule.jobs:
             return
         if entry.cancelled:
-            jobs.add_cancelled(schedule, entry)
-            return
-        job = jobs.open_job(schedule, entry, from_before=False)
-        arrivals.job_arrived(schedule, job)
+            jobs.add_cancelled(schedule, entry, from_before=False)
+        elif job_id not in schedule.waiting_jobs:
+            opening.add_job(schedule, entry, from_before=False)
 
     def _saved(self, batch: int) -> None:
         self.schedule.saved_batch = batch
@@ -356,9 +360,8 @@
     def _tick(self, wall_ms: int) -> None:
         schedule = self.schedule
         schedule.wall_ms = wall_ms
-        for job in list(schedule.jobs.values()):
-            if job.spec.timed:
-                jobs.open_due(schedule, job)
+        opening.open_waiting(schedule)
+        opening.open_due(schedule)
         minions.tick(schedule)
         left_starts.tick(schedule)
         crashes.tick(schedule)
--- a/courselead/core/scheduler/state.py
+++ b/courselead/core/scheduler/state.py
@@ -17,6 +17,7 @@
     Resources,
     StepSpec,
 )
+from courselead.core.scheduler.records import OccurrenceProgress
 
 READY_PERCENT = 100
 """Progress that a long-running task reports while it serves its users."""
@@ -406,6 +407,7 @@
             that records it.
         cancelled: Whether its caller has cancelled it, also after it had failed.
         opened_fence: Fence of the owner that accepted it, 0 if unknown.
+        saved: Stored progress of the occurrences that this owner has not opened yet.
     """
 
     job_id: str
@@ -422,6 +424,7 @@
     begun: bool = False
     closed: set[int] = field(default_factory=set)
     occurrences: dict[int, list[StepRun]] = field(default_factory=dict)
+    saved: dict[int, OccurrenceProgress] = field(default_factory=dict)
     next_occurrence: int = 0
     live_runs: int = 0
     zone: str = ""
@@ -434,6 +437,11 @@
         """Return the pool in which its tasks start now, "" if that is unknown."""
         return "" if self.settings is None else self.settings.pool
 
+    @property
+    def has_open_occurrence(self) -> bool:
+        """Return whether an occurrence is open that has tasks left."""
+        return any(number not in self.closed for number in self.occurrences)
+
     @property
     def advised(self) -> bool:
         """Return whether the advice service decides where its tasks may start."""
--- a/courselead/daemon/scheduling/host.py
+++ b/courselead/daemon/scheduling/host.py
@@ -99,6 +99,7 @@
         self.counters = HostCounters()
         self._host = host
         self._zone = zone
+        self._max_job_bytes = max_job_bytes
         self._host_record = HostAddress(host, relay_address, cores_milli, link_mbps)
         access = self._access = StoreAccess(
             self._peer_addresses, self.counters, self._faster_peer_addresses
@@ -331,6 +332,7 @@
             self._bounds,
             self.counters,
             self._zone,
+            self._max_job_bytes,
         )
         try:
             await self._owner.run()
--- a/courselead/daemon/scheduling/owner.py
+++ b/courselead/daemon/scheduling/owner.py
@@ -128,9 +128,11 @@
         bounds: Bounds,
         counters: HostCounters,
         zone: str = "",
+        max_job_bytes: int | None = None,
     ) -> None:
         """Set up the owner; `run` takes over the schedule."""
         self._zone = zone
+        self._max_job_bytes = max_job_bytes
         self._claim = claim
         self.fence = claim.fence
         self._host = host
@@ -265,6 +267,7 @@
             # Guaranteed by `MinionLink.start`.
             starts_are_bound=True,
             operator_log_age_ms=self._operator_log_age_ms(),
+            max_job_bytes=self._max_job_bytes,
         )
         self._last_tick_ms = now_ms()
         self._follower.on_change = self._log_changed
--- a/tests/core/scheduler/world.py
+++ b/tests/core/scheduler/world.py
@@ -195,6 +195,8 @@
         self.wave_cap = 0
         self.hold_maintenance_ms = 0
         self.wave_status: list[tuple[int, bool]] = []
+        # Memory for the jobs of the log that the next owners are given.
+        self.max_job_bytes: int | None = None
         self.advised: dict[str, str] = {}
         self.advice_calls = 0
         self.advice_slowness = 1.0
@@ -266,6 +268,7 @@
             self._remaining_runs_of(before),
             self._starts_are_bound,
             self.now_ms - read_ms,
+            self.max_job_bytes,
         )
         # A host follows the operator's log also before it owns the schedule.
         owner.handle(ev.ZonesEvacuated(zones), self.now_ms)
