--- a/courselead/core/scheduler/jobs.py
+++ b/courselead/core/scheduler/jobs.py
@@ -2,22 +2,16 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-
-from courselead.core.scheduler import const, job_progress, ready_lists
+from courselead.core.scheduler import const, job_progress, ready_lists, unit_memory
 from courselead.core.scheduler.book import JobEntry
-from courselead.core.scheduler.events import ForgetEarlyCancels, ForgetJob, SaveProgress
+from courselead.core.scheduler.events import SaveProgress
 from courselead.core.scheduler.models import (
     FleetConfig,
-    JobSpec,
     JobState,
-    MinionInfo,
-    Queue,
-    StepSpec,
 )
 from courselead.core.scheduler.records import WaveProgress
 from courselead.core.scheduler.schedule import Schedule
-from courselead.core.scheduler.state import Job, Run, StepRun, Suspect, Unit
+from courselead.core.scheduler.state import Job, StepRun, Suspect, Unit
 
 CANCELLED = "cancelled by its caller"
 """Reason given when a job ends or its runs are stopped at the caller's request."""
@@ -25,38 +19,9 @@
 FAILED_TOO_OFTEN = "a task failed too often"
 """Reason given when a job ends because a task has no attempts left."""
 
-ENDED = "its job or task has ended"
-"""Reason given when a reported run is stopped because it is not needed any more."""
-
-UNKNOWN_JOB = "unknown job"
-"""Reason given when a reported run is stopped because its need is not known."""
-
-
 STORED = 0
 """Number before that of the first batch: what was stored before this owner."""
 
-MAX_NUMBER_DIGITS = 18
-"""Maximum length of a number in the name of a task; longer ones may not fit into the
-integers of records, and from 4,301 digits on they cannot be converted."""
-
-
-@dataclass(slots=True, eq=False)
-class StrayUnit(Unit):
-    """Stands for the task of a reported run that has no unit in the schedule.
-
-    It belongs to no occurrence and never starts. The run has to be tracked all the
-    same, as it uses its minion until it has ended.
-
-    Attributes:
-        task: The task's name as reported, which need not be well-formed.
-    """
-
-    task: str = ""
-
-    def task_name(self, index: int) -> str:
-        """Return the task's name as reported."""
-        return self.task
-
 
 def open_job(schedule: Schedule, entry: JobEntry, from_before: bool) -> Job:
     """Add a job from the log to the schedule, and open its first due occurrence.
@@ -66,17 +31,17 @@
         entry: The job with its stored progress.
         from_before: Whether an earlier owner may have started some of its tasks.
     """
-    job = _restore_job(schedule, entry, from_before)
+    job = restore_job(schedule, entry, from_before)
     if job.spec.timed:
         open_next_due(schedule, job)
     else:
-        _open_occurrence(schedule, job, 0)
+        open_occurrence(schedule, job, 0)
     return job
 
 
 def add_cancelled(schedule: Schedule, entry: JobEntry, from_before: bool) -> None:
     """Add a job that was cancelled before it was opened: none of its tasks starts."""
-    job = _restore_job(schedule, entry, from_before)
+    job = restore_job(schedule, entry, from_before)
     job.state = JobState.CANCELLED
     job.cancelled = True
     job.ended_ms = schedule.wall_ms
@@ -84,7 +49,7 @@
     _log_job(schedule, job, "job_ended", CANCELLED)
 
 
-def _restore_job(schedule: Schedule, entry: JobEntry, from_before: bool) -> Job:
+def restore_job(schedule: Schedule, entry: JobEntry, from_before: bool) -> Job:
     """Add a job from the log with its stored progress, without any unit."""
     job = _add_job(schedule, entry, from_before)
     progress = entry.progress
@@ -149,87 +114,10 @@
     number = next_due(schedule, job)
     if number is None:
         return False
-    _open_occurrence(schedule, job, number)
+    open_occurrence(schedule, job, number)
     return True
 
 
-def unit_of(schedule: Schedule, task: str) -> Unit | None:
-    """Return the unit of a task that a minion has reported, None if it has none.
-
-    The job, or its occurrence, may not be open yet. An ended job has no units, except
-    for the long-running tasks of one that failed.
-    """
-    unit = schedule.units.get(task)
-    if unit is not None:
-        return unit
-    job_id, *numbers = task.split(".")
-    job = schedule.jobs.get(job_id)
-    if job is None:
-        entry = schedule.book.jobs.get(job_id)
-        if entry is None:
-            return None
-        schedule.waiting_jobs.pop(job_id, None)
-        if entry.state.final and not entry.may_keep_running:
-            _restore_job(schedule, entry, from_before=True)
-            return None
-        job = open_job(schedule, entry, from_before=True)
-    if job.spec.timed and numbers:
-        _open_reported_occurrence(schedule, job, numbers[0])
-    return schedule.units.get(task)
-
-
-def _open_reported_occurrence(schedule: Schedule, job: Job, name: str) -> None:
-    """Open an occurrence of a timed job, of which a task is reported.
-
-    The record of a failed job names no occurrences, but its long-running tasks go on.
-    Other jobs may have due occurrences that this owner has not opened yet.
-    """
-    number = _task_number(name)
-    if number is None or number >= job.spec.repeats:
-        return
-    if number in job.closed or number in job.occurrences:
-        return
-    is_due = job.spec.due_ms(number) <= schedule.wall_ms
-    if job.state is JobState.FAILED or (is_due and not job.state.final):
-        _open_occurrence(schedule, job, number)
-
-
-def _task_number(text: str) -> int | None:
-    """Return a number of a task's name, None if no task can have it."""
-    if len(text) > MAX_NUMBER_DIGITS or not text.isascii() or not text.isdecimal():
-        return None
-    return int(text)
-
-
-def stray_unit(schedule: Schedule, task: str, info: MinionInfo) -> tuple[Unit, str]:
-    """Return a unit for a reported run without one, and the reason to stop the run.
-
-    An ended job may have no units: they are removed when its occurrence is closed, and
-    a job whose progress is final has no stored occurrences. If the job or the step is
-    unknown, so is the need, and the run is taken to use the whole minion.
-
-    Args:
-        schedule: The owner's state; `unit_of` has opened the job if it is known.
-        task: The task's name as reported.
-        info: The minion that reported the run.
-    """
-    job_id, *rest = task.split(".")
-    numbers = [_task_number(part) for part in rest]
-    job = schedule.jobs.get(job_id)
-    if job is not None and len(numbers) == 3 and None not in numbers:
-        occurrence, number, index = numbers
-        if number < len(job.spec.steps):
-            step = StepRun(job, occurrence, number, job.spec.steps[number])
-            return StrayUnit(step, (index,), done=True, task=task), ENDED
-    spec = StepSpec(1, info.capacity)
-    job = Job(job_id, "", JobSpec("", (spec,)), schedule.now_ms, from_before=False)
-    job.settings = Queue("", info.pool)
-    job.state = JobState.CANCELLED
-    job.begun = True
-    unit = StrayUnit(StepRun(job, 0, 0, spec), (0,), done=True, task=task)
-    return unit, UNKNOWN_JOB
-
-
 def unit_done(schedule: Schedule, unit: Unit) -> None:
     """Mark a unit as done."""
     if unit.done:
@@ -350,7 +238,7 @@
         end_job(schedule, job, JobState.CANCELLED, CANCELLED)
         return
     _stop_runs(schedule, job, CANCELLED)
-    _drop_idle_units(schedule, job)
+    unit_memory.drop_idle_units(schedule, job)
 
 
 def cancel_early(schedule: Schedule, job_id: str) -> None:
@@ -378,7 +266,7 @@
         for step in steps:
             schedule.advice.pop(step.name, None)
     _stop_runs(schedule, job, reason)
-    _drop_idle_units(schedule, job)
+    unit_memory.drop_idle_units(schedule, job)
 
 
 def _stop_runs(schedule: Schedule, job: Job, reason: str) -> None:
@@ -438,55 +326,8 @@
     schedule.dirty_waves.clear()
 
 
-def forget_old(schedule: Schedule) -> None:
-    """Remove jobs from the log that ended more than twice the status time ago."""
-    keep_ms = 2 * schedule.bounds.status_s * 1000
-    for entry in list(schedule.book.jobs.values()):
-        progress = entry.progress
-        if progress is None or not progress.state.final or not progress.ended_ms:
-            continue
-        if schedule.wall_ms - progress.ended_ms < keep_ms:
-            continue
-        job = schedule.jobs.get(entry.job_id)
-        if job is not None and job.live_runs:
-            continue
-        drop_job(schedule, entry.job_id)
-        schedule.emit(ForgetJob(entry.job_id, entry.account))
-    for job_id, account in schedule.book.duplicates:
-        schedule.emit(ForgetJob(job_id, account, is_duplicate=True))
-
-
-def forget_early_cancels(schedule: Schedule) -> None:
-    """Remove early cancels from the log that no submission can follow any more.
-
-    Their ages count from when this owner first saw them, as records have no times.
-    """
-    known = schedule.book.early_cancels.keys
-    seen_ms = schedule.early_cancels_seen_ms
-    for key in seen_ms.keys() - known:
-        del seen_ms[key]
-    expired = []
-    for key in known:
-        age_ms = schedule.now_ms - seen_ms.setdefault(key, schedule.now_ms)
-        if age_ms >= const.EARLY_CANCEL_MS:
-            expired.append(key)
-    for start in range(0, len(expired), const.FORGOTTEN_AT_ONCE):
-        batch = expired[start : start + const.FORGOTTEN_AT_ONCE]
-        schedule.emit(ForgetEarlyCancels(tuple(batch)))
-
-
-def drop_job(schedule: Schedule, job_id: str) -> None:
-    """Remove a job from the schedule."""
-    job = schedule.jobs.pop(job_id, None)
-    if job is None:
-        return
-    for number in list(job.occurrences):
-        schedule.remaining_work.pop((job_id, number), None)
-    for steps in job.occurrences.values():
-        _drop_units(schedule, steps)
-
-
-def _open_occurrence(schedule: Schedule, job: Job, number: int) -> None:
+def open_occurrence(schedule: Schedule, job: Job, number: int) -> None:
+    """Open an occurrence with its stored progress, and queue its first steps."""
     saved = job.saved.pop(number, None)
     steps: list[StepRun] = []
     for step_number, spec in enumerate(job.spec.steps):
@@ -548,70 +389,10 @@
 def _close_occurrence(schedule: Schedule, job: Job, number: int) -> None:
     job.closed.add(number)
     save(schedule, job)
-    _drop_closed_occurrence(schedule, job, number)
+    unit_memory.drop_closed_occurrence(schedule, job, number)
     if job.state.final:
         return
     if len(job.closed) >= max(1, job.spec.repeats):
         job.state = JobState.COMPLETED
         job.ended_ms = schedule.wall_ms
         _log_job(schedule, job, "job_ended", "")
-
-
-def drop_unneeded_units(schedule: Schedule, run: Run) -> None:
-    """Drop units that only a run which has just ended had kept.
-
-    Those of an ended job are dropped with its last run, those of a closed occurrence
-    with the last run of the occurrence.
-    """
-    step = run.unit.step
-    job = step.job
-    if job.state.final:
-        if not job.live_runs:
-            _drop_idle_units(schedule, job)
-    elif step.occurrence in job.closed and step.occurrence in job.occurrences:
-        _drop_closed_occurrence(schedule, job, step.occurrence)
-
-
-def _drop_closed_occurrence(schedule: Schedule, job: Job, number: int) -> None:
-    """Drop an occurrence whose tasks are all done, unless it still has runs."""
-    steps = job.occurrences[number]
-    if any(unit.runs for step in steps for unit in step.units):
-        return
-    _drop_units(schedule, steps)
-    del job.occurrences[number]
-    schedule.remaining_work.pop((job.job_id, number), None)
-
-
-def _drop_idle_units(schedule: Schedule, job: Job) -> None:
-    """Drop the units of an ended job that have no runs, to give their memory back.
-
-    A run of theirs that is reported later is stopped like any other one without a unit.
-    Long-running tasks of a failed job keep their units, since their runs go on. So do
-    units that an earlier owner may have started within the cap of an account.
-    """
-    may_run_unseen = bool(job.account) and job.from_before
-    if may_run_unseen and schedule.now_ms < schedule.old_leases_end_ms:
-        return
-    for steps in job.occurrences.values():
-        for step in steps:
-            if step.spec.long_running and not job.cancelled:
-                continue
-            kept = [unit for unit in step.units if unit.runs]
-            if len(kept) == len(step.units):
-                continue
-            for unit in step.units:
-                if not unit.runs:
-                    _drop_unit(schedule, unit)
-            step.units = kept
-
-
-def _drop_units(schedule: Schedule, steps: list[StepRun]) -> None:
-    for step in steps:
-        for unit in step.units:
-            _drop_unit(schedule, unit)
-
-
-def _drop_unit(schedule: Schedule, unit: Unit) -> None:
-    ready_lists.remove(schedule, unit)
-    for index in unit.indexes:
-        schedule.units.pop(unit.task_name(index), None)
--- a/courselead/core/scheduler/lost_runs.py
+++ b/courselead/core/scheduler/lost_runs.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from courselead.core.scheduler import const, jobs
+from courselead.core.scheduler import const, jobs, unit_memory
 from courselead.core.scheduler.schedule import Schedule
 from courselead.core.scheduler.state import Run, StrayStart, Unit
 
@@ -28,7 +28,7 @@
         age_ms=schedule.now_ms - run.started_ms,
     )
     schedule.drop_run(run)
-    jobs.drop_unneeded_units(schedule, run)
+    unit_memory.drop_unneeded_units(schedule, run)
     stop_gang(schedule, unit, run.number)
     jobs.requeue(schedule, unit)
 
--- a/courselead/core/scheduler/minions.py
+++ b/courselead/core/scheduler/minions.py
@@ -14,6 +14,7 @@
     lost_runs,
     pace,
     ready_lists,
+    reported_tasks,
     run_ends,
     service_stops,
     stalls,
@@ -228,7 +229,9 @@
     run = minion.runs.get((report.task, report.number))
     if run is None:
         run = _adopt_run(schedule, minion, report)
-    elif isinstance(run.unit, jobs.StrayUnit) and run.stop_answered_ms is None:
+    elif (
+        isinstance(run.unit, reported_tasks.StrayUnit) and run.stop_answered_ms is None
+    ):
         # Its stop may have been lost.
         schedule.order_stop(run)
     service_stops.run_reported(schedule, minion, run)
@@ -268,10 +271,12 @@
 
     It uses its minion until it is known to have ended, also if it is stopped at once.
     """
-    stop_reason = jobs.ENDED
-    unit = jobs.unit_of(schedule, report.task)
+    stop_reason = reported_tasks.ENDED
+    unit = reported_tasks.unit_of(schedule, report.task)
     if unit is None:
-        unit, stop_reason = jobs.stray_unit(schedule, report.task, minion.info)
+        unit, stop_reason = reported_tasks.stray_unit(
+            schedule, report.task, minion.info
+        )
         index = unit.indexes[0]
     else:
         index = int(report.task.rpartition(".")[2])
--- a/courselead/core/scheduler/run_ends.py
+++ b/courselead/core/scheduler/run_ends.py
@@ -2,7 +2,13 @@
 
 from __future__ import annotations
 
-from courselead.core.scheduler import const, jobs, lost_runs
+from courselead.core.scheduler import (
+    const,
+    jobs,
+    lost_runs,
+    reported_tasks,
+    unit_memory,
+)
 from courselead.core.scheduler.events import EndKind, EndReport
 from courselead.core.scheduler.schedule import Schedule
 from courselead.core.scheduler.state import Minion, Run, Unit, UnsavedEnd
@@ -19,7 +25,7 @@
     unsaved = UnsavedEnd(end.sequence, schedule.open_batch, end.task)
     minion.unsaved.append(unsaved)
     run = minion.runs.get((end.task, end.number))
-    unit = run.unit if run is not None else jobs.unit_of(schedule, end.task)
+    unit = run.unit if run is not None else reported_tasks.unit_of(schedule, end.task)
     if unit is None:
         return
     unit.next_number = max(unit.next_number, end.number + 1)
@@ -33,7 +39,7 @@
         if completes_unit:
             _update_average_run_time(schedule, run)
         schedule.drop_run(run)
-        jobs.drop_unneeded_units(schedule, run)
+        unit_memory.drop_unneeded_units(schedule, run)
     if end.kind is EndKind.DONE:
         minion.failures_in_row.clear()
     if completes_unit:
--- a/courselead/core/scheduler/scheduler.py
+++ b/courselead/core/scheduler/scheduler.py
@@ -8,6 +8,7 @@
     const,
     crashes,
     evacuation,
+    forgetting,
     jobs,
     left_starts,
     lives,
@@ -370,5 +371,5 @@
         schedule.dirty_pools.update(schedule.ready)
         if schedule.now_ms - self._forgot_ms >= FORGET_PERIOD_MS:
             self._forgot_ms = schedule.now_ms
-            jobs.forget_old(schedule)
-            jobs.forget_early_cancels(schedule)
+            forgetting.forget_old(schedule)
+            forgetting.forget_early_cancels(schedule)
--- a/tests/core/scheduler/test_stray_runs.py
+++ b/tests/core/scheduler/test_stray_runs.py
@@ -3,8 +3,8 @@
 import pytest
 
 from courselead.core.scheduler import events as ev
-from courselead.core.scheduler.jobs import unit_of
 from courselead.core.scheduler.models import JobState
+from courselead.core.scheduler.reported_tasks import unit_of
 from tests.core.scheduler.fake_minions import FakeMinion, FakeRun
 from tests.core.scheduler.world import POLL_MS, WALL_START_MS, World, job, step
 
