Drop units that count towards a cap once earlier leases are over

The units of an account's job from before a takeover are kept at its end, as its tasks may run unseen and count towards the account's cap. They were then kept until the job was forgotten, unless a run of it ended.

The new test failed before (500 units after 30 s).

--- a/courselead/core/scheduler/forgetting.py
+++ b/courselead/core/scheduler/forgetting.py
@@ -25,6 +25,13 @@
         schedule.emit(ForgetJob(job_id, account, is_duplicate=True))
 
 
+def drop_units_of_ended_jobs(schedule: Schedule) -> None:
+    """Drop units that were kept beyond the end of their jobs and may be dropped now."""
+    for job in schedule.jobs.values():
+        if job.state.final:
+            unit_memory.drop_idle_units(schedule, job)
+
+
 def forget_early_cancels(schedule: Schedule) -> None:
     """Remove early cancels from the log that no submission can follow any more.
 
--- a/courselead/core/scheduler/scheduler.py
+++ b/courselead/core/scheduler/scheduler.py
@@ -372,4 +372,5 @@
         if schedule.now_ms - self._forgot_ms >= FORGET_PERIOD_MS:
             self._forgot_ms = schedule.now_ms
             forgetting.forget_old(schedule)
+            forgetting.drop_units_of_ended_jobs(schedule)
             forgetting.forget_early_cancels(schedule)
--- a/tests/core/scheduler/test_job_memory.py
+++ b/tests/core/scheduler/test_job_memory.py
@@ -110,6 +110,21 @@
     assert not world.owner.schedule.units
 
 
+def test_units_that_count_towards_a_cap_are_dropped_with_the_leases():
+    """They stayed until the job was forgotten, unless a run of theirs ended."""
+    world = World()
+    world.claim()
+    world.submit(job(step(500, cpu=9_000)), JOB, account="a")
+    world.run(300)
+    world.claim()
+    world.run(300)
+    world.cancel(JOB)
+    world.run(500)
+    assert len(world.owner.schedule.units) == 500
+    world.run(30_000)
+    assert not world.owner.schedule.units
+
+
 def test_a_task_of_a_job_that_was_cancelled_under_an_earlier_owner_is_stopped():
     """The job is not opened again for a single run that is reported."""
     world = World()
