Reject requests that waited in a host that stood still for long

The cancel of an unknown job holds for 60 s.

A host whose time has jumped by 30 s or more rejects for 2 s what it reads, and what it had queued, with "not stored".

--- a/courselead/daemon/scheduling/writer.py
+++ b/courselead/daemon/scheduling/writer.py
@@ -21,6 +21,7 @@
     HostCounters,
     KeyedLog,
 )
+from courselead.daemon.scheduling.standstill import StandstillWatch
 
 _LOGGER = structlog.get_logger(__name__)
 
@@ -50,6 +51,9 @@
 """Time for which new records are refused after an append without a response."""
 
 
+_TOO_OLD = StoreResult(False, False, "this host stood still; send the request again")
+
+
 @dataclass(slots=True, eq=False)
 class _PendingRecord:
     record: KeyedRecord
@@ -65,6 +69,7 @@
         log: KeyedLog,
         counters: HostCounters,
         forwarder: OwnerForwarder | None = None,
+        standstill: StandstillWatch | None = None,
     ) -> None:
         """Initialize with an empty queue.
 
@@ -72,6 +77,7 @@
             log: Job log.
             counters: Counters of this host.
             forwarder: Forwards records to the owner's host, which is tried first.
+            standstill: Tells whether records may have waited for too long.
         """
         self._log = log
         self._forwarder = forwarder
@@ -79,11 +85,14 @@
         self._queue: list[_PendingRecord] = []
         self._wake = anyio.Event()
         self._rejecting_until = 0.0
+        self._standstill = standstill or StandstillWatch()
 
     async def store(
         self, record: JobAccepted | JobCancelled | EarlyCancel
     ) -> StoreResult:
         """Store a record through the owner's host or, if that fails, directly."""
+        if self._standstill.has_old_requests:
+            return _TOO_OLD
         encoded = encode(record)
         if self._forwarder is None:
             return await self.store_here(encoded)
@@ -100,6 +109,8 @@
 
     async def store_here(self, record: KeyedRecord) -> StoreResult:
         """Store a record with this host's next append."""
+        if self._standstill.has_old_requests:
+            return _TOO_OLD
         if anyio.current_time() < self._rejecting_until:
             return StoreResult(False, False, "the log does not answer")
         pending = _PendingRecord(record)
@@ -110,6 +121,11 @@
 
     async def run(self) -> None:
         """Store queued records until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._standstill.run)
+            await self._store_queued()
+
+    async def _store_queued(self) -> None:
         while True:
             await self._wake.wait()
             self._wake = anyio.Event()
@@ -129,7 +145,10 @@
         return batch
 
     async def _commit(self, batch: list[_PendingRecord]) -> None:
-        stored = await self._append([item.record for item in batch])
+        if self._standstill.has_old_requests:
+            stored = _TOO_OLD
+        else:
+            stored = await self._append([item.record for item in batch])
         for item in batch:
             item.stored = stored
             item.done.set()
