Bound the memory of all jobs, ended ones as well

A job of any size is refused with 503 while the specifications of all jobs take 1.5 times the memory for jobs.

The two new tests fail without the change to the book and the check (no such bound).

--- a/courselead/core/scheduler/admission.py
+++ b/courselead/core/scheduler/admission.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-from courselead.core.scheduler.book import open_job_bytes
+from courselead.core.scheduler.book import JOB_BYTES, open_job_bytes
 from courselead.core.scheduler.models import JobSpec, Queue
 from courselead.core.scheduler.records import PoolWait
 from courselead.core.scheduler.urgency import longest_chain_ms
@@ -42,6 +42,10 @@
 """Tasks, and memory of the specification, up to which a job is accepted whatever the
 hosts hold."""
 
+SMALL_JOB_SHARE = 1.5
+"""Multiple of the memory for jobs up to which small ones are accepted and opened. The
+others cannot use all of it, so that those of other callers need not wait for them."""
+
 VALUE_FACTOR = 3
 """Multiple of its objective up to which a job's completion has some value."""
 
@@ -233,6 +237,28 @@
         return None
     if held_bytes + open_job_bytes(spec) <= max_bytes:
         return None
+    return no_memory()
+
+
+def is_full(spec: JobSpec, spec_bytes: int, max_bytes: int | None) -> bool:
+    """Return whether there is no memory for a job even without its tasks.
+
+    Jobs are held until they are forgotten, some time after their end. Small ones may
+    use more memory than large ones, as with open tasks.
+
+    Args:
+        spec: The submitted job.
+        spec_bytes: Memory of the other jobs without their tasks.
+        max_bytes: Memory for all jobs, None if it is unknown.
+    """
+    if max_bytes is None:
+        return False
+    limit = SMALL_JOB_SHARE * max_bytes
+    return spec_bytes + JOB_BYTES + spec.memory_bytes > limit
+
+
+def no_memory() -> Rejection:
+    """Return the rejection of a job for which the hosts have no memory now."""
     text = "the hosts hold as many tasks as they can; come back when some have ended"
     return Rejection(RejectReason.MEMORY, text)
 
--- a/courselead/core/scheduler/book.py
+++ b/courselead/core/scheduler/book.py
@@ -24,6 +24,10 @@
 """Memory of a task on the host that owns the schedule, until its job has ended."""
 
 
+JOB_BYTES = 3_072
+"""Memory of a job besides its specification and tasks, until it is forgotten."""
+
+
 def open_job_bytes(spec: JobSpec) -> int:
     """Return the memory of a job that has not ended."""
     return OPEN_TASK_BYTES * spec.task_count + spec.memory_bytes
@@ -37,7 +41,8 @@
         settings: Settings of its queue when it was accepted, None if unknown.
         address: Digest of the host and path prefix of its submission, 0 if unknown.
         open_bytes: Memory of the job until it has ended.
-        ended_bytes: Memory afterwards, as its state may still be requested.
+        ended_bytes: Memory afterwards, as its state may still be requested. Its
+            payload is not needed any more.
     """
 
     job_id: str
@@ -132,6 +137,8 @@
         # Job id and account of jobs whose id another account already used; these jobs
         # never run.
         self.duplicates: set[tuple[str, str]] = set()
+        # Memory of all jobs without that of their tasks.
+        self.spec_bytes = 0
         self._early_progress: dict[str, JobProgress] = {}
         self._early_cancels: set[str] = set()
         self.early_cancels = EarlyCancels()
@@ -202,8 +209,19 @@
         entry.cancelled = record.job_id in self._early_cancels
         self._early_cancels.discard(record.job_id)
         self.jobs[record.job_id] = entry
+        self.spec_bytes += JOB_BYTES + entry.spec.memory_bytes
         for cancel in self.early_cancels.of_job(record.job_id):
             self._cancel_early(cancel)
+        self._drop_payload_if_ended(entry)
+
+    def _drop_payload_if_ended(self, entry: JobEntry) -> None:
+        """Give the memory of an ended job's payload back: it never starts again."""
+        payload = entry.spec.payload
+        if not payload or not entry.state.final or entry.may_keep_running:
+            return
+        entry.spec = entry.spec.without_payload()
+        entry.ended_bytes = entry.spec.memory_bytes
+        self.spec_bytes -= len(payload)
 
     def _forgotten(self, record: JobForgotten) -> None:
         entry = self.jobs.get(record.job_id)
@@ -211,6 +229,7 @@
             self.duplicates.discard((record.job_id, record.account))
             if entry is not None and entry.account == record.account:
                 del self.jobs[record.job_id]
+                self.spec_bytes -= JOB_BYTES + entry.spec.memory_bytes
         self._early_progress.pop(record.job_id, None)
         self._early_cancels.discard(record.job_id)
 
@@ -225,6 +244,7 @@
             # again from the log: an older record must not reopen an ended job.
             return
         entry.progress = record
+        self._drop_payload_if_ended(entry)
 
     def _cancel_early(self, record: EarlyCancel) -> None:
         """Cancel a job that its caller has cancelled before it was known.
@@ -237,6 +257,7 @@
         ):
             return
         entry.cancelled = True
+        self._drop_payload_if_ended(entry)
 
     def _cancelled(self, record: JobCancelled) -> None:
         entry = self.jobs.get(record.job_id)
@@ -244,3 +265,4 @@
             self._early_cancels.add(record.job_id)
             return
         entry.cancelled = True
+        self._drop_payload_if_ended(entry)
--- a/courselead/core/scheduler/jobs.py
+++ b/courselead/core/scheduler/jobs.py
@@ -267,6 +267,8 @@
             schedule.advice.pop(step.name, None)
     _stop_runs(schedule, job, reason)
     unit_memory.drop_idle_units(schedule, job)
+    if state is JobState.CANCELLED:
+        job.spec = job.spec.without_payload()
 
 
 def _stop_runs(schedule: Schedule, job: Job, reason: str) -> None:
@@ -394,5 +396,6 @@
         return
     if len(job.closed) >= max(1, job.spec.repeats):
         job.state = JobState.COMPLETED
+        job.spec = job.spec.without_payload()
         job.ended_ms = schedule.wall_ms
         _log_job(schedule, job, "job_ended", "")
--- a/courselead/core/scheduler/models.py
+++ b/courselead/core/scheduler/models.py
@@ -131,6 +131,10 @@
             total += len(step.preferred_rack)
         return total
 
+    def without_payload(self) -> JobSpec:
+        """Return a copy without the text that is sent to minions with each start."""
+        return msgspec.structs.replace(self, payload="")
+
     def due_ms(self, occurrence: int) -> int:
         """Return when an occurrence is due, 0 for a job that is not timed."""
         if not self.timed:
--- a/courselead/core/scheduler/opening.py
+++ b/courselead/core/scheduler/opening.py
@@ -7,18 +7,12 @@
 from __future__ import annotations
 
 from courselead.core.scheduler import arrivals, jobs
+from courselead.core.scheduler.admission import LARGE_JOB_TASKS, SMALL_JOB_SHARE
 from courselead.core.scheduler.book import JobEntry
 from courselead.core.scheduler.models import JobSpec
 from courselead.core.scheduler.schedule import Schedule
 from courselead.core.scheduler.state import Job
 
-SMALL_JOB_TASKS = 1_000
-"""Tasks up to which a job may use the memory that larger ones leave unused."""
-
-SMALL_JOB_SHARE = 1.5
-"""Multiple of the memory for open tasks up to which small jobs are opened. The others
-cannot use all of it, so that those of other callers need not wait for them."""
-
 OVERLAP_SHARE = 0.5
 """Share of the memory for open tasks that occurrences may use which overlap with an
 earlier one of their job."""
@@ -97,7 +91,7 @@
     if schedule.max_open_tasks is None or not spec.task_count:
         return True
     limit = schedule.max_open_tasks
-    if spec.task_count <= SMALL_JOB_TASKS:
+    if spec.task_count <= LARGE_JOB_TASKS:
         limit = int(limit * SMALL_JOB_SHARE)
     return len(schedule.units) + spec.task_count <= limit
 
--- a/courselead/daemon/scheduling/job_admission.py
+++ b/courselead/daemon/scheduling/job_admission.py
@@ -158,8 +158,12 @@
         return anyio.current_time() - answered_at < IN_DOUBT_S
 
     def _memory_rejection(self, job_id: str, spec: JobSpec) -> Rejection | None:
-        """Return why there is no memory for a large job, None if there is."""
-        if not admission.is_large(spec) or self._is_in_doubt(job_id):
+        """Return why there is no memory for a job, None if there is."""
+        if self._is_in_doubt(job_id):
+            return None
+        if admission.is_full(spec, self._book.spec_bytes, self._max_job_bytes):
+            return admission.no_memory()
+        if not admission.is_large(spec):
             return None
         # The other hosts may be storing as much, which this one has not read yet.
         storing_bytes = self._storing_bytes * max(1, len(self._book.hosts))
--- a/tests/core/scheduler/test_job_memory.py
+++ b/tests/core/scheduler/test_job_memory.py
@@ -12,6 +12,7 @@
 import pytest
 
 from courselead.core.scheduler import opening
+from courselead.core.scheduler.admission import LARGE_JOB_TASKS, SMALL_JOB_SHARE
 from courselead.core.scheduler.book import OPEN_TASK_BYTES
 from courselead.core.scheduler.models import JobState
 from courselead.core.scheduler.state import Unit
@@ -148,7 +149,7 @@
     for _ in range(800):
         world.run(100)
         most = max(most, len(world.owner.schedule.units))
-    assert most <= LIMIT * opening.SMALL_JOB_SHARE
+    assert most <= LIMIT * SMALL_JOB_SHARE
     assert {world.state(job_id) for job_id in ids} == {JobState.COMPLETED}
 
 
@@ -175,7 +176,7 @@
 
 def test_small_jobs_are_served_beside_large_ones_that_fill_the_memory():
     """The large ones need a label that no minion has, and never end."""
-    tasks = 3 * opening.SMALL_JOB_TASKS
+    tasks = 3 * LARGE_JOB_TASKS
     world = limited_world(2 * tasks)
     world.claim()
     world.run(300)
@@ -213,7 +214,7 @@
     world.run(seen_ms)
     world.max_job_bytes = LIMIT * OPEN_TASK_BYTES
     world.claim()
-    assert len(world.owner.schedule.units) <= LIMIT * opening.SMALL_JOB_SHARE
+    assert len(world.owner.schedule.units) <= LIMIT * SMALL_JOB_SHARE
     world.run(2_000)
     ids.append(world.submit(job(step(2)), JOB, length_ms=300))
     world.run(120_000)
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -7,7 +7,7 @@
 from returns.result import Failure, Success
 
 from courselead.core.scheduler.admission import LARGE_JOB_TASKS
-from courselead.core.scheduler.book import OPEN_TASK_BYTES
+from courselead.core.scheduler.book import JOB_BYTES, OPEN_TASK_BYTES
 from courselead.core.scheduler.models import JobSpec, JobState
 from courselead.core.scheduler.records import (
     JobAccepted,
@@ -17,6 +17,7 @@
     OwnerHeartbeat,
     decode,
     encode,
+    forget,
 )
 from courselead.daemon.scheduling.follower import JobFollower
 from courselead.daemon.scheduling.intake import Intake
@@ -312,6 +313,43 @@
     assert not ingress.log.records
 
 
+async def test_small_jobs_are_refused_while_the_ended_ones_take_the_memory():
+    """Guards against a crowd of small jobs that are cancelled at once.
+
+    Ended jobs are held until they are forgotten, 240 s later by default, and small ones
+    were accepted whatever the hosts held.
+    """
+    ingress = IngressHarness(MemoryLog(), max_job_bytes=40 * JOB_BYTES)
+    ingress.configure()
+    statuses = []
+    for number in range(100):
+        statuses.append((await ingress.post(job_id(number), SMALL))[0])
+        await ingress.call("DELETE", f"/q/{job_id(number)}")
+    accepted = statuses.count(200)
+    assert 40 <= accepted <= 60
+    assert statuses[accepted:] == [503] * (100 - accepted)
+    # A repeated submission of one that was accepted.
+    assert (await ingress.post(job_id(1), SMALL))[0] == 200
+    for number in range(accepted):
+        ingress.log.records.extend(forget(job_id(number)))
+    assert (await ingress.post(job_id(100), SMALL))[0] == 200
+
+
+async def test_the_payload_of_an_ended_job_is_dropped():
+    ingress = IngressHarness(MemoryLog())
+    ingress.configure()
+    book = ingress.follower.book
+    await ingress.post(job_id(1), {**SMALL, "spec": "x" * 4_000})
+    held = book.spec_bytes
+    assert book.jobs[job_id(1)].spec.payload
+    await ingress.call("DELETE", f"/q/{job_id(1)}")
+    assert not book.jobs[job_id(1)].spec.payload
+    assert book.spec_bytes == held - 4_000
+    for record in forget(job_id(1)):
+        book.apply(decode(record))
+    assert book.spec_bytes == 0
+
+
 async def test_large_jobs_that_are_being_stored_count():
     ingress = IngressHarness(MemoryLog(), max_job_bytes=MAX_JOB_BYTES)
     ingress.configure()
