Open the first due occurrence of a job before overlapping ones of others

At most 2,000 tasks are opened in one go, and the jobs that came first used that up each time, so that a job whose first occurrence was due waited until their share of the memory was full. The new test fails without the change.

--- a/courselead/core/scheduler/opening.py
+++ b/courselead/core/scheduler/opening.py
@@ -67,9 +67,13 @@
 
 
 def open_due(schedule: Schedule) -> None:
-    """Open due occurrences of timed jobs, one of each job in turn."""
+    """Open due occurrences of timed jobs, one of each job in turn.
+
+    Jobs without an open occurrence come first.
+    """
     until = len(schedule.units) + TASKS_OPENED_AT_ONCE
     timed = [job for job in schedule.jobs.values() if job.spec.timed]
+    timed.sort(key=lambda job: job.has_open_occurrence)
     while timed:
         opened = []
         for job in timed:
--- a/tests/core/scheduler/test_job_memory.py
+++ b/tests/core/scheduler/test_job_memory.py
@@ -164,6 +164,20 @@
     assert sum(counts) * 5 <= LIMIT * opening.OVERLAP_SHARE
 
 
+def test_a_job_without_an_open_occurrence_comes_before_overlapping_ones(monkeypatch):
+    # The first jobs used up what is opened in one go, again and again.
+    monkeypatch.setattr(opening, "TASKS_OPENED_AT_ONCE", 10)
+    world = World()
+    world.claim()
+    later_ms = WALL_START_MS + world.now_ms + 1_000
+    for number in range(4):
+        world.submit(overlapping(5, 400), f"{number:016x}", length_ms=60_000)
+    spec = job(step(5), first_due_ms=later_ms, interval_ms=1, repeats=9)
+    world.submit(spec, JOB, length_ms=60_000)
+    world.run(1_250)
+    assert world.owner.schedule.jobs[JOB].occurrences
+
+
 def test_a_job_for_which_there_is_no_memory_waits_until_others_have_ended():
     world = limited_world(60, minions=4)
     world.claim()
