--- a/courselead/core/scheduler/book.py
+++ b/courselead/core/scheduler/book.py
@@ -140,7 +140,7 @@
         # Memory of all jobs without that of their tasks.
         self.spec_bytes = 0
         self._early_progress: dict[str, JobProgress] = {}
-        self._early_cancels: set[str] = set()
+        self._cancels_before_jobs: set[str] = set()
         self.early_cancels = EarlyCancels()
 
     def apply(self, record: Record) -> None:
@@ -206,8 +206,8 @@
         entry.open_bytes = open_job_bytes(record.spec)
         entry.ended_bytes = record.spec.memory_bytes
         entry.progress = self._early_progress.pop(record.job_id, None)
-        entry.cancelled = record.job_id in self._early_cancels
-        self._early_cancels.discard(record.job_id)
+        entry.cancelled = record.job_id in self._cancels_before_jobs
+        self._cancels_before_jobs.discard(record.job_id)
         self.jobs[record.job_id] = entry
         self.spec_bytes += JOB_BYTES + entry.spec.memory_bytes
         for cancel in self.early_cancels.of_job(record.job_id):
@@ -231,7 +231,7 @@
                 del self.jobs[record.job_id]
                 self.spec_bytes -= JOB_BYTES + entry.spec.memory_bytes
         self._early_progress.pop(record.job_id, None)
-        self._early_cancels.discard(record.job_id)
+        self._cancels_before_jobs.discard(record.job_id)
 
     def _progressed(self, record: JobProgress) -> None:
         entry = self.jobs.get(record.job_id)
@@ -262,7 +262,7 @@
     def _cancelled(self, record: JobCancelled) -> None:
         entry = self.jobs.get(record.job_id)
         if entry is None:
-            self._early_cancels.add(record.job_id)
+            self._cancels_before_jobs.add(record.job_id)
             return
         entry.cancelled = True
         self._drop_payload_if_ended(entry)
