Wait longer for an advice service that is slower than its settings say

A service that takes 4 s to decide where its settings say 200 ms was never answered in time, however few minions a call named. The timeout grows with each failed call, and an answer takes back one failure instead of all. The new test failed before.

--- a/courselead/core/scheduler/step_advice.py
+++ b/courselead/core/scheduler/step_advice.py
@@ -35,7 +35,7 @@
             incarnations.
         asked: Minions named in the open call, with the start times of their
             incarnations; empty if no call is open.
-        failures: Calls in a row that were not answered.
+        failures: Calls that were not answered, less those that were answered since.
         retry_ms: Time from which the service may be asked again.
     """
 
@@ -83,7 +83,7 @@
             else:
                 self.tickets[minion_id] = Ticket(value, born_ms, expires_ms)
         self.asked = {}
-        self.failures = 0
+        self.failures = max(0, self.failures - 1)
 
     def forget_missing(self, minions: Mapping[str, Minion]) -> None:
         """Forget what was said about minions that do not exist any more."""
--- a/courselead/core/scheduler/tickets.py
+++ b/courselead/core/scheduler/tickets.py
@@ -30,7 +30,10 @@
 """
 
 CALL_SLACK_MS = 2_000
-"""Time without an answer, beyond the duration of a call, until it counts as failed."""
+"""Time without an answer, beyond the duration of a call, until it counts as failed.
+
+It is as much longer for each call in a row that has failed.
+"""
 
 MAX_CALL_TIMEOUT_MS = 60_000
 """Maximum timeout of a call: while it is open, other steps wait."""
@@ -84,7 +87,8 @@
     schedule.open_advice_calls.add(name)
     advice.asked = {item.minion_id: item.info.born_ms for item in named}
     duration_ms = policy.decide_ms + policy.each_ms * len(named)
-    timeout_ms = min(duration_ms + CALL_SLACK_MS, MAX_CALL_TIMEOUT_MS)
+    slack_ms = CALL_SLACK_MS * (1 + advice.failures)
+    timeout_ms = min(duration_ms + slack_ms, MAX_CALL_TIMEOUT_MS)
     schedule.emit(AskAdvice(name, tuple(advice.asked), timeout_ms))
 
 
--- a/tests/core/scheduler/test_advice.py
+++ b/tests/core/scheduler/test_advice.py
@@ -70,8 +70,9 @@
     assert world.state(job_id) is JobState.COMPLETED
 
 
-def test_jobs_start_if_the_service_is_slower_than_its_policy():
-    world = advised_world(100, AdvicePolicy(20, 10, 3_000))
+@pytest.mark.parametrize("decide_ms", [20, 200])
+def test_jobs_start_if_the_service_is_slower_than_its_policy(decide_ms):
+    world = advised_world(100, AdvicePolicy(decide_ms, 10, 3_000))
     world.advice_slowness = 20.0
     allow_last(world, 50)
     world.claim()
